--- /dev/null
+++ b/scripts/check-decide.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Holds the line around the decisions: src/decide and include/archdyke use no socket,
+# thread, clock, log or random device. What is random or timed is passed in.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+banned='<(thread|mutex|atomic|chrono|ctime|condition_variable|future|iostream|fstream|filesystem|sys/|netinet|unistd|pthread|httplib|kj/|capnp/|absl/(synchronization|time)|fmt/|prometheus)|random_device|getenv|"(log|process|call|rpc_|http_)'
+if grep -nE "#include $banned|random_device|system_clock|steady_clock|getenv" src/decide/* include/archdyke/*; then
+	echo "the decisions must be pure: pass time, randomness and messages in" >&2
+	exit 1
+fi
+archive=$(ls build/*/libarchdyke-decide.a 2>/dev/null | head -n 1)
+if [ -n "$archive" ] && nm -C --undefined-only "$archive" | grep -E " (socket|connect|pthread_create|clock_gettime|gettimeofday|open64?|std::random_device)" ; then
+	echo "the decisions link against sockets, threads or clocks" >&2
+	exit 1
+fi
+echo "decisions are pure"
--- /dev/null
+++ b/src/admin.h
@@ -0,0 +1,23 @@
+/// The operators' HTTP address of a process: metrics, state dump, readiness, drain.
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "http_server.h"
+#include "metrics.h"
+
+namespace archdyke
+{
+	/// What a process answers with.
+	struct AdminHandlers
+	{
+		std::function<nlohmann::json()> dump;
+		std::function<bool()> ready;
+		std::function<void()> drain;
+	};
+
+	/// Adds /metrics, /dump, /ready and /drain to a server.
+	void addAdminRoutes(HttpServer& _server, Metrics& _metrics, const AdminHandlers& _handlers);
+} // namespace archdyke
--- /dev/null
+++ b/src/agent_link.cpp
@@ -0,0 +1,421 @@
+#include "agent_link.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include "config.h"
+#include "log.h"
+#include "process.h"
+#include "rpc_convert.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		constexpr std::int64_t kTickMs = 100;
+
+		/// Hands the frames of a run to its caller's thread.
+		class CallSink final : public rpc::Sink::Server
+		{
+		public:
+			CallSink(std::shared_ptr<Call> _call, std::function<void(const LoadReport&)> _hearLoad)
+			    : call(std::move(_call))
+			    , hearLoad(std::move(_hearLoad))
+			{
+			}
+
+		protected:
+			kj::Promise<void> frame(FrameContext _context) override
+			{
+				const rpc::Frame::Reader frame = _context.getParams().getFrame();
+				if (frame.getEnd())
+				{
+					this->hearLoad(readLoad(frame.getLoad()));
+				}
+				this->call->push(readFrame(frame));
+				return kj::READY_NOW;
+			}
+
+		private:
+			std::shared_ptr<Call> call;
+			std::function<void(const LoadReport&)> hearLoad;
+		};
+	} // namespace
+
+	struct AgentLink::Connection : public kj::TaskSet::ErrorHandler
+	{
+		Connection(std::uint64_t _session, AgentLink& _link)
+		    : session(_session)
+		    , link(_link)
+		    , tasks(*this)
+		{
+		}
+
+		void taskFailed(kj::Exception&& _error) override
+		{
+			this->link.markBroken(this->session, _error.getDescription().cStr());
+		}
+
+		void establish(kj::Own<kj::AsyncIoStream> _stream)
+		{
+			this->stream = kj::mv(_stream);
+			this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
+			this->agent = kj::heap<rpc::Agent::Client>(this->client->bootstrap().castAs<rpc::Agent>());
+			this->tasks.add(this->client->onDisconnect().then([this] {
+				this->link.markBroken(this->session, "disconnected");
+			}));
+		}
+
+		/// @returns Whether a question has gone without an answer for too long.
+		bool isSilent(Millis _now) const
+		{
+			const bool asked = !this->ready || this->heartbeatPending;
+			return asked && kLinkTimeoutMs < _now - this->askedAt;
+		}
+
+		const std::uint64_t session;
+		AgentLink& link;
+		std::uint64_t agentIncarnation = 0;
+		bool ready = false;
+		Millis lastHeard = nowMs();
+		Millis askedAt = nowMs(); ///< Connect, hello or heartbeat.
+		bool heartbeatPending = false;
+		kj::Own<kj::AsyncIoStream> stream;
+		kj::Own<capnp::TwoPartyClient> client;
+		kj::Own<rpc::Agent::Client> agent;
+		kj::TaskSet tasks; ///< Last, so that it goes first.
+	};
+
+	AgentLink::AgentLink(RpcLoop& _loop, AgentIdentity _identity, std::uint64_t _entryIncarnation)
+	    : loop(_loop)
+	    , name(std::move(_identity))
+	    , entryIncarnation(_entryIncarnation)
+	    , heartbeatMs(kHeartbeatMs)
+	{
+	}
+
+	AgentLink::~AgentLink() = default;
+
+	void AgentLink::open()
+	{
+		this->loop.post([self = this->shared_from_this()] {
+			self->tick();
+		});
+	}
+
+	void AgentLink::close()
+	{
+		this->loop.post([self = this->shared_from_this()] {
+			self->closed = true;
+			self->dropConnection("closed");
+		});
+	}
+
+	void AgentLink::setHeartbeat(Millis _everyMs)
+	{
+		this->heartbeatMs = _everyMs;
+	}
+
+	void AgentLink::hearList(const std::string& _address, ListState _state)
+	{
+		bool moved = false;
+		{
+			absl::MutexLock lock(&this->mutex);
+			moved = this->address != _address;
+			this->address = _address;
+			archdyke::hearList(this->member, _state);
+		}
+		if (moved)
+		{
+			this->loop.post([self = this->shared_from_this()] {
+				self->dropConnection("address changed");
+			});
+		}
+	}
+
+	const AgentIdentity& AgentLink::identity() const
+	{
+		return this->name;
+	}
+
+	Candidate AgentLink::candidate()
+	{
+		absl::MutexLock lock(&this->mutex);
+		Candidate candidate;
+		candidate.usable = mayReceiveWork(this->member) && 0 < this->load.slots;
+		candidate.slots = this->load.slots;
+		candidate.reported = this->load.running + this->load.queued;
+		candidate.sentSince = this->unreported;
+		candidate.meanRunMs = this->load.meanRunMs;
+		return candidate;
+	}
+
+	std::uint64_t AgentLink::incarnation()
+	{
+		absl::MutexLock lock(&this->mutex);
+		return this->member.incarnation;
+	}
+
+	AgentLinkView AgentLink::view()
+	{
+		absl::MutexLock lock(&this->mutex);
+		return {this->name, this->address, this->member, this->load, this->unreported, this->session};
+	}
+
+	void AgentLink::dispatch(std::shared_ptr<Call> _call, RunSpec _run)
+	{
+		{
+			absl::MutexLock lock(&this->mutex);
+			this->unreported += 1;
+		}
+		this->loop.post([self = this->shared_from_this(), call = std::move(_call), run = std::move(_run)] {
+			self->sendDispatch(call, run);
+		});
+	}
+
+	void AgentLink::revoke(std::shared_ptr<Call> _call, const RunKey& _key, std::uint64_t _incarnation)
+	{
+		this->loop.post([self = this->shared_from_this(), call = std::move(_call), key = _key, _incarnation] {
+			self->sendRevoke(call, key, _incarnation);
+		});
+	}
+
+	void AgentLink::resume(std::shared_ptr<Call> _call, const RunKey& _key, std::uint64_t _incarnation, std::uint64_t _offset)
+	{
+		this->loop.post([self = this->shared_from_this(), call = std::move(_call), key = _key, _incarnation, _offset] {
+			self->sendResume(call, key, _incarnation, _offset);
+		});
+	}
+
+	void AgentLink::cancel(const RunKey& _key)
+	{
+		this->loop.post([self = this->shared_from_this(), key = _key] {
+			if (nullptr != self->connection.get() && self->connection->ready)
+			{
+				auto request = self->connection->agent->cancelRequest();
+				writeKey(request.initKey(), key);
+				self->connection->tasks.add(request.send().ignoreResult());
+			}
+		});
+	}
+
+	void AgentLink::forget(const RunKey& _key)
+	{
+		this->loop.post([self = this->shared_from_this(), key = _key] {
+			self->calls.erase(key);
+		});
+	}
+
+	void AgentLink::scheduleTick()
+	{
+		this->loop.spawn(this->loop.timer().afterDelay(kTickMs * kj::MILLISECONDS).then([self = this->shared_from_this()] {
+			self->tick();
+		}));
+	}
+
+	void AgentLink::tick()
+	{
+		if (this->closed)
+		{
+			return;
+		}
+		const Millis now = nowMs();
+		if (nullptr != this->connection.get() && this->connection->isSilent(now))
+		{
+			this->dropConnection("no answer");
+		}
+		if (nullptr == this->connection.get() && this->nextConnectAt <= now)
+		{
+			this->connect();
+		}
+		if (nullptr != this->connection.get() && this->connection->ready && this->heartbeatMs <= now - this->connection->lastHeard)
+		{
+			this->sendHeartbeat(*this->connection);
+		}
+		this->scheduleTick();
+	}
+
+	void AgentLink::connect()
+	{
+		std::string target;
+		std::uint64_t number = 0;
+		{
+			absl::MutexLock lock(&this->mutex);
+			target = this->address;
+			number = ++this->session;
+		}
+		if (target.empty())
+		{
+			return;
+		}
+		this->connection = kj::heap<Connection>(number, *this);
+		Connection& connection = *this->connection;
+		connection.tasks.add(this->loop.network().parseAddress(target).then([](kj::Own<kj::NetworkAddress>&& _address) {
+			                                                              return _address->connect().attach(kj::mv(_address));
+		                                                              })
+		                         .then([this, &connection](kj::Own<kj::AsyncIoStream>&& _stream) {
+			                         connection.establish(kj::mv(_stream));
+			                         this->sayHello(connection);
+		                         }));
+	}
+
+	void AgentLink::sayHello(Connection& _connection)
+	{
+		auto request = _connection.agent->helloRequest();
+		writeSession(request.initSession(), {this->entryIncarnation, 0, _connection.session});
+		_connection.tasks.add(request.send().then([this, &_connection](capnp::Response<rpc::Agent::HelloResults>&& _response) {
+			_connection.agentIncarnation = _response.getIncarnation();
+			_connection.ready = true;
+			_connection.lastHeard = nowMs();
+			_connection.askedAt = nowMs();
+			this->hearLoad(readLoad(_response.getLoad()));
+			{
+				absl::MutexLock lock(&this->mutex);
+				hearLink(this->member, true);
+			}
+			logInfo("agent_link_up", {{"agent", this->name.name}, {"incarnation", toHex(_connection.agentIncarnation)}, {"session", _connection.session}});
+		}));
+	}
+
+	void AgentLink::sendHeartbeat(Connection& _connection)
+	{
+		if (_connection.heartbeatPending)
+		{
+			return;
+		}
+		_connection.heartbeatPending = true;
+		_connection.askedAt = nowMs();
+		_connection.tasks.add(_connection.agent->heartbeatRequest().send().then([this, &_connection](capnp::Response<rpc::Agent::HeartbeatResults>&& _response) {
+			_connection.heartbeatPending = false;
+			_connection.lastHeard = nowMs();
+			this->hearLoad(readLoad(_response.getLoad()));
+		}));
+	}
+
+	void AgentLink::hearLoad(const LoadReport& _load)
+	{
+		absl::MutexLock lock(&this->mutex);
+		this->load = _load;
+		hearAgent(this->member, _load.incarnation, _load.leaving);
+	}
+
+	void AgentLink::markBroken(std::uint64_t _session, const std::string& _why)
+	{
+		// The connection can't be dropped from within one of its own tasks.
+		this->loop.post([self = this->shared_from_this(), _session, _why] {
+			if (nullptr != self->connection.get() && _session == self->connection->session)
+			{
+				self->dropConnection(_why);
+			}
+		});
+	}
+
+	void AgentLink::dropConnection(const std::string& _why)
+	{
+		this->nextConnectAt = nowMs() + kReconnectMs;
+		if (nullptr == this->connection.get())
+		{
+			return;
+		}
+		const bool wasReady = this->connection->ready;
+		this->connection = nullptr;
+		{
+			absl::MutexLock lock(&this->mutex);
+			hearLink(this->member, false);
+		}
+		if (wasReady)
+		{
+			logWarning("agent_link_lost", {{"agent", this->name.name}, {"why", _why}, {"requests", this->calls.size()}});
+		}
+		for (auto& [key, call] : this->calls)
+		{
+			call->push(LinkLostEvent{false});
+		}
+	}
+
+	AgentLink::Connection* AgentLink::readyConnection(std::uint64_t _incarnation)
+	{
+		const bool ready = nullptr != this->connection.get() && this->connection->ready && _incarnation == this->connection->agentIncarnation;
+		return ready ? this->connection.get() : nullptr;
+	}
+
+	void AgentLink::sendDispatch(const std::shared_ptr<Call>& _call, const RunSpec& _run)
+	{
+		if (nullptr == this->connection.get() || !this->connection->ready)
+		{
+			absl::MutexLock lock(&this->mutex);
+			this->unreported -= 1;
+			_call->push(LinkLostEvent{true});
+			return;
+		}
+		Connection& connection = *this->connection;
+		this->calls[_run.key] = _call;
+		auto request = connection.agent->dispatchRequest();
+		writeRun(request.initRun(), _run, {this->entryIncarnation, connection.agentIncarnation, connection.session});
+		request.setSink(kj::heap<CallSink>(_call, [self = this->shared_from_this()](const LoadReport& _load) {
+			self->hearLoad(_load);
+		}));
+		if (kLinkQuietMs < nowMs() - connection.lastHeard)
+		{
+			// A dead link is found while the run waits, not at its deadline.
+			this->sendHeartbeat(connection);
+		}
+		auto countDown = kj::defer([self = this->shared_from_this()] {
+			absl::MutexLock lock(&self->mutex);
+			self->unreported -= 1;
+		});
+		connection.tasks.add(request.send().then([this, &connection, call = _call](capnp::Response<rpc::Agent::DispatchResults>&& _response) {
+			                                   connection.lastHeard = nowMs();
+			                                   this->hearLoad(readLoad(_response.getVerdict().getLoad()));
+			                                   call->push(readVerdict(_response.getVerdict()));
+		                                   })
+		                         .attach(kj::mv(countDown)));
+	}
+
+	void AgentLink::sendRevoke(const std::shared_ptr<Call>& _call, const RunKey& _key, std::uint64_t _incarnation)
+	{
+		if (nullptr != this->connection.get() && this->connection->ready && _incarnation != this->connection->agentIncarnation)
+		{
+			// Another incarnation answers now: what the old one did can't be known.
+			_call->push(RevokeEvent{true, RevokeState::Unknown});
+			return;
+		}
+		Connection* connection = this->readyConnection(_incarnation);
+		if (nullptr == connection)
+		{
+			_call->push(RevokeEvent{});
+			return;
+		}
+		auto request = connection->agent->revokeRequest();
+		writeKey(request.initKey(), _key);
+		writeSession(request.initSession(), {this->entryIncarnation, connection->agentIncarnation, connection->session});
+		connection->tasks.add(request.send().then([call = _call](capnp::Response<rpc::Agent::RevokeResults>&& _response) {
+			call->push(RevokeEvent{true, fromRpc(_response.getState())});
+		}));
+	}
+
+	void AgentLink::sendResume(const std::shared_ptr<Call>& _call, const RunKey& _key, std::uint64_t _incarnation, std::uint64_t _offset)
+	{
+		if (nullptr != this->connection.get() && this->connection->ready && _incarnation != this->connection->agentIncarnation)
+		{
+			_call->push(ResumeEvent{true, false});
+			return;
+		}
+		Connection* connection = this->readyConnection(_incarnation);
+		if (nullptr == connection)
+		{
+			_call->push(ResumeEvent{});
+			return;
+		}
+		this->calls[_key] = _call;
+		auto request = connection->agent->resumeRequest();
+		writeKey(request.initKey(), _key);
+		writeSession(request.initSession(), {this->entryIncarnation, connection->agentIncarnation, connection->session});
+		request.setOffset(_offset);
+		request.setSink(kj::heap<CallSink>(_call, [self = this->shared_from_this()](const LoadReport& _load) {
+			self->hearLoad(_load);
+		}));
+		connection->tasks.add(request.send().then([call = _call](capnp::Response<rpc::Agent::ResumeResults>&& _response) {
+			call->push(ResumeEvent{true, _response.getKnown()});
+		}));
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/agent_main.cpp
@@ -0,0 +1,195 @@
+/// archdyke-agent: stands before one upstream and is the only way to it.
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "admin.h"
+#include "agent_runs.h"
+#include "agent_server.h"
+#include "archdyke/errors.h"
+#include "config.h"
+#include "log.h"
+#include "process.h"
+#include "rank_control.h"
+#include "rpc_listener.h"
+#include "settings.h"
+#include "upstream_call.h"
+#include "version.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		constexpr Millis kSweepMs = 250;
+		/// How long a stopping agent waits for entries to hear that it leaves, ms.
+		constexpr Millis kFarewellMs = 2 * kHeartbeatMs;
+
+		/// The parts of an agent, in the order in which they are made.
+		class AgentProcess
+		{
+		public:
+			explicit AgentProcess(AgentSettings _settings)
+			    : settings(std::move(_settings))
+			    , incarnation(randomId())
+			{
+				this->loop.run([this] {
+					this->server = kj::refcounted<AgentServer>(this->loop, this->incarnation);
+				});
+				AgentServer* target = this->server.get();
+				const RunObserver observer{[target](const RunKey& _key, const VerdictEvent& _verdict) {
+					target->hearVerdict(_key, _verdict);
+				                           },
+				                           [target](const RunKey& _key) {
+					target->hearAnswer(_key);
+				}};
+				this->runs = std::make_unique<AgentRuns>(
+				    this->incarnation, this->settings.upstream, this->metrics, [this, observer] {
+					    return makeUpstreamCall(this->settings.upstream, observer.answer);
+				    },
+				    observer);
+				this->server->attach(this->runs.get(), nullptr);
+				this->listener = std::make_unique<RpcListener>(this->loop, parseAddress(this->settings.rpc), [this] {
+					return rpc::Agent::Client(kj::addRef(*this->server));
+				});
+				addAdminRoutes(this->admin, this->metrics, {[this] {
+					return this->dump();
+				                                            },
+				                                            [this] {
+					return !this->runs->load().leaving;
+				},
+				               [this] {
+					this->leave("drain");
+				}});
+				const Address adminAddress = this->admin.start(parseAddress(this->settings.admin));
+				this->sweeper = std::thread([this] {
+					this->sweepLoop();
+				});
+				logInfo("listening", {{"name", this->settings.name}, {"rpc", toString(this->listener->address())}, {"admin", toString(adminAddress)}, {"incarnation", toHex(this->incarnation)}});
+			}
+
+			/// Refuses new work, lets what runs end and its answers go out, then ends.
+			void stop()
+			{
+				this->leave("signal");
+				const Millis until = nowMs() + kMaxDeadlineMs;
+				const Millis farewell = nowMs() + kFarewellMs;
+				while (nowMs() < until && (nowMs() < farewell || 0 < this->unfinished()))
+				{
+					absl::MutexLock lock(&this->mutex);
+					this->mutex.AwaitWithTimeout(absl::Condition(&this->stopped), absl::Milliseconds(20));
+				}
+				logInfo("stopping", {{"unfinished", this->unfinished()}});
+				{
+					absl::MutexLock lock(&this->mutex);
+					this->stopped = true;
+				}
+				this->sweeper.join();
+				this->admin.stop();
+				this->runs->stop();
+				this->listener.reset();
+				this->loop.run([this] {
+					this->server = nullptr;
+				});
+				this->loop.stop();
+			}
+
+		private:
+			void leave(const std::string& _why)
+			{
+				if (!this->runs->load().leaving)
+				{
+					logInfo("leaving", {{"why", _why}, {"active", this->runs->active()}});
+				}
+				this->runs->leave();
+			}
+
+			std::size_t unfinished()
+			{
+				std::size_t undelivered = 0;
+				this->loop.run([&] {
+					undelivered = this->server->undelivered();
+				});
+				return this->runs->active() + undelivered;
+			}
+
+			void sweepLoop()
+			{
+				bool up = true;
+				while (true)
+				{
+					{
+						absl::MutexLock lock(&this->mutex);
+						if (this->mutex.AwaitWithTimeout(absl::Condition(&this->stopped), absl::Milliseconds(kSweepMs)))
+						{
+							return;
+						}
+					}
+					const bool isUp = probeUpstream(this->settings.upstream);
+					if (isUp != up)
+					{
+						logWarning(isUp ? "upstream_up" : "upstream_down", {{"address", this->settings.upstream.address}});
+						this->runs->hearUpstream(isUp);
+						up = isUp;
+					}
+					this->runs->sweep();
+					this->loop.post([this] {
+						this->server->sweep();
+					});
+				}
+			}
+
+			nlohmann::json dump()
+			{
+				const LoadReport load = this->runs->load();
+				return {{"name", this->settings.name}, {"role", "agent"}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"upstream", this->settings.upstream.address}, {"leaving", load.leaving}, {"running", load.running}, {"queued", load.queued}, {"slots", load.slots}, {"meanRunMs", load.meanRunMs}, {"unfinished", this->unfinished()}};
+			}
+
+			const AgentSettings settings;
+			const std::uint64_t incarnation;
+			Metrics metrics;
+			RpcLoop loop;
+			kj::Own<AgentServer> server;
+			std::unique_ptr<AgentRuns> runs;
+			std::unique_ptr<RpcListener> listener;
+			HttpServer admin;
+			absl::Mutex mutex;
+			bool stopped ABSL_GUARDED_BY(mutex) = false;
+			std::thread sweeper;
+		};
+
+		int runAgent(int _argc, char** _argv)
+		{
+			cxxopts::Options options("archdyke-agent", "Stands before one upstream: queue, run ledger and expert map.");
+			options.add_options()("s,settings", "Settings file, JSON with comments", cxxopts::value<std::string>())("v,version", "Print the version")("h,help", "Print this help");
+			const cxxopts::ParseResult arguments = options.parse(_argc, _argv);
+			if (0 < arguments.count("help") || 0 < arguments.count("version"))
+			{
+				std::cout << (0 < arguments.count("help") ? options.help() : std::string("archdyke-agent ") + kVersion + "\n");
+				return 0;
+			}
+			if (0 == arguments.count("settings"))
+			{
+				throw InvalidInputError("command line", {{"--settings", "nothing", "name the settings file: archdyke-agent --settings FILE"}});
+			}
+			AgentSettings settings = loadAgentSettings(arguments["settings"].as<std::string>());
+			setLogName(settings.name);
+			AgentProcess process(std::move(settings));
+			waitForStopSignal();
+			process.stop();
+			return 0;
+		}
+	} // namespace
+} // namespace archdyke
+
+int main(int _argc, char** _argv)
+{
+	archdyke::blockStopSignals();
+	try
+	{
+		return archdyke::runAgent(_argc, _argv);
+	}
+	catch (const std::exception& error)
+	{
+		std::cerr << "archdyke-agent: " << error.what() << "\n";
+		return 2;
+	}
+}
--- /dev/null
+++ b/src/agent_runs.cpp
@@ -0,0 +1,276 @@
+#include "agent_runs.h"
+
+#include "config.h"
+#include "process.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		/// How long an ended run's answer is kept for a resume, ms.
+		constexpr Millis kAnswerKeepMs = 2 * kResumeMs;
+		/// When to come back to an upstream that can't be reached, ms.
+		constexpr Millis kUpstreamDownRetryMs = 1000;
+	} // namespace
+
+	AgentRuns::AgentRuns(std::uint64_t _incarnation, const UpstreamSettings& _settings, Metrics& _metrics, std::function<UpstreamCall()> _makeCall, RunObserver _observer)
+	    : observer(std::move(_observer))
+	    , makeCall(std::move(_makeCall))
+	    , started(_metrics.counter("archdyke_agent_runs_started_total", "Runs sent to the upstream."))
+	    , refused(_metrics.counter("archdyke_agent_runs_refused_total", "Runs refused as not run."))
+	    , failed(_metrics.counter("archdyke_agent_runs_failed_total", "Runs whose answer is not whole."))
+	    , runSeconds(_metrics.seconds("archdyke_agent_run_seconds", "Time of a run at the upstream."))
+	{
+		{
+			absl::MutexLock lock(&this->mutex);
+			this->ledger.incarnation = _incarnation;
+			this->admission.slots = _settings.slots;
+			this->admission.capacity = kQueueRuns;
+		}
+		for (std::uint32_t index = 0; index < _settings.slots; ++index)
+		{
+			this->threads.emplace_back([this] {
+				this->work();
+			});
+		}
+	}
+
+	AgentRuns::~AgentRuns()
+	{
+		this->stop();
+	}
+
+	bool AgentRuns::open(const Session& _session)
+	{
+		absl::MutexLock lock(&this->mutex);
+		return _session.agent == this->ledger.incarnation && openSession(this->ledger, _session, nowMs());
+	}
+
+	VerdictEvent AgentRuns::offerLocked(const RunSpec& _run, const Session& _session, std::vector<Refused>& _evicted)
+	{
+		const Millis now = nowMs();
+		if (!this->upstreamUp)
+		{
+			// Raised all the same, so that a revoke on this session finds the floor.
+			openSession(this->ledger, _session, now);
+			return {false, RefusalReason::Overloaded, kUpstreamDownRetryMs};
+		}
+		const RefusalReason reason = offerRun(this->ledger, _run.key, _session, _run.repeatable, now);
+		if (RefusalReason::None != reason)
+		{
+			return {false, reason, 0};
+		}
+		const AdmitResult result = admitRun(this->admission, {_run.key, _run.organisation, _run.weight, now + _run.budgetMs, now}, now);
+		if (RefusalReason::None != result.refusal)
+		{
+			dropRun(this->ledger, _run.key, now);
+			return {false, result.refusal, result.retryAfterMs};
+		}
+		this->runs[_run.key] = {_run, std::make_shared<AnswerBuffer>(_run.key), 0};
+		if (result.evicted)
+		{
+			dropRun(this->ledger, *result.evicted, now);
+			this->runs.erase(*result.evicted);
+			_evicted.push_back({*result.evicted, {false, RefusalReason::Overloaded, result.retryAfterMs}});
+		}
+		return {true, RefusalReason::None, 0};
+	}
+
+	void AgentRuns::tell(const std::vector<Refused>& _refused)
+	{
+		for (const Refused& item : _refused)
+		{
+			this->refused.Increment();
+			this->observer.verdict(item.key, item.verdict);
+		}
+	}
+
+	void AgentRuns::offer(const RunSpec& _run, const Session& _session)
+	{
+		std::vector<Refused> refusals;
+		{
+			absl::MutexLock lock(&this->mutex);
+			const VerdictEvent verdict = this->offerLocked(_run, _session, refusals);
+			if (!verdict.accepted)
+			{
+				refusals.push_back({_run.key, verdict});
+			}
+		}
+		this->tell(refusals);
+	}
+
+	RevokeState AgentRuns::revoke(const RunKey& _key, const Session& _session)
+	{
+		absl::MutexLock lock(&this->mutex);
+		const RevokeState state = revokeRun(this->ledger, _key, _session, nowMs());
+		if (RevokeState::NotRun == state)
+		{
+			removeRun(this->admission, _key);
+			this->runs.erase(_key);
+		}
+		return state;
+	}
+
+	void AgentRuns::cancel(const RunKey& _key)
+	{
+		absl::MutexLock lock(&this->mutex);
+		if (dropRun(this->ledger, _key, nowMs()))
+		{
+			removeRun(this->admission, _key);
+			this->runs.erase(_key);
+			return;
+		}
+		const auto it = this->runs.find(_key);
+		if (this->runs.end() != it && it->second.spec.repeatable)
+		{
+			it->second.answer->cancelled = true;
+		}
+	}
+
+	std::shared_ptr<AnswerBuffer> AgentRuns::answer(const RunKey& _key)
+	{
+		absl::MutexLock lock(&this->mutex);
+		const auto it = this->runs.find(_key);
+		return this->runs.end() == it ? nullptr : it->second.answer;
+	}
+
+	void AgentRuns::leave()
+	{
+		absl::MutexLock lock(&this->mutex);
+		this->ledger.leaving = true;
+	}
+
+	void AgentRuns::hearUpstream(bool _up)
+	{
+		absl::MutexLock lock(&this->mutex);
+		this->upstreamUp = _up;
+	}
+
+	void AgentRuns::sweep()
+	{
+		absl::MutexLock lock(&this->mutex);
+		const Millis now = nowMs();
+		forgetRuns(this->ledger, now);
+		absl::erase_if(this->runs, [&](const auto& _run) {
+			return 0 != _run.second.endedAt && kAnswerKeepMs < now - _run.second.endedAt;
+		});
+	}
+
+	LoadReport AgentRuns::load()
+	{
+		absl::MutexLock lock(&this->mutex);
+		LoadReport report;
+		report.running = this->admission.running;
+		report.queued = std::uint32_t(this->admission.queued);
+		report.slots = this->upstreamUp ? this->admission.slots : 0;
+		report.leaving = this->ledger.leaving;
+		report.meanRunMs = std::uint32_t(this->admission.meanRunMs);
+		report.incarnation = this->ledger.incarnation;
+		return report;
+	}
+
+	std::size_t AgentRuns::active()
+	{
+		absl::MutexLock lock(&this->mutex);
+		return this->ledger.active;
+	}
+
+	void AgentRuns::stop()
+	{
+		{
+			absl::MutexLock lock(&this->mutex);
+			this->stopping = true;
+		}
+		for (std::thread& thread : this->threads)
+		{
+			thread.join();
+		}
+		this->threads.clear();
+	}
+
+	bool AgentRuns::workLeft() const
+	{
+		return this->stopping || (0 < this->admission.queued && this->admission.running < this->admission.slots);
+	}
+
+	std::optional<AgentRuns::ActiveRun> AgentRuns::takeLocked(std::vector<Refused>& _expired)
+	{
+		const Millis now = nowMs();
+		const TakeResult result = takeRun(this->admission, now);
+		for (const RunKey& key : result.expired)
+		{
+			dropRun(this->ledger, key, now);
+			this->runs.erase(key);
+			_expired.push_back({key, {false, RefusalReason::Deadline, 0}});
+		}
+		if (!result.next)
+		{
+			return std::nullopt;
+		}
+		if (!startRun(this->ledger, result.next->key))
+		{
+			archdyke::endRun(this->admission, Millis(this->admission.meanRunMs));
+			return std::nullopt;
+		}
+		return this->runs[result.next->key];
+	}
+
+	void AgentRuns::work()
+	{
+		const UpstreamCall call = this->makeCall();
+		while (true)
+		{
+			std::vector<Refused> expired;
+			std::optional<ActiveRun> run;
+			{
+				absl::MutexLock lock(&this->mutex);
+				this->mutex.Await(absl::Condition(this, &AgentRuns::workLeft));
+				if (this->stopping && 0 == this->admission.queued)
+				{
+					return;
+				}
+				run = this->takeLocked(expired);
+			}
+			this->tell(expired);
+			if (run)
+			{
+				this->serve(*run, call);
+			}
+		}
+	}
+
+	void AgentRuns::serve(const ActiveRun& _run, const UpstreamCall& _call)
+	{
+		const Millis startedAt = nowMs();
+		this->started.Increment();
+		this->observer.verdict(_run.spec.key, {true, RefusalReason::None, 0});
+		const bool reached = _call(_run.spec, *_run.answer);
+		this->finish(_run, reached, startedAt);
+		this->observer.answer(_run.spec.key);
+	}
+
+	void AgentRuns::finish(const ActiveRun& _run, bool _reached, Millis _startedAt)
+	{
+		const Millis now = nowMs();
+		this->runSeconds.Observe(double(now - _startedAt) / 1000.0);
+		if (_run.answer->frameAt(_run.answer->size()).head.failed)
+		{
+			this->failed.Increment();
+		}
+		absl::MutexLock lock(&this->mutex);
+		archdyke::endRun(this->admission, now - _startedAt);
+		if (_reached)
+		{
+			finishRun(this->ledger, _run.spec.key, now);
+		}
+		else
+		{
+			withdrawRun(this->ledger, _run.spec.key, now);
+		}
+		const auto it = this->runs.find(_run.spec.key);
+		if (this->runs.end() != it)
+		{
+			it->second.endedAt = now;
+		}
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/agent_server.cpp
@@ -0,0 +1,219 @@
+#include "agent_server.h"
+
+#include "config.h"
+#include "process.h"
+#include "rank_control.h"
+#include "rpc_convert.h"
+
+namespace archdyke
+{
+	AgentServer::AgentServer(RpcLoop& _loop, std::uint64_t _incarnation)
+	    : loop(_loop)
+	    , incarnation(_incarnation)
+	{
+	}
+
+	void AgentServer::attach(AgentRuns* _runs, RankControl* _rank)
+	{
+		this->runs = _runs;
+		this->rank = _rank;
+	}
+
+	void AgentServer::hearVerdict(const RunKey& _key, const VerdictEvent& _verdict)
+	{
+		this->loop.post([this, key = _key, _verdict] {
+			const auto it = this->deliveries.find(key);
+			if (this->deliveries.end() == it || nullptr == it->second.verdict.get())
+			{
+				return;
+			}
+			it->second.verdict->fulfill(kj::cp(_verdict));
+			it->second.verdict = nullptr;
+			if (!_verdict.accepted)
+			{
+				this->deliveries.erase(it);
+				return;
+			}
+			it->second.answer = this->runs->answer(key);
+		});
+	}
+
+	void AgentServer::hearAnswer(const RunKey& _key)
+	{
+		this->loop.post([this, key = _key] {
+			this->pump(key);
+		});
+	}
+
+	kj::Promise<void> AgentServer::hello(HelloContext _context)
+	{
+		Session session = readSession(_context.getParams().getSession());
+		session.agent = this->incarnation;
+		this->runs->open(session);
+		_context.getResults().setIncarnation(this->incarnation);
+		writeLoad(_context.getResults().initLoad(), this->runs->load());
+		return kj::READY_NOW;
+	}
+
+	kj::Promise<void> AgentServer::heartbeat(HeartbeatContext _context)
+	{
+		writeLoad(_context.getResults().initLoad(), this->runs->load());
+		return kj::READY_NOW;
+	}
+
+	kj::Promise<void> AgentServer::dispatch(DispatchContext _context)
+	{
+		const rpc::RunSpec::Reader params = _context.getParams().getRun();
+		RunSpec run = readRun(params);
+		const Session session = readSession(params.getSession());
+		if (this->deliveries.contains(run.key))
+		{
+			writeVerdict(_context.getResults().initVerdict(), {false, RefusalReason::Duplicate, 0}, this->runs->load());
+			return kj::READY_NOW;
+		}
+		auto pair = kj::newPromiseAndFulfiller<VerdictEvent>();
+		Delivery& delivery = this->deliveries[run.key];
+		delivery.verdict = kj::mv(pair.fulfiller);
+		delivery.sink = _context.getParams().getSink();
+		this->runs->offer(run, session);
+		_context.releaseParams();
+		_context.allowCancellation();
+		auto whenDropped = kj::defer([this, key = run.key] {
+			const auto it = this->deliveries.find(key);
+			if (this->deliveries.end() != it && nullptr != it->second.verdict.get())
+			{
+				it->second.orphanSince = nowMs();
+			}
+		});
+		return pair.promise.then([this, _context](VerdictEvent _verdict) mutable {
+			                   writeVerdict(_context.getResults().initVerdict(), _verdict, this->runs->load());
+		                   })
+		    .attach(kj::mv(whenDropped));
+	}
+
+	kj::Promise<void> AgentServer::revoke(RevokeContext _context)
+	{
+		const RunKey key = readKey(_context.getParams().getKey());
+		const RevokeState state = this->runs->revoke(key, readSession(_context.getParams().getSession()));
+		if (RevokeState::NotRun == state)
+		{
+			this->deliveries.erase(key);
+		}
+		_context.getResults().setState(toRpc(state));
+		return kj::READY_NOW;
+	}
+
+	kj::Promise<void> AgentServer::resume(ResumeContext _context)
+	{
+		const RunKey key = readKey(_context.getParams().getKey());
+		const std::shared_ptr<AnswerBuffer> answer = this->runs->open(readSession(_context.getParams().getSession())) ? this->runs->answer(key) : nullptr;
+		_context.getResults().setKnown(nullptr != answer);
+		if (nullptr == answer)
+		{
+			return kj::READY_NOW;
+		}
+		Delivery& delivery = this->deliveries[key];
+		delivery.sink = _context.getParams().getSink();
+		delivery.sinkNumber += 1;
+		delivery.answer = answer;
+		delivery.sent = _context.getParams().getOffset();
+		delivery.sending = false;
+		delivery.orphanSince = 0;
+		this->pump(key);
+		return kj::READY_NOW;
+	}
+
+	kj::Promise<void> AgentServer::cancel(CancelContext _context)
+	{
+		const RunKey key = readKey(_context.getParams().getKey());
+		this->runs->cancel(key);
+		this->deliveries.erase(key);
+		return kj::READY_NOW;
+	}
+
+	kj::Promise<void> AgentServer::orderMap(OrderMapContext _context)
+	{
+		return handleMapOrder(this->rank, _context);
+	}
+
+	void AgentServer::pump(const RunKey& _key)
+	{
+		const auto it = this->deliveries.find(_key);
+		if (this->deliveries.end() == it || it->second.sending || nullptr == it->second.answer)
+		{
+			return;
+		}
+		Delivery& delivery = it->second;
+		const AnswerFrame frame = delivery.answer->frameAt(delivery.sent);
+		if (frame.bytes.empty() && !frame.head.end)
+		{
+			return;
+		}
+		KJ_IF_MAYBE (sink, delivery.sink)
+		{
+			auto request = sink->frameRequest();
+			writeFrame(request.initFrame(), frame, this->runs->load());
+			delivery.sending = true;
+			const std::uint64_t number = delivery.sinkNumber;
+			const std::uint64_t upTo = frame.head.offset + frame.head.size;
+			this->loop.spawn(request.send().then([this, self = kj::addRef(*this), key = _key, number, upTo, end = frame.head.end] {
+				this->sent(key, number, upTo, end);
+			},
+			                                     [this, self = kj::addRef(*this), key = _key, number](kj::Exception&&) {
+				this->loseSink(key, number);
+			}));
+		}
+	}
+
+	void AgentServer::sent(const RunKey& _key, std::uint64_t _sinkNumber, std::uint64_t _upTo, bool _end)
+	{
+		const auto it = this->deliveries.find(_key);
+		if (this->deliveries.end() == it || _sinkNumber != it->second.sinkNumber)
+		{
+			return;
+		}
+		if (_end)
+		{
+			this->deliveries.erase(it);
+			return;
+		}
+		it->second.sending = false;
+		it->second.sent = _upTo;
+		this->pump(_key);
+	}
+
+	void AgentServer::loseSink(const RunKey& _key, std::uint64_t _sinkNumber)
+	{
+		const auto it = this->deliveries.find(_key);
+		if (this->deliveries.end() == it || _sinkNumber != it->second.sinkNumber)
+		{
+			return;
+		}
+		it->second.sink = nullptr;
+		it->second.sending = false;
+		it->second.orphanSince = nowMs();
+	}
+
+	void AgentServer::sweep()
+	{
+		const Millis now = nowMs();
+		std::vector<RunKey> orphans;
+		for (const auto& [key, delivery] : this->deliveries)
+		{
+			if (0 != delivery.orphanSince && kOrphanKeepMs < now - delivery.orphanSince)
+			{
+				orphans.push_back(key);
+			}
+		}
+		for (const RunKey& key : orphans)
+		{
+			this->runs->cancel(key);
+			this->deliveries.erase(key);
+		}
+	}
+
+	std::size_t AgentServer::undelivered() const
+	{
+		return this->deliveries.size();
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/call.h
@@ -0,0 +1,28 @@
+/// The queue through which a caller's thread hears what happens to its request.
+#pragma once
+
+#include <absl/synchronization/mutex.h>
+#include <deque>
+#include <optional>
+
+#include "run.h"
+
+namespace archdyke
+{
+	class Call
+	{
+	public:
+		void push(CallEvent _event);
+
+		/// Waits for the next event.
+		/// @param[in] _untilMs Time on nowMs.
+		/// @returns Nothing when the time has come first.
+		std::optional<CallEvent> wait(Millis _untilMs);
+
+	private:
+		bool hasEvent() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
+
+		absl::Mutex mutex;
+		std::deque<CallEvent> events ABSL_GUARDED_BY(mutex);
+	};
+} // namespace archdyke
--- /dev/null
+++ b/src/config_keeper.cpp
@@ -0,0 +1,94 @@
+#include "config_keeper.h"
+
+#include <chrono>
+
+#include "archdyke/errors.h"
+#include "log.h"
+#include "process.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		std::int64_t wallMs()
+		{
+			return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+		}
+	} // namespace
+
+	const Organisation* ActiveConfig::findOrganisation(const std::string& _digest) const
+	{
+		const auto it = this->organisationsByDigest.find(_digest);
+		return this->organisationsByDigest.end() == it ? nullptr : &this->document.organisations[it->second];
+	}
+
+	std::shared_ptr<const ActiveConfig> activate(const ConfigMark& _mark, const std::string& _bytes)
+	{
+		const std::string source = "configuration version " + std::to_string(_mark.version);
+		if (sha256Hex(_bytes) != _mark.digest)
+		{
+			throw InvalidInputError(source, {{"the document", "bytes with another digest than announced", "apply the file again"}});
+		}
+		auto config = std::make_shared<ActiveConfig>();
+		config->mark = _mark;
+		config->document = parseDocument(source, _bytes);
+		for (std::size_t index = 0; index < config->document.organisations.size(); ++index)
+		{
+			config->organisationsByDigest[config->document.organisations[index].keyDigest] = index;
+		}
+		return config;
+	}
+
+	std::shared_ptr<const ActiveConfig> ConfigKeeper::active() const
+	{
+		absl::MutexLock lock(&this->mutex);
+		return this->current;
+	}
+
+	HeldConfig ConfigKeeper::held() const
+	{
+		absl::MutexLock lock(&this->mutex);
+		return this->marks;
+	}
+
+	std::int64_t ConfigKeeper::inForceSinceMs() const
+	{
+		absl::MutexLock lock(&this->mutex);
+		return this->sinceMs;
+	}
+
+	std::optional<std::string> ConfigKeeper::bytes(const std::string& _digest) const
+	{
+		absl::MutexLock lock(&this->mutex);
+		const auto it = this->bytesByDigest.find(_digest);
+		return this->bytesByDigest.end() == it ? std::nullopt : std::optional<std::string>(it->second);
+	}
+
+	void ConfigKeeper::accept(const ConfigMark& _mark, const std::string& _bytes)
+	{
+		std::shared_ptr<const ActiveConfig> next = activate(_mark, _bytes);
+		absl::MutexLock lock(&this->mutex);
+		if (!adoptHead(this->marks, _mark))
+		{
+			return;
+		}
+		this->current = std::move(next);
+		this->sinceMs = wallMs();
+		this->bytesByDigest[_mark.digest] = _bytes;
+		absl::erase_if(this->bytesByDigest, [&](const auto& _item) {
+			return _item.first != this->marks.head.digest && _item.first != this->marks.staged.digest;
+		});
+		logInfo("config_in_force", {{"version", _mark.version}, {"digest", _mark.digest.substr(0, 12)}});
+	}
+
+	void ConfigKeeper::stage(const ConfigMark& _mark, const std::string& _bytes)
+	{
+		activate(_mark, _bytes);
+		absl::MutexLock lock(&this->mutex);
+		if (holdStaged(this->marks, _mark))
+		{
+			this->bytesByDigest[_mark.digest] = _bytes;
+			logInfo("config_staged", {{"version", _mark.version}, {"digest", _mark.digest.substr(0, 12)}});
+		}
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/decide/lease.cpp
@@ -0,0 +1,54 @@
+#include "archdyke/lease.h"
+
+#include "config.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		void look(LeaseView& _view, const std::optional<LeaseRow>& _row, Millis _now)
+		{
+			if (_view.seen != _row)
+			{
+				_view.seen = _row;
+				_view.seenSince = _now;
+			}
+		}
+	} // namespace
+
+	LeaseStep decideLease(LeaseView& _view, const std::optional<LeaseRow>& _row, Millis _now)
+	{
+		look(_view, _row, _now);
+		if (!_row)
+		{
+			return {true, {_view.self, 1, 1}};
+		}
+		if (_view.self == _row->holder)
+		{
+			return {true, {_view.self, _row->fence, _row->renewal + 1}};
+		}
+		_view.actUntil = 0;
+		const bool free = 0 == _row->holder;
+		const bool lapsed = kLeaseMs <= _now - _view.seenSince;
+		if (free || lapsed)
+		{
+			return {true, {_view.self, _row->fence + 1, _row->renewal + 1}};
+		}
+		return {};
+	}
+
+	void leaseWritten(LeaseView& _view, const LeaseRow& _row, Millis _begunAt, Millis _now)
+	{
+		look(_view, _row, _now);
+		_view.actUntil = _view.self == _row.holder ? _begunAt + kLeaseActMs : 0;
+	}
+
+	std::optional<std::uint64_t> actingFence(const LeaseView& _view, Millis _now)
+	{
+		if (!_view.seen || _view.self != _view.seen->holder || _view.actUntil <= _now)
+		{
+			return std::nullopt;
+		}
+		return _view.seen->fence;
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/decide/route.cpp
@@ -0,0 +1,207 @@
+#include "archdyke/route.h"
+
+#include <algorithm>
+#include <numeric>
+#include <xxhash.h>
+
+namespace archdyke
+{
+	namespace
+	{
+		/// Load that the holder of a prefix may have above the best other choice, runs per
+		/// slot.
+		constexpr double kAffinityExtraLoad = 0.25;
+		/// Random choices that are compared.
+		constexpr int kChoices = 2;
+
+		enum class ZoneFilter
+		{
+			Own,
+			Other
+		};
+
+		bool passes(const Candidate& _candidate, ZoneFilter _filter)
+		{
+			return _candidate.usable && (ZoneFilter::Own == _filter) == _candidate.ownZone;
+		}
+
+		/// Walks from a random place to the next usable candidate: no list is built.
+		std::optional<std::size_t> pickRandom(const std::vector<Candidate>& _candidates, ZoneFilter _filter, Random& _random)
+		{
+			const std::size_t start = randomBelow(_random, _candidates.size());
+			for (std::size_t step = 0; step < _candidates.size(); ++step)
+			{
+				const std::size_t index = (start + step) % _candidates.size();
+				if (passes(_candidates[index], _filter))
+				{
+					return index;
+				}
+			}
+			return std::nullopt;
+		}
+
+		std::optional<std::size_t> pickOfTwo(const std::vector<Candidate>& _candidates, ZoneFilter _filter, Random& _random)
+		{
+			std::optional<std::size_t> best = pickRandom(_candidates, _filter, _random);
+			for (int choice = 1; best && choice < kChoices; ++choice)
+			{
+				const std::size_t other = *pickRandom(_candidates, _filter, _random);
+				best = loadOf(_candidates[other]) < loadOf(_candidates[*best]) ? other : *best;
+			}
+			return best;
+		}
+
+		double costMs(const Candidate& _candidate)
+		{
+			return 2.0 * _candidate.distanceMs + waitMsOf(_candidate);
+		}
+
+		/// Rendezvous hashing: D. G. Thaler, C. V. Ravishankar, IEEE/ACM ToN 6(1), 1998.
+		std::optional<std::size_t> prefixHolder(const std::vector<Candidate>& _candidates, std::uint64_t _prefix)
+		{
+			std::optional<std::size_t> holder;
+			std::uint64_t highest = 0;
+			for (std::size_t index = 0; index < _candidates.size(); ++index)
+			{
+				const std::uint64_t weight = XXH64(&_candidates[index].id, sizeof(std::uint64_t), _prefix);
+				if (passes(_candidates[index], ZoneFilter::Own) && (!holder || weight > highest))
+				{
+					holder = index;
+					highest = weight;
+				}
+			}
+			return holder;
+		}
+
+		std::vector<std::size_t> sortedByHash(const std::vector<std::string>& _names)
+		{
+			std::vector<std::size_t> order(_names.size());
+			std::iota(order.begin(), order.end(), 0);
+			std::sort(order.begin(), order.end(), [&](std::size_t _a, std::size_t _b) {
+				const std::uint64_t a = stableHash(_names[_a]);
+				const std::uint64_t b = stableHash(_names[_b]);
+				return a != b ? a < b : _names[_a] < _names[_b];
+			});
+			return order;
+		}
+	} // namespace
+
+	double loadOf(const Candidate& _candidate)
+	{
+		const double runs = double(_candidate.reported) + double(_candidate.sentSince) + 1.0;
+		return runs / double(std::max(1u, _candidate.slots));
+	}
+
+	double waitMsOf(const Candidate& _candidate)
+	{
+		return std::max(0.0, loadOf(_candidate) - 1.0) * _candidate.meanRunMs;
+	}
+
+	std::optional<std::size_t> chooseAgent(const std::vector<Candidate>& _candidates, std::optional<std::uint64_t> _prefix, Random& _random)
+	{
+		std::optional<std::size_t> best = pickOfTwo(_candidates, ZoneFilter::Own, _random);
+		if (best && _prefix)
+		{
+			const std::size_t holder = *prefixHolder(_candidates, *_prefix);
+			if (loadOf(_candidates[holder]) <= loadOf(_candidates[*best]) + kAffinityExtraLoad)
+			{
+				best = holder;
+			}
+		}
+		if (best && 0.0 == waitMsOf(_candidates[*best]))
+		{
+			return best;
+		}
+		const std::optional<std::size_t> far = pickOfTwo(_candidates, ZoneFilter::Other, _random);
+		if (!best || (far && costMs(_candidates[*far]) < costMs(_candidates[*best])))
+		{
+			return far;
+		}
+		return best;
+	}
+
+	std::optional<std::size_t> chooseAtRandom(const std::vector<Candidate>& _candidates, Random& _random)
+	{
+		const std::size_t start = randomBelow(_random, _candidates.size());
+		for (std::size_t step = 0; step < _candidates.size(); ++step)
+		{
+			const std::size_t index = (start + step) % _candidates.size();
+			if (_candidates[index].usable)
+			{
+				return index;
+			}
+		}
+		return std::nullopt;
+	}
+
+	std::optional<std::size_t> chooseRoundRobin(const std::vector<Candidate>& _candidates, std::uint64_t& _next)
+	{
+		for (std::size_t step = 0; step < _candidates.size(); ++step)
+		{
+			const std::size_t index = _next++ % _candidates.size();
+			if (_candidates[index].usable)
+			{
+				return index;
+			}
+		}
+		return std::nullopt;
+	}
+
+	std::optional<std::size_t> chooseLeastReported(const std::vector<Candidate>& _candidates)
+	{
+		std::optional<std::size_t> best;
+		for (std::size_t index = 0; index < _candidates.size(); ++index)
+		{
+			const Candidate& candidate = _candidates[index];
+			if (candidate.usable && (!best || candidate.reported < _candidates[*best].reported))
+			{
+				best = index;
+			}
+		}
+		return best;
+	}
+
+	std::vector<std::size_t> chooseSubset(const std::string& _self, const std::vector<std::string>& _entries, const std::vector<std::string>& _agents, std::uint32_t _coverage)
+	{
+		const std::vector<std::size_t> order = sortedByHash(_agents);
+		const std::vector<std::size_t> entryOrder = sortedByHash(_entries);
+		std::size_t position = 0;
+		while (position < entryOrder.size() && _entries[entryOrder[position]] != _self)
+		{
+			++position;
+		}
+		const std::size_t count = entryOrder.size();
+		if (position == count || count <= _coverage)
+		{
+			return order;
+		}
+		std::vector<std::size_t> subset;
+		for (std::size_t slot = 0; slot < order.size(); ++slot)
+		{
+			// Agent slot k is covered by the entries that follow place k * count / agents.
+			const std::size_t first = slot * count / order.size();
+			if ((position + count - first) % count < _coverage)
+			{
+				subset.push_back(order[slot]);
+			}
+		}
+		return subset;
+	}
+
+	std::vector<std::size_t> chooseSample(const std::string& _self, const std::vector<std::string>& _agents, std::size_t _count)
+	{
+		std::vector<std::size_t> order(_agents.size());
+		std::iota(order.begin(), order.end(), 0);
+		const std::uint64_t seed = stableHash(_self);
+		std::sort(order.begin(), order.end(), [&](std::size_t _a, std::size_t _b) {
+			return stableHash(_agents[_a], seed) > stableHash(_agents[_b], seed);
+		});
+		order.resize(std::min(order.size(), _count));
+		return order;
+	}
+
+	std::uint64_t stableHash(std::string_view _text, std::uint64_t _seed)
+	{
+		return XXH64(_text.data(), _text.size(), _seed);
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/entry_http.h
@@ -0,0 +1,83 @@
+/// The callers' side of an entry: turns HTTP requests into requests of the pipeline and
+/// their ends into answers.
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include "claims.h"
+#include "config_keeper.h"
+#include "directory.h"
+#include "filters.h"
+#include "http_server.h"
+#include "metrics.h"
+#include "pause_guard.h"
+#include "request_run.h"
+
+namespace archdyke
+{
+	/// Counters of the pipeline.
+	struct EntryCounters
+	{
+		explicit EntryCounters(Metrics& _metrics);
+
+		prometheus::Counter& ran;
+		prometheus::Counter& notRun;
+		prometheus::Counter& unknown;
+		prometheus::Counter& broken;
+		prometheus::Counter& abandoned;
+		prometheus::Counter& retried;
+		prometheus::Counter& resumed;
+		prometheus::Counter& droppedFrames;
+		prometheus::Histogram& firstByteSeconds;
+		prometheus::Histogram& totalSeconds;
+	};
+
+	/// What the pipeline works on.
+	struct EntryParts
+	{
+		ConfigKeeper& keeper;
+		Directory& directory;
+		PauseGuard& guard;
+		Claims& claims;
+		EntryCounters& counters;
+	};
+
+	class EntryHttp
+	{
+	public:
+		EntryHttp(EntryParts _parts, std::uint64_t _incarnation);
+
+		/// Adds the callers' routes.
+		void addRoutes(HttpServer& _server);
+
+		/// From now on new requests are refused as not run.
+		void leave();
+
+		/// @returns Whether new requests are taken.
+		bool isReady();
+
+		/// @returns Requests being served.
+		std::size_t inFlight() const;
+
+	private:
+		struct Exchange;
+
+		void handle(const httplib::Request& _request, httplib::Response& _response);
+		void admit(const httplib::Request& _request, Exchange& _exchange);
+		void claimKey(Exchange& _exchange);
+		void answerWhole(const std::shared_ptr<Exchange>& _exchange, httplib::Response& _response);
+		bool relay(const std::shared_ptr<Exchange>& _exchange, httplib::DataSink& _sink);
+		void account(Exchange& _exchange, Outcome _outcome);
+		void reject(Exchange& _exchange, const RejectedError& _error, httplib::Response& _response);
+		std::string newRequestId();
+
+		EntryParts parts;
+		const std::uint64_t incarnation;
+		OrganisationLimits limits;
+		SharedRetryBudget retries;
+		std::atomic<std::uint64_t> requests{0};
+		std::atomic<std::size_t> active{0};
+		std::atomic<bool> leaving{false};
+	};
+} // namespace archdyke
--- /dev/null
+++ b/src/entry_main.cpp
@@ -0,0 +1,185 @@
+/// archdyke-entry: takes callers' requests and decides where each one runs.
+#include <absl/synchronization/notification.h>
+#include <array>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "admin.h"
+#include "archdyke/errors.h"
+#include "config.h"
+#include "entry_http.h"
+#include "log.h"
+#include "process.h"
+#include "rpc_listener.h"
+#include "settings.h"
+#include "version.h"
+#include "watcher.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		/// How long a stopping entry goes on refusing new requests after its last one, ms.
+		constexpr Millis kLingerMs = 500;
+		constexpr Millis kFlushMs = 2'000;
+
+		/// The parts of an entry, in the order in which they are made.
+		class EntryProcess
+		{
+		public:
+			explicit EntryProcess(EntrySettings _settings)
+			    : settings(std::move(_settings))
+			    , incarnation(randomId())
+			    , counters(this->metrics)
+			    , directory({&this->loops[0], &this->loops[1]}, this->settings.name, this->settings.zone, this->incarnation)
+			    , claims(this->settings.platform, this->settings.zone, this->metrics)
+			    , http({this->keeper, this->directory, this->guard, this->claims, this->counters}, this->incarnation)
+			    , watcher(std::make_unique<Watcher>(this->settings, this->incarnation, this->loops[0], this->keeper, this->directory, this->guard, this->metrics))
+			{
+				this->listener = std::make_unique<RpcListener>(this->loops[0], parseAddress(this->settings.rpc), [this] {
+					return makePeerServer({[this](const PeerState& _peer) {
+						return this->hearPeer(_peer);
+					                       },
+					                       [this](const std::string& _digest) {
+						return this->keeper.bytes(_digest);
+					}});
+				});
+				this->http.addRoutes(this->server);
+				addAdminRoutes(this->admin, this->metrics, {[this] {
+					return this->dump();
+				                                            },
+				                                            [this] {
+					return this->http.isReady();
+				},
+				               [this] {
+					this->leave("drain");
+				}});
+				this->admin.routes().Post("/accepted", [this](const httplib::Request& _request, httplib::Response& _response) {
+					this->hearAccepted(_request, _response);
+				});
+				const Address httpAddress = this->server.start(parseAddress(this->settings.http));
+				const Address adminAddress = this->admin.start(parseAddress(this->settings.admin));
+				logInfo("listening", {{"name", this->settings.name}, {"http", toString(httpAddress)}, {"rpc", toString(this->listener->address())}, {"admin", toString(adminAddress)}, {"incarnation", toHex(this->incarnation)}});
+			}
+
+			/// Refuses new requests, lets those in flight end, then ends.
+			void stop()
+			{
+				this->leave("signal");
+				const Millis until = nowMs() + kMaxDeadlineMs;
+				Millis idleSince = nowMs();
+				while (nowMs() < until && nowMs() < idleSince + kLingerMs)
+				{
+					absl::Notification never;
+					never.WaitForNotificationWithTimeout(absl::Milliseconds(20));
+					idleSince = 0 < this->http.inFlight() ? nowMs() : idleSince;
+				}
+				logInfo("stopping", {{"unfinished", this->http.inFlight()}});
+				this->server.stop();
+				this->claims.flush(kFlushMs);
+				this->admin.stop();
+				this->listener.reset();
+				this->watcher.reset();
+				this->directory.close();
+				for (RpcLoop& loop : this->loops)
+				{
+					loop.run([] {});
+					loop.stop();
+				}
+			}
+
+		private:
+			PeerState hearPeer(const PeerState& _peer)
+			{
+				this->watcher->hearPeer(_peer);
+				return this->watcher->myState();
+			}
+
+			void leave(const std::string& _why)
+			{
+				if (this->http.isReady())
+				{
+					logInfo("leaving", {{"why", _why}, {"inFlight", this->http.inFlight()}});
+				}
+				this->http.leave();
+				this->watcher->leave();
+			}
+
+			/// An operator's command says that a staged version was accepted.
+			void hearAccepted(const httplib::Request& _request, httplib::Response& _response)
+			{
+				const nlohmann::json body = nlohmann::json::parse(_request.body, nullptr, false);
+				const HeldConfig held = this->keeper.held();
+				const bool fits = body.is_object() && body.value("version", std::uint64_t(0)) == held.staged.version && body.value("digest", std::string()) == held.staged.digest && 0 != held.staged.version;
+				const std::optional<std::string> bytes = fits ? this->keeper.bytes(held.staged.digest) : std::nullopt;
+				if (bytes)
+				{
+					this->keeper.accept(held.staged, *bytes);
+				}
+				_response.set_content(bytes ? "{\"taken\":true}\n" : "{\"taken\":false}\n", "application/json");
+			}
+
+			nlohmann::json dump()
+			{
+				const HeldConfig held = this->keeper.held();
+				nlohmann::json agents = nlohmann::json::array();
+				for (const AgentLinkView& view : this->directory.views())
+				{
+					agents.push_back({{"name", view.identity.name}, {"zone", view.identity.zone}, {"service", view.identity.service}, {"address", view.address}, {"list", std::string(toString(view.member.list))}, {"linkUp", view.member.linkUp}, {"takesWork", mayReceiveWork(view.member)}, {"incarnation", toHex(view.member.incarnation)}, {"session", view.session}, {"running", view.load.running}, {"queued", view.load.queued}, {"slots", view.load.slots}, {"leaving", view.load.leaving}});
+				}
+				return {{"name", this->settings.name}, {"role", "entry"}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"ready", this->http.isReady()}, {"inFlight", this->http.inFlight()}, {"platformUp", this->watcher->platformUp()}, {"config", {{"version", held.head.version}, {"digest", held.head.digest}, {"inForceSinceMs", this->keeper.inForceSinceMs()}, {"staged", held.staged.version}, {"inDoubtMs", this->watcher->inDoubtMs()}}}, {"agents", agents}};
+			}
+
+			const EntrySettings settings;
+			const std::uint64_t incarnation;
+			Metrics metrics;
+			EntryCounters counters;
+			std::array<RpcLoop, 2> loops;
+			PauseGuard guard;
+			ConfigKeeper keeper;
+			Directory directory;
+			Claims claims;
+			EntryHttp http;
+			std::unique_ptr<Watcher> watcher;
+			std::unique_ptr<RpcListener> listener;
+			HttpServer server;
+			HttpServer admin;
+		};
+
+		int runEntry(int _argc, char** _argv)
+		{
+			cxxopts::Options options("archdyke-entry", "Takes callers' requests and decides where each one runs.");
+			options.add_options()("s,settings", "Settings file, JSON with comments", cxxopts::value<std::string>())("v,version", "Print the version")("h,help", "Print this help");
+			const cxxopts::ParseResult arguments = options.parse(_argc, _argv);
+			if (0 < arguments.count("help") || 0 < arguments.count("version"))
+			{
+				std::cout << (0 < arguments.count("help") ? options.help() : std::string("archdyke-entry ") + kVersion + "\n");
+				return 0;
+			}
+			if (0 == arguments.count("settings"))
+			{
+				throw InvalidInputError("command line", {{"--settings", "nothing", "name the settings file: archdyke-entry --settings FILE"}});
+			}
+			EntrySettings settings = loadEntrySettings(arguments["settings"].as<std::string>());
+			setLogName(settings.name);
+			EntryProcess process(std::move(settings));
+			waitForStopSignal();
+			process.stop();
+			return 0;
+		}
+	} // namespace
+} // namespace archdyke
+
+int main(int _argc, char** _argv)
+{
+	archdyke::blockStopSignals();
+	try
+	{
+		return archdyke::runEntry(_argc, _argv);
+	}
+	catch (const std::exception& error)
+	{
+		std::cerr << "archdyke-entry: " << error.what() << "\n";
+		return 2;
+	}
+}
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,187 @@
+#include "http_server.h"
+
+#include <absl/synchronization/mutex.h>
+#include <pthread.h>
+#include <sys/socket.h>
+
+#include "archdyke/errors.h"
+#include "config.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		constexpr std::size_t kRefusalThreads = 4;
+		constexpr int kKeepAliveRequests = 1'000'000;
+		constexpr int kKeepAliveSeconds = 30;
+		constexpr int kMaxPort = 65535;
+
+		/// Set on threads that only refuse.
+		thread_local bool refusesAll = false;
+
+		using Job = std::function<void()>;
+
+		/// One detached thread a connection. Its stack is small, so that thousands of open
+		/// streams stay within an entry VM's memory.
+		class ConnectionThreads : public httplib::TaskQueue
+		{
+		public:
+			void enqueue(Job _job) override
+			{
+				{
+					absl::MutexLock lock(&this->mutex);
+					if (kMaxConnections <= this->count)
+					{
+						this->refusals.enqueue([job = std::move(_job)]() {
+							refusesAll = true;
+							job();
+						});
+						return;
+					}
+					this->count += 1;
+				}
+				this->startThread(std::move(_job));
+			}
+
+			void shutdown() override
+			{
+				this->refusals.shutdown();
+				absl::MutexLock lock(&this->mutex);
+				this->mutex.Await(absl::Condition(
+				    +[](std::size_t* _count) {
+					    return 0 == *_count;
+				    },
+				    &this->count));
+			}
+
+		private:
+			struct Start
+			{
+				ConnectionThreads* threads;
+				Job job;
+			};
+
+			static void* run(void* _start)
+			{
+				Start* start = static_cast<Start*>(_start);
+				start->job();
+				ConnectionThreads* threads = start->threads;
+				delete start;
+				absl::MutexLock lock(&threads->mutex);
+				threads->count -= 1;
+				return nullptr;
+			}
+
+			void startThread(Job _job)
+			{
+				pthread_attr_t attributes;
+				pthread_attr_init(&attributes);
+				pthread_attr_setstacksize(&attributes, kConnectionStackBytes);
+				pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+				pthread_t thread{};
+				Start* start = new Start{this, std::move(_job)};
+				if (0 != pthread_create(&thread, &attributes, &ConnectionThreads::run, start))
+				{
+					ConnectionThreads::run(start);
+				}
+				pthread_attr_destroy(&attributes);
+			}
+
+			absl::Mutex mutex;
+			std::size_t count ABSL_GUARDED_BY(mutex) = 0;
+			httplib::ThreadPool refusals{kRefusalThreads};
+		};
+
+		httplib::Server::HandlerResponse refuseWhenFull(const httplib::Request&, httplib::Response& _response)
+		{
+			if (!refusesAll)
+			{
+				return httplib::Server::HandlerResponse::Unhandled;
+			}
+			_response.status = 503;
+			_response.set_header("Retry-After", "1");
+			_response.set_header("X-Archdyke-Outcome", "not-run");
+			_response.set_content(R"({"error":{"message":"too many connections; come back in 1 s","outcome":"not-run"}})", "application/json");
+			return httplib::Server::HandlerResponse::Handled;
+		}
+	} // namespace
+
+	Address parseAddress(const std::string& _text)
+	{
+		const std::size_t colon = _text.rfind(':');
+		int port = -1;
+		if (std::string::npos != colon && colon + 1 < _text.size() && _text.size() <= colon + 6 && std::string::npos == _text.find_first_not_of("0123456789", colon + 1))
+		{
+			port = std::stoi(_text.substr(colon + 1));
+		}
+		if (port < 0 || kMaxPort < port || 0 == colon)
+		{
+			throw InvalidInputError("address", {{"\"" + _text + "\"", "no IP and port", "write it as IP:port, for example 127.0.0.1:8080"}});
+		}
+		return {_text.substr(0, colon), port};
+	}
+
+	std::string toString(const Address& _address)
+	{
+		return _address.host + ":" + std::to_string(_address.port);
+	}
+
+	HttpServer::HttpServer()
+	{
+		this->server.new_task_queue = [] {
+			return new ConnectionThreads();
+		};
+		this->server.set_pre_routing_handler(refuseWhenFull);
+		this->server.set_tcp_nodelay(true);
+		this->server.set_payload_max_length(kMaxBodyBytes);
+		this->server.set_read_timeout(kCallerReadSeconds);
+		this->server.set_write_timeout(kCallerWriteSeconds);
+		this->server.set_keep_alive_max_count(kKeepAliveRequests);
+		this->server.set_keep_alive_timeout(kKeepAliveSeconds);
+		this->server.set_socket_options([this](socket_t _socket) {
+			const int yes = 1;
+			setsockopt(_socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+			this->listenSocket = _socket;
+		});
+	}
+
+	HttpServer::~HttpServer()
+	{
+		this->stop();
+	}
+
+	httplib::Server& HttpServer::routes()
+	{
+		return this->server;
+	}
+
+	Address HttpServer::start(const Address& _address)
+	{
+		int port = _address.port;
+		const bool bound = 0 == port ? 0 < (port = this->server.bind_to_any_port(_address.host.c_str())) : this->server.bind_to_port(_address.host.c_str(), port);
+		if (!bound)
+		{
+			throw ArchdykeError("can't listen on " + toString(_address) + ": free the port or set another in the settings");
+		}
+		// The library listens with a queue of 5, which overflows in a burst of new
+		// connections; a second call only changes the length.
+		::listen(this->listenSocket, kListenBacklog);
+		this->thread = std::thread([this] {
+			this->server.listen_after_bind();
+		});
+		while (!this->server.is_running())
+		{
+			std::this_thread::yield();
+		}
+		return {_address.host, port};
+	}
+
+	void HttpServer::stop()
+	{
+		if (this->thread.joinable())
+		{
+			this->server.stop();
+			this->thread.join();
+		}
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/peers.h
@@ -0,0 +1,74 @@
+/// Entries among themselves: each tells the others which configuration it holds, and
+/// hands over documents.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "archdyke/acceptance.h"
+#include "generated/rpc.capnp.h"
+#include "rpc_loop.h"
+
+namespace archdyke
+{
+	/// What an entry says of itself.
+	struct PeerState
+	{
+		std::string name;
+		std::string zone;
+		std::uint64_t incarnation = 0;
+		bool leaving = false;
+		HeldConfig held;
+
+		bool operator==(const PeerState&) const = default;
+	};
+
+	/// What came back from one peer.
+	struct PeerAnswer
+	{
+		std::string address;
+		PeerState state;
+
+		bool operator==(const PeerAnswer&) const = default;
+	};
+
+	/// How an entry serves its peers. Called on the loop's thread; must not block.
+	struct PeerHandlers
+	{
+		std::function<PeerState(const PeerState&)> exchange;
+		std::function<std::optional<std::string>(const std::string&)> document;
+	};
+
+	/// @returns A server for peers. On the loop's thread.
+	rpc::Peer::Client makePeerServer(PeerHandlers _handlers);
+
+	/// Calls to peers. Its methods block and are for one thread.
+	class PeerCalls
+	{
+	public:
+		explicit PeerCalls(RpcLoop& _loop);
+		~PeerCalls();
+		PeerCalls(const PeerCalls&) = delete;
+		PeerCalls& operator=(const PeerCalls&) = delete;
+
+		/// Exchanges states with several peers at once.
+		/// @returns The answers that came in time.
+		std::vector<PeerAnswer> exchange(const std::vector<std::string>& _addresses, const PeerState& _mine, Millis _timeoutMs);
+
+		/// @returns The document; none when the peer hasn't got it or doesn't answer.
+		std::optional<std::string> document(const std::string& _address, const std::string& _digest, Millis _timeoutMs);
+
+	private:
+		struct Connection;
+
+		kj::Promise<Connection*> connect(const std::string& _address);
+		void drop(const std::string& _address);
+
+		RpcLoop& loop;
+		absl::flat_hash_map<std::string, kj::Own<Connection>> connections; ///< Loop's thread.
+	};
+} // namespace archdyke
--- /dev/null
+++ b/src/process.h
@@ -0,0 +1,35 @@
+/// What every process needs: a clock, identities, digests, signals.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "archdyke/types.h"
+
+namespace archdyke
+{
+	/// @returns Time since boot, ms. Goes on while the machine sleeps.
+	Millis nowMs();
+
+	/// @returns A random number that is not 0: an incarnation or a nonce.
+	std::uint64_t randomId();
+
+	/// @returns 16 hex digits.
+	std::string toHex(std::uint64_t _value);
+
+	/// @returns SHA-256, 64 hex digits.
+	std::string sha256Hex(std::string_view _bytes);
+
+	/// Blocks SIGTERM and SIGINT for the whole process and ignores SIGPIPE. Call it
+	/// before any thread starts.
+	void blockStopSignals();
+
+	/// Waits for SIGTERM or SIGINT.
+	/// @returns The signal's number.
+	int waitForStopSignal();
+
+	/// @returns The bytes of a file.
+	/// @throws InvalidInputError When it can't be read.
+	std::string readFile(const std::string& _path);
+} // namespace archdyke
--- /dev/null
+++ b/src/request_run.cpp
@@ -0,0 +1,430 @@
+#include "request_run.h"
+
+#include <algorithm>
+
+#include "config.h"
+#include "process.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		constexpr int kUnavailable = 503;
+		constexpr int kBadGateway = 502;
+		constexpr int kTimeout = 504;
+		constexpr Millis kNoUpstreamRetryMs = 1000;
+		/// Between questions to an agent that isn't there just now, ms.
+		constexpr Millis kAskAgainMs = 25;
+		/// At a deadline, how long to ask what became of the run, ms.
+		constexpr Millis kDeadlineSettleMs = 300;
+
+		Random& threadRandom()
+		{
+			thread_local Random random(randomId());
+			return random;
+		}
+
+		/// Waits for an event of one kind. Pieces of the answer that come meanwhile go to
+		/// _frames, if given; else a resume asks for them again.
+		/// @returns Nothing when the link is lost or the time has come.
+		template <typename Event>
+		std::optional<Event> waitFor(Call& _call, Millis _until, std::vector<AnswerFrame>* _frames = nullptr)
+		{
+			while (std::optional<CallEvent> event = _call.wait(_until))
+			{
+				if (const Event* found = std::get_if<Event>(&*event))
+				{
+					return *found;
+				}
+				if (std::holds_alternative<LinkLostEvent>(*event))
+				{
+					return std::nullopt;
+				}
+				AnswerFrame* frame = std::get_if<AnswerFrame>(&*event);
+				if (nullptr != _frames && nullptr != frame)
+				{
+					_frames->push_back(std::move(*frame));
+				}
+			}
+			return std::nullopt;
+		}
+
+		int severity(Proof _proof)
+		{
+			return Proof::NotRun == _proof ? 0 : Proof::Unknown == _proof ? 1
+			                                                              : 2;
+		}
+	} // namespace
+
+	void SharedRetryBudget::earn()
+	{
+		absl::MutexLock lock(&this->mutex);
+		earnRetry(this->budget);
+	}
+
+	bool SharedRetryBudget::spend(Millis _now)
+	{
+		absl::MutexLock lock(&this->mutex);
+		return spendRetry(this->budget, _now);
+	}
+
+	RequestRun::RequestRun(RunContext _context, const ResolvedRequest& _request, const CallerRequest& _caller)
+	    : context(_context)
+	    , request(_request)
+	    , caller(_caller)
+	{
+	}
+
+	RequestRun::~RequestRun()
+	{
+		this->closeTry();
+	}
+
+	Outcome RequestRun::outcome() const
+	{
+		if (this->current.started)
+		{
+			return Outcome::Ran;
+		}
+		switch (this->worst.value_or(Proof::NotRun))
+		{
+		case Proof::NotRun:
+			return Outcome::NotRun;
+		case Proof::Ran:
+			return Outcome::Ran;
+		default:
+			return Outcome::Unknown;
+		}
+	}
+
+	void RequestRun::noteProof(Proof _proof)
+	{
+		if (!this->worst || severity(*this->worst) < severity(_proof))
+		{
+			this->worst = _proof;
+		}
+	}
+
+	std::shared_ptr<AgentLink> RequestRun::chooseLink()
+	{
+		const std::shared_ptr<const RouteTargets> targets = this->context.directory.targets(this->request.service.name);
+		if (nullptr == targets || targets->empty())
+		{
+			return nullptr;
+		}
+		std::vector<Candidate> candidates;
+		candidates.reserve(targets->size());
+		for (const RouteTarget& target : *targets)
+		{
+			Candidate candidate = target.link->candidate();
+			candidate.id = target.id;
+			candidate.ownZone = target.ownZone;
+			candidate.distanceMs = target.distanceMs;
+			const bool triedBefore = this->tried.end() != std::find(this->tried.begin(), this->tried.end(), target.link->identity().name);
+			candidate.usable = candidate.usable && !triedBefore;
+			candidates.push_back(candidate);
+		}
+		const std::optional<std::size_t> chosen = chooseAgent(candidates, this->request.prefix, threadRandom());
+		return chosen ? (*targets)[*chosen].link : nullptr;
+	}
+
+	void RequestRun::send(const std::shared_ptr<AgentLink>& _link)
+	{
+		this->current = {};
+		this->pending.clear();
+		this->current.link = _link;
+		this->current.incarnation = _link->incarnation();
+		this->current.call = std::make_shared<Call>();
+		this->current.relay.key = {this->request.id, this->attempts};
+		this->current.open = true;
+		this->tried.push_back(_link->identity().name);
+		RunSpec run;
+		run.key = this->current.relay.key;
+		run.organisation = this->request.organisation.name;
+		run.weight = this->request.organisation.weight;
+		run.budgetMs = std::max<Millis>(1, this->request.deadline - nowMs());
+		run.repeatable = this->request.repeatable;
+		run.method = this->caller.method;
+		run.path = this->request.upstreamPath;
+		run.contentType = this->caller.contentType;
+		run.body = this->caller.body;
+		_link->dispatch(this->current.call, std::move(run));
+	}
+
+	void RequestRun::closeTry()
+	{
+		if (this->current.open)
+		{
+			this->current.open = false;
+			this->current.link->forget(this->current.relay.key);
+		}
+	}
+
+	std::optional<RequestRun::TryFailure> RequestRun::handleVerdict(const VerdictEvent& _event)
+	{
+		if (_event.accepted)
+		{
+			this->current.started = true;
+			return std::nullopt;
+		}
+		const Proof proof = RefusalReason::Duplicate == _event.reason ? Proof::Unknown : Proof::NotRun;
+		return TryFailure{proof, _event.reason, std::max<Millis>(1, _event.retryAfterMs), std::string(toString(_event.reason)), "the upstream " + this->current.link->identity().name + " refused the request (" + std::string(toString(_event.reason)) + "); come back after the time in Retry-After"};
+	}
+
+	std::optional<RequestRun::TryFailure> RequestRun::handleFrame(const AnswerFrame& _frame)
+	{
+		const FrameDecision decision = acceptFrame(this->current.relay, _frame.head);
+		switch (decision.action)
+		{
+		case FrameAction::Deliver:
+			this->current.started = true;
+			this->start = AnswerStart{_frame.status, _frame.contentType, this->current.link->identity().name};
+			this->pending.append(_frame.bytes, decision.skip);
+			return std::nullopt;
+		case FrameAction::Gap:
+			return this->reconnect(nowMs() + kResumeMs);
+		case FrameAction::Broken:
+			return TryFailure{_frame.notRun ? Proof::NotRun : Proof::Ran, RefusalReason::None, kNoUpstreamRetryMs, _frame.notRun ? "upstream_unreachable" : "upstream_broke_off", "the upstream " + this->current.link->identity().name + (_frame.notRun ? " can't be reached; come back after the time in Retry-After" : " broke off its answer; check with it before you send the request again")};
+		default:
+			this->context.droppedFrames.Increment();
+			return std::nullopt;
+		}
+	}
+
+	/// Asks the agent to take the run back, until it answers.
+	/// @returns Nothing when it didn't answer in time.
+	std::optional<RevokeState> RequestRun::settle(Millis _until)
+	{
+		while (nowMs() < _until)
+		{
+			this->current.link->revoke(this->current.call, this->current.relay.key, this->current.incarnation);
+			const std::optional<RevokeEvent> answer = waitFor<RevokeEvent>(*this->current.call, _until);
+			if (answer && answer->available)
+			{
+				return answer->state;
+			}
+			waitFor<RevokeEvent>(*this->current.call, std::min(_until, nowMs() + kAskAgainMs));
+		}
+		return std::nullopt;
+	}
+
+	/// Asks for the rest of the answer, until the agent says whether it knows the run.
+	/// @returns The pieces that came with its answer; nothing when it doesn't know the run
+	/// or didn't answer in time.
+	std::optional<std::vector<AnswerFrame>> RequestRun::askToResume(Millis _until)
+	{
+		while (nowMs() < _until)
+		{
+			std::vector<AnswerFrame> frames;
+			this->current.link->resume(this->current.call, this->current.relay.key, this->current.incarnation, this->current.relay.nextOffset);
+			const std::optional<ResumeEvent> answer = waitFor<ResumeEvent>(*this->current.call, _until, &frames);
+			if (answer && answer->available)
+			{
+				return answer->known ? std::optional(std::move(frames)) : std::nullopt;
+			}
+			waitFor<ResumeEvent>(*this->current.call, std::min(_until, nowMs() + kAskAgainMs));
+		}
+		return std::nullopt;
+	}
+
+	/// The link was lost: finds out whether the run started, and goes on with its answer.
+	std::optional<RequestRun::TryFailure> RequestRun::reconnect(Millis _until)
+	{
+		if (!this->current.started)
+		{
+			const std::optional<RevokeState> state = this->settle(_until);
+			if (RevokeState::NotRun == state)
+			{
+				return TryFailure{Proof::NotRun, RefusalReason::None, kNoUpstreamRetryMs, "link_lost", "the link to the upstream was lost and the request was taken back; come back after the time in Retry-After"};
+			}
+			if (RevokeState::Started != state)
+			{
+				return TryFailure{Proof::Unknown, RefusalReason::None, 0, "link_lost", "the link to the upstream was lost and whether the request ran can't be known; check before you send it again"};
+			}
+			this->current.started = true;
+		}
+		const std::optional<std::vector<AnswerFrame>> frames = this->askToResume(_until);
+		if (frames)
+		{
+			this->context.resumed.Increment();
+			return this->handleFrames(*frames);
+		}
+		return TryFailure{Proof::Ran, RefusalReason::None, 0, "answer_lost", "the request ran, but the link to its upstream was lost and the answer can't be completed; check before you send it again"};
+	}
+
+	std::optional<RequestRun::TryFailure> RequestRun::handleFrames(const std::vector<AnswerFrame>& _frames)
+	{
+		for (const AnswerFrame& frame : _frames)
+		{
+			std::optional<TryFailure> failure = this->handleFrame(frame);
+			if (failure)
+			{
+				return failure;
+			}
+		}
+		return std::nullopt;
+	}
+
+	std::optional<RequestRun::TryFailure> RequestRun::handleLost(const LinkLostEvent& _event)
+	{
+		if (_event.neverSent)
+		{
+			return TryFailure{Proof::NotRun, RefusalReason::None, kNoUpstreamRetryMs, "link_down", "the link to the upstream is down; come back after the time in Retry-After"};
+		}
+		const bool another = this->request.repeatable && !this->delivered;
+		const Millis limit = another ? kQuickResumeMs : this->current.started ? kResumeMs
+		                                                                      : kRevokeMs;
+		return this->reconnect(std::min(this->request.deadline, nowMs() + limit));
+	}
+
+	std::optional<RequestRun::TryFailure> RequestRun::handleDeadline()
+	{
+		Proof proof = Proof::Ran;
+		if (!this->current.started)
+		{
+			const std::optional<RevokeState> state = this->settle(nowMs() + kDeadlineSettleMs);
+			proof = RevokeState::NotRun == state ? Proof::NotRun : RevokeState::Started == state ? Proof::Ran
+			                                                                                     : Proof::Unknown;
+		}
+		if (Proof::NotRun != proof)
+		{
+			this->current.link->cancel(this->current.relay.key);
+		}
+		return TryFailure{proof, RefusalReason::Deadline, kNoUpstreamRetryMs, "deadline", "the deadline of the service has passed"};
+	}
+
+	std::optional<RequestRun::TryFailure> RequestRun::handleEvent(const CallEvent& _event)
+	{
+		if (const VerdictEvent* verdict = std::get_if<VerdictEvent>(&_event))
+		{
+			return this->handleVerdict(*verdict);
+		}
+		if (const AnswerFrame* frame = std::get_if<AnswerFrame>(&_event))
+		{
+			return this->handleFrame(*frame);
+		}
+		if (const LinkLostEvent* lost = std::get_if<LinkLostEvent>(&_event))
+		{
+			return this->handleLost(*lost);
+		}
+		return std::nullopt; // A late answer to an earlier question.
+	}
+
+	/// Waits until there are bytes of the answer, or its end.
+	std::optional<RequestRun::TryFailure> RequestRun::waitForAnswer()
+	{
+		while (this->pending.empty() && !this->current.relay.complete)
+		{
+			const std::optional<CallEvent> event = this->current.call->wait(this->request.deadline);
+			std::optional<TryFailure> failure = event ? this->handleEvent(*event) : this->handleDeadline();
+			if (failure)
+			{
+				return failure;
+			}
+		}
+		return std::nullopt;
+	}
+
+	RequestRun::TryFailure RequestRun::noUpstream() const
+	{
+		return {Proof::NotRun, RefusalReason::None, kNoUpstreamRetryMs, "no_upstream", "no upstream of service \"" + this->request.service.name + "\" takes work now; come back after the time in Retry-After"};
+	}
+
+	RejectedError RequestRun::giveUp(const TryFailure& _failure) const
+	{
+		const Outcome outcome = this->outcome();
+		const bool late = RefusalReason::Deadline == _failure.refusal && Outcome::NotRun != outcome;
+		const int status = late ? kTimeout : Outcome::NotRun == outcome ? kUnavailable
+		                                                                : kBadGateway;
+		const Millis retryAfterMs = Outcome::NotRun == outcome ? std::max<Millis>(1, _failure.retryAfterMs) : 0;
+		return RejectedError({status, outcome, retryAfterMs, _failure.reason, _failure.message});
+	}
+
+	NextStep RequestRun::stepAfter(const TryFailure& _failure)
+	{
+		const FailedTry failed{_failure.proof, _failure.refusal, this->attempts, this->request.repeatable, this->delivered, this->request.deadline - nowMs()};
+		const NextStep step = decideNext(failed);
+		if (NextStep::RetryOnBudget == step)
+		{
+			return this->context.retries.spend(nowMs()) ? NextStep::Retry : finalAnswer(failed);
+		}
+		return step;
+	}
+
+	AnswerStart RequestRun::attempt()
+	{
+		while (true)
+		{
+			const std::shared_ptr<AgentLink> link = this->chooseLink();
+			if (nullptr == link)
+			{
+				throw this->giveUp(this->noUpstream());
+			}
+			this->send(link);
+			const std::optional<TryFailure> failure = this->waitForAnswer();
+			if (!failure)
+			{
+				return *this->start;
+			}
+			this->closeTry();
+			this->current.started = false;
+			this->noteProof(failure->proof);
+			if (NextStep::Retry != this->stepAfter(*failure))
+			{
+				throw this->giveUp(*failure);
+			}
+			this->context.retried.Increment();
+			this->attempts += 1;
+		}
+	}
+
+	AnswerStart RequestRun::begin()
+	{
+		return this->attempt();
+	}
+
+	std::optional<std::string> RequestRun::next()
+	{
+		const std::optional<TryFailure> failure = this->waitForAnswer();
+		if (failure)
+		{
+			this->closeTry();
+			this->noteProof(failure->proof);
+			throw this->giveUp(*failure);
+		}
+		if (this->pending.empty())
+		{
+			this->closeTry();
+			this->context.retries.earn();
+			return std::nullopt;
+		}
+		this->delivered = this->request.streamed;
+		return std::exchange(this->pending, {});
+	}
+
+	AnswerStart RequestRun::restart(const RejectedError& _error)
+	{
+		if (!this->request.repeatable || this->delivered || NextStep::Retry != this->stepAfter({Proof::Ran, RefusalReason::None, 0, _error.answer.reason, _error.answer.message}))
+		{
+			throw _error;
+		}
+		this->context.retried.Increment();
+		this->attempts += 1;
+		this->current.started = false;
+		return this->attempt();
+	}
+
+	std::string RequestRun::contentType() const
+	{
+		return this->start ? this->start->contentType : "";
+	}
+
+	void RequestRun::abandon()
+	{
+		if (this->current.open)
+		{
+			this->current.link->cancel(this->current.relay.key);
+			this->closeTry();
+		}
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/rpc.capnp
@@ -0,0 +1,182 @@
+# The protocol between archdyke's own processes.
+#
+# After a change run scripts/generate.sh; the generated code in src/generated
+# is committed, so that the normal build needs no generator.
+@0xd1a5c0f2b7e3946d;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("archdyke::rpc");
+
+# Names one try of one request. A retry of the same request has a higher attempt.
+struct RunKey
+{
+	requestId @0 :Text;
+	attempt @1 :UInt32;
+}
+
+# Names a connection: who sends, whom it is meant for, and the session number
+# that rises each time this entry connects again to the same agent.
+struct Session
+{
+	entry @0 :UInt64;   # incarnation of the sending entry
+	agent @1 :UInt64;   # incarnation of the agent it is meant for
+	number @2 :UInt64;
+}
+
+struct RunSpec
+{
+	key @0 :RunKey;
+	session @1 :Session;
+	organisation @2 :Text;
+	weight @3 :UInt32;       # share of the organisation in the queue
+	budgetMs @4 :UInt32;     # time left until the caller's deadline
+	repeatable @5 :Bool;
+	method @6 :Text;
+	path @7 :Text;
+	contentType @8 :Text;
+	body @9 :Data;
+	costTokens @10 :UInt32;  # estimated work
+}
+
+enum RefusalReason
+{
+	none @0;
+	leaving @1;
+	overloaded @2;
+	wrongIncarnation @3;
+	oldSession @4;
+	duplicate @5;
+	revoked @6;
+	deadline @7;
+}
+
+# What an agent says of its load. Rides on answers and heartbeats.
+struct LoadReport
+{
+	running @0 :UInt32;
+	queued @1 :UInt32;
+	slots @2 :UInt32;
+	leaving @3 :Bool;
+	meanRunMs @4 :UInt32;
+	incarnation @5 :UInt64;
+}
+
+struct Verdict
+{
+	accepted @0 :Bool;
+	reason @1 :RefusalReason;
+	retryAfterMs @2 :UInt32;
+	load @3 :LoadReport;
+}
+
+# A piece of an answer. offset counts bytes of the answer's body.
+struct Frame
+{
+	key @0 :RunKey;
+	offset @1 :UInt64;
+	data @2 :Data;
+	end @3 :Bool;            # last frame; total is valid
+	total @4 :UInt64;        # bytes of the whole body
+	status @5 :UInt16;       # HTTP status of the upstream, in every frame
+	contentType @6 :Text;
+	failed @7 :Bool;         # the upstream broke off; the body is not whole
+	load @8 :LoadReport;     # valid in the last frame
+	notRun @9 :Bool;         # with failed: proved that nothing reached the upstream
+}
+
+enum RevokeState
+{
+	notRun @0;     # proved: it did not start and never will
+	started @1;    # it started, or ran to its end
+	unknown @2;    # this incarnation can't know
+}
+
+interface Sink
+{
+	frame @0 (frame :Frame) -> stream;
+}
+
+interface Agent
+{
+	# Opens a session. Closes all older sessions of the same entry.
+	hello @0 (session :Session) -> (incarnation :UInt64, load :LoadReport);
+	heartbeat @1 () -> (load :LoadReport);
+	dispatch @2 (run :RunSpec, sink :Sink) -> (verdict :Verdict);
+	revoke @3 (key :RunKey, session :Session) -> (state :RevokeState);
+	# Sends the frames of a run again from offset on.
+	resume @4 (key :RunKey, session :Session, offset :UInt64, sink :Sink) -> (known :Bool);
+	cancel @5 (key :RunKey) -> ();
+	# The expert map: votes are handed on among the agents of a group.
+	orderMap @6 (order :MapOrder) -> (reply :MapReply);
+}
+
+struct ConfigMark
+{
+	version @0 :UInt64;
+	digest @1 :Text;
+}
+
+# What an entry says of the configuration it holds.
+struct ConfigState
+{
+	head @0 :ConfigMark;
+	staged @1 :ConfigMark;
+	zone @2 :Text;
+	name @3 :Text;
+	incarnation @4 :UInt64;
+	leaving @5 :Bool;
+}
+
+interface Peer
+{
+	exchange @0 (mine :ConfigState) -> (theirs :ConfigState);
+	document @1 (digest :Text) -> (found :Bool, bytes :Data);
+}
+
+enum MapOrderKind
+{
+	stage @0;
+	propose @1;
+	votes @2;
+	state @3;
+}
+
+enum MapVote
+{
+	none @0;
+	yes @1;
+	no @2;
+}
+
+struct MapProposal
+{
+	group @0 :Text;
+	formation @1 :UInt64;
+	fence @2 :UInt64;
+	fromEpoch @3 :UInt64;
+	toEpoch @4 :UInt64;
+	boundary @5 :UInt64;     # first step that runs on toEpoch
+	digest @6 :UInt64;       # of the new map
+}
+
+struct MapOrder
+{
+	kind @0 :MapOrderKind;
+	proposal @1 :MapProposal;
+	votes @2 :List(MapVote);  # by rank, as far as the sender knows
+	map @3 :Data;             # with stage: the expert map as JSON
+	fence @4 :UInt64;
+}
+
+struct MapReply
+{
+	refused @0 :Bool;
+	highestFence @1 :UInt64;
+	staged @2 :Bool;
+	vote @3 :MapVote;
+	votes @4 :List(MapVote);
+	formation @5 :UInt64;
+	epoch @6 :UInt64;
+	step @7 :UInt64;
+	counts @8 :Data;          # tokens by layer and expert as JSON, with state
+}
--- /dev/null
+++ b/src/rpc_convert.cpp
@@ -0,0 +1,175 @@
+#include "rpc_convert.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		capnp::Data::Reader toData(const std::string& _bytes)
+		{
+			return {reinterpret_cast<const capnp::byte*>(_bytes.data()), _bytes.size()};
+		}
+
+		std::string fromData(capnp::Data::Reader _data)
+		{
+			return {reinterpret_cast<const char*>(_data.begin()), _data.size()};
+		}
+
+		std::string fromText(capnp::Text::Reader _text)
+		{
+			return {_text.cStr(), _text.size()};
+		}
+
+		/// The wire's enumeration has the same order; a value from a newer version is read
+		/// as an overload, which is a refusal like any other.
+		RefusalReason fromRpc(rpc::RefusalReason _reason)
+		{
+			const auto value = static_cast<std::uint16_t>(_reason);
+			return value < static_cast<std::uint16_t>(RefusalReason::Count) ? static_cast<RefusalReason>(value) : RefusalReason::Overloaded;
+		}
+	} // namespace
+
+	void writeKey(rpc::RunKey::Builder _to, const RunKey& _from)
+	{
+		_to.setRequestId(_from.requestId);
+		_to.setAttempt(_from.attempt);
+	}
+
+	RunKey readKey(rpc::RunKey::Reader _from)
+	{
+		return {fromText(_from.getRequestId()), _from.getAttempt()};
+	}
+
+	void writeSession(rpc::Session::Builder _to, const Session& _from)
+	{
+		_to.setEntry(_from.entry);
+		_to.setAgent(_from.agent);
+		_to.setNumber(_from.number);
+	}
+
+	Session readSession(rpc::Session::Reader _from)
+	{
+		return {_from.getEntry(), _from.getAgent(), _from.getNumber()};
+	}
+
+	void writeRun(rpc::RunSpec::Builder _to, const RunSpec& _from, const Session& _session)
+	{
+		writeKey(_to.initKey(), _from.key);
+		writeSession(_to.initSession(), _session);
+		_to.setOrganisation(_from.organisation);
+		_to.setWeight(_from.weight);
+		_to.setBudgetMs(static_cast<std::uint32_t>(_from.budgetMs));
+		_to.setRepeatable(_from.repeatable);
+		_to.setMethod(_from.method);
+		_to.setPath(_from.path);
+		_to.setContentType(_from.contentType);
+		_to.setBody(toData(_from.body));
+	}
+
+	RunSpec readRun(rpc::RunSpec::Reader _from)
+	{
+		RunSpec run;
+		run.key = readKey(_from.getKey());
+		run.organisation = fromText(_from.getOrganisation());
+		run.weight = std::max(1u, _from.getWeight());
+		run.budgetMs = _from.getBudgetMs();
+		run.repeatable = _from.getRepeatable();
+		run.method = fromText(_from.getMethod());
+		run.path = fromText(_from.getPath());
+		run.contentType = fromText(_from.getContentType());
+		run.body = fromData(_from.getBody());
+		return run;
+	}
+
+	void writeLoad(rpc::LoadReport::Builder _to, const LoadReport& _from)
+	{
+		_to.setRunning(_from.running);
+		_to.setQueued(_from.queued);
+		_to.setSlots(_from.slots);
+		_to.setLeaving(_from.leaving);
+		_to.setMeanRunMs(_from.meanRunMs);
+		_to.setIncarnation(_from.incarnation);
+	}
+
+	LoadReport readLoad(rpc::LoadReport::Reader _from)
+	{
+		return {_from.getRunning(), _from.getQueued(), _from.getSlots(), _from.getLeaving(), _from.getMeanRunMs(), _from.getIncarnation()};
+	}
+
+	void writeVerdict(rpc::Verdict::Builder _to, const VerdictEvent& _from, const LoadReport& _load)
+	{
+		_to.setAccepted(_from.accepted);
+		_to.setReason(static_cast<rpc::RefusalReason>(_from.reason));
+		_to.setRetryAfterMs(static_cast<std::uint32_t>(_from.retryAfterMs));
+		writeLoad(_to.initLoad(), _load);
+	}
+
+	VerdictEvent readVerdict(rpc::Verdict::Reader _from)
+	{
+		return {_from.getAccepted(), fromRpc(_from.getReason()), _from.getRetryAfterMs()};
+	}
+
+	void writeFrame(rpc::Frame::Builder _to, const AnswerFrame& _from, const LoadReport& _load)
+	{
+		writeKey(_to.initKey(), _from.head.key);
+		_to.setOffset(_from.head.offset);
+		_to.setData(toData(_from.bytes));
+		_to.setEnd(_from.head.end);
+		_to.setTotal(_from.head.total);
+		_to.setStatus(static_cast<std::uint16_t>(_from.status));
+		_to.setContentType(_from.contentType);
+		_to.setFailed(_from.head.failed);
+		_to.setNotRun(_from.notRun);
+		if (_from.head.end)
+		{
+			writeLoad(_to.initLoad(), _load);
+		}
+	}
+
+	AnswerFrame readFrame(rpc::Frame::Reader _from)
+	{
+		AnswerFrame frame;
+		frame.bytes = fromData(_from.getData());
+		frame.head = {readKey(_from.getKey()), _from.getOffset(), frame.bytes.size(), _from.getEnd(), _from.getTotal(), _from.getFailed()};
+		frame.status = _from.getStatus();
+		frame.contentType = fromText(_from.getContentType());
+		frame.notRun = _from.getNotRun();
+		return frame;
+	}
+
+	rpc::RevokeState toRpc(RevokeState _state)
+	{
+		switch (_state)
+		{
+		case RevokeState::NotRun:
+			return rpc::RevokeState::NOT_RUN;
+		case RevokeState::Started:
+			return rpc::RevokeState::STARTED;
+		default:
+			return rpc::RevokeState::UNKNOWN;
+		}
+	}
+
+	RevokeState fromRpc(rpc::RevokeState _state)
+	{
+		switch (_state)
+		{
+		case rpc::RevokeState::NOT_RUN:
+			return RevokeState::NotRun;
+		case rpc::RevokeState::STARTED:
+			return RevokeState::Started;
+		default:
+			return RevokeState::Unknown;
+		}
+	}
+
+	void writeMark(rpc::ConfigMark::Builder _to, const ConfigMark& _from)
+	{
+		_to.setVersion(_from.version);
+		_to.setDigest(_from.digest);
+	}
+
+	ConfigMark readMark(rpc::ConfigMark::Reader _from)
+	{
+		return {_from.getVersion(), fromText(_from.getDigest())};
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/rpc_convert.h
@@ -0,0 +1,33 @@
+/// Between the messages of the wire and the structs of the program.
+#pragma once
+
+#include "archdyke/acceptance.h"
+#include "generated/rpc.capnp.h"
+#include "run.h"
+
+namespace archdyke
+{
+	void writeKey(rpc::RunKey::Builder _to, const RunKey& _from);
+	RunKey readKey(rpc::RunKey::Reader _from);
+
+	void writeSession(rpc::Session::Builder _to, const Session& _from);
+	Session readSession(rpc::Session::Reader _from);
+
+	void writeRun(rpc::RunSpec::Builder _to, const RunSpec& _from, const Session& _session);
+	RunSpec readRun(rpc::RunSpec::Reader _from);
+
+	void writeLoad(rpc::LoadReport::Builder _to, const LoadReport& _from);
+	LoadReport readLoad(rpc::LoadReport::Reader _from);
+
+	void writeVerdict(rpc::Verdict::Builder _to, const VerdictEvent& _from, const LoadReport& _load);
+	VerdictEvent readVerdict(rpc::Verdict::Reader _from);
+
+	void writeFrame(rpc::Frame::Builder _to, const AnswerFrame& _from, const LoadReport& _load);
+	AnswerFrame readFrame(rpc::Frame::Reader _from);
+
+	rpc::RevokeState toRpc(RevokeState _state);
+	RevokeState fromRpc(rpc::RevokeState _state);
+
+	void writeMark(rpc::ConfigMark::Builder _to, const ConfigMark& _from);
+	ConfigMark readMark(rpc::ConfigMark::Reader _from);
+} // namespace archdyke
--- /dev/null
+++ b/src/version.h
@@ -0,0 +1,7 @@
+/// Version of this build.
+#pragma once
+
+namespace archdyke
+{
+	constexpr const char* kVersion = "0.1.0";
+} // namespace archdyke
--- /dev/null
+++ b/tools/lab.cpp
@@ -0,0 +1,395 @@
+#include "lab.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <httplib.h>
+#include <set>
+
+#include "archdyke/fields.h"
+#include "http_server.h"
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		using Json = nlohmann::json;
+
+		constexpr const char* kLoopback = "127.0.0.1:0";
+		constexpr Millis kCommandMs = 60'000;
+
+		std::string makeDirectory()
+		{
+			std::string pattern = (std::filesystem::temp_directory_path() / "archdyke-XXXXXX").string();
+			if (nullptr == mkdtemp(pattern.data()))
+			{
+				throw std::runtime_error("can't make a directory for logs");
+			}
+			return pattern;
+		}
+
+		void writeFile(const std::string& _path, const std::string& _text)
+		{
+			std::ofstream(_path, std::ios::binary) << _text;
+		}
+
+		std::vector<std::string> split(const std::string& _text, char _mark)
+		{
+			std::vector<std::string> parts;
+			std::istringstream stream(_text);
+			for (std::string part; std::getline(stream, part, _mark);)
+			{
+				parts.push_back(part);
+			}
+			return parts;
+		}
+	} // namespace
+
+	Json sendJson(const std::string& _address, const std::string& _method, const std::string& _path, const Json& _body)
+	{
+		const Address address = parseAddress(_address);
+		httplib::Client client(address.host, address.port);
+		client.set_connection_timeout(2);
+		client.set_read_timeout(5);
+		httplib::Request request;
+		request.method = _method;
+		request.path = _path;
+		request.body = _body.is_null() ? "" : _body.dump();
+		request.set_header("Content-Type", "application/json");
+		const httplib::Result result = client.send(request);
+		return result ? Json::parse(result->body, nullptr, false) : Json();
+	}
+
+	Office::Office(OfficeOptions _options)
+	    : options(std::move(_options))
+	    , directory(makeDirectory())
+	    , parsed(parseDocument(this->options.file, readFile(this->options.file)))
+	{
+		this->startStubs();
+		this->startAgents();
+		this->startEntries();
+	}
+
+	Office::~Office()
+	{
+		this->entryDaemons.clear();
+		this->agentDaemons.clear();
+		this->stubProcesses.clear();
+		this->platformProcess.reset();
+		this->proxyProcess.reset();
+		std::error_code ignored;
+		if (nullptr == std::getenv("ARCHDYKE_KEEP_LOGS"))
+		{
+			std::filesystem::remove_all(this->directory, ignored);
+		}
+	}
+
+	const Document& Office::document() const
+	{
+		return this->parsed;
+	}
+
+	std::vector<std::unique_ptr<Daemon>>& Office::entries()
+	{
+		return this->entryDaemons;
+	}
+
+	std::vector<std::unique_ptr<Daemon>>& Office::agents()
+	{
+		return this->agentDaemons;
+	}
+
+	namespace
+	{
+		Daemon& findDaemon(std::vector<std::unique_ptr<Daemon>>& _daemons, const std::string& _name)
+		{
+			for (const std::unique_ptr<Daemon>& daemon : _daemons)
+			{
+				if (_name == daemon->name)
+				{
+					return *daemon;
+				}
+			}
+			throw std::runtime_error("no daemon " + _name);
+		}
+	} // namespace
+
+	Daemon& Office::entry(const std::string& _name)
+	{
+		return findDaemon(this->entryDaemons, _name);
+	}
+
+	Daemon& Office::agent(const std::string& _name)
+	{
+		return findDaemon(this->agentDaemons, _name);
+	}
+
+	const std::vector<UpstreamStub>& Office::stubs() const
+	{
+		return this->upstreamStubs;
+	}
+
+	const std::string& Office::platform() const
+	{
+		return this->platformAddress;
+	}
+
+	std::string Office::logPath(const std::string& _name) const
+	{
+		return this->directory + "/" + _name + ".log";
+	}
+
+	std::unique_ptr<ChildProcess> Office::startProgram(const std::string& _program, const std::string& _argument, const std::string& _name)
+	{
+		return std::make_unique<ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/tools/" + _program, std::vector<std::string>{_argument}, this->logPath(_name));
+	}
+
+	void Office::startGroup(const std::string& _group, const std::vector<const Upstream*>& _members)
+	{
+		const Service& service = *findService(this->parsed, _members.front()->service);
+		Json stub = this->options.engine;
+		stub.update({{"group", _group}, {"ranks", _members.size()}, {"experts", service.experts}, {"layers", service.layers}});
+		this->stubProcesses.push_back(this->startProgram("stub-engine", stub.dump(), "engine-" + _group));
+		const std::vector<std::string> addresses = split(this->stubProcesses.back()->listening("http"), ',');
+		this->groupAddresses.push_back(addresses.front());
+		for (const Upstream* member : _members)
+		{
+			this->upstreamStubs.push_back({member->name, member->service, addresses.at(member->rank)});
+		}
+	}
+
+	void Office::startStubs()
+	{
+		this->platformProcess = this->startProgram("stub-platform", "{}", "platform");
+		this->platformAddress = this->platformProcess->listening("http");
+		if (this->options.viaProxy)
+		{
+			this->proxyProcess = this->startProgram("stub-proxy", "{}", "proxy");
+			this->proxyAddress = this->proxyProcess->listening("http");
+		}
+		std::map<std::string, std::vector<const Upstream*>> groups;
+		for (const Upstream& upstream : this->parsed.upstreams)
+		{
+			if (!upstream.group.empty())
+			{
+				groups[upstream.group].push_back(&upstream);
+				continue;
+			}
+			this->stubProcesses.push_back(this->startProgram("stub-service", "{}", "service-" + upstream.name));
+			this->upstreamStubs.push_back({upstream.name, upstream.service, this->stubProcesses.back()->listening("http")});
+		}
+		for (const auto& [group, members] : groups)
+		{
+			this->startGroup(group, members);
+		}
+	}
+
+	std::string Office::link(const std::string& _name, const std::string& _target)
+	{
+		return sendJson(this->proxyAddress, "POST", "/links", {{"name", _name}, {"target", _target}}).at("address");
+	}
+
+	std::string Office::linkName(const std::string& _fromZone, const std::string& _to)
+	{
+		return _fromZone + ">" + _to;
+	}
+
+	void Office::startDaemon(Daemon& _daemon)
+	{
+		const std::string path = this->directory + "/" + _daemon.name + ".json";
+		writeFile(path, _daemon.settings.dump(1, '\t'));
+		std::error_code ignored;
+		std::filesystem::rename(this->logPath(_daemon.name), this->logPath(_daemon.name) + ".old", ignored);
+		_daemon.process = std::make_unique<ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/" + _daemon.program, std::vector<std::string>{"--settings", path}, this->logPath(_daemon.name));
+		_daemon.rpc = _daemon.process->listening("rpc");
+		_daemon.admin = _daemon.process->listening("admin");
+		_daemon.http = _daemon.process->listening("http");
+	}
+
+	void Office::announce(const Daemon& _daemon, const std::string& _state)
+	{
+		Json vm{{"name", _daemon.name}, {"role", "archdyke-entry" == _daemon.program ? "entry" : "agent"}, {"zone", _daemon.zone}, {"state", _state}, {"rpc", _daemon.rpc}, {"admin", _daemon.admin}};
+		if (this->options.viaProxy && "live" == _state)
+		{
+			for (const Zone& zone : this->parsed.zones)
+			{
+				vm["views"][zone.name]["rpc"] = this->link(linkName(zone.name, _daemon.name), _daemon.rpc);
+			}
+		}
+		sendJson(this->platformAddress, "PUT", "/control/vms", vm);
+	}
+
+	void Office::restart(Daemon& _daemon)
+	{
+		_daemon.process.reset();
+		this->startDaemon(_daemon);
+		this->announce(_daemon);
+	}
+
+	void Office::startAgents()
+	{
+		for (const UpstreamStub& stub : this->upstreamStubs)
+		{
+			const auto upstream = std::find_if(this->parsed.upstreams.begin(), this->parsed.upstreams.end(), [&](const Upstream& _upstream) {
+				return stub.name == _upstream.name;
+			});
+			const bool model = !upstream->group.empty();
+			auto daemon = std::make_unique<Daemon>();
+			daemon->name = stub.name;
+			daemon->zone = upstream->zone;
+			daemon->program = "archdyke-agent";
+			daemon->settings = {{"name", stub.name}, {"zone", upstream->zone}, {"rpc", kLoopback}, {"admin", kLoopback}, {"upstream", {{"kind", model ? "model" : "plain"}, {"address", stub.address}, {"slots", model ? this->options.engineSlots : this->options.serviceSlots}, {"checksFence", this->options.engine.value("checksFence", true)}}}};
+			this->startDaemon(*daemon);
+			this->announce(*daemon);
+			this->agentDaemons.push_back(std::move(daemon));
+		}
+	}
+
+	void Office::startEntries()
+	{
+		for (const Zone& zone : this->parsed.zones)
+		{
+			for (std::uint32_t index = 1; index <= this->options.entriesPerZone; ++index)
+			{
+				auto daemon = std::make_unique<Daemon>();
+				daemon->name = "entry-" + zone.name + "-" + std::to_string(index);
+				daemon->zone = zone.name;
+				daemon->program = "archdyke-entry";
+				const std::string platform = this->options.viaProxy ? this->link("platform<" + daemon->name, this->platformAddress) : this->platformAddress;
+				daemon->settings = {{"name", daemon->name}, {"zone", zone.name}, {"http", kLoopback}, {"rpc", kLoopback}, {"admin", kLoopback}, {"platform", platform}};
+				this->startDaemon(*daemon);
+				this->announce(*daemon);
+				this->entryDaemons.push_back(std::move(daemon));
+			}
+		}
+	}
+
+	std::unique_ptr<ChildProcess> Office::begin(std::vector<std::string> _arguments)
+	{
+		return std::make_unique<ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke", std::move(_arguments), this->logPath("command-" + std::to_string(++this->commands)));
+	}
+
+	CommandResult Office::command(std::vector<std::string> _arguments)
+	{
+		const std::unique_ptr<ChildProcess> process = this->begin(std::move(_arguments));
+		const std::optional<int> exitCode = process->waitForExit(kCommandMs);
+		return {exitCode.value_or(-1), process->output(), process->log()};
+	}
+
+	CommandResult Office::apply(const std::string& _file, std::vector<std::string> _more)
+	{
+		std::vector<std::string> arguments{"apply", _file.empty() ? this->options.file : _file, "--platform", this->platformAddress, "--output", "json"};
+		arguments.insert(arguments.end(), _more.begin(), _more.end());
+		return this->command(std::move(arguments));
+	}
+
+	std::string Office::changedFile(const std::string& _name, const std::function<void(Json&)>& _change)
+	{
+		Json json = parseJson(this->options.file, readFile(this->options.file));
+		_change(json);
+		const std::string path = this->directory + "/" + _name;
+		writeFile(path, json.dump(1, '\t'));
+		return path;
+	}
+
+	Json Office::dump(const Daemon& _daemon) const
+	{
+		return sendJson(_daemon.admin, "GET", "/dump");
+	}
+
+	bool Office::waitReady(Millis _timeoutMs)
+	{
+		return waitUntil(_timeoutMs, [this] {
+			return std::all_of(this->entryDaemons.begin(), this->entryDaemons.end(), [this](const std::unique_ptr<Daemon>& _entry) {
+				const Json state = this->dump(*_entry);
+				if (!state.is_object() || !state["ready"].get<bool>() || state["agents"].size() != this->agentDaemons.size())
+				{
+					return false;
+				}
+				return std::all_of(state["agents"].begin(), state["agents"].end(), [](const Json& _agent) {
+					return _agent["takesWork"].get<bool>();
+				});
+			});
+		});
+	}
+
+	void Office::platformFaults(const Json& _faults)
+	{
+		sendJson(this->platformAddress, "POST", "/control/faults", _faults);
+	}
+
+	void Office::linkFaults(const std::string& _link, const Json& _faults)
+	{
+		Json faults = _faults;
+		faults["name"] = _link;
+		sendJson(this->proxyAddress, "POST", "/faults", faults);
+	}
+
+	void Office::cutZones(const std::string& _a, const std::string& _b, bool _cut)
+	{
+		const auto cut = [&](const std::vector<std::unique_ptr<Daemon>>& _daemons) {
+			for (const std::unique_ptr<Daemon>& daemon : _daemons)
+			{
+				if (_a == daemon->zone || _b == daemon->zone)
+				{
+					this->linkFaults(linkName(_a == daemon->zone ? _b : _a, daemon->name), {{"cutToTarget", _cut}, {"cutToClient", _cut}});
+				}
+			}
+		};
+		cut(this->entryDaemons);
+		cut(this->agentDaemons);
+	}
+
+	void Office::cutPlatform(const std::string& _zone, bool _cut)
+	{
+		for (const std::unique_ptr<Daemon>& daemon : this->entryDaemons)
+		{
+			if (_zone == daemon->zone)
+			{
+				this->linkFaults("platform<" + daemon->name, {{"cutToTarget", _cut}, {"cutToClient", _cut}});
+			}
+		}
+	}
+
+	std::map<std::string, int> Office::runs()
+	{
+		std::map<std::string, int> all;
+		std::set<std::string> asked;
+		std::vector<std::string> addresses = this->groupAddresses;
+		for (const UpstreamStub& stub : this->upstreamStubs)
+		{
+			if (ServiceKind::Plain == findService(this->parsed, stub.service)->kind)
+			{
+				addresses.push_back(stub.address);
+			}
+		}
+		for (const std::string& address : addresses)
+		{
+			const Json record = sendJson(address, "GET", "/record");
+			for (const auto& [token, count] : record.at("runs").items())
+			{
+				all[token] += count.get<int>();
+			}
+		}
+		return all;
+	}
+
+	std::vector<Json> Office::engineRecords()
+	{
+		std::vector<Json> records;
+		for (const std::string& address : this->groupAddresses)
+		{
+			records.push_back(sendJson(address, "GET", "/record"));
+		}
+		return records;
+	}
+
+	void Office::controlEngines(const Json& _order)
+	{
+		for (const std::string& address : this->groupAddresses)
+		{
+			sendJson(address, "POST", "/control", _order);
+		}
+	}
+} // namespace archdyke::lab
--- /dev/null
+++ b/tools/load_main.cpp
@@ -0,0 +1,85 @@
+/// archdyke-load: bounded open-loop load on running entries, and a report of it.
+#include <cxxopts.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "archdyke/document.h"
+#include "load.h"
+#include "process.h"
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		constexpr std::uint32_t kMaxRequests = 1'000'000;
+
+		LoadOptions readOptions(const cxxopts::ParseResult& _parsed)
+		{
+			const std::string file = _parsed["file"].as<std::string>();
+			const Document document = parseDocument(file, readFile(file));
+			LoadOptions options;
+			options.entries = _parsed["entry"].as<std::vector<std::string>>();
+			options.perSecond = _parsed["rate"].as<double>();
+			options.requests = std::min(kMaxRequests, _parsed["requests"].as<std::uint32_t>());
+			options.tokens = _parsed["tokens"].as<std::uint32_t>();
+			options.seed = _parsed["seed"].as<std::uint64_t>();
+			for (const Organisation& organisation : document.organisations)
+			{
+				options.organisations.push_back(organisation.name);
+			}
+			for (const Service& service : document.services)
+			{
+				const bool model = ServiceKind::Model == service.kind;
+				(model ? options.model : options.plain) = service.name;
+				options.notRepeatablePath = !model && !service.notRepeatable.empty() ? service.notRepeatable.front().pathPrefix : options.notRepeatablePath;
+			}
+			return options;
+		}
+
+		void printReport(const LoadResult& _result, bool _json)
+		{
+			const LoadFigures figures = figuresOf(_result);
+			const nlohmann::json json{{"calls", figures.calls}, {"whole", figures.whole}, {"notRun", figures.notRun}, {"unknown", figures.unknown}, {"broken", figures.broken}, {"firstByteMs", {{"p50", figures.firstP50}, {"p95", figures.firstP95}, {"p99", figures.firstP99}}}, {"totalMs", {{"p50", figures.totalP50}, {"p99", figures.totalP99}}}, {"reasons", figures.reasons}};
+			if (_json)
+			{
+				std::cout << json.dump(1, '\t') << "\n";
+				return;
+			}
+			std::cout << "calls " << figures.calls << ", whole " << figures.whole << ", not run " << figures.notRun << ", unknown " << figures.unknown << ", broken off " << figures.broken << "\n"
+			          << "first byte ms: p50 " << figures.firstP50 << ", p95 " << figures.firstP95 << ", p99 " << figures.firstP99 << "\n"
+			          << "whole answer ms: p50 " << figures.totalP50 << ", p99 " << figures.totalP99 << "\n";
+			for (const auto& [reason, count] : figures.reasons)
+			{
+				std::cout << "  " << reason << ": " << count << "\n";
+			}
+		}
+
+		int run(int _argc, char** _argv)
+		{
+			cxxopts::Options options("archdyke-load", "Sends a bounded load to running entries and checks every answer.");
+			options.add_options()("file", "The operators' file", cxxopts::value<std::string>())("entry", "Address of an entry; repeat for more", cxxopts::value<std::vector<std::string>>())("rate", "Requests a second", cxxopts::value<double>()->default_value("50"))("requests", "Requests in all", cxxopts::value<std::uint32_t>()->default_value("200"))("tokens", "Tokens of a model's answer", cxxopts::value<std::uint32_t>()->default_value("24"))("seed", "Seed of the mix", cxxopts::value<std::uint64_t>()->default_value("1"))("output", "text or json", cxxopts::value<std::string>()->default_value("text"))("h,help", "Print this help");
+			const cxxopts::ParseResult parsed = options.parse(_argc, _argv);
+			if (0 < parsed.count("help") || 0 == parsed.count("file") || 0 == parsed.count("entry"))
+			{
+				std::cout << options.help();
+				return 0 < parsed.count("help") ? 0 : 2;
+			}
+			const LoadResult result = runLoad(readOptions(parsed));
+			printReport(result, "json" == parsed["output"].as<std::string>());
+			return 0;
+		}
+	} // namespace
+} // namespace archdyke::lab
+
+int main(int _argc, char** _argv)
+{
+	try
+	{
+		return archdyke::lab::run(_argc, _argv);
+	}
+	catch (const std::exception& error)
+	{
+		std::cerr << "archdyke-load: " << error.what() << "\n";
+		return 2;
+	}
+}
--- /dev/null
+++ b/tools/stub_proxy.cpp
@@ -0,0 +1,206 @@
+/// TCP proxy that injects faults: one process, many links.
+///
+/// Options: {}. Control routes:
+///   POST /links      {"name", "target"}           answers {"address"}
+///   POST /faults     {"name", "delayMs"?, "cutToTarget"?, "cutToClient"?, "reset"?}
+/// cutTo... holds bytes back without closing: they are delivered late, once it is taken
+/// back. reset breaks all connections of the link now.
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <arpa/inet.h>
+#include <atomic>
+#include <list>
+#include <map>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "http_server.h"
+#include "log.h"
+#include "process.h"
+#include "stub_main.h"
+
+namespace archdyke::stub
+{
+	namespace
+	{
+		using Json = nlohmann::json;
+
+		struct LinkFaults
+		{
+			Millis delayMs = 0;
+			bool cutToTarget = false;
+			bool cutToClient = false;
+		};
+
+		sockaddr_in toSockaddr(const Address& _address)
+		{
+			sockaddr_in result{};
+			result.sin_family = AF_INET;
+			result.sin_port = htons(static_cast<std::uint16_t>(_address.port));
+			inet_pton(AF_INET, _address.host.c_str(), &result.sin_addr);
+			return result;
+		}
+
+		class Link
+		{
+		public:
+			explicit Link(const std::string& _target)
+			    : target(toSockaddr(parseAddress(_target)))
+			    , listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+			{
+				sockaddr_in any = toSockaddr({"127.0.0.1", 0});
+				if (0 != ::bind(this->listener, reinterpret_cast<sockaddr*>(&any), sizeof(any)))
+				{
+					throw std::runtime_error("can't listen on the loopback");
+				}
+				::listen(this->listener, 1024);
+				socklen_t size = sizeof(any);
+				::getsockname(this->listener, reinterpret_cast<sockaddr*>(&any), &size);
+				this->port = ntohs(any.sin_port);
+				std::thread([this] {
+					this->acceptLoop();
+				})
+				    .detach();
+			}
+
+			int listenPort() const
+			{
+				return this->port;
+			}
+
+			void setFaults(const Json& _json)
+			{
+				absl::MutexLock lock(&this->mutex);
+				this->faults.delayMs = _json.value("delayMs", this->faults.delayMs);
+				this->faults.cutToTarget = _json.value("cutToTarget", this->faults.cutToTarget);
+				this->faults.cutToClient = _json.value("cutToClient", this->faults.cutToClient);
+				if (_json.value("reset", false))
+				{
+					for (const int socket : this->sockets)
+					{
+						::shutdown(socket, SHUT_RDWR);
+					}
+				}
+			}
+
+		private:
+			void acceptLoop()
+			{
+				while (true)
+				{
+					const int client = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+					if (0 <= client)
+					{
+						std::thread([this, client] {
+							this->serve(client);
+						})
+						    .detach();
+					}
+				}
+			}
+
+			void serve(int _client)
+			{
+				// A cut in either direction holds up the handshake's first bytes, not the
+				// connection itself: TCP's own retries are not modelled.
+				const int upstream = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+				const int yes = 1;
+				::setsockopt(upstream, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+				::setsockopt(_client, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+				if (0 != ::connect(upstream, reinterpret_cast<const sockaddr*>(&this->target), sizeof(this->target)))
+				{
+					::close(upstream);
+					::close(_client);
+					return;
+				}
+				{
+					absl::MutexLock lock(&this->mutex);
+					this->sockets.push_back(_client);
+					this->sockets.push_back(upstream);
+				}
+				std::thread back([this, upstream, _client] {
+					this->pump(upstream, _client, &LinkFaults::cutToClient);
+				});
+				this->pump(_client, upstream, &LinkFaults::cutToTarget);
+				back.join();
+				absl::MutexLock lock(&this->mutex);
+				this->sockets.remove(_client);
+				this->sockets.remove(upstream);
+				::close(upstream);
+				::close(_client);
+			}
+
+			void holdBack(bool LinkFaults::*_cut)
+			{
+				absl::MutexLock lock(&this->mutex);
+				if (0 < this->faults.delayMs)
+				{
+					const bool never = false;
+					this->mutex.AwaitWithTimeout(absl::Condition(&never), absl::Milliseconds(this->faults.delayMs));
+				}
+				const auto open = [this, _cut]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) {
+					return !(this->faults.*_cut);
+				};
+				this->mutex.Await(absl::Condition(&open));
+			}
+
+			void pump(int _from, int _to, bool LinkFaults::*_cut)
+			{
+				char buffer[16384];
+				while (true)
+				{
+					const ssize_t size = ::recv(_from, buffer, sizeof(buffer), 0);
+					this->holdBack(_cut);
+					if (size <= 0)
+					{
+						::shutdown(_to, SHUT_WR);
+						return;
+					}
+					for (ssize_t sent = 0; sent < size;)
+					{
+						const ssize_t step = ::send(_to, buffer + sent, std::size_t(size - sent), MSG_NOSIGNAL);
+						if (step <= 0)
+						{
+							::shutdown(_from, SHUT_RDWR);
+							return;
+						}
+						sent += step;
+					}
+				}
+			}
+
+			const sockaddr_in target;
+			const int listener;
+			int port = 0;
+			absl::Mutex mutex;
+			LinkFaults faults ABSL_GUARDED_BY(mutex);
+			std::list<int> sockets ABSL_GUARDED_BY(mutex);
+		};
+	} // namespace
+
+	void runStub(const nlohmann::json&)
+	{
+		absl::Mutex mutex;
+		std::map<std::string, std::unique_ptr<Link>> links;
+		HttpServer server;
+		server.routes().Post("/links", [&](const httplib::Request& _request, httplib::Response& _response) {
+			const Json body = Json::parse(_request.body);
+			absl::MutexLock lock(&mutex);
+			std::unique_ptr<Link>& link = links[body.at("name")];
+			link = std::make_unique<Link>(body.at("target").get<std::string>());
+			_response.set_content(Json{{"address", "127.0.0.1:" + std::to_string(link->listenPort())}}.dump(), "application/json");
+		});
+		server.routes().Post("/faults", [&](const httplib::Request& _request, httplib::Response&) {
+			const Json body = Json::parse(_request.body);
+			absl::MutexLock lock(&mutex);
+			links.at(body.at("name"))->setFaults(body);
+		});
+		const Address address = server.start({"127.0.0.1", 0});
+		logInfo("listening", {{"http", toString(address)}});
+		waitForStopSignal();
+		std::_Exit(0); // Its detached threads hold nothing that must be kept.
+	}
+} // namespace archdyke::stub
