--- a/src/decide/route.cpp
+++ b/src/decide/route.cpp
@@ -11,8 +11,6 @@
 		/// Load that the holder of a prefix may have above the best other choice, runs per
 		/// slot.
 		constexpr double kAffinityExtraLoad = 0.25;
-		/// Random choices that are compared.
-		constexpr int kChoices = 2;
 
 		enum class ZoneFilter
 		{
@@ -40,15 +38,22 @@
 			return std::nullopt;
 		}
 
+		/// The second choice is another candidate than the first, if there is one.
 		std::optional<std::size_t> pickOfTwo(const std::vector<Candidate>& _candidates, ZoneFilter _filter, Random& _random)
 		{
-			std::optional<std::size_t> best = pickRandom(_candidates, _filter, _random);
-			for (int choice = 1; best && choice < kChoices; ++choice)
+			const std::optional<std::size_t> first = pickRandom(_candidates, _filter, _random);
+			if (!first)
 			{
-				const std::size_t other = *pickRandom(_candidates, _filter, _random);
-				best = loadOf(_candidates[other]) < loadOf(_candidates[*best]) ? other : *best;
+				return std::nullopt;
 			}
-			return best;
+			const std::size_t start = *first + 1 + randomBelow(_random, _candidates.size() - 1);
+			std::size_t second = *first;
+			for (std::size_t step = 0; step < _candidates.size() && second == *first; ++step)
+			{
+				const std::size_t index = (start + step) % _candidates.size();
+				second = passes(_candidates[index], _filter) ? index : second;
+			}
+			return loadOf(_candidates[second]) < loadOf(_candidates[*first]) ? second : *first;
 		}
 
 		double costMs(const Candidate& _candidate)
--- /dev/null
+++ b/tests/test_acceptance.cpp
@@ -0,0 +1,55 @@
+/// Configuration versions never go back, and are accepted only when all zones hold them.
+#include "archdyke/acceptance.h"
+#include "check.h"
+
+using namespace archdyke;
+
+Test(acceptance, zone_confirms_only_when_all_its_entries_hold_it)
+{
+	const ConfigMark staged{4, "d"};
+	const HeldConfig held{{3, "c"}, staged};
+	cr_assert(zoneHolds(held, {}, staged));
+	cr_assert(zoneHolds(held, {{"p", {3, "c"}, staged}}, staged));
+	cr_assert(!zoneHolds(held, {{"p", {3, "c"}, {}}}, staged));
+	cr_assert(!zoneHolds({{3, "c"}, {}}, {}, staged));
+}
+
+Test(acceptance, confirmations_of_another_apply_do_not_count)
+{
+	const StageRow stage{{4, "d"}, "nonce"};
+	const AcceptanceView view = viewAcceptance(stage, {"a", "b", "c"}, {{"a", {4, "d"}, "nonce"}, {"b", {4, "d"}, "old"}, {"c", {4, "x"}, "nonce"}});
+	cr_assert((std::vector<std::string>{"b", "c"}) == view.missing);
+}
+
+Test(acceptance, lost_move_is_settled_by_the_row)
+{
+	const StageRow stage{{4, "d"}, "mine"};
+	cr_assert(!settleMove(stage, std::nullopt));
+	cr_assert(ApplyEnd::Accepted == settleMove(stage, "mine"));
+	cr_assert(ApplyEnd::Conflict == settleMove(stage, "other"));
+}
+
+Test(acceptance, head_is_the_highest_ever_heard)
+{
+	tests::checkProperty("held configuration against a maximum", [] {
+		HeldConfig held;
+		std::uint64_t highest = 0;
+		const int steps = *rc::gen::inRange(1, 40);
+		for (int index = 0; index < steps; ++index)
+		{
+			const std::uint64_t version = *rc::gen::inRange<std::uint64_t>(1, 10);
+			const ConfigMark mark{version, "d" + std::to_string(version)};
+			if (*rc::gen::arbitrary<bool>())
+			{
+				RC_ASSERT(adoptHead(held, mark) == (version > highest));
+				highest = std::max(highest, version);
+			}
+			else
+			{
+				holdStaged(held, mark);
+			}
+			RC_ASSERT(held.head.version == highest);
+			RC_ASSERT(0u == held.staged.version || held.staged.version > highest);
+		}
+	});
+}
--- /dev/null
+++ b/tests/test_membership.cpp
@@ -0,0 +1,64 @@
+/// Leaving is sticky for an incarnation, from whatever source.
+#include "archdyke/membership.h"
+#include "check.h"
+
+using namespace archdyke;
+
+Test(membership, leaving_from_any_source_wins)
+{
+	Member member;
+	hearLink(member, true);
+	hearAgent(member, 5, false);
+	cr_assert(mayReceiveWork(member));
+	hearList(member, ListState::Leaving);
+	cr_assert(!mayReceiveWork(member));
+	hearList(member, ListState::Live);
+	cr_assert(!mayReceiveWork(member), "a list that lags took the leaving back");
+	hearAgent(member, 6, false);
+	cr_assert(mayReceiveWork(member));
+}
+
+/// Naive version: remembers all that was ever said.
+Test(membership, same_as_naive_memory_of_everything)
+{
+	tests::checkProperty("member against full memory", [] {
+		Member member;
+		std::uint64_t current = 0;
+		std::vector<std::uint64_t> left;
+		ListState list = ListState::Live;
+		bool up = false;
+		const int steps = *rc::gen::inRange(1, 30);
+		for (int index = 0; index < steps; ++index)
+		{
+			switch (*rc::gen::inRange(0, 3))
+			{
+			case 0:
+				list = ListState(*rc::gen::inRange(0, int(ListState::Count)));
+				hearList(member, list);
+				if (ListState::Live != list)
+				{
+					left.push_back(current);
+				}
+				break;
+			case 1:
+			{
+				// Incarnations only rise here: an old one's word doesn't come after a new one's.
+				current += *rc::gen::inRange<std::uint64_t>(0, 2);
+				current = 0 == current ? 1 : current;
+				const bool leaving = *rc::gen::arbitrary<bool>();
+				hearAgent(member, current, leaving);
+				if (leaving)
+				{
+					left.push_back(current);
+				}
+				break;
+			}
+			default:
+				up = *rc::gen::arbitrary<bool>();
+				hearLink(member, up);
+			}
+			const bool gone = left.end() != std::find(left.begin(), left.end(), current);
+			RC_ASSERT(mayReceiveWork(member) == (up && ListState::Live == list && 0 != current && !gone));
+		}
+	});
+}
