Prove whole answers, "not run" and at-most-once with real processes under faults

Writing the proof found a fault: after an outage of the table a key that had been claimed and refused stayed blocked for 30 s.

Ruled out: a row left in the table (it was never written). The release that watches for a late write stood first in the queue, and later claims of the same key waited behind it; it also read the table every 3 ms.

Change: an item that only watches looks once a second and stands in nobody's way.

--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -16,6 +16,10 @@
 		constexpr Millis kClaimTransactionsPerSecond = 200;
 		/// A write whose answer was lost may still take effect within this time, ms.
 		constexpr Millis kLateWriteMs = 30'000;
+		/// Between two looks for such a write, ms.
+		constexpr Millis kWatchMs = 1'000;
+		/// Between two looks for items that are due, ms.
+		constexpr Millis kIdleMs = 50;
 
 		ClaimEnd toEnd(ClaimVerdict _verdict)
 		{
@@ -128,6 +132,7 @@
 		{
 			_item->rowKnown = false;
 			const bool mayComeLate = ClaimVerdict::Free == verdict && nowMs() < _item->forgetAt;
+			_item->dueAt = nowMs() + kWatchMs;
 			if (!mayComeLate)
 			{
 				this->settle(_item, ClaimEnd::NoStore);
@@ -207,6 +212,25 @@
 		}
 	}
 
+	std::vector<Claims::ItemPointer> Claims::takeBatch()
+	{
+		std::vector<ItemPointer> batch;
+		const Millis now = nowMs();
+		for (const ItemPointer& item : this->items)
+		{
+			// Two items of one key go into a transaction only in turn. One that merely
+			// watches for a late write stands in nobody's way.
+			const bool keyTaken = std::any_of(batch.begin(), batch.end(), [&](const ItemPointer& _other) {
+				return item->key == _other->key;
+			});
+			if (!keyTaken && item->dueAt <= now && batch.size() < kMaxBatch)
+			{
+				batch.push_back(item);
+			}
+		}
+		return batch;
+	}
+
 	void Claims::work()
 	{
 		PlatformClient client(this->platform, this->zone, kPlatformTimeoutMs);
@@ -219,21 +243,18 @@
 					return this->stopping || !this->items.empty();
 				};
 				this->mutex.Await(absl::Condition(&hasWork));
-				if (this->stopping)
+				if (this->stopping || this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), absl::Milliseconds(this->intervalMs())))
 				{
 					return;
 				}
-				this->mutex.AwaitWithTimeout(absl::Condition(&this->stopping), absl::Milliseconds(this->intervalMs()));
-				// Two items of one key go into one transaction only in turn.
-				for (const ItemPointer& item : this->items)
+				batch = this->takeBatch();
+				if (batch.empty())
 				{
-					const bool keyTaken = std::any_of(batch.begin(), batch.end(), [&](const ItemPointer& _other) {
-						return item->key == _other->key;
-					});
-					if (!keyTaken && batch.size() < kMaxBatch)
-					{
-						batch.push_back(item);
-					}
+					const auto hasDue = [this]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) {
+						return this->stopping || 0 == this->items.back()->dueAt;
+					};
+					this->mutex.AwaitWithTimeout(absl::Condition(&hasDue), absl::Milliseconds(kIdleMs));
+					continue;
 				}
 			}
 			this->handleBatch(client, batch);
--- a/src/claims.h
+++ b/src/claims.h
@@ -62,6 +62,7 @@
 			std::string nonce;
 			Millis giveUpAt = 0;
 			Millis forgetAt = 0;   ///< A release of an absent row is watched until then.
+			Millis dueAt = 0;      ///< Not looked at before.
 			bool rowKnown = false; ///< version and row are as read.
 			std::uint64_t version = 0;
 			std::optional<ClaimRow> row;
@@ -80,6 +81,7 @@
 
 		void add(Wish _wish, const std::string& _key, const std::string& _nonce);
 		void work();
+		std::vector<ItemPointer> takeBatch() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		void handleBatch(PlatformClient& _client, const std::vector<ItemPointer>& _batch);
 		void applyRows(const TableResult& _result, const std::vector<ItemPointer>& _batch);
 		void settle(const ItemPointer& _item, ClaimEnd _end);
--- /dev/null
+++ b/tests/test_path.cpp
@@ -0,0 +1,181 @@
+/// The full path through real processes: whole answers, one's own, and clear refusals.
+#include <httplib.h>
+
+#include "http_server.h"
+#include "office.h"
+
+using namespace archdyke;
+using namespace archdyke::tests;
+
+namespace
+{
+	/// Sends raw requests to an entry.
+	httplib::Client clientOf(const lab::Daemon& _entry)
+	{
+		const Address address = parseAddress(_entry.http);
+		httplib::Client client(address.host, address.port);
+		client.set_read_timeout(15);
+		return client;
+	}
+
+	const httplib::Headers kAlpha{{"Authorization", "Bearer key-alpha"}};
+
+	/// A long stream that is being relayed: returns once its upstream has begun.
+	std::future<lab::CallRecord> longStream(lab::Office& _office, lab::LoadOptions _load, const std::string& _token)
+	{
+		_load.tokens = 400;
+		std::future<lab::CallRecord> call = callLater(_load, lab::CallKind::Streamed, _token, _office.entries().front()->http);
+		cr_assert(waitForRuns(_office, _token, 1));
+		return call;
+	}
+
+	/// @returns The agent that has a run.
+	lab::Daemon& busyAgent(lab::Office& _office)
+	{
+		lab::Daemon* found = nullptr;
+		lab::waitUntil(5'000, [&] {
+			for (const std::unique_ptr<lab::Daemon>& agent : _office.agents())
+			{
+				const nlohmann::json dump = _office.dump(*agent);
+				found = dump.is_object() && 0 < dump["running"].get<int>() ? agent.get() : found;
+			}
+			return nullptr != found;
+		});
+		cr_assert(nullptr != found);
+		return *found;
+	}
+} // namespace
+
+Test(path, mixed_load_gets_whole_answers_of_its_own)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	lab::LoadOptions load = loadOn(office);
+	load.perSecond = 150;
+	load.requests = 300;
+	const lab::LoadResult result = lab::runLoad(load);
+	expectNoViolation(lab::judge(result, office.runs()));
+	const lab::LoadFigures figures = lab::figuresOf(result);
+	cr_assert(figures.calls == figures.whole, "%u of %u whole", figures.whole, figures.calls);
+}
+
+Test(path, a_reset_link_resumes_the_stream)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	std::future<lab::CallRecord> call = longStream(office, loadOn(office), "reset");
+	faultAgents(office, "north", {{"reset", true}});
+	const lab::CallRecord record = call.get();
+	cr_assert(record.whole, "told %s", record.reason.c_str());
+	cr_assert(1 == office.runs()["reset"]);
+}
+
+Test(path, a_cut_link_resumes_the_stream_once_mended)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	std::future<lab::CallRecord> call = longStream(office, loadOn(office), "cut");
+	faultAgents(office, "north", {{"cutToClient", true}});
+	cr_assert(lab::waitUntil(5'000, [&] {
+		return std::string::npos != office.entries().front()->process->log().find("event=agent_link_lost");
+	}));
+	faultAgents(office, "north", {{"cutToClient", false}});
+	cr_assert(call.get().whole);
+}
+
+Test(path, a_killed_agent_breaks_the_stream_visibly)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	std::future<lab::CallRecord> call = longStream(office, loadOn(office), "killed");
+	busyAgent(office).process->kill();
+	const lab::CallRecord record = call.get();
+	cr_assert(!record.whole && record.brokenTold && !record.cutClean && !record.foreign);
+}
+
+Test(path, a_killed_entry_never_ends_a_stream_cleanly)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	std::future<lab::CallRecord> call = longStream(office, loadOn(office), "entry-killed");
+	office.entries().front()->process->kill();
+	const lab::CallRecord record = call.get();
+	cr_assert(!record.whole && !record.cutClean && !record.foreign);
+}
+
+Test(path, a_killed_agent_costs_a_repeatable_call_nothing)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	lab::LoadOptions load = loadOn(office);
+	load.tokens = 100;
+	std::future<lab::CallRecord> call = callLater(load, lab::CallKind::Whole, "repeat", load.entries.front());
+	cr_assert(waitForRuns(office, "repeat", 1));
+	busyAgent(office).process->kill();
+	cr_assert(call.get().whole);
+}
+
+Test(path, a_gone_caller_ends_its_run)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	{
+		httplib::Client client = clientOf(*office.entries().front());
+		const std::string body = R"({"model":"chat","messages":[],"max_tokens":2000,"stream":true,"user":"gone"})";
+		httplib::Request request;
+		request.method = "POST";
+		request.path = "/v1/chat/completions";
+		request.headers = kAlpha;
+		request.body = body;
+		request.content_receiver = [](const char*, std::size_t, std::uint64_t, std::uint64_t) {
+			return false;
+		};
+		client.send(request);
+	}
+	cr_assert(lab::waitUntil(5'000, [&] {
+		          int running = 0;
+		          for (const std::unique_ptr<lab::Daemon>& agent : office.agents())
+		          {
+			          running += office.dump(*agent)["running"].get<int>();
+		          }
+		          return 0 == running;
+	          }),
+	          "the run goes on without its caller");
+}
+
+Test(path, bad_requests_get_clear_refusals)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	httplib::Client client = clientOf(*office.entries().front());
+	cr_assert(401 == client.Post("/v1/chat/completions", R"({"model":"chat"})", "application/json")->status);
+	cr_assert(400 == client.Post("/v1/chat/completions", kAlpha, "{not json", "application/json")->status);
+	cr_assert(404 == client.Post("/v1/chat/completions", kAlpha, R"({"model":"other"})", "application/json")->status);
+	cr_assert(404 == client.Get("/nowhere/x", kAlpha)->status);
+	cr_assert(400 == client.Get("/shop/../shop/orders", kAlpha)->status);
+	cr_assert(413 == client.Post("/shop/cards", kAlpha, std::string(2'000'000, 'x'), "text/plain")->status);
+	httplib::Headers longHeader = kAlpha;
+	longHeader.emplace("X-Long", std::string(20'000, 'x'));
+	const httplib::Result tooLong = clientOf(*office.entries().front()).Get("/shop/cards", longHeader);
+	cr_assert(!tooLong || (400 <= tooLong->status && tooLong->status < 500));
+	const httplib::Result refused = client.Post("/v1/chat/completions", kAlpha, "{not json", "application/json");
+	cr_assert("not-run" == refused->get_header_value("X-Archdyke-Outcome"));
+	cr_assert(std::string::npos != refused->body.find("send one with"));
+}
+
+Test(path, an_organisation_over_its_limit_is_told_when_to_come_back)
+{
+	lab::Office office(smallOffice());
+	const std::string file = office.changedFile("limit.json", [](nlohmann::json& _json) {
+		_json["organisations"][0]["requestsPerSecond"] = 0.5;
+		_json["organisations"][0]["burst"] = 2;
+	});
+	cr_assert(0 == office.apply(file).exitCode);
+	cr_assert(office.waitReady());
+	httplib::Client client = clientOf(*office.entries().front());
+	cr_assert(200 == client.Get("/shop/cards", kAlpha)->status);
+	const httplib::Result second = client.Get("/shop/cards", kAlpha);
+	cr_assert(429 == second->status);
+	cr_assert(1 <= std::stoi(second->get_header_value("Retry-After")));
+	cr_assert(200 == client.Get("/shop/cards", {{"Authorization", "Bearer key-beta"}})->status);
+}
--- a/tools/lab.cpp
+++ b/tools/lab.cpp
@@ -150,8 +150,9 @@
 		const Service& service = *findService(this->parsed, _members.front()->service);
 		Json stub = this->options.engine;
 		stub.update({{"group", _group}, {"ranks", _members.size()}, {"experts", service.experts}, {"layers", service.layers}});
-		this->stubProcesses.push_back(this->startProgram("stub-engine", stub.dump(), "engine-" + _group));
-		const std::vector<std::string> addresses = split(this->stubProcesses.back()->listening("http"), ',');
+		std::unique_ptr<ChildProcess>& process = this->stubProcesses[_group];
+		process = this->startProgram("stub-engine", stub.dump(), "engine-" + _group);
+		const std::vector<std::string> addresses = split(process->listening("http"), ',');
 		this->groupAddresses.push_back(addresses.front());
 		for (const Upstream* member : _members)
 		{
@@ -176,8 +177,9 @@
 				groups[upstream.group].push_back(&upstream);
 				continue;
 			}
-			this->stubProcesses.push_back(this->startProgram("stub-service", "{}", "service-" + upstream.name));
-			this->upstreamStubs.push_back({upstream.name, upstream.service, this->stubProcesses.back()->listening("http")});
+			std::unique_ptr<ChildProcess>& process = this->stubProcesses[upstream.name];
+			process = this->startProgram("stub-service", "{}", "service-" + upstream.name);
+			this->upstreamStubs.push_back({upstream.name, upstream.service, process->listening("http")});
 		}
 		for (const auto& [group, members] : groups)
 		{
@@ -314,6 +316,11 @@
 		});
 	}
 
+	void Office::killStub(const std::string& _upstream)
+	{
+		this->stubProcesses.at(_upstream)->kill();
+	}
+
 	void Office::platformFaults(const Json& _faults)
 	{
 		sendJson(this->platformAddress, "POST", "/control/faults", _faults);
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -83,6 +83,9 @@
 		/// Starts a daemon again, as a new VM with the same name.
 		void restart(Daemon& _daemon);
 
+		/// Kills the stand-in of a plain upstream.
+		void killStub(const std::string& _upstream);
+
 		/// Announces a daemon to the platform's list.
 		void announce(const Daemon& _daemon, const std::string& _state = "live");
 
@@ -122,7 +125,7 @@
 		Document parsed;
 		std::unique_ptr<ChildProcess> platformProcess;
 		std::unique_ptr<ChildProcess> proxyProcess;
-		std::vector<std::unique_ptr<ChildProcess>> stubProcesses;
+		std::map<std::string, std::unique_ptr<ChildProcess>> stubProcesses; ///< By group or upstream.
 		std::string platformAddress;
 		std::string proxyAddress;
 		std::vector<UpstreamStub> upstreamStubs;
