Switch expert maps for real: planner by lease, votes among agents, moves within a budget

Ruled out: handing votes round by every agent to every other (square in the ranks). A rank 0 that alone hands out the outcome leaves a restarted agent waiting if rank 0's agent restarted too, so the ring to the next rank stays as a second way. Keeping the open proposal in the agent's memory only: after a restart nobody could release the engine; the engine gives back what it was armed with.

Change: RankControl in the agent, Planner in the entry that holds its zone's lease, placement as pure functions, one pool for calls to peers and agents in place of two.

--- a/src/agent_main.cpp
+++ b/src/agent_main.cpp
@@ -46,7 +46,11 @@
 					    return makeUpstreamCall(this->settings.upstream, observer.answer);
 				    },
 				    observer);
-				this->server->attach(this->runs.get(), nullptr);
+				if (ServiceKind::Model == this->settings.upstream.kind)
+				{
+					this->rank = std::make_unique<RankControl>(this->settings.upstream, this->loop, this->metrics);
+				}
+				this->server->attach(this->runs.get(), this->rank.get());
 				this->listener = std::make_unique<RpcListener>(this->loop, parseAddress(this->settings.rpc), [this] {
 					return rpc::Agent::Client(kj::addRef(*this->server));
 				});
@@ -86,6 +90,11 @@
 				this->admin.stop();
 				this->runs->stop();
 				this->listener.reset();
+				if (nullptr != this->rank)
+				{
+					this->rank->stop();
+					this->rank.reset();
+				}
 				this->loop.run([this] {
 					this->server = nullptr;
 				});
@@ -140,7 +149,7 @@
 			nlohmann::json dump()
 			{
 				const LoadReport load = this->runs->load();
-				return {{"name", this->settings.name}, {"role", "agent"}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"upstream", this->settings.upstream.address}, {"leaving", load.leaving}, {"running", load.running}, {"queued", load.queued}, {"slots", load.slots}, {"meanRunMs", load.meanRunMs}, {"unfinished", this->unfinished()}};
+				return {{"name", this->settings.name}, {"role", "agent"}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"upstream", this->settings.upstream.address}, {"leaving", load.leaving}, {"running", load.running}, {"queued", load.queued}, {"slots", load.slots}, {"meanRunMs", load.meanRunMs}, {"unfinished", this->unfinished()}, {"map", nullptr == this->rank ? "none" : this->rank->describe()}};
 			}
 
 			const AgentSettings settings;
@@ -149,6 +158,7 @@
 			RpcLoop loop;
 			kj::Own<AgentServer> server;
 			std::unique_ptr<AgentRuns> runs;
+			std::unique_ptr<RankControl> rank; ///< Model ranks only.
 			std::unique_ptr<RpcListener> listener;
 			HttpServer admin;
 			absl::Mutex mutex;
--- a/src/agent_server.cpp
+++ b/src/agent_server.cpp
@@ -4,6 +4,7 @@
 #include "process.h"
 #include "rank_control.h"
 #include "rpc_convert.h"
+#include "rpc_convert_map.h"
 
 namespace archdyke
 {
@@ -131,9 +132,94 @@
 		return kj::READY_NOW;
 	}
 
-	kj::Promise<void> AgentServer::orderMap(OrderMapContext _context)
+	namespace
 	{
-		return handleMapOrder(this->rank, _context);
+		/// An answer that comes from another thread.
+		template <typename Answer>
+		struct LaterAnswer
+		{
+			explicit LaterAnswer(RpcLoop& _loop)
+			    : loop(_loop)
+			    , pair(kj::newPromiseAndFulfiller<Answer>())
+			    , fulfiller(std::make_shared<kj::Own<kj::PromiseFulfiller<Answer>>>(kj::mv(this->pair.fulfiller)))
+			{
+			}
+
+			/// @returns What to call from the other thread.
+			std::function<void(const Answer&)> giver() const
+			{
+				return [&target = this->loop, shared = this->fulfiller](const Answer& _answer) {
+					target.post([shared, _answer] {
+						(*shared)->fulfill(kj::cp(_answer));
+					});
+				};
+			}
+
+			RpcLoop& loop;
+			kj::PromiseFulfillerPair<Answer> pair;
+			std::shared_ptr<kj::Own<kj::PromiseFulfiller<Answer>>> fulfiller;
+		};
+
+		kj::Exception noRank()
+		{
+			return KJ_EXCEPTION(FAILED, "no engine rank answers here");
+		}
+
+		using MaybeReport = std::optional<RankReport>;
+
+		struct StageAnswer
+		{
+			bool done = false;
+			MaybeReport report;
+		};
+	} // namespace
+
+	kj::Promise<void> AgentServer::report(ReportContext _context)
+	{
+		if (nullptr == this->rank)
+		{
+			return noRank();
+		}
+		LaterAnswer<MaybeReport> later(this->loop);
+		this->rank->report(_context.getParams().getWithLoad(), later.giver());
+		return later.pair.promise.then([_context](MaybeReport _report) mutable {
+			if (!_report)
+			{
+				kj::throwFatalException(noRank());
+			}
+			writeReport(_context.getResults().initReport(), *_report);
+		});
+	}
+
+	kj::Promise<void> AgentServer::stageMap(StageMapContext _context)
+	{
+		if (nullptr == this->rank)
+		{
+			return noRank();
+		}
+		LaterAnswer<StageAnswer> later(this->loop);
+		const auto params = _context.getParams();
+		this->rank->stage(params.getFence(), params.getMap().cStr(), [give = later.giver()](bool _done, MaybeReport _report) {
+			give({_done, std::move(_report)});
+		});
+		return later.pair.promise.then([_context](const StageAnswer& _answer) mutable {
+			_context.getResults().setDone(_answer.done);
+			writeReport(_context.getResults().initReport(), _answer.report.value_or(RankReport{}));
+		});
+	}
+
+	kj::Promise<void> AgentServer::exchangeVotes(ExchangeVotesContext _context)
+	{
+		if (nullptr == this->rank)
+		{
+			return noRank();
+		}
+		LaterAnswer<VoteReply> later(this->loop);
+		this->rank->hear(readVotes(_context.getParams().getMine()), later.giver());
+		return later.pair.promise.then([_context](const VoteReply& _reply) mutable {
+			_context.getResults().setRefusal(std::uint16_t(_reply.refusal));
+			writeVotes(_context.getResults().initTheirs(), _reply.theirs);
+		});
 	}
 
 	void AgentServer::pump(const RunKey& _key)
--- a/src/agent_server.h
+++ b/src/agent_server.h
@@ -38,7 +38,9 @@
 		kj::Promise<void> revoke(RevokeContext _context) override;
 		kj::Promise<void> resume(ResumeContext _context) override;
 		kj::Promise<void> cancel(CancelContext _context) override;
-		kj::Promise<void> orderMap(OrderMapContext _context) override;
+		kj::Promise<void> report(ReportContext _context) override;
+		kj::Promise<void> stageMap(StageMapContext _context) override;
+		kj::Promise<void> exchangeVotes(ExchangeVotesContext _context) override;
 
 	private:
 		/// How far the answer of one run has been sent, and where to.
--- /dev/null
+++ b/src/decide/placement.cpp
@@ -0,0 +1,432 @@
+#include "archdyke/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace archdyke
+{
+	namespace
+	{
+		/// Weight of the newest window in the expected load.
+		constexpr double kNewestShare = 0.6;
+		/// The allowance grows to what this many minutes give, at most.
+		constexpr double kAllowanceMinutes = 1.0;
+		/// Windows above the tolerance before anything moves: a burst that is over by then
+		/// costs nothing.
+		constexpr std::uint32_t kWindowsBeforeMove = 2;
+		/// Coldest ranks that are tried as the new host of an expert.
+		constexpr std::size_t kColdestTried = 4;
+		constexpr double kLeastGain = 1e-9;
+		constexpr double kMsPerMinute = 60'000.0;
+
+		/// One layer while it is being planned.
+		struct Layer
+		{
+			std::vector<std::vector<std::uint32_t>> hosts;  ///< By expert.
+			std::vector<std::vector<std::uint32_t>> guests; ///< Experts by rank.
+			std::vector<double> tokens;                     ///< By expert.
+			std::vector<double> rankLoad;
+			double staged = 0.0;
+		};
+
+		/// A change of one layer: an expert gets a host, and another may lose one.
+		struct Move
+		{
+			std::uint32_t expert = 0;
+			std::uint32_t to = 0;
+			bool evicts = false;
+			std::uint32_t evicted = 0; ///< Leaves rank `to`.
+			bool swaps = false;        ///< The evicted one goes to `from` in turn.
+			std::uint32_t from = 0;    ///< The hot rank, which gives up its copy if leaves.
+			bool leaves = false;
+			double gain = 0.0; ///< Of the layer's greatest rank load.
+			double cost = 1.0; ///< Experts to be staged.
+		};
+
+		void addLoad(Layer& _layer, std::uint32_t _expert, double _sign)
+		{
+			const std::vector<std::uint32_t>& hosts = _layer.hosts[_expert];
+			for (const std::uint32_t host : hosts)
+			{
+				_layer.rankLoad[host] += _sign * _layer.tokens[_expert] / double(hosts.size());
+			}
+		}
+
+		Layer makeLayer(const PlacementInput& _input, std::size_t _index)
+		{
+			Layer layer{_input.hosts[_index], std::vector<std::vector<std::uint32_t>>(_input.ranks), _input.load[_index], std::vector<double>(_input.ranks, 0.0), 0.0};
+			for (std::uint32_t expert = 0; expert < layer.hosts.size(); ++expert)
+			{
+				for (const std::uint32_t host : layer.hosts[expert])
+				{
+					layer.guests[host].push_back(expert);
+				}
+				addLoad(layer, expert, 1.0);
+			}
+			return layer;
+		}
+
+		double greatest(const Layer& _layer)
+		{
+			return *std::max_element(_layer.rankLoad.begin(), _layer.rankLoad.end());
+		}
+
+		double meanLoad(const Layer& _layer)
+		{
+			return std::accumulate(_layer.rankLoad.begin(), _layer.rankLoad.end(), 0.0) / double(_layer.rankLoad.size());
+		}
+
+		void addHost(Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
+		{
+			addLoad(_layer, _expert, -1.0);
+			_layer.hosts[_expert].push_back(_rank);
+			_layer.guests[_rank].push_back(_expert);
+			addLoad(_layer, _expert, 1.0);
+		}
+
+		void removeHost(Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
+		{
+			addLoad(_layer, _expert, -1.0);
+			std::erase(_layer.hosts[_expert], _rank);
+			std::erase(_layer.guests[_rank], _expert);
+			addLoad(_layer, _expert, 1.0);
+		}
+
+		/// Order matters: an expert gets its new host before it loses the old one.
+		void applyMove(Layer& _layer, const Move& _move)
+		{
+			addHost(_layer, _move.expert, _move.to);
+			if (_move.swaps)
+			{
+				addHost(_layer, _move.evicted, _move.from);
+			}
+			if (_move.leaves)
+			{
+				removeHost(_layer, _move.expert, _move.from);
+			}
+			if (_move.evicts)
+			{
+				removeHost(_layer, _move.evicted, _move.to);
+			}
+			_layer.staged += _move.cost;
+		}
+
+		void undoMove(Layer& _layer, const Move& _move)
+		{
+			if (_move.evicts)
+			{
+				addHost(_layer, _move.evicted, _move.to);
+			}
+			if (_move.leaves)
+			{
+				addHost(_layer, _move.expert, _move.from);
+			}
+			if (_move.swaps)
+			{
+				removeHost(_layer, _move.evicted, _move.from);
+			}
+			removeHost(_layer, _move.expert, _move.to);
+			_layer.staged -= _move.cost;
+		}
+
+		bool hosts(const Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
+		{
+			return _layer.hosts[_expert].end() != std::find(_layer.hosts[_expert].begin(), _layer.hosts[_expert].end(), _rank);
+		}
+
+		/// @returns The hottest expert of a rank by what the rank does for it.
+		std::vector<std::uint32_t> hottestGuests(const Layer& _layer, std::uint32_t _rank)
+		{
+			std::vector<std::uint32_t> guests = _layer.guests[_rank];
+			std::sort(guests.begin(), guests.end(), [&](std::uint32_t _a, std::uint32_t _b) {
+				const double a = _layer.tokens[_a] / double(_layer.hosts[_a].size());
+				const double b = _layer.tokens[_b] / double(_layer.hosts[_b].size());
+				return a != b ? a > b : _a < _b;
+			});
+			return guests;
+		}
+
+		std::vector<std::uint32_t> coldestRanks(const Layer& _layer)
+		{
+			std::vector<std::uint32_t> ranks(_layer.rankLoad.size());
+			std::iota(ranks.begin(), ranks.end(), 0);
+			const std::size_t count = std::min(kColdestTried, ranks.size());
+			std::partial_sort(ranks.begin(), ranks.begin() + std::ptrdiff_t(count), ranks.end(), [&](std::uint32_t _a, std::uint32_t _b) {
+				return _layer.rankLoad[_a] != _layer.rankLoad[_b] ? _layer.rankLoad[_a] < _layer.rankLoad[_b] : _a < _b;
+			});
+			ranks.resize(count);
+			return ranks;
+		}
+
+		/// Load above the mean, squared and summed: falls also when one of several equally
+		/// hot ranks is relieved, where the greatest load doesn't.
+		double excess(const Layer& _layer)
+		{
+			const double mean = meanLoad(_layer);
+			double sum = 0.0;
+			for (const double load : _layer.rankLoad)
+			{
+				sum += load > mean ? (load - mean) * (load - mean) : 0.0;
+			}
+			return sum;
+		}
+
+		void tryMove(Layer& _layer, Move _move, double _before, Move& _best)
+		{
+			applyMove(_layer, _move);
+			_move.gain = (_before - excess(_layer)) / _move.cost;
+			undoMove(_layer, _move);
+			if (_move.gain > _best.gain)
+			{
+				_best = _move;
+			}
+		}
+
+		/// All ways to relieve a hot rank of one expert through one cold rank.
+		void tryRank(Layer& _layer, std::uint32_t _hot, std::uint32_t _expert, std::uint32_t _cold, std::uint32_t _slots, double _before, Move& _best)
+		{
+			if (_hot == _cold || hosts(_layer, _expert, _cold))
+			{
+				return;
+			}
+			if (_layer.guests[_cold].size() < _slots)
+			{
+				tryMove(_layer, {_expert, _cold, false, 0, false, _hot, false, 0.0, 1.0}, _before, _best);
+				tryMove(_layer, {_expert, _cold, false, 0, false, _hot, true, 0.0, 1.0}, _before, _best);
+				return;
+			}
+			const std::vector<std::uint32_t> guests = _layer.guests[_cold];
+			for (const std::uint32_t evicted : guests)
+			{
+				if (1 < _layer.hosts[evicted].size())
+				{
+					tryMove(_layer, {_expert, _cold, true, evicted, false, _hot, false, 0.0, 1.0}, _before, _best);
+				}
+				if (!hosts(_layer, evicted, _hot))
+				{
+					tryMove(_layer, {_expert, _cold, true, evicted, true, _hot, true, 0.0, 2.0}, _before, _best);
+				}
+			}
+		}
+
+		/// @returns The best move of a layer; gain 0 when none helps.
+		Move bestMove(Layer& _layer, std::uint32_t _slots)
+		{
+			constexpr std::size_t kGuestsTried = 2;
+			const auto hot = std::uint32_t(std::max_element(_layer.rankLoad.begin(), _layer.rankLoad.end()) - _layer.rankLoad.begin());
+			const double before = excess(_layer);
+			Move best;
+			std::vector<std::uint32_t> guests = hottestGuests(_layer, hot);
+			guests.resize(std::min(kGuestsTried, guests.size()));
+			for (const std::uint32_t expert : guests)
+			{
+				for (const std::uint32_t cold : coldestRanks(_layer))
+				{
+					tryRank(_layer, hot, expert, cold, _slots, before, best);
+				}
+			}
+			return best;
+		}
+
+		struct Totals
+		{
+			double greatest = 0.0;
+			double mean = 0.0;
+
+			double skew() const
+			{
+				return 0.0 < this->mean ? this->greatest / this->mean - 1.0 : 0.0;
+			}
+		};
+	} // namespace
+
+	double skewOf(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks)
+	{
+		Totals totals;
+		std::vector<double> rankLoad(_ranks);
+		for (std::size_t layer = 0; layer < _hosts.size(); ++layer)
+		{
+			std::fill(rankLoad.begin(), rankLoad.end(), 0.0);
+			for (std::size_t expert = 0; expert < _hosts[layer].size(); ++expert)
+			{
+				for (const std::uint32_t host : _hosts[layer][expert])
+				{
+					rankLoad[host] += _load[layer][expert] / double(_hosts[layer][expert].size());
+				}
+			}
+			totals.greatest += *std::max_element(rankLoad.begin(), rankLoad.end());
+			totals.mean += std::accumulate(rankLoad.begin(), rankLoad.end(), 0.0) / double(_ranks);
+		}
+		return totals.skew();
+	}
+
+	std::uint32_t countStaged(const ExpertHosts& _from, const ExpertHosts& _to)
+	{
+		std::uint32_t staged = 0;
+		for (std::size_t layer = 0; layer < _to.size(); ++layer)
+		{
+			for (std::size_t expert = 0; expert < _to[layer].size(); ++expert)
+			{
+				for (const std::uint32_t host : _to[layer][expert])
+				{
+					const std::vector<std::uint32_t>& before = _from[layer][expert];
+					staged += before.end() == std::find(before.begin(), before.end(), host) ? 1 : 0;
+				}
+			}
+		}
+		return staged;
+	}
+
+	PlacementPlan planMoves(const PlacementInput& _input, double _skewTolerance)
+	{
+		std::vector<Layer> layers;
+		std::vector<Move> best;
+		Totals totals;
+		for (std::size_t index = 0; index < _input.hosts.size(); ++index)
+		{
+			layers.push_back(makeLayer(_input, index));
+			best.push_back(bestMove(layers.back(), _input.slots));
+			totals.greatest += greatest(layers.back());
+			totals.mean += meanLoad(layers.back());
+		}
+		PlacementPlan plan;
+		plan.skewBefore = totals.skew();
+		double left = _input.budget;
+		while (totals.skew() > _skewTolerance / 2.0)
+		{
+			const auto layer = std::size_t(std::max_element(best.begin(), best.end(), [](const Move& _a, const Move& _b) {
+				                               return _a.gain < _b.gain;
+			                               }) -
+			                               best.begin());
+			if (best[layer].gain <= kLeastGain || best[layer].cost > left)
+			{
+				break;
+			}
+			totals.greatest -= greatest(layers[layer]);
+			applyMove(layers[layer], best[layer]);
+			totals.greatest += greatest(layers[layer]);
+			left -= best[layer].cost;
+			best[layer] = bestMove(layers[layer], _input.slots);
+		}
+		for (const Layer& layer : layers)
+		{
+			plan.hosts.push_back(layer.hosts);
+		}
+		plan.staged = countStaged(_input.hosts, plan.hosts);
+		plan.skewAfter = totals.skew();
+		return plan;
+	}
+
+	namespace
+	{
+		/// Places one layer anew: as many copies as slots allow, given to the experts with
+		/// the most tokens a copy, then the hottest copies to the coldest ranks.
+		std::vector<std::vector<std::uint32_t>> placeLayer(const std::vector<double>& _tokens, std::uint32_t _ranks, std::uint32_t _slots)
+		{
+			const std::size_t experts = _tokens.size();
+			std::vector<std::uint32_t> copies(experts, 1);
+			for (std::size_t spare = std::size_t(_ranks) * _slots - std::min(std::size_t(_ranks) * _slots, experts); 0 < spare; --spare)
+			{
+				std::size_t hottest = 0;
+				for (std::size_t expert = 0; expert < experts; ++expert)
+				{
+					const bool hotter = _tokens[expert] / copies[expert] > _tokens[hottest] / copies[hottest];
+					hottest = copies[expert] < _ranks && (hotter || copies[hottest] >= _ranks) ? expert : hottest;
+				}
+				copies[hottest] += copies[hottest] < _ranks ? 1 : 0;
+			}
+			std::vector<std::size_t> order(experts);
+			std::iota(order.begin(), order.end(), 0);
+			std::sort(order.begin(), order.end(), [&](std::size_t _a, std::size_t _b) {
+				return _tokens[_a] / copies[_a] > _tokens[_b] / copies[_b];
+			});
+			std::vector<std::vector<std::uint32_t>> result(experts);
+			std::vector<double> load(_ranks, 0.0);
+			std::vector<std::uint32_t> used(_ranks, 0);
+			for (const std::size_t expert : order)
+			{
+				for (std::uint32_t copy = 0; copy < copies[expert]; ++copy)
+				{
+					std::uint32_t coldest = _ranks;
+					for (std::uint32_t rank = 0; rank < _ranks; ++rank)
+					{
+						const bool free = used[rank] < _slots && result[expert].end() == std::find(result[expert].begin(), result[expert].end(), rank);
+						coldest = free && (_ranks == coldest || load[rank] < load[coldest]) ? rank : coldest;
+					}
+					if (_ranks != coldest)
+					{
+						result[expert].push_back(coldest);
+						used[coldest] += 1;
+						load[coldest] += _tokens[expert] / copies[expert];
+					}
+				}
+			}
+			return result;
+		}
+	} // namespace
+
+	PlacementPlan planAnew(const PlacementInput& _input)
+	{
+		PlacementPlan plan;
+		plan.skewBefore = skewOf(_input.hosts, _input.load, _input.ranks);
+		for (const std::vector<double>& tokens : _input.load)
+		{
+			plan.hosts.push_back(placeLayer(tokens, _input.ranks, _input.slots));
+		}
+		plan.staged = countStaged(_input.hosts, plan.hosts);
+		plan.skewAfter = skewOf(plan.hosts, _input.load, _input.ranks);
+		return plan;
+	}
+
+	namespace
+	{
+		void smooth(PlacementState& _state, const ExpertLoad& _window)
+		{
+			if (_state.smoothed.size() != _window.size())
+			{
+				_state.smoothed = _window;
+				return;
+			}
+			for (std::size_t layer = 0; layer < _window.size(); ++layer)
+			{
+				for (std::size_t expert = 0; expert < _window[layer].size(); ++expert)
+				{
+					double& mean = _state.smoothed[layer][expert];
+					mean += kNewestShare * (_window[layer][expert] - mean);
+				}
+			}
+		}
+
+		void growAllowance(PlacementState& _state, const PlacementPolicy& _policy, Millis _now)
+		{
+			const double most = _policy.expertsPerMinute * kAllowanceMinutes;
+			const double earned = _state.started ? _policy.expertsPerMinute * double(_now - _state.grownAt) / kMsPerMinute : most;
+			_state.allowance = std::min(most, _state.allowance + earned);
+			_state.grownAt = _now;
+			_state.started = true;
+		}
+	} // namespace
+
+	PlacementPlan decidePlacement(PlacementState& _state, PlacementInput _input, const PlacementPolicy& _policy, Millis _now)
+	{
+		smooth(_state, _input.load);
+		growAllowance(_state, _policy, _now);
+		_input.load = _state.smoothed;
+		_input.budget = _state.allowance;
+		PlacementPlan keep{_input.hosts, 0, 0.0, 0.0};
+		keep.skewBefore = keep.skewAfter = skewOf(_input.hosts, _input.load, _input.ranks);
+		_state.windowsOver = keep.skewBefore > _policy.skewTolerance ? _state.windowsOver + 1 : 0;
+		if (_state.windowsOver < kWindowsBeforeMove)
+		{
+			return keep;
+		}
+		const PlacementPlan plan = planMoves(_input, _policy.skewTolerance);
+		if (0 == plan.staged)
+		{
+			return keep;
+		}
+		_state.allowance -= double(plan.staged);
+		return plan;
+	}
+} // namespace archdyke
--- a/src/entry_main.cpp
+++ b/src/entry_main.cpp
@@ -9,6 +9,7 @@
 #include "config.h"
 #include "entry_http.h"
 #include "log.h"
+#include "planner.h"
 #include "process.h"
 #include "rpc_listener.h"
 #include "settings.h"
@@ -44,6 +45,7 @@
 						return this->keeper.bytes(_digest);
 					}});
 				});
+				this->planner = std::make_unique<Planner>(this->settings, this->incarnation, this->loops[1], this->keeper, this->directory, this->metrics);
 				this->http.addRoutes(this->server);
 				addAdminRoutes(this->admin, this->metrics, {[this] {
 					return this->dump();
@@ -66,6 +68,7 @@
 			void stop()
 			{
 				this->leave("signal");
+				this->planner->stop();
 				const Millis until = nowMs() + kMaxDeadlineMs;
 				Millis idleSince = nowMs();
 				while (nowMs() < until && nowMs() < idleSince + kLingerMs)
@@ -75,6 +78,7 @@
 					idleSince = 0 < this->http.inFlight() ? nowMs() : idleSince;
 				}
 				logInfo("stopping", {{"unfinished", this->http.inFlight()}});
+				this->planner.reset();
 				this->server.stop();
 				this->claims.flush(kFlushMs);
 				this->admin.stop();
@@ -127,7 +131,12 @@
 				{
 					agents.push_back({{"name", view.identity.name}, {"zone", view.identity.zone}, {"service", view.identity.service}, {"address", view.address}, {"list", std::string(toString(view.member.list))}, {"linkUp", view.member.linkUp}, {"takesWork", mayReceiveWork(view.member)}, {"incarnation", toHex(view.member.incarnation)}, {"session", view.session}, {"running", view.load.running}, {"queued", view.load.queued}, {"slots", view.load.slots}, {"leaving", view.load.leaving}});
 				}
-				return {{"name", this->settings.name}, {"role", "entry"}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"ready", this->http.isReady()}, {"inFlight", this->http.inFlight()}, {"platformUp", this->watcher->platformUp()}, {"config", {{"version", held.head.version}, {"digest", held.head.digest}, {"inForceSinceMs", this->keeper.inForceSinceMs()}, {"staged", held.staged.version}, {"inDoubtMs", this->watcher->inDoubtMs()}}}, {"agents", agents}};
+				nlohmann::json groups = nlohmann::json::array();
+				for (const GroupView& view : this->planner->views())
+				{
+					groups.push_back({{"group", view.group}, {"epoch", view.epoch}, {"skew", view.skew}, {"proposals", view.proposals}, {"last", view.last}});
+				}
+				return {{"name", this->settings.name}, {"role", "entry"}, {"planner", this->planner->acting()}, {"groups", groups}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"ready", this->http.isReady()}, {"inFlight", this->http.inFlight()}, {"platformUp", this->watcher->platformUp()}, {"config", {{"version", held.head.version}, {"digest", held.head.digest}, {"inForceSinceMs", this->keeper.inForceSinceMs()}, {"staged", held.staged.version}, {"inDoubtMs", this->watcher->inDoubtMs()}}}, {"agents", agents}};
 			}
 
 			const EntrySettings settings;
@@ -141,6 +150,7 @@
 			Claims claims;
 			EntryHttp http;
 			std::unique_ptr<Watcher> watcher;
+			std::unique_ptr<Planner> planner;
 			std::unique_ptr<RpcListener> listener;
 			HttpServer server;
 			HttpServer admin;
--- a/src/peers.h
+++ b/src/peers.h
@@ -2,7 +2,6 @@
 /// hands over documents.
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,7 +10,7 @@
 
 #include "archdyke/acceptance.h"
 #include "generated/rpc.capnp.h"
-#include "rpc_loop.h"
+#include "rpc_pool.h"
 
 namespace archdyke
 {
@@ -51,9 +50,6 @@
 	{
 	public:
 		explicit PeerCalls(RpcLoop& _loop);
-		~PeerCalls();
-		PeerCalls(const PeerCalls&) = delete;
-		PeerCalls& operator=(const PeerCalls&) = delete;
 
 		/// Exchanges states with several peers at once.
 		/// @returns The answers that came in time.
@@ -63,12 +59,6 @@
 		std::optional<std::string> document(const std::string& _address, const std::string& _digest, Millis _timeoutMs);
 
 	private:
-		struct Connection;
-
-		kj::Promise<Connection*> connect(const std::string& _address);
-		void drop(const std::string& _address);
-
-		RpcLoop& loop;
-		absl::flat_hash_map<std::string, kj::Own<Connection>> connections; ///< Loop's thread.
+		RpcPool<rpc::Peer> pool;
 	};
 } // namespace archdyke
--- a/src/rpc.capnp
+++ b/src/rpc.capnp
@@ -106,8 +106,11 @@
 	# Sends the frames of a run again from offset on.
 	resume @4 (key :RunKey, session :Session, offset :UInt64, sink :Sink) -> (known :Bool);
 	cancel @5 (key :RunKey) -> ();
-	# The expert map: votes are handed on among the agents of a group.
-	orderMap @6 (order :MapOrder) -> (reply :MapReply);
+	# The expert map. report and stage are a planner's; exchangeVotes is a planner's
+	# proposal too, and how the agents of a group hand votes on.
+	report @6 (withLoad :Bool) -> (report :RankReport);
+	stageMap @7 (fence :UInt64, map :Text) -> (done :Bool, report :RankReport);
+	exchangeVotes @8 (mine :MapVotes) -> (refusal :UInt16, theirs :MapVotes);
 }
 
 struct ConfigMark
@@ -133,14 +136,6 @@
 	document @1 (digest :Text) -> (found :Bool, bytes :Data);
 }
 
-enum MapOrderKind
-{
-	stage @0;
-	propose @1;
-	votes @2;
-	state @3;
-}
-
 enum MapVote
 {
 	none @0;
@@ -151,32 +146,32 @@
 struct MapProposal
 {
 	group @0 :Text;
-	formation @1 :UInt64;
+	number @1 :UInt64;
 	fence @2 :UInt64;
-	fromEpoch @3 :UInt64;
-	toEpoch @4 :UInt64;
-	boundary @5 :UInt64;     # first step that runs on toEpoch
+	formation @3 :UInt64;
+	fromEpoch @4 :UInt64;
+	boundary @5 :UInt64;     # first step that runs on the new map
 	digest @6 :UInt64;       # of the new map
+	peers @7 :List(Text);    # addresses of the group's agents, by rank
+	rank @8 :UInt32;         # of the agent that gets this
 }
 
-struct MapOrder
+# Votes by rank, as far as the sender knows.
+struct MapVotes
 {
-	kind @0 :MapOrderKind;
-	proposal @1 :MapProposal;
-	votes @2 :List(MapVote);  # by rank, as far as the sender knows
-	map @3 :Data;             # with stage: the expert map as JSON
-	fence @4 :UInt64;
+	proposal @0 :MapProposal;
+	votes @1 :List(MapVote);
+	released @2 :Bool;       # the sender's engine took the outcome
 }
 
-struct MapReply
+struct RankReport
 {
-	refused @0 :Bool;
-	highestFence @1 :UInt64;
-	staged @2 :Bool;
-	vote @3 :MapVote;
-	votes @4 :List(MapVote);
-	formation @5 :UInt64;
-	epoch @6 :UInt64;
-	step @7 :UInt64;
-	counts @8 :Data;          # tokens by layer and expert as JSON, with state
+	formation @0 :UInt64;
+	epoch @1 :UInt64;
+	step @2 :UInt64;
+	pending @3 :Bool;        # a proposal is open, or its outcome not yet taken
+	highestFence @4 :UInt64;
+	staged @5 :UInt64;       # digest of the staged map
+	load @6 :Text;           # JSON, on request: token counts and hosts by layer and expert
+	lastNumber @7 :UInt64;   # of the latest proposal that is known
 }
--- /dev/null
+++ b/src/rpc_convert_map.h
@@ -0,0 +1,14 @@
+/// Between the messages of the wire and the structs of the map switch.
+#pragma once
+
+#include "generated/rpc.capnp.h"
+#include "rank_control.h"
+
+namespace archdyke
+{
+	void writeVotes(rpc::MapVotes::Builder _to, const VoteMessage& _from);
+	VoteMessage readVotes(rpc::MapVotes::Reader _from);
+
+	void writeReport(rpc::RankReport::Builder _to, const RankReport& _from);
+	RankReport readReport(rpc::RankReport::Reader _from);
+} // namespace archdyke
--- a/tools/engine_group.cpp
+++ b/tools/engine_group.cpp
@@ -317,6 +317,11 @@
 		return this->ranks[_rank].counts;
 	}
 
+	const std::vector<std::vector<std::vector<std::uint32_t>>>& EngineGroup::hosts(std::uint32_t _rank) const
+	{
+		return this->ranks[_rank].current.hosts;
+	}
+
 	StepFigures EngineGroup::takeFigures()
 	{
 		return std::exchange(this->figures, {});
--- a/tools/engine_group.h
+++ b/tools/engine_group.h
@@ -112,6 +112,7 @@
 		void setAlive(std::uint32_t _rank, bool _alive);
 		void setPopularity(std::vector<double> _weights);
 		const std::vector<std::vector<std::uint64_t>>& counts(std::uint32_t _rank) const;
+		const std::vector<std::vector<std::vector<std::uint32_t>>>& hosts(std::uint32_t _rank) const;
 		StepFigures takeFigures();
 		std::uint32_t load(std::uint32_t _rank) const;
 
--- a/tools/stub_engine.cpp
+++ b/tools/stub_engine.cpp
@@ -253,9 +253,14 @@
 			{
 				const RankMap& map = this->group.rankMap(_rank);
 				Json json{{"formation", map.formation}, {"epoch", map.epoch}, {"step", this->group.stepNumber()}, {"fence", map.fence}, {"staged", map.stagedDigest}, {"armed", map.armed}, {"floor", map.floor}, {"decided", map.decided}, {"decidedCommit", map.decidedCommit}};
+				if (0 != map.armed)
+				{
+					json["context"] = this->contexts[_rank];
+				}
 				if (_withCounts)
 				{
 					json["counts"] = this->group.counts(_rank);
+					json["hosts"] = this->group.hosts(_rank);
 				}
 				return json;
 			}
@@ -289,6 +294,10 @@
 				{
 					done = this->group.form(_rank, formation, digest, fence);
 				}
+				if ("arm" == order && done)
+				{
+					this->contexts[_rank] = _body.value("context", "");
+				}
 				Json answer = this->mapState(_rank, false);
 				answer["done"] = done;
 				_response.set_content(answer.dump(), "application/json");
@@ -328,6 +337,7 @@
 			EngineGroup group ABSL_GUARDED_BY(mutex);
 			absl::flat_hash_map<const Sequence*, std::shared_ptr<Stream>> streams ABSL_GUARDED_BY(mutex);
 			std::map<std::string, int> runs ABSL_GUARDED_BY(mutex);
+			std::map<std::uint32_t, std::string> contexts ABSL_GUARDED_BY(mutex); ///< Kept while armed.
 			Millis stalledUntil ABSL_GUARDED_BY(mutex) = 0;
 			std::atomic<bool> stopping{false};
 		};
