--- /dev/null
+++ b/scripts/chaos.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Seeded faults on a whole office: scripts/chaos.sh [--seed N] [--seeds N] [--faults N] [--file FILE]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh release
+exec build/release/tools/archdyke-chaos "$@"
--- /dev/null
+++ b/tools/chaos.cpp
@@ -0,0 +1,465 @@
+#include "chaos.h"
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+#include <thread>
+
+#include "archdyke/random.h"
+#include "lab.h"
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		using Json = nlohmann::json;
+
+		constexpr Millis kInForceMs = 4'000;
+		constexpr Millis kLeaveMs = 3'000;
+		constexpr Millis kTickMs = 50;
+		constexpr Millis kSampleMs = 250;
+		constexpr Millis kSettleMs = 40'000;
+		constexpr Millis kStopMs = 60'000;
+
+		/// A fault that has begun.
+		struct ActiveFault
+		{
+			PlannedFault plan;
+			Daemon* daemon = nullptr;
+			std::string zone;
+			std::string otherZone;
+			std::vector<std::unique_ptr<ChildProcess>> commands;
+		};
+
+		struct Acceptance
+		{
+			std::uint64_t version = 0;
+			Millis atMs = 0;
+		};
+
+		struct Leaving
+		{
+			std::string upstream;
+			Millis fromMs = 0;
+			Millis untilMs = 0; ///< It was started again; 0: not yet.
+		};
+
+		class Chaos
+		{
+		public:
+			explicit Chaos(const ChaosOptions& _options)
+			    : options(_options)
+			    , office(makeOptions(_options))
+			    , random(_options.seed)
+			{
+			}
+
+			ChaosResult run()
+			{
+				if (0 != this->office.apply().exitCode || !this->office.waitReady())
+				{
+					this->result.notes.emplace_back("the office did not get ready");
+					return this->result;
+				}
+				this->begunAt = nowMs();
+				std::atomic<bool> stop{false};
+				LoadResult load;
+				const LoadOptions loadOptions = this->makeLoad(stop);
+				std::thread loadThread([&] {
+					load = runLoad(loadOptions);
+				});
+				this->playFaults();
+				this->heal();
+				stop = true;
+				loadThread.join();
+				this->result.settled = this->settle();
+				this->judgeAll(load);
+				return this->result;
+			}
+
+		private:
+			static OfficeOptions makeOptions(const ChaosOptions& _options)
+			{
+				OfficeOptions office;
+				office.file = _options.file;
+				office.entriesPerZone = 2;
+				office.viaProxy = true;
+				return office;
+			}
+
+			LoadOptions makeLoad(const std::atomic<bool>& _stop)
+			{
+				LoadOptions load;
+				for (const std::unique_ptr<Daemon>& entry : this->office.entries())
+				{
+					load.entries.push_back(entry->http);
+				}
+				for (const Organisation& organisation : this->office.document().organisations)
+				{
+					load.organisations.push_back(organisation.name);
+				}
+				for (const Service& service : this->office.document().services)
+				{
+					const bool model = ServiceKind::Model == service.kind;
+					(model ? load.model : load.plain) = service.name;
+					load.notRepeatablePath = model ? load.notRepeatablePath : service.notRepeatable.front().pathPrefix;
+				}
+				load.perSecond = this->options.perSecond;
+				load.requests = 1'000'000;
+				load.seed = this->options.seed;
+				load.threads = 96;
+				load.stop = &_stop;
+				return load;
+			}
+
+			Millis since() const
+			{
+				return nowMs() - this->begunAt;
+			}
+
+			void playFaults()
+			{
+				std::vector<PlannedFault> plan = planFaults(this->options);
+				std::vector<ActiveFault> active;
+				Millis sampledAt = 0;
+				while (!plan.empty() || !active.empty())
+				{
+					if (!plan.empty() && plan.front().startMs <= this->since())
+					{
+						active.push_back(this->begin(plan.front()));
+						plan.erase(plan.begin());
+					}
+					std::erase_if(active, [&](ActiveFault& _fault) {
+						const bool over = _fault.plan.startMs + _fault.plan.lastMs <= this->since();
+						if (over)
+						{
+							this->end(_fault);
+						}
+						return over;
+					});
+					if (kSampleMs <= this->since() - sampledAt)
+					{
+						sampledAt = this->since();
+						this->sampleConfig();
+					}
+					pauseMs(kTickMs);
+				}
+			}
+
+			Daemon& pick(std::vector<std::unique_ptr<Daemon>>& _daemons, std::uint64_t _dice)
+			{
+				return *_daemons[_dice % _daemons.size()];
+			}
+
+			ActiveFault begin(const PlannedFault& _plan)
+			{
+				ActiveFault fault;
+				fault.plan = _plan;
+				this->result.faults[std::string(toString(_plan.kind))] += 1;
+				const std::vector<Zone>& zones = this->office.document().zones;
+				fault.zone = zones[_plan.dice % zones.size()].name;
+				fault.otherZone = zones[(_plan.dice + 1) % zones.size()].name;
+				switch (_plan.kind)
+				{
+				case FaultKind::KillAgent:
+				case FaultKind::FreezeAgent:
+				case FaultKind::StopAgent:
+					fault.daemon = &this->pick(this->office.agents(), _plan.dice);
+					this->strike(fault);
+					break;
+				case FaultKind::KillEntry:
+				case FaultKind::FreezeEntry:
+				case FaultKind::StopEntry:
+					fault.daemon = &this->pick(this->office.entries(), _plan.dice);
+					this->strike(fault);
+					break;
+				case FaultKind::ResetLinks:
+					for (const std::unique_ptr<Daemon>& agent : this->office.agents())
+					{
+						this->office.linkFaults(Office::linkName(fault.zone, agent->name), {{"reset", true}});
+					}
+					break;
+				case FaultKind::CutZones:
+					this->office.cutZones(fault.zone, fault.otherZone, true);
+					break;
+				case FaultKind::CutPlatform:
+					this->office.cutPlatform(fault.zone, true);
+					break;
+				case FaultKind::PlatformOutage:
+					this->office.platformFaults({{"outage", true}});
+					break;
+				case FaultKind::PlatformSlow:
+					this->office.platformFaults({{"delayMs", 400}});
+					break;
+				case FaultKind::LoseAnswers:
+					this->office.platformFaults({{"loseAnswers", 3}});
+					break;
+				case FaultKind::RaceOperators:
+					this->race(fault);
+					break;
+				default:
+					this->drift(_plan.dice);
+				}
+				return fault;
+			}
+
+			void strike(const ActiveFault& _fault)
+			{
+				switch (_fault.plan.kind)
+				{
+				case FaultKind::KillAgent:
+				case FaultKind::KillEntry:
+					_fault.daemon->process->kill();
+					break;
+				case FaultKind::FreezeAgent:
+				case FaultKind::FreezeEntry:
+					_fault.daemon->process->signal(SIGSTOP);
+					break;
+				default:
+					_fault.daemon->process->signal(SIGTERM);
+					if (FaultKind::StopAgent == _fault.plan.kind)
+					{
+						this->leaving.push_back({_fault.daemon->name, nowMs(), 0});
+					}
+				}
+			}
+
+			void race(ActiveFault& _fault)
+			{
+				for (int side = 0; side < 2; ++side)
+				{
+					const int rate = 1'000 + 2 * int(_fault.plan.dice % 500) + side;
+					const std::string name = "race-" + std::to_string(_fault.plan.startMs) + "-" + std::to_string(side) + ".json";
+					const std::string file = this->office.changedFile(name, [&](Json& _json) {
+						_json["organisations"][0]["requestsPerSecond"] = rate;
+					});
+					_fault.commands.push_back(this->office.begin({"apply", file, "--platform", this->office.platform(), "--output", "json", "--wait-ms", "6000"}));
+				}
+			}
+
+			void drift(std::uint64_t _dice)
+			{
+				std::vector<double> popularity(64, 1.0);
+				popularity[_dice % 8] = 12.0;
+				popularity[(_dice + 1) % 8] = 12.0;
+				this->office.controlEngines({{"popularity", popularity}});
+			}
+
+			void end(ActiveFault& _fault)
+			{
+				switch (_fault.plan.kind)
+				{
+				case FaultKind::FreezeAgent:
+				case FaultKind::FreezeEntry:
+					_fault.daemon->process->signal(SIGCONT);
+					break;
+				case FaultKind::StopAgent:
+				case FaultKind::StopEntry:
+					this->checkStop(*_fault.daemon);
+					this->revive(*_fault.daemon);
+					break;
+				case FaultKind::KillAgent:
+				case FaultKind::KillEntry:
+					this->revive(*_fault.daemon);
+					break;
+				case FaultKind::CutZones:
+					this->office.cutZones(_fault.zone, _fault.otherZone, false);
+					break;
+				case FaultKind::CutPlatform:
+					this->office.cutPlatform(_fault.zone, false);
+					break;
+				case FaultKind::PlatformOutage:
+				case FaultKind::PlatformSlow:
+				case FaultKind::LoseAnswers:
+					this->office.platformFaults({{"outage", false}, {"delayMs", 0}, {"loseAnswers", 0}});
+					break;
+				case FaultKind::RaceOperators:
+					this->endRace(_fault);
+					break;
+				default:
+					break;
+				}
+			}
+
+			void checkStop(Daemon& _daemon)
+			{
+				// Frozen or killed meanwhile by another fault: not a planned stop any more.
+				_daemon.process->signal(SIGCONT);
+				const std::optional<int> code = _daemon.process->waitForExit(kStopMs);
+				const std::string log = _daemon.process->log();
+				const bool killed = code && *code < 0;
+				if (!killed && (0 != code || std::string::npos == log.find("event=stopping unfinished=0")))
+				{
+					this->result.dirtyStops += 1;
+					this->result.notes.push_back(_daemon.name + " did not stop in order");
+				}
+			}
+
+			void revive(Daemon& _daemon)
+			{
+				if (_daemon.process->running())
+				{
+					return;
+				}
+				for (Leaving& item : this->leaving)
+				{
+					item.untilMs = item.upstream == _daemon.name && 0 == item.untilMs ? nowMs() : item.untilMs;
+				}
+				this->office.restart(_daemon);
+			}
+
+			void endRace(ActiveFault& _fault)
+			{
+				int accepted = 0;
+				std::set<std::uint64_t> versions;
+				for (const std::unique_ptr<ChildProcess>& command : _fault.commands)
+				{
+					if (0 != command->waitForExit(kStopMs).value_or(-1))
+					{
+						continue;
+					}
+					const Json json = Json::parse(command->output(), nullptr, false);
+					accepted += 1;
+					versions.insert(json.value("version", std::uint64_t(0)));
+					this->acceptances.push_back({json.value("version", std::uint64_t(0)), nowMs()});
+				}
+				if (versions.size() != std::size_t(accepted))
+				{
+					this->result.configReverts += 1;
+					this->result.notes.emplace_back("two operators were told the same version");
+				}
+				this->result.applies += accepted;
+			}
+
+			/// Every entry that serves has what was accepted 4 s ago, and never goes back.
+			void sampleConfig()
+			{
+				for (const std::unique_ptr<Daemon>& entry : this->office.entries())
+				{
+					const Millis askedAt = nowMs();
+					const Json dump = this->office.dump(*entry);
+					if (!dump.is_object())
+					{
+						continue;
+					}
+					const std::string incarnation = dump["incarnation"];
+					const std::uint64_t version = dump["config"]["version"];
+					if (version < this->seen[incarnation])
+					{
+						this->result.configReverts += 1;
+						this->result.notes.push_back(entry->name + " went back to version " + std::to_string(version));
+					}
+					this->seen[incarnation] = version;
+					this->checkAge(*entry, dump, version, askedAt);
+				}
+			}
+
+			void checkAge(const Daemon& _entry, const Json& _dump, std::uint64_t _version, Millis _askedAt)
+			{
+				const bool late = std::any_of(this->acceptances.begin(), this->acceptances.end(), [&](const Acceptance& _acceptance) {
+					return _version < _acceptance.version && kInForceMs < _askedAt - _acceptance.atMs;
+				});
+				if (!late || !_dump["ready"].get<bool>())
+				{
+					return;
+				}
+				const bool inDoubt = 0 < _dump["config"]["inDoubtMs"].get<Millis>();
+				(inDoubt ? this->result.configInDoubt : this->result.configLate) += 1;
+				this->result.notes.push_back(_entry.name + " serves version " + std::to_string(_version) + (inDoubt ? ", in doubt" : ""));
+			}
+
+			void heal()
+			{
+				this->office.platformFaults({{"outage", false}, {"delayMs", 0}, {"loseAnswers", 0}});
+				for (auto* daemons : {&this->office.agents(), &this->office.entries()})
+				{
+					for (const std::unique_ptr<Daemon>& daemon : *daemons)
+					{
+						daemon->process->signal(SIGCONT);
+						this->revive(*daemon);
+					}
+				}
+			}
+
+			bool settle()
+			{
+				const bool ready = this->office.waitReady(kSettleMs);
+				const bool maps = this->office.waitMapsSettled(kSettleMs);
+				const std::uint64_t version = Json::parse(this->office.command({"status", "--platform", this->office.platform(), "--output", "json"}).output, nullptr, false).value("version", std::uint64_t(0));
+				const bool config = waitUntil(kInForceMs, [&] {
+					return std::all_of(this->office.entries().begin(), this->office.entries().end(), [&](const std::unique_ptr<Daemon>& _entry) {
+						const Json dump = this->office.dump(*_entry);
+						return dump.is_object() && version == dump["config"]["version"].get<std::uint64_t>();
+					});
+				});
+				if (!ready || !maps || !config)
+				{
+					this->result.notes.push_back(std::string("not settled:") + (ready ? "" : " links") + (maps ? "" : " maps") + (config ? "" : " configuration"));
+				}
+				return ready && maps && config;
+			}
+
+			void judgeAll(const LoadResult& _load)
+			{
+				this->result.load = figuresOf(_load);
+				this->result.calls = judge(_load, this->office.runs());
+				for (const Json& record : this->office.engineRecords())
+				{
+					this->result.mapViolations += record["mapViolations"].get<int>();
+				}
+				for (const CallRecord& call : _load.calls)
+				{
+					for (const Leaving& item : this->leaving)
+					{
+						const bool after = call.begunAt > item.fromMs + kLeaveMs && (0 == item.untilMs || call.begunAt + Millis(call.totalMs) < item.untilMs);
+						this->result.workAfterLeaving += after && call.upstream == item.upstream ? 1 : 0;
+					}
+				}
+			}
+
+			const ChaosOptions options;
+			Office office;
+			Random random;
+			Millis begunAt = 0;
+			ChaosResult result;
+			std::vector<Acceptance> acceptances;
+			std::vector<Leaving> leaving;
+			std::map<std::string, std::uint64_t> seen; ///< Version by incarnation.
+		};
+	} // namespace
+
+	std::string_view toString(FaultKind _kind)
+	{
+		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift"};
+		return kNames[std::size_t(_kind)];
+	}
+
+	int ChaosResult::violations() const
+	{
+		return this->calls.total() + this->mapViolations + this->configReverts + this->configLate + this->workAfterLeaving + this->dirtyStops + (this->settled ? 0 : 1);
+	}
+
+	std::vector<PlannedFault> planFaults(const ChaosOptions& _options)
+	{
+		Random random(_options.seed);
+		std::vector<PlannedFault> plan;
+		Millis startMs = 500;
+		for (std::uint32_t index = 0; index < _options.faults; ++index)
+		{
+			PlannedFault fault;
+			fault.kind = FaultKind(randomBelow(random, std::uint64_t(FaultKind::Count)));
+			fault.startMs = startMs;
+			fault.lastMs = 200 + Millis(randomBelow(random, 2'800));
+			fault.dice = random();
+			plan.push_back(fault);
+			// Now and then two begin together.
+			startMs += 0 == randomBelow(random, 4) ? 0 : Millis(randomBelow(random, std::uint64_t(2 * _options.everyMs)));
+		}
+		return plan;
+	}
+
+	ChaosResult runChaos(const ChaosOptions& _options)
+	{
+		return Chaos(_options).run();
+	}
+} // namespace archdyke::lab
--- /dev/null
+++ b/tools/chaos_main.cpp
@@ -0,0 +1,68 @@
+/// archdyke-chaos: seeded runs of an office under faults, and what was violated.
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <iostream>
+
+#include "chaos.h"
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		void print(std::uint64_t _seed, const ChaosResult& _result)
+		{
+			std::string faults;
+			for (const auto& [kind, count] : _result.faults)
+			{
+				faults += fmt::format(" {}={}", kind, count);
+			}
+			const LoadFigures& load = _result.load;
+			std::cout << fmt::format("seed {}: {} calls ({} whole, {} not run, {} unknown, {} broken off), faults:{}, applies accepted {}\n", _seed, load.calls, load.whole, load.notRun, load.unknown, load.broken, faults, _result.applies);
+			std::cout << fmt::format("  violations {}: foreign {}, cut but clean {}, ran though told not run {}, doubled {}, silent {}, map {}, config reverts {}, config late {} (in doubt {}), work after leaving {}, dirty stops {}, settled {}\n", _result.violations(), _result.calls.foreign, _result.calls.cutClean, _result.calls.falseNotRun, _result.calls.doubled, _result.calls.silent, _result.mapViolations, _result.configReverts, _result.configLate, _result.configInDoubt, _result.workAfterLeaving, _result.dirtyStops, _result.settled);
+			for (const std::string& note : _result.notes)
+			{
+				std::cout << "  note: " << note << "\n";
+			}
+			std::cout << std::flush;
+		}
+
+		int run(int _argc, char** _argv)
+		{
+			cxxopts::Options options("archdyke-chaos", "Runs an office under load and seeded faults, and judges it.");
+			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "How many seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls a second", cxxopts::value<double>()->default_value("80"))("h,help", "Print this help");
+			const cxxopts::ParseResult parsed = options.parse(_argc, _argv);
+			if (0 < parsed.count("help"))
+			{
+				std::cout << options.help();
+				return 0;
+			}
+			int violations = 0;
+			const std::uint64_t first = parsed["seed"].as<std::uint64_t>();
+			for (std::uint64_t seed = first; seed < first + parsed["seeds"].as<std::uint64_t>(); ++seed)
+			{
+				ChaosOptions chaos;
+				chaos.file = parsed["file"].as<std::string>();
+				chaos.seed = seed;
+				chaos.faults = parsed["faults"].as<std::uint32_t>();
+				chaos.perSecond = parsed["rate"].as<double>();
+				const ChaosResult result = runChaos(chaos);
+				print(seed, result);
+				violations += result.violations();
+			}
+			return 0 == violations ? 0 : 1;
+		}
+	} // namespace
+} // namespace archdyke::lab
+
+int main(int _argc, char** _argv)
+{
+	try
+	{
+		return archdyke::lab::run(_argc, _argv);
+	}
+	catch (const std::exception& error)
+	{
+		std::cerr << "archdyke-chaos: " << error.what() << "\n";
+		return 2;
+	}
+}
--- a/tools/lab.cpp
+++ b/tools/lab.cpp
@@ -207,13 +207,22 @@
 		_daemon.rpc = _daemon.process->listening("rpc");
 		_daemon.admin = _daemon.process->listening("admin");
 		_daemon.http = _daemon.process->listening("http");
+		// A VM keeps its address when its process starts anew.
+		for (const auto& [field, address] : {std::pair{"rpc", &_daemon.rpc}, {"admin", &_daemon.admin}, {"http", &_daemon.http}})
+		{
+			if (_daemon.settings.contains(field))
+			{
+				_daemon.settings[field] = *address;
+			}
+		}
 	}
 
 	void Office::announce(const Daemon& _daemon, const std::string& _state)
 	{
 		Json vm{{"name", _daemon.name}, {"role", "archdyke-entry" == _daemon.program ? "entry" : "agent"}, {"zone", _daemon.zone}, {"state", _state}, {"rpc", _daemon.rpc}, {"admin", _daemon.admin}};
-		if (this->options.viaProxy && "live" == _state)
+		if (this->options.viaProxy && "live" == _state && !this->announced.contains(_daemon.name))
 		{
+			this->announced.insert(_daemon.name);
 			for (const Zone& zone : this->parsed.zones)
 			{
 				vm["views"][zone.name]["rpc"] = this->link(linkName(zone.name, _daemon.name), _daemon.rpc);
@@ -392,6 +401,31 @@
 		return records;
 	}
 
+	bool Office::waitMapsSettled(Millis _timeoutMs)
+	{
+		std::map<std::string, std::uint64_t> lastStep;
+		return waitUntil(_timeoutMs, [&] {
+			bool settled = true;
+			for (const std::string& address : this->groupAddresses)
+			{
+				const Json record = sendJson(address, "GET", "/record");
+				const Json& epochs = record.at("epochs");
+				settled = settled && std::all_of(epochs.begin(), epochs.end(), [&](const Json& _epoch) {
+					          return _epoch == epochs.front();
+				          });
+				const std::uint64_t step = record.at("step");
+				settled = settled && 0 != lastStep[address] && lastStep[address] < step;
+				lastStep[address] = step;
+			}
+			for (const std::unique_ptr<Daemon>& agent : this->agentDaemons)
+			{
+				const Json state = this->dump(*agent);
+				settled = settled && state.is_object() && std::string::npos == state["map"].get<std::string>().find("pending");
+			}
+			return settled;
+		});
+	}
+
 	void Office::controlEngines(const Json& _order)
 	{
 		for (const std::string& address : this->groupAddresses)
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,7 +81,7 @@
 		/// Waits until all entries are ready and have links to all agents.
 		bool waitReady(Millis _timeoutMs = 20'000);
 
-		/// Starts a daemon again, as a new VM with the same name.
+		/// Starts a daemon again, on the same VM.
 		void restart(Daemon& _daemon);
 
 		/// Kills the stand-in of a plain upstream.
@@ -107,6 +108,10 @@
 		/// @returns One record for each group of engine ranks.
 		std::vector<nlohmann::json> engineRecords();
 
+		/// Waits until the ranks of every group are on one map, with no switch open, and go
+		/// on stepping.
+		bool waitMapsSettled(Millis _timeoutMs);
+
 		/// Sends an order to every group's stand-in.
 		void controlEngines(const nlohmann::json& _order);
 
@@ -132,6 +137,7 @@
 		std::vector<std::string> groupAddresses;
 		std::vector<std::unique_ptr<Daemon>> entryDaemons;
 		std::vector<std::unique_ptr<Daemon>> agentDaemons;
+		std::set<std::string> announced; ///< Whose links through the proxy are made.
 		int commands = 0;
 	};
 
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -137,6 +137,7 @@
 		CallRecord record;
 		record.kind = _kind;
 		record.token = _token;
+		record.begunAt = nowMs();
 		const Address address = parseAddress(_entry);
 		httplib::Client client(address.host, address.port);
 		client.set_connection_timeout(2);
--- a/tools/load.h
+++ b/tools/load.h
@@ -55,6 +55,7 @@
 		double firstMs = -1.0;     ///< From the scheduled time to the first byte.
 		double totalMs = -1.0;
 		std::string upstream;
+		Millis begunAt = 0; ///< On nowMs.
 	};
 
 	struct LoadResult
