Measure placement, routing and overload; refuse by end time, space out returns, act on bursts

Cause, overload: goodput in a burst of three times capacity was 47.4%. Runs were started just before their deadline and ended after it; and every refused caller was told the same time to come back, so retries arrived together (5.64 sendings a caller, 4.4% of retries got in).

Cause, placement: with two windows of hesitation and a smoothed load the menu's p99 skew was 46.9% against 41.3% for placing everything anew each window (12 ranks); moves one by one end in a local optimum at 128 ranks (10.4% mean against 8.7%).

Ruled out: a smaller tolerance and larger budget alone (0.005, 960 a minute): mean 2.7% and three times the moves. Counting a run's deadline against the start only, with a larger queue: more runs wasted.

Change: a run that can't end by its deadline at the mean run time is refused or given back; refused callers of an organisation are told to come back one after the other at the rate it is served; a window far over the tolerance is acted on at once and by itself; a layer that single moves can't help is placed anew where clearly better and within budget.

--- a/include/archdyke/admission.h
+++ b/include/archdyke/admission.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -42,6 +43,7 @@
 		double virtualTime = 0.0;
 		double meanRunMs = 50.0; ///< Moving mean of run times.
 		absl::btree_map<std::string, OrganisationQueue> organisations;
+		absl::flat_hash_map<std::string, double> returns; ///< When the last refused caller of an organisation was told to come back, ms.
 	};
 
 	/// Answer to an offered run.
@@ -64,7 +66,9 @@
 	/// for its own runs at its share of the slots.
 	Millis estimateWaitMs(const Admission& _admission, const std::string& _organisation, std::uint32_t _weight);
 
-	/// Offers a run to the queue. Refuses at once what would wait past its deadline.
+	/// Offers a run to the queue. Refuses at once what can't end by its deadline. Callers
+	/// that are refused are told to come back one after the other, at the rate at which
+	/// their organisation is served, and not all together.
 	/// When the queue is full, the organisation that holds most of it for its weight
 	/// gives up its newest run, or the offered run is refused if it is that one's.
 	AdmitResult admitRun(Admission& _admission, const QueuedRun& _run, Millis _now);
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -11,6 +11,9 @@
 		constexpr double kMeanShare = 0.1;
 		/// Smallest time to come back that a caller is told, ms.
 		constexpr Millis kLeastRetryAfterMs = 100;
+		constexpr Millis kLongestRetryAfterMs = 300'000;
+		/// Organisations whose last promise is remembered before old ones are forgotten.
+		constexpr std::size_t kReturnsKept = 1'024;
 
 		double sharePerWeight(const OrganisationQueue& _queue)
 		{
@@ -39,9 +42,27 @@
 			return std::max(kLeastRetryAfterMs, Millis(std::ceil(runs / runsPerMs(_admission))));
 		}
 
-		AdmitResult refuse(const Admission& _admission, RefusalReason _reason)
+		/// @returns When a refused caller should come back, ms from now.
+		Millis promiseReturn(Admission& _admission, const std::string& _organisation, std::uint32_t _weight, Millis _now)
 		{
-			return {_reason, drainMs(_admission), std::nullopt};
+			const bool waits = _admission.organisations.contains(_organisation) && !_admission.organisations[_organisation].runs.empty();
+			const double share = double(_weight) / (totalWeight(_admission) + (waits ? 0.0 : double(_weight)));
+			double& last = _admission.returns[_organisation];
+			last = std::max(double(_now + drainMs(_admission)), last + 1.0 / (runsPerMs(_admission) * share));
+			last = std::min(last, double(_now + kLongestRetryAfterMs));
+			const Millis result = Millis(last) - _now;
+			if (kReturnsKept < _admission.returns.size())
+			{
+				absl::erase_if(_admission.returns, [&](const auto& _return) {
+					return _return.second < double(_now);
+				});
+			}
+			return result;
+		}
+
+		AdmitResult refuse(Admission& _admission, const QueuedRun& _run, RefusalReason _reason, Millis _now)
+		{
+			return {_reason, promiseReturn(_admission, _run.organisation, _run.weight, _now), std::nullopt};
 		}
 
 		void dropIfIdle(Admission& _admission, const std::string& _organisation)
@@ -61,14 +82,14 @@
 			return it->first;
 		}
 
-		/// @returns Runs that leave the queue because their deadline has passed.
+		/// @returns Runs that leave the queue because they can't end by their deadline.
 		std::vector<RunKey> takeExpired(Admission& _admission, Millis _now)
 		{
 			std::vector<RunKey> expired;
 			for (auto& [name, queue] : _admission.organisations)
 			{
 				_admission.queued -= std::erase_if(queue.runs, [&](const QueuedRun& _run) {
-					const bool late = _run.deadline <= _now;
+					const bool late = _run.deadline < _now + Millis(_admission.meanRunMs);
 					if (late)
 					{
 						expired.push_back(_run.key);
@@ -96,9 +117,9 @@
 
 	AdmitResult admitRun(Admission& _admission, const QueuedRun& _run, Millis _now)
 	{
-		if (_now + estimateWaitMs(_admission, _run.organisation, _run.weight) >= _run.deadline)
+		if (_now + estimateWaitMs(_admission, _run.organisation, _run.weight) + Millis(_admission.meanRunMs) > _run.deadline)
 		{
-			return refuse(_admission, RefusalReason::Deadline);
+			return refuse(_admission, _run, RefusalReason::Deadline, _now);
 		}
 		AdmitResult result;
 		if (_admission.capacity <= _admission.queued)
@@ -109,10 +130,11 @@
 			const double ownRuns = _admission.organisations.end() == own ? 0.0 : double(own->second.runs.size());
 			if ((ownRuns + 1.0) / double(_run.weight) >= sharePerWeight(largest))
 			{
-				return refuse(_admission, RefusalReason::Overloaded);
+				return refuse(_admission, _run, RefusalReason::Overloaded, _now);
 			}
-			result.evicted = largest.runs.back().key;
-			result.retryAfterMs = drainMs(_admission);
+			const QueuedRun& last = largest.runs.back();
+			result.evicted = last.key;
+			result.retryAfterMs = promiseReturn(_admission, last.organisation, last.weight, _now);
 			largest.runs.pop_back();
 			_admission.queued -= 1;
 		}
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -15,9 +15,13 @@
 		/// Windows above the tolerance before anything moves: a burst that is over by then
 		/// costs nothing.
 		constexpr std::uint32_t kWindowsBeforeMove = 2;
+		/// A window this many tolerances above the mean is acted on at once, by itself alone.
+		constexpr double kUrgentTolerances = 3.0;
 		/// Coldest ranks that are tried as the new host of an expert.
 		constexpr std::size_t kColdestTried = 4;
 		constexpr double kLeastGain = 1e-9;
+		/// Share of a layer's greatest load that placing it anew must save.
+		constexpr double kClearGain = 0.02;
 		constexpr double kMsPerMinute = 60'000.0;
 
 		/// One layer while it is being planned.
@@ -278,46 +282,6 @@
 		return staged;
 	}
 
-	PlacementPlan planMoves(const PlacementInput& _input, double _skewTolerance)
-	{
-		std::vector<Layer> layers;
-		std::vector<Move> best;
-		Totals totals;
-		for (std::size_t index = 0; index < _input.hosts.size(); ++index)
-		{
-			layers.push_back(makeLayer(_input, index));
-			best.push_back(bestMove(layers.back(), _input.slots));
-			totals.greatest += greatest(layers.back());
-			totals.mean += meanLoad(layers.back());
-		}
-		PlacementPlan plan;
-		plan.skewBefore = totals.skew();
-		double left = _input.budget;
-		while (totals.skew() > _skewTolerance / 2.0)
-		{
-			const auto layer = std::size_t(std::max_element(best.begin(), best.end(), [](const Move& _a, const Move& _b) {
-				                               return _a.gain < _b.gain;
-			                               }) -
-			                               best.begin());
-			if (best[layer].gain <= kLeastGain || best[layer].cost > left)
-			{
-				break;
-			}
-			totals.greatest -= greatest(layers[layer]);
-			applyMove(layers[layer], best[layer]);
-			totals.greatest += greatest(layers[layer]);
-			left -= best[layer].cost;
-			best[layer] = bestMove(layers[layer], _input.slots);
-		}
-		for (const Layer& layer : layers)
-		{
-			plan.hosts.push_back(layer.hosts);
-		}
-		plan.staged = countStaged(_input.hosts, plan.hosts);
-		plan.skewAfter = totals.skew();
-		return plan;
-	}
-
 	namespace
 	{
 		/// Places one layer anew: as many copies as slots allow, given to the experts with
@@ -366,6 +330,75 @@
 		}
 	} // namespace
 
+	namespace
+	{
+		/// Moves one by one end where no single one helps; a layer placed anew may be better
+		/// still. Taken where it is clearly better and the budget allows it.
+		double placeAnewWhereBetter(const PlacementInput& _input, std::vector<Layer>& _layers, double _left)
+		{
+			double gained = 0.0;
+			for (std::size_t index = 0; index < _layers.size(); ++index)
+			{
+				PlacementInput one{_input.ranks, _input.slots, {placeLayer(_layers[index].tokens, _input.ranks, _input.slots)}, {_layers[index].tokens}, 0.0};
+				const Layer anew = makeLayer(one, 0);
+				const double cost = countStaged({_input.hosts[index]}, one.hosts);
+				const double saved = countStaged({_input.hosts[index]}, {_layers[index].hosts});
+				const double gain = greatest(_layers[index]) - greatest(anew);
+				if (gain > kClearGain * greatest(_layers[index]) && cost - saved <= _left)
+				{
+					_left -= cost - saved;
+					gained += gain;
+					_layers[index] = anew;
+				}
+			}
+			return gained;
+		}
+	} // namespace
+
+	PlacementPlan planMoves(const PlacementInput& _input, double _skewTolerance)
+	{
+		std::vector<Layer> layers;
+		std::vector<Move> best;
+		Totals totals;
+		for (std::size_t index = 0; index < _input.hosts.size(); ++index)
+		{
+			layers.push_back(makeLayer(_input, index));
+			best.push_back(bestMove(layers.back(), _input.slots));
+			totals.greatest += greatest(layers.back());
+			totals.mean += meanLoad(layers.back());
+		}
+		PlacementPlan plan;
+		plan.skewBefore = totals.skew();
+		double left = _input.budget;
+		while (totals.skew() > _skewTolerance / 2.0)
+		{
+			const auto layer = std::size_t(std::max_element(best.begin(), best.end(), [](const Move& _a, const Move& _b) {
+				                               return _a.gain < _b.gain;
+			                               }) -
+			                               best.begin());
+			if (best[layer].gain <= kLeastGain || best[layer].cost > left)
+			{
+				break;
+			}
+			totals.greatest -= greatest(layers[layer]);
+			applyMove(layers[layer], best[layer]);
+			totals.greatest += greatest(layers[layer]);
+			left -= best[layer].cost;
+			best[layer] = bestMove(layers[layer], _input.slots);
+		}
+		if (totals.skew() > _skewTolerance)
+		{
+			totals.greatest -= placeAnewWhereBetter(_input, layers, left);
+		}
+		for (const Layer& layer : layers)
+		{
+			plan.hosts.push_back(layer.hosts);
+		}
+		plan.staged = countStaged(_input.hosts, plan.hosts);
+		plan.skewAfter = totals.skew();
+		return plan;
+	}
+
 	PlacementPlan planAnew(const PlacementInput& _input)
 	{
 		PlacementPlan plan;
@@ -381,7 +414,7 @@
 
 	namespace
 	{
-		void smooth(PlacementState& _state, const ExpertLoad& _window)
+		void smooth(PlacementState& _state, const ExpertLoad& _window, double _newestShare)
 		{
 			if (_state.smoothed.size() != _window.size())
 			{
@@ -393,7 +426,7 @@
 				for (std::size_t expert = 0; expert < _window[layer].size(); ++expert)
 				{
 					double& mean = _state.smoothed[layer][expert];
-					mean += kNewestShare * (_window[layer][expert] - mean);
+					mean += _newestShare * (_window[layer][expert] - mean);
 				}
 			}
 		}
@@ -410,14 +443,16 @@
 
 	PlacementPlan decidePlacement(PlacementState& _state, PlacementInput _input, const PlacementPolicy& _policy, Millis _now)
 	{
-		smooth(_state, _input.load);
+		const double now = skewOf(_input.hosts, _input.load, _input.ranks);
+		const bool urgent = now > kUrgentTolerances * _policy.skewTolerance && _state.started;
+		smooth(_state, _input.load, urgent ? 1.0 : kNewestShare);
 		growAllowance(_state, _policy, _now);
 		_input.load = _state.smoothed;
 		_input.budget = _state.allowance;
 		PlacementPlan keep{_input.hosts, 0, 0.0, 0.0};
 		keep.skewBefore = keep.skewAfter = skewOf(_input.hosts, _input.load, _input.ranks);
 		_state.windowsOver = keep.skewBefore > _policy.skewTolerance ? _state.windowsOver + 1 : 0;
-		if (_state.windowsOver < kWindowsBeforeMove)
+		if (!urgent && _state.windowsOver < kWindowsBeforeMove)
 		{
 			return keep;
 		}
--- a/tools/lab.cpp
+++ b/tools/lab.cpp
@@ -342,6 +342,11 @@
 		sendJson(this->proxyAddress, "POST", "/faults", faults);
 	}
 
+	Json Office::linkCounts()
+	{
+		return sendJson(this->proxyAddress, "GET", "/counts");
+	}
+
 	void Office::cutZones(const std::string& _a, const std::string& _b, bool _cut)
 	{
 		const auto cut = [&](const std::vector<std::unique_ptr<Daemon>>& _daemons) {
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -93,6 +93,9 @@
 		void platformFaults(const nlohmann::json& _faults);
 		void linkFaults(const std::string& _link, const nlohmann::json& _faults);
 
+		/// @returns Bytes that went over each link, both ways.
+		nlohmann::json linkCounts();
+
 		/// Cuts or mends all links between two zones, or between a zone and the platform.
 		void cutZones(const std::string& _a, const std::string& _b, bool _cut);
 		void cutPlatform(const std::string& _zone, bool _cut);
--- a/tools/lab_process.cpp
+++ b/tools/lab_process.cpp
@@ -134,6 +134,11 @@
 		return this->status;
 	}
 
+	pid_t ChildProcess::id() const
+	{
+		return this->pid;
+	}
+
 	std::string ChildProcess::log() const
 	{
 		return readAll(this->logPath);
--- a/tools/lab_process.h
+++ b/tools/lab_process.h
@@ -33,6 +33,7 @@
 		std::optional<int> waitForExit(Millis _timeoutMs);
 
 		bool running();
+		pid_t id() const;
 		std::string log() const;
 		std::string output() const;
 
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -205,10 +205,10 @@
 		}
 
 		/// Sends a call, again through another entry while there is no answer at all.
-		CallRecord sendWithRepeats(const LoadOptions& _options, std::uint32_t _index, std::chrono::steady_clock::time_point _due)
+		CallRecord sendWithRepeats(const LoadOptions& _options, std::optional<CallKind> _only, std::uint32_t _index, std::chrono::steady_clock::time_point _due)
 		{
 			Random random(_options.seed * 1'000'003 + _index);
-			const CallKind kind = kindOf(random);
+			const CallKind kind = _only.value_or(kindOf(random));
 			const std::string token = _options.tokenPrefix + std::to_string(_options.seed) + "-" + std::to_string(_index);
 			const std::string organisation = _options.organisations[randomBelow(random, _options.organisations.size())];
 			CallRecord record;
@@ -234,36 +234,54 @@
 		}
 	} // namespace
 
-	LoadResult runLoad(const LoadOptions& _options)
+	namespace
 	{
-		LoadResult result;
-		absl::Mutex mutex;
-		std::atomic<std::uint32_t> next{0};
-		const auto begun = std::chrono::steady_clock::now();
-		const auto work = [&] {
-			while (true)
-			{
-				const std::uint32_t index = next.fetch_add(1);
-				if (_options.requests <= index || (nullptr != _options.stop && *_options.stop))
+		LoadResult runKinds(const LoadOptions& _options, std::optional<CallKind> _only)
+		{
+			LoadResult result;
+			absl::Mutex mutex;
+			std::atomic<std::uint32_t> next{0};
+			const auto begun = std::chrono::steady_clock::now();
+			const auto work = [&] {
+				while (true)
 				{
-					return;
+					const std::uint32_t index = next.fetch_add(1);
+					if (_options.requests <= index || (nullptr != _options.stop && *_options.stop))
+					{
+						return;
+					}
+					const auto due = begun + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(double(index) / _options.perSecond));
+					std::this_thread::sleep_until(due);
+					CallRecord record = sendWithRepeats(_options, _only, index, due);
+					absl::MutexLock lock(&mutex);
+					result.calls.push_back(std::move(record));
 				}
-				const auto due = begun + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double>(double(index) / _options.perSecond));
-				std::this_thread::sleep_until(due);
-				CallRecord record = sendWithRepeats(_options, index, due);
-				absl::MutexLock lock(&mutex);
-				result.calls.push_back(std::move(record));
+			};
+			std::vector<std::thread> threads;
+			for (std::uint32_t index = 0; index < _options.threads; ++index)
+			{
+				threads.emplace_back(work);
 			}
-		};
-		std::vector<std::thread> threads;
-		for (std::uint32_t index = 0; index < _options.threads; ++index)
-		{
-			threads.emplace_back(work);
-		}
-		for (std::thread& thread : threads)
-		{
-			thread.join();
+			for (std::thread& thread : threads)
+			{
+				thread.join();
+			}
+			return result;
 		}
-		return result;
+	} // namespace
+
+	LoadResult runLoad(const LoadOptions& _options)
+	{
+		return runKinds(_options, std::nullopt);
+	}
+
+	LoadResult runPlain(const LoadOptions& _options)
+	{
+		return runKinds(_options, CallKind::Lookup);
+	}
+
+	LoadResult runStreams(const LoadOptions& _options)
+	{
+		return runKinds(_options, CallKind::Streamed);
 	}
 } // namespace archdyke::lab
--- a/tools/load.h
+++ b/tools/load.h
@@ -65,6 +65,10 @@
 
 	LoadResult runLoad(const LoadOptions& _options);
 
+	/// The same with calls of one kind only: lookups of the plain service, or streams.
+	LoadResult runPlain(const LoadOptions& _options);
+	LoadResult runStreams(const LoadOptions& _options);
+
 	/// Sends one call through one entry.
 	CallRecord sendCall(const LoadOptions& _options, CallKind _kind, const std::string& _token, const std::string& _entry, const std::string& _organisation);
 
--- a/tools/stub_proxy.cpp
+++ b/tools/stub_proxy.cpp
@@ -2,6 +2,7 @@
 ///
 /// Options: {}. Control routes:
 ///   POST /links      {"name", "target"}           answers {"address"}
+///   GET  /counts     bytes that went over each link
 ///   POST /faults     {"name", "delayMs"?, "cutToTarget"?, "cutToClient"?, "reset"?}
 /// cutTo... holds bytes back without closing: they are delivered late, once it is taken
 /// back. reset breaks all connections of the link now.
@@ -71,6 +72,12 @@
 				return this->port;
 			}
 
+			/// @returns Bytes handed on so far, both ways.
+			std::uint64_t bytes() const
+			{
+				return this->handedOn;
+			}
+
 			void setFaults(const Json& _json)
 			{
 				absl::MutexLock lock(&this->mutex);
@@ -154,6 +161,7 @@
 				{
 					const ssize_t size = ::recv(_from, buffer, sizeof(buffer), 0);
 					this->holdBack(_cut);
+					this->handedOn += std::uint64_t(std::max<ssize_t>(0, size));
 					if (size <= 0)
 					{
 						::shutdown(_to, SHUT_WR);
@@ -175,6 +183,7 @@
 			const sockaddr_in target;
 			const int listener;
 			int port = 0;
+			std::atomic<std::uint64_t> handedOn{0};
 			absl::Mutex mutex;
 			LinkFaults faults ABSL_GUARDED_BY(mutex);
 			std::list<int> sockets ABSL_GUARDED_BY(mutex);
@@ -198,6 +207,15 @@
 			absl::MutexLock lock(&mutex);
 			links.at(body.at("name"))->setFaults(body);
 		});
+		server.routes().Get("/counts", [&](const httplib::Request&, httplib::Response& _response) {
+			Json counts = Json::object();
+			absl::MutexLock lock(&mutex);
+			for (const auto& [name, link] : links)
+			{
+				counts[name] = link->bytes();
+			}
+			_response.set_content(counts.dump(), "application/json");
+		});
 		const Address address = server.start({"127.0.0.1", 0});
 		logInfo("listening", {{"http", toString(address)}});
 		waitForStopSignal();
