Keep an idle entry's control within 12 KB/s; full mesh in small zones; few lease watchers

Cause: the cost bench showed, for one idle entry, links 10.3 KB/s at 48 agents, peers 9.6 KB/s and the platform 1 to 3 KB/s: together above the budget of 12 KB/s. The platform saw 2.55 calls a second more with each entry of a zone, 1.43 of them looks at the planner's lease. In a zone of 4 entries and 2 agents an entry held 1 or 2 links and waited for the rest.

Ruled out: larger load reports as the cause (about 258 bytes a heartbeat, both ways).

Change: 20 heartbeats a second at the most; peers at every second look unless something changed; three entries of a zone watch its lease; zones of up to 64 agents are linked whole.

--- a/src/config.h
+++ b/src/config.h
@@ -55,7 +55,7 @@
 	constexpr std::int64_t kHeartbeatMs = 500;
 	/// Heartbeats a second of one entry over all its links, at most. Above it the time
 	/// between them grows with the number of links.
-	constexpr std::int64_t kHeartbeatsPerSecond = 40;
+	constexpr std::int64_t kHeartbeatsPerSecond = 20;
 	/// A run that is sent on a link which was quiet for this long takes a heartbeat along, ms.
 	constexpr std::int64_t kLinkQuietMs = 200;
 	/// A link whose heartbeat isn't answered for this long is given up, ms.
@@ -70,6 +70,8 @@
 	constexpr std::int64_t kRevokeMs = 2'000;
 	/// How many entries of a zone hold a link to each agent of it.
 	constexpr std::uint32_t kAgentCoverage = ARCHDYKE_CONFIG_AGENT_COVERAGE;
+	/// A zone with no more agents than this is linked to by each of its entries as a whole.
+	constexpr std::size_t kFullMeshAgents = 64;
 	/// Links of one entry to agents of other zones, at most.
 	constexpr std::size_t kForeignLinks = 32;
 
@@ -97,6 +99,8 @@
 	constexpr std::int64_t kLeaseMs = 3'000;
 	/// A holder that couldn't renew for this long stops acting, ms, by its own clock.
 	constexpr std::int64_t kLeaseActMs = 2'000;
+	/// Entries of a zone that watch its lease and may take it.
+	constexpr std::size_t kLeaseCandidates = 3;
 	/// Between renewals, ms.
 	constexpr std::int64_t kLeaseRenewMs = 700;
 
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -87,7 +87,8 @@
 			}
 		}
 		std::vector<Upstream> result;
-		for (const std::size_t index : chooseSubset(this->name, this->zoneEntries(), namesOf(own), kAgentCoverage))
+		const std::uint32_t coverage = own.size() <= kFullMeshAgents ? std::uint32_t(this->zoneEntries().size()) : kAgentCoverage;
+		for (const std::size_t index : chooseSubset(this->name, this->zoneEntries(), namesOf(own), coverage))
 		{
 			result.push_back(own[index]);
 		}
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -161,8 +161,24 @@
 		return this->published;
 	}
 
+	/// A few entries of the zone watch the lease; the rest cost the table nothing.
+	bool Planner::isCandidate() const
+	{
+		const std::uint64_t mine = stableHash(this->settings.name);
+		std::size_t before = 0;
+		for (const Vm& vm : this->directory.liveEntries())
+		{
+			before += this->settings.zone == vm.zone && stableHash(vm.name) > mine ? 1 : 0;
+		}
+		return before < kLeaseCandidates;
+	}
+
 	void Planner::renewLease()
 	{
+		if (!this->isCandidate())
+		{
+			return;
+		}
 		const std::string key = "lease/planner/" + this->settings.zone;
 		const TableRow row = rowOf(this->platform.transact({{key}, {}, {}}), key);
 		const LeaseStep step = decideLease(this->lease, decodeLease(row), nowMs());
--- a/src/planner.h
+++ b/src/planner.h
@@ -71,6 +71,7 @@
 
 		void work();
 		void renewLease();
+		bool isCandidate() const;
 		std::vector<Group> groups(const ActiveConfig& _config) const;
 		void planGroup(const Group& _group, std::uint64_t _fence);
 		std::vector<RankReport> reports(const Group& _group);
--- a/src/watcher.cpp
+++ b/src/watcher.cpp
@@ -16,8 +16,10 @@
 		constexpr Millis kSlowPollMs = 2'000;
 		constexpr Millis kPeerTimeoutMs = 400;
 		/// Peers that are asked at each look.
-		constexpr std::size_t kZonePeersPerLook = 3;
-		constexpr std::size_t kFarPeersPerLook = 2;
+		constexpr std::size_t kZonePeersPerLook = 2;
+		constexpr std::size_t kFarPeersPerLook = 1;
+		/// Peers are asked at every second look while nothing changes.
+		constexpr std::uint64_t kLooksPerPeerLook = 2;
 		/// Shortest time between two looks, ms.
 		constexpr Millis kLeastPauseMs = 20;
 	} // namespace
@@ -87,7 +89,7 @@
 		});
 	}
 
-	std::vector<std::string> Watcher::peersToAsk(const std::vector<Vm>& _entries) const
+	std::vector<std::string> Watcher::peersToAsk(const std::vector<Vm>& _entries, bool _spreading) const
 	{
 		std::vector<std::string> near;
 		std::vector<std::string> far;
@@ -96,9 +98,8 @@
 			(this->settings.zone == vm.zone ? near : far).push_back(vm.rpc);
 		}
 		std::vector<std::string> addresses;
-		const bool spreading = 0 != this->keeper.held().staged.version;
 		const std::string salt = this->settings.name + std::to_string(this->lookNumber);
-		for (const std::size_t index : chooseSample(salt, near, spreading ? near.size() : kZonePeersPerLook))
+		for (const std::size_t index : chooseSample(salt, near, _spreading ? near.size() : kZonePeersPerLook))
 		{
 			addresses.push_back(near[index]);
 		}
@@ -228,8 +229,16 @@
 
 	void Watcher::lookAtPeers()
 	{
+		const HeldConfig held = this->keeper.held();
+		const bool spreading = 0 != held.staged.version || held != this->toldHeld;
+		const bool due = spreading || 0 == this->lookNumber % kLooksPerPeerLook || !this->guard.isFresh();
+		if (!due)
+		{
+			return;
+		}
+		this->toldHeld = held;
 		const std::vector<Vm> entries = this->directory.liveEntries();
-		const std::vector<PeerAnswer> answers = this->peers.exchange(this->peersToAsk(entries), this->myState(), kPeerTimeoutMs);
+		const std::vector<PeerAnswer> answers = this->peers.exchange(this->peersToAsk(entries, spreading), this->myState(), kPeerTimeoutMs);
 		for (const PeerAnswer& answer : answers)
 		{
 			{
--- a/src/watcher.h
+++ b/src/watcher.h
@@ -50,7 +50,7 @@
 		std::optional<std::string> fetchBytes(const ConfigMark& _mark, const std::vector<std::string>& _addresses);
 		void confirm();
 		bool isZonePoller(const std::vector<Vm>& _entries) const;
-		std::vector<std::string> peersToAsk(const std::vector<Vm>& _entries) const;
+		std::vector<std::string> peersToAsk(const std::vector<Vm>& _entries, bool _spreading) const;
 
 		const EntrySettings settings;
 		const std::uint64_t incarnation;
@@ -64,6 +64,7 @@
 		PlatformClient platform;
 		Millis lastPlatformLook = 0;
 		std::uint64_t lookNumber = 0;
+		HeldConfig toldHeld; ///< What peers were last told.
 		std::optional<StageRow> stage;
 		std::optional<ZoneConfirmation> confirmation;
 		std::uint64_t confirmationVersion = 0;
--- a/tools/bench_cost.cpp
+++ b/tools/bench_cost.cpp
@@ -180,9 +180,10 @@
 				options.serviceSlots = 4;
 				options.viaProxy = true;
 				this->office = std::make_unique<lab::Office>(options);
-				if (0 != this->office->apply().exitCode || !this->office->waitReady(60'000))
+				const lab::CommandResult applied = this->office->apply();
+				if (0 != applied.exitCode || !this->office->waitReady(60'000))
 				{
-					throw std::runtime_error("the office did not get ready");
+					throw std::runtime_error(fmt::format("{} agents, {} entries: not ready {}", _agents, _entries, applied.error));
 				}
 				unlink(options.file.c_str());
 			}
@@ -199,7 +200,9 @@
 		{
 			double cpu = 0.0;   ///< Share of a core.
 			double rss = 0.0;   ///< MB.
-			double bytes = 0.0; ///< To and from one entry, a second.
+			double bytes = 0.0; ///< To and from one entry's agents, a second; likewise below.
+			double peerBytes = 0.0;
+			double platformBytes = 0.0;
 			double calls = 0.0; ///< Of the platform, a second.
 			double writes = 0.0;
 		};
@@ -222,11 +225,17 @@
 			const Json before = lab::sendJson(_office.office->platform(), "GET", "/control/counts");
 			const double cpuBefore = cpuMs(_office.entry());
 			const double bytesBefore = linkBytes(*_office.office, "z>shop");
+			const double peersBefore = linkBytes(*_office.office, "z>entry");
+			const double platformBefore = linkBytes(*_office.office, "platform<");
+			const double entries = double(_office.office->entries().size());
 			lab::pauseMs(kMeasureMs);
 			IdleFigures figures;
 			figures.cpu = (cpuMs(_office.entry()) - cpuBefore) / double(kMeasureMs);
 			figures.rss = rssMb(_office.entry());
-			figures.bytes = (linkBytes(*_office.office, "z>shop") - bytesBefore) / (double(kMeasureMs) / 1000.0);
+			figures.bytes = (linkBytes(*_office.office, "z>shop") - bytesBefore) / entries / (double(kMeasureMs) / 1000.0);
+			// Each exchange between peers costs both of them.
+			figures.peerBytes = 2.0 * (linkBytes(*_office.office, "z>entry") - peersBefore) / entries / (double(kMeasureMs) / 1000.0);
+			figures.platformBytes = (linkBytes(*_office.office, "platform<") - platformBefore) / entries / (double(kMeasureMs) / 1000.0);
 			const Json after = lab::sendJson(_office.office->platform(), "GET", "/control/counts");
 			figures.calls = (after["calls"].get<double>() - before["calls"].get<double>()) / (double(kMeasureMs) / 1000.0);
 			figures.writes = (after["writes"].get<double>() - before["writes"].get<double>()) / (double(kMeasureMs) / 1000.0);
@@ -235,7 +244,7 @@
 
 		std::vector<Table> idleCosts()
 		{
-			const std::vector<double> agentCounts{4, 12, 24, 48};
+			const std::vector<double> agentCounts{6, 12, 24, 48};
 			std::vector<IdleFigures> byAgents;
 			for (const double count : agentCounts)
 			{
@@ -258,7 +267,7 @@
 			tables.push_back(slope("entry: control bytes on links to agents while idle", "agents known", "KB/s", agentCounts, column([](const IdleFigures& _f) {
 				                       return _f.bytes / 1024.0;
 			                       })));
-			const std::vector<double> entryCounts{1, 2, 4, 6};
+			const std::vector<double> entryCounts{2, 4, 8, 12};
 			std::vector<IdleFigures> byEntries;
 			for (const double count : entryCounts)
 			{
@@ -271,6 +280,12 @@
 					return _pick(byEntries[at]);
 				};
 			};
+			tables.push_back(slope("entry: control bytes with peers while idle", "entries of the zone", "KB/s", entryCounts, entryColumn([](const IdleFigures& _f) {
+				                       return _f.peerBytes / 1024.0;
+			                       })));
+			tables.push_back(slope("entry: control bytes with the platform while idle, mean of the zone", "entries of the zone", "KB/s", entryCounts, entryColumn([](const IdleFigures& _f) {
+				                       return _f.platformBytes / 1024.0;
+			                       })));
 			tables.push_back(slope("platform: calls of one zone's entries while idle", "entries of the zone", "calls/s", entryCounts, entryColumn([](const IdleFigures& _f) {
 				                       return _f.calls;
 			                       })));
--- a/tools/bench_overhead.cpp
+++ b/tools/bench_overhead.cpp
@@ -91,7 +91,11 @@
 		options.file = std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json";
 		options.entriesPerZone = 1;
 		lab::Office office(options);
-		if (0 != office.apply().exitCode || !office.waitReady())
+		const std::string file = office.changedFile("overhead.json", [](nlohmann::json& _json) {
+			_json["organisations"][0]["requestsPerSecond"] = 1'000'000;
+			_json["organisations"][0]["burst"] = 1'000'000;
+		});
+		if (0 != office.apply(file).exitCode || !office.waitReady())
 		{
 			throw std::runtime_error("the office did not get ready");
 		}
