--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -64,15 +64,26 @@
 		return this->bytesByDigest.end() == it ? std::nullopt : std::optional<std::string>(it->second);
 	}
 
+	std::shared_ptr<const ActiveConfig> ConfigKeeper::readyMade(const ConfigMark& _mark) const
+	{
+		absl::MutexLock lock(&this->mutex);
+		return nullptr != this->next && _mark == this->next->mark ? this->next : nullptr;
+	}
+
 	void ConfigKeeper::accept(const ConfigMark& _mark, const std::string& _bytes)
 	{
-		std::shared_ptr<const ActiveConfig> next = activate(_mark, _bytes);
+		std::shared_ptr<const ActiveConfig> config = this->readyMade(_mark);
+		if (nullptr == config)
+		{
+			config = activate(_mark, _bytes);
+		}
 		absl::MutexLock lock(&this->mutex);
 		if (!adoptHead(this->marks, _mark))
 		{
 			return;
 		}
-		this->current = std::move(next);
+		this->current = std::move(config);
+		this->next = nullptr;
 		this->sinceMs = wallMs();
 		this->bytesByDigest[_mark.digest] = _bytes;
 		absl::erase_if(this->bytesByDigest, [&](const auto& _item) {
@@ -83,10 +94,11 @@
 
 	void ConfigKeeper::stage(const ConfigMark& _mark, const std::string& _bytes)
 	{
-		activate(_mark, _bytes);
+		std::shared_ptr<const ActiveConfig> config = activate(_mark, _bytes);
 		absl::MutexLock lock(&this->mutex);
 		if (holdStaged(this->marks, _mark))
 		{
+			this->next = std::move(config);
 			this->bytesByDigest[_mark.digest] = _bytes;
 			logInfo("config_staged", {{"version", _mark.version}, {"digest", _mark.digest.substr(0, 12)}});
 		}
--- a/src/config_keeper.h
+++ b/src/config_keeper.h
@@ -51,9 +51,12 @@
 		void stage(const ConfigMark& _mark, const std::string& _bytes);
 
 	private:
+		std::shared_ptr<const ActiveConfig> readyMade(const ConfigMark& _mark) const;
+
 		mutable absl::Mutex mutex;
 		HeldConfig marks ABSL_GUARDED_BY(mutex);
 		std::shared_ptr<const ActiveConfig> current ABSL_GUARDED_BY(mutex);
+		std::shared_ptr<const ActiveConfig> next ABSL_GUARDED_BY(mutex); ///< The staged version, read already.
 		absl::flat_hash_map<std::string, std::string> bytesByDigest ABSL_GUARDED_BY(mutex);
 		std::int64_t sinceMs ABSL_GUARDED_BY(mutex) = 0;
 	};
