--- a/include/archdyke/placement.h
+++ b/include/archdyke/placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "archdyke/document.h"
@@ -66,6 +67,13 @@
 	/// @returns A plan with staged 0 to keep everything as it is.
 	PlacementPlan decidePlacement(PlacementState& _state, PlacementInput _input, const PlacementPolicy& _policy, Millis _now);
 
+	/// @returns Tokens counted since an earlier count; none when an engine started anew in
+	/// between, or the sizes differ.
+	std::optional<ExpertLoad> countsSince(const ExpertLoad& _before, const ExpertLoad& _now);
+
+	/// @returns Tokens of a window, mean over layers.
+	double tokensOf(const ExpertLoad& _window);
+
 	/// @returns Experts that ranks must load to get from one map to another.
 	std::uint32_t countStaged(const ExpertHosts& _from, const ExpertHosts& _to);
 } // namespace archdyke
--- a/src/agent_link.cpp
+++ b/src/agent_link.cpp
@@ -1,6 +1,4 @@
-#include "agent_link.h"
-
-#include <capnp/rpc-twoparty.h>
+#include "agent_link_p.h"
 
 #include "config.h"
 #include "log.h"
@@ -12,79 +10,8 @@
 	namespace
 	{
 		constexpr std::int64_t kTickMs = 100;
-
-		/// Hands the frames of a run to its caller's thread.
-		class CallSink final : public rpc::Sink::Server
-		{
-		public:
-			CallSink(std::shared_ptr<Call> _call, std::function<void(const LoadReport&)> _hearLoad)
-			    : call(std::move(_call))
-			    , hearLoad(std::move(_hearLoad))
-			{
-			}
-
-		protected:
-			kj::Promise<void> frame(FrameContext _context) override
-			{
-				const rpc::Frame::Reader frame = _context.getParams().getFrame();
-				if (frame.getEnd())
-				{
-					this->hearLoad(readLoad(frame.getLoad()));
-				}
-				this->call->push(readFrame(frame));
-				return kj::READY_NOW;
-			}
-
-		private:
-			std::shared_ptr<Call> call;
-			std::function<void(const LoadReport&)> hearLoad;
-		};
 	} // namespace
 
-	struct AgentLink::Connection : public kj::TaskSet::ErrorHandler
-	{
-		Connection(std::uint64_t _session, AgentLink& _link)
-		    : session(_session)
-		    , link(_link)
-		    , tasks(*this)
-		{
-		}
-
-		void taskFailed(kj::Exception&& _error) override
-		{
-			this->link.markBroken(this->session, _error.getDescription().cStr());
-		}
-
-		void establish(kj::Own<kj::AsyncIoStream> _stream)
-		{
-			this->stream = kj::mv(_stream);
-			this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
-			this->agent = kj::heap<rpc::Agent::Client>(this->client->bootstrap().castAs<rpc::Agent>());
-			this->tasks.add(this->client->onDisconnect().then([this] {
-				this->link.markBroken(this->session, "disconnected");
-			}));
-		}
-
-		/// @returns Whether a question has gone without an answer for too long.
-		bool isSilent(Millis _now) const
-		{
-			const bool asked = !this->ready || this->heartbeatPending;
-			return asked && kLinkTimeoutMs < _now - this->askedAt;
-		}
-
-		const std::uint64_t session;
-		AgentLink& link;
-		std::uint64_t agentIncarnation = 0;
-		bool ready = false;
-		Millis lastHeard = nowMs();
-		Millis askedAt = nowMs(); ///< Connect, hello or heartbeat.
-		bool heartbeatPending = false;
-		kj::Own<kj::AsyncIoStream> stream;
-		kj::Own<capnp::TwoPartyClient> client;
-		kj::Own<rpc::Agent::Client> agent;
-		kj::TaskSet tasks; ///< Last, so that it goes first.
-	};
-
 	AgentLink::AgentLink(RpcLoop& _loop, AgentIdentity _identity, std::uint64_t _entryIncarnation)
 	    : loop(_loop)
 	    , name(std::move(_identity))
@@ -338,84 +265,4 @@
 		return ready ? this->connection.get() : nullptr;
 	}
 
-	void AgentLink::sendDispatch(const std::shared_ptr<Call>& _call, const RunSpec& _run)
-	{
-		if (nullptr == this->connection.get() || !this->connection->ready)
-		{
-			absl::MutexLock lock(&this->mutex);
-			this->unreported -= 1;
-			_call->push(LinkLostEvent{true});
-			return;
-		}
-		Connection& connection = *this->connection;
-		this->calls[_run.key] = _call;
-		auto request = connection.agent->dispatchRequest();
-		writeRun(request.initRun(), _run, {this->entryIncarnation, connection.agentIncarnation, connection.session});
-		request.setSink(kj::heap<CallSink>(_call, [self = this->shared_from_this()](const LoadReport& _load) {
-			self->hearLoad(_load);
-		}));
-		if (kLinkQuietMs < nowMs() - connection.lastHeard)
-		{
-			// A dead link is found while the run waits, not at its deadline.
-			this->sendHeartbeat(connection);
-		}
-		auto countDown = kj::defer([self = this->shared_from_this()] {
-			absl::MutexLock lock(&self->mutex);
-			self->unreported -= 1;
-		});
-		connection.tasks.add(request.send().then([this, &connection, call = _call](capnp::Response<rpc::Agent::DispatchResults>&& _response) {
-			                                   connection.lastHeard = nowMs();
-			                                   this->hearLoad(readLoad(_response.getVerdict().getLoad()));
-			                                   call->push(readVerdict(_response.getVerdict()));
-		                                   })
-		                         .attach(kj::mv(countDown)));
-	}
-
-	void AgentLink::sendRevoke(const std::shared_ptr<Call>& _call, const RunKey& _key, std::uint64_t _incarnation)
-	{
-		if (nullptr != this->connection.get() && this->connection->ready && _incarnation != this->connection->agentIncarnation)
-		{
-			// Another incarnation answers now: what the old one did can't be known.
-			_call->push(RevokeEvent{true, RevokeState::Unknown});
-			return;
-		}
-		Connection* connection = this->readyConnection(_incarnation);
-		if (nullptr == connection)
-		{
-			_call->push(RevokeEvent{});
-			return;
-		}
-		auto request = connection->agent->revokeRequest();
-		writeKey(request.initKey(), _key);
-		writeSession(request.initSession(), {this->entryIncarnation, connection->agentIncarnation, connection->session});
-		connection->tasks.add(request.send().then([call = _call](capnp::Response<rpc::Agent::RevokeResults>&& _response) {
-			call->push(RevokeEvent{true, fromRpc(_response.getState())});
-		}));
-	}
-
-	void AgentLink::sendResume(const std::shared_ptr<Call>& _call, const RunKey& _key, std::uint64_t _incarnation, std::uint64_t _offset)
-	{
-		if (nullptr != this->connection.get() && this->connection->ready && _incarnation != this->connection->agentIncarnation)
-		{
-			_call->push(ResumeEvent{true, false});
-			return;
-		}
-		Connection* connection = this->readyConnection(_incarnation);
-		if (nullptr == connection)
-		{
-			_call->push(ResumeEvent{});
-			return;
-		}
-		this->calls[_key] = _call;
-		auto request = connection->agent->resumeRequest();
-		writeKey(request.initKey(), _key);
-		writeSession(request.initSession(), {this->entryIncarnation, connection->agentIncarnation, connection->session});
-		request.setOffset(_offset);
-		request.setSink(kj::heap<CallSink>(_call, [self = this->shared_from_this()](const LoadReport& _load) {
-			self->hearLoad(_load);
-		}));
-		connection->tasks.add(request.send().then([call = _call](capnp::Response<rpc::Agent::ResumeResults>&& _response) {
-			call->push(ResumeEvent{true, _response.getKnown()});
-		}));
-	}
 } // namespace archdyke
--- a/src/agent_main.cpp
+++ b/src/agent_main.cpp
@@ -1,19 +1,14 @@
 /// archdyke-agent: stands before one upstream and is the only way to it.
-#include <cxxopts.hpp>
-#include <iostream>
 
 #include "admin.h"
 #include "agent_runs.h"
 #include "agent_server.h"
-#include "archdyke/errors.h"
 #include "config.h"
-#include "log.h"
-#include "process.h"
+#include "daemon_main.h"
 #include "rank_control.h"
 #include "rpc_listener.h"
 #include "settings.h"
 #include "upstream_call.h"
-#include "version.h"
 
 namespace archdyke
 {
@@ -165,41 +160,10 @@
 			bool stopped ABSL_GUARDED_BY(mutex) = false;
 			std::thread sweeper;
 		};
-
-		int runAgent(int _argc, char** _argv)
-		{
-			cxxopts::Options options("archdyke-agent", "Stands before one upstream: queue, run ledger and expert map.");
-			options.add_options()("s,settings", "Settings file, JSON with comments", cxxopts::value<std::string>())("v,version", "Print the version")("h,help", "Print this help");
-			const cxxopts::ParseResult arguments = options.parse(_argc, _argv);
-			if (0 < arguments.count("help") || 0 < arguments.count("version"))
-			{
-				std::cout << (0 < arguments.count("help") ? options.help() : std::string("archdyke-agent ") + kVersion + "\n");
-				return 0;
-			}
-			if (0 == arguments.count("settings"))
-			{
-				throw InvalidInputError("command line", {{"--settings", "nothing", "name the settings file: archdyke-agent --settings FILE"}});
-			}
-			AgentSettings settings = loadAgentSettings(arguments["settings"].as<std::string>());
-			setLogName(settings.name);
-			AgentProcess process(std::move(settings));
-			waitForStopSignal();
-			process.stop();
-			return 0;
-		}
 	} // namespace
 } // namespace archdyke
 
 int main(int _argc, char** _argv)
 {
-	archdyke::blockStopSignals();
-	try
-	{
-		return archdyke::runAgent(_argc, _argv);
-	}
-	catch (const std::exception& error)
-	{
-		std::cerr << "archdyke-agent: " << error.what() << "\n";
-		return 2;
-	}
+	return archdyke::runDaemon<archdyke::AgentProcess>("archdyke-agent", "Stands before one upstream: queue, run ledger and expert map.", archdyke::loadAgentSettings, _argc, _argv);
 }
--- a/src/config.h
+++ b/src/config.h
@@ -75,6 +75,9 @@
 	/// Links of one entry to agents of other zones, at most.
 	constexpr std::size_t kForeignLinks = 32;
 
+	/// When to come back after a failure that says nothing better, ms.
+	constexpr std::int64_t kComeBackMs = 1'000;
+
 	/// Share of successes that may be spent on retries, and the floor per second.
 	constexpr double kRetryShare = 0.1;
 	constexpr double kRetryFloorPerSecond = 2.0;
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -8,21 +8,11 @@
 {
 	namespace
 	{
-		/// Weight of the newest window in the expected load.
-		constexpr double kNewestShare = 0.6;
-		/// The allowance grows to what this many minutes give, at most.
-		constexpr double kAllowanceMinutes = 1.0;
-		/// Windows above the tolerance before anything moves: a burst that is over by then
-		/// costs nothing.
-		constexpr std::uint32_t kWindowsBeforeMove = 2;
-		/// A window this many tolerances above the mean is acted on at once, by itself alone.
-		constexpr double kUrgentTolerances = 3.0;
 		/// Coldest ranks that are tried as the new host of an expert.
 		constexpr std::size_t kColdestTried = 4;
 		constexpr double kLeastGain = 1e-9;
 		/// Share of a layer's greatest load that placing it anew must save.
 		constexpr double kClearGain = 0.02;
-		constexpr double kMsPerMinute = 60'000.0;
 
 		/// One layer while it is being planned.
 		struct Layer
@@ -411,57 +401,4 @@
 		plan.skewAfter = skewOf(plan.hosts, _input.load, _input.ranks);
 		return plan;
 	}
-
-	namespace
-	{
-		void smooth(PlacementState& _state, const ExpertLoad& _window, double _newestShare)
-		{
-			if (_state.smoothed.size() != _window.size())
-			{
-				_state.smoothed = _window;
-				return;
-			}
-			for (std::size_t layer = 0; layer < _window.size(); ++layer)
-			{
-				for (std::size_t expert = 0; expert < _window[layer].size(); ++expert)
-				{
-					double& mean = _state.smoothed[layer][expert];
-					mean += _newestShare * (_window[layer][expert] - mean);
-				}
-			}
-		}
-
-		void growAllowance(PlacementState& _state, const PlacementPolicy& _policy, Millis _now)
-		{
-			const double most = _policy.expertsPerMinute * kAllowanceMinutes;
-			const double earned = _state.started ? _policy.expertsPerMinute * double(_now - _state.grownAt) / kMsPerMinute : most;
-			_state.allowance = std::min(most, _state.allowance + earned);
-			_state.grownAt = _now;
-			_state.started = true;
-		}
-	} // namespace
-
-	PlacementPlan decidePlacement(PlacementState& _state, PlacementInput _input, const PlacementPolicy& _policy, Millis _now)
-	{
-		const double now = skewOf(_input.hosts, _input.load, _input.ranks);
-		const bool urgent = now > kUrgentTolerances * _policy.skewTolerance && _state.started;
-		smooth(_state, _input.load, urgent ? 1.0 : kNewestShare);
-		growAllowance(_state, _policy, _now);
-		_input.load = _state.smoothed;
-		_input.budget = _state.allowance;
-		PlacementPlan keep{_input.hosts, 0, 0.0, 0.0};
-		keep.skewBefore = keep.skewAfter = skewOf(_input.hosts, _input.load, _input.ranks);
-		_state.windowsOver = keep.skewBefore > _policy.skewTolerance ? _state.windowsOver + 1 : 0;
-		if (!urgent && _state.windowsOver < kWindowsBeforeMove)
-		{
-			return keep;
-		}
-		const PlacementPlan plan = planMoves(_input, _policy.skewTolerance);
-		if (0 == plan.staged)
-		{
-			return keep;
-		}
-		_state.allowance -= double(plan.staged);
-		return plan;
-	}
 } // namespace archdyke
--- /dev/null
+++ b/src/decide/placement_window.cpp
@@ -0,0 +1,102 @@
+#include <algorithm>
+#include <numeric>
+
+#include "archdyke/placement.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		/// Weight of the newest window in the expected load.
+		constexpr double kNewestShare = 0.6;
+		/// The allowance grows to what this many minutes give, at most.
+		constexpr double kAllowanceMinutes = 1.0;
+		/// Windows above the tolerance before anything moves: a burst that is over by then
+		/// costs nothing.
+		constexpr std::uint32_t kWindowsBeforeMove = 2;
+		/// A window this many tolerances above the mean is acted on at once, by itself alone.
+		constexpr double kUrgentTolerances = 3.0;
+		constexpr double kMsPerMinute = 60'000.0;
+
+		void smooth(PlacementState& _state, const ExpertLoad& _window, double _newestShare)
+		{
+			if (_state.smoothed.size() != _window.size())
+			{
+				_state.smoothed = _window;
+				return;
+			}
+			for (std::size_t layer = 0; layer < _window.size(); ++layer)
+			{
+				for (std::size_t expert = 0; expert < _window[layer].size(); ++expert)
+				{
+					double& mean = _state.smoothed[layer][expert];
+					mean += _newestShare * (_window[layer][expert] - mean);
+				}
+			}
+		}
+
+		void growAllowance(PlacementState& _state, const PlacementPolicy& _policy, Millis _now)
+		{
+			const double most = _policy.expertsPerMinute * kAllowanceMinutes;
+			const double earned = _state.started ? _policy.expertsPerMinute * double(_now - _state.grownAt) / kMsPerMinute : most;
+			_state.allowance = std::min(most, _state.allowance + earned);
+			_state.grownAt = _now;
+			_state.started = true;
+		}
+	} // namespace
+
+	PlacementPlan decidePlacement(PlacementState& _state, PlacementInput _input, const PlacementPolicy& _policy, Millis _now)
+	{
+		const double now = skewOf(_input.hosts, _input.load, _input.ranks);
+		const bool urgent = now > kUrgentTolerances * _policy.skewTolerance && _state.started;
+		smooth(_state, _input.load, urgent ? 1.0 : kNewestShare);
+		growAllowance(_state, _policy, _now);
+		_input.load = _state.smoothed;
+		_input.budget = _state.allowance;
+		PlacementPlan keep{_input.hosts, 0, 0.0, 0.0};
+		keep.skewBefore = keep.skewAfter = skewOf(_input.hosts, _input.load, _input.ranks);
+		_state.windowsOver = keep.skewBefore > _policy.skewTolerance ? _state.windowsOver + 1 : 0;
+		if (!urgent && _state.windowsOver < kWindowsBeforeMove)
+		{
+			return keep;
+		}
+		const PlacementPlan plan = planMoves(_input, _policy.skewTolerance);
+		if (0 == plan.staged)
+		{
+			return keep;
+		}
+		_state.allowance -= double(plan.staged);
+		return plan;
+	}
+
+	std::optional<ExpertLoad> countsSince(const ExpertLoad& _before, const ExpertLoad& _now)
+	{
+		if (_before.size() != _now.size())
+		{
+			return std::nullopt;
+		}
+		ExpertLoad result = _now;
+		for (std::size_t layer = 0; layer < _now.size(); ++layer)
+		{
+			for (std::size_t expert = 0; expert < _now[layer].size(); ++expert)
+			{
+				result[layer][expert] -= _before[layer][expert];
+				if (result[layer][expert] < 0.0)
+				{
+					return std::nullopt;
+				}
+			}
+		}
+		return result;
+	}
+
+	double tokensOf(const ExpertLoad& _window)
+	{
+		double total = 0.0;
+		for (const std::vector<double>& layer : _window)
+		{
+			total = std::accumulate(layer.begin(), layer.end(), total);
+		}
+		return _window.empty() ? 0.0 : total / double(_window.size());
+	}
+} // namespace archdyke
--- a/src/entry_main.cpp
+++ b/src/entry_main.cpp
@@ -1,19 +1,14 @@
 /// archdyke-entry: takes callers' requests and decides where each one runs.
 #include <absl/synchronization/notification.h>
 #include <array>
-#include <cxxopts.hpp>
-#include <iostream>
 
 #include "admin.h"
-#include "archdyke/errors.h"
 #include "config.h"
+#include "daemon_main.h"
 #include "entry_http.h"
-#include "log.h"
 #include "planner.h"
-#include "process.h"
 #include "rpc_listener.h"
 #include "settings.h"
-#include "version.h"
 #include "watcher.h"
 
 namespace archdyke
@@ -155,41 +150,10 @@
 			HttpServer server;
 			HttpServer admin;
 		};
-
-		int runEntry(int _argc, char** _argv)
-		{
-			cxxopts::Options options("archdyke-entry", "Takes callers' requests and decides where each one runs.");
-			options.add_options()("s,settings", "Settings file, JSON with comments", cxxopts::value<std::string>())("v,version", "Print the version")("h,help", "Print this help");
-			const cxxopts::ParseResult arguments = options.parse(_argc, _argv);
-			if (0 < arguments.count("help") || 0 < arguments.count("version"))
-			{
-				std::cout << (0 < arguments.count("help") ? options.help() : std::string("archdyke-entry ") + kVersion + "\n");
-				return 0;
-			}
-			if (0 == arguments.count("settings"))
-			{
-				throw InvalidInputError("command line", {{"--settings", "nothing", "name the settings file: archdyke-entry --settings FILE"}});
-			}
-			EntrySettings settings = loadEntrySettings(arguments["settings"].as<std::string>());
-			setLogName(settings.name);
-			EntryProcess process(std::move(settings));
-			waitForStopSignal();
-			process.stop();
-			return 0;
-		}
 	} // namespace
 } // namespace archdyke
 
 int main(int _argc, char** _argv)
 {
-	archdyke::blockStopSignals();
-	try
-	{
-		return archdyke::runEntry(_argc, _argv);
-	}
-	catch (const std::exception& error)
-	{
-		std::cerr << "archdyke-entry: " << error.what() << "\n";
-		return 2;
-	}
+	return archdyke::runDaemon<archdyke::EntryProcess>("archdyke-entry", "Takes callers' requests and decides where each one runs.", archdyke::loadEntrySettings, _argc, _argv);
 }
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -60,41 +60,6 @@
 			}
 			return sum;
 		}
-
-		/// @returns What was added since; none when an engine started anew in between.
-		std::optional<ExpertLoad> difference(const ExpertLoad& _from, const ExpertLoad& _to)
-		{
-			ExpertLoad result = _to;
-			if (_from.size() != _to.size())
-			{
-				return std::nullopt;
-			}
-			for (std::size_t layer = 0; layer < _to.size(); ++layer)
-			{
-				for (std::size_t expert = 0; expert < _to[layer].size(); ++expert)
-				{
-					result[layer][expert] -= _from[layer][expert];
-					if (result[layer][expert] < 0.0)
-					{
-						return std::nullopt;
-					}
-				}
-			}
-			return result;
-		}
-
-		double totalOf(const ExpertLoad& _load)
-		{
-			double total = 0.0;
-			for (const std::vector<double>& layer : _load)
-			{
-				for (const double tokens : layer)
-				{
-					total += tokens;
-				}
-			}
-			return _load.empty() ? 0.0 : total / double(_load.size());
-		}
 	} // namespace
 
 	Planner::Planner(const EntrySettings& _settings, std::uint64_t _incarnation, RpcLoop& _loop, ConfigKeeper& _keeper, Directory& _directory, Metrics& _metrics)
@@ -344,9 +309,9 @@
 		});
 		memory.view.epoch = ranks.front().state.epoch;
 		const ExpertLoad counts = sumCounts(ranks);
-		const std::optional<ExpertLoad> window = difference(memory.lastCounts, counts);
+		const std::optional<ExpertLoad> window = countsSince(memory.lastCounts, counts);
 		memory.lastCounts = counts;
-		if (pending || !window || totalOf(*window) < kLeastTokens)
+		if (pending || !window || tokensOf(*window) < kLeastTokens)
 		{
 			return;
 		}
--- a/src/request_run.cpp
+++ b/src/request_run.cpp
@@ -12,9 +12,6 @@
 		constexpr int kUnavailable = 503;
 		constexpr int kBadGateway = 502;
 		constexpr int kTimeout = 504;
-		constexpr Millis kNoUpstreamRetryMs = 1000;
-		/// Between questions to an agent that isn't there just now, ms.
-		constexpr Millis kAskAgainMs = 25;
 		/// At a deadline, how long to ask what became of the run, ms.
 		constexpr Millis kDeadlineSettleMs = 300;
 
@@ -24,31 +21,6 @@
 			return random;
 		}
 
-		/// Waits for an event of one kind. Pieces of the answer that come meanwhile go to
-		/// _frames, if given; else a resume asks for them again.
-		/// @returns Nothing when the link is lost or the time has come.
-		template <typename Event>
-		std::optional<Event> waitFor(Call& _call, Millis _until, std::vector<AnswerFrame>* _frames = nullptr)
-		{
-			while (std::optional<CallEvent> event = _call.wait(_until))
-			{
-				if (const Event* found = std::get_if<Event>(&*event))
-				{
-					return *found;
-				}
-				if (std::holds_alternative<LinkLostEvent>(*event))
-				{
-					return std::nullopt;
-				}
-				AnswerFrame* frame = std::get_if<AnswerFrame>(&*event);
-				if (nullptr != _frames && nullptr != frame)
-				{
-					_frames->push_back(std::move(*frame));
-				}
-			}
-			return std::nullopt;
-		}
-
 		int severity(Proof _proof)
 		{
 			return Proof::NotRun == _proof ? 0 : Proof::Unknown == _proof ? 1
@@ -184,99 +156,13 @@
 		case FrameAction::Gap:
 			return this->reconnect(nowMs() + kResumeMs);
 		case FrameAction::Broken:
-			return TryFailure{_frame.notRun ? Proof::NotRun : Proof::Ran, RefusalReason::None, kNoUpstreamRetryMs, _frame.notRun ? "upstream_unreachable" : "upstream_broke_off", "the upstream " + this->current.link->identity().name + (_frame.notRun ? " can't be reached; come back after the time in Retry-After" : " broke off its answer; check with it before you send the request again")};
+			return TryFailure{_frame.notRun ? Proof::NotRun : Proof::Ran, RefusalReason::None, kComeBackMs, _frame.notRun ? "upstream_unreachable" : "upstream_broke_off", "the upstream " + this->current.link->identity().name + (_frame.notRun ? " can't be reached; come back after the time in Retry-After" : " broke off its answer; check with it before you send the request again")};
 		default:
 			this->context.droppedFrames.Increment();
 			return std::nullopt;
 		}
 	}
 
-	/// Asks the agent to take the run back, until it answers.
-	/// @returns Nothing when it didn't answer in time.
-	std::optional<RevokeState> RequestRun::settle(Millis _until)
-	{
-		while (nowMs() < _until)
-		{
-			this->current.link->revoke(this->current.call, this->current.relay.key, this->current.incarnation);
-			const std::optional<RevokeEvent> answer = waitFor<RevokeEvent>(*this->current.call, _until);
-			if (answer && answer->available)
-			{
-				return answer->state;
-			}
-			waitFor<RevokeEvent>(*this->current.call, std::min(_until, nowMs() + kAskAgainMs));
-		}
-		return std::nullopt;
-	}
-
-	/// Asks for the rest of the answer, until the agent says whether it knows the run.
-	/// @returns The pieces that came with its answer; nothing when it doesn't know the run
-	/// or didn't answer in time.
-	std::optional<std::vector<AnswerFrame>> RequestRun::askToResume(Millis _until)
-	{
-		while (nowMs() < _until)
-		{
-			std::vector<AnswerFrame> frames;
-			this->current.link->resume(this->current.call, this->current.relay.key, this->current.incarnation, this->current.relay.nextOffset);
-			const std::optional<ResumeEvent> answer = waitFor<ResumeEvent>(*this->current.call, _until, &frames);
-			if (answer && answer->available)
-			{
-				return answer->known ? std::optional(std::move(frames)) : std::nullopt;
-			}
-			waitFor<ResumeEvent>(*this->current.call, std::min(_until, nowMs() + kAskAgainMs));
-		}
-		return std::nullopt;
-	}
-
-	/// The link was lost: finds out whether the run started, and goes on with its answer.
-	std::optional<RequestRun::TryFailure> RequestRun::reconnect(Millis _until)
-	{
-		if (!this->current.started)
-		{
-			const std::optional<RevokeState> state = this->settle(_until);
-			if (RevokeState::NotRun == state)
-			{
-				return TryFailure{Proof::NotRun, RefusalReason::None, kNoUpstreamRetryMs, "link_lost", "the link to the upstream was lost and the request was taken back; come back after the time in Retry-After"};
-			}
-			if (RevokeState::Started != state)
-			{
-				return TryFailure{Proof::Unknown, RefusalReason::None, 0, "link_lost", "the link to the upstream was lost and whether the request ran can't be known; check before you send it again"};
-			}
-			this->current.started = true;
-		}
-		const std::optional<std::vector<AnswerFrame>> frames = this->askToResume(_until);
-		if (frames)
-		{
-			this->context.resumed.Increment();
-			return this->handleFrames(*frames);
-		}
-		return TryFailure{Proof::Ran, RefusalReason::None, 0, "answer_lost", "the request ran, but the link to its upstream was lost and the answer can't be completed; check before you send it again"};
-	}
-
-	std::optional<RequestRun::TryFailure> RequestRun::handleFrames(const std::vector<AnswerFrame>& _frames)
-	{
-		for (const AnswerFrame& frame : _frames)
-		{
-			std::optional<TryFailure> failure = this->handleFrame(frame);
-			if (failure)
-			{
-				return failure;
-			}
-		}
-		return std::nullopt;
-	}
-
-	std::optional<RequestRun::TryFailure> RequestRun::handleLost(const LinkLostEvent& _event)
-	{
-		if (_event.neverSent)
-		{
-			return TryFailure{Proof::NotRun, RefusalReason::None, kNoUpstreamRetryMs, "link_down", "the link to the upstream is down; come back after the time in Retry-After"};
-		}
-		const bool another = this->request.repeatable && !this->delivered;
-		const Millis limit = another ? kQuickResumeMs : this->current.started ? kResumeMs
-		                                                                      : kRevokeMs;
-		return this->reconnect(std::min(this->request.deadline, nowMs() + limit));
-	}
-
 	std::optional<RequestRun::TryFailure> RequestRun::handleDeadline()
 	{
 		Proof proof = Proof::Ran;
@@ -290,7 +176,7 @@
 		{
 			this->current.link->cancel(this->current.relay.key);
 		}
-		return TryFailure{proof, RefusalReason::Deadline, kNoUpstreamRetryMs, "deadline", "the deadline of the service has passed"};
+		return TryFailure{proof, RefusalReason::Deadline, kComeBackMs, "deadline", "the deadline of the service has passed"};
 	}
 
 	std::optional<RequestRun::TryFailure> RequestRun::handleEvent(const CallEvent& _event)
@@ -327,7 +213,7 @@
 
 	RequestRun::TryFailure RequestRun::noUpstream() const
 	{
-		return {Proof::NotRun, RefusalReason::None, kNoUpstreamRetryMs, "no_upstream", "no upstream of service \"" + this->request.service.name + "\" takes work now; come back after the time in Retry-After"};
+		return {Proof::NotRun, RefusalReason::None, kComeBackMs, "no_upstream", "no upstream of service \"" + this->request.service.name + "\" takes work now; come back after the time in Retry-After"};
 	}
 
 	RejectedError RequestRun::giveUp(const TryFailure& _failure) const
--- a/tests/office.h
+++ b/tests/office.h
@@ -31,16 +31,7 @@
 
 	inline lab::LoadOptions loadOn(lab::Office& _office)
 	{
-		lab::LoadOptions load;
-		for (const std::unique_ptr<lab::Daemon>& entry : _office.entries())
-		{
-			load.entries.push_back(entry->http);
-		}
-		load.organisations = {"alpha", "beta"};
-		load.model = "chat";
-		load.plain = "shop";
-		load.notRepeatablePath = "/orders";
-		return load;
+		return _office.loadOptions();
 	}
 
 	/// Sends a call on a thread of its own.
--- a/tools/bench_cost.cpp
+++ b/tools/bench_cost.cpp
@@ -158,9 +158,14 @@
 			tables.push_back(slope("entry: taking a configuration version (digest, parse, check)", "upstreams", "ms", {1'500, 3'000, 6'000, 12'000}, [](double _size) {
 				const std::string text = documentOf(1, int(_size)).dump();
 				const ConfigMark mark{1, sha256Hex(text)};
-				return timeUs(3, [&] { activate(mark, text); }) / 1000.0;
+				return timeUs(3, [&] {
+					       activate(mark, text);
+				       }) /
+				       1000.0;
+			}));
+			tables.push_back(slope("entry: bytes of a configuration version", "upstreams", "KB", {1'500, 3'000, 6'000, 12'000}, [](double _size) {
+				return double(documentOf(1, int(_size)).dump().size()) / 1024.0;
 			}));
-			tables.push_back(slope("entry: bytes of a configuration version", "upstreams", "KB", {1'500, 3'000, 6'000, 12'000}, [](double _size) { return double(documentOf(1, int(_size)).dump().size()) / 1024.0; }));
 			tables.push_back(slope("agent: one vote message of a map switch (merge, decide)", "ranks", "us", {16, 32, 64, 128}, [](double _size) {
 				MapSwitch known;
 				hearProposal(known, {"g", 1, 1, 1, 0, 100, 1, std::uint32_t(_size)});
--- a/tools/demo_main.cpp
+++ b/tools/demo_main.cpp
@@ -22,28 +22,6 @@
 			std::cout << _line << std::endl;
 		}
 
-		LoadOptions makeLoad(Office& _office)
-		{
-			LoadOptions load;
-			for (const std::unique_ptr<Daemon>& entry : _office.entries())
-			{
-				load.entries.push_back(entry->http);
-			}
-			for (const Organisation& organisation : _office.document().organisations)
-			{
-				load.organisations.push_back(organisation.name);
-			}
-			for (const Service& service : _office.document().services)
-			{
-				const bool model = ServiceKind::Model == service.kind;
-				(model ? load.model : load.plain) = service.name;
-				load.notRepeatablePath = model ? load.notRepeatablePath : service.notRepeatable.front().pathPrefix;
-			}
-			load.perSecond = kPerSecond;
-			load.requests = kRequests;
-			return load;
-		}
-
 		void showWhere(const LoadResult& _result)
 		{
 			std::map<std::string, int> byUpstream;
@@ -142,7 +120,9 @@
 				say("the office did not get ready");
 				return 1;
 			}
-			const LoadOptions options = makeLoad(office);
+			LoadOptions options = office.loadOptions();
+			options.perSecond = kPerSecond;
+			options.requests = kRequests;
 			say(fmt::format("load: {} requests at {}/s; one organisation's limit changes and is applied meanwhile", options.requests, options.perSecond));
 			LoadResult result;
 			std::thread load([&] {
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -11,6 +11,7 @@
 
 #include "archdyke/document.h"
 #include "lab_process.h"
+#include "load.h"
 
 namespace archdyke::lab
 {
@@ -66,6 +67,9 @@
 		Daemon& entry(const std::string& _name);
 		Daemon& agent(const std::string& _name);
 		const std::vector<UpstreamStub>& stubs() const;
+
+		/// @returns Load options for this office through all its entries.
+		LoadOptions loadOptions() const;
 		const std::string& platform() const;
 
 		/// Applies a file with the operators' command; the office's own when empty.
--- a/tools/load.h
+++ b/tools/load.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "archdyke/document.h"
 #include "archdyke/types.h"
 
 namespace archdyke::lab
@@ -39,6 +40,9 @@
 		const std::atomic<bool>* stop = nullptr;
 	};
 
+	/// @returns Options for the services and organisations of a file, with no entries yet.
+	LoadOptions loadOptionsFor(const Document& _document);
+
 	/// What became of one call.
 	struct CallRecord
 	{
--- a/tools/load_check.cpp
+++ b/tools/load_check.cpp
@@ -5,6 +5,23 @@
 
 namespace archdyke::lab
 {
+	LoadOptions loadOptionsFor(const Document& _document)
+	{
+		LoadOptions options;
+		for (const Organisation& organisation : _document.organisations)
+		{
+			options.organisations.push_back(organisation.name);
+		}
+		for (const Service& service : _document.services)
+		{
+			const bool model = ServiceKind::Model == service.kind;
+			(model ? options.model : options.plain) = service.name;
+			const bool hasRule = !service.notRepeatable.empty();
+			options.notRepeatablePath = hasRule ? service.notRepeatable.front().pathPrefix : options.notRepeatablePath;
+		}
+		return options;
+	}
+
 	int Violations::total() const
 	{
 		return this->foreign + this->cutClean + this->falseNotRun + this->doubled + this->silent;
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -17,22 +17,12 @@
 		{
 			const std::string file = _parsed["file"].as<std::string>();
 			const Document document = parseDocument(file, readFile(file));
-			LoadOptions options;
+			LoadOptions options = loadOptionsFor(document);
 			options.entries = _parsed["entry"].as<std::vector<std::string>>();
 			options.perSecond = _parsed["rate"].as<double>();
 			options.requests = std::min(kMaxRequests, _parsed["requests"].as<std::uint32_t>());
 			options.tokens = _parsed["tokens"].as<std::uint32_t>();
 			options.seed = _parsed["seed"].as<std::uint64_t>();
-			for (const Organisation& organisation : document.organisations)
-			{
-				options.organisations.push_back(organisation.name);
-			}
-			for (const Service& service : document.services)
-			{
-				const bool model = ServiceKind::Model == service.kind;
-				(model ? options.model : options.plain) = service.name;
-				options.notRepeatablePath = !model && !service.notRepeatable.empty() ? service.notRepeatable.front().pathPrefix : options.notRepeatablePath;
-			}
 			return options;
 		}
 
