--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Formatter and linter, clean or fail. --fix formats in place.
+# Formatter, linter and the check of locks (-Wthread-safety), clean or fail. --fix formats
+# in place.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'src/decide/*' 'include/*.h' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v '^src/generated/' | sort -u)
@@ -10,5 +11,5 @@
 clang-format --dry-run --Werror "${files[@]}"
 echo "formatter: clean"
 printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -E '^(src|tools)/' \
-	| xargs -P "$(nproc)" -n 2 clang-tidy -p build/release --quiet --warnings-as-errors='*' 2>/dev/null
+	| xargs -P "$(nproc)" -n 2 clang-tidy -p build/release --quiet --warnings-as-errors='*' --extra-arg=-Wthread-safety 2>/dev/null
 echo "linter: clean"
--- a/src/call.cpp
+++ b/src/call.cpp
@@ -8,27 +8,39 @@
 
 namespace archdyke
 {
+	namespace
+	{
+		bool isUrgent(const CallEvent& _event)
+		{
+			const VerdictEvent* verdict = std::get_if<VerdictEvent>(&_event);
+			return nullptr == verdict || !verdict->accepted;
+		}
+	} // namespace
+
 	void Call::push(CallEvent _event)
 	{
 		absl::MutexLock lock(&this->mutex);
+		this->urgent += isUrgent(_event) ? 1 : 0;
 		this->events.push_back(std::move(_event));
 	}
 
-	bool Call::hasEvent() const
+	bool Call::hasUrgent() const
 	{
-		return !this->events.empty();
+		return 0 < this->urgent;
 	}
 
 	std::optional<CallEvent> Call::wait(Millis _untilMs)
 	{
 		const absl::Duration timeout = absl::Milliseconds(std::max<Millis>(0, _untilMs - nowMs()));
 		absl::MutexLock lock(&this->mutex);
-		if (!this->mutex.AwaitWithTimeout(absl::Condition(this, &Call::hasEvent), timeout))
+		this->mutex.AwaitWithTimeout(absl::Condition(this, &Call::hasUrgent), timeout);
+		if (this->events.empty())
 		{
 			return std::nullopt;
 		}
 		CallEvent event = std::move(this->events.front());
 		this->events.pop_front();
+		this->urgent -= isUrgent(event) ? 1 : 0;
 		return event;
 	}
 } // namespace archdyke
--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -86,8 +86,9 @@
 		this->next = nullptr;
 		this->sinceMs = wallMs();
 		this->bytesByDigest[_mark.digest] = _bytes;
+		const HeldConfig kept = this->marks;
 		absl::erase_if(this->bytesByDigest, [&](const auto& _item) {
-			return _item.first != this->marks.head.digest && _item.first != this->marks.staged.digest;
+			return _item.first != kept.head.digest && _item.first != kept.staged.digest;
 		});
 		logInfo("config_in_force", {{"version", _mark.version}, {"digest", _mark.digest.substr(0, 12)}});
 	}
--- a/src/rank_control.h
+++ b/src/rank_control.h
@@ -91,7 +91,7 @@
 		VoteSender(const VoteSender&) = delete;
 		VoteSender& operator=(const VoteSender&) = delete;
 
-		void send(const std::string& _address, const VoteMessage& _message, std::function<void(std::optional<VoteReply>)> _done);
+		void send(const std::string& _address, const VoteMessage& _message, const std::function<void(std::optional<VoteReply>)>& _done);
 
 	private:
 		struct Pool;
--- a/src/upstream_call.cpp
+++ b/src/upstream_call.cpp
@@ -33,16 +33,22 @@
 
 		void readAnswer(httplib::Request& _request, AnswerBuffer& _answer, const std::function<void(const RunKey&)>& _onBytes)
 		{
-			_request.response_handler = [&_answer](const httplib::Response& _response) {
+			// What isn't a stream of events is handed on once, when it is whole.
+			const auto streams = std::make_shared<bool>(false);
+			_request.response_handler = [&_answer, streams](const httplib::Response& _response) {
+				*streams = _response.get_header_value("Content-Type").starts_with("text/event-stream");
 				_answer.begin(_response.status, _response.get_header_value("Content-Type"));
 				return !_answer.cancelled;
 			};
-			_request.content_receiver = [&_answer, &_onBytes](const char* _data, std::size_t _size, std::uint64_t, std::uint64_t) {
+			_request.content_receiver = [&_answer, &_onBytes, streams](const char* _data, std::size_t _size, std::uint64_t, std::uint64_t) {
 				if (_answer.cancelled || !_answer.append({_data, _size}))
 				{
 					return false;
 				}
-				_onBytes(_answer.key());
+				if (*streams)
+				{
+					_onBytes(_answer.key());
+				}
 				return true;
 			};
 		}
--- a/src/vote_sender.cpp
+++ b/src/vote_sender.cpp
@@ -26,7 +26,7 @@
 
 	VoteSender::~VoteSender() = default;
 
-	void VoteSender::send(const std::string& _address, const VoteMessage& _message, std::function<void(std::optional<VoteReply>)> _done)
+	void VoteSender::send(const std::string& _address, const VoteMessage& _message, const std::function<void(std::optional<VoteReply>)>& _done)
 	{
 		const auto request = [message = _message, _done](rpc::Agent::Client& _agent) {
 			auto call = _agent.exchangeVotesRequest();
--- a/tools/bench_routing.cpp
+++ b/tools/bench_routing.cpp
@@ -120,7 +120,7 @@
 		Result simulate(const Choose& _choose, const Conditions& _conditions, std::uint64_t _seed)
 		{
 			Random random(_seed);
-			std::vector<Server> servers(kAgentsPerZone * kZones);
+			std::vector<Server> servers(std::size_t(kAgentsPerZone) * kZones);
 			Result result;
 			// Capacity: slots by the steps of a job, half of whose prefixes miss.
 			const double stepsPerJob = double(kTokens) + 0.5 * kMissSteps;
--- a/tools/stub_engine.cpp
+++ b/tools/stub_engine.cpp
@@ -71,9 +71,11 @@
 		{
 		public:
 			explicit Engine(const Json& _options)
-			    : group(readOptions(_options))
+			    : options(readOptions(_options))
+			    , group(this->options)
 			{
 				this->group.onToken = [this](const Sequence& _sequence, bool _last) {
+					this->mutex.AssertHeld();
 					this->hearToken(_sequence, _last);
 				};
 			}
@@ -109,11 +111,11 @@
 
 			void run()
 			{
-				Random random(stableHash(this->group.options().name));
+				Random random(stableHash(this->options.name));
 				absl::Time next = absl::Now();
 				while (!this->stopping)
 				{
-					double stepUs = this->group.options().stepUs;
+					double stepUs = this->options.stepUs;
 					{
 						absl::MutexLock lock(&this->mutex);
 						this->mutex.AwaitWithTimeout(absl::Condition(this, &Engine::mayStep), absl::Milliseconds(100));
@@ -333,6 +335,7 @@
 				}
 			}
 
+			const GroupOptions options;
 			absl::Mutex mutex;
 			EngineGroup group ABSL_GUARDED_BY(mutex);
 			absl::flat_hash_map<const Sequence*, std::shared_ptr<Stream>> streams ABSL_GUARDED_BY(mutex);
