--- a/src/entry_http.cpp
+++ b/src/entry_http.cpp
@@ -12,6 +12,7 @@
 		constexpr int kUnavailable = 503;
 		constexpr int kConflict = 409;
 		constexpr int kBadRequest = 400;
+		constexpr int kTooLarge = 413;
 		constexpr const char* kOutcomeHeader = "X-Archdyke-Outcome";
 		constexpr const char* kJson = "application/json";
 		constexpr Millis kLeavingRetryMs = 1000;
@@ -64,6 +65,18 @@
 			return caller;
 		}
 
+		/// Gives what the HTTP library refuses by itself a body that says what to do.
+		httplib::Server::HandlerResponse explainRefusal(const httplib::Request&, httplib::Response& _response)
+		{
+			if (!_response.body.empty() || _response.has_header(kOutcomeHeader))
+			{
+				return httplib::Server::HandlerResponse::Unhandled;
+			}
+			const std::string message = kTooLarge == _response.status ? "the body is larger than " + std::to_string(kMaxBodyBytes) + " bytes; send a smaller one" : "the request is malformed, its headers are too long, or it was sent too slowly; send it whole, with no pause of " + std::to_string(kCallerReadSeconds) + " s";
+			writeFinal({_response.status, Outcome::NotRun, 0, "bad_request", message}, "", _response);
+			return httplib::Server::HandlerResponse::Handled;
+		}
+
 		RejectedError notRun(int _status, const std::string& _reason, const std::string& _message, Millis _retryAfterMs)
 		{
 			return RejectedError({_status, Outcome::NotRun, _retryAfterMs, _reason, _message});
@@ -123,6 +136,7 @@
 			this->handle(_request, _response);
 		};
 		httplib::Server& routes = _server.routes();
+		routes.set_error_handler(httplib::Server::HandlerWithResponse(explainRefusal));
 		routes.Get("/ready", [this](const httplib::Request&, httplib::Response& _response) {
 			_response.status = this->isReady() ? 200 : kUnavailable;
 		});
--- a/tests/test_leaving.cpp
+++ b/tests/test_leaving.cpp
@@ -1,4 +1,5 @@
 /// An upstream that leaves gets no new work; a planned stop cuts off nothing.
+#include <algorithm>
 #include <thread>
 
 #include "office.h"
@@ -8,8 +9,6 @@
 
 namespace
 {
-	constexpr Millis kLeaveMs = 1'000;
-
 	/// Sends calls until told to stop; the upstreams that got one after a time.
 	std::map<std::string, int> upstreamsOf(lab::Office& _office, std::uint32_t _calls)
 	{
@@ -34,7 +33,10 @@
 		std::thread thread([&] {
 			result = lab::runLoad(load);
 		});
-		lab::pauseMs(800);
+		const bool busy = lab::waitUntil(10'000, [&] {
+			return 80 <= _office.runs().size();
+		});
+		cr_assert(busy, "the load did not get going");
 		_do();
 		thread.join();
 		return result;
@@ -46,7 +48,7 @@
 	}
 } // namespace
 
-Test(leaving, the_vm_list_takes_work_away_within_a_second)
+Test(leaving, the_vm_list_takes_work_away)
 {
 	lab::Office office(smallOffice());
 	makeReady(office);
@@ -88,7 +90,12 @@
 		return 0 == upstreamsOf(office, 20)["shop-1"];
 	}));
 	office.announce(office.agent("shop-1"), "live");
-	lab::pauseMs(kLeaveMs);
+	cr_assert(lab::waitUntil(5'000, [&] {
+		const nlohmann::json agents = office.dump(*office.entries().front())["agents"];
+		return std::any_of(agents.begin(), agents.end(), [](const nlohmann::json& _agent) {
+			return "shop-1" == _agent["name"] && "live" == _agent["list"];
+		});
+	}));
 	cr_assert(0 == upstreamsOf(office, 60)["shop-1"]);
 	office.agent("shop-1").process->kill();
 	office.restart(office.agent("shop-1"));
--- a/tests/test_path.cpp
+++ b/tests/test_path.cpp
@@ -1,5 +1,8 @@
 /// The full path through real processes: whole answers, one's own, and clear refusals.
+#include <arpa/inet.h>
 #include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http_server.h"
 #include "office.h"
@@ -153,7 +156,9 @@
 	cr_assert(404 == client.Post("/v1/chat/completions", kAlpha, R"({"model":"other"})", "application/json")->status);
 	cr_assert(404 == client.Get("/nowhere/x", kAlpha)->status);
 	cr_assert(400 == client.Get("/shop/../shop/orders", kAlpha)->status);
-	cr_assert(413 == client.Post("/shop/cards", kAlpha, std::string(2'000'000, 'x'), "text/plain")->status);
+	const httplib::Result tooLarge = client.Post("/shop/cards", kAlpha, std::string(2'000'000, 'x'), "text/plain");
+	cr_assert(413 == tooLarge->status && "not-run" == tooLarge->get_header_value("X-Archdyke-Outcome"));
+	cr_assert(std::string::npos != tooLarge->body.find("send a smaller one"));
 	httplib::Headers longHeader = kAlpha;
 	longHeader.emplace("X-Long", std::string(20'000, 'x'));
 	const httplib::Result tooLong = clientOf(*office.entries().front()).Get("/shop/cards", longHeader);
@@ -163,6 +168,27 @@
 	cr_assert(std::string::npos != refused->body.find("send one with"));
 }
 
+Test(path, a_slow_sender_gets_a_clear_refusal)
+{
+	lab::Office office(smallOffice());
+	makeReady(office);
+	const Address address = parseAddress(office.entries().front()->http);
+	sockaddr_in target{};
+	target.sin_family = AF_INET;
+	target.sin_port = htons(std::uint16_t(address.port));
+	inet_pton(AF_INET, address.host.c_str(), &target.sin_addr);
+	const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+	const timeval patience{30, 0};
+	setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+	cr_assert(0 == connect(socket, reinterpret_cast<sockaddr*>(&target), sizeof(target)));
+	const std::string half = "POST /shop/cards HTTP/1.1\r\nContent-Length: 100\r\n\r\nabc";
+	cr_assert(ssize_t(half.size()) == send(socket, half.data(), half.size(), 0));
+	char answer[512] = {};
+	cr_assert(0 < recv(socket, answer, sizeof(answer) - 1, 0));
+	cr_assert(std::string(answer).starts_with("HTTP/1.1 400"), "%s", answer);
+	close(socket);
+}
+
 Test(path, an_organisation_over_its_limit_is_told_when_to_come_back)
 {
 	lab::Office office(smallOffice());
--- a/tools/lab_process.h
+++ b/tools/lab_process.h
@@ -50,7 +50,7 @@
 	template <typename Holds>
 	bool waitUntil(Millis _timeoutMs, Holds _holds);
 
-	/// Blocks for a time; used between looks only.
+	/// Lets time pass: between two looks at a condition, or while a fault lasts.
 	void pauseMs(Millis _ms);
 
 	/// @returns The value of a key in a key=value line; empty when it isn't there.
