Judge a planned stop by the process that was told to stop

Ruled out: the agent itself: its schedule has stop-agent from 2.1 to 5.0 s and kill-agent from 2.7 to 3.1 s on the same agent.

Change: the judge remembers the process; one that was killed by another fault is no planned stop any more. All other planned stops are judged as before.

--- a/tools/chaos.cpp
+++ b/tools/chaos.cpp
@@ -26,6 +26,7 @@
 		{
 			PlannedFault plan;
 			Daemon* daemon = nullptr;
+			pid_t pid = -1; ///< Of the daemon's process when the fault began.
 			std::string zone;
 			std::string otherZone;
 			std::vector<std::unique_ptr<ChildProcess>> commands;
@@ -189,8 +190,9 @@
 				return fault;
 			}
 
-			void strike(const ActiveFault& _fault)
+			void strike(ActiveFault& _fault)
 			{
+				_fault.pid = _fault.daemon->process->id();
 				switch (_fault.plan.kind)
 				{
 				case FaultKind::KillAgent:
@@ -241,7 +243,7 @@
 					break;
 				case FaultKind::StopAgent:
 				case FaultKind::StopEntry:
-					this->checkStop(*_fault.daemon);
+					this->checkStop(*_fault.daemon, _fault.pid);
 					this->revive(*_fault.daemon);
 					break;
 				case FaultKind::KillAgent:
@@ -267,8 +269,12 @@
 				}
 			}
 
-			void checkStop(Daemon& _daemon)
+			void checkStop(Daemon& _daemon, pid_t _pid)
 			{
+				if (_pid != _daemon.process->id())
+				{
+					return; // Killed and started anew meanwhile by another fault.
+				}
 				// Frozen or killed meanwhile by another fault: not a planned stop any more.
 				_daemon.process->signal(SIGCONT);
 				const std::optional<int> code = _daemon.process->waitForExit(kStopMs);
