--- /dev/null
+++ b/src/decide/come_back.cpp
@@ -0,0 +1,70 @@
+#include "archdyke/come_back.h"
+
+#include <algorithm>
+
+namespace archdyke
+{
+	namespace
+	{
+		/// Callers honour a time to come back of up to this share of what they have left;
+		/// beyond it they come when they like.
+		constexpr Millis kHonouredShare = 3;
+		constexpr Millis kLeastMs = 50;
+
+		struct Span
+		{
+			Millis from;
+			Millis to;
+		};
+
+		/// Usual time until a cause is over, ms.
+		Span usualSpan(RefusalCause _cause)
+		{
+			switch (_cause)
+			{
+			case RefusalCause::NoConfiguration:
+				return {200, 600}; // a first read of the store takes some 10 ms, 300 when slow
+			case RefusalCause::StaleProof:
+				return {500, 1'500}; // the caller's repeat reaches another gateway
+			case RefusalCause::NoUpstream:
+				return {500, 1'500};
+			case RefusalCause::Overloaded:
+				return {400, 1'200}; // a stream of usual length ends in 1 to 3 s
+			case RefusalCause::GroupDown:
+				return {1'500, 2'600}; // stall and forming together take some 2 s
+			default:
+				return {20, 100}; // another gateway takes it at once
+			}
+		}
+	} // namespace
+
+	std::string_view toString(RefusalCause _cause)
+	{
+		switch (_cause)
+		{
+		case RefusalCause::NoConfiguration:
+			return "no_configuration";
+		case RefusalCause::StaleProof:
+			return "stale_proof";
+		case RefusalCause::NoUpstream:
+			return "no_upstream";
+		case RefusalCause::Overloaded:
+			return "overloaded";
+		case RefusalCause::GroupDown:
+			return "group_down";
+		default:
+			return "leaving";
+		}
+	}
+
+	Millis comeBackAfter(RefusalCause _cause, std::optional<Millis> _reopenMs, Millis _patienceMs, Random& _random)
+	{
+		Span span = usualSpan(_cause);
+		if (_reopenMs)
+		{
+			span = {*_reopenMs, *_reopenMs + (span.to - span.from)};
+		}
+		const Millis drawn = span.from + Millis(randomBelow(_random, std::uint64_t(span.to - span.from + 1)));
+		return std::max(kLeastMs, std::min(drawn, _patienceMs / kHonouredShare));
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/decide/freshness.cpp
@@ -0,0 +1,23 @@
+#include "archdyke/freshness.h"
+
+#include <algorithm>
+
+namespace archdyke
+{
+	void noteProof(Freshness& _freshness, Millis _sentAt, std::optional<Millis> _storeTime)
+	{
+		Millis made = _sentAt;
+		if (_storeTime)
+		{
+			const Millis seen = _sentAt - *_storeTime;
+			_freshness.offset = std::max(_freshness.offset.value_or(seen), seen);
+			made = *_storeTime + *_freshness.offset;
+		}
+		_freshness.provenAt = std::max(_freshness.provenAt.value_or(made), made);
+	}
+
+	std::optional<Millis> proofAge(const Freshness& _freshness, Millis _now)
+	{
+		return _freshness.provenAt ? std::optional(_now - *_freshness.provenAt) : std::nullopt;
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/decide/retry_window.cpp
@@ -0,0 +1,33 @@
+#include "archdyke/retry_window.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		void dropOld(std::deque<Millis>& _times, Millis _before)
+		{
+			while (!_times.empty() && _times.front() <= _before)
+			{
+				_times.pop_front();
+			}
+		}
+	} // namespace
+
+	void noteFirstSend(RetryWindow& _window, Millis _now)
+	{
+		_window.firsts.push_back(_now);
+	}
+
+	bool takeResend(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
+	{
+		dropOld(_window.firsts, _now - _bounds.windowMs);
+		dropOld(_window.resends, _now - _bounds.windowMs);
+		const double allowed = _bounds.ratio * double(_window.firsts.size()) + _bounds.allowance;
+		if (double(_window.resends.size()) + 1.0 > allowed)
+		{
+			return false;
+		}
+		_window.resends.push_back(_now);
+		return true;
+	}
+} // namespace archdyke
--- /dev/null
+++ b/src/gateway/caller_server.h
@@ -0,0 +1,28 @@
+/// Serves callers' connections: reads requests within the limits in force, runs them one
+/// after the other, and lets the connection end whole when the gateway stops.
+#pragma once
+
+#include "gateway/request.h"
+#include "http/http_listener.h"
+
+namespace archdyke::gateway
+{
+	class CallerServer
+	{
+	public:
+		CallerServer(GatewayState& _state, const std::string& _address);
+
+		/// Ends the connections on which no request is under way.
+		void closeIdle();
+
+		void stopAccepting();
+
+	private:
+		aio::Task<void> serve(std::unique_ptr<http::HttpConnection> _connection);
+
+		GatewayState& state;
+		kj::Own<kj::PromiseFulfiller<void>> idleCloser;
+		kj::ForkedPromise<void> idleClosed;
+		http::Listener listener;
+	};
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/counters.cpp
@@ -0,0 +1,40 @@
+#include "gateway/counters.h"
+
+namespace archdyke::gateway
+{
+	std::string_view toString(Ending _ending)
+	{
+		switch (_ending)
+		{
+		case Ending::Answered:
+			return "answered";
+		case Ending::RefusedNotRun:
+			return "refused";
+		case Ending::Rejected:
+			return "rejected";
+		case Ending::Failed:
+			return "failed";
+		case Ending::Broken:
+			return "broken";
+		default:
+			return "caller_left";
+		}
+	}
+
+	GatewayCounters::GatewayCounters(Metrics& _metrics)
+	    : totalSeconds(_metrics.seconds("archdyke_gateway_request_seconds", "From the request's head to the end of its answer"))
+	    , firstSeconds(_metrics.seconds("archdyke_gateway_first_event_seconds", "From the request's head to the first event of a stream"))
+	    , sends(_metrics.counter("archdyke_gateway_sends_total", "Requests sent to an upstream, first sends"))
+	    , resends(_metrics.counter("archdyke_gateway_resends_total", "Requests sent to a further upstream"))
+	    , storeCalls(_metrics.counter("archdyke_store_calls_total", "Calls to the metadata store"))
+	    , storeFailures(_metrics.counter("archdyke_store_failures_total", "Calls to the metadata store without a usable answer"))
+	    , connectionsOpened(_metrics.counter("archdyke_gateway_upstream_connections_total", "Connections opened to upstreams"))
+	    , configurationVersion(_metrics.gauge("archdyke_configuration_version", "Version in force"))
+	    , proofAgeMs(_metrics.gauge("archdyke_configuration_proof_age_ms", "Age of the proof that this version is the newest"))
+	{
+		for (std::size_t ending = 0; ending < this->requests.size(); ++ending)
+		{
+			this->requests[ending] = &_metrics.counter("archdyke_gateway_requests_total", "Requests by how they ended", {{"ending", std::string(toString(Ending(ending)))}});
+		}
+	}
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/counters.h
@@ -0,0 +1,40 @@
+/// Counters and histograms of a gateway.
+#pragma once
+
+#include <array>
+
+#include "metrics.h"
+
+namespace archdyke::gateway
+{
+	/// How a request ended, as its caller saw it.
+	enum class Ending
+	{
+		Answered,     ///< A whole answer of an upstream, whatever its status.
+		RefusedNotRun, ///< 503 or 429: it has not run.
+		Rejected,     ///< 4xx of the gateway's own.
+		Failed,       ///< 502 or 504: it may have run.
+		Broken,       ///< A stream that was cut.
+		CallerLeft,
+		Count
+	};
+
+	/// @returns The name used in logs and labels.
+	std::string_view toString(Ending _ending);
+
+	struct GatewayCounters
+	{
+		explicit GatewayCounters(Metrics& _metrics);
+
+		std::array<prometheus::Counter*, std::size_t(Ending::Count)> requests{};
+		prometheus::Histogram& totalSeconds;
+		prometheus::Histogram& firstSeconds;
+		prometheus::Counter& sends;
+		prometheus::Counter& resends;
+		prometheus::Counter& storeCalls;
+		prometheus::Counter& storeFailures;
+		prometheus::Counter& connectionsOpened;
+		prometheus::Gauge& configurationVersion;
+		prometheus::Gauge& proofAgeMs;
+	};
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/dispatch.cpp
@@ -0,0 +1,121 @@
+/// The stage that sends a request to upstreams until one answers or no further try is allowed.
+#include "aio/task.h"
+#include "archdyke/come_back.h"
+#include "gateway/relay.h"
+#include "log.h"
+#include "process.h"
+
+namespace archdyke::gateway
+{
+	namespace
+	{
+		constexpr int kBadGateway = 502;
+		constexpr int kUnavailable = 503;
+
+		RetryBounds retryBounds(const GatewayState& _state)
+		{
+			/// Share of the budget that is used, so that windows that slide between two
+			/// gateways' counts don't add up to more.
+			constexpr double kUsedShare = 0.8;
+			/// Gateways among which the fixed allowance is dealt while their number is unknown.
+			constexpr double kAssumedGateways = 64.0;
+			const Bounds& bounds = _state.settings.bounds;
+			return {kUsedShare * bounds.retryRatio, kUsedShare * bounds.retryAllowance / kAssumedGateways, bounds.retryWindowMs};
+		}
+
+		/// @param[in] _unknown Whether a try may have run: no promise is made then.
+		Refusal refusalOf(RequestContext& _context, bool _unknown, RefusalCause _cause, const std::string& _reason)
+		{
+			if (_unknown)
+			{
+				return {kBadGateway, std::nullopt, _reason};
+			}
+			const Millis left = _context.deadlineAt - nowMs();
+			return {kUnavailable, comeBackAfter(_cause, std::nullopt, left, _context.state.random), std::string(toString(_cause))};
+		}
+
+		void noteHealth(Upstream& _upstream, const TryResult& _result)
+		{
+			const bool failed = !_result.answered;
+			const bool before = isSuspended(_upstream.health, nowMs());
+			noteTry(_upstream.health, failed, nowMs());
+			if (before != isSuspended(_upstream.health, nowMs()))
+			{
+				logInfo(before ? "upstream_resumed" : "upstream_suspended", {{"upstream", _upstream.record.incarnation}, {"service", _upstream.record.service}, {"failures_in_a_row", _upstream.health.failuresInARow}, {"failure_rate", _upstream.health.failureRate}, {"reason", _result.reason}});
+			}
+		}
+
+		bool mayTryAgain(RequestContext& _context, const TryResult& _result)
+		{
+			const bool resumable = _context.route->stream && _context.route->resumable;
+			const FailedTry failedTry{_result.proof, _result.refusal, _context.sends - 1, mayRepeat(*_context.route), _context.headSent && !resumable, _context.deadlineAt - nowMs()};
+			const NextStep next = decideNext(failedTry);
+			const bool wanted = NextStep::Retry == next || NextStep::RetryOnBudget == next;
+			if (!wanted || _context.sends >= _context.route->maxAttempts)
+			{
+				return false;
+			}
+			if (!takeResend(_context.state.retries[_context.service], retryBounds(_context.state), nowMs()))
+			{
+				_context.reason += ",retry_budget_spent";
+				return false;
+			}
+			return true;
+		}
+
+		void logTry(const RequestContext& _context, const Upstream& _upstream, const TryResult& _result)
+		{
+			logInfo("try_failed", {{"request", _context.caller.id}, {"send", _context.sends}, {"upstream", _upstream.record.incarnation}, {"address", _upstream.record.address}, {"not_run_proved", Proof::NotRun == _result.proof}, {"reason", _result.reason}, {"left_ms", _context.deadlineAt - nowMs()}, {"catalog", _context.catalog->catalog.version}});
+		}
+	} // namespace
+
+	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context)
+	{
+		GatewayState& state = _context.state;
+		bool unknownBefore = false;
+		while (true)
+		{
+			const UpstreamRef upstream = state.board.choose(_context.service, _context.tried, state.random, nowMs());
+			if (nullptr == upstream)
+			{
+				_context.reason += "no_upstream";
+				co_return refusalOf(_context, unknownBefore, RefusalCause::NoUpstream, "no_upstream_left");
+			}
+			_context.tried.insert(upstream->record.incarnation);
+			_context.upstream = upstream->record.incarnation;
+			if (0 == _context.sends)
+			{
+				noteFirstSend(state.retries[_context.service], nowMs());
+			}
+			(0 == _context.sends ? state.counters.sends : state.counters.resends).Increment();
+			_context.sends += 1;
+			TryResult result = co_await tryUpstream(_context, upstream);
+			noteHealth(*upstream, result);
+			if (result.answered)
+			{
+				_context.ending = Ending::Answered;
+				co_return std::nullopt;
+			}
+			logTry(_context, *upstream, result);
+			_context.reason += (_context.reason.empty() ? "" : ",") + result.reason;
+			unknownBefore = unknownBefore || Proof::NotRun != result.proof;
+			if (mayTryAgain(_context, result))
+			{
+				continue;
+			}
+			if (result.failure)
+			{
+				http::ResponseHead head = state.codec.encodeAnswer(result.failure->head);
+				head.keepAlive = _context.keepAlive && !state.leaving;
+				_context.keepAlive = head.keepAlive;
+				_context.headSent = true;
+				_context.status = head.status;
+				_context.ending = Ending::Answered;
+				std::string bytes = http::serialize(head, result.failure->body);
+				co_await _context.connection.write(std::move(bytes));
+				co_return std::nullopt;
+			}
+			co_return refusalOf(_context, unknownBefore, RefusalCause::Overloaded, result.reason);
+		}
+	}
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/gateway_process.cpp
@@ -0,0 +1,169 @@
+#include "gateway/gateway_process.h"
+
+#include <nlohmann/json.hpp>
+
+#include "aio/task.h"
+#include "gateway/caller_server.h"
+#include "gateway/daemon.h"
+#include "http/http_listener.h"
+#include "log.h"
+#include "process.h"
+#include "version.h"
+
+namespace archdyke::gateway
+{
+	namespace
+	{
+		/// After the stop signal, requests are served this long, ms: the balancer before the
+		/// gateways asks for readiness every second and takes two misses.
+		constexpr Millis kServeAfterStopMs = 2'600;
+		/// The process ends this long before it would be killed, ms.
+		constexpr Millis kStopMarginMs = 300;
+		constexpr Millis kStopLookMs = 20;
+
+		/// The parts of a gateway, in the order in which they are made.
+		class GatewayProcess
+		{
+		public:
+			GatewayProcess(const Deployment& _deployment, GatewaySettings _settings, std::string _settingsPath, kj::AsyncIoContext& _io)
+			    : path(std::move(_settingsPath))
+			    , io(_io)
+			    , loop{_io.provider->getNetwork(), _io.provider->getTimer()}
+			    , counters(this->metrics)
+			    , state(std::move(_settings), _deployment.codec, this->loop, this->counters, randomId())
+			    , tableStore(_deployment.makeStore(this->loop, this->state.settings.place.store))
+			    , watch(this->state, *this->tableStore, _deployment.tables, _deployment.decoders)
+			    , callers(this->state, this->state.settings.callers)
+			    , readiness(this->loop, this->state.settings.readiness, http::serveRequests([this](const http::RequestHead&) {
+				    return this->readinessAnswer();
+			    }))
+			    , admin(this->loop, this->state.settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
+				    return this->adminAnswer(_head);
+			    }))
+			{
+				const Place& place = this->state.settings.place;
+				logInfo("start", {{"version", kVersion}, {"zone", place.zone}, {"callers", this->state.settings.callers}, {"store", place.store}, {"metrics", place.metrics}, {"settings", this->path}});
+				this->reloading = this->reload().take().eagerlyEvaluate(nullptr);
+			}
+
+			/// Serves until a stop signal; then lets what is under way end.
+			aio::Task<void> run()
+			{
+				co_await stopSignal(this->io.unixEventPort);
+				const Millis stoppedAt = nowMs();
+				this->state.leaving = true;
+				this->state.leavingSince = stoppedAt;
+				logInfo("leaving", {{"in_flight", this->state.inFlight}, {"grace_ms", this->state.settings.bounds.graceMs}});
+				const Millis serveUntil = stoppedAt + std::min(kServeAfterStopMs, this->state.settings.bounds.graceMs / 3);
+				const Millis endBy = stoppedAt + this->state.settings.bounds.graceMs - kStopMarginMs;
+				bool idleClosed = false;
+				while (nowMs() < endBy && (nowMs() < serveUntil || 0 < this->state.inFlight))
+				{
+					co_await this->loop.timer.afterDelay(kStopLookMs * kj::MILLISECONDS);
+					if (!idleClosed && serveUntil <= nowMs())
+					{
+						this->callers.closeIdle();
+						idleClosed = true;
+					}
+				}
+				logInfo("stop", {{"unfinished", this->state.inFlight}, {"after_ms", nowMs() - stoppedAt}});
+			}
+
+		private:
+			bool isReady() const
+			{
+				return !this->state.leaving && nullptr != this->state.catalog && this->proofIsUsable();
+			}
+
+			/// A gateway whose proof is nearly too old for keyed requests sends callers elsewhere.
+			bool proofIsUsable() const
+			{
+				const Bounds& bounds = this->state.settings.bounds;
+				const std::optional<Millis> age = proofAge(this->state.freshness, nowMs());
+				return !bounds.strictRevocation || (age && *age < bounds.revocationMs * 3 / 5);
+			}
+
+			http::WholeAnswer readinessAnswer() const
+			{
+				const bool ready = this->isReady();
+				return {{ready ? 200 : 503, {}, true}, ready ? "ready\n" : "not ready\n"};
+			}
+
+			http::WholeAnswer adminAnswer(const http::RequestHead& _head)
+			{
+				http::WholeAnswer answer{{200, {}, true}, ""};
+				if ("/dump" == _head.target)
+				{
+					answer.head.headers.add("Content-Type", "application/json");
+					answer.body = this->dump().dump(1, '\t') + "\n";
+				}
+				else
+				{
+					this->counters.proofAgeMs.Set(double(proofAge(this->state.freshness, nowMs()).value_or(-1)));
+					answer.head.headers.add("Content-Type", "text/plain; version=0.0.4");
+					answer.body = this->metrics.serialize();
+				}
+				return answer;
+			}
+
+			nlohmann::json dump() const
+			{
+				nlohmann::json upstreams = nlohmann::json::array();
+				const Millis now = nowMs();
+				for (const UpstreamRef& upstream : this->state.board.all())
+				{
+					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}});
+				}
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", nullptr == this->state.catalog ? 0 : this->state.catalog->catalog.version}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"upstreams", upstreams}};
+			}
+
+			/// Takes new bounds from the settings file on SIGHUP. Addresses stay.
+			aio::Task<void> reload()
+			{
+				while (true)
+				{
+					co_await this->io.unixEventPort.onSignal(SIGHUP);
+					try
+					{
+						this->state.settings.bounds = loadGatewaySettings(this->path).bounds;
+						logInfo("reload", {{"settings", this->path}});
+					}
+					catch (const std::exception& error)
+					{
+						logError("reload_failed", {{"settings", this->path}, {"reason", error.what()}, {"remedy", "correct the file and send SIGHUP again; the old settings stay in force"}});
+					}
+				}
+			}
+
+			const std::string path;
+			kj::AsyncIoContext& io;
+			http::LoopParts loop;
+			Metrics metrics;
+			GatewayCounters counters;
+			GatewayState state;
+			std::unique_ptr<store::TableStore> tableStore;
+			StoreWatch watch;
+			CallerServer callers;
+			http::Listener readiness;
+			http::Listener admin;
+			kj::Promise<void> reloading = nullptr;
+		};
+	} // namespace
+
+	int runGateway(const Deployment& _deployment, int _argc, char** _argv)
+	{
+		return guardMain("archdyke-gateway", [&] {
+			const std::optional<std::string> path = settingsPath("archdyke-gateway", "Takes callers' requests to HTTP upstreams.", _argc, _argv);
+			if (!path)
+			{
+				return;
+			}
+			GatewaySettings settings = loadGatewaySettings(*path);
+			setLogName(settings.place.name);
+			captureSignals();
+			kj::AsyncIoContext io = kj::setupAsyncIo();
+			GatewayProcess process(_deployment, std::move(settings), *path, io);
+			process.run().take().wait(io.waitScope);
+		});
+	}
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/relay.cpp
@@ -0,0 +1,318 @@
+#include "gateway/relay.h"
+
+#include "aio/task.h"
+#include "log.h"
+#include "process.h"
+
+namespace archdyke::gateway
+{
+	namespace
+	{
+		using http::Part;
+		using http::PartKind;
+
+		constexpr int kOkFirst = 200;
+		constexpr int kOkLast = 299;
+		/// Longest time to connect to an upstream, ms: several times the way across zones and
+		/// the handshake; a VM that is cut off says nothing.
+		constexpr Millis kConnectMs = 400;
+		/// How long a kept connection may have rested, ms: the upstream may be closing an
+		/// older one just now, and what went into it then may have run.
+		constexpr Millis kMaxRestMs = 4'000;
+		constexpr Millis kMaxRestAtMostOnceMs = 1'000;
+		/// Kept connections are given up this long before the upstream closes them, ms.
+		constexpr Millis kRestMarginMs = 500;
+		/// How long an upstream that doesn't say keeps a connection, ms.
+		constexpr Millis kUsualRestMs = 4'000;
+		/// Largest answer that is held whole before it is handed on, bytes.
+		constexpr std::size_t kMaxAnswerBytes = std::size_t(8) << 20;
+
+		bool isSuccess(int _status)
+		{
+			return kOkFirst <= _status && _status <= kOkLast;
+		}
+
+		/// Statuses that promise that a request has not run.
+		bool promisesNotRun(int _status)
+		{
+			return 408 == _status || 421 == _status || 429 == _status || 503 == _status;
+		}
+
+		TryResult failed(Proof _proof, std::string _reason, RefusalReason _refusal = RefusalReason::None)
+		{
+			TryResult result;
+			result.proof = _proof;
+			result.refusal = _refusal;
+			result.reason = std::move(_reason);
+			return result;
+		}
+
+		/// Counts the request at its upstream while the try lasts.
+		class InFlight
+		{
+		public:
+			explicit InFlight(UpstreamRef _upstream)
+			    : upstream(std::move(_upstream))
+			{
+				this->upstream->inFlight += 1;
+			}
+
+			~InFlight()
+			{
+				this->upstream->inFlight -= 1;
+			}
+
+			InFlight(const InFlight&) = delete;
+			InFlight& operator=(const InFlight&) = delete;
+
+		private:
+			UpstreamRef upstream;
+		};
+
+		std::string requestBytes(const RequestContext& _context, const Upstream& _upstream)
+		{
+			DispatchInfo info;
+			info.incarnation = _upstream.record.incarnation;
+			info.organisation = nullptr == _context.organisation ? "" : _context.organisation->name;
+			info.budgetMs = _context.deadlineAt - nowMs();
+			info.resumeAfter = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
+			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
+		}
+
+		aio::Task<void> deliverHead(RequestContext& _context, const http::ResponseHead& _answer)
+		{
+			http::ResponseHead head = _context.state.codec.encodeAnswer(_answer);
+			head.keepAlive = _context.keepAlive && !_context.state.leaving;
+			_context.keepAlive = head.keepAlive;
+			_context.headSent = true;
+			_context.status = head.status;
+			return _context.connection.write(http::serializeChunkedHead(head));
+		}
+
+		void noteEvent(RequestContext& _context)
+		{
+			const Millis now = nowMs();
+			if (!_context.firstEventAt)
+			{
+				_context.firstEventAt = now;
+				_context.state.counters.firstSeconds.Observe(double(now - _context.received.arrivedAt) / 1'000.0);
+			}
+			else
+			{
+				_context.longestGapMs = std::max(_context.longestGapMs, now - _context.lastEventAt);
+			}
+			_context.lastEventAt = now;
+		}
+
+		/// Relays the events of a stream. Only whole events go out, each once and in order.
+		aio::Task<TryResult> relayStream(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _answer)
+		{
+			_context.splitter = {};
+			while (true)
+			{
+				Part part = co_await _upstream.next();
+				if (PartKind::End == part.kind)
+				{
+					if (!_context.splitter.rest.empty())
+					{
+						co_return failed(Proof::Ran, "stream_ended_within_an_event");
+					}
+					if (!_context.headSent)
+					{
+						co_await deliverHead(_context, _answer);
+					}
+					std::string last(http::kLastChunk);
+					co_await _context.connection.write(std::move(last));
+					TryResult done;
+					done.answered = true;
+					co_return done;
+				}
+				if (PartKind::Body != part.kind)
+				{
+					co_return failed(Proof::Ran, "stream_broke_off");
+				}
+				std::string out;
+				for (const StreamEvent& event : splitEvents(_context.splitter, part.body))
+				{
+					const std::optional<std::uint64_t> last = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
+					const EventVerdict verdict = judgeEvent(event, last);
+					if (EventVerdict::Break == verdict)
+					{
+						co_return failed(Proof::Ran, "stream_events_missing");
+					}
+					if (EventVerdict::Deliver == verdict)
+					{
+						out += event.bytes;
+						_context.delivered = event.id ? event.id : _context.delivered;
+						noteEvent(_context);
+					}
+				}
+				if (!out.empty())
+				{
+					if (!_context.headSent)
+					{
+						co_await deliverHead(_context, _answer);
+					}
+					std::string chunk = http::serializeChunk(out);
+					co_await _context.connection.write(std::move(chunk));
+				}
+			}
+		}
+
+		/// @returns The rest of an answer; none when it isn't whole.
+		aio::Task<std::optional<std::string>> readBody(http::HttpConnection& _upstream)
+		{
+			std::string body;
+			while (true)
+			{
+				Part part = co_await _upstream.next();
+				if (PartKind::End == part.kind)
+				{
+					co_return body;
+				}
+				if (PartKind::Body != part.kind || body.size() + part.body.size() > kMaxAnswerBytes)
+				{
+					co_return std::nullopt;
+				}
+				body += part.body;
+			}
+		}
+
+		aio::Task<TryResult> handOn(RequestContext& _context, http::WholeAnswer _answer)
+		{
+			http::ResponseHead head = _context.state.codec.encodeAnswer(_answer.head);
+			head.keepAlive = _context.keepAlive && !_context.state.leaving;
+			_context.keepAlive = head.keepAlive;
+			_context.headSent = true;
+			_context.status = head.status;
+			std::string bytes = http::serialize(head, _answer.body);
+			co_await _context.connection.write(std::move(bytes));
+			TryResult done;
+			done.answered = true;
+			co_return done;
+		}
+
+		/// An answer that is no success: may prove that the request didn't run.
+		aio::Task<TryResult> judgeFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, AnswerInfo _info)
+		{
+			const std::optional<std::string> body = co_await readBody(_upstream);
+			const std::string reason = fmt::format("upstream_status_{}", _head.status);
+			if (_info.provedNotRun)
+			{
+				co_return failed(Proof::NotRun, reason, _info.wrongIncarnation ? RefusalReason::WrongIncarnation : RefusalReason::Overloaded);
+			}
+			TryResult result = failed(Proof::Ran, reason);
+			if (body && !promisesNotRun(_head.status) && !_context.headSent)
+			{
+				result.failure = http::WholeAnswer{_head, *body};
+			}
+			co_return result;
+		}
+
+		/// @returns The head of this request's answer, with answers to others passed over.
+		aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream)
+		{
+			while (true)
+			{
+				Part part = co_await _upstream.next();
+				if (PartKind::Head != part.kind)
+				{
+					co_return std::nullopt;
+				}
+				const AnswerInfo info = _context.state.codec.decodeAnswer(part.response);
+				if (info.requestId == _context.caller.id)
+				{
+					co_return part.response;
+				}
+				logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}});
+				const std::optional<std::string> skipped = co_await readBody(_upstream);
+				if (!skipped)
+				{
+					co_return std::nullopt;
+				}
+			}
+		}
+
+		aio::Task<TryResult> relayBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, AnswerInfo _info)
+		{
+			if (!isSuccess(_head.status))
+			{
+				co_return co_await judgeFailure(_context, _upstream, _head, _info);
+			}
+			if (!_info.signedByUpstream || _info.encoded)
+			{
+				const char* reason = _info.encoded ? "answer_encoded" : "answer_unsigned";
+				co_return failed(Proof::Ran, reason);
+			}
+			if (_context.route->stream)
+			{
+				co_return co_await relayStream(_context, _upstream, _head);
+			}
+			std::optional<std::string> body = co_await readBody(_upstream);
+			if (!body)
+			{
+				co_return failed(Proof::Ran, "answer_broke_off");
+			}
+			http::WholeAnswer whole{_head, std::move(*body)};
+			co_return co_await handOn(_context, std::move(whole));
+		}
+
+		aio::Task<TryResult> relayAnswer(RequestContext& _context, http::Lease& _lease)
+		{
+			http::HttpConnection& upstream = *_lease.connection;
+			const std::optional<http::ResponseHead> head = co_await readHead(_context, upstream);
+			if (!head)
+			{
+				co_return failed(Proof::Unknown, "no_answer_head");
+			}
+			const AnswerInfo info = _context.state.codec.decodeAnswer(*head);
+			TryResult result = co_await relayBody(_context, upstream, *head, info);
+			if (head->keepAlive)
+			{
+				result.restMs = info.restMs.value_or(kUsualRestMs) - kRestMarginMs;
+			}
+			co_return result;
+		}
+	} // namespace
+
+	aio::Task<TryResult> tryUpstream(RequestContext& _context, UpstreamRef _upstream)
+	{
+		const InFlight inFlight(_upstream);
+		GatewayState& state = _context.state;
+		http::ConnectOptions options;
+		options.connectTimeoutMs = std::min(kConnectMs, std::max<Millis>(1, _context.deadlineAt - nowMs()));
+		options.maxRestMs = mayRepeat(*_context.route) ? kMaxRestMs : kMaxRestAtMostOnceMs;
+		http::Lease lease;
+		std::string connectError;
+		try
+		{
+			lease = co_await state.pool.take(_upstream->record.address, options);
+		}
+		catch (const kj::Exception& error)
+		{
+			connectError = error.getDescription().cStr();
+		}
+		if (nullptr == lease.connection)
+		{
+			co_return failed(Proof::NotRun, "connect_failed: " + connectError, RefusalReason::None);
+		}
+		_context.maybeRunning = true;
+		bool written = false;
+		const kj::Promise<void> writing = lease.connection->write(requestBytes(_context, *_upstream)).take().then([&written] {
+			written = true;
+		}).eagerlyEvaluate([](kj::Exception&&) {
+			// Whoever reads the answer sees the broken connection too, and judges it.
+		});
+		TryResult result = co_await relayAnswer(_context, lease);
+		const bool wholeExchange = result.answered || result.failure || RefusalReason::None != result.refusal;
+		if (wholeExchange && written && result.restMs)
+		{
+			state.pool.giveBack(std::move(lease), *result.restMs);
+		}
+		if (Proof::NotRun == result.proof && !result.answered)
+		{
+			_context.maybeRunning = false;
+		}
+		co_return result;
+	}
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/relay.h
@@ -0,0 +1,22 @@
+/// One try at one upstream, and the way of its answer to the caller.
+#pragma once
+
+#include "archdyke/retry.h"
+#include "gateway/request.h"
+
+namespace archdyke::gateway
+{
+	/// How a try ended.
+	struct TryResult
+	{
+		bool answered = false;                     ///< The caller has the whole answer.
+		Proof proof = Proof::Unknown;              ///< If not answered.
+		RefusalReason refusal = RefusalReason::None;
+		std::optional<http::WholeAnswer> failure;  ///< A failure of the upstream's own that may be handed on.
+		std::optional<Millis> restMs;              ///< How long the connection may be kept; none to close it.
+		std::string reason;                        ///< For the log.
+	};
+
+	/// Sends the request to an upstream and relays the answer.
+	aio::Task<TryResult> tryUpstream(RequestContext& _context, UpstreamRef _upstream);
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/request.h
@@ -0,0 +1,73 @@
+/// One request of a caller on its way through the gateway.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "archdyke/event_stream.h"
+#include "gateway/state.h"
+
+namespace archdyke::gateway
+{
+	/// A whole request as it was read.
+	struct ReceivedRequest
+	{
+		http::RequestHead head;
+		std::string body;
+		Millis arrivedAt = 0; ///< When its head was whole.
+	};
+
+	/// How a connection goes on after a request.
+	enum class AfterRequest
+	{
+		KeepOpen,
+		Close ///< The answer was cut, or the caller is gone.
+	};
+
+	/// What the pipeline knows of a request. Each stage fills in its part.
+	struct RequestContext
+	{
+		GatewayState& state;
+		http::HttpConnection& connection;
+		ReceivedRequest received;
+
+		CallerRequest caller;          ///< decode
+		std::shared_ptr<const CatalogIndex> catalog;
+		const CatalogRoute* route = nullptr;               ///< resolve; points into catalog
+		const CatalogOrganisation* organisation = nullptr; ///< authenticate; points into catalog
+		std::string service;                               ///< resolve
+		Millis deadlineAt = 0;                             ///< resolve
+
+		std::set<std::string> tried;   ///< dispatch: incarnations.
+		std::uint32_t sends = 0;
+		bool maybeRunning = false;     ///< A try was sent whose end isn't proved.
+		bool headSent = false;         ///< relay: bytes of an answer went to the caller.
+		bool keepAlive = true;
+		EventSplitter splitter;
+		std::optional<std::uint64_t> delivered; ///< Last event that went to the caller.
+		std::optional<Millis> firstEventAt;
+		Millis lastEventAt = 0;
+		Millis longestGapMs = 0;
+		int status = 0;
+		std::string upstream; ///< Last incarnation tried.
+		std::string reason;   ///< Why it ended as it did; for the log.
+		std::optional<Millis> comeBackMs;
+		Ending ending = Ending::Failed;
+
+		RequestContext(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _received)
+		    : state(_state)
+		    , connection(_connection)
+		    , received(std::move(_received))
+		{
+		}
+	};
+
+	/// Takes a request through all stages: resolve, authenticate, admit, dispatch, relay,
+	/// account. Never throws for what the world does.
+	aio::Task<AfterRequest> runRequest(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _received);
+
+	/// Sends a request to upstreams until it is answered or no further try is allowed.
+	/// @returns A refusal of the gateway's own; none when an upstream's answer was delivered.
+	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context);
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/settings.h
@@ -0,0 +1,62 @@
+/// Settings of archdyke-gateway and archdyke-sidecar: JSON with comments, checked. Fields
+/// that nobody knows are passed over, since a deployment may fill in more.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "archdyke/types.h"
+
+namespace archdyke::gateway
+{
+	/// Bounds that the deployment sets.
+	struct Bounds
+	{
+		Millis revocationMs = 5'000;   ///< A withdrawn key works no longer than this.
+		bool strictRevocation = true;  ///< Also while the store can't be reached.
+		Millis graceMs = 8'000;        ///< From the stop signal to the kill.
+		double retryRatio = 0.2;       ///< Resends for each request, over all gateways.
+		Millis retryWindowMs = 10'000;
+		double retryAllowance = 0.0;   ///< Resends of a window beyond the ratio, over all gateways.
+		Millis stallMs = 1'500;        ///< A group with a lost member stands still this long.
+
+		bool operator==(const Bounds&) const = default;
+	};
+
+	/// What both daemons know of where they run.
+	struct Place
+	{
+		std::string name;
+		std::string zone;
+		std::string ip;
+		int peerPort = 0; ///< Where the daemons of the deployment talk to each other; alike on all machines.
+		std::string metrics; ///< IP:port of counters, histograms and state dump.
+		std::string store;   ///< IP:port of the metadata store.
+
+		bool operator==(const Place&) const = default;
+	};
+
+	struct GatewaySettings
+	{
+		Place place;
+		std::string callers;   ///< IP:port where callers are served.
+		std::string readiness; ///< IP:port of the readiness answer.
+		Bounds bounds;
+
+		bool operator==(const GatewaySettings&) const = default;
+	};
+
+	struct SidecarSettings
+	{
+		Place place;
+		std::string upstream; ///< IP:port of the engine rank on this VM.
+		std::string service;
+		Bounds bounds;
+
+		bool operator==(const SidecarSettings&) const = default;
+	};
+
+	/// @throws InvalidInputError Listing all that is wrong.
+	GatewaySettings loadGatewaySettings(const std::string& _path);
+	SidecarSettings loadSidecarSettings(const std::string& _path);
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/gateway/state.h
@@ -0,0 +1,58 @@
+/// What the stages of the gateway's pipeline share. All of it lives on one event loop.
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+#include <string>
+
+#include "archdyke/catalog.h"
+#include "archdyke/freshness.h"
+#include "archdyke/retry_window.h"
+#include "gateway/board.h"
+#include "gateway/codec.h"
+#include "gateway/counters.h"
+#include "gateway/settings.h"
+#include "http/connection_pool.h"
+
+namespace archdyke::gateway
+{
+	/// What is known of the load and the state of a group of engine ranks.
+	struct GroupView
+	{
+		bool open = true;
+		double passMs = 0.0; ///< Mean time of the last passes; 0 when unknown.
+		std::uint32_t gateways = 1; ///< That ask for this view.
+		Millis at = 0;
+
+		bool operator==(const GroupView&) const = default;
+	};
+
+	struct GatewayState
+	{
+		GatewaySettings settings;
+		Codec codec;
+		http::LoopParts loop;
+		GatewayCounters& counters;
+		Board board;
+		http::ConnectionPool pool;
+		Random random;
+		std::shared_ptr<const CatalogIndex> catalog; ///< Null until the first one is known.
+		Freshness freshness;
+		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
+		absl::flat_hash_map<std::string, GroupView> groups;    ///< By service.
+		bool leaving = false;
+		Millis leavingSince = 0;
+		std::uint32_t inFlight = 0;
+
+		GatewayState(GatewaySettings _settings, Codec _codec, http::LoopParts _loop, GatewayCounters& _counters, std::uint64_t _seed)
+		    : settings(std::move(_settings))
+		    , codec(_codec)
+		    , loop(_loop)
+		    , counters(_counters)
+		    , board(this->settings.place.zone)
+		    , pool(_loop)
+		    , random(_seed)
+		{
+		}
+	};
+} // namespace archdyke::gateway
--- /dev/null
+++ b/src/http/http_connection.cpp
@@ -0,0 +1,318 @@
+#include "http/http_connection.h"
+
+#include <array>
+#include <http_parser.h>
+#include <memory>
+
+namespace archdyke::http
+{
+	namespace
+	{
+		/// Read at once, bytes.
+		constexpr std::size_t kReadBytes = 16'384;
+		/// Parsed bytes that wait for a reader before the connection stops reading. Holds
+		/// several events of a stream; one slow reader costs no more than this.
+		constexpr std::size_t kHeldBytes = 262'144;
+	} // namespace
+
+	/// State of the parser library for one connection.
+	struct HttpConnection::Parser
+	{
+		http_parser raw{};
+		http_parser_settings callbacks{};
+		HttpConnection& owner;
+		MessageLimits limits;
+		Side side;
+
+		std::string target;
+		Headers headers;
+		std::size_t headBytes = 0;
+		std::size_t bodyBytes = 0;
+		bool valueSeen = true;
+		bool noBody = false;
+		bool inMessage = false;
+		bool interim = false;
+		PartKind failure = PartKind::Garbage;
+
+		Parser(HttpConnection& _owner, Side _side, MessageLimits _limits)
+		    : owner(_owner)
+		    , limits(_limits)
+		    , side(_side)
+		{
+			http_parser_init(&this->raw, Side::Server == _side ? HTTP_REQUEST : HTTP_RESPONSE);
+			this->raw.data = this;
+			http_parser_settings_init(&this->callbacks);
+			this->callbacks.on_message_begin = [](http_parser* _raw) {
+				return of(_raw).begin();
+			};
+			this->callbacks.on_url = [](http_parser* _raw, const char* _at, std::size_t _size) {
+				return of(_raw).addTo(of(_raw).target, _at, _size);
+			};
+			this->callbacks.on_header_field = [](http_parser* _raw, const char* _at, std::size_t _size) {
+				return of(_raw).headerName(_at, _size);
+			};
+			this->callbacks.on_header_value = [](http_parser* _raw, const char* _at, std::size_t _size) {
+				return of(_raw).headerValue(_at, _size);
+			};
+			this->callbacks.on_headers_complete = [](http_parser* _raw) {
+				return of(_raw).headDone();
+			};
+			this->callbacks.on_body = [](http_parser* _raw, const char* _at, std::size_t _size) {
+				return of(_raw).bodyPiece(_at, _size);
+			};
+			this->callbacks.on_message_complete = [](http_parser* _raw) {
+				return of(_raw).end();
+			};
+		}
+
+		static Parser& of(http_parser* _raw)
+		{
+			return *static_cast<Parser*>(_raw->data);
+		}
+
+		int begin()
+		{
+			this->target.clear();
+			this->headers = {};
+			this->headBytes = 0;
+			this->bodyBytes = 0;
+			this->valueSeen = true;
+			this->inMessage = true;
+			return 0;
+		}
+
+		int addTo(std::string& _text, const char* _at, std::size_t _size)
+		{
+			_text.append(_at, _size);
+			this->headBytes += _size;
+			if (this->headBytes > this->limits.headerBytes)
+			{
+				this->failure = PartKind::HeadSize;
+				return 1;
+			}
+			return 0;
+		}
+
+		int headerName(const char* _at, std::size_t _size)
+		{
+			if (this->valueSeen)
+			{
+				this->headers.lines.emplace_back();
+				this->valueSeen = false;
+			}
+			return this->addTo(this->headers.lines.back().name, _at, _size);
+		}
+
+		int headerValue(const char* _at, std::size_t _size)
+		{
+			this->valueSeen = true;
+			return this->addTo(this->headers.lines.back().value, _at, _size);
+		}
+
+		/// @returns 1 to skip the body, as the library asks for.
+		int headDone()
+		{
+			this->interim = Side::Client == this->side && 200 > this->raw.status_code;
+			if (this->interim)
+			{
+				return 1;
+			}
+			Part part;
+			part.kind = PartKind::Head;
+			const bool keepAlive = 0 != http_should_keep_alive(&this->raw);
+			if (Side::Server == this->side)
+			{
+				part.request = {http_method_str(http_method(this->raw.method)), this->target, this->headers, keepAlive};
+			}
+			else
+			{
+				part.response = {int(this->raw.status_code), this->headers, keepAlive};
+			}
+			this->owner.take(std::move(part));
+			return this->noBody ? 1 : 0;
+		}
+
+		int bodyPiece(const char* _at, std::size_t _size)
+		{
+			this->bodyBytes += _size;
+			if (this->bodyBytes > this->limits.bodyBytes)
+			{
+				this->failure = PartKind::BodySize;
+				return 1;
+			}
+			Part part;
+			part.kind = PartKind::Body;
+			part.body.assign(_at, _size);
+			this->owner.take(std::move(part));
+			return 0;
+		}
+
+		int end()
+		{
+			this->inMessage = false;
+			if (!this->interim)
+			{
+				Part part;
+				part.kind = PartKind::End;
+				this->owner.take(std::move(part));
+			}
+			return 0;
+		}
+
+		/// @returns false when the bytes are no message, or too many.
+		bool feed(const char* _bytes, std::size_t _size)
+		{
+			this->failure = PartKind::Garbage;
+			const std::size_t parsed = http_parser_execute(&this->raw, &this->callbacks, _bytes, _size);
+			return HPE_OK == HTTP_PARSER_ERRNO(&this->raw) && parsed == _size && 0 == this->raw.upgrade;
+		}
+	};
+
+	HttpConnection::HttpConnection(kj::Own<kj::AsyncIoStream> _stream, Side _side, MessageLimits _limits)
+	    : stream(kj::mv(_stream))
+	    , parser(std::make_unique<Parser>(*this, _side, _limits))
+	    , goneFork(nullptr)
+	{
+		auto paf = kj::newPromiseAndFulfiller<void>();
+		this->goneFulfiller = kj::mv(paf.fulfiller);
+		this->goneFork = paf.promise.fork();
+		this->pumping = this->pump().take().eagerlyEvaluate(nullptr);
+	}
+
+	HttpConnection::~HttpConnection() = default;
+
+	aio::Task<void> HttpConnection::pump()
+	{
+		std::array<char, kReadBytes> buffer;
+		while (!this->gone)
+		{
+			if (this->heldBytes > kHeldBytes)
+			{
+				auto paf = kj::newPromiseAndFulfiller<void>();
+				this->roomWaiter = kj::mv(paf.fulfiller);
+				co_await kj::mv(paf.promise);
+			}
+			std::size_t size = 0;
+			bool broken = false;
+			try
+			{
+				size = co_await this->stream->tryRead(buffer.data(), 1, buffer.size());
+			}
+			catch (const kj::Exception&)
+			{
+				broken = true; // a reset; told to the reader as such
+			}
+			if (broken)
+			{
+				this->markGone(PartKind::Reset);
+			}
+			else if (0 == size)
+			{
+				// Ends an answer that is delimited by the end of its connection.
+				const bool whole = this->parser->feed(nullptr, 0) && !this->parser->inMessage;
+				this->markGone(whole ? PartKind::Closed : PartKind::Reset);
+			}
+			else if (!this->parser->feed(buffer.data(), size))
+			{
+				this->markGone(this->parser->failure);
+			}
+		}
+	}
+
+	void HttpConnection::take(Part _part)
+	{
+		this->heldBytes += _part.body.size();
+		this->parts.push_back(std::move(_part));
+		KJ_IF_MAYBE (waiter, this->partWaiter)
+		{
+			(*waiter)->fulfill();
+			this->partWaiter = nullptr;
+		}
+	}
+
+	void HttpConnection::markGone(PartKind _how)
+	{
+		if (this->gone)
+		{
+			return;
+		}
+		this->gone = true;
+		Part part;
+		part.kind = _how;
+		this->take(std::move(part));
+		this->goneFulfiller->fulfill();
+	}
+
+	aio::Task<Part> HttpConnection::next()
+	{
+		while (this->parts.empty())
+		{
+			auto paf = kj::newPromiseAndFulfiller<void>();
+			this->partWaiter = kj::mv(paf.fulfiller);
+			co_await kj::mv(paf.promise);
+		}
+		const bool last = this->gone && 1 == this->parts.size();
+		if (last)
+		{
+			co_return this->parts.front();
+		}
+		Part part = std::move(this->parts.front());
+		this->parts.pop_front();
+		this->heldBytes -= part.body.size();
+		KJ_IF_MAYBE (waiter, this->roomWaiter)
+		{
+			if (this->heldBytes <= kHeldBytes)
+			{
+				(*waiter)->fulfill();
+				this->roomWaiter = nullptr;
+			}
+		}
+		co_return part;
+	}
+
+	kj::Promise<void> HttpConnection::whenGone()
+	{
+		return this->goneFork.addBranch();
+	}
+
+	aio::Task<void> HttpConnection::write(std::string _bytes)
+	{
+		if (nullptr == this->stream.get())
+		{
+			kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the connection was closed here"));
+		}
+		co_await this->stream->write(_bytes.data(), _bytes.size());
+	}
+
+	bool HttpConnection::hasUnread() const
+	{
+		return !this->parts.empty();
+	}
+
+	bool HttpConnection::isGone() const
+	{
+		return this->gone;
+	}
+
+	bool HttpConnection::midMessage() const
+	{
+		return this->parser->inMessage;
+	}
+
+	void HttpConnection::setLimits(MessageLimits _limits)
+	{
+		this->parser->limits = _limits;
+	}
+
+	void HttpConnection::expectNoBody()
+	{
+		this->parser->noBody = true;
+	}
+
+	void HttpConnection::close()
+	{
+		this->pumping = nullptr;
+		this->stream = nullptr;
+		this->markGone(PartKind::Reset);
+	}
+} // namespace archdyke::http
--- /dev/null
+++ b/src/http/http_listener.cpp
@@ -0,0 +1,92 @@
+#include "http/http_listener.h"
+
+#include "aio/task.h"
+#include "http/socket_address.h"
+#include "log.h"
+
+namespace archdyke::http
+{
+	namespace
+	{
+		kj::Own<kj::ConnectionReceiver> bind(LoopParts _loop, const std::string& _address)
+		{
+			sockaddr_in target = socketAddress(_address);
+			return _loop.network.getSockaddr(&target, sizeof(target))->listen();
+		}
+
+		aio::Task<void> serveSmall(std::unique_ptr<HttpConnection> _connection, RequestHandler _handler)
+		{
+			RequestHead head;
+			while (true)
+			{
+				Part part = co_await _connection->next();
+				if (PartKind::Head == part.kind)
+				{
+					head = std::move(part.request);
+				}
+				else if (PartKind::End == part.kind)
+				{
+					WholeAnswer answer = _handler(head);
+					answer.head.keepAlive = head.keepAlive;
+					std::string bytes = serialize(answer.head, answer.body);
+					co_await _connection->write(std::move(bytes));
+					if (!head.keepAlive)
+					{
+						co_return;
+					}
+				}
+				else if (PartKind::Body != part.kind)
+				{
+					co_return;
+				}
+			}
+		}
+	} // namespace
+
+	Listener::Listener(LoopParts _loop, const std::string& _address, ConnectionHandler _handler)
+	    : handler(std::move(_handler))
+	    , receiver(bind(_loop, _address))
+	    , connections(*this)
+	{
+		this->accepting = this->accept().take().eagerlyEvaluate([](kj::Exception&& _error) {
+			logError("accept_stopped", {{"reason", _error.getDescription().cStr()}, {"remedy", "raise the limit of file descriptors"}});
+		});
+	}
+
+	aio::Task<void> Listener::accept()
+	{
+		while (true)
+		{
+			kj::Own<kj::AsyncIoStream> stream = co_await this->receiver->accept();
+			auto connection = std::make_unique<HttpConnection>(kj::mv(stream), Side::Server, MessageLimits());
+			this->connections.add(this->handler(std::move(connection)).take());
+		}
+	}
+
+	void Listener::taskFailed(kj::Exception&& _error)
+	{
+		// A caller whose connection broke: its request was accounted for where it ended.
+		if (kj::Exception::Type::DISCONNECTED != _error.getType())
+		{
+			logWarning("connection_failed", {{"reason", _error.getDescription().cStr()}});
+		}
+	}
+
+	void Listener::stopAccepting()
+	{
+		this->accepting = nullptr;
+		this->receiver = nullptr;
+	}
+
+	unsigned Listener::port()
+	{
+		return this->receiver->getPort();
+	}
+
+	ConnectionHandler serveRequests(RequestHandler _handler)
+	{
+		return [handler = std::move(_handler)](std::unique_ptr<HttpConnection> _connection) {
+			return serveSmall(std::move(_connection), handler);
+		};
+	}
+} // namespace archdyke::http
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,7 +1,14 @@
 #include "log.h"
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
 #include <chrono>
 #include <fmt/chrono.h>
+#include <optional>
+#include <poll.h>
+#include <unistd.h>
+
+#include "process.h"
 
 namespace archdyke
 {
@@ -37,8 +44,72 @@
 			_line += '"';
 		}
 
+		/// Lines of one event that may come at once, and that come back a second. Above the
+		/// requests of a gateway on a usual day (10 a second); some 10 KB a second at most.
+		constexpr double kBurstLines = 100.0;
+		constexpr double kLinesPerSecond = 40.0;
+
+		/// What one event may still write.
+		struct EventBudget
+		{
+			double lines = kBurstLines;
+			Millis at = 0;
+			std::uint64_t leftOut = 0;
+		};
+
+		/// Lines that go out, by event. One for the process.
+		class Output
+		{
+		public:
+			/// @returns Lines of the event left out since its last one; none when this one has
+			/// to be left out too.
+			std::optional<std::uint64_t> admit(std::string_view _event)
+			{
+				absl::MutexLock lock(&this->mutex);
+				EventBudget& budget = this->budgets[std::string(_event)];
+				const Millis now = nowMs();
+				budget.lines = std::min(kBurstLines, budget.lines + double(now - budget.at) * kLinesPerSecond / 1000.0);
+				budget.at = now;
+				if (budget.lines < 1.0)
+				{
+					budget.leftOut += 1;
+					return std::nullopt;
+				}
+				budget.lines -= 1.0;
+				return std::exchange(budget.leftOut, 0);
+			}
+
+			/// Writes a line unless the reader is behind: a pipe that is ready takes a line of
+			/// up to PIPE_BUF bytes without blocking.
+			void put(std::string_view _event, const std::string& _line)
+			{
+				absl::MutexLock lock(&this->mutex);
+				pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+				const bool taken = 1 == poll(&ready, 1, 0) && 0 != (ready.revents & POLLOUT) && 0 < ::write(STDOUT_FILENO, _line.data(), _line.size());
+				if (!taken)
+				{
+					this->budgets[std::string(_event)].leftOut += 1;
+				}
+			}
+
+		private:
+			absl::Mutex mutex;
+			absl::flat_hash_map<std::string, EventBudget> budgets ABSL_GUARDED_BY(mutex);
+		};
+
+		Output& output()
+		{
+			static Output shared;
+			return shared;
+		}
+
 		void write(std::string_view _level, std::string_view _event, std::initializer_list<LogField> _fields)
 		{
+			const std::optional<std::uint64_t> leftOut = output().admit(_event);
+			if (!leftOut)
+			{
+				return;
+			}
 			const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 			std::string line = fmt::format("time={:%FT%T}Z level={} process={} event={}", now, _level, logName(), _event);
 			for (const LogField& field : _fields)
@@ -48,8 +119,14 @@
 				line += '=';
 				appendValue(line, field.value);
 			}
-			line += '\n';
-			fmt::print(stderr, "{}", line);
+			line += 0 < *leftOut ? fmt::format(" left_out={}\n", *leftOut) : "\n";
+			constexpr std::size_t kMaxLine = 4'000; // below PIPE_BUF
+			if (line.size() > kMaxLine)
+			{
+				line.resize(kMaxLine);
+				line += " cut=true\n";
+			}
+			output().put(_event, line);
 		}
 	} // namespace
 
--- a/src/log.h
+++ b/src/log.h
@@ -1,5 +1,8 @@
-/// Structured logs on standard error: one key=value line for each change of state.
-/// What happens per request is counted, not logged.
+/// Structured logs on standard output: one key=value line for each decision on a request and
+/// for each change of what the process believes.
+///
+/// Lines of one event are bounded in rate; the next line says how many were left out. A
+/// reader that doesn't read costs lines, never time.
 #pragma once
 
 #include <fmt/format.h>
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,8 +1,6 @@
 #include "settings.h"
 
-#include "archdyke/fields.h"
-#include "http_server.h"
-#include "process.h"
+#include "settings_reader.h"
 
 namespace archdyke
 {
@@ -10,40 +8,6 @@
 	{
 		constexpr std::int64_t kMaxSlots = 1024;
 
-		std::string checkAddress(ObjectReader& _reader, const std::string& _field, const std::string& _text)
-		{
-			try
-			{
-				parseAddress(_text);
-			}
-			catch (const InvalidInputError& error)
-			{
-				_reader.problem(_field, "\"" + _text + "\"", error.problems.front().remedy);
-			}
-			return _text;
-		}
-
-		std::string readAddress(ObjectReader& _reader, const std::string& _field)
-		{
-			const std::string text = _reader.text(_field);
-			return text.empty() ? text : checkAddress(_reader, _field, text);
-		}
-
-		template <typename Settings, typename Read>
-		Settings load(const std::string& _path, Read _read)
-		{
-			const nlohmann::json json = parseJson(_path, readFile(_path));
-			std::vector<Problem> problems;
-			ObjectReader reader(json, "", problems);
-			Settings settings = _read(reader);
-			reader.finish();
-			if (!problems.empty())
-			{
-				throw InvalidInputError(_path, std::move(problems));
-			}
-			return settings;
-		}
-
 		UpstreamSettings readUpstream(ObjectReader& _reader)
 		{
 			UpstreamSettings settings;
@@ -57,7 +21,7 @@
 
 	EntrySettings loadEntrySettings(const std::string& _path)
 	{
-		return load<EntrySettings>(_path, [](ObjectReader& _reader) {
+		return loadSettings<EntrySettings>(_path, UnknownFields::Refuse, [](ObjectReader& _reader) {
 			EntrySettings settings;
 			settings.name = _reader.text("name");
 			settings.zone = _reader.text("zone");
@@ -75,7 +39,7 @@
 
 	AgentSettings loadAgentSettings(const std::string& _path)
 	{
-		return load<AgentSettings>(_path, [](ObjectReader& _reader) {
+		return loadSettings<AgentSettings>(_path, UnknownFields::Refuse, [](ObjectReader& _reader) {
 			AgentSettings settings;
 			settings.name = _reader.text("name");
 			settings.zone = _reader.text("zone");
--- /dev/null
+++ b/src/settings_reader.h
@@ -0,0 +1,61 @@
+/// What the readers of all settings files share.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "address.h"
+#include "archdyke/fields.h"
+#include "process.h"
+
+namespace archdyke
+{
+	/// Fields that a program doesn't know.
+	enum class UnknownFields
+	{
+		Refuse,
+		PassOver ///< The file is filled in by a deployment that may know more.
+	};
+
+	/// Checks that a text is an address; notes the problem with its remedy otherwise.
+	inline std::string checkAddress(ObjectReader& _reader, const std::string& _field, const std::string& _text)
+	{
+		try
+		{
+			parseAddress(_text);
+		}
+		catch (const InvalidInputError& error)
+		{
+			_reader.problem(_field, "\"" + _text + "\"", error.problems.front().remedy);
+		}
+		return _text;
+	}
+
+	/// Reads a required address.
+	inline std::string readAddress(ObjectReader& _reader, const std::string& _field)
+	{
+		const std::string text = _reader.text(_field);
+		return text.empty() ? text : checkAddress(_reader, _field, text);
+	}
+
+	/// Reads a settings file, JSON with comments.
+	/// @param[in] _read Makes the settings of an ObjectReader.
+	/// @throws InvalidInputError Listing all that is wrong.
+	template <typename Settings, typename Read>
+	Settings loadSettings(const std::string& _path, UnknownFields _unknown, Read _read)
+	{
+		const nlohmann::json json = parseJson(_path, readFile(_path));
+		std::vector<Problem> problems;
+		ObjectReader reader(json, "", problems);
+		Settings settings = _read(reader);
+		if (UnknownFields::Refuse == _unknown)
+		{
+			reader.finish();
+		}
+		if (!problems.empty())
+		{
+			throw InvalidInputError(_path, std::move(problems));
+		}
+		return settings;
+	}
+} // namespace archdyke
--- a/tools/lab_process.cpp
+++ b/tools/lab_process.cpp
@@ -141,7 +141,7 @@
 
 	std::string ChildProcess::log() const
 	{
-		return readAll(this->logPath);
+		return readAll(this->logPath) + readAll(this->logPath + ".out");
 	}
 
 	std::string ChildProcess::output() const
