Switch expert maps from beside the ranks, by a row of the store and forward only

Ruled out: counts and orders from the gateways (each read from afar costs, each order too); the vote among agents of archdyke's own engines (these engines keep no floor and check no proposal, so a vote can't be a fact about the engine).

Safety is not yet shown by exploration; that test is next.

--- /dev/null
+++ b/src/decide/map_policy.cpp
@@ -0,0 +1,43 @@
+#include "archdyke/map_policy.h"
+
+#include <algorithm>
+
+namespace archdyke
+{
+	namespace
+	{
+		/// Skew below which a map is left alone: a pass is then this share of the experts' work
+		/// longer than it need be.
+		constexpr double kSkewTolerance = 0.15;
+		/// Skew that a switch must save at least. One takes 0.3 to 0.5 s, and the group copies
+		/// meanwhile.
+		constexpr double kLeastGain = 0.12;
+		/// Time that the copies of one rank may take, ms; the rank with most of them is the
+		/// time of the switch.
+		constexpr double kCopyBudgetMs = 250.0;
+	} // namespace
+
+	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load)
+	{
+		PlacementInput input;
+		input.ranks = _ranks;
+		input.slots = _model.places;
+		input.hosts = _hosts;
+		input.load = _load;
+		input.budget = double(_ranks) * double(_model.sets) * double(std::max<std::uint32_t>(1, _model.spare));
+		input.arrivalsPerLayer = _model.spare;
+		input.arrivalsPerRank = 0.0 < _model.expertCopyMs ? std::max<std::uint32_t>(1, std::uint32_t(kCopyBudgetMs / _model.expertCopyMs)) : 0;
+		MapDecision decision;
+		decision.skewBefore = skewOf(_hosts, _load, _ranks);
+		if (decision.skewBefore < kSkewTolerance || tokensOf(_load) <= 0.0)
+		{
+			return decision;
+		}
+		PlacementPlan plan = planMoves(input, kSkewTolerance);
+		decision.skewAfter = plan.skewAfter;
+		decision.copies = plan.staged;
+		decision.worthwhile = decision.skewBefore - plan.skewAfter >= kLeastGain;
+		decision.hosts = std::move(plan.hosts);
+		return decision;
+	}
+} // namespace archdyke
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -22,6 +22,16 @@
 			std::vector<double> tokens;                     ///< By expert.
 			std::vector<double> rankLoad;
 			double staged = 0.0;
+			std::vector<std::vector<std::uint32_t>> before; ///< Hosts at the start, by expert.
+			std::vector<std::uint32_t> arrivals;            ///< New experts, by rank.
+		};
+
+		/// Limits on the new experts of a rank; what all layers together have taken so far.
+		struct ArrivalLimits
+		{
+			std::uint32_t perRank = 0; ///< 0: any number.
+			std::uint32_t perLayer = 0;
+			std::vector<std::uint32_t> taken; ///< By rank.
 		};
 
 		/// A change of one layer: an expert gets a host, and another may lose one.
@@ -49,7 +59,7 @@
 
 		Layer makeLayer(const PlacementInput& _input, std::size_t _index)
 		{
-			Layer layer{_input.hosts[_index], std::vector<std::vector<std::uint32_t>>(_input.ranks), _input.load[_index], std::vector<double>(_input.ranks, 0.0), 0.0};
+			Layer layer{_input.hosts[_index], std::vector<std::vector<std::uint32_t>>(_input.ranks), _input.load[_index], std::vector<double>(_input.ranks, 0.0), 0.0, _input.hosts[_index], std::vector<std::uint32_t>(_input.ranks, 0)};
 			for (std::uint32_t expert = 0; expert < layer.hosts.size(); ++expert)
 			{
 				for (const std::uint32_t host : layer.hosts[expert])
@@ -71,8 +81,27 @@
 			return std::accumulate(_layer.rankLoad.begin(), _layer.rankLoad.end(), 0.0) / double(_layer.rankLoad.size());
 		}
 
+		/// Whether a rank must copy an expert that it would host.
+		bool arrives(const Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
+		{
+			const std::vector<std::uint32_t>& before = _layer.before[_expert];
+			return before.end() == std::find(before.begin(), before.end(), _rank);
+		}
+
+		bool mayArrive(const Layer& _layer, const ArrivalLimits& _limits, std::uint32_t _expert, std::uint32_t _rank)
+		{
+			if (!arrives(_layer, _expert, _rank))
+			{
+				return true;
+			}
+			const bool rankHasRoom = 0 == _limits.perRank || _limits.taken[_rank] < _limits.perRank;
+			const bool layerHasRoom = 0 == _limits.perLayer || _layer.arrivals[_rank] < _limits.perLayer;
+			return rankHasRoom && layerHasRoom;
+		}
+
 		void addHost(Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
 		{
+			_layer.arrivals[_rank] += arrives(_layer, _expert, _rank) ? 1 : 0;
 			addLoad(_layer, _expert, -1.0);
 			_layer.hosts[_expert].push_back(_rank);
 			_layer.guests[_rank].push_back(_expert);
@@ -81,6 +110,7 @@
 
 		void removeHost(Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
 		{
+			_layer.arrivals[_rank] -= arrives(_layer, _expert, _rank) ? 1 : 0;
 			addLoad(_layer, _expert, -1.0);
 			std::erase(_layer.hosts[_expert], _rank);
 			std::erase(_layer.guests[_rank], _expert);
@@ -141,10 +171,14 @@
 			return guests;
 		}
 
-		std::vector<std::uint32_t> coldestRanks(const Layer& _layer)
+		/// @returns The coldest ranks that may take an expert.
+		std::vector<std::uint32_t> coldestRanks(const Layer& _layer, const ArrivalLimits& _limits, std::uint32_t _expert)
 		{
 			std::vector<std::uint32_t> ranks(_layer.rankLoad.size());
 			std::iota(ranks.begin(), ranks.end(), 0);
+			std::erase_if(ranks, [&](std::uint32_t _rank) {
+				return !mayArrive(_layer, _limits, _expert, _rank);
+			});
 			const std::size_t count = std::min(kColdestTried, ranks.size());
 			std::partial_sort(ranks.begin(), ranks.begin() + std::ptrdiff_t(count), ranks.end(), [&](std::uint32_t _a, std::uint32_t _b) {
 				return _layer.rankLoad[_a] != _layer.rankLoad[_b] ? _layer.rankLoad[_a] < _layer.rankLoad[_b] : _a < _b;
@@ -178,7 +212,7 @@
 		}
 
 		/// All ways to relieve a hot rank of one expert through one cold rank.
-		void tryRank(Layer& _layer, std::uint32_t _hot, std::uint32_t _expert, std::uint32_t _cold, std::uint32_t _slots, double _before, Move& _best)
+		void tryRank(Layer& _layer, const ArrivalLimits& _limits, std::uint32_t _hot, std::uint32_t _expert, std::uint32_t _cold, std::uint32_t _slots, double _before, Move& _best)
 		{
 			if (_hot == _cold || hosts(_layer, _expert, _cold))
 			{
@@ -197,7 +231,7 @@
 				{
 					tryMove(_layer, {_expert, _cold, true, evicted, false, _hot, false, 0.0, 1.0}, _before, _best);
 				}
-				if (!hosts(_layer, evicted, _hot))
+				if (!hosts(_layer, evicted, _hot) && mayArrive(_layer, _limits, evicted, _hot))
 				{
 					tryMove(_layer, {_expert, _cold, true, evicted, true, _hot, true, 0.0, 2.0}, _before, _best);
 				}
@@ -205,7 +239,7 @@
 		}
 
 		/// @returns The best move of a layer; gain 0 when none helps.
-		Move bestMove(Layer& _layer, std::uint32_t _slots)
+		Move bestMove(Layer& _layer, const ArrivalLimits& _limits, std::uint32_t _slots)
 		{
 			constexpr std::size_t kGuestsTried = 2;
 			const auto hot = std::uint32_t(std::max_element(_layer.rankLoad.begin(), _layer.rankLoad.end()) - _layer.rankLoad.begin());
@@ -215,14 +249,26 @@
 			guests.resize(std::min(kGuestsTried, guests.size()));
 			for (const std::uint32_t expert : guests)
 			{
-				for (const std::uint32_t cold : coldestRanks(_layer))
+				for (const std::uint32_t cold : coldestRanks(_layer, _limits, expert))
 				{
-					tryRank(_layer, hot, expert, cold, _slots, before, best);
+					tryRank(_layer, _limits, hot, expert, cold, _slots, before, best);
 				}
 			}
 			return best;
 		}
 
+		void countArrivals(ArrivalLimits& _limits, const std::vector<Layer>& _layers)
+		{
+			std::fill(_limits.taken.begin(), _limits.taken.end(), 0);
+			for (const Layer& layer : _layers)
+			{
+				for (std::size_t rank = 0; rank < _limits.taken.size(); ++rank)
+				{
+					_limits.taken[rank] += layer.arrivals[rank];
+				}
+			}
+		}
+
 		struct Totals
 		{
 			double greatest = 0.0;
@@ -329,7 +375,11 @@
 			double gained = 0.0;
 			for (std::size_t index = 0; index < _layers.size(); ++index)
 			{
-				PlacementInput one{_input.ranks, _input.slots, {placeLayer(_layers[index].tokens, _input.ranks, _input.slots)}, {_layers[index].tokens}, 0.0};
+				PlacementInput one;
+				one.ranks = _input.ranks;
+				one.slots = _input.slots;
+				one.hosts = {placeLayer(_layers[index].tokens, _input.ranks, _input.slots)};
+				one.load = {_layers[index].tokens};
 				const Layer anew = makeLayer(one, 0);
 				const double cost = countStaged({_input.hosts[index]}, one.hosts);
 				const double saved = countStaged({_input.hosts[index]}, {_layers[index].hosts});
@@ -350,10 +400,12 @@
 		std::vector<Layer> layers;
 		std::vector<Move> best;
 		Totals totals;
+		ArrivalLimits limits{_input.arrivalsPerRank, _input.arrivalsPerLayer, std::vector<std::uint32_t>(_input.ranks, 0)};
+		const bool limited = 0 < limits.perRank || 0 < limits.perLayer;
 		for (std::size_t index = 0; index < _input.hosts.size(); ++index)
 		{
 			layers.push_back(makeLayer(_input, index));
-			best.push_back(bestMove(layers.back(), _input.slots));
+			best.push_back(bestMove(layers.back(), limits, _input.slots));
 			totals.greatest += greatest(layers.back());
 			totals.mean += meanLoad(layers.back());
 		}
@@ -374,9 +426,19 @@
 			applyMove(layers[layer], best[layer]);
 			totals.greatest += greatest(layers[layer]);
 			left -= best[layer].cost;
-			best[layer] = bestMove(layers[layer], _input.slots);
+			if (!limited)
+			{
+				best[layer] = bestMove(layers[layer], limits, _input.slots);
+				continue;
+			}
+			// What a rank has taken in one layer bounds what it may take in the others.
+			countArrivals(limits, layers);
+			for (std::size_t other = 0; other < layers.size(); ++other)
+			{
+				best[other] = bestMove(layers[other], limits, _input.slots);
+			}
 		}
-		if (totals.skew() > _skewTolerance)
+		if (!limited && totals.skew() > _skewTolerance)
 		{
 			totals.greatest -= placeAnewWhereBetter(_input, layers, left);
 		}
--- /dev/null
+++ b/src/group/coordinator.h
@@ -0,0 +1,121 @@
+/// Coordinates one group of engine ranks: watches all of them, decides when another expert
+/// map pays and carries the switch forward, and tells gateways the loads.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "archdyke/catalog.h"
+#include "archdyke/map_window.h"
+#include "archdyke/upstream_choice.h"
+#include "gateway/settings.h"
+#include "group/rank_link.h"
+#include "metrics.h"
+#include "store/table_store.h"
+
+namespace archdyke::group
+{
+	/// What a coordinator needs of its process.
+	struct CoordinatorParts
+	{
+		http::LoopParts loop;
+		store::TableStore& store;
+		store::TableNames names;
+		EngineCodec codec;
+		Catalog (*decodeCatalog)(const std::string& _document);
+		UpstreamRecord (*decodeUpstream)(const std::string& _incarnation, const std::string& _document);
+		gateway::SidecarSettings settings;
+		Metrics& metrics;
+	};
+
+	/// Why a coordinator ended.
+	enum class CoordinatorEnd
+	{
+		TermLost, ///< Another one has a newer term.
+		Count
+	};
+
+	class Coordinator
+	{
+	public:
+		/// @param[in] _row The group's row as just written by this process.
+		Coordinator(CoordinatorParts _parts, std::string _group, SwitchIntent _row, std::uint64_t _rowVersion);
+
+		/// Coordinates until another process does.
+		aio::Task<CoordinatorEnd> run();
+
+		/// @param[in] _gateway Name of the gateway that asks.
+		GroupLoads loads(const std::string& _gateway);
+
+		Coordination coordination() const;
+
+		/// @returns What it knows, for the state dump.
+		std::string describe() const;
+
+	private:
+		struct Rank
+		{
+			std::unique_ptr<RankLink> link;
+			std::unique_ptr<Engine> direct; ///< The engine itself, asked while its daemon is away.
+			std::string engineAddress;
+			RankReport report;
+			Millis seenAt = 0; ///< 0: never.
+			bool asking = false;
+		};
+
+		/// An order that was sent, so that it isn't sent again at once.
+		struct SentOrder
+		{
+			Millis at = 0;
+			bool accepted = false;
+			bool refused = false;
+		};
+
+		aio::Task<void> watchRanks();
+		aio::Task<void> watchModel();
+		aio::Task<void> checkRow();
+		aio::Task<void> observe(std::string _engine, bool _counts);
+		aio::Task<void> observeDirectly(std::string _engine);
+		aio::Task<void> send(RankOrderPlan _plan);
+		aio::Task<void> advance();
+		aio::Task<bool> writeRow(SwitchIntent _row, std::string _reason);
+		void takeUpstreams(const store::Rows& _rows);
+		void hear(Rank& _rank, const RankReport& _report);
+		void sampleCounts();
+		std::optional<SwitchIntent> plan();
+		ExpertHosts currentHosts(const std::vector<RankView>& _ranks) const;
+		std::vector<RankView> views(Millis _maxAgeMs) const;
+		std::uint64_t marginSteps() const;
+		bool switchIsOpen() const;
+		Millis lookMs() const;
+
+		CoordinatorParts parts;
+		std::string group;
+		SwitchIntent row;
+		std::uint64_t rowVersion;
+		Millis rowReadAt;
+		Millis phaseSince;
+		bool storeLost = false;
+		bool ended = false;
+		std::map<std::string, Rank> ranks; ///< By engine address.
+		std::optional<EngineModel> model;
+		std::map<RankOrderPlan, SentOrder> sent;
+		CountWindow window;
+		Millis countsAt = 0;
+		Millis plannedAt = 0;
+		double passMs = 0.0;
+		std::uint64_t lastStep = 0;
+		Millis lastStepAt = 0;
+		double lastSkew = 0.0;
+		std::map<std::string, Millis> gateways; ///< When each last asked.
+		std::uint64_t switches = 0;
+		kj::Own<kj::TaskSet::ErrorHandler> errors;
+		kj::TaskSet tasks;
+		kj::Promise<void> watching = nullptr;
+		kj::Promise<void> modelling = nullptr;
+		kj::Promise<void> checking = nullptr;
+	};
+
+	/// Where the row of a group stands.
+	store::RowKey groupRowKey(const std::string& _service, const std::string& _group);
+} // namespace archdyke::group
--- /dev/null
+++ b/src/group/engine_codec.h
@@ -0,0 +1,59 @@
+/// How the engine of one rank is asked and ordered on a deployment: plain functions that an
+/// adapter provides. They translate, and decide nothing.
+#pragma once
+
+#include <string>
+
+#include "archdyke/forward_switch.h"
+#include "http/http_message.h"
+
+namespace archdyke::group
+{
+	/// What an engine says of itself.
+	struct EngineReport
+	{
+		std::string group; ///< Empty: it is in no group.
+		std::uint32_t rank = 0;
+		std::uint32_t ranks = 0; ///< Size of the group.
+		RankView view;
+		std::uint32_t queued = 0;
+		std::uint32_t active = 0;
+
+		bool operator==(const EngineReport&) const = default;
+	};
+
+	/// How often the requests of an engine chose each expert since its start.
+	struct EngineCounts
+	{
+		std::uint64_t epoch = 0;
+		std::vector<std::uint32_t> counts; ///< Set by set.
+
+		bool operator==(const EngineCounts&) const = default;
+	};
+
+	/// An order for an engine.
+	struct EngineOrder
+	{
+		RankOrderKind kind = RankOrderKind::Prepare;
+		std::uint64_t epoch = 0;
+		std::uint64_t version = 0;
+		std::uint64_t step = 0;
+		/// Of a prepare: by set and rank, the experts.
+		std::vector<std::vector<std::vector<std::uint32_t>>> expertsByRank;
+
+		bool operator==(const EngineOrder&) const = default;
+	};
+
+	/// The adapter's functions. The decoders throw InvalidInputError.
+	struct EngineCodec
+	{
+		std::string reportTarget;
+		std::string countsTarget;
+		std::string orderTarget;
+		EngineReport (*decodeReport)(const std::string& _body);
+		EngineCounts (*decodeCounts)(const std::string& _body);
+		std::string (*encodeOrder)(const EngineOrder& _order);
+		/// Whether a status says that the order was begun or holds already.
+		bool (*isAccepted)(int _status);
+	};
+} // namespace archdyke::group
--- /dev/null
+++ b/src/group/rank_link.cpp
@@ -0,0 +1,94 @@
+#include "group/rank_link.h"
+
+#include <netinet/tcp.h>
+
+#include "http/socket_address.h"
+
+namespace archdyke::group
+{
+	namespace
+	{
+		/// Time until a silent peer with unacknowledged bytes counts as lost, ms.
+		constexpr int kUserTimeoutMs = 1'000;
+	} // namespace
+
+	RankLink::RankLink(http::LoopParts _loop, std::string _address)
+	    : loop(_loop)
+	    , daemonAddress(std::move(_address))
+	{
+	}
+
+	const std::string& RankLink::address() const
+	{
+		return this->daemonAddress;
+	}
+
+	aio::Task<std::shared_ptr<RankLink::Connection>> RankLink::connect(Millis _timeoutMs)
+	{
+		if (nullptr != this->connection)
+		{
+			co_return this->connection;
+		}
+		sockaddr_in target = http::socketAddress(this->daemonAddress);
+		kj::Own<kj::NetworkAddress> destination = this->loop.network.getSockaddr(&target, sizeof(target));
+		kj::Own<kj::AsyncIoStream> stream = co_await this->loop.timer.timeoutAfter(_timeoutMs * kj::MILLISECONDS, destination->connect());
+		stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(kUserTimeoutMs));
+		kj::Own<capnp::TwoPartyClient> client = kj::heap<capnp::TwoPartyClient>(*stream);
+		rpc::RankDaemon::Client daemon = client->bootstrap().castAs<rpc::RankDaemon>();
+		this->connection = std::shared_ptr<Connection>(new Connection{kj::mv(stream), kj::mv(client), kj::mv(daemon)});
+		co_return this->connection;
+	}
+
+	template <typename T>
+	aio::Task<T> RankLink::within(kj::Promise<T> _answer, std::shared_ptr<Connection> _connection, Millis _timeoutMs)
+	{
+		try
+		{
+			T answer = co_await this->loop.timer.timeoutAfter(_timeoutMs * kj::MILLISECONDS, kj::mv(_answer));
+			co_return kj::mv(answer);
+		}
+		catch (const kj::Exception&)
+		{
+			if (this->connection == _connection)
+			{
+				this->connection = nullptr;
+			}
+			throw;
+		}
+	}
+
+	aio::Task<Observation> RankLink::observe(Coordination _coordination, bool _counts, Millis _timeoutMs)
+	{
+		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
+		auto request = link->daemon.observeRequest();
+		writeCoordination(request.initCoordination(), _coordination);
+		request.setCounts(_counts);
+		kj::Promise<Observation> answer = request.send().then([](capnp::Response<rpc::RankDaemon::ObserveResults>&& _response) {
+			return Observation{readCoordination(_response.getNewest()), readReport(_response.getReport())};
+		});
+		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
+	}
+
+	aio::Task<OrderOutcome> RankLink::order(std::uint64_t _term, EngineOrder _order, Millis _timeoutMs)
+	{
+		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
+		auto request = link->daemon.orderRequest();
+		request.setTerm(_term);
+		writeOrder(request.initOrder(), _order);
+		kj::Promise<OrderOutcome> answer = request.send().then([](capnp::Response<rpc::RankDaemon::OrderResults>&& _response) {
+			return OrderOutcome{_response.getAccepted(), _response.getStatus()};
+		});
+		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
+	}
+
+	aio::Task<GroupLoads> RankLink::loads(std::string _gateway, Millis _timeoutMs)
+	{
+		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
+		auto request = link->daemon.loadsRequest();
+		request.setGateway(_gateway);
+		kj::Promise<GroupLoads> answer = request.send().then([](capnp::Response<rpc::RankDaemon::LoadsResults>&& _response) {
+			return readLoads(_response);
+		});
+		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
+	}
+} // namespace archdyke::group
--- /dev/null
+++ b/src/group/sidecar.h
@@ -0,0 +1,21 @@
+/// The daemon beside one engine rank: tells its state, carries orders out, and coordinates its
+/// group when nobody else does.
+#pragma once
+
+#include "gateway/gateway_process.h"
+#include "group/engine_codec.h"
+
+namespace archdyke::group
+{
+	/// What an adapter brings for one kind of deployment.
+	struct SidecarDeployment
+	{
+		EngineCodec codec;
+		gateway::DocumentDecoders decoders;
+		store::TableNames tables;
+		std::unique_ptr<store::TableStore> (*makeStore)(http::LoopParts _loop, std::string _address);
+	};
+
+	/// @returns Exit code: 0, or 2 with a message when it can't start.
+	int runSidecar(const SidecarDeployment& _deployment, int _argc, char** _argv);
+} // namespace archdyke::group
--- /dev/null
+++ b/src/rank.capnp
@@ -0,0 +1,66 @@
+# What the daemons beside the engine ranks of one group, their coordinator and the gateways
+# say to each other.
+#
+# After a change run scripts/generate.sh; the generated code in src/generated is committed.
+@0xb7c1f3a95d204e86;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("archdyke::rpc");
+
+# What a rank's engine was last seen to say of itself.
+struct RankReport
+{
+	service @0 :Text;
+	group @1 :Text;         # empty: the engine is in no group
+	epoch @2 :UInt64;
+	rank @3 :UInt32;
+	ranks @4 :UInt32;       # size of the group
+	open @5 :Bool;
+	step @6 :UInt64;
+	map @7 :UInt64;
+	prepared @8 :UInt64;    # versions count from 1: 0 for none
+	armed @9 :UInt64;       # 0 for none
+	held @10 :UInt64;       # 0 for none
+	queued @11 :UInt32;
+	active @12 :UInt32;
+	countsEpoch @13 :UInt64;
+	counts @14 :List(UInt32); # choices of each expert since the engine's start, set by set
+}
+
+# Who coordinates a group.
+struct Coordination
+{
+	term @0 :UInt64;
+	address @1 :Text;       # IP:port of the coordinator's process
+	storeLost @2 :Bool;     # it can't reach the store
+}
+
+struct RankOrder
+{
+	kind @0 :UInt8;         # archdyke::RankOrderKind
+	epoch @1 :UInt64;
+	version @2 :UInt64;
+	step @3 :UInt64;
+	map @4 :List(List(List(UInt32))); # by set and rank, the experts; of a prepare
+}
+
+# Load of one rank, by the address at which its engine takes requests.
+struct RankLoad
+{
+	ip @0 :UInt32;          # host byte order
+	port @1 :UInt16;
+	requests @2 :UInt32;    # running and waiting
+}
+
+interface RankDaemon
+{
+	# Asks for the rank's state. A coordinator of an older term is told the newer one.
+	observe @0 (coordination :Coordination, counts :Bool) -> (newest :Coordination, report :RankReport);
+
+	# Gives the engine an order.
+	# accepted: the engine began it or has it already. status: the engine's answer, 0 for none.
+	order @1 (term :UInt64, order :RankOrder) -> (accepted :Bool, status :UInt16);
+
+	# Asks for the loads of the group. Only its coordinator knows them.
+	loads @2 (gateway :Text) -> (known :Bool, newest :Coordination, open :Bool, passMs :Float32, gateways :UInt32, ranks :List(RankLoad));
+}
