--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -29,9 +29,9 @@
 			case RefusalCause::NoUpstream:
 				return {500, 1'500};
 			case RefusalCause::Overloaded:
-				return {400, 1'200}; // a stream of usual length ends in 1 to 3 s
+				return {700, 2'000}; // a stream of usual length ends in 1 to 3 s
 			case RefusalCause::GroupDown:
-				return {1'500, 2'600}; // stall and forming together take some 2 s
+				return {2'000, 2'600}; // stall and forming take some 2 s, a crash or a cut of a zone 4 to 6
 			default:
 				return {20, 100}; // another gateway takes it at once
 			}
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -111,18 +111,21 @@
 		return chosen ? open[*chosen] : nullptr;
 	}
 
-	std::optional<double> Board::leastLoad(const std::string& _service, Millis _now) const
+	BoardLoad Board::loadOfService(const std::string& _service, Millis _now) const
 	{
-		std::optional<double> least;
+		BoardLoad result;
 		for (const auto& [incarnation, upstream] : this->byIncarnation)
 		{
 			if (upstream->record.service == _service && !upstream->leavingSince)
 			{
-				const double load = loadOf(*upstream, _now) / double(std::max<std::uint32_t>(1, upstream->record.slots));
-				least = std::min(least.value_or(load), load);
+				const double load = loadOf(*upstream, _now);
+				result.least = 0 == result.upstreams ? load : std::min(result.least, load);
+				result.mean += load;
+				result.upstreams += 1;
 			}
 		}
-		return least;
+		result.mean /= double(std::max<std::size_t>(1, result.upstreams));
+		return result;
 	}
 
 	std::vector<UpstreamRef> Board::all() const
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -38,6 +38,16 @@
 	/// finished since; without a recent report what this gateway has there.
 	double loadOf(const Upstream& _upstream, Millis _now);
 
+	/// Load of the upstreams of a service.
+	struct BoardLoad
+	{
+		double least = 0.0;
+		double mean = 0.0;
+		std::size_t upstreams = 0;
+
+		bool operator==(const BoardLoad&) const = default;
+	};
+
 	class Board
 	{
 	public:
@@ -59,9 +69,8 @@
 		/// @returns An upstream for a request; null when there is none.
 		UpstreamRef choose(const std::string& _service, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const;
 
-		/// @returns Least load per slot among the upstreams that may be chosen; none when
-		/// there is no such upstream.
-		std::optional<double> leastLoad(const std::string& _service, Millis _now) const;
+		/// @returns Load of the upstreams of a service that may be chosen.
+		BoardLoad loadOfService(const std::string& _service, Millis _now) const;
 
 		std::vector<UpstreamRef> all() const;
 
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -1,6 +1,7 @@
 /// The stage that sends a request to upstreams until one answers or no further try is allowed.
 #include "aio/task.h"
 #include "archdyke/come_back.h"
+#include "gateway/admit.h"
 #include "gateway/relay.h"
 #include "log.h"
 #include "process.h"
@@ -65,7 +66,7 @@
 
 		void logTry(const RequestContext& _context, const Upstream& _upstream, const TryResult& _result)
 		{
-			logInfo("try_failed", {{"request", _context.caller.id}, {"send", _context.sends}, {"upstream", _upstream.record.incarnation}, {"address", _upstream.record.address}, {"not_run_proved", Proof::NotRun == _result.proof}, {"reason", _result.reason}, {"left_ms", _context.deadlineAt - nowMs()}, {"catalog", _context.catalog->catalog.version}});
+			logInfo("try_failed", {{"request", _context.caller.id}, {"send", _context.sends}, {"upstream", _upstream.record.incarnation}, {"address", _upstream.record.address}, {"not_run_proved", Proof::NotRun == _result.proof}, {"reason", _result.reason}, {"group_fault", _result.groupFault}, {"left_ms", _context.deadlineAt - nowMs()}, {"catalog", _context.catalog->catalog.version}});
 		}
 	} // namespace
 
@@ -99,6 +100,12 @@
 			logTry(_context, *upstream, result);
 			_context.reason += (_context.reason.empty() ? "" : ",") + result.reason;
 			unknownBefore = unknownBefore || Proof::NotRun != result.proof;
+			if (result.groupFault)
+			{
+				// Its ranks stand still together: another one can't run it either.
+				noteGroupFault(state, _context.service, nowMs());
+				co_return refusalOf(_context, unknownBefore, RefusalCause::GroupDown, result.reason);
+			}
 			if (mayTryAgain(_context, result))
 			{
 				continue;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include "aio/task.h"
 #include "gateway/caller_server.h"
 #include "gateway/daemon.h"
+#include "gateway/load_link.h"
 #include "http/http_listener.h"
 #include "log.h"
 #include "process.h"
@@ -33,6 +34,7 @@
 			    , state(std::move(_settings), _deployment.codec, this->loop, this->counters, randomId())
 			    , tableStore(_deployment.makeStore(this->loop, this->state.settings.place.store))
 			    , watch(this->state, *this->tableStore, _deployment.tables, _deployment.decoders)
+			    , loads(this->state)
 			    , callers(this->state, this->state.settings.callers)
 			    , readiness(this->loop, this->state.settings.readiness, http::serveRequests([this](const http::RequestHead&) {
 				    return this->readinessAnswer();
@@ -143,6 +145,7 @@
 			GatewayState state;
 			std::unique_ptr<store::TableStore> tableStore;
 			StoreWatch watch;
+			LoadLink loads;
 			CallerServer callers;
 			http::Listener readiness;
 			http::Listener admin;
--- /dev/null
+++ b/src/gateway/load_link.cpp
@@ -0,0 +1,138 @@
+#include "gateway/load_link.h"
+
+#include "log.h"
+#include "process.h"
+
+namespace archdyke::gateway
+{
+	namespace
+	{
+		/// Between two questions for the loads of a group, ms: about two passes. What this
+		/// gateway sent since is added to what was reported.
+		constexpr Millis kAskMs = 120;
+		constexpr Millis kAnswerMs = 250;
+
+		class TaskErrors final : public kj::TaskSet::ErrorHandler
+		{
+		public:
+			void taskFailed(kj::Exception&& _error) override
+			{
+				logWarning("load_question_failed", {{"reason", _error.getDescription().cStr()}});
+			}
+		};
+
+		std::string ipOf(const std::string& _address)
+		{
+			return _address.substr(0, _address.rfind(':'));
+		}
+	} // namespace
+
+	LoadLink::LoadLink(GatewayState& _state)
+	    : state(_state)
+	    , errors(kj::heap<TaskErrors>())
+	    , tasks(*this->errors)
+	{
+		this->watching = this->watch().take().eagerlyEvaluate([](kj::Exception&& _error) {
+			logError("load_link_ended", {{"reason", _error.getDescription().cStr()}, {"remedy", "restart the process and report this line"}});
+		});
+	}
+
+	std::optional<std::string> LoadLink::anyDaemon(const std::string& _service)
+	{
+		std::vector<std::string> daemons;
+		for (const UpstreamRef& upstream : this->state.board.all())
+		{
+			if (upstream->record.service == _service)
+			{
+				daemons.push_back(ipOf(upstream->record.address) + ":" + std::to_string(this->state.settings.place.peerPort));
+			}
+		}
+		if (daemons.empty())
+		{
+			return std::nullopt;
+		}
+		return daemons[randomBelow(this->state.random, daemons.size())];
+	}
+
+	void LoadLink::take(const std::string& _service, const group::GroupLoads& _loads)
+	{
+		const Millis now = nowMs();
+		GroupView& view = this->state.groups[_service];
+		if (view.open != _loads.open || 0 == view.at)
+		{
+			logInfo(_loads.open ? "group_open" : "group_down", {{"service", _service}, {"term", _loads.newest.term}, {"coordinator", _loads.newest.address}, {"pass_ms", _loads.passMs}});
+			view.downSince = _loads.open ? 0 : now;
+		}
+		view.open = _loads.open;
+		view.passMs = _loads.passMs;
+		view.gateways = _loads.gateways;
+		view.at = now;
+		for (const group::RankLoad& rank : _loads.ranks)
+		{
+			this->state.board.report(rank.address, rank.requests, now);
+		}
+	}
+
+	aio::Task<void> LoadLink::ask(std::string _service)
+	{
+		this->asking.insert(_service);
+		std::unique_ptr<group::RankLink>& link = this->links[_service];
+		if (nullptr == link)
+		{
+			const std::optional<std::string> daemon = this->anyDaemon(_service);
+			link = daemon ? std::make_unique<group::RankLink>(this->state.loop, *daemon) : nullptr;
+		}
+		std::string failure;
+		if (nullptr != link)
+		{
+			try
+			{
+				std::string name = this->state.settings.place.name;
+				const group::GroupLoads loads = co_await link->loads(std::move(name), kAnswerMs);
+				if (loads.known)
+				{
+					this->take(_service, loads);
+				}
+				else
+				{
+					failure = "not the coordinator";
+					const bool named = !loads.newest.address.empty() && loads.newest.address != link->address();
+					link = named ? std::make_unique<group::RankLink>(this->state.loop, loads.newest.address) : nullptr;
+				}
+			}
+			catch (const kj::Exception& error)
+			{
+				failure = error.getDescription().cStr();
+				link = nullptr;
+			}
+		}
+		const bool before = this->up[_service];
+		this->up[_service] = failure.empty();
+		if (before != failure.empty())
+		{
+			logWarning(failure.empty() ? "coordinator_found" : "coordinator_lost", {{"service", _service}, {"address", nullptr == link ? "-" : link->address()}, {"reason", failure.empty() ? "-" : failure}});
+		}
+		this->asking.erase(_service);
+	}
+
+	aio::Task<void> LoadLink::watch()
+	{
+		while (true)
+		{
+			co_await this->state.loop.timer.afterDelay(kAskMs * kj::MILLISECONDS);
+			if (nullptr == this->state.catalog)
+			{
+				continue;
+			}
+			for (const CatalogService& service : this->state.catalog->catalog.services)
+			{
+				const bool grouped = service.engine && 0 < service.engine->sets;
+				if (grouped && !this->asking.contains(service.name))
+				{
+					std::string name = service.name;
+					this->tasks.add(this->ask(std::move(name)).take());
+				}
+			}
+		}
+	}
+} // namespace archdyke::gateway
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -199,7 +199,9 @@
 			const std::string reason = fmt::format("upstream_status_{}", _head.status);
 			if (_info.provedNotRun)
 			{
-				co_return failed(Proof::NotRun, reason, _info.wrongIncarnation ? RefusalReason::WrongIncarnation : RefusalReason::Overloaded);
+				TryResult refused = failed(Proof::NotRun, reason, _info.wrongIncarnation ? RefusalReason::WrongIncarnation : RefusalReason::Overloaded);
+				refused.groupFault = !_info.wrongIncarnation && !_info.upstreamAtFault.empty();
+				co_return refused;
 			}
 			TryResult result = failed(Proof::Ran, reason);
 			if (body && !promisesNotRun(_head.status) && !_context.headSent)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -14,6 +14,7 @@
 		RefusalReason refusal = RefusalReason::None;
 		std::optional<http::WholeAnswer> failure;  ///< A failure of the upstream's own that may be handed on.
 		std::optional<Millis> restMs;              ///< How long the connection may be kept; none to close it.
+		bool groupFault = false;                   ///< Another member of its group made it fail.
 		std::string reason;                        ///< For the log.
 	};
 
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -2,6 +2,7 @@
 
 #include "aio/task.h"
 #include "archdyke/come_back.h"
+#include "gateway/admit.h"
 #include "log.h"
 #include "process.h"
 
@@ -96,6 +97,11 @@
 			{
 				co_return refusal;
 			}
+			refusal = co_await admit(_context);
+			if (refusal)
+			{
+				co_return refusal;
+			}
 			co_return co_await dispatch(_context);
 		}
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -22,7 +22,9 @@
 		bool open = true;
 		double passMs = 0.0; ///< Mean time of the last passes; 0 when unknown.
 		std::uint32_t gateways = 1; ///< That ask for this view.
-		Millis at = 0;
+		Millis at = 0;              ///< Own clock when it came; 0: never.
+		Millis downSince = 0;       ///< 0 while it is open.
+		Millis faultUntil = 0;      ///< An upstream said that its group failed.
 
 		bool operator==(const GroupView&) const = default;
 	};
