Hold before the row says there is no way back; plan at once, with fewer copies

Ruled out: waiting for the frozen rank (its engine can't be reached either); giving all orders from afar (14 priced orders a switch).

Change: phase Holding in the row, before any rank is armed, which may be abandoned; the hold is given from the coordinator to another VM's engine; versions bear the coordinator's term, so that preparing needs no write; boundaries lie two writes and three orders ahead by measured times, and never repeat in an epoch.

--- a/include/archdyke/forward_switch.h
+++ b/include/archdyke/forward_switch.h
@@ -1,17 +1,19 @@
 /// Switches a group of engine ranks to another expert map when the engines themselves check
 /// no fence and no map: orders may get no answer, and may be carried out late or twice.
 ///
-/// The intent of one switch stands in a row of the store, written only under the condition
-/// that it hasn't changed. Whoever reads it carries it forward, so that two coordinators want
-/// the same, and late copies of either one's orders do no harm:
+/// A group has one row in the store, written only under the condition that it hasn't changed.
+/// Whoever reads it carries the open switch forward, so that two coordinators want the same,
+/// and late copies of either one's orders do no harm:
 ///
-/// 1. Preparing: all ranks copy what the map needs. It may still be abandoned.
-/// 2. Switching, with a boundary step some way ahead: from here there is no way back. One rank
-///    holds the group at the boundary, and is seen to, before the first rank is armed. If the
-///    boundary has passed and no hold was seen, nothing was armed: a later one is chosen.
-/// 3. All ranks are armed, and seen to be, before the hold is released.
-/// 4. The intent is closed once all ranks are seen on the map, or the group has formed anew,
-///    which voids all orders of the old epoch.
+/// 1. Preparing, in the coordinator's memory alone: all ranks copy what the map needs. Versions
+///    of maps hold the coordinator's term, so that no other one can mean another map by them.
+/// 2. Holding, in the row: one rank is to hold the group at a boundary step some way ahead. No
+///    rank is armed. It may still be abandoned; a boundary that passes unheld is moved. No
+///    boundary is used twice in an epoch, as a late release of the first would open the second.
+/// 3. Switching, in the row, once the hold was seen: there is no way back. All ranks are armed,
+///    and seen to be, before the hold is released.
+/// 4. It is over once all ranks are seen on the map, or the group has formed anew, which voids
+///    all orders of the old epoch.
 #pragma once
 
 #include <cstdint>
@@ -28,7 +30,8 @@
 	enum class SwitchPhase
 	{
 		Idle,
-		Preparing,
+		Preparing, ///< Never in the row.
+		Holding,
 		Switching,
 		Count
 	};
@@ -36,7 +39,7 @@
 	/// @returns The name used in the row and in logs.
 	std::string_view toString(SwitchPhase _phase);
 
-	/// What the row of a group says.
+	/// What the row of a group says, or the coordinator means to write.
 	struct SwitchIntent
 	{
 		std::uint64_t term = 0;   ///< Rises with each coordinator.
@@ -44,10 +47,10 @@
 		SwitchPhase phase = SwitchPhase::Idle;
 		std::uint64_t epoch = 0;    ///< Of the group, for which the switch is meant.
 		std::uint64_t version = 0;  ///< Of the map; versions rise and never repeat.
-		std::uint64_t boundary = 0; ///< First step on the map; in phase Switching.
+		std::uint64_t boundary = 0; ///< First step on the map; in phase Idle the last one that was used.
 		ExpertHosts map;            ///< To switch to; empty in phase Idle.
-		std::uint64_t inForceVersion = 0; ///< Of the map in use before the switch.
-		ExpertHosts inForce;        ///< Empty while that is the map a group forms with.
+		std::uint64_t inForceVersion = 0; ///< Of the map in use before the switch; 0: the one a group forms with.
+		ExpertHosts inForce;        ///< Empty for version 0.
 
 		bool operator==(const SwitchIntent&) const = default;
 	};
@@ -91,30 +94,42 @@
 		auto operator<=>(const RankOrderPlan&) const = default;
 	};
 
-	/// What is to be done now. A row is written before the next decision; its orders wait
-	/// until it is known to be written.
+	/// What is to be done now.
 	struct SwitchStep
 	{
-		std::optional<SwitchIntent> write;
+		std::optional<SwitchIntent> next; ///< What holds from now on.
+		bool store = false;               ///< Only once the row says so: write it and decide again.
 		std::vector<RankOrderPlan> orders;
-		std::string_view reason; ///< For the log, with a write.
+		std::string_view reason; ///< For the log, with next.
 
 		bool operator==(const SwitchStep&) const = default;
 	};
 
+	/// How patient a decision is.
+	struct SwitchPatience
+	{
+		std::uint64_t marginSteps = 2; ///< Between a boundary and the newest step seen.
+		bool giveUp = false;           ///< Preparing or holding has taken too long.
+		/// Rank on the coordinator's VM, which isn't to hold: both would freeze together.
+		std::optional<std::uint32_t> avoidedRank;
+
+		bool operator==(const SwitchPatience&) const = default;
+	};
+
 	/// Decides how an open switch goes on.
-	/// @param[in] _intent The row as it is known to stand.
 	/// @param[in] _ranks All ranks of the group, each as seen after the row was read.
-	/// @param[in] _marginSteps Steps between a boundary and the newest step seen.
-	/// @param[in] _mayAbandon Whether preparing has taken too long.
-	SwitchStep decideSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, std::uint64_t _marginSteps, bool _mayAbandon);
+	SwitchStep decideSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, const SwitchPatience& _patience);
 
 	/// @returns Orders that release holds which belong to no open switch.
 	/// @param[in] _intent The row, read after the ranks were seen.
 	std::vector<RankOrderPlan> releaseStrayHolds(const SwitchIntent& _intent, const std::vector<RankView>& _ranks);
 
-	/// @returns The intent of a new switch.
-	SwitchIntent beginSwitch(const SwitchIntent& _idle, std::uint64_t _epoch, std::uint64_t _newestVersionSeen, ExpertHosts _map);
+	/// Maps that one coordinator may plan in its term.
+	constexpr std::uint64_t kVersionsPerTerm = 100'000;
+
+	/// @returns A new switch, in phase Preparing; none when the term has no versions left and
+	/// the coordinator must take over anew.
+	std::optional<SwitchIntent> beginSwitch(const SwitchIntent& _idle, std::uint64_t _epoch, ExpertHosts _map);
 
 	/// @returns The row of a coordinator that takes over: the open switch stays as it is.
 	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator);
--- a/include/archdyke/map_policy.h
+++ b/include/archdyke/map_policy.h
@@ -10,7 +10,16 @@
 {
 	/// Length of the window of counts that a map is planned from, ms. A hot expert lasts 1 to
 	/// 4 s, and what it drew 0.5 s ago tells less than what it draws now.
-	constexpr Millis kCountWindowMs = 250;
+	constexpr Millis kCountWindowMs = 200;
+
+	/// How long the passes of a group are, and how long they may be.
+	struct PassPressure
+	{
+		double passMs = 0.0;       ///< Mean of the last ones; 0 when unknown.
+		Millis gapObjectiveMs = 0; ///< Longest pause between events of a stream; 0 when none is declared.
+
+		bool operator==(const PassPressure&) const = default;
+	};
 
 	/// What was decided on the map of a group.
 	struct MapDecision
@@ -27,5 +36,9 @@
 	/// Plans a map within what ranks can copy at once, and tells whether the switch pays.
 	/// @param[in] _hosts The map in use.
 	/// @param[in] _load Choices of the last window.
-	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load);
+	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load, const PassPressure& _pressure);
+
+	/// @returns Skew that is tolerated: the more, the shorter the passes are against the
+	/// objective, since copies are paid for and short passes serve nobody better.
+	double toleratedSkew(const PassPressure& _pressure);
 } // namespace archdyke
--- a/src/decide/forward_switch.cpp
+++ b/src/decide/forward_switch.cpp
@@ -33,16 +33,21 @@
 			return newest;
 		}
 
-		/// The row of a switch that was abandoned.
+		/// The row of a switch that was abandoned. Its boundary stays: no later one may be the
+		/// same, since a release of the abandoned hold may still be under way.
 		SwitchIntent abandoned(const SwitchIntent& _intent)
 		{
 			SwitchIntent idle = _intent;
 			idle.phase = SwitchPhase::Idle;
 			idle.map.clear();
-			idle.boundary = 0;
 			return idle;
 		}
 
+		std::uint64_t nextBoundary(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, std::uint64_t _marginSteps)
+		{
+			return std::max(newestStep(_ranks) + _marginSteps, _intent.boundary + 1);
+		}
+
 		/// The row of a switch that is in force.
 		SwitchIntent completed(const SwitchIntent& _intent)
 		{
@@ -58,10 +63,10 @@
 			SwitchIntent idle = abandoned(_intent);
 			idle.inForce.clear();
 			idle.inForceVersion = 0;
+			idle.boundary = 0;
 			return idle;
 		}
 
-		/// Whether a later epoch was seen, or the group can't go on in this one.
 		bool epochIsOver(const SwitchIntent& _intent, const std::vector<RankView>& _ranks)
 		{
 			return anyRank(_ranks, [&](const RankView& _rank) {
@@ -69,29 +74,37 @@
 			});
 		}
 
-		SwitchStep decidePreparing(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, std::uint64_t _marginSteps, bool _mayAbandon)
+		bool isHeld(const SwitchIntent& _intent, const std::vector<RankView>& _ranks)
+		{
+			return anyRank(_ranks, [&](const RankView& _rank) {
+				return _rank.seen && _rank.held == _intent.boundary;
+			});
+		}
+
+		SwitchStep decidePreparing(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, const SwitchPatience& _patience)
 		{
 			SwitchStep step;
-			const bool all = allRanks(_ranks, [&](const RankView& _rank) {
+			const auto isPrepared = [&](const RankView& _rank) {
 				return _rank.seen && _rank.epoch == _intent.epoch && _rank.prepared == _intent.version;
-			});
-			if (all)
+			};
+			if (allRanks(_ranks, isPrepared))
 			{
-				step.write = _intent;
-				step.write->phase = SwitchPhase::Switching;
-				step.write->boundary = newestStep(_ranks) + _marginSteps;
+				step.next = _intent;
+				step.next->phase = SwitchPhase::Holding;
+				step.next->boundary = nextBoundary(_intent, _ranks, _patience.marginSteps);
+				step.store = true;
 				step.reason = "all_prepared";
 				return step;
 			}
-			if (_mayAbandon)
+			if (_patience.giveUp)
 			{
-				step.write = abandoned(_intent);
+				step.next = abandoned(_intent);
 				step.reason = "preparing_took_too_long";
 				return step;
 			}
 			for (std::uint32_t rank = 0; rank < _ranks.size(); ++rank)
 			{
-				if (_ranks[rank].seen && _ranks[rank].epoch == _intent.epoch && _ranks[rank].prepared != _intent.version)
+				if (_ranks[rank].seen && _ranks[rank].epoch == _intent.epoch && !isPrepared(_ranks[rank]))
 				{
 					step.orders.push_back({rank, RankOrderKind::Prepare, _intent.epoch, _intent.version, 0});
 				}
@@ -99,20 +112,36 @@
 			return step;
 		}
 
-		/// The hold isn't seen: order it, or choose a later boundary once this one has passed.
-		SwitchStep decideHold(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, std::uint64_t _marginSteps)
+		SwitchStep decideHolding(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, const SwitchPatience& _patience)
 		{
 			SwitchStep step;
+			if (_patience.giveUp)
+			{
+				step.next = abandoned(_intent);
+				step.store = true;
+				step.reason = "holding_took_too_long";
+				return step;
+			}
+			if (isHeld(_intent, _ranks))
+			{
+				step.next = _intent;
+				step.next->phase = SwitchPhase::Switching;
+				step.store = true;
+				step.reason = "held";
+				return step;
+			}
 			if (newestStep(_ranks) >= _intent.boundary)
 			{
-				step.write = _intent;
-				step.write->boundary = newestStep(_ranks) + _marginSteps;
+				step.next = _intent;
+				step.next->boundary = nextBoundary(_intent, _ranks, _patience.marginSteps);
+				step.store = true;
 				step.reason = "boundary_passed_without_a_hold";
 				return step;
 			}
 			for (std::uint32_t rank = 0; rank < _ranks.size(); ++rank)
 			{
-				if (_ranks[rank].seen && !_ranks[rank].held)
+				const bool avoided = rank == _patience.avoidedRank && 1 < _ranks.size();
+				if (_ranks[rank].seen && !_ranks[rank].held && !avoided)
 				{
 					step.orders.push_back({rank, RankOrderKind::Hold, _intent.epoch, 0, _intent.boundary});
 					return step;
@@ -121,7 +150,7 @@
 			return step;
 		}
 
-		SwitchStep decideSwitching(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, std::uint64_t _marginSteps)
+		SwitchStep decideSwitching(const SwitchIntent& _intent, const std::vector<RankView>& _ranks)
 		{
 			SwitchStep step;
 			const auto isOnMap = [&](const RankView& _rank) {
@@ -129,17 +158,13 @@
 			};
 			if (allRanks(_ranks, isOnMap))
 			{
-				step.write = completed(_intent);
+				step.next = completed(_intent);
 				step.reason = "in_force";
 				return step;
 			}
-			const bool held = anyRank(_ranks, [&](const RankView& _rank) {
-				return _rank.seen && _rank.held == _intent.boundary;
-			});
-			if (!held)
+			if (!isHeld(_intent, _ranks))
 			{
-				// Some on the map already: the hold was released, the others follow by themselves.
-				return anyRank(_ranks, isOnMap) ? step : decideHold(_intent, _ranks, _marginSteps);
+				return step; // it was released: the ranks take the map by themselves
 			}
 			bool allArmed = true;
 			for (std::uint32_t rank = 0; rank < _ranks.size(); ++rank)
@@ -168,6 +193,8 @@
 		{
 		case SwitchPhase::Preparing:
 			return "preparing";
+		case SwitchPhase::Holding:
+			return "holding";
 		case SwitchPhase::Switching:
 			return "switching";
 		default:
@@ -190,18 +217,20 @@
 		}
 	}
 
-	SwitchStep decideSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, std::uint64_t _marginSteps, bool _mayAbandon)
+	SwitchStep decideSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, const SwitchPatience& _patience)
 	{
 		if (SwitchPhase::Idle != _intent.phase && epochIsOver(_intent, _ranks))
 		{
-			return {formedAnew(_intent), {}, "group_formed_anew"};
+			return {formedAnew(_intent), SwitchPhase::Preparing != _intent.phase, {}, "group_formed_anew"};
 		}
 		switch (_intent.phase)
 		{
 		case SwitchPhase::Preparing:
-			return decidePreparing(_intent, _ranks, _marginSteps, _mayAbandon);
+			return decidePreparing(_intent, _ranks, _patience);
+		case SwitchPhase::Holding:
+			return decideHolding(_intent, _ranks, _patience);
 		case SwitchPhase::Switching:
-			return decideSwitching(_intent, _ranks, _marginSteps);
+			return decideSwitching(_intent, _ranks);
 		default:
 			return {};
 		}
@@ -213,7 +242,8 @@
 		for (std::uint32_t rank = 0; rank < _ranks.size(); ++rank)
 		{
 			const std::optional<std::uint64_t>& held = _ranks[rank].held;
-			const bool owned = SwitchPhase::Switching == _intent.phase && held == _intent.boundary;
+			const bool open = SwitchPhase::Holding == _intent.phase || SwitchPhase::Switching == _intent.phase;
+			const bool owned = open && held == _intent.boundary;
 			if (_ranks[rank].seen && held && !owned)
 			{
 				orders.push_back({rank, RankOrderKind::Release, _ranks[rank].epoch, 0, *held});
@@ -222,15 +252,16 @@
 		return orders;
 	}
 
-	SwitchIntent beginSwitch(const SwitchIntent& _idle, std::uint64_t _epoch, std::uint64_t _newestVersionSeen, ExpertHosts _map)
+	std::optional<SwitchIntent> beginSwitch(const SwitchIntent& _idle, std::uint64_t _epoch, ExpertHosts _map)
 	{
 		SwitchIntent intent = _idle;
 		intent.phase = SwitchPhase::Preparing;
 		intent.epoch = _epoch;
-		intent.version = std::max(_idle.version, _newestVersionSeen) + 1;
-		intent.boundary = 0;
+		intent.version = std::max(_idle.version, _idle.term * kVersionsPerTerm) + 1;
+		intent.boundary = _idle.epoch == _epoch ? _idle.boundary : 0;
 		intent.map = std::move(_map);
-		return intent;
+		const bool left = intent.version < (_idle.term + 1) * kVersionsPerTerm;
+		return left ? std::optional(intent) : std::nullopt;
 	}
 
 	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator)
@@ -254,7 +285,7 @@
 			SwitchIntent intent;
 			intent.term = json.at("term").get<std::uint64_t>();
 			intent.coordinator = json.at("coordinator").get<std::string>();
-			for (const SwitchPhase phase : {SwitchPhase::Idle, SwitchPhase::Preparing, SwitchPhase::Switching})
+			for (const SwitchPhase phase : {SwitchPhase::Idle, SwitchPhase::Holding, SwitchPhase::Switching})
 			{
 				intent.phase = json.at("phase").get<std::string>() == toString(phase) ? phase : intent.phase;
 			}
--- a/src/decide/map_policy.cpp
+++ b/src/decide/map_policy.cpp
@@ -9,6 +9,15 @@
 		/// Skew below which a map is left alone: a pass is then this share of the experts' work
 		/// longer than it need be.
 		constexpr double kSkewTolerance = 0.15;
+		/// Tolerated skew where passes take no time against the objective. A hot expert takes
+		/// skew from near 0 to 2 within some passes, so more would come too late.
+		constexpr double kMostTolerated = 0.6;
+		/// Share of the objective from which on the least skew counts: a pass in which a hot
+		/// expert comes up is twice as long.
+		constexpr double kTightShare = 0.45;
+		/// Twice the skew at which planning stops: the last copies of a plan save little each, and
+		/// each is paid for.
+		constexpr double kPlannedSkew = 0.3;
 		/// Skew that a switch must save at least. One takes 0.3 to 0.5 s, and the group copies
 		/// meanwhile.
 		constexpr double kLeastGain = 0.12;
@@ -17,7 +26,17 @@
 		constexpr double kCopyBudgetMs = 250.0;
 	} // namespace
 
-	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load)
+	double toleratedSkew(const PassPressure& _pressure)
+	{
+		if (_pressure.passMs <= 0.0 || _pressure.gapObjectiveMs <= 0)
+		{
+			return kSkewTolerance;
+		}
+		const double share = std::min(1.0, _pressure.passMs / (kTightShare * double(_pressure.gapObjectiveMs)));
+		return kMostTolerated + share * (kSkewTolerance - kMostTolerated);
+	}
+
+	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load, const PassPressure& _pressure)
 	{
 		PlacementInput input;
 		input.ranks = _ranks;
@@ -29,11 +48,11 @@
 		input.arrivalsPerRank = 0.0 < _model.expertCopyMs ? std::max<std::uint32_t>(1, std::uint32_t(kCopyBudgetMs / _model.expertCopyMs)) : 0;
 		MapDecision decision;
 		decision.skewBefore = skewOf(_hosts, _load, _ranks);
-		if (decision.skewBefore < kSkewTolerance || tokensOf(_load) <= 0.0)
+		if (decision.skewBefore < toleratedSkew(_pressure) || tokensOf(_load) <= 0.0)
 		{
 			return decision;
 		}
-		PlacementPlan plan = planMoves(input, kSkewTolerance);
+		PlacementPlan plan = planMoves(input, kPlannedSkew);
 		decision.skewAfter = plan.skewAfter;
 		decision.copies = plan.staged;
 		decision.worthwhile = decision.skewBefore - plan.skewAfter >= kLeastGain;
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -15,7 +15,7 @@
 		/// Between two looks at the ranks, ms: while nothing is under way, a hot expert lasts 1
 		/// to 4 s, so a tenth of that; while maps are copied (0.1 s an expert); while the group
 		/// may stand at the boundary.
-		constexpr Millis kIdleLookMs = 100;
+		constexpr Millis kIdleLookMs = 60;
 		constexpr Millis kPreparingLookMs = 25;
 		constexpr Millis kSwitchingLookMs = 8;
 		/// A look costs the coordinator some 60 us a rank; this keeps it below a tenth of a core
@@ -31,16 +31,22 @@
 		constexpr Millis kViewMaxAgeMs = 600;
 		/// A switch that isn't prepared by then is abandoned, ms; beyond the time of its copies.
 		constexpr Millis kPrepareMs = 2'500;
-		/// Time from the choice of a boundary to an armed group, ms: a write, a hold, the arms,
-		/// each with a look. Seen: 35 to 60 ms.
-		constexpr double kArmMs = 60.0;
+		/// A boundary that isn't held by then is abandoned, ms: the rank that is to hold it, or
+		/// the store, is away.
+		constexpr Millis kHoldMs = 1'500;
+		/// Time from the choice of a boundary to a released hold, ms, beside two writes: three
+		/// orders, each with a look.
+		constexpr double kArmMs = 50.0;
+		/// Mean of the time of a write: weight of the newest one.
+		constexpr double kWriteGain = 0.5;
 		constexpr std::uint64_t kMaxMarginSteps = 16;
-		/// Mean of the time of a pass: weight of the newest one.
-		constexpr double kPassGain = 0.3;
+		/// The time of a pass is the mean over about this long, ms: some passes.
+		constexpr Millis kPassWindowMs = 500;
 		/// Between two looks at the row while nothing is written, ms: notices another
 		/// coordinator, and a store that is lost.
 		constexpr Millis kRowLookMs = 2'000;
 		constexpr Millis kStoreRetryMs = 300;
+		constexpr Millis kStrayLookMs = 50;
 		constexpr Millis kUpstreamsWaitMs = 5'000;
 		constexpr Millis kModelLookMs = 20'000;
 		/// A gateway that hasn't asked for this long is gone, ms.
@@ -56,6 +62,23 @@
 			}
 		};
 
+		/// @returns The least of the gap objectives of a service's routes; 0 when it has none.
+		Millis leastGapObjective(const Catalog& _catalog, const std::string& _service)
+		{
+			Millis least = 0;
+			for (const CatalogRoute& route : _catalog.routes)
+			{
+				const bool served = std::any_of(route.services.begin(), route.services.end(), [&](const WeightedService& _weighted) {
+					return _weighted.name == _service;
+				});
+				if (served && 0 < route.gapObjectiveMs)
+				{
+					least = 0 == least ? route.gapObjectiveMs : std::min(least, route.gapObjectiveMs);
+				}
+			}
+			return least;
+		}
+
 		std::string daemonAddress(const std::string& _engine, int _peerPort)
 		{
 			return _engine.substr(0, _engine.rfind(':') + 1) + std::to_string(_peerPort);
@@ -70,7 +93,7 @@
 	Coordinator::Coordinator(CoordinatorParts _parts, std::string _group, SwitchIntent _row, std::uint64_t _rowVersion)
 	    : parts(std::move(_parts))
 	    , group(std::move(_group))
-	    , row(std::move(_row))
+	    , intent(std::move(_row))
 	    , rowVersion(_rowVersion)
 	    , rowReadAt(nowMs())
 	    , phaseSince(nowMs())
@@ -81,24 +104,25 @@
 
 	Coordination Coordinator::coordination() const
 	{
-		return {this->row.term, this->row.coordinator, this->storeLost};
+		return {this->intent.term, this->intent.coordinator, this->storeLost};
 	}
 
 	bool Coordinator::switchIsOpen() const
 	{
-		return SwitchPhase::Idle != this->row.phase;
+		return SwitchPhase::Idle != this->intent.phase;
 	}
 
 	Millis Coordinator::lookMs() const
 	{
-		const Millis base = SwitchPhase::Idle == this->row.phase ? kIdleLookMs : SwitchPhase::Preparing == this->row.phase ? kPreparingLookMs
-		                                                                                                                   : kSwitchingLookMs;
+		Millis base = kSwitchingLookMs;
+		base = SwitchPhase::Idle == this->intent.phase ? kIdleLookMs : base;
+		base = SwitchPhase::Preparing == this->intent.phase ? kPreparingLookMs : base;
 		return std::max(base, Millis(kLookMsPerRank * double(this->ranks.size())));
 	}
 
 	std::uint64_t Coordinator::marginSteps() const
 	{
-		const double steps = 0.0 < this->passMs ? std::ceil(kArmMs / this->passMs) : double(kMaxMarginSteps);
+		const double steps = 0.0 < this->passMs ? std::ceil((kArmMs + 2.0 * this->writeMs) / this->passMs) : double(kMaxMarginSteps);
 		return 1 + std::min(kMaxMarginSteps, std::uint64_t(steps));
 	}
 
@@ -130,7 +154,31 @@
 		{
 			return dealtInTurn(this->model->sets, this->model->experts, std::uint32_t(_ranks.size()));
 		}
-		return map == this->row.inForceVersion ? this->row.inForce : ExpertHosts();
+		return map == this->intent.inForceVersion ? this->intent.inForce : ExpertHosts();
+	}
+
+	void Coordinator::notePass(const EngineReport& _engine)
+	{
+		const Millis now = nowMs();
+		if (this->passEpoch != _engine.view.epoch)
+		{
+			this->passes.clear();
+			this->passEpoch = _engine.view.epoch;
+		}
+		if (this->passes.empty() || this->passes.back().step < _engine.view.step)
+		{
+			this->passes.push_back({_engine.view.step, now});
+		}
+		while (2 < this->passes.size() && this->passes[1].at < now - kPassWindowMs)
+		{
+			this->passes.pop_front();
+		}
+		const PassSample& first = this->passes.front();
+		const PassSample& last = this->passes.back();
+		if (first.step < last.step)
+		{
+			this->passMs = double(last.at - first.at) / double(last.step - first.step);
+		}
 	}
 
 	void Coordinator::hear(Rank& _rank, const RankReport& _report)
@@ -144,19 +192,7 @@
 		_rank.report = _report;
 		_rank.report.counts = counts;
 		_rank.seenAt = nowMs();
-		const std::uint64_t step = _report.engine.view.step;
-		if (step > this->lastStep)
-		{
-			const Millis now = nowMs();
-			const double each = double(now - this->lastStepAt) / double(step - this->lastStep);
-			constexpr double kIdleGapMs = 1'000.0; // longer: the group was idle in between
-			if (0 != this->lastStepAt && each < kIdleGapMs)
-			{
-				this->passMs = 0.0 == this->passMs ? each : this->passMs + kPassGain * (each - this->passMs);
-			}
-			this->lastStepAt = now;
-		}
-		this->lastStep = step;
+		this->notePass(_report.engine);
 	}
 
 	aio::Task<void> Coordinator::observe(std::string _engine, bool _counts)
@@ -168,9 +204,9 @@
 		{
 			const Coordination mine = this->coordination();
 			const Observation observation = co_await rank.link->observe(mine, _counts, kObserveTimeoutMs);
-			if (observation.newest.term > this->row.term)
+			if (observation.newest.term > this->intent.term)
 			{
-				logWarning("term_lost", {{"group", this->group}, {"term", this->row.term}, {"newer", observation.newest.term}, {"coordinator", observation.newest.address}});
+				logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", observation.newest.term}, {"coordinator", observation.newest.address}});
 				this->ended = true;
 			}
 			this->hear(rank, observation.report);
@@ -234,20 +270,25 @@
 		EngineOrder order{_plan.kind, _plan.epoch, _plan.version, _plan.step, {}};
 		if (RankOrderKind::Prepare == _plan.kind)
 		{
-			order.expertsByRank = expertsByRank(this->row.map, target->report.engine.ranks);
+			order.expertsByRank = expertsByRank(this->intent.map, target->report.engine.ranks);
 		}
+		// A VM that freezes with a hold just given would keep the group standing: the hold is
+		// given from here, so that the engine that has it can still be reached.
+		bool direct = RankOrderKind::Hold == _plan.kind;
 		OrderOutcome outcome;
-		bool unreachable = false;
-		try
-		{
-			EngineOrder copy = order;
-			outcome = co_await target->link->order(this->row.term, std::move(copy), kOrderTimeoutMs);
-		}
-		catch (const kj::Exception&)
+		if (!direct)
 		{
-			unreachable = true; // told by the line of the direct order
+			try
+			{
+				EngineOrder copy = order;
+				outcome = co_await target->link->order(this->intent.term, std::move(copy), kOrderTimeoutMs);
+			}
+			catch (const kj::Exception&)
+			{
+				direct = this->switchIsOpen(); // told by the line of the direct order
+			}
 		}
-		if (unreachable && this->switchIsOpen())
+		if (direct)
 		{
 			outcome = co_await target->direct->order(std::move(order));
 		}
@@ -256,11 +297,36 @@
 		sentOrder.refused = !outcome.accepted && 0 != outcome.status;
 	}
 
-	aio::Task<bool> Coordinator::writeRow(SwitchIntent _row, std::string _reason)
+	void Coordinator::adopt(SwitchIntent _intent)
+	{
+		if (this->intent.phase != _intent.phase || this->intent.boundary != _intent.boundary)
+		{
+			this->sent.clear();
+			this->phaseSince = nowMs();
+		}
+		this->intent = std::move(_intent);
+	}
+
+	void Coordinator::adoptRow(const store::Row& _row)
+	{
+		SwitchIntent current = decodeIntent(_row.value);
+		this->rowVersion = _row.version;
+		this->rowReadAt = nowMs();
+		if (current.term != this->intent.term)
+		{
+			logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", current.term}, {"coordinator", current.coordinator}});
+			this->ended = true;
+			return;
+		}
+		this->adopt(std::move(current));
+	}
+
+	aio::Task<void> Coordinator::writeRow(SwitchIntent _row, std::string _reason)
 	{
 		store::ConditionalWrite write{groupRowKey(this->parts.settings.service, this->group), encodeIntent(_row), this->rowVersion};
 		store::WriteResult result;
 		std::string failure;
+		const Millis begunAt = nowMs();
 		try
 		{
 			result = co_await this->parts.store.write(std::move(write));
@@ -269,38 +335,21 @@
 		{
 			failure = error.getDescription().cStr();
 		}
-		logInfo("group_row", {{"group", this->group}, {"term", _row.term}, {"phase", toString(_row.phase)}, {"epoch", _row.epoch}, {"version", _row.version}, {"boundary", _row.boundary}, {"reason", _reason}, {"written", result.written}, {"expected", this->rowVersion}, {"failure", failure.empty() ? "-" : failure}});
-		if (!failure.empty())
-		{
-			// It may be done, or be done later; the next look at the row tells.
-			this->storeLost = true;
-			co_return false;
-		}
-		this->storeLost = false;
-		const Millis now = nowMs();
+		const Millis took = nowMs() - begunAt;
+		this->writeMs += kWriteGain * (double(took) - this->writeMs);
+		logInfo("group_row", {{"group", this->group}, {"term", _row.term}, {"phase", toString(_row.phase)}, {"epoch", _row.epoch}, {"version", _row.version}, {"boundary", _row.boundary}, {"reason", _reason}, {"written", result.written}, {"expected", this->rowVersion}, {"took_ms", took}, {"failure", failure.empty() ? "-" : failure}});
+		// Without an answer it may be done, or be done later; the next look at the row tells.
+		this->storeLost = !failure.empty();
 		if (result.written)
 		{
-			if (this->row.phase != _row.phase)
-			{
-				this->sent.clear();
-				this->phaseSince = now;
-			}
-			this->row = std::move(_row);
 			this->rowVersion = result.version;
-			this->rowReadAt = now;
-			co_return true;
+			this->rowReadAt = nowMs();
+			this->adopt(std::move(_row));
 		}
-		if (result.current)
+		else if (result.current)
 		{
-			const SwitchIntent current = decodeIntent(result.current->value);
-			this->ended = current.term != this->row.term;
-			this->row = this->ended ? this->row : current;
-			this->rowVersion = result.current->version;
-			this->rowReadAt = now;
-			this->phaseSince = now;
-			this->sent.clear();
+			this->adoptRow(*result.current);
 		}
-		co_return false;
 	}
 
 	void Coordinator::sampleCounts()
@@ -345,60 +394,80 @@
 		{
 			return std::nullopt;
 		}
-		const MapDecision decision = decideMap(*this->model, std::uint32_t(ranks.size()), hosts, *load);
+		const MapDecision decision = decideMap(*this->model, std::uint32_t(ranks.size()), hosts, *load, {this->passMs, this->gapObjectiveMs});
 		this->lastSkew = decision.skewBefore;
 		if (!decision.worthwhile)
 		{
 			return std::nullopt;
 		}
-		std::uint64_t newest = 0;
-		for (const RankView& rank : ranks)
+		logInfo("map_planned", {{"group", this->group}, {"epoch", first.epoch}, {"step", first.step}, {"skew", decision.skewBefore}, {"planned_skew", decision.skewAfter}, {"copies", decision.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.samples.back().at}});
+		std::optional<SwitchIntent> begun = beginSwitch(this->intent, first.epoch, decision.hosts);
+		this->ended = this->ended || !begun; // no versions left: the next coordinator has a term of its own
+		return begun;
+	}
+
+	bool Coordinator::takesTooLong() const
+	{
+		const Millis since = nowMs() - this->phaseSince;
+		if (SwitchPhase::Holding == this->intent.phase)
 		{
-			newest = std::max({newest, rank.map, rank.prepared.value_or(0), rank.armed.value_or(0)});
+			return since > kHoldMs;
 		}
-		logInfo("map_planned", {{"group", this->group}, {"epoch", first.epoch}, {"step", first.step}, {"skew", decision.skewBefore}, {"planned_skew", decision.skewAfter}, {"copies", decision.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.samples.back().at}});
-		return beginSwitch(this->row, first.epoch, newest, decision.hosts);
+		const bool refused = std::any_of(this->sent.begin(), this->sent.end(), [](const auto& _entry) {
+			return RankOrderKind::Prepare == _entry.first.kind && _entry.second.refused;
+		});
+		return refused || since > kPrepareMs;
 	}
 
-	aio::Task<void> Coordinator::advance()
+	std::optional<std::uint32_t> Coordinator::ownRank() const
+	{
+		const auto own = this->ranks.find(this->parts.settings.upstream);
+		const bool known = this->ranks.end() != own && 0 != own->second.seenAt;
+		return known ? std::optional(own->second.report.engine.rank) : std::nullopt;
+	}
+
+	void Coordinator::sendOrders(const std::vector<RankOrderPlan>& _orders)
 	{
 		const Millis now = nowMs();
+		for (const RankOrderPlan& order : _orders)
+		{
+			SentOrder& last = this->sent[order];
+			if (0 == last.at || now - last.at >= (last.accepted ? kRepeatAcceptedMs : kRepeatMs))
+			{
+				last.at = now;
+				this->tasks.add(this->send(order).take());
+			}
+		}
+	}
+
+	aio::Task<void> Coordinator::advance()
+	{
 		if (!this->switchIsOpen())
 		{
 			std::optional<SwitchIntent> begun = this->plan();
 			if (begun)
 			{
-				std::string reason = "skew";
-				co_await this->writeRow(std::move(*begun), std::move(reason));
+				this->adopt(std::move(*begun));
 			}
 			co_return;
 		}
-		const bool refused = std::any_of(this->sent.begin(), this->sent.end(), [](const auto& _entry) {
-			return RankOrderKind::Prepare == _entry.first.kind && _entry.second.refused;
-		});
-		const bool late = now - this->phaseSince > kPrepareMs || refused;
-		SwitchStep step = decideSwitch(this->row, this->views(kViewMaxAgeMs), this->marginSteps(), late);
-		if (step.write)
+		const SwitchPatience patience{this->marginSteps(), this->takesTooLong(), this->ownRank()};
+		SwitchStep step = decideSwitch(this->intent, this->views(kViewMaxAgeMs), patience);
+		if (!step.next)
 		{
-			const bool done = "in_force" == step.reason;
-			std::string reason(step.reason);
-			const bool written = co_await this->writeRow(std::move(*step.write), std::move(reason));
-			this->switches += done && written ? 1 : 0;
-			if (done)
-			{
-				this->window = {};
-			}
+			this->sendOrders(step.orders);
 			co_return;
 		}
-		for (const RankOrderPlan& order : step.orders)
+		const bool done = "in_force" == step.reason;
+		this->switches += done ? 1 : 0;
+		if (step.store)
 		{
-			SentOrder& last = this->sent[order];
-			if (0 == last.at || now - last.at >= (last.accepted ? kRepeatAcceptedMs : kRepeatMs))
-			{
-				last.at = now;
-				this->tasks.add(this->send(order).take());
-			}
+			std::string reason(step.reason);
+			co_await this->writeRow(std::move(*step.next), std::move(reason));
+			co_return;
 		}
+		logInfo("switch", {{"group", this->group}, {"term", step.next->term}, {"phase", toString(step.next->phase)}, {"version", step.next->version}, {"reason", step.reason}, {"took_ms", nowMs() - this->phaseSince}});
+		this->adopt(std::move(*step.next));
 	}
 
 	aio::Task<void> Coordinator::watchRanks()
@@ -465,6 +534,7 @@
 						const CatalogIndex index = newest ? makeIndex(this->parts.decodeCatalog(row.value)) : CatalogIndex();
 						const CatalogService* service = findService(index, this->parts.settings.service);
 						this->model = nullptr == service ? this->model : service->engine;
+						this->gapObjectiveMs = newest ? leastGapObjective(index.catalog, this->parts.settings.service) : this->gapObjectiveMs;
 					}
 					modelAt = nowMs();
 				}
@@ -496,35 +566,41 @@
 		}
 	}
 
+	/// A hold that is seen while no switch is open stands in the way of the group.
+	Millis Coordinator::rowLookMs() const
+	{
+		const std::vector<RankView> ranks = this->views(kViewMaxAgeMs);
+		const bool stray = !this->switchIsOpen() && std::any_of(ranks.begin(), ranks.end(), [](const RankView& _rank) {
+			return _rank.seen && _rank.held;
+		});
+		const Millis usual = this->storeLost ? kStoreRetryMs : kRowLookMs;
+		return stray ? kStrayLookMs : usual;
+	}
+
 	aio::Task<void> Coordinator::checkRow()
 	{
 		const store::RowKey key = groupRowKey(this->parts.settings.service, this->group);
 		while (!this->ended)
 		{
-			co_await this->parts.loop.timer.afterDelay((this->storeLost ? kStoreRetryMs : kRowLookMs) * kj::MILLISECONDS);
+			co_await this->parts.loop.timer.afterDelay(this->rowLookMs() * kj::MILLISECONDS);
 			const bool before = this->storeLost;
 			std::string failure;
 			try
 			{
+				// The row is read after the ranks were seen: a hold that it doesn't name is stray.
+				const std::vector<RankView> seenBefore = this->views(kViewMaxAgeMs);
 				const store::Rows rows = co_await this->parts.store.read(key.table, key.part, key.key);
 				this->storeLost = false;
 				for (const store::Row& found : rows.rows)
 				{
 					if (found.key == key && found.version > this->rowVersion)
 					{
-						const SwitchIntent current = decodeIntent(found.value);
-						this->ended = current.term != this->row.term;
-						this->row = this->ended ? this->row : current;
-						this->rowVersion = found.version;
-						this->rowReadAt = nowMs();
-						this->phaseSince = nowMs();
-						this->sent.clear();
+						this->adoptRow(found);
 					}
 				}
-				// The row was read after the ranks were seen: a hold that it doesn't name is stray.
-				for (const RankOrderPlan& order : releaseStrayHolds(this->row, this->views(kViewMaxAgeMs)))
+				for (const RankOrderPlan& order : releaseStrayHolds(this->intent, seenBefore))
 				{
-					logWarning("stray_hold", {{"group", this->group}, {"rank", order.rank}, {"step", order.step}, {"phase", toString(this->row.phase)}});
+					logWarning("stray_hold", {{"group", this->group}, {"rank", order.rank}, {"step", order.step}, {"phase", toString(this->intent.phase)}});
 					this->tasks.add(this->send(order).take());
 				}
 			}
@@ -535,7 +611,7 @@
 			}
 			if (before != this->storeLost)
 			{
-				logWarning(this->storeLost ? "store_lost" : "store_back", {{"table", key.table}, {"reason", failure}, {"term", this->row.term}});
+				logWarning(this->storeLost ? "store_lost" : "store_back", {{"table", key.table}, {"reason", failure}, {"term", this->intent.term}});
 			}
 		}
 	}
@@ -586,6 +662,6 @@
 		{
 			seen.push_back({{"engine", engine}, {"rank", rank.report.engine.rank}, {"ageMs", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"step", rank.report.engine.view.step}, {"map", rank.report.engine.view.map}, {"queued", rank.report.engine.queued}, {"active", rank.report.engine.active}});
 		}
-		return nlohmann::json{{"group", this->group}, {"term", this->row.term}, {"phase", std::string(toString(this->row.phase))}, {"version", this->row.version}, {"boundary", this->row.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"ranks", seen}}.dump();
+		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"ranks", seen}}.dump();
 	}
 } // namespace archdyke::group
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -63,6 +63,13 @@
 			bool asking = false;
 		};
 
+		/// A pass that was seen to have begun.
+		struct PassSample
+		{
+			std::uint64_t step = 0;
+			Millis at = 0;
+		};
+
 		/// An order that was sent, so that it isn't sent again at once.
 		struct SentOrder
 		{
@@ -78,9 +85,16 @@
 		aio::Task<void> observeDirectly(std::string _engine);
 		aio::Task<void> send(RankOrderPlan _plan);
 		aio::Task<void> advance();
-		aio::Task<bool> writeRow(SwitchIntent _row, std::string _reason);
+		aio::Task<void> writeRow(SwitchIntent _row, std::string _reason);
+		void adopt(SwitchIntent _intent);
+		void adoptRow(const store::Row& _row);
+		void sendOrders(const std::vector<RankOrderPlan>& _orders);
+		bool takesTooLong() const;
+		std::optional<std::uint32_t> ownRank() const;
+		Millis rowLookMs() const;
 		void takeUpstreams(const store::Rows& _rows);
 		void hear(Rank& _rank, const RankReport& _report);
+		void notePass(const EngineReport& _engine);
 		void sampleCounts();
 		std::optional<SwitchIntent> plan();
 		ExpertHosts currentHosts(const std::vector<RankView>& _ranks) const;
@@ -91,7 +105,7 @@
 
 		CoordinatorParts parts;
 		std::string group;
-		SwitchIntent row;
+		SwitchIntent intent; ///< As the row says, but for what is only in memory.
 		std::uint64_t rowVersion;
 		Millis rowReadAt;
 		Millis phaseSince;
@@ -102,10 +116,11 @@
 		std::map<RankOrderPlan, SentOrder> sent;
 		CountWindow window;
 		Millis countsAt = 0;
-		Millis plannedAt = 0;
 		double passMs = 0.0;
-		std::uint64_t lastStep = 0;
-		Millis lastStepAt = 0;
+		double writeMs = 15.0; ///< Mean time of a write of the row; begins with a usual one.
+		std::deque<PassSample> passes; ///< Of one epoch; each step once.
+		std::uint64_t passEpoch = 0;
+		Millis gapObjectiveMs = 0;
 		double lastSkew = 0.0;
 		std::map<std::string, Millis> gateways; ///< When each last asked.
 		std::uint64_t switches = 0;
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -14,8 +14,8 @@
 	{
 		/// A group whose coordinator wasn't heard for this long gets another, ms; later ranks
 		/// wait longer, so that one after the other tries.
-		constexpr Millis kCoordinatorGoneMs = 1'000;
-		constexpr Millis kWaitPerRankMs = 200;
+		constexpr Millis kCoordinatorGoneMs = 600;
+		constexpr Millis kWaitPerRankMs = 120;
 		constexpr Millis kMaxWaitForRankMs = 4'000;
 		constexpr Millis kLookMs = 100;
 		/// After a try to take over that failed, ms.
