Counts from some ranks as differences, maps as differences, fewer store calls

Cause: with 63 ranks and 8 sets of 252 experts the counts of all ranks are 8 KB each every 60 ms, 8 times the coordinator's link of 8 Mbit/s: its questions timed out, and coordinators took turns (19 in 39 s). A map of that size is 10 KB for each rank.

Change: 400 KB/s of counts at most, from as many ranks as that allows; a rank's daemon sends what was chosen since the sample that the coordinator holds, 2 bytes an expert; a prepare carries what differs from the map in force. The calls for the configuration hang 2.25 s in place of 1.5, those for the upstreams 10 s, ended by a failed one of the others. Gateways of large groups ask less often.

--- a/include/archdyke/map_window.h
+++ b/include/archdyke/map_window.h
@@ -1,4 +1,4 @@
-/// Counts of chosen experts over the last moments, from the counters of all ranks of a group.
+/// Choices of experts over the last moments, gathered from samples of the ranks of a group.
 #pragma once
 
 #include <cstdint>
@@ -11,30 +11,30 @@
 
 namespace archdyke
 {
-	/// Sum of all ranks' counters at one moment, set by set.
-	struct CountSample
+	/// What the requests of one rank chose between two moments, set by set.
+	struct ChoicePiece
 	{
-		Millis at = 0;
+		Millis from = 0;
+		Millis to = 0;
 		std::uint64_t epoch = 0;
-		std::vector<std::uint32_t> counts;
+		std::vector<std::uint32_t> choices;
 
-		bool operator==(const CountSample&) const = default;
+		bool operator==(const ChoicePiece&) const = default;
 	};
 
-	/// Samples of the last moments, oldest first.
-	struct CountWindow
+	/// Pieces of the last moments, oldest first.
+	struct ChoiceWindow
 	{
-		std::deque<CountSample> samples;
+		std::deque<ChoicePiece> pieces;
 	};
 
-	/// Adds a sample; samples of another epoch are forgotten, and those that are older than
-	/// what a window needs.
-	void addSample(CountWindow& _window, CountSample _sample, Millis _windowMs);
+	/// Adds a piece; pieces of another epoch are forgotten, and those that ended before the window.
+	void addPiece(ChoiceWindow& _window, ChoicePiece _piece, Millis _windowMs);
 
 	/// @param[in] _experts Experts of a set.
-	/// @returns Choices in about the last _windowMs, by set and expert; none before the
-	/// window is full.
-	std::optional<ExpertLoad> loadOf(const CountWindow& _window, std::uint32_t _experts, Millis _windowMs);
+	/// @returns Choices in about the last _windowMs, by set and expert; none before pieces
+	/// span the window.
+	std::optional<ExpertLoad> loadOf(const ChoiceWindow& _window, std::uint32_t _experts, Millis _windowMs);
 
 	/// @returns The map that a group forms with: experts dealt to the ranks in turn.
 	ExpertHosts dealtInTurn(std::uint32_t _sets, std::uint32_t _experts, std::uint32_t _ranks);
--- a/src/decide/map_window.cpp
+++ b/src/decide/map_window.cpp
@@ -1,39 +1,42 @@
 #include "archdyke/map_window.h"
 
+#include <algorithm>
+
 namespace archdyke
 {
-	void addSample(CountWindow& _window, CountSample _sample, Millis _windowMs)
+	void addPiece(ChoiceWindow& _window, ChoicePiece _piece, Millis _windowMs)
 	{
-		if (!_window.samples.empty() && (_window.samples.back().epoch != _sample.epoch || _window.samples.back().counts.size() != _sample.counts.size()))
+		const bool another = !_window.pieces.empty() && (_window.pieces.back().epoch != _piece.epoch || _window.pieces.back().choices.size() != _piece.choices.size());
+		if (another)
 		{
-			_window.samples.clear();
+			_window.pieces.clear();
 		}
-		_window.samples.push_back(std::move(_sample));
-		// One sample from before the window stays: the window's counts are told from it.
-		while (2 < _window.samples.size() && _window.samples[1].at <= _window.samples.back().at - _windowMs)
+		const Millis now = _piece.to;
+		_window.pieces.push_back(std::move(_piece));
+		while (_window.pieces.front().to <= now - _windowMs)
 		{
-			_window.samples.pop_front();
+			_window.pieces.pop_front();
 		}
 	}
 
-	std::optional<ExpertLoad> loadOf(const CountWindow& _window, std::uint32_t _experts, Millis _windowMs)
+	std::optional<ExpertLoad> loadOf(const ChoiceWindow& _window, std::uint32_t _experts, Millis _windowMs)
 	{
-		if (2 > _window.samples.size() || 0 == _experts || _window.samples.back().at - _window.samples.front().at < _windowMs)
+		if (_window.pieces.empty() || 0 == _experts)
 		{
 			return std::nullopt;
 		}
-		const std::vector<std::uint32_t>& before = _window.samples.front().counts;
-		const std::vector<std::uint32_t>& now = _window.samples.back().counts;
-		ExpertLoad load;
-		for (std::size_t index = 0; index < now.size(); ++index)
+		const Millis newest = _window.pieces.back().to;
+		Millis oldest = newest;
+		ExpertLoad load((_window.pieces.front().choices.size() + _experts - 1) / _experts, std::vector<double>(_experts, 0.0));
+		for (const ChoicePiece& piece : _window.pieces)
 		{
-			if (0 == index % _experts)
+			oldest = std::min(oldest, piece.from);
+			for (std::size_t index = 0; index < piece.choices.size(); ++index)
 			{
-				load.emplace_back();
+				load[index / _experts][index % _experts] += piece.choices[index];
 			}
-			load.back().push_back(double(now[index] - before[index]));
 		}
-		return load;
+		return newest - oldest < _windowMs ? std::nullopt : std::optional(load);
 	}
 
 	ExpertHosts dealtInTurn(std::uint32_t _sets, std::uint32_t _experts, std::uint32_t _ranks)
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -99,6 +99,12 @@
 			return rankHasRoom && layerHasRoom;
 		}
 
+		/// Whether a move that was found before is still within the limits.
+		bool isAllowed(const Layer& _layer, const ArrivalLimits& _limits, const Move& _move)
+		{
+			return mayArrive(_layer, _limits, _move.expert, _move.to) && (!_move.swaps || mayArrive(_layer, _limits, _move.evicted, _move.from));
+		}
+
 		void addHost(Layer& _layer, std::uint32_t _expert, std::uint32_t _rank)
 		{
 			_layer.arrivals[_rank] += arrives(_layer, _expert, _rank) ? 1 : 0;
@@ -435,7 +441,10 @@
 			countArrivals(limits, layers);
 			for (std::size_t other = 0; other < layers.size(); ++other)
 			{
-				best[other] = bestMove(layers[other], limits, _input.slots);
+				if (other == layer || !isAllowed(layers[other], limits, best[other]))
+				{
+					best[other] = bestMove(layers[other], limits, _input.slots);
+				}
 			}
 		}
 		if (!limited && totals.skew() > _skewTolerance)
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -10,6 +10,8 @@
 		/// Between two questions for the loads of a group, ms: about two passes. What this
 		/// gateway sent since is added to what was reported.
 		constexpr Millis kAskMs = 120;
+		/// In large groups, ms a rank: an answer has 16 bytes a rank, and all gateways ask.
+		constexpr double kAskMsPerRank = 4.0;
 		constexpr Millis kAnswerMs = 250;
 
 		class TaskErrors final : public kj::TaskSet::ErrorHandler
@@ -67,6 +69,7 @@
 		view.passMs = _loads.passMs;
 		view.gateways = _loads.gateways;
 		view.at = now;
+		this->mostRanks = std::max(this->mostRanks, _loads.ranks.size());
 		for (const group::RankLoad& rank : _loads.ranks)
 		{
 			this->state.board.report(rank.address, rank.requests, now);
@@ -119,7 +122,8 @@
 	{
 		while (true)
 		{
-			co_await this->state.loop.timer.afterDelay(kAskMs * kj::MILLISECONDS);
+			const Millis wait = std::max(kAskMs, Millis(kAskMsPerRank * double(this->mostRanks)));
+			co_await this->state.loop.timer.afterDelay(wait * kj::MILLISECONDS);
 			if (nullptr == this->state.catalog)
 			{
 				continue;
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -10,12 +10,13 @@
 	namespace
 	{
 		/// How long a call for changes of the configuration hangs, as a share of the bound on
-		/// withdrawn keys: two calls may fail in a row before keys can't be proved any more.
-		constexpr double kWaitShareOfRevocation = 0.3;
+		/// withdrawn keys: the proof is as old at most, so that a call that fails at once leaves
+		/// time for others. Each call is paid for.
+		constexpr double kWaitShareOfRevocation = 0.45;
 		constexpr Millis kMostWaitMs = 5'000;
-		/// How long a call for changes of the upstreams hangs, ms: a change ends it at once, so
-		/// the figure only bounds how long a dead connection is unnoticed.
-		constexpr Millis kUpstreamsWaitMs = 2'500;
+		/// How long a call for changes of the upstreams hangs, ms: a change ends it at once, and
+		/// so does a failed call for the configuration.
+		constexpr Millis kUpstreamsWaitMs = 10'000;
 		/// Before a call is tried again after a failure, ms, and the most it grows to.
 		constexpr Millis kRetryMs = 150;
 		constexpr Millis kMostRetryMs = 600;
@@ -54,6 +55,10 @@
 		const auto it = this->up.find(_table);
 		const bool before = this->up.end() == it || it->second;
 		this->up[_table] = _up;
+		if (!_up && "configuration" == std::string_view(_table) && nullptr != this->upstreamsInterrupt.get())
+		{
+			this->upstreamsInterrupt->reject(KJ_EXCEPTION(DISCONNECTED, "the call for the configuration failed"));
+		}
 		if (before != _up)
 		{
 			logWarning(_up ? "store_back" : "store_lost", {{"table", _table}, {"reason", _reason}, {"proof_age_ms", proofAge(this->state.freshness, nowMs()).value_or(-1)}, {"catalog", nullptr == this->state.catalog ? 0 : this->state.catalog->catalog.version}});
@@ -212,7 +217,10 @@
 				store::Rows rows;
 				if (since)
 				{
-					rows = co_await this->store.follow(this->names.upstreams, *since, kUpstreamsWaitMs);
+					auto interrupt = kj::newPromiseAndFulfiller<store::Rows>();
+					this->upstreamsInterrupt = kj::mv(interrupt.fulfiller);
+					kj::Promise<store::Rows> changes = this->store.follow(this->names.upstreams, *since, kUpstreamsWaitMs).take();
+					rows = co_await changes.exclusiveJoin(kj::mv(interrupt.promise));
 				}
 				else
 				{
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -21,6 +21,14 @@
 		/// A look costs the coordinator some 60 us a rank; this keeps it below a tenth of a core
 		/// in large groups.
 		constexpr double kLookMsPerRank = 0.6;
+		constexpr double kIdleLookMsPerRank = 2.0;
+		/// Counts of chosen experts may take this much of the coordinator's link, bytes a second:
+		/// 4 of the 10 Mbit/s that the smallest VMs have, of both directions together.
+		constexpr double kSampleBytesPerSecond = 400'000.0;
+		/// In large groups only some ranks are asked for counts, and less often: requests are
+		/// spread over all ranks, so what some chose tells what all choose.
+		constexpr double kSampleMsPerRank = 1.5;
+		constexpr std::size_t kLeastSampled = 8;
 		constexpr Millis kObserveTimeoutMs = 250;
 		constexpr Millis kOrderTimeoutMs = 150;
 		/// An order without an answer is sent again after this, one that was accepted but shows
@@ -114,10 +122,16 @@
 
 	Millis Coordinator::lookMs() const
 	{
-		Millis base = kSwitchingLookMs;
-		base = SwitchPhase::Idle == this->intent.phase ? kIdleLookMs : base;
-		base = SwitchPhase::Preparing == this->intent.phase ? kPreparingLookMs : base;
-		return std::max(base, Millis(kLookMsPerRank * double(this->ranks.size())));
+		const double ranks = double(this->ranks.size());
+		switch (this->intent.phase)
+		{
+		case SwitchPhase::Idle:
+			return std::max(kIdleLookMs, Millis(kIdleLookMsPerRank * ranks));
+		case SwitchPhase::Preparing:
+			return std::max(kPreparingLookMs, Millis(kLookMsPerRank * ranks));
+		default:
+			return std::max(kSwitchingLookMs, Millis(kLookMsPerRank * ranks));
+		}
 	}
 
 	std::uint64_t Coordinator::marginSteps() const
@@ -183,14 +197,13 @@
 
 	void Coordinator::hear(Rank& _rank, const RankReport& _report)
 	{
-		const EngineCounts counts = _report.counts.counts.empty() ? _rank.report.counts : _report.counts;
 		const bool stateChanged = _rank.report.engine.view.open != _report.engine.view.open || _rank.report.engine.view.epoch != _report.engine.view.epoch || 0 == _rank.seenAt;
 		if (stateChanged)
 		{
 			logInfo("rank_state", {{"engine", _rank.engineAddress}, {"group", _report.engine.group}, {"rank", _report.engine.rank}, {"epoch", _report.engine.view.epoch}, {"open", _report.engine.view.open}, {"map", _report.engine.view.map}});
 		}
+		this->takeChoices(_rank, _report.choices);
 		_rank.report = _report;
-		_rank.report.counts = counts;
 		_rank.seenAt = nowMs();
 		this->notePass(_report.engine);
 	}
@@ -203,7 +216,7 @@
 		try
 		{
 			const Coordination mine = this->coordination();
-			const Observation observation = co_await rank.link->observe(mine, _counts, kObserveTimeoutMs);
+			const Observation observation = co_await rank.link->observe(mine, _counts, rank.sample, kObserveTimeoutMs);
 			if (observation.newest.term > this->intent.term)
 			{
 				logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", observation.newest.term}, {"coordinator", observation.newest.address}});
@@ -255,6 +268,16 @@
 		}
 	}
 
+	MapDifference Coordinator::differenceFor(const Rank& _rank, const RankExperts& _map) const
+	{
+		const std::uint32_t ranks = _rank.report.engine.ranks;
+		const std::uint32_t sets = std::uint32_t(this->intent.map.size());
+		const std::uint32_t experts = 0 == sets ? 0 : std::uint32_t(this->intent.map.front().size());
+		const bool dealt = _rank.lacksBase || 0 == this->intent.inForceVersion;
+		const ExpertHosts base = dealt ? dealtInTurn(sets, experts, ranks) : this->intent.inForce;
+		return differenceOf(dealt ? 0 : this->intent.inForceVersion, expertsByRank(base, ranks), _map, experts);
+	}
+
 	aio::Task<void> Coordinator::send(RankOrderPlan _plan)
 	{
 		Rank* target = nullptr;
@@ -268,9 +291,11 @@
 			co_return;
 		}
 		EngineOrder order{_plan.kind, _plan.epoch, _plan.version, _plan.step, {}};
+		MapDifference difference;
 		if (RankOrderKind::Prepare == _plan.kind)
 		{
 			order.expertsByRank = expertsByRank(this->intent.map, target->report.engine.ranks);
+			difference = this->differenceFor(*target, order.expertsByRank);
 		}
 		// A VM that freezes with a hold just given would keep the group standing: the hold is
 		// given from here, so that the engine that has it can still be reached.
@@ -281,7 +306,8 @@
 			try
 			{
 				EngineOrder copy = order;
-				outcome = co_await target->link->order(this->intent.term, std::move(copy), kOrderTimeoutMs);
+				outcome = co_await target->link->order(this->intent.term, std::move(copy), std::move(difference), kOrderTimeoutMs);
+				target->lacksBase = outcome.baseUnknown;
 			}
 			catch (const kj::Exception&)
 			{
@@ -352,25 +378,33 @@
 		}
 	}
 
-	void Coordinator::sampleCounts()
+	void Coordinator::takeChoices(Rank& _rank, const ChoiceSample& _sample)
 	{
-		CountSample sample;
-		sample.at = nowMs();
-		for (const auto& [engine, rank] : this->ranks)
+		if (0 == _sample.sample)
 		{
-			const EngineCounts& counts = rank.report.counts;
-			if (rank.report.engine.group != this->group || counts.counts.empty())
-			{
-				return;
-			}
-			sample.epoch = counts.epoch;
-			sample.counts.resize(counts.counts.size());
-			for (std::size_t index = 0; index < counts.counts.size(); ++index)
-			{
-				sample.counts[index] += counts.counts[index];
-			}
+			return;
+		}
+		const Millis now = nowMs();
+		const bool follows = 0 != _sample.since && _sample.since == _rank.sample && _sample.epoch == _rank.sampleEpoch;
+		if (follows)
+		{
+			addPiece(this->window, {_rank.sampledAt, now, _sample.epoch, _sample.choices}, kCountWindowMs);
 		}
-		addSample(this->window, std::move(sample), kCountWindowMs);
+		_rank.sample = _sample.sample;
+		_rank.sampleEpoch = _sample.epoch;
+		_rank.sampledAt = now;
+	}
+
+	Millis Coordinator::sampleMs() const
+	{
+		return std::max(kIdleLookMs, Millis(kSampleMsPerRank * double(this->ranks.size())));
+	}
+
+	std::size_t Coordinator::sampledRanks() const
+	{
+		const double bytes = !this->model ? 1.0 : double(sizeof(std::uint16_t)) * this->model->sets * this->model->experts;
+		const double affordable = kSampleBytesPerSecond * double(this->sampleMs()) / 1'000.0 / std::max(1.0, bytes);
+		return std::max(kLeastSampled, std::size_t(affordable));
 	}
 
 	std::optional<SwitchIntent> Coordinator::plan()
@@ -385,7 +419,7 @@
 			return _rank.seen && _rank.open && _rank.epoch == first.epoch && _rank.map == first.map && !_rank.held;
 		});
 		const std::optional<ExpertLoad> load = loadOf(this->window, this->model->experts, kCountWindowMs);
-		if (!steady || !load || this->window.samples.back().epoch != first.epoch)
+		if (!steady || !load || this->window.pieces.back().epoch != first.epoch)
 		{
 			return std::nullopt;
 		}
@@ -400,7 +434,7 @@
 		{
 			return std::nullopt;
 		}
-		logInfo("map_planned", {{"group", this->group}, {"epoch", first.epoch}, {"step", first.step}, {"skew", decision.skewBefore}, {"planned_skew", decision.skewAfter}, {"copies", decision.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.samples.back().at}});
+		logInfo("map_planned", {{"group", this->group}, {"epoch", first.epoch}, {"step", first.step}, {"skew", decision.skewBefore}, {"planned_skew", decision.skewAfter}, {"copies", decision.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.pieces.back().to}});
 		std::optional<SwitchIntent> begun = beginSwitch(this->intent, first.epoch, decision.hosts);
 		this->ended = this->ended || !begun; // no versions left: the next coordinator has a term of its own
 		return begun;
@@ -470,26 +504,31 @@
 		this->adopt(std::move(*step.next));
 	}
 
-	aio::Task<void> Coordinator::watchRanks()
+	void Coordinator::askRanks()
 	{
-		while (!this->ended)
+		const Millis now = nowMs();
+		const bool counts = now - this->countsAt >= this->sampleMs();
+		this->countsAt = counts ? now : this->countsAt;
+		std::size_t left = counts ? this->sampledRanks() : 0;
+		for (auto& [engine, rank] : this->ranks)
 		{
-			const Millis now = nowMs();
-			const bool counts = now - this->countsAt >= kIdleLookMs;
-			this->countsAt = counts ? now : this->countsAt;
-			for (auto& [engine, rank] : this->ranks)
+			if (rank.asking)
 			{
-				if (!rank.asking)
-				{
-					std::string name = engine;
-					this->tasks.add(this->observe(std::move(name), counts).take());
-				}
+				continue;
 			}
+			const bool sampled = 0 < left;
+			left -= sampled ? 1 : 0;
+			std::string name = engine;
+			this->tasks.add(this->observe(std::move(name), sampled).take());
+		}
+	}
+
+	aio::Task<void> Coordinator::watchRanks()
+	{
+		while (!this->ended)
+		{
+			this->askRanks();
 			co_await this->parts.loop.timer.afterDelay(this->lookMs() * kj::MILLISECONDS);
-			if (counts)
-			{
-				this->sampleCounts();
-			}
 			co_await this->advance();
 		}
 	}
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -61,6 +61,10 @@
 			RankReport report;
 			Millis seenAt = 0; ///< 0: never.
 			bool asking = false;
+			bool lacksBase = false; ///< Its daemon doesn't know the map in force.
+			std::uint64_t sample = 0; ///< Last sample of counts; 0: none.
+			std::uint64_t sampleEpoch = 0;
+			Millis sampledAt = 0;
 		};
 
 		/// A pass that was seen to have begun.
@@ -95,7 +99,11 @@
 		void takeUpstreams(const store::Rows& _rows);
 		void hear(Rank& _rank, const RankReport& _report);
 		void notePass(const EngineReport& _engine);
-		void sampleCounts();
+		void takeChoices(Rank& _rank, const ChoiceSample& _sample);
+		void askRanks();
+		Millis sampleMs() const;
+		std::size_t sampledRanks() const;
+		MapDifference differenceFor(const Rank& _rank, const RankExperts& _map) const;
 		std::optional<SwitchIntent> plan();
 		ExpertHosts currentHosts(const std::vector<RankView>& _ranks) const;
 		std::vector<RankView> views(Millis _maxAgeMs) const;
@@ -114,7 +122,7 @@
 		std::map<std::string, Rank> ranks; ///< By engine address.
 		std::optional<EngineModel> model;
 		std::map<RankOrderPlan, SentOrder> sent;
-		CountWindow window;
+		ChoiceWindow window;
 		Millis countsAt = 0;
 		double passMs = 0.0;
 		double writeMs = 15.0; ///< Mean time of a write of the row; begins with a usual one.
--- a/src/group/engine_codec.h
+++ b/src/group/engine_codec.h
@@ -31,6 +31,9 @@
 		bool operator==(const EngineCounts&) const = default;
 	};
 
+	/// By set and rank, the experts.
+	using RankExperts = std::vector<std::vector<std::vector<std::uint32_t>>>;
+
 	/// An order for an engine.
 	struct EngineOrder
 	{
@@ -38,8 +41,7 @@
 		std::uint64_t epoch = 0;
 		std::uint64_t version = 0;
 		std::uint64_t step = 0;
-		/// Of a prepare: by set and rank, the experts.
-		std::vector<std::vector<std::vector<std::uint32_t>>> expertsByRank;
+		RankExperts expertsByRank; ///< Of a prepare.
 
 		bool operator==(const EngineOrder&) const = default;
 	};
--- a/src/group/rank_link.cpp
+++ b/src/group/rank_link.cpp
@@ -57,26 +57,27 @@
 		}
 	}
 
-	aio::Task<Observation> RankLink::observe(Coordination _coordination, bool _counts, Millis _timeoutMs)
+	aio::Task<Observation> RankLink::observe(Coordination _coordination, bool _counts, std::uint64_t _sample, Millis _timeoutMs)
 	{
 		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
 		auto request = link->daemon.observeRequest();
 		writeCoordination(request.initCoordination(), _coordination);
 		request.setCounts(_counts);
+		request.setSample(_sample);
 		kj::Promise<Observation> answer = request.send().then([](capnp::Response<rpc::RankDaemon::ObserveResults>&& _response) {
 			return Observation{readCoordination(_response.getNewest()), readReport(_response.getReport())};
 		});
 		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
 	}
 
-	aio::Task<OrderOutcome> RankLink::order(std::uint64_t _term, EngineOrder _order, Millis _timeoutMs)
+	aio::Task<OrderOutcome> RankLink::order(std::uint64_t _term, EngineOrder _order, MapDifference _difference, Millis _timeoutMs)
 	{
 		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
 		auto request = link->daemon.orderRequest();
 		request.setTerm(_term);
-		writeOrder(request.initOrder(), _order);
+		writeOrder(request.initOrder(), _order, _difference);
 		kj::Promise<OrderOutcome> answer = request.send().then([](capnp::Response<rpc::RankDaemon::OrderResults>&& _response) {
-			return OrderOutcome{_response.getAccepted(), _response.getStatus()};
+			return OrderOutcome{_response.getAccepted(), _response.getStatus(), _response.getBaseUnknown()};
 		});
 		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
 	}
--- a/src/group/rank_link.h
+++ b/src/group/rank_link.h
@@ -24,8 +24,9 @@
 		RankLink(http::LoopParts _loop, std::string _address);
 
 		/// All three throw kj::Exception when there is no answer in time.
-		aio::Task<Observation> observe(Coordination _coordination, bool _counts, Millis _timeoutMs);
-		aio::Task<OrderOutcome> order(std::uint64_t _term, EngineOrder _order, Millis _timeoutMs);
+		/// @param[in] _sample The last sample of counts that is held, 0 for none.
+		aio::Task<Observation> observe(Coordination _coordination, bool _counts, std::uint64_t _sample, Millis _timeoutMs);
+		aio::Task<OrderOutcome> order(std::uint64_t _term, EngineOrder _order, MapDifference _difference, Millis _timeoutMs);
 		aio::Task<GroupLoads> loads(std::string _gateway, Millis _timeoutMs);
 
 		const std::string& address() const;
--- a/src/group/rank_rpc.cpp
+++ b/src/group/rank_rpc.cpp
@@ -19,11 +19,20 @@
 			return 0 == _value ? std::nullopt : std::optional(_value);
 		}
 
-		std::vector<std::uint32_t> numbersOf(capnp::List<std::uint32_t>::Reader _list)
+		void writeNumbers(capnp::List<std::uint16_t>::Builder _list, const std::vector<std::uint32_t>& _numbers)
+		{
+			constexpr std::uint32_t kMost = 65'535;
+			for (unsigned index = 0; index < _list.size(); ++index)
+			{
+				_list.set(index, std::uint16_t(std::min(kMost, _numbers[index])));
+			}
+		}
+
+		std::vector<std::uint32_t> numbersOf(capnp::List<std::uint16_t>::Reader _list)
 		{
 			std::vector<std::uint32_t> numbers;
 			numbers.reserve(_list.size());
-			for (const std::uint32_t number : _list)
+			for (const std::uint16_t number : _list)
 			{
 				numbers.push_back(number);
 			}
@@ -59,8 +68,7 @@
 		engine.queued = _reader.getQueued();
 		engine.active = _reader.getActive();
 		engine.view = {true, _reader.getEpoch(), _reader.getOpen(), _reader.getStep(), _reader.getMap(), fromNone(_reader.getPrepared()), fromNone(_reader.getArmed()), fromNone(_reader.getHeld())};
-		report.counts.epoch = _reader.getCountsEpoch();
-		report.counts.counts = numbersOf(_reader.getCounts());
+		report.choices = {_reader.getCountsEpoch(), _reader.getCountsSample(), _reader.getCountsSince(), numbersOf(_reader.getChoices())};
 		return report;
 	}
 
@@ -80,12 +88,10 @@
 		_builder.setPrepared(orNone(engine.view.prepared));
 		_builder.setArmed(orNone(engine.view.armed));
 		_builder.setHeld(orNone(engine.view.held));
-		_builder.setCountsEpoch(_report.counts.epoch);
-		auto counts = _builder.initCounts(unsigned(_report.counts.counts.size()));
-		for (unsigned index = 0; index < counts.size(); ++index)
-		{
-			counts.set(index, _report.counts.counts[index]);
-		}
+		_builder.setCountsEpoch(_report.choices.epoch);
+		_builder.setCountsSample(_report.choices.sample);
+		_builder.setCountsSince(_report.choices.since);
+		writeNumbers(_builder.initChoices(unsigned(_report.choices.choices.size())), _report.choices.choices);
 	}
 
 	EngineOrder readOrder(rpc::RankOrder::Reader _reader)
@@ -95,37 +101,72 @@
 		order.epoch = _reader.getEpoch();
 		order.version = _reader.getVersion();
 		order.step = _reader.getStep();
-		for (const auto set : _reader.getMap())
+		return order;
+	}
+
+	MapDifference readDifference(rpc::PlacedExperts::Reader _reader)
+	{
+		MapDifference difference{_reader.getBase(), _reader.getSets(), _reader.getExperts(), _reader.getRanks(), {}};
+		for (const auto change : _reader.getChanges())
 		{
-			order.expertsByRank.emplace_back();
-			for (const auto rank : set)
-			{
-				order.expertsByRank.back().push_back(numbersOf(rank));
-			}
+			difference.changes.push_back({change.getSet(), change.getRank(), numbersOf(change.getExperts())});
 		}
-		return order;
+		return difference;
 	}
 
-	void writeOrder(rpc::RankOrder::Builder _builder, const EngineOrder& _order)
+	void writeOrder(rpc::RankOrder::Builder _builder, const EngineOrder& _order, const MapDifference& _difference)
 	{
 		_builder.setKind(std::uint8_t(_order.kind));
 		_builder.setEpoch(_order.epoch);
 		_builder.setVersion(_order.version);
 		_builder.setStep(_order.step);
-		auto sets = _builder.initMap(unsigned(_order.expertsByRank.size()));
-		for (unsigned set = 0; set < sets.size(); ++set)
+		auto map = _builder.initMap();
+		map.setBase(_difference.base);
+		map.setSets(_difference.sets);
+		map.setExperts(_difference.experts);
+		map.setRanks(_difference.ranks);
+		auto changes = map.initChanges(unsigned(_difference.changes.size()));
+		for (unsigned index = 0; index < changes.size(); ++index)
 		{
-			auto ranks = sets.init(set, unsigned(_order.expertsByRank[set].size()));
-			for (unsigned rank = 0; rank < ranks.size(); ++rank)
+			const MapChange& change = _difference.changes[index];
+			changes[index].setSet(std::uint16_t(change.set));
+			changes[index].setRank(std::uint16_t(change.rank));
+			writeNumbers(changes[index].initExperts(unsigned(change.experts.size())), change.experts);
+		}
+	}
+
+	MapDifference differenceOf(std::uint64_t _baseVersion, const RankExperts& _base, const RankExperts& _map, std::uint32_t _experts)
+	{
+		MapDifference difference{_baseVersion, std::uint32_t(_map.size()), _experts, _map.empty() ? 0 : std::uint32_t(_map.front().size()), {}};
+		for (std::uint32_t set = 0; set < _map.size(); ++set)
+		{
+			for (std::uint32_t rank = 0; rank < _map[set].size(); ++rank)
 			{
-				const std::vector<std::uint32_t>& experts = _order.expertsByRank[set][rank];
-				auto list = ranks.init(rank, unsigned(experts.size()));
-				for (unsigned index = 0; index < list.size(); ++index)
+				const bool same = set < _base.size() && rank < _base[set].size() && _base[set][rank] == _map[set][rank];
+				if (!same)
 				{
-					list.set(index, experts[index]);
+					difference.changes.push_back({set, rank, _map[set][rank]});
 				}
 			}
 		}
+		return difference;
+	}
+
+	RankExperts applyDifference(RankExperts _base, const MapDifference& _difference)
+	{
+		_base.resize(_difference.sets);
+		for (auto& set : _base)
+		{
+			set.resize(_difference.ranks);
+		}
+		for (const MapChange& change : _difference.changes)
+		{
+			if (change.set < _base.size() && change.rank < _base[change.set].size())
+			{
+				_base[change.set][change.rank] = change.experts;
+			}
+		}
+		return _base;
 	}
 
 	GroupLoads readLoads(rpc::RankDaemon::LoadsResults::Reader _reader)
--- a/src/group/rank_rpc.h
+++ b/src/group/rank_rpc.h
@@ -6,12 +6,23 @@
 
 namespace archdyke::group
 {
+	/// Choices of experts between two samples of one engine.
+	struct ChoiceSample
+	{
+		std::uint64_t epoch = 0;
+		std::uint64_t sample = 0; ///< Its number; 0: no counts.
+		std::uint64_t since = 0;  ///< The sample from which the choices count; 0: a first one.
+		std::vector<std::uint32_t> choices; ///< Set by set; empty for a first one.
+
+		bool operator==(const ChoiceSample&) const = default;
+	};
+
 	/// What the sidecar of a rank tells the coordinator.
 	struct RankReport
 	{
 		std::string service;
 		EngineReport engine;
-		EngineCounts counts; ///< Empty when they weren't asked for.
+		ChoiceSample choices; ///< Sample 0 when they weren't asked for.
 
 		bool operator==(const RankReport&) const = default;
 	};
@@ -26,6 +37,34 @@
 		bool operator==(const Coordination&) const = default;
 	};
 
+	/// One rank's experts in one set of a map.
+	struct MapChange
+	{
+		std::uint32_t set = 0;
+		std::uint32_t rank = 0;
+		std::vector<std::uint32_t> experts;
+
+		bool operator==(const MapChange&) const = default;
+	};
+
+	/// A map by its differences from another one.
+	struct MapDifference
+	{
+		std::uint64_t base = 0; ///< Version; 0: the experts dealt to the ranks in turn.
+		std::uint32_t sets = 0;
+		std::uint32_t experts = 0; ///< Of a set.
+		std::uint32_t ranks = 0;
+		std::vector<MapChange> changes;
+
+		bool operator==(const MapDifference&) const = default;
+	};
+
+	/// @returns What makes _map of _base.
+	MapDifference differenceOf(std::uint64_t _baseVersion, const RankExperts& _base, const RankExperts& _map, std::uint32_t _experts);
+
+	/// @returns The map that the difference makes of its base.
+	RankExperts applyDifference(RankExperts _base, const MapDifference& _difference);
+
 	/// Load of one rank, by its engine's address.
 	struct RankLoad
 	{
@@ -53,7 +92,8 @@
 	RankReport readReport(rpc::RankReport::Reader _reader);
 	void writeReport(rpc::RankReport::Builder _builder, const RankReport& _report);
 	EngineOrder readOrder(rpc::RankOrder::Reader _reader);
-	void writeOrder(rpc::RankOrder::Builder _builder, const EngineOrder& _order);
+	MapDifference readDifference(rpc::PlacedExperts::Reader _reader);
+	void writeOrder(rpc::RankOrder::Builder _builder, const EngineOrder& _order, const MapDifference& _difference);
 	GroupLoads readLoads(rpc::RankDaemon::LoadsResults::Reader _reader);
 	void writeLoads(rpc::RankDaemon::LoadsResults::Builder _builder, const GroupLoads& _loads);
 } // namespace archdyke::group
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -20,6 +20,8 @@
 		constexpr Millis kLookMs = 100;
 		/// After a try to take over that failed, ms.
 		constexpr Millis kTryAgainMs = 2'000;
+		/// Maps that a sidecar remembers: the one in force and some that were abandoned since.
+		constexpr std::size_t kMapsKept = 4;
 		/// Longest time a stopping sidecar takes, ms: it holds nothing that must end.
 		constexpr Millis kStopMs = 50;
 
@@ -90,13 +92,61 @@
 				report.engine = co_await this->engine.report();
 				if (_context.getParams().getCounts())
 				{
-					report.counts = co_await this->engine.counts();
+					EngineCounts counts = co_await this->engine.counts();
+					report.choices = this->takeSample(std::move(counts), _context.getParams().getSample());
 				}
 				this->state.lastReport = report.engine;
 				writeCoordination(_context.getResults().initNewest(), this->state.newest);
 				writeReport(_context.getResults().initReport(), report);
 			}
 
+			/// @param[in] _held Sample that the coordinator has.
+			ChoiceSample takeSample(EngineCounts _counts, std::uint64_t _held)
+			{
+				ChoiceSample sample;
+				sample.epoch = _counts.epoch;
+				sample.sample = this->lastSample + 1;
+				const bool follows = 0 != _held && _held == this->lastSample && _counts.epoch == this->lastCounts.epoch && _counts.counts.size() == this->lastCounts.counts.size();
+				if (follows)
+				{
+					sample.since = _held;
+					sample.choices.resize(_counts.counts.size());
+					for (std::size_t index = 0; index < sample.choices.size(); ++index)
+					{
+						sample.choices[index] = _counts.counts[index] - this->lastCounts.counts[index];
+					}
+				}
+				this->lastSample = sample.sample;
+				this->lastCounts = std::move(_counts);
+				return sample;
+			}
+
+			/// Makes the map of a prepare of its difference from one that was given before.
+			/// @returns false when that one isn't known here.
+			bool buildMap(EngineOrder& _order, const MapDifference& _difference)
+			{
+				RankExperts base;
+				if (0 == _difference.base)
+				{
+					base = expertsByRank(dealtInTurn(_difference.sets, _difference.experts, _difference.ranks), _difference.ranks);
+				}
+				else if (this->maps.contains(_difference.base))
+				{
+					base = this->maps.at(_difference.base);
+				}
+				else
+				{
+					return false;
+				}
+				_order.expertsByRank = applyDifference(std::move(base), _difference);
+				this->maps[_order.version] = _order.expertsByRank;
+				while (kMapsKept < this->maps.size())
+				{
+					this->maps.erase(this->maps.begin());
+				}
+				return true;
+			}
+
 			aio::Task<void> answerOrder(OrderContext _context)
 			{
 				const std::uint64_t term = _context.getParams().getTerm();
@@ -106,6 +156,12 @@
 					co_return;
 				}
 				EngineOrder order = readOrder(_context.getParams().getOrder());
+				if (RankOrderKind::Prepare == order.kind && !this->buildMap(order, readDifference(_context.getParams().getOrder().getMap())))
+				{
+					logWarning("map_base_unknown", {{"version", order.version}, {"base", _context.getParams().getOrder().getMap().getBase()}});
+					_context.getResults().setBaseUnknown(true);
+					co_return;
+				}
 				const OrderOutcome outcome = co_await this->engine.order(std::move(order));
 				_context.getResults().setAccepted(outcome.accepted);
 				_context.getResults().setStatus(std::uint16_t(outcome.status));
@@ -114,6 +170,9 @@
 			SidecarState& state;
 			Engine& engine;
 			std::string service;
+			std::uint64_t lastSample = randomId() >> 1; ///< Numbers of another run don't fit.
+			EngineCounts lastCounts;
+			std::map<std::uint64_t, RankExperts> maps; ///< By version, the newest.
 		};
 
 		class SidecarProcess
--- a/src/rank.capnp
+++ b/src/rank.capnp
@@ -24,7 +24,9 @@
 	queued @11 :UInt32;
 	active @12 :UInt32;
 	countsEpoch @13 :UInt64;
-	counts @14 :List(UInt32); # choices of each expert since the engine's start, set by set
+	countsSample @14 :UInt64;  # number of this sample; 0: no counts
+	countsSince @15 :UInt64;   # number of the sample from which the choices count; 0: a first one
+	choices @16 :List(UInt16); # of each expert since then, set by set; at most 65,535 each
 }
 
 # Who coordinates a group.
@@ -41,7 +43,26 @@
 	epoch @1 :UInt64;
 	version @2 :UInt64;
 	step @3 :UInt64;
-	map @4 :List(List(List(UInt32))); # by set and rank, the experts; of a prepare
+	map @4 :PlacedExperts;  # of a prepare
+}
+
+# A map by its differences from one that the rank's daemon has: that of a version it was given
+# before, or, for version 0, the experts dealt to the ranks in turn.
+struct PlacedExperts
+{
+	base @0 :UInt64;
+	sets @1 :UInt32;
+	experts @2 :UInt32;     # of a set
+	ranks @3 :UInt32;
+	changes @4 :List(RankExperts);
+}
+
+# The experts of one rank in one set.
+struct RankExperts
+{
+	set @0 :UInt16;
+	rank @1 :UInt16;
+	experts @2 :List(UInt16);
 }
 
 # Load of one rank, by the address at which its engine takes requests.
@@ -55,11 +76,13 @@
 interface RankDaemon
 {
 	# Asks for the rank's state. A coordinator of an older term is told the newer one.
-	observe @0 (coordination :Coordination, counts :Bool) -> (newest :Coordination, report :RankReport);
+	# sample: the last sample of counts that the coordinator has, 0 for none; wanted with counts.
+	observe @0 (coordination :Coordination, counts :Bool, sample :UInt64) -> (newest :Coordination, report :RankReport);
 
 	# Gives the engine an order.
 	# accepted: the engine began it or has it already. status: the engine's answer, 0 for none.
-	order @1 (term :UInt64, order :RankOrder) -> (accepted :Bool, status :UInt16);
+	# baseUnknown: the daemon lacks the map that a prepare builds on; nothing was ordered.
+	order @1 (term :UInt64, order :RankOrder) -> (accepted :Bool, status :UInt16, baseUnknown :Bool);
 
 	# Asks for the loads of the group. Only its coordinator knows them.
 	loads @2 (gateway :Text) -> (known :Bool, newest :Coordination, open :Bool, passMs :Float32, gateways :UInt32, ranks :List(RankLoad));
