Two random choices by load, admission by the mean, fewer calls to the store

Cause: loads are 100 to 250 ms old and all gateways took the same least loaded rank: on the grown menus p99 of the first event was 2 to 3.9 s at 65 in 100 of the slots. The hold of large groups stood at the boundary for 3.8 of 16 s: three looks at 63 ranks weren't in its margin; orders were sent again while their answer was still under way (209 for 63 ranks).

Ruled out: a sample of a quarter of the ranks (the least loaded one would still get 15 of 60).

Change: the less loaded of two drawn at random; pauses of 0.12 and 0.3 s between calls that bring changes; margins with the looks; an order is repeated only after its answer; while one rank is to hold, three are asked.

--- a/include/archdyke/batch_admission.h
+++ b/include/archdyke/batch_admission.h
@@ -18,7 +18,6 @@
 	{
 		double passMs = 0.0;       ///< Mean time of the last passes; 0 when unknown.
 		double meanLoad = 0.0;     ///< Requests of an engine, mean.
-		double leastLoad = 0.0;    ///< Requests of the engine that would be chosen.
 
 		bool operator==(const BatchView&) const = default;
 	};
--- a/include/archdyke/upstream_choice.h
+++ b/include/archdyke/upstream_choice.h
@@ -37,10 +37,17 @@
 		bool operator==(const UpstreamCandidate&) const = default;
 	};
 
-	/// Chooses the least loaded upstream; equals are drawn.
+	/// Chooses the less loaded of two upstreams drawn at random; the least loaded of all when
+	/// that one is full.
 	/// @returns Index of the chosen one; none when all are excluded.
+	/// @remarks Loads are some 100 ms old and many gateways look at the same ones: if all took
+	/// the least loaded one, they would take the same. M. Mitzenmacher, "How Useful Is Old
+	/// Information?", IEEE TPDS 11(1), 2000.
 	std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamCandidate>& _candidates, Random& _random);
 
+	/// Naive version, for comparison.
+	std::optional<std::size_t> chooseLeastLoaded(const std::vector<UpstreamCandidate>& _candidates);
+
 	/// What the last answers of an upstream say of its health.
 	struct UpstreamHealth
 	{
--- a/src/decide/batch_admission.cpp
+++ b/src/decide/batch_admission.cpp
@@ -37,7 +37,7 @@
 	bool mayEnter(const EngineModel& _model, const BatchView& _view, const BatchRequest& _request)
 	{
 		const double limit = batchLimit(_model, _view, _request.gapObjectiveMs);
-		return _view.leastLoad + 1.0 <= limit + (_request.cameBack ? kMoreForReturning : 0.0);
+		return _view.meanLoad + 1.0 <= limit + (_request.cameBack ? kMoreForReturning : 0.0);
 	}
 
 	Millis longestWait(Millis _objectiveMs)
--- a/src/decide/map_policy.cpp
+++ b/src/decide/map_policy.cpp
@@ -21,6 +21,9 @@
 		/// Skew that a switch must save at least. One takes 0.3 to 0.5 s, and the group copies
 		/// meanwhile.
 		constexpr double kLeastGain = 0.12;
+		/// Experts that one switch copies at most: planning a copy takes 0.2 ms of the smallest
+		/// VMs' processor, and each is told to all ranks.
+		constexpr double kMostCopies = 128.0;
 		/// Time that the copies of one rank may take, ms; the rank with most of them is the
 		/// time of the switch.
 		constexpr double kCopyBudgetMs = 250.0;
@@ -43,7 +46,7 @@
 		input.slots = _model.places;
 		input.hosts = _hosts;
 		input.load = _load;
-		input.budget = double(_ranks) * double(_model.sets) * double(std::max<std::uint32_t>(1, _model.spare));
+		input.budget = kMostCopies;
 		input.arrivalsPerLayer = _model.spare;
 		input.arrivalsPerRank = 0.0 < _model.expertCopyMs ? std::max<std::uint32_t>(1, std::uint32_t(kCopyBudgetMs / _model.expertCopyMs)) : 0;
 		MapDecision decision;
--- a/src/decide/upstream_choice.cpp
+++ b/src/decide/upstream_choice.cpp
@@ -6,8 +6,6 @@
 {
 	namespace
 	{
-		/// Loads per slot that differ less than this are equal: a report is some 100 ms old.
-		constexpr double kEqualLoad = 1e-6;
 		/// Load per slot that a request may find in its own zone before it leaves it: about
 		/// what 1.4 ms more each way is worth against steps of 5 ms and more.
 		constexpr double kZoneAdvantage = 0.02;
@@ -27,34 +25,48 @@
 			const double perSlot = _candidate.load / double(std::max<std::uint32_t>(1, _candidate.slots));
 			return perSlot + kFailureWeight * _candidate.failureRate + (_candidate.ownZone ? 0.0 : kZoneAdvantage);
 		}
+		/// @returns Those that may get the request: the sound ones, else all that it wasn't at.
+		std::vector<std::size_t> usableOf(const std::vector<UpstreamCandidate>& _candidates)
+		{
+			std::vector<std::size_t> sound;
+			std::vector<std::size_t> suspended;
+			for (std::size_t index = 0; index < _candidates.size(); ++index)
+			{
+				if (!_candidates[index].excluded)
+				{
+					(_candidates[index].suspended ? suspended : sound).push_back(index);
+				}
+			}
+			return sound.empty() ? suspended : sound;
+		}
 	} // namespace
 
 	std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamCandidate>& _candidates, Random& _random)
 	{
-		const bool anySound = std::any_of(_candidates.begin(), _candidates.end(), [](const UpstreamCandidate& _candidate) {
-			return !_candidate.excluded && !_candidate.suspended;
-		});
-		std::vector<std::size_t> best;
-		double least = 0.0;
-		for (std::size_t index = 0; index < _candidates.size(); ++index)
+		const std::vector<std::size_t> usable = usableOf(_candidates);
+		if (usable.empty())
 		{
-			const UpstreamCandidate& candidate = _candidates[index];
-			if (candidate.excluded || (candidate.suspended && anySound))
-			{
-				continue;
-			}
-			const double cost = costOf(candidate);
-			if (best.empty() || cost < least - kEqualLoad)
-			{
-				best.assign(1, index);
-				least = cost;
-			}
-			else if (cost <= least + kEqualLoad)
-			{
-				best.push_back(index);
-			}
+			return std::nullopt;
 		}
-		return best.empty() ? std::nullopt : std::optional(best[randomBelow(_random, best.size())]);
+		const std::size_t first = usable[randomBelow(_random, usable.size())];
+		const std::size_t second = usable[randomBelow(_random, usable.size())];
+		const std::size_t better = costOf(_candidates[second]) < costOf(_candidates[first]) ? second : first;
+		if (_candidates[better].load < double(_candidates[better].slots))
+		{
+			return better;
+		}
+		return *std::min_element(usable.begin(), usable.end(), [&](std::size_t _a, std::size_t _b) {
+			return costOf(_candidates[_a]) < costOf(_candidates[_b]);
+		});
+	}
+
+	std::optional<std::size_t> chooseLeastLoaded(const std::vector<UpstreamCandidate>& _candidates)
+	{
+		const std::vector<std::size_t> usable = usableOf(_candidates);
+		const auto least = std::min_element(usable.begin(), usable.end(), [&](std::size_t _a, std::size_t _b) {
+			return costOf(_candidates[_a]) < costOf(_candidates[_b]);
+		});
+		return usable.end() == least ? std::nullopt : std::optional(*least);
 	}
 
 	void noteTry(UpstreamHealth& _health, bool _failed, Millis _now)
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -43,7 +43,7 @@
 		{
 			const BoardLoad load = _context.state.board.loadOfService(_context.service, _now);
 			const double passMs = _now - _view.at <= kViewMaxAgeMs ? _view.passMs : 0.0;
-			return {passMs, load.mean, load.least};
+			return {passMs, load.mean};
 		}
 
 		Refusal refuse(RequestContext& _context, RefusalCause _cause, std::optional<Millis> _reopenMs)
@@ -83,7 +83,7 @@
 			}
 			if (until <= now)
 			{
-				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"least_load", batch.leastLoad}, {"mean_load", batch.meanLoad}, {"limit", batchLimit(*engine, batch, request.gapObjectiveMs)}, {"pass_ms", batch.passMs}, {"view_age_ms", now - view.at}, {"came_back", request.cameBack}});
+				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"mean_load", batch.meanLoad}, {"limit", batchLimit(*engine, batch, request.gapObjectiveMs)}, {"pass_ms", batch.passMs}, {"view_age_ms", now - view.at}, {"came_back", request.cameBack}});
 				co_return refuse(_context, RefusalCause::Overloaded, std::nullopt);
 			}
 			co_await state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -9,6 +9,7 @@
 		constexpr std::int64_t kMaxPort = 65'535;
 		constexpr std::int64_t kMaxBoundMs = 3'600'000;
 		constexpr double kMaxRetries = 1e6;
+		constexpr double kMaxLinkMbps = 1e6;
 
 		Place readPlace(ObjectReader& _reader)
 		{
@@ -19,6 +20,7 @@
 			place.peerPort = int(_reader.integer("peerPort", 1, kMaxPort));
 			place.metrics = readAddress(_reader, "metrics");
 			place.store = readAddress(_reader, "store");
+			place.linkMbps = _reader.numberOr("linkMbps", 0.1, kMaxLinkMbps, place.linkMbps);
 			return place;
 		}
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -32,6 +32,7 @@
 		int peerPort = 0; ///< Where the daemons of the deployment talk to each other; alike on all machines.
 		std::string metrics; ///< IP:port of counters, histograms and state dump.
 		std::string store;   ///< IP:port of the metadata store.
+		double linkMbps = 20.0; ///< Of the VM, both ways.
 
 		bool operator==(const Place&) const = default;
 	};
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -17,6 +17,11 @@
 		/// How long a call for changes of the upstreams hangs, ms: a change ends it at once, and
 		/// so does a failed call for the configuration.
 		constexpr Millis kUpstreamsWaitMs = 10'000;
+		/// Between two calls that brought changes, ms: changes that come close together come in
+		/// one answer, since all gateways are told and each call is paid for. Small against the
+		/// bounds of 2 s on configurations and on upstreams that leave.
+		constexpr Millis kConfigurationPauseMs = 120;
+		constexpr Millis kUpstreamsPauseMs = 300;
 		/// Before a call is tried again after a failure, ms, and the most it grows to.
 		constexpr Millis kRetryMs = 150;
 		constexpr Millis kMostRetryMs = 600;
@@ -117,6 +122,7 @@
 		while (true)
 		{
 			std::string failure;
+			Millis pauseMs = 0;
 			try
 			{
 				store::Rows rows;
@@ -138,6 +144,7 @@
 				}
 				since = rows.version;
 				this->takeConfiguration(rows);
+				pauseMs = rows.rows.empty() ? 0 : kConfigurationPauseMs;
 			}
 			catch (const kj::Exception& error)
 			{
@@ -146,9 +153,10 @@
 			if (!failure.empty())
 			{
 				this->noteStore("configuration", false, failure);
-				co_await this->state.loop.timer.afterDelay(retryMs * kj::MILLISECONDS);
+				pauseMs = retryMs;
 				retryMs = std::min(kMostRetryMs, 2 * retryMs);
 			}
+			co_await this->state.loop.timer.afterDelay(pauseMs * kj::MILLISECONDS);
 		}
 	}
 
@@ -212,6 +220,7 @@
 		while (true)
 		{
 			std::string failure;
+			Millis pauseMs = 0;
 			try
 			{
 				store::Rows rows;
@@ -245,6 +254,7 @@
 					this->takeUpstreamList(rows);
 				}
 				since = rows.version;
+				pauseMs = rows.rows.empty() ? 0 : kUpstreamsPauseMs;
 			}
 			catch (const kj::Exception& error)
 			{
@@ -253,9 +263,10 @@
 			if (!failure.empty())
 			{
 				this->noteStore("upstreams", false, failure);
-				co_await this->state.loop.timer.afterDelay(retryMs * kj::MILLISECONDS);
+				pauseMs = retryMs;
 				retryMs = std::min(kMostRetryMs, 2 * retryMs);
 			}
+			co_await this->state.loop.timer.afterDelay(pauseMs * kj::MILLISECONDS);
 		}
 	}
 
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -22,19 +22,24 @@
 		/// in large groups.
 		constexpr double kLookMsPerRank = 0.6;
 		constexpr double kIdleLookMsPerRank = 2.0;
-		/// Counts of chosen experts may take this much of the coordinator's link, bytes a second:
-		/// 4 of the 10 Mbit/s that the smallest VMs have, of both directions together.
-		constexpr double kSampleBytesPerSecond = 400'000.0;
+		/// Counts of chosen experts may take this share of the coordinator's link.
+		constexpr double kSampleLinkShare = 0.2;
+		constexpr double kBytesPerMegabit = 125'000.0;
 		/// In large groups only some ranks are asked for counts, and less often: requests are
 		/// spread over all ranks, so what some chose tells what all choose.
 		constexpr double kSampleMsPerRank = 1.5;
 		constexpr std::size_t kLeastSampled = 8;
 		constexpr Millis kObserveTimeoutMs = 250;
 		constexpr Millis kOrderTimeoutMs = 150;
+		/// More in large groups, ms a rank: all ranks are told at once over one link.
+		constexpr double kOrderTimeoutMsPerRank = 6.0;
 		/// An order without an answer is sent again after this, one that was accepted but shows
 		/// no effect after the longer time, ms.
 		constexpr Millis kRepeatMs = 60;
 		constexpr Millis kRepeatAcceptedMs = 400;
+		/// A rank whose daemon is silent for this long is asked directly while a switch can't go on
+		/// without it, ms; each such question is paid for.
+		constexpr Millis kDirectAfterMs = 400;
 		/// What a rank last said counts for this long, ms.
 		constexpr Millis kViewMaxAgeMs = 600;
 		/// A switch that isn't prepared by then is abandoned, ms; beyond the time of its copies.
@@ -42,9 +47,12 @@
 		/// A boundary that isn't held by then is abandoned, ms: the rank that is to hold it, or
 		/// the store, is away.
 		constexpr Millis kHoldMs = 1'500;
-		/// Time from the choice of a boundary to a released hold, ms, beside two writes: three
-		/// orders, each with a look.
+		/// Time from the choice of a boundary to a released hold, ms, beside two writes and some
+		/// looks at all ranks: a hold, the arms, a release.
 		constexpr double kArmMs = 50.0;
+		constexpr double kArmLooks = 2.5;
+		/// Ranks that are asked while one of them is to hold.
+		constexpr std::size_t kAskedWhileHolding = 3;
 		/// Mean of the time of a write: weight of the newest one.
 		constexpr double kWriteGain = 0.5;
 		constexpr std::uint64_t kMaxMarginSteps = 16;
@@ -129,14 +137,21 @@
 			return std::max(kIdleLookMs, Millis(kIdleLookMsPerRank * ranks));
 		case SwitchPhase::Preparing:
 			return std::max(kPreparingLookMs, Millis(kLookMsPerRank * ranks));
+		case SwitchPhase::Holding:
+			return kSwitchingLookMs;
 		default:
-			return std::max(kSwitchingLookMs, Millis(kLookMsPerRank * ranks));
+			return Millis(this->switchingLookMs());
 		}
 	}
 
+	double Coordinator::switchingLookMs() const
+	{
+		return std::max(double(kSwitchingLookMs), kLookMsPerRank * double(this->ranks.size()));
+	}
+
 	std::uint64_t Coordinator::marginSteps() const
 	{
-		const double steps = 0.0 < this->passMs ? std::ceil((kArmMs + 2.0 * this->writeMs) / this->passMs) : double(kMaxMarginSteps);
+		const double steps = 0.0 < this->passMs ? std::ceil((kArmMs + 2.0 * this->writeMs + kArmLooks * this->switchingLookMs()) / this->passMs) : double(kMaxMarginSteps);
 		return 1 + std::min(kMaxMarginSteps, std::uint64_t(steps));
 	}
 
@@ -217,7 +232,7 @@
 		{
 			const Coordination mine = this->coordination();
 			const Observation observation = co_await rank.link->observe(mine, _counts, rank.sample, kObserveTimeoutMs);
-			if (observation.newest.term > this->intent.term)
+			if (!this->ended && observation.newest.term > this->intent.term)
 			{
 				logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", observation.newest.term}, {"coordinator", observation.newest.address}});
 				this->ended = true;
@@ -234,7 +249,8 @@
 			co_return;
 		}
 		logWarning("rank_unseen", {{"engine", _engine}, {"daemon", rank.link->address()}, {"age_ms", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"reason", failure}});
-		if (this->switchIsOpen())
+		const bool groupMayStand = SwitchPhase::Holding == this->intent.phase || SwitchPhase::Switching == this->intent.phase;
+		if (groupMayStand && nowMs() - rank.seenAt > kDirectAfterMs)
 		{
 			// The group may stand at the boundary: its engine is asked and ordered from here.
 			std::string engine = _engine;
@@ -288,6 +304,7 @@
 		}
 		if (nullptr == target)
 		{
+			this->sent.erase(_plan);
 			co_return;
 		}
 		EngineOrder order{_plan.kind, _plan.epoch, _plan.version, _plan.step, {}};
@@ -306,12 +323,12 @@
 			try
 			{
 				EngineOrder copy = order;
-				outcome = co_await target->link->order(this->intent.term, std::move(copy), std::move(difference), kOrderTimeoutMs);
+				outcome = co_await target->link->order(this->intent.term, std::move(copy), std::move(difference), this->orderTimeoutMs());
 				target->lacksBase = outcome.baseUnknown;
 			}
 			catch (const kj::Exception&)
 			{
-				direct = this->switchIsOpen(); // told by the line of the direct order
+				direct = RankOrderKind::Prepare != _plan.kind; // told by the line of the direct order
 			}
 		}
 		if (direct)
@@ -319,6 +336,7 @@
 			outcome = co_await target->direct->order(std::move(order));
 		}
 		SentOrder& sentOrder = this->sent[_plan];
+		sentOrder.pending = false;
 		sentOrder.accepted = outcome.accepted;
 		sentOrder.refused = !outcome.accepted && 0 != outcome.status;
 	}
@@ -400,10 +418,16 @@
 		return std::max(kIdleLookMs, Millis(kSampleMsPerRank * double(this->ranks.size())));
 	}
 
+	Millis Coordinator::orderTimeoutMs() const
+	{
+		return std::max(kOrderTimeoutMs, Millis(kOrderTimeoutMsPerRank * double(this->ranks.size())));
+	}
+
 	std::size_t Coordinator::sampledRanks() const
 	{
 		const double bytes = !this->model ? 1.0 : double(sizeof(std::uint16_t)) * this->model->sets * this->model->experts;
-		const double affordable = kSampleBytesPerSecond * double(this->sampleMs()) / 1'000.0 / std::max(1.0, bytes);
+		const double bytesPerSecond = kSampleLinkShare * kBytesPerMegabit * this->parts.settings.place.linkMbps;
+		const double affordable = bytesPerSecond * double(this->sampleMs()) / 1'000.0 / std::max(1.0, bytes);
 		return std::max(kLeastSampled, std::size_t(affordable));
 	}
 
@@ -466,9 +490,11 @@
 		for (const RankOrderPlan& order : _orders)
 		{
 			SentOrder& last = this->sent[order];
-			if (0 == last.at || now - last.at >= (last.accepted ? kRepeatAcceptedMs : kRepeatMs))
+			const Millis wait = last.accepted ? kRepeatAcceptedMs : kRepeatMs;
+			if (!last.pending && (0 == last.at || now - last.at >= wait))
 			{
 				last.at = now;
+				last.pending = true;
 				this->tasks.add(this->send(order).take());
 			}
 		}
@@ -510,12 +536,15 @@
 		const bool counts = now - this->countsAt >= this->sampleMs();
 		this->countsAt = counts ? now : this->countsAt;
 		std::size_t left = counts ? this->sampledRanks() : 0;
+		std::size_t asked = 0;
 		for (auto& [engine, rank] : this->ranks)
 		{
-			if (rank.asking)
+			const bool enough = SwitchPhase::Holding == this->intent.phase && !counts && kAskedWhileHolding <= asked;
+			if (rank.asking || enough)
 			{
 				continue;
 			}
+			asked += 1;
 			const bool sampled = 0 < left;
 			left -= sampled ? 1 : 0;
 			std::string name = engine;
@@ -562,6 +591,7 @@
 		while (!this->ended)
 		{
 			std::string failure;
+			Millis pauseMs = 0;
 			try
 			{
 				if (!this->model || nowMs() - modelAt > kModelLookMs)
@@ -588,6 +618,7 @@
 				}
 				since = rows.historyGone ? std::nullopt : std::optional(rows.version);
 				this->takeUpstreams(rows);
+				pauseMs = rows.rows.empty() ? 0 : kStoreRetryMs; // changes that come together, in one call
 			}
 			catch (const kj::Exception& error)
 			{
@@ -600,8 +631,9 @@
 			if (!failure.empty())
 			{
 				logWarning("group_watch_failed", {{"group", this->group}, {"reason", failure}});
-				co_await this->parts.loop.timer.afterDelay(kStoreRetryMs * kj::MILLISECONDS);
+				pauseMs = kStoreRetryMs;
 			}
+			co_await this->parts.loop.timer.afterDelay(pauseMs * kj::MILLISECONDS);
 		}
 	}
 
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -78,6 +78,7 @@
 		struct SentOrder
 		{
 			Millis at = 0;
+			bool pending = false; ///< Its answer is awaited.
 			bool accepted = false;
 			bool refused = false;
 		};
@@ -102,6 +103,7 @@
 		void takeChoices(Rank& _rank, const ChoiceSample& _sample);
 		void askRanks();
 		Millis sampleMs() const;
+		Millis orderTimeoutMs() const;
 		std::size_t sampledRanks() const;
 		MapDifference differenceFor(const Rank& _rank, const RankExperts& _map) const;
 		std::optional<SwitchIntent> plan();
@@ -110,6 +112,7 @@
 		std::uint64_t marginSteps() const;
 		bool switchIsOpen() const;
 		Millis lookMs() const;
+		double switchingLookMs() const;
 
 		CoordinatorParts parts;
 		std::string group;
--- a/src/group/rank_rpc.cpp
+++ b/src/group/rank_rpc.cpp
@@ -1,8 +1,10 @@
 #include "group/rank_rpc.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fmt/format.h>
 
+#include "archdyke/errors.h"
 #include "http/socket_address.h"
 
 namespace archdyke::group
@@ -39,6 +41,32 @@
 			return numbers;
 		}
 
+		/// Numbers of one change of a map on the wire.
+		constexpr unsigned kNumbersPerChange = 4;
+
+		bool holds(const std::vector<std::uint32_t>& _experts, std::uint32_t _expert)
+		{
+			return _experts.end() != std::find(_experts.begin(), _experts.end(), _expert);
+		}
+
+		void addChanges(std::vector<MapChange>& _changes, std::uint32_t _set, std::uint32_t _rank, const std::vector<std::uint32_t>& _before, const std::vector<std::uint32_t>& _after)
+		{
+			for (const std::uint32_t expert : _after)
+			{
+				if (!holds(_before, expert))
+				{
+					_changes.push_back({_set, _rank, true, expert});
+				}
+			}
+			for (const std::uint32_t expert : _before)
+			{
+				if (!holds(_after, expert))
+				{
+					_changes.push_back({_set, _rank, false, expert});
+				}
+			}
+		}
+
 		std::string textOf(std::uint32_t _ip, std::uint16_t _port)
 		{
 			return fmt::format("{}.{}.{}.{}:{}", _ip >> 24, (_ip >> 16) & 255U, (_ip >> 8) & 255U, _ip & 255U, _port);
@@ -107,9 +135,10 @@
 	MapDifference readDifference(rpc::PlacedExperts::Reader _reader)
 	{
 		MapDifference difference{_reader.getBase(), _reader.getSets(), _reader.getExperts(), _reader.getRanks(), {}};
-		for (const auto change : _reader.getChanges())
+		const auto numbers = _reader.getChanges();
+		for (unsigned at = 0; at + kNumbersPerChange <= numbers.size(); at += kNumbersPerChange)
 		{
-			difference.changes.push_back({change.getSet(), change.getRank(), numbersOf(change.getExperts())});
+			difference.changes.push_back({numbers[at], numbers[at + 1], 0 != numbers[at + 2], numbers[at + 3]});
 		}
 		return difference;
 	}
@@ -125,14 +154,12 @@
 		map.setSets(_difference.sets);
 		map.setExperts(_difference.experts);
 		map.setRanks(_difference.ranks);
-		auto changes = map.initChanges(unsigned(_difference.changes.size()));
-		for (unsigned index = 0; index < changes.size(); ++index)
+		std::vector<std::uint32_t> numbers;
+		for (const MapChange& change : _difference.changes)
 		{
-			const MapChange& change = _difference.changes[index];
-			changes[index].setSet(std::uint16_t(change.set));
-			changes[index].setRank(std::uint16_t(change.rank));
-			writeNumbers(changes[index].initExperts(unsigned(change.experts.size())), change.experts);
+			numbers.insert(numbers.end(), {change.set, change.rank, change.arrives ? 1U : 0U, change.expert});
 		}
+		writeNumbers(map.initChanges(unsigned(numbers.size())), numbers);
 	}
 
 	MapDifference differenceOf(std::uint64_t _baseVersion, const RankExperts& _base, const RankExperts& _map, std::uint32_t _experts)
@@ -142,11 +169,7 @@
 		{
 			for (std::uint32_t rank = 0; rank < _map[set].size(); ++rank)
 			{
-				const bool same = set < _base.size() && rank < _base[set].size() && _base[set][rank] == _map[set][rank];
-				if (!same)
-				{
-					difference.changes.push_back({set, rank, _map[set][rank]});
-				}
+				addChanges(difference.changes, set, rank, _base[set][rank], _map[set][rank]);
 			}
 		}
 		return difference;
@@ -154,16 +177,17 @@
 
 	RankExperts applyDifference(RankExperts _base, const MapDifference& _difference)
 	{
-		_base.resize(_difference.sets);
-		for (auto& set : _base)
-		{
-			set.resize(_difference.ranks);
-		}
 		for (const MapChange& change : _difference.changes)
 		{
-			if (change.set < _base.size() && change.rank < _base[change.set].size())
+			if (change.set >= _base.size() || change.rank >= _base[change.set].size())
+			{
+				throw InvalidInputError("map difference", {{"change", "a set or rank that the map doesn't have", "run daemons of one version"}});
+			}
+			std::vector<std::uint32_t>& experts = _base[change.set][change.rank];
+			std::erase(experts, change.expert);
+			if (change.arrives)
 			{
-				_base[change.set][change.rank] = change.experts;
+				experts.insert(std::upper_bound(experts.begin(), experts.end(), change.expert), change.expert);
 			}
 		}
 		return _base;
--- a/src/group/rank_rpc.h
+++ b/src/group/rank_rpc.h
@@ -37,12 +37,13 @@
 		bool operator==(const Coordination&) const = default;
 	};
 
-	/// One rank's experts in one set of a map.
+	/// An expert that comes to a rank, or goes from it.
 	struct MapChange
 	{
 		std::uint32_t set = 0;
 		std::uint32_t rank = 0;
-		std::vector<std::uint32_t> experts;
+		bool arrives = false;
+		std::uint32_t expert = 0;
 
 		bool operator==(const MapChange&) const = default;
 	};
@@ -59,10 +60,11 @@
 		bool operator==(const MapDifference&) const = default;
 	};
 
-	/// @returns What makes _map of _base.
+	/// @returns What makes _map of _base; both have the same sets and ranks.
 	MapDifference differenceOf(std::uint64_t _baseVersion, const RankExperts& _base, const RankExperts& _map, std::uint32_t _experts);
 
 	/// @returns The map that the difference makes of its base.
+	/// @throws InvalidInputError When it doesn't fit the base.
 	RankExperts applyDifference(RankExperts _base, const MapDifference& _difference);
 
 	/// Load of one rank, by its engine's address.
--- a/src/rank.capnp
+++ b/src/rank.capnp
@@ -54,15 +54,8 @@
 	sets @1 :UInt32;
 	experts @2 :UInt32;     # of a set
 	ranks @3 :UInt32;
-	changes @4 :List(RankExperts);
-}
-
-# The experts of one rank in one set.
-struct RankExperts
-{
-	set @0 :UInt16;
-	rank @1 :UInt16;
-	experts @2 :List(UInt16);
+	# Four numbers a change: set, rank, whether the expert arrives (1) or leaves (0), expert.
+	changes @4 :List(UInt16);
 }
 
 # Load of one rank, by the address at which its engine takes requests.
