--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -162,9 +162,9 @@
 		this->idleCloser->fulfill();
 	}
 
-	void CallerServer::stopAccepting()
+	unsigned CallerServer::port()
 	{
-		this->listener.stopAccepting();
+		return this->listener.port();
 	}
 
 	aio::Task<void> CallerServer::serve(std::unique_ptr<http::HttpConnection> _connection)
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -15,7 +15,8 @@
 		/// Ends the connections on which no request is under way.
 		void closeIdle();
 
-		void stopAccepting();
+		/// The port that was bound.
+		unsigned port();
 
 	private:
 		aio::Task<void> serve(std::unique_ptr<http::HttpConnection> _connection);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,6 +22,12 @@
 		constexpr Millis kStopMarginMs = 300;
 		constexpr Millis kStopLookMs = 20;
 
+		/// @returns The address with the port that was bound.
+		std::string withPort(const std::string& _address, unsigned _port)
+		{
+			return _address.substr(0, _address.rfind(':') + 1) + std::to_string(_port);
+		}
+
 		/// The parts of a gateway, in the order in which they are made.
 		class GatewayProcess
 		{
@@ -45,6 +51,7 @@
 			{
 				const Place& place = this->state.settings.place;
 				logInfo("start", {{"version", kVersion}, {"zone", place.zone}, {"callers", this->state.settings.callers}, {"store", place.store}, {"metrics", place.metrics}, {"settings", this->path}});
+				logInfo("listening", {{"http", withPort(this->state.settings.callers, this->callers.port())}, {"readiness", withPort(this->state.settings.readiness, this->readiness.port())}, {"metrics", withPort(place.metrics, this->admin.port())}});
 				this->reloading = this->reload().take().eagerlyEvaluate(nullptr);
 			}
 
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -72,12 +72,6 @@
 		}
 	}
 
-	void Listener::stopAccepting()
-	{
-		this->accepting = nullptr;
-		this->receiver = nullptr;
-	}
-
 	unsigned Listener::port()
 	{
 		return this->receiver->getPort();
--- a/src/http/http_listener.h
+++ b/src/http/http_listener.h
@@ -23,9 +23,6 @@
 		/// @throws kj::Exception When the address can't be bound.
 		Listener(LoopParts _loop, const std::string& _address, ConnectionHandler _handler);
 
-		/// Accepts no more; connections go on.
-		void stopAccepting();
-
 		/// The port that was bound.
 		unsigned port();
 
--- /dev/null
+++ b/tests/gateway_rig.h
@@ -0,0 +1,219 @@
+/// A gateway before stand-ins of the users' platform, all as processes of their own.
+#pragma once
+
+#include <absl/strings/escaping.h>
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <httplib.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "address.h"
+#include "lab_process.h"
+
+namespace archdyke::tests
+{
+	using Json = nlohmann::json;
+
+	constexpr Millis kRigWaitMs = 10'000;
+
+	/// A directory of its own, removed at the end.
+	class ScratchDirectory
+	{
+	public:
+		ScratchDirectory()
+		{
+			std::string pattern = (std::filesystem::temp_directory_path() / "archdyke-XXXXXX").string();
+			cr_assert(nullptr != mkdtemp(pattern.data()));
+			this->path = pattern;
+		}
+
+		~ScratchDirectory()
+		{
+			std::filesystem::remove_all(this->path);
+		}
+
+		ScratchDirectory(const ScratchDirectory&) = delete;
+		ScratchDirectory& operator=(const ScratchDirectory&) = delete;
+
+		std::string path;
+	};
+
+	inline std::unique_ptr<lab::ChildProcess> startTool(const std::string& _name, const Json& _options, const std::string& _log)
+	{
+		return std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/tools/" + _name, std::vector<std::string>{_options.dump()}, _log);
+	}
+
+	inline httplib::Client clientOf(const std::string& _address)
+	{
+		const Address address = parseAddress(_address);
+		httplib::Client client(address.host, address.port);
+		client.set_read_timeout(10);
+		return client;
+	}
+
+	/// The store, as its operator and the upstreams use it.
+	class RigStore
+	{
+	public:
+		explicit RigStore(const std::string& _log)
+		    : process(startTool("stub-store", Json::object(), _log))
+		    , address(this->process->listening("http"))
+		{
+		}
+
+		/// Writes one row, whatever its version.
+		void put(const std::string& _table, const std::string& _key, const Json& _value)
+		{
+			const Json row{{"table", _table}, {"part", ""}, {"key", _key}, {"value", absl::Base64Escape(_value.dump())}};
+			this->transact({{"put", Json::array({row})}});
+		}
+
+		void remove(const std::string& _table, const std::string& _key)
+		{
+			this->transact({{"remove", Json::array({{{"table", _table}, {"part", ""}, {"key", _key}}})}});
+		}
+
+		void control(const Json& _control)
+		{
+			clientOf(this->address).Post("/control", _control.dump(), "application/json");
+		}
+
+		std::unique_ptr<lab::ChildProcess> process;
+		std::string address;
+
+	private:
+		void transact(const Json& _body)
+		{
+			const httplib::Result result = clientOf(this->address).Post("/rows-tx", _body.dump(), "application/json");
+			cr_assert(result && 200 == result->status);
+		}
+	};
+
+	/// One upstream with its row in the store.
+	struct RigWorker
+	{
+		std::string id;
+		std::string address;
+		std::unique_ptr<lab::ChildProcess> process;
+
+		/// @returns What it recorded of a request; null when it never came.
+		Json recordOf(const std::string& _request) const
+		{
+			const httplib::Result result = clientOf(this->address).Get("/record");
+			const Json record = result ? Json::parse(result->body) : Json::object();
+			return record.value(_request, Json());
+		}
+	};
+
+	/// What a caller got.
+	struct RigAnswer
+	{
+		int status = 0; ///< 0: no whole answer.
+		std::string body;
+		httplib::Headers headers;
+	};
+
+	/// Store, upstreams and one gateway.
+	class GatewayRig
+	{
+	public:
+		/// @param[in] _workers Ids of the upstreams, all of the service "svc".
+		explicit GatewayRig(const std::vector<std::string>& _workers)
+		    : store(this->directory.path + "/store.log")
+		{
+			for (const std::string& id : _workers)
+			{
+				this->addWorker(id);
+			}
+			this->configure(1);
+			this->startGateway();
+		}
+
+		void addWorker(const std::string& _id)
+		{
+			RigWorker worker{_id, "", startTool("stub-worker", {{"id", _id}}, this->directory.path + "/" + _id + ".log")};
+			worker.address = worker.process->listening("http");
+			this->announce(worker, "ready");
+			this->workers.push_back(std::move(worker));
+		}
+
+		void announce(const RigWorker& _worker, const std::string& _state)
+		{
+			this->store.put("servers", _worker.id, {{"service", "svc"}, {"address", _worker.address}, {"zone", "here"}, {"slots", 4}, {"state", _state}});
+		}
+
+		static Json route(const std::string& _prefix, const std::string& _kind)
+		{
+			return {{"name", _prefix}, {"host", "office.example"}, {"pathPrefix", _prefix}, {"routeKind", _kind}, {"timeoutMs", 1'500}, {"sloMs", 300}, {"priority", 1}, {"service", "svc"}, {"maxAttempts", 2}, {"public", false}};
+		}
+
+		/// Writes a configuration with the usual routes and one key.
+		void configure(std::uint64_t _version, const std::string& _key = "key-one", const Json& _moreRoutes = Json::array())
+		{
+			Json stream = route("/stream/", "streaming");
+			stream["resumable"] = true;
+			Json open = route("/open/", "idempotent");
+			open["public"] = true;
+			Json routes = Json::array({route("/safe/", "idempotent"), route("/once/", "non_idempotent"), stream, open});
+			routes.insert(routes.end(), _moreRoutes.begin(), _moreRoutes.end());
+			this->store.put("op", "config", {{"version", _version}, {"routes", routes}, {"services", Json::array({{{"name", "svc"}, {"maxConns", 50}}})}, {"limits", {{"maxHeaderBytes", 4'096}, {"maxBodyBytes", 65'536}, {"headerTimeoutMs", 700}, {"idleTimeoutMs", 5'000}}}, {"tenants", Json::array({{{"name", "kitchen"}, {"apiKeys", Json::array({_key})}, {"priority", 1}}})}});
+		}
+
+		void startGateway()
+		{
+			const std::string path = this->directory.path + "/gateway.json";
+			std::ofstream(path) << Json{{"name", "gateway-1"}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", this->store.address}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
+			this->gateway = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, this->directory.path + "/gateway.log");
+			this->callers = this->gateway->listening("http");
+			this->readiness = this->gateway->listening("readiness");
+			this->metrics = this->gateway->listening("metrics");
+		}
+
+		/// Waits until the gateway is ready and knows all upstreams.
+		void waitReady()
+		{
+			const std::size_t expected = this->workers.size();
+			cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+				const Json dump = this->dump();
+				return this->isReady() && dump.is_object() && expected == dump["upstreams"].size();
+			}));
+		}
+
+		bool isReady() const
+		{
+			const httplib::Result result = clientOf(this->readiness).Get("/readyz");
+			return result && 200 == result->status;
+		}
+
+		Json dump() const
+		{
+			const httplib::Result result = clientOf(this->metrics).Get("/dump");
+			return result ? Json::parse(result->body) : Json();
+		}
+
+		static httplib::Headers headersFor(const std::string& _request, Millis _patienceMs = 1'500, const std::string& _key = "key-one")
+		{
+			return {{"Host", "office.example"}, {"X-Archdyke-Request-Id", _request}, {"X-Archdyke-Deadline-Ms", std::to_string(_patienceMs)}, {"X-Api-Key", _key}};
+		}
+
+		RigAnswer call(const std::string& _target, const httplib::Headers& _headers) const
+		{
+			httplib::Client client = clientOf(this->callers);
+			const httplib::Result result = client.Get(_target, _headers);
+			return result ? RigAnswer{result->status, result->body, result->headers} : RigAnswer();
+		}
+
+		ScratchDirectory directory;
+		RigStore store;
+		std::vector<RigWorker> workers;
+		std::unique_ptr<lab::ChildProcess> gateway;
+		std::string callers;
+		std::string readiness;
+		std::string metrics;
+		Millis revocationMs = 2'000;
+		double retryAllowance = 6'400.0; ///< One gateway of 64 gets 80 resends a window.
+	};
+} // namespace archdyke::tests
--- /dev/null
+++ b/tests/test_gateway.cpp
@@ -0,0 +1,368 @@
+/// The gateway as a process before stand-ins of the users' platform: whole answers and one's own,
+/// truth about what has not run, keys, leaving upstreams, streams, planned stops.
+#include <csignal>
+#include <future>
+
+#include "gateway_rig.h"
+
+using namespace archdyke;
+using namespace archdyke::tests;
+
+namespace
+{
+	int runsOf(const GatewayRig& _rig, const std::string& _request)
+	{
+		int runs = 0;
+		for (const RigWorker& worker : _rig.workers)
+		{
+			const Json record = worker.recordOf(_request);
+			runs += record.is_object() ? record["runs"].get<int>() : 0;
+		}
+		return runs;
+	}
+
+	std::string allEvents()
+	{
+		std::string events;
+		for (int event = 1; event <= 12; ++event)
+		{
+			events += fmt::format("id: {}\ndata: piece {}\n\n", event, event);
+		}
+		return events;
+	}
+} // namespace
+
+Test(gateway, an_answer_goes_back_whole_with_its_signature)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const RigAnswer answer = rig.call("/safe/sheet?do=ok", GatewayRig::headersFor("r1"));
+	cr_assert(200 == answer.status);
+	cr_assert_str_eq(answer.body.c_str(), "GET /safe/sheet?do=ok ");
+	cr_assert(answer.headers.contains("X-Archdyke-Server-Stamp"));
+	cr_assert(rig.workers.front().recordOf("r1")["organisation"] == "kitchen");
+}
+
+Test(gateway, a_request_without_route_or_key_is_rejected)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	cr_assert(404 == rig.call("/nowhere/x", GatewayRig::headersFor("r1")).status);
+	cr_assert(401 == rig.call("/safe/x", GatewayRig::headersFor("r2", 1'500, "no-key")).status);
+	cr_assert(200 == rig.call("/open/x", GatewayRig::headersFor("r3", 1'500, "")).status);
+}
+
+Test(gateway, a_refused_request_is_tried_elsewhere)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 12; ++call)
+	{
+		const RigAnswer answer = rig.call("/once/x?do=shed&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(200 == answer.status);
+	}
+}
+
+Test(gateway, all_upstreams_full_means_not_run_and_a_time_to_come_back)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	const RigAnswer answer = rig.call("/once/x?do=shed", GatewayRig::headersFor("r1"));
+	cr_assert(503 == answer.status);
+	cr_assert(answer.headers.contains("Retry-After"));
+	cr_assert(0 == runsOf(rig, "r1"));
+}
+
+Test(gateway, what_may_have_run_is_never_told_as_not_run_nor_run_twice)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (const char* trouble : {"cut", "garbage", "unsigned", "encoded"})
+	{
+		const std::string request = std::string("once-") + trouble;
+		const RigAnswer answer = rig.call(std::string("/once/x?do=") + trouble, GatewayRig::headersFor(request));
+		cr_assert(502 == answer.status, "%s: %d", trouble, answer.status);
+		cr_assert(1 == runsOf(rig, request), "%s ran %d times", trouble, runsOf(rig, request));
+	}
+}
+
+Test(gateway, what_may_be_repeated_is_tried_elsewhere_after_a_bad_answer)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (const char* trouble : {"cut", "garbage", "unsigned", "encoded", "fail"})
+	{
+		for (int call = 0; call < 4; ++call)
+		{
+			const std::string target = fmt::format("/safe/x?do={}&only=a", trouble);
+			const RigAnswer answer = rig.call(target, GatewayRig::headersFor(fmt::format("{}-{}", trouble, call)));
+			cr_assert(200 == answer.status, "%s: %d", trouble, answer.status);
+		}
+	}
+}
+
+Test(gateway, an_answer_to_another_request_is_passed_over)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const RigAnswer answer = rig.call("/once/x?do=foreign", GatewayRig::headersFor("r1"));
+	cr_assert(200 == answer.status);
+	cr_assert_str_eq(answer.body.c_str(), "GET /once/x?do=foreign ");
+}
+
+Test(gateway, an_answer_that_ends_with_its_connection_is_whole)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const RigAnswer answer = rig.call("/once/x?do=unframed", GatewayRig::headersFor("r1"));
+	cr_assert(200 == answer.status);
+	cr_assert_str_eq(answer.body.c_str(), "GET /once/x?do=unframed ");
+}
+
+Test(gateway, the_deadline_is_answered_at_once_and_the_run_ended)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const Millis begun = nowMs();
+	const RigAnswer answer = rig.call("/once/x?do=hang", GatewayRig::headersFor("r1", 400));
+	const Millis took = nowMs() - begun;
+	cr_assert(504 == answer.status);
+	cr_assert(400 <= took && took < 900, "took %d ms", int(took));
+	cr_assert(lab::waitUntil(2'000, [&] {
+		return 1 == rig.workers.front().recordOf("r1")["left"].get<int>();
+	}));
+}
+
+Test(gateway, a_caller_that_leaves_ends_its_run)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	{
+		httplib::Client client = clientOf(rig.callers);
+		client.set_read_timeout(0, 200'000);
+		cr_assert(!client.Get("/once/x?do=hang", GatewayRig::headersFor("r1")));
+	}
+	cr_assert(lab::waitUntil(1'000, [&] {
+		const Json record = rig.workers.front().recordOf("r1");
+		return record.is_object() && 1 == record["left"].get<int>();
+	}));
+}
+
+Test(gateway, a_stream_arrives_whole)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const RigAnswer answer = rig.call("/stream/x?do=stream", GatewayRig::headersFor("r1"));
+	cr_assert(200 == answer.status);
+	cr_assert(answer.body == allEvents());
+}
+
+Test(gateway, a_broken_stream_goes_on_at_another_upstream)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 4; ++call)
+	{
+		const RigAnswer answer = rig.call("/stream/x?do=break", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(200 == answer.status);
+		cr_assert(answer.body == allEvents());
+	}
+}
+
+Test(gateway, a_stream_that_leaves_an_event_out_is_mended_or_cut)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 4; ++call)
+	{
+		const RigAnswer answer = rig.call("/stream/x?do=skip&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(0 == answer.status || answer.body == allEvents());
+	}
+}
+
+Test(gateway, a_callers_own_resume_begins_after_its_last_event)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	httplib::Headers headers = GatewayRig::headersFor("r1");
+	headers.emplace("Last-Event-Id", "9");
+	const RigAnswer answer = rig.call("/stream/x?do=stream", headers);
+	cr_assert(200 == answer.status);
+	cr_assert_str_eq(answer.body.c_str(), "id: 10\ndata: piece 10\n\nid: 11\ndata: piece 11\n\nid: 12\ndata: piece 12\n\n");
+}
+
+Test(gateway, a_new_configuration_is_in_force_within_a_second)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.configure(2, "key-two", Json::array({GatewayRig::route("/new/", "idempotent")}));
+	cr_assert(lab::waitUntil(1'000, [&] {
+		return 200 == rig.call("/new/x", GatewayRig::headersFor("r1", 1'500, "key-two")).status;
+	}));
+	cr_assert(401 == rig.call("/safe/x", GatewayRig::headersFor("r2")).status);
+}
+
+Test(gateway, an_older_configuration_is_never_taken)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.configure(5, "key-two");
+	cr_assert(lab::waitUntil(2'000, [&] {
+		return 5 == rig.dump()["catalog"].get<int>();
+	}));
+	rig.configure(4, "key-one");
+	rig.store.put("op", "mark", {{"after", 4}});
+	lab::pauseMs(600);
+	cr_assert(5 == rig.dump()["catalog"].get<int>());
+	cr_assert(200 == rig.call("/safe/x", GatewayRig::headersFor("r1", 1'500, "key-two")).status);
+}
+
+/// The revocation bound is 2 s here. A store that is away leaves keyed requests unproved; public
+/// ones go on.
+Test(gateway, keys_hold_only_while_the_newest_configuration_is_proved)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.control({{"mode", "silent"}});
+	const Millis cutAt = nowMs();
+	cr_assert(lab::waitUntil(4'000, [&] {
+		return 503 == rig.call("/safe/x", GatewayRig::headersFor("r1")).status;
+	}));
+	cr_assert(nowMs() - cutAt < 2'400);
+	cr_assert(200 == rig.call("/open/x", GatewayRig::headersFor("r2", 1'500, "")).status);
+	cr_assert(!rig.isReady());
+	rig.store.control({{"mode", "up"}});
+	cr_assert(lab::waitUntil(4'000, [&] {
+		return 200 == rig.call("/safe/x", GatewayRig::headersFor("r3")).status;
+	}));
+}
+
+Test(gateway, a_store_that_forgets_its_history_is_read_anew)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.control({{"mode", "busy"}});
+	rig.store.control({{"mode", "up"}, {"forget", true}});
+	rig.configure(3);
+	rig.store.control({{"mode", "up"}, {"forget", true}});
+	cr_assert(lab::waitUntil(3'000, [&] {
+		return 3 == rig.dump()["catalog"].get<int>();
+	}));
+}
+
+Test(gateway, a_leaving_upstream_gets_nothing_new)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.announce(rig.workers[0], "draining");
+	cr_assert(lab::waitUntil(1'500, [&] {
+		const Json dump = rig.dump();
+		return std::any_of(dump["upstreams"].begin(), dump["upstreams"].end(), [](const Json& _upstream) {
+			return "a" == _upstream["incarnation"] && _upstream["leaving"].get<bool>();
+		});
+	}));
+	rig.announce(rig.workers[0], "ready"); // what a list says again doesn't take it back
+	for (int call = 0; call < 10; ++call)
+	{
+		const std::string request = fmt::format("r{}", call);
+		cr_assert(200 == rig.call("/once/x", GatewayRig::headersFor(request)).status);
+		cr_assert(rig.workers[0].recordOf(request).is_null());
+	}
+}
+
+Test(gateway, an_upstream_without_a_row_gets_nothing_new)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.store.remove("servers", "a");
+	cr_assert(lab::waitUntil(1'500, [&] {
+		return 1 == rig.dump()["upstreams"].size();
+	}));
+}
+
+Test(gateway, another_incarnation_at_the_same_address_runs_nothing)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.store.put("servers", "ghost", {{"service", "svc"}, {"address", rig.workers[0].address}, {"zone", "here"}, {"slots", 4}, {"state", "ready"}});
+	cr_assert(lab::waitUntil(2'000, [&] {
+		return 3 == rig.dump()["upstreams"].size();
+	}));
+	for (int call = 0; call < 12; ++call)
+	{
+		const std::string request = fmt::format("r{}", call);
+		cr_assert(200 == rig.call("/once/x", GatewayRig::headersFor(request)).status);
+		cr_assert(1 == runsOf(rig, request));
+	}
+}
+
+Test(gateway, a_dead_upstream_is_proved_not_to_have_run)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.workers[0].process->kill();
+	for (int call = 0; call < 8; ++call)
+	{
+		cr_assert(200 == rig.call("/once/x", GatewayRig::headersFor(fmt::format("r{}", call))).status);
+	}
+}
+
+Test(gateway, a_planned_stop_ends_what_is_under_way)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	std::future<RigAnswer> stream = std::async(std::launch::async, [&] {
+		return rig.call("/stream/x?do=stream", GatewayRig::headersFor("r1"));
+	});
+	cr_assert(lab::waitUntil(2'000, [&] {
+		return 0 < rig.dump()["inFlight"].get<int>();
+	}));
+	rig.gateway->signal(SIGTERM);
+	cr_assert(lab::waitUntil(1'000, [&] {
+		return !rig.isReady();
+	}));
+	const RigAnswer answer = stream.get();
+	cr_assert(200 == answer.status && answer.body == allEvents());
+	cr_assert(rig.gateway->waitForExit(6'000) == 0);
+}
+
+Test(gateway, an_unreadable_request_is_rejected_and_the_connection_closed)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	httplib::Headers tooLong = GatewayRig::headersFor("r1");
+	tooLong.emplace("X-Long", std::string(8'000, 'x'));
+	cr_assert(431 == rig.call("/safe/x", tooLong).status);
+	httplib::Client client = clientOf(rig.callers);
+	const httplib::Result large = client.Post("/safe/x", GatewayRig::headersFor("r2"), std::string(100'000, 'x'), "text/plain");
+	cr_assert(!large || 413 == large->status);
+	cr_assert(0 == runsOf(rig, "r2"));
+}
+
+Test(gateway, a_settings_file_with_problems_names_them_all)
+{
+	ScratchDirectory directory;
+	const std::string path = directory.path + "/gateway.json";
+	std::ofstream(path) << R"({"name": "g", "zone": "here", "ip": "127.0.0.1", "peerPort": 0, "metrics": "nowhere", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "unknown": 1})";
+	lab::ChildProcess gateway(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", {"--settings", path}, directory.path + "/gateway.log");
+	cr_assert(gateway.waitForExit(5'000) == 2);
+	const std::string log = gateway.log();
+	for (const char* field : {"peerPort", "metrics", "store"})
+	{
+		cr_assert(std::string::npos != log.find(field), "%s isn't named in: %s", field, log.c_str());
+	}
+	cr_assert(std::string::npos == log.find("unknown"));
+}
+
+Test(gateway, a_reload_takes_new_bounds_and_keeps_the_old_ones_of_a_bad_file)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const std::string path = rig.directory.path + "/gateway.json";
+	std::ofstream(path) << "{ no settings";
+	rig.gateway->signal(SIGHUP);
+	cr_assert(lab::waitUntil(2'000, [&] {
+		return std::string::npos != rig.gateway->log().find("event=reload_failed");
+	}));
+	cr_assert(200 == rig.call("/safe/x", GatewayRig::headersFor("r1")).status);
+}
--- /dev/null
+++ b/tools/stub_ranks.cpp
@@ -0,0 +1,310 @@
+/// Stand-in for a group of the platform's engine ranks that advance in lock-step on expert maps,
+/// check no fence and compare no maps. It carries orders out late when told to, and judges at each
+/// pass whether all ranks are on the same map.
+///
+/// Options: {"addresses": [IP:port, ...], "sets", "experts", "passMs"?}. POST /control at any rank
+/// {"lateShare": share of the orders that get no answer and are carried out 0.2 to 1.5 s later,
+/// "formAnew": true, "hot": [expert of each set]}. GET /record at any rank tells the passes begun,
+/// the switches, the splits seen, the longest time that a pass was held, ms.
+#include <fmt/format.h>
+#include <map>
+#include <random>
+
+#include "address.h"
+#include "http/http_listener.h"
+#include "log.h"
+#include "process.h"
+#include "stub_main.h"
+
+namespace archdyke::stub
+{
+	namespace
+	{
+		using Json = nlohmann::json;
+		using http::Part;
+		using http::PartKind;
+
+		/// Choices that all requests of a rank make in one pass, of each set.
+		constexpr std::uint32_t kChoicesPerPass = 200;
+
+		struct Rank
+		{
+			std::uint64_t map = 0;
+			Json content; ///< Of the map in use; null for the one a group forms with.
+			std::uint64_t highest = 0;
+			std::optional<std::uint64_t> prepared;
+			Json preparedContent;
+			std::optional<std::uint64_t> armed;
+			std::uint64_t armedStep = 0;
+			std::optional<std::uint64_t> held;
+			std::vector<std::uint32_t> counts;
+		};
+
+		class Group
+		{
+		public:
+			Group(kj::AsyncIoContext& _io, const Json& _options)
+			    : loop{_io.provider->getNetwork(), _io.provider->getTimer()}
+			    , ranks(_options.at("addresses").size())
+			    , sets(_options.at("sets").get<std::uint32_t>())
+			    , experts(_options.at("experts").get<std::uint32_t>())
+			    , passMs(_options.value("passMs", Millis(20)))
+			    , hot(this->sets, 0)
+			{
+				this->form();
+				this->passing = this->pass().take().eagerlyEvaluate(nullptr);
+			}
+
+			aio::Task<void> serve(std::size_t _rank, std::unique_ptr<http::HttpConnection> _connection)
+			{
+				http::RequestHead head;
+				std::string body;
+				while (true)
+				{
+					Part part = co_await _connection->next();
+					if (PartKind::Head == part.kind)
+					{
+						head = std::move(part.request);
+						body.clear();
+					}
+					else if (PartKind::Body == part.kind)
+					{
+						body += part.body;
+					}
+					else if (PartKind::End == part.kind)
+					{
+						std::optional<std::string> answer = this->answer(_rank, head, body);
+						if (!answer)
+						{
+							co_await _connection->whenGone(); // no answer, ever
+							co_return;
+						}
+						co_await _connection->write(std::move(*answer));
+					}
+					else
+					{
+						co_return;
+					}
+				}
+			}
+
+			http::LoopParts loop;
+
+		private:
+			void form()
+			{
+				const std::vector<std::uint32_t> none(std::size_t(this->sets) * this->experts, 0);
+				for (Rank& rank : this->ranks)
+				{
+					rank = Rank();
+					rank.counts = none;
+				}
+				this->epoch += 1;
+			}
+
+			void count()
+			{
+				for (Rank& rank : this->ranks)
+				{
+					for (std::uint32_t set = 0; set < this->sets; ++set)
+					{
+						const std::uint32_t each = kChoicesPerPass / this->experts;
+						for (std::uint32_t expert = 0; expert < this->experts; ++expert)
+						{
+							rank.counts[std::size_t(set) * this->experts + expert] += each + (expert == this->hot[set] ? kChoicesPerPass : 0);
+						}
+					}
+				}
+			}
+
+			bool isHeld(std::uint64_t _step) const
+			{
+				return std::any_of(this->ranks.begin(), this->ranks.end(), [&](const Rank& _rank) {
+					return _rank.held == _step;
+				});
+			}
+
+			void begin(std::uint64_t _step)
+			{
+				this->step = _step;
+				for (Rank& rank : this->ranks)
+				{
+					if (rank.armed && rank.armedStep == _step)
+					{
+						rank.map = *rank.armed;
+						rank.content = rank.preparedContent;
+						rank.armed.reset();
+					}
+				}
+				const Rank& first = this->ranks.front();
+				const bool same = std::all_of(this->ranks.begin(), this->ranks.end(), [&](const Rank& _rank) {
+					return _rank.map == first.map && _rank.content == first.content;
+				});
+				this->splits += same ? 0 : 1;
+				this->switches += same && first.map != this->lastMap ? 1 : 0;
+				this->lastMap = first.map;
+				this->count();
+			}
+
+			aio::Task<void> pass()
+			{
+				constexpr Millis kHeldLookMs = 2;
+				while (true)
+				{
+					co_await this->loop.timer.afterDelay(this->passMs * kj::MILLISECONDS);
+					const Millis since = nowMs();
+					while (this->isHeld(this->step + 1))
+					{
+						co_await this->loop.timer.afterDelay(kHeldLookMs * kj::MILLISECONDS);
+					}
+					this->longestHoldMs = std::max(this->longestHoldMs, nowMs() - since);
+					this->begin(this->step + 1);
+				}
+			}
+
+			static Json orNull(const std::optional<std::uint64_t>& _value)
+			{
+				return _value ? Json(*_value) : Json();
+			}
+
+			Json report(std::size_t _rank) const
+			{
+				const Rank& rank = this->ranks[_rank];
+				return {{"group", {{"name", "g"}, {"epoch", this->epoch}, {"rank", _rank}, {"state", "open"}}}, {"size", this->ranks.size()}, {"queued", 0}, {"active", 2}, {"step", this->step}, {"map", rank.map}, {"prepared", orNull(rank.prepared)}, {"armed", orNull(rank.armed)}, {"held", orNull(rank.held)}};
+			}
+
+			int carryOut(std::size_t _rank, const Json& _order)
+			{
+				Rank& rank = this->ranks[_rank];
+				const std::string op = _order.value("op", "");
+				const std::uint64_t version = _order.value("version", std::uint64_t(0));
+				const std::uint64_t at = _order.value("step", std::uint64_t(0));
+				if (_order.value("epoch", this->epoch) != this->epoch)
+				{
+					return 409;
+				}
+				if ("prepare" == op)
+				{
+					if (version <= rank.highest || rank.armed)
+					{
+						return 409;
+					}
+					rank.highest = version;
+					rank.prepared = version;
+					rank.preparedContent = _order.at("map");
+					return 202;
+				}
+				if ("arm" == op)
+				{
+					if (rank.prepared != version || at <= this->step)
+					{
+						return 409;
+					}
+					rank.armed = version;
+					rank.armedStep = at;
+					return 202;
+				}
+				if ("hold" == op)
+				{
+					if (at <= this->step || (rank.held && rank.held != at))
+					{
+						return 409;
+					}
+					rank.held = at;
+					return 200;
+				}
+				rank.held = rank.held == at ? std::nullopt : rank.held;
+				return "go" == op ? 200 : 400;
+			}
+
+			aio::Task<void> carryOutLate(std::size_t _rank, Json _order, Millis _afterMs)
+			{
+				co_await this->loop.timer.afterDelay(_afterMs * kj::MILLISECONDS);
+				this->carryOut(_rank, _order);
+			}
+
+			/// @returns Bytes of the answer; none when there is none.
+			std::optional<std::string> answer(std::size_t _rank, const http::RequestHead& _head, const std::string& _body)
+			{
+				const auto json = [](int _status, const Json& _json) {
+					return http::serialize(http::ResponseHead{_status, {}, true}, _json.dump());
+				};
+				if ("/report" == _head.target)
+				{
+					return json(200, this->report(_rank));
+				}
+				if ("/picked" == _head.target)
+				{
+					return json(200, {{"step", this->step}, {"epoch", this->epoch}, {"counts", this->ranks[_rank].counts}});
+				}
+				if ("/record" == _head.target)
+				{
+					return json(200, {{"passes", this->step}, {"switches", this->switches}, {"splits", this->splits}, {"epoch", this->epoch}, {"map", this->lastMap}, {"longestHoldMs", this->longestHoldMs}});
+				}
+				const Json order = Json::parse(_body);
+				if ("/control" == _head.target)
+				{
+					this->lateShare = order.value("lateShare", this->lateShare);
+					this->hot = order.value("hot", this->hot);
+					if (order.value("formAnew", false))
+					{
+						this->form();
+					}
+					return json(200, Json::object());
+				}
+				std::uniform_real_distribution<double> share(0.0, 1.0);
+				if (share(this->random) < this->lateShare)
+				{
+					std::uniform_int_distribution<Millis> late(200, 1'500);
+					this->tasks.add(this->carryOutLate(_rank, order, late(this->random)).take());
+					return std::nullopt;
+				}
+				return json(this->carryOut(_rank, order), Json::object());
+			}
+
+			class Errors final : public kj::TaskSet::ErrorHandler
+			{
+			public:
+				void taskFailed(kj::Exception&& _error) override
+				{
+					logError("stub_failed", {{"reason", _error.getDescription().cStr()}});
+				}
+			};
+
+			std::vector<Rank> ranks;
+			std::uint32_t sets;
+			std::uint32_t experts;
+			Millis passMs;
+			std::vector<std::uint32_t> hot;
+			std::uint64_t epoch = 0;
+			std::uint64_t step = 0;
+			std::uint64_t lastMap = 0;
+			std::uint64_t switches = 0;
+			std::uint64_t splits = 0;
+			Millis longestHoldMs = 0;
+			double lateShare = 0.0;
+			std::mt19937_64 random{2026};
+			Errors errors;
+			kj::TaskSet tasks{this->errors};
+			kj::Promise<void> passing = nullptr;
+		};
+	} // namespace
+
+	void runStub(const nlohmann::json& _options)
+	{
+		kj::AsyncIoContext io = kj::setupAsyncIo();
+		Group group(io, _options);
+		std::vector<std::unique_ptr<http::Listener>> listeners;
+		std::string addresses;
+		for (std::size_t rank = 0; rank < _options.at("addresses").size(); ++rank)
+		{
+			const std::string address = _options.at("addresses")[rank].get<std::string>();
+			listeners.push_back(std::make_unique<http::Listener>(group.loop, address, [&group, rank](std::unique_ptr<http::HttpConnection> _connection) {
+				return group.serve(rank, std::move(_connection));
+			}));
+			addresses += fmt::format("{}{}:{}", addresses.empty() ? "" : ",", parseAddress(address).host, listeners.back()->port());
+		}
+		logInfo("listening", {{"http", addresses}});
+		kj::NEVER_DONE.wait(io.waitScope);
+	}
+} // namespace archdyke::stub
--- /dev/null
+++ b/tools/stub_store.cpp
@@ -0,0 +1,244 @@
+/// Stand-in for the platform's metadata store: rows with versions, conditional transactions, a
+/// feed of changes; and its troubles.
+///
+/// Options: {"address"?}. POST /control {"mode": "up" | "busy" | "silent" | "lose", "delayMs"?,
+/// "forget"?}: busy answers 503, silent doesn't answer, lose does writes without an answer, forget
+/// drops the history once.
+#include <absl/strings/escaping.h>
+#include <absl/synchronization/mutex.h>
+#include <map>
+
+#include "http_server.h"
+#include "log.h"
+#include "process.h"
+#include "stub_main.h"
+
+namespace archdyke::stub
+{
+	namespace
+	{
+		using Json = nlohmann::json;
+
+		/// How long a silent store keeps a caller, ms; longer than any caller waits.
+		constexpr Millis kSilentMs = 20'000;
+
+		struct RowName
+		{
+			std::string table;
+			std::string part;
+			std::string key;
+
+			auto operator<=>(const RowName&) const = default;
+		};
+
+		struct StoredRow
+		{
+			std::string value; ///< Base64, as sent.
+			std::uint64_t version = 0;
+			bool gone = false;
+		};
+
+		struct Trouble
+		{
+			std::string mode = "up";
+			Millis delayMs = 0;
+		};
+
+		class Store
+		{
+		public:
+			void addRoutes(httplib::Server& _routes)
+			{
+				_routes.Post("/rows-tx", [this](const httplib::Request& _request, httplib::Response& _response) {
+					this->guarded(_response, true, [&] {
+						this->transact(Json::parse(_request.body), _response);
+					});
+				});
+				_routes.Get("/rows-get", [this](const httplib::Request& _request, httplib::Response& _response) {
+					this->guarded(_response, false, [&] {
+						this->read(_request, _response);
+					});
+				});
+				_routes.Get("/rows-feed", [this](const httplib::Request& _request, httplib::Response& _response) {
+					this->guarded(_response, false, [&] {
+						this->follow(_request, _response);
+					});
+				});
+				_routes.Post("/control", [this](const httplib::Request& _request, httplib::Response&) {
+					this->control(Json::parse(_request.body));
+				});
+			}
+
+		private:
+			static void pause(Millis _ms)
+			{
+				absl::Mutex never;
+				absl::MutexLock lock(&never);
+				bool done = false;
+				never.AwaitWithTimeout(absl::Condition(&done), absl::Milliseconds(_ms));
+			}
+
+			template <typename Work>
+			void guarded(httplib::Response& _response, bool _writes, Work _work)
+			{
+				Trouble trouble;
+				{
+					absl::MutexLock lock(&this->mutex);
+					trouble = this->trouble;
+				}
+				pause(trouble.delayMs);
+				if ("busy" == trouble.mode)
+				{
+					_response.status = 503;
+					return;
+				}
+				if ("silent" == trouble.mode)
+				{
+					pause(kSilentMs);
+					_response.status = 503;
+					return;
+				}
+				_work();
+				if ("lose" == trouble.mode && _writes)
+				{
+					pause(kSilentMs);
+				}
+			}
+
+			void control(const Json& _json)
+			{
+				absl::MutexLock lock(&this->mutex);
+				this->trouble = {_json.value("mode", this->trouble.mode), _json.value("delayMs", Millis(0))};
+				this->forgottenUpTo = _json.value("forget", false) ? this->newest : this->forgottenUpTo;
+			}
+
+			Json answer() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+			{
+				return Json{{"rows", Json::array()}, {"more", false}, {"ver", this->newest}, {"now_ms", nowMs()}};
+			}
+
+			static Json rowJson(const RowName& _name, const StoredRow& _row)
+			{
+				Json json{{"table", _name.table}, {"part", _name.part}, {"key", _name.key}, {"ver", _row.version}};
+				if (_row.gone)
+				{
+					json["gone"] = true;
+				}
+				else
+				{
+					json["value"] = _row.value;
+				}
+				return json;
+			}
+
+			static RowName nameOf(const Json& _json)
+			{
+				return {_json.value("table", ""), _json.value("part", ""), _json.value("key", "")};
+			}
+
+			void transact(const Json& _body, httplib::Response& _response)
+			{
+				absl::MutexLock lock(&this->mutex);
+				Json result = this->answer();
+				bool holds = true;
+				for (const Json& expected : _body.value("expectedRev", Json::array()))
+				{
+					const auto it = this->rows.find(nameOf(expected));
+					const bool there = this->rows.end() != it && !it->second.gone;
+					holds = holds && expected.value("ver", std::uint64_t(0)) == (there ? it->second.version : 0);
+					if (there)
+					{
+						result["rows"].push_back(rowJson(it->first, it->second));
+					}
+				}
+				if (!holds)
+				{
+					_response.status = 412;
+					_response.set_content(result.dump(), "application/json");
+					return;
+				}
+				this->newest += 1;
+				for (const Json& put : _body.value("put", Json::array()))
+				{
+					this->rows[nameOf(put)] = {put.value("value", ""), this->newest, false};
+				}
+				for (const Json& removed : _body.value("remove", Json::array()))
+				{
+					this->rows[nameOf(removed)] = {"", this->newest, true};
+				}
+				_response.set_content(Json{{"ver", this->newest}, {"now_ms", nowMs()}}.dump(), "application/json");
+			}
+
+			void read(const httplib::Request& _request, httplib::Response& _response)
+			{
+				absl::MutexLock lock(&this->mutex);
+				Json result = this->answer();
+				for (const auto& [name, row] : this->rows)
+				{
+					const bool wanted = name.table == _request.get_param_value("table") && name.part == _request.get_param_value("part") && name.key >= _request.get_param_value("from");
+					if (wanted && !row.gone)
+					{
+						result["rows"].push_back(rowJson(name, row));
+					}
+				}
+				_response.set_content(result.dump(), "application/json");
+			}
+
+			bool hasChanges(const std::string& _table, std::uint64_t _since) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+			{
+				return std::any_of(this->rows.begin(), this->rows.end(), [&](const auto& _entry) {
+					return _entry.first.table == _table && _entry.second.version > _since;
+				});
+			}
+
+			void follow(const httplib::Request& _request, httplib::Response& _response)
+			{
+				const std::string table = _request.get_param_value("table");
+				const std::uint64_t since = std::stoull(_request.get_param_value("sinceRev"));
+				const Millis waitMs = std::stoll(_request.get_param_value("waitMs"));
+				absl::MutexLock lock(&this->mutex);
+				if (since < this->forgottenUpTo)
+				{
+					_response.status = 410;
+					return;
+				}
+				const auto ready = [&] {
+					this->mutex.AssertHeld();
+					return this->hasChanges(table, since) || "up" != this->trouble.mode;
+				};
+				this->mutex.AwaitWithTimeout(absl::Condition(&ready), absl::Milliseconds(waitMs));
+				if ("busy" == this->trouble.mode)
+				{
+					_response.status = 503;
+					return;
+				}
+				Json result = this->answer();
+				for (const auto& [name, row] : this->rows)
+				{
+					if (name.table == table && row.version > since)
+					{
+						result["rows"].push_back(rowJson(name, row));
+					}
+				}
+				_response.set_content(result.dump(), "application/json");
+			}
+
+			absl::Mutex mutex;
+			std::map<RowName, StoredRow> rows ABSL_GUARDED_BY(mutex);
+			std::uint64_t newest ABSL_GUARDED_BY(mutex) = 1;
+			std::uint64_t forgottenUpTo ABSL_GUARDED_BY(mutex) = 0;
+			Trouble trouble ABSL_GUARDED_BY(mutex);
+		};
+	} // namespace
+
+	void runStub(const nlohmann::json& _options)
+	{
+		Store store;
+		HttpServer server;
+		store.addRoutes(server.routes());
+		const Address address = server.start(parseAddress(_options.value("address", "127.0.0.1:0")));
+		logInfo("listening", {{"http", toString(address)}});
+		waitForStopSignal();
+		server.stop();
+	}
+} // namespace archdyke::stub
