Tests of the gateway's decisions, of maps and of the adapter

Cause: catalog, freshness, retry window, events, choice, admission, maps and codec had no tests of their own.

--- /dev/null
+++ b/tests/test_map_policy.cpp
@@ -0,0 +1,124 @@
+/// When a map pays and which: windows of choices, limits on copies, pressure of the passes.
+#include "archdyke/map_policy.h"
+#include "archdyke/map_window.h"
+#include "check.h"
+
+using namespace archdyke;
+using archdyke::tests::checkProperty;
+
+namespace
+{
+	constexpr std::uint32_t kRanks = 12;
+	constexpr std::uint32_t kExperts = 72;
+
+	EngineModel engine()
+	{
+		EngineModel model;
+		model.sets = 4;
+		model.experts = kExperts;
+		model.places = 8;
+		model.spare = 3;
+		model.expertCopyMs = 98.0;
+		return model;
+	}
+
+	/// One expert of each set draws a quarter of the choices.
+	ExpertLoad oneHot(std::uint32_t _expert)
+	{
+		ExpertLoad load(4, std::vector<double>(kExperts, 1.0));
+		for (std::uint32_t set = 0; set < 4; ++set)
+		{
+			load[set][(_expert + 5 * set) % kExperts] = double(kExperts) / 3.0;
+		}
+		return load;
+	}
+
+	std::uint32_t arrivalsOf(const ExpertHosts& _from, const ExpertHosts& _to, std::uint32_t _rank, std::uint32_t _set)
+	{
+		std::uint32_t arrivals = 0;
+		for (std::uint32_t expert = 0; expert < kExperts; ++expert)
+		{
+			const auto hosts = [&](const ExpertHosts& _hosts) {
+				const std::vector<std::uint32_t>& ranks = _hosts[_set][expert];
+				return ranks.end() != std::find(ranks.begin(), ranks.end(), _rank);
+			};
+			arrivals += hosts(_to) && !hosts(_from) ? 1 : 0;
+		}
+		return arrivals;
+	}
+} // namespace
+
+Test(mappolicy, a_window_holds_the_last_choices_of_one_epoch)
+{
+	ChoiceWindow window;
+	addPiece(window, {0, 100, 1, {9, 9}}, 200);
+	cr_assert(!loadOf(window, 2, 200));
+	addPiece(window, {100, 200, 1, {1, 2}}, 200);
+	addPiece(window, {200, 300, 1, {3, 4}}, 200);
+	const std::optional<ExpertLoad> load = loadOf(window, 2, 200);
+	cr_assert(load && (*load)[0][0] == 4.0 && (*load)[0][1] == 6.0);
+	addPiece(window, {300, 400, 2, {1, 1}}, 200);
+	cr_assert(!loadOf(window, 2, 200));
+}
+
+Test(mappolicy, experts_are_dealt_in_turn)
+{
+	const ExpertHosts hosts = dealtInTurn(2, 5, 3);
+	cr_assert(hosts.size() == 2 && hosts[1][4].front() == 1);
+	const auto ranks = expertsByRank(hosts, 3);
+	cr_assert(ranks[0][0] == (std::vector<std::uint32_t>{0, 3}));
+}
+
+/// One switch takes most of the skew of a hot expert away, within what ranks may copy, and leaves
+/// every expert a rank.
+Test(mappolicy, a_plan_keeps_the_limits_and_takes_the_skew)
+{
+	checkProperty("limits of a plan", [] {
+		const ExpertHosts hosts = dealtInTurn(4, kExperts, kRanks);
+		const ExpertLoad load = oneHot(*rc::gen::inRange<std::uint32_t>(0, kExperts));
+		const MapDecision decision = decideMap(engine(), kRanks, hosts, load, {60.0, 120});
+		RC_ASSERT(decision.worthwhile);
+		RC_ASSERT(decision.skewBefore > 1.0 && decision.skewAfter < 0.4);
+		for (std::uint32_t rank = 0; rank < kRanks; ++rank)
+		{
+			std::uint32_t arrivals = 0;
+			for (std::uint32_t set = 0; set < 4; ++set)
+			{
+				const std::uint32_t ofSet = arrivalsOf(hosts, decision.hosts, rank, set);
+				RC_ASSERT(ofSet <= 3U);
+				arrivals += ofSet;
+			}
+			RC_ASSERT(arrivals <= 2U);
+		}
+		for (const auto& set : expertsByRank(decision.hosts, kRanks))
+		{
+			for (const auto& experts : set)
+			{
+				RC_ASSERT(experts.size() <= 8U);
+			}
+		}
+		for (const auto& set : decision.hosts)
+		{
+			for (const auto& ranks : set)
+			{
+				RC_ASSERT(!ranks.empty());
+			}
+		}
+	});
+}
+
+Test(mappolicy, short_passes_tolerate_more_skew)
+{
+	cr_assert(toleratedSkew({10.0, 120}) > toleratedSkew({40.0, 120}));
+	cr_assert(toleratedSkew({40.0, 120}) > toleratedSkew({100.0, 120}));
+	cr_assert(std::abs(toleratedSkew({0.0, 120}) - toleratedSkew({100.0, 120})) < 1e-9);
+}
+
+Test(mappolicy, nothing_is_moved_without_requests_or_skew)
+{
+	const ExpertHosts hosts = dealtInTurn(4, kExperts, kRanks);
+	const ExpertLoad none(4, std::vector<double>(kExperts, 0.0));
+	const ExpertLoad even(4, std::vector<double>(kExperts, 1.0));
+	cr_assert(!decideMap(engine(), kRanks, hosts, none, {60.0, 120}).worthwhile);
+	cr_assert(!decideMap(engine(), kRanks, hosts, even, {60.0, 120}).worthwhile);
+}
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,104 @@
+/// The adapter: what the platform's wire says, decoded into archdyke's types and back.
+#include "archdyke/errors.h"
+#include "codec.h"
+#include "documents.h"
+#include "engine.h"
+
+#include "check.h"
+
+using namespace archdyke;
+
+namespace
+{
+	http::RequestHead callerHead()
+	{
+		http::RequestHead head{"POST", "/x/y?z=1", {}, true};
+		head.headers.add("Host", "a.example");
+		head.headers.add("x-archdyke-request-id", "9c41");
+		head.headers.add("X-Archdyke-Deadline-Ms", "8000");
+		head.headers.add("X-Api-Key", "secret");
+		head.headers.add("X-Archdyke-Tenant", "forged");
+		head.headers.add("X-Archdyke-Token-Count", "1460,80");
+		head.headers.add("X-Archdyke-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410");
+		head.headers.add("Length-Hint", "40");
+		head.headers.add("Last-Event-Id", "12");
+		head.headers.add("Connection", "close");
+		head.headers.add("X-Other", "kept");
+		return head;
+	}
+} // namespace
+
+Test(platform, a_request_is_decoded_once)
+{
+	const gateway::CallerRequest request = platform::makeCodec().decodeRequest(callerHead());
+	cr_assert(request.id == "9c41" && request.host == "a.example" && request.key == "secret");
+	cr_assert(request.patienceMs == 8'000 && request.resumeAfter == 12);
+	cr_assert(request.promptTokens == 1'460 && request.answerTokens == 40);
+	cr_assert(request.prompt.size() == 2 && request.prompt[1].tokens == 410 && request.prompt[0].id == 0x5c1e07a2);
+}
+
+Test(platform, an_upstream_gets_no_key_and_no_forged_organisation)
+{
+	const gateway::Codec codec = platform::makeCodec();
+	const http::RequestHead head = codec.encodeDispatch(callerHead(), codec.decodeRequest(callerHead()), {"i-1", "kitchen", 700, 15, std::nullopt});
+	cr_assert(!head.headers.find("X-Api-Key") && !head.headers.find("Connection"));
+	cr_assert(*head.headers.find("X-Archdyke-Tenant") == "kitchen");
+	cr_assert(*head.headers.find("X-Archdyke-Expect-Instance") == "i-1");
+	cr_assert(*head.headers.find("X-Archdyke-Deadline-Ms") == "700");
+	cr_assert(*head.headers.find("Last-Event-Id") == "15");
+	cr_assert(*head.headers.find("X-Archdyke-Token-Count") == "1460,80" && *head.headers.find("X-Other") == "kept");
+	cr_assert(head.method == "POST" && head.target == "/x/y?z=1");
+}
+
+Test(platform, an_answer_tells_what_is_proved)
+{
+	const gateway::Codec codec = platform::makeCodec();
+	http::ResponseHead head{503, {}, true};
+	head.headers.add("X-Archdyke-Request-Id", "9c41");
+	cr_assert(!codec.decodeAnswer(head).provedNotRun);
+	head.headers.add("X-Archdyke-Not-Executed", "1");
+	head.headers.add("Keep-Alive", "timeout=7, max=3");
+	head.headers.add("At-Server", "i-2");
+	const gateway::AnswerInfo info = codec.decodeAnswer(head);
+	cr_assert(info.provedNotRun && info.restMs == 7'000 && info.upstreamAtFault == "i-2" && !info.signedByUpstream);
+	cr_assert(codec.decodeAnswer({421, {}, true}).wrongIncarnation);
+}
+
+Test(platform, a_refusal_says_when_to_come_back)
+{
+	const gateway::Codec codec = platform::makeCodec();
+	const http::ResponseHead head = codec.encodeRefusal(codec.decodeRequest(callerHead()), {503, 1'250, "overloaded"});
+	cr_assert(head.status == 503 && *head.headers.find("Retry-After") == "1.250");
+	cr_assert(!head.headers.find("X-Archdyke-Server-Stamp"));
+}
+
+Test(platform, a_configuration_is_decoded)
+{
+	const Catalog catalog = platform::decodeCatalog(R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","routeKind":"streaming","timeoutMs":8000,"sloMs":500,"priority":1,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"public":true,"resumable":true,"gap_aim_ms":120},{"host":"h","pathPrefix":"/b/","routeKind":"non_idempotent","service":"t"}],"services":[{"name":"s","maxConns":348,"engine":{"slots":12,"linkMbps":180000.0,"stride":4,"step_ms":4.55,"per_seq_ms":0.905,"read_per_s":61400.0,"sets":4,"experts":72,"places":8,"spare":3,"expert_mb":2200.0,"expert_share":0.85,"form_ms":600.0}}],"limits":{"maxBodyBytes":77},"tenants":[{"name":"o","apiKeys":["k1","k2"],"priority":2}],"unknown":1})");
+	cr_assert(catalog.version == 7 && catalog.routes.size() == 2);
+	cr_assert(catalog.routes[0].stream && catalog.routes[0].resumable && catalog.routes[0].gapObjectiveMs == 120 && catalog.routes[0].services.size() == 2);
+	cr_assert(catalog.routes[1].repeat == Repeat::AtMostOnce && catalog.routes[1].services.front().name == "t" && catalog.routes[1].maxAttempts == 1);
+	cr_assert(catalog.services[0].engine->experts == 72 && std::abs(catalog.services[0].engine->expertCopyMs - 97.8) < 0.1);
+	cr_assert(catalog.organisations[0].keys.size() == 2 && catalog.limits.bodyBytes == 77);
+	cr_assert_throw(platform::decodeCatalog("{\"routes\":[]}"), InvalidInputError);
+	cr_assert_throw(platform::decodeCatalog("no json"), InvalidInputError);
+}
+
+Test(platform, a_row_of_an_upstream_is_decoded)
+{
+	const UpstreamRecord record = platform::decodeUpstream("i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":12,"state":"draining"})");
+	cr_assert(record.incarnation == "i-1" && record.leaving && record.slots == 12);
+	cr_assert_throw(platform::decodeUpstream("i-1", R"({"service":3})"), InvalidInputError);
+}
+
+Test(platform, an_engines_report_is_decoded)
+{
+	const group::EngineCodec codec = platform::makeEngineCodec();
+	const group::EngineReport report = codec.decodeReport(R"({"group":{"name":"g","epoch":2,"rank":3,"state":"open"},"size":12,"queued":1,"active":9,"step":82,"map":5,"prepared":6,"armed":{"version":6,"step":90},"held":90})");
+	cr_assert(report.group == "g" && report.rank == 3 && report.ranks == 12 && report.queued == 1 && report.active == 9);
+	cr_assert((report.view == RankView{true, 2, true, 82, 5, 6, 6, 90}));
+	cr_assert(codec.decodeReport(R"({"queued":0,"active":1})").group.empty());
+	cr_assert_throw(codec.decodeReport("[]"), InvalidInputError);
+	cr_assert(codec.encodeOrder({RankOrderKind::Arm, 2, 6, 90, {}}) == R"({"epoch":2,"op":"arm","step":90,"version":6})");
+	cr_assert(codec.isAccepted(202) && codec.isAccepted(200) && !codec.isAccepted(409));
+}
