Admission: a mean pass may take 1.1 of the objective

Cause: on the grown deployments most streams were late by single passes over the objective while the mean was 0.55 of it. Conclusion: late streams must be fought by shorter peaks, not by fewer streams.

--- a/src/decide/batch_admission.cpp
+++ b/src/decide/batch_admission.cpp
@@ -8,7 +8,7 @@
 	{
 		/// Share of the objective that a mean pass may take: passes in which prompts are read
 		/// are longer than the mean.
-		constexpr double kPassShare = 0.85;
+		constexpr double kPassShare = 1.1;
 		/// Requests that may wait at an engine beyond its batch: one ends about every fifth pass.
 		constexpr double kQueueBeyondBatch = 1.0;
 		/// More for a caller that was refused before: to refuse it again costs its answer.
