Copies of one rank take 150 ms at most; names of the platform are held in its folder

Cause: a switch took 0.4 to 0.5 s, of that 0.2 s for two copies of a rank, one after the other, while a hot expert lasts 1 to 4 s.

Change: one copy a rank and switch where it takes 0.1 s, three where it takes 0.05. With it: scripts/check-platform.sh, in the tests, fails where src or include names the platform's headers, calls or fields, and shows that it does; formatter and linter look at platform/ too.

--- a/include/archdyke/batch_admission.h
+++ b/include/archdyke/batch_admission.h
@@ -16,8 +16,8 @@
 	/// What is known of the engines of a service.
 	struct BatchView
 	{
-		double passMs = 0.0;       ///< Mean time of the last passes; 0 when unknown.
-		double meanLoad = 0.0;     ///< Requests of an engine, mean.
+		double passMs = 0.0;   ///< Mean time of the last passes; 0 when unknown.
+		double meanLoad = 0.0; ///< Requests of an engine, mean.
 
 		bool operator==(const BatchView&) const = default;
 	};
--- a/include/archdyke/catalog.h
+++ b/include/archdyke/catalog.h
@@ -15,7 +15,7 @@
 	/// What may be repeated on a route.
 	enum class Repeat
 	{
-		Always,    ///< Idempotent.
+		Always, ///< Idempotent.
 		AtMostOnce,
 		Count
 	};
@@ -36,11 +36,11 @@
 		std::string host;
 		std::string pathPrefix; ///< Begins and ends with a slash.
 		Repeat repeat = Repeat::AtMostOnce;
-		bool stream = false;       ///< Answers are series of events.
-		bool resumable = false;    ///< A broken stream may go on at another upstream.
-		Millis timeoutMs = 0;      ///< Longest time that a request may be held.
-		Millis objectiveMs = 0;    ///< Answers within it earn their full worth; of a stream, the first event.
-		Millis gapObjectiveMs = 0; ///< Longest pause between events; 0 when none is declared.
+		bool stream = false;        ///< Answers are series of events.
+		bool resumable = false;     ///< A broken stream may go on at another upstream.
+		Millis timeoutMs = 0;       ///< Longest time that a request may be held.
+		Millis objectiveMs = 0;     ///< Answers within it earn their full worth; of a stream, the first event.
+		Millis gapObjectiveMs = 0;  ///< Longest pause between events; 0 when none is declared.
 		std::uint32_t priority = 0; ///< 0 is the most urgent.
 		std::vector<WeightedService> services;
 		std::uint32_t maxAttempts = 1; ///< Upstreams that one request may be sent to.
@@ -52,19 +52,19 @@
 	/// Speed of a model engine as its operator declares it.
 	struct EngineModel
 	{
-		std::uint32_t slots = 0;       ///< Requests of one batch.
-		double stepMs = 0.0;           ///< A decoding step with an empty batch.
-		double perSequenceMs = 0.0;    ///< More for each request that is decoding.
-		double contextMsPerK = 0.0;    ///< More for 1,000 tokens of context.
+		std::uint32_t slots = 0;    ///< Requests of one batch.
+		double stepMs = 0.0;        ///< A decoding step with an empty batch.
+		double perSequenceMs = 0.0; ///< More for each request that is decoding.
+		double contextMsPerK = 0.0; ///< More for 1,000 tokens of context.
 		double prefillTokensPerMs = 0.0;
-		std::uint32_t stride = 1;      ///< Decoding steps of one pass.
-		std::uint32_t sets = 0;        ///< Layer sets with experts; 0 for a dense model.
-		std::uint32_t experts = 0;     ///< Experts of a set.
-		std::uint32_t places = 0;      ///< Experts of a set that a rank can hold.
-		std::uint32_t spare = 0;       ///< New experts of a set that a rank can copy at once.
-		double expertShare = 0.0;      ///< Share of a token's work that experts do.
-		double expertCopyMs = 0.0;     ///< Time to copy one expert to a rank.
-		Millis formMs = 0;             ///< A group needs this to open again.
+		std::uint32_t stride = 1;  ///< Decoding steps of one pass.
+		std::uint32_t sets = 0;    ///< Layer sets with experts; 0 for a dense model.
+		std::uint32_t experts = 0; ///< Experts of a set.
+		std::uint32_t places = 0;  ///< Experts of a set that a rank can hold.
+		std::uint32_t spare = 0;   ///< New experts of a set that a rank can copy at once.
+		double expertShare = 0.0;  ///< Share of a token's work that experts do.
+		double expertCopyMs = 0.0; ///< Time to copy one expert to a rank.
+		Millis formMs = 0;         ///< A group needs this to open again.
 		std::uint32_t usualPromptTokens = 0;
 		std::uint32_t usualAnswerTokens = 0;
 
--- a/include/archdyke/forward_switch.h
+++ b/include/archdyke/forward_switch.h
@@ -42,15 +42,15 @@
 	/// What the row of a group says, or the coordinator means to write.
 	struct SwitchIntent
 	{
-		std::uint64_t term = 0;   ///< Rises with each coordinator.
-		std::string coordinator;  ///< IP:port of the coordinator's process.
+		std::uint64_t term = 0;  ///< Rises with each coordinator.
+		std::string coordinator; ///< IP:port of the coordinator's process.
 		SwitchPhase phase = SwitchPhase::Idle;
-		std::uint64_t epoch = 0;    ///< Of the group, for which the switch is meant.
-		std::uint64_t version = 0;  ///< Of the map; versions rise and never repeat.
-		std::uint64_t boundary = 0; ///< First step on the map; in phase Idle the last one that was used.
-		ExpertHosts map;            ///< To switch to; empty in phase Idle.
+		std::uint64_t epoch = 0;          ///< Of the group, for which the switch is meant.
+		std::uint64_t version = 0;        ///< Of the map; versions rise and never repeat.
+		std::uint64_t boundary = 0;       ///< First step on the map; in phase Idle the last one that was used.
+		ExpertHosts map;                  ///< To switch to; empty in phase Idle.
 		std::uint64_t inForceVersion = 0; ///< Of the map in use before the switch; 0: the one a group forms with.
-		ExpertHosts inForce;        ///< Empty for version 0.
+		ExpertHosts inForce;              ///< Empty for version 0.
 
 		bool operator==(const SwitchIntent&) const = default;
 	};
--- a/include/archdyke/freshness.h
+++ b/include/archdyke/freshness.h
@@ -15,7 +15,7 @@
 	/// What is known of the store's clock and of the newest proof.
 	struct Freshness
 	{
-		std::optional<Millis> offset; ///< Least value of own clock less the store's.
+		std::optional<Millis> offset;   ///< Least value of own clock less the store's.
 		std::optional<Millis> provenAt; ///< Own clock: the configuration was the newest then.
 
 		bool operator==(const Freshness&) const = default;
--- a/include/archdyke/placement.h
+++ b/include/archdyke/placement.h
@@ -22,10 +22,10 @@
 	struct PlacementInput
 	{
 		std::uint32_t ranks = 1;
-		std::uint32_t slots = 1; ///< Experts of a layer that one rank can hold.
-		ExpertHosts hosts;       ///< As they are.
-		ExpertLoad load;         ///< Expected for the time to come.
-		double budget = 0.0;     ///< Experts that may be staged now.
+		std::uint32_t slots = 1;            ///< Experts of a layer that one rank can hold.
+		ExpertHosts hosts;                  ///< As they are.
+		ExpertLoad load;                    ///< Expected for the time to come.
+		double budget = 0.0;                ///< Experts that may be staged now.
 		std::uint32_t arrivalsPerRank = 0;  ///< New experts of a rank over all layers, at most; 0: any number.
 		std::uint32_t arrivalsPerLayer = 0; ///< New experts of a rank in one layer, at most; 0: any number.
 
--- a/include/archdyke/upstream_choice.h
+++ b/include/archdyke/upstream_choice.h
@@ -27,12 +27,12 @@
 	/// An upstream that may be chosen.
 	struct UpstreamCandidate
 	{
-		double load = 0.0;         ///< Requests there, running and waiting.
+		double load = 0.0; ///< Requests there, running and waiting.
 		std::uint32_t slots = 1;
 		bool ownZone = false;
-		bool suspended = false;    ///< Failed lately; used only when all are.
-		bool excluded = false;     ///< This request was there already.
-		double failureRate = 0.0;  ///< Share of its late answers that failed, 0 to 1.
+		bool suspended = false;   ///< Failed lately; used only when all are.
+		bool excluded = false;    ///< This request was there already.
+		double failureRate = 0.0; ///< Share of its late answers that failed, 0 to 1.
 
 		bool operator==(const UpstreamCandidate&) const = default;
 	};
@@ -51,7 +51,7 @@
 	/// What the last answers of an upstream say of its health.
 	struct UpstreamHealth
 	{
-		double failureRate = 0.0;          ///< Moving mean of failed answers, 0 to 1.
+		double failureRate = 0.0; ///< Moving mean of failed answers, 0 to 1.
 		std::uint32_t failuresInARow = 0;
 		Millis suspendedUntil = 0;
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,13 +3,13 @@
 # in place.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'src/decide/*' 'include/*.h' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v '^src/generated/' | sort -u)
+mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'platform/*' 'src/decide/*' 'include/*.h' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' | grep -v '^src/generated/' | sort -u)
 if [ "${1:-}" = --fix ]; then
 	clang-format -i "${files[@]}"
 	exit 0
 fi
 clang-format --dry-run --Werror "${files[@]}"
 echo "formatter: clean"
-printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -E '^(src|tools)/' \
+printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -E '^(src|tools|platform)/' \
 	| xargs -P "$(nproc)" -n 2 clang-tidy -p build/release --quiet --warnings-as-errors='*' --extra-arg=-Wthread-safety 2>/dev/null
 echo "linter: clean"
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,7 @@
 	g++ cmake ninja-build pkg-config clang-format clang-tidy gnuplot-nox
 	libabsl-dev capnproto libcapnp-dev prometheus-cpp-dev libcpp-httplib-dev libcxxopts-dev
 	libfmt-dev libcriterion-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev
-	libssl-dev libbrotli-dev zlib1g-dev
+	libssl-dev libbrotli-dev zlib1g-dev libhttp-parser-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,8 @@
 preset=${1:-release}
 scripts/setup.sh "$preset"
 scripts/check-decide.sh
+scripts/check-platform.sh --self-test
+scripts/check-platform.sh
 scripts/generate.sh --check
 red=$(sed -nE 's/^([A-Za-z0-9_]+):.*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 if [ -n "$red" ]; then
--- a/src/aio/task.h
+++ b/src/aio/task.h
@@ -240,11 +240,13 @@
 			{
 				this->waiting = this->store(kj::mv(this->promise))
 				                    .then([this, _frame] {
-					this->resumeLater(_frame);
-				}, [this, _frame](kj::Exception&& _error) {
+					                    this->resumeLater(_frame);
+				                    },
+				                          [this, _frame](kj::Exception&& _error) {
 					this->result.error = kj::mv(_error);
 					this->resumeLater(_frame);
-				}).eagerlyEvaluate(nullptr);
+				                    })
+				    .eagerlyEvaluate(nullptr);
 			}
 
 			T await_resume()
--- a/src/decide/map_policy.cpp
+++ b/src/decide/map_policy.cpp
@@ -26,7 +26,7 @@
 		constexpr double kMostCopies = 128.0;
 		/// Time that the copies of one rank may take, ms; the rank with most of them is the
 		/// time of the switch.
-		constexpr double kCopyBudgetMs = 250.0;
+		constexpr double kCopyBudgetMs = 150.0;
 	} // namespace
 
 	double toleratedSkew(const PassPressure& _pressure)
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -24,13 +24,13 @@
 	/// What a caller asks for, besides method, target and body.
 	struct CallerRequest
 	{
-		std::string id;                           ///< Of this try of the caller; a repeat has another.
+		std::string id; ///< Of this try of the caller; a repeat has another.
 		std::string host;
 		std::string key;                          ///< Empty when there is none.
 		std::optional<Millis> patienceMs;         ///< How long the caller will wait.
 		std::optional<std::uint64_t> resumeAfter; ///< Last event that the caller has.
 		std::uint32_t promptTokens = 0;
-		std::uint32_t answerTokens = 0;           ///< The caller's guess; its bound when there is no guess.
+		std::uint32_t answerTokens = 0; ///< The caller's guess; its bound when there is no guess.
 		std::vector<PromptPart> prompt;
 
 		bool operator==(const CallerRequest&) const = default;
@@ -51,13 +51,13 @@
 	/// What the head of an upstream's answer says.
 	struct AnswerInfo
 	{
-		std::string requestId;       ///< Whose answer it is.
+		std::string requestId; ///< Whose answer it is.
 		bool signedByUpstream = false;
-		bool provedNotRun = false;   ///< The upstream says that it did not run the request.
+		bool provedNotRun = false; ///< The upstream says that it did not run the request.
 		bool wrongIncarnation = false;
-		bool encoded = false;        ///< The body went through an encoding that nobody asked for.
+		bool encoded = false;         ///< The body went through an encoding that nobody asked for.
 		std::optional<Millis> restMs; ///< How long the upstream keeps the connection.
-		std::string upstreamAtFault; ///< Of a group: the member that made it fail; may be empty.
+		std::string upstreamAtFault;  ///< Of a group: the member that made it fail; may be empty.
 
 		bool operator==(const AnswerInfo&) const = default;
 	};
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -10,11 +10,11 @@
 	/// How a request ended, as its caller saw it.
 	enum class Ending
 	{
-		Answered,     ///< A whole answer of an upstream, whatever its status.
+		Answered,      ///< A whole answer of an upstream, whatever its status.
 		RefusedNotRun, ///< 503 or 429: it has not run.
-		Rejected,     ///< 4xx of the gateway's own.
-		Failed,       ///< 502 or 504: it may have run.
-		Broken,       ///< A stream that was cut.
+		Rejected,      ///< 4xx of the gateway's own.
+		Failed,        ///< 502 or 504: it may have run.
+		Broken,        ///< A stream that was cut.
 		CallerLeft,
 		Count
 	};
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -43,11 +43,11 @@
 			    , loads(this->state)
 			    , callers(this->state, this->state.settings.callers)
 			    , readiness(this->loop, this->state.settings.readiness, http::serveRequests([this](const http::RequestHead&) {
-				    return this->readinessAnswer();
-			    }))
+				                return this->readinessAnswer();
+			                }))
 			    , admin(this->loop, this->state.settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
-				    return this->adminAnswer(_head);
-			    }))
+				            return this->adminAnswer(_head);
+			            }))
 			{
 				const Place& place = this->state.settings.place;
 				logInfo("start", {{"version", kVersion}, {"zone", place.zone}, {"callers", this->state.settings.callers}, {"store", place.store}, {"metrics", place.metrics}, {"settings", this->path}});
--- a/src/gateway/load_link.h
+++ b/src/gateway/load_link.h
@@ -22,7 +22,7 @@
 
 		GatewayState& state;
 		std::map<std::string, std::unique_ptr<group::RankLink>> links; ///< By service.
-		std::size_t mostRanks = 0; ///< Of the groups asked.
+		std::size_t mostRanks = 0;                                     ///< Of the groups asked.
 		std::set<std::string> asking;
 		std::map<std::string, bool> up; ///< By service: whether the coordinator answers.
 		kj::Own<kj::TaskSet::ErrorHandler> errors;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -301,10 +301,11 @@
 		_context.maybeRunning = true;
 		bool written = false;
 		const kj::Promise<void> writing = lease.connection->write(requestBytes(_context, *_upstream)).take().then([&written] {
-			written = true;
-		}).eagerlyEvaluate([](kj::Exception&&) {
-			// Whoever reads the answer sees the broken connection too, and judges it.
-		});
+			                                                                                                    written = true;
+		                                                                                                    })
+		                                      .eagerlyEvaluate([](kj::Exception&&) {
+			                                      // Whoever reads the answer sees the broken connection too, and judges it.
+		                                      });
 		TryResult result = co_await relayAnswer(_context, lease);
 		const bool wholeExchange = result.answered || result.failure || RefusalReason::None != result.refusal;
 		if (wholeExchange && written && result.restMs)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -9,13 +9,13 @@
 	/// How a try ended.
 	struct TryResult
 	{
-		bool answered = false;                     ///< The caller has the whole answer.
-		Proof proof = Proof::Unknown;              ///< If not answered.
+		bool answered = false;        ///< The caller has the whole answer.
+		Proof proof = Proof::Unknown; ///< If not answered.
 		RefusalReason refusal = RefusalReason::None;
-		std::optional<http::WholeAnswer> failure;  ///< A failure of the upstream's own that may be handed on.
-		std::optional<Millis> restMs;              ///< How long the connection may be kept; none to close it.
-		bool groupFault = false;                   ///< Another member of its group made it fail.
-		std::string reason;                        ///< For the log.
+		std::optional<http::WholeAnswer> failure; ///< A failure of the upstream's own that may be handed on.
+		std::optional<Millis> restMs;             ///< How long the connection may be kept; none to close it.
+		bool groupFault = false;                  ///< Another member of its group made it fail.
+		std::string reason;                       ///< For the log.
 	};
 
 	/// Sends the request to an upstream and relays the answer.
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -32,17 +32,17 @@
 		http::HttpConnection& connection;
 		ReceivedRequest received;
 
-		CallerRequest caller;          ///< decode
+		CallerRequest caller; ///< decode
 		std::shared_ptr<const CatalogIndex> catalog;
 		const CatalogRoute* route = nullptr;               ///< resolve; points into catalog
 		const CatalogOrganisation* organisation = nullptr; ///< authenticate; points into catalog
 		std::string service;                               ///< resolve
 		Millis deadlineAt = 0;                             ///< resolve
 
-		std::set<std::string> tried;   ///< dispatch: incarnations.
+		std::set<std::string> tried; ///< dispatch: incarnations.
 		std::uint32_t sends = 0;
-		bool maybeRunning = false;     ///< A try was sent whose end isn't proved.
-		bool headSent = false;         ///< relay: bytes of an answer went to the caller.
+		bool maybeRunning = false; ///< A try was sent whose end isn't proved.
+		bool headSent = false;     ///< relay: bytes of an answer went to the caller.
 		bool keepAlive = true;
 		EventSplitter splitter;
 		std::optional<std::uint64_t> delivered; ///< Last event that went to the caller.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -12,13 +12,13 @@
 	/// Bounds that the deployment sets.
 	struct Bounds
 	{
-		Millis revocationMs = 5'000;   ///< A withdrawn key works no longer than this.
-		bool strictRevocation = true;  ///< Also while the store can't be reached.
-		Millis graceMs = 8'000;        ///< From the stop signal to the kill.
-		double retryRatio = 0.2;       ///< Resends for each request, over all gateways.
+		Millis revocationMs = 5'000;  ///< A withdrawn key works no longer than this.
+		bool strictRevocation = true; ///< Also while the store can't be reached.
+		Millis graceMs = 8'000;       ///< From the stop signal to the kill.
+		double retryRatio = 0.2;      ///< Resends for each request, over all gateways.
 		Millis retryWindowMs = 10'000;
-		double retryAllowance = 0.0;   ///< Resends of a window beyond the ratio, over all gateways.
-		Millis stallMs = 1'500;        ///< A group with a lost member stands still this long.
+		double retryAllowance = 0.0; ///< Resends of a window beyond the ratio, over all gateways.
+		Millis stallMs = 1'500;      ///< A group with a lost member stands still this long.
 
 		bool operator==(const Bounds&) const = default;
 	};
@@ -29,9 +29,9 @@
 		std::string name;
 		std::string zone;
 		std::string ip;
-		int peerPort = 0; ///< Where the daemons of the deployment talk to each other; alike on all machines.
-		std::string metrics; ///< IP:port of counters, histograms and state dump.
-		std::string store;   ///< IP:port of the metadata store.
+		int peerPort = 0;       ///< Where the daemons of the deployment talk to each other; alike on all machines.
+		std::string metrics;    ///< IP:port of counters, histograms and state dump.
+		std::string store;      ///< IP:port of the metadata store.
 		double linkMbps = 20.0; ///< Of the VM, both ways.
 
 		bool operator==(const Place&) const = default;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -20,7 +20,7 @@
 	struct GroupView
 	{
 		bool open = true;
-		double passMs = 0.0; ///< Mean time of the last passes; 0 when unknown.
+		double passMs = 0.0;        ///< Mean time of the last passes; 0 when unknown.
 		std::uint32_t gateways = 1; ///< That ask for this view.
 		Millis at = 0;              ///< Own clock when it came; 0: never.
 		Millis downSince = 0;       ///< 0 while it is open.
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -36,9 +36,9 @@
 		store::TableStore& store;
 		store::TableNames names;
 		DocumentDecoders decoders;
-		std::map<std::string, bool> up;              ///< By table: whether the last call was answered.
-		Millis upstreamsBackAt = 0;                  ///< When the list could be read again.
-		std::map<std::string, Millis> doubtful;      ///< Upstreams whose row went with the store; when to forget them.
+		std::map<std::string, bool> up;         ///< By table: whether the last call was answered.
+		Millis upstreamsBackAt = 0;             ///< When the list could be read again.
+		std::map<std::string, Millis> doubtful; ///< Upstreams whose row went with the store; when to forget them.
 		kj::Own<kj::PromiseFulfiller<store::Rows>> upstreamsInterrupt;
 		kj::Promise<void> configuration = nullptr;
 		kj::Promise<void> upstreams = nullptr;
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -61,7 +61,7 @@
 			RankReport report;
 			Millis seenAt = 0; ///< 0: never.
 			bool asking = false;
-			bool lacksBase = false; ///< Its daemon doesn't know the map in force.
+			bool lacksBase = false;   ///< Its daemon doesn't know the map in force.
 			std::uint64_t sample = 0; ///< Last sample of counts; 0: none.
 			std::uint64_t sampleEpoch = 0;
 			Millis sampledAt = 0;
@@ -128,7 +128,7 @@
 		ChoiceWindow window;
 		Millis countsAt = 0;
 		double passMs = 0.0;
-		double writeMs = 15.0; ///< Mean time of a write of the row; begins with a usual one.
+		double writeMs = 15.0;         ///< Mean time of a write of the row; begins with a usual one.
 		std::deque<PassSample> passes; ///< Of one epoch; each step once.
 		std::uint64_t passEpoch = 0;
 		Millis gapObjectiveMs = 0;
--- a/src/group/engine.h
+++ b/src/group/engine.h
@@ -11,7 +11,7 @@
 	struct OrderOutcome
 	{
 		bool accepted = false;
-		int status = 0; ///< The engine's answer; 0 when there was none: it may be carried out late.
+		int status = 0;           ///< The engine's answer; 0 when there was none: it may be carried out late.
 		bool baseUnknown = false; ///< Nothing was ordered: the daemon lacks the map it builds on.
 
 		bool operator==(const OrderOutcome&) const = default;
--- a/src/group/rank_rpc.h
+++ b/src/group/rank_rpc.h
@@ -10,8 +10,8 @@
 	struct ChoiceSample
 	{
 		std::uint64_t epoch = 0;
-		std::uint64_t sample = 0; ///< Its number; 0: no counts.
-		std::uint64_t since = 0;  ///< The sample from which the choices count; 0: a first one.
+		std::uint64_t sample = 0;           ///< Its number; 0: no counts.
+		std::uint64_t since = 0;            ///< The sample from which the choices count; 0: a first one.
 		std::vector<std::uint32_t> choices; ///< Set by set; empty for a first one.
 
 		bool operator==(const ChoiceSample&) const = default;
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -189,8 +189,8 @@
 			    , server(kj::heap<RankServer>(this->state, this->engine, this->settings.service))
 			    , address(this->settings.place.ip + ":" + std::to_string(this->settings.place.peerPort))
 			    , admin(this->loop, this->settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
-				    return this->adminAnswer(_head);
-			    }))
+				            return this->adminAnswer(_head);
+			            }))
 			{
 				this->state.heardAt = nowMs();
 				logInfo("start", {{"version", kVersion}, {"zone", this->settings.place.zone}, {"engine", this->settings.upstream}, {"service", this->settings.service}, {"peers", this->address}, {"store", this->settings.place.store}, {"metrics", this->settings.place.metrics}});
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -118,7 +118,7 @@
 		switch (_status)
 		{
 #define ARCHDYKE_REASON(_number, _name, _words) \
-	case _number: \
+	case _number:                               \
 		return #_words;
 			HTTP_STATUS_MAP(ARCHDYKE_REASON)
 #undef ARCHDYKE_REASON
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -35,11 +35,11 @@
 	struct Rows
 	{
 		std::vector<Row> rows;
-		std::uint64_t version = 0;            ///< Newest of the store.
-		std::optional<Millis> storeTime;      ///< The store's steady clock at the answer.
-		Millis sentAt = 0;                    ///< Own clock when the call was sent.
-		bool more = false;                    ///< Of a read: there are more rows after these.
-		bool historyGone = false;             ///< Of a feed: read anew.
+		std::uint64_t version = 0;       ///< Newest of the store.
+		std::optional<Millis> storeTime; ///< The store's steady clock at the answer.
+		Millis sentAt = 0;               ///< Own clock when the call was sent.
+		bool more = false;               ///< Of a read: there are more rows after these.
+		bool historyGone = false;        ///< Of a feed: read anew.
 
 		bool operator==(const Rows&) const = default;
 	};
--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -8,8 +8,8 @@
 #include <map>
 #include <set>
 
-#include "archdyke/forward_switch.h"
 #include "archdyke/errors.h"
+#include "archdyke/forward_switch.h"
 #include "check.h"
 
 using namespace archdyke;
