--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -24,8 +24,7 @@
 			{
 			case RefusalCause::NoConfiguration:
 				return {200, 600}; // a first read of the store takes some 10 ms, 300 when slow
-			case RefusalCause::StaleProof:
-				return {500, 1'500}; // the caller's repeat reaches another gateway
+			case RefusalCause::StaleProof: // the caller's repeat reaches another gateway
 			case RefusalCause::NoUpstream:
 				return {500, 1'500};
 			case RefusalCause::Overloaded:
