--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -100,6 +100,11 @@
 			logTry(_context, *upstream, result);
 			_context.reason += (_context.reason.empty() ? "" : ",") + result.reason;
 			unknownBefore = unknownBefore || Proof::NotRun != result.proof;
+			if (RefusalReason::WrongIncarnation == result.refusal)
+			{
+				// Another process has its address: this incarnation is gone, whatever the list says.
+				state.board.forget(upstream->record.incarnation, nowMs());
+			}
 			if (result.groupFault)
 			{
 				// Its ranks stand still together: another one can't run it either.
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -294,6 +294,11 @@
 		cr_assert(200 == rig.call("/once/x", GatewayRig::headersFor(request)).status);
 		cr_assert(1 == runsOf(rig, request));
 	}
+	// Its address told that it is gone: nobody is sent there again.
+	const Json dump = rig.dump();
+	cr_assert(std::none_of(dump["upstreams"].begin(), dump["upstreams"].end(), [](const Json& _upstream) {
+		return "ghost" == _upstream["incarnation"];
+	}));
 }
 
 Test(gateway, a_dead_upstream_is_proved_not_to_have_run)
