--- /dev/null
+++ b/src/group/coordinator_p.h
@@ -0,0 +1,12 @@
+/// What the parts of the coordinator share.
+#pragma once
+
+#include "archdyke/types.h"
+
+namespace archdyke::group
+{
+	/// Between two looks at the ranks while no switch is open, ms: a hot expert lasts 1 to 4 s.
+	constexpr Millis kIdleLookMs = 60;
+	/// What a rank last said counts for this long, ms: several looks, and a lost answer.
+	constexpr Millis kViewMaxAgeMs = 600;
+} // namespace archdyke::group
--- /dev/null
+++ b/src/group/coordinator_row.cpp
@@ -0,0 +1,230 @@
+/// The coordinator's part that speaks to the store: the group's row, its engines, its model.
+#include <algorithm>
+
+#include "archdyke/errors.h"
+#include "group/coordinator.h"
+#include "group/coordinator_p.h"
+#include "log.h"
+#include "process.h"
+
+namespace archdyke::group
+{
+	namespace
+	{
+		/// Mean of the time of a write: weight of the newest one.
+		constexpr double kWriteGain = 0.5;
+		/// Between two looks at the row while nothing is written, ms: notices another
+		/// coordinator, and a store that is lost.
+		constexpr Millis kRowLookMs = 2'000;
+		/// After a failed call, and between two that bring changes, ms.
+		constexpr Millis kStoreRetryMs = 300;
+		/// The same while a hold stands in the way of the group, ms.
+		constexpr Millis kStrayLookMs = 50;
+		/// How long a call for new upstreams hangs, ms; ranks seldom come.
+		constexpr Millis kUpstreamsWaitMs = 5'000;
+		/// Between two looks at the engine's declared figures, ms; they hardly ever change.
+		constexpr Millis kModelLookMs = 20'000;
+
+		/// @returns The least of the gap objectives of a service's routes; 0 when it has none.
+		Millis leastGapObjective(const Catalog& _catalog, const std::string& _service)
+		{
+			Millis least = 0;
+			for (const CatalogRoute& route : _catalog.routes)
+			{
+				const bool served = std::any_of(route.services.begin(), route.services.end(), [&](const WeightedService& _weighted) {
+					return _weighted.name == _service;
+				});
+				if (served && 0 < route.gapObjectiveMs)
+				{
+					least = 0 == least ? route.gapObjectiveMs : std::min(least, route.gapObjectiveMs);
+				}
+			}
+			return least;
+		}
+
+		std::string daemonAddress(const std::string& _engine, int _peerPort)
+		{
+			return _engine.substr(0, _engine.rfind(':') + 1) + std::to_string(_peerPort);
+		}
+	} // namespace
+
+	void Coordinator::adopt(SwitchIntent _intent)
+	{
+		if (this->intent.phase != _intent.phase || this->intent.boundary != _intent.boundary)
+		{
+			this->sent.clear();
+			this->phaseSince = nowMs();
+		}
+		this->intent = std::move(_intent);
+	}
+
+	void Coordinator::adoptRow(const store::Row& _row)
+	{
+		SwitchIntent current = decodeIntent(_row.value);
+		this->rowVersion = _row.version;
+		this->rowReadAt = nowMs();
+		if (current.term != this->intent.term)
+		{
+			logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", current.term}, {"coordinator", current.coordinator}});
+			this->ended = true;
+			return;
+		}
+		this->adopt(std::move(current));
+	}
+
+	aio::Task<void> Coordinator::writeRow(SwitchIntent _row, std::string _reason)
+	{
+		store::ConditionalWrite write{groupRowKey(this->parts.settings.service, this->group), encodeIntent(_row), this->rowVersion};
+		store::WriteResult result;
+		std::string failure;
+		const Millis begunAt = nowMs();
+		try
+		{
+			result = co_await this->parts.store.write(std::move(write));
+		}
+		catch (const kj::Exception& error)
+		{
+			failure = error.getDescription().cStr();
+		}
+		const Millis took = nowMs() - begunAt;
+		this->writeMs += kWriteGain * (double(took) - this->writeMs);
+		logInfo("group_row", {{"group", this->group}, {"term", _row.term}, {"phase", toString(_row.phase)}, {"epoch", _row.epoch}, {"version", _row.version}, {"boundary", _row.boundary}, {"reason", _reason}, {"written", result.written}, {"expected", this->rowVersion}, {"took_ms", took}, {"failure", failure.empty() ? "-" : failure}});
+		// Without an answer it may be done, or be done later; the next look at the row tells.
+		this->storeLost = !failure.empty();
+		if (result.written)
+		{
+			this->rowVersion = result.version;
+			this->rowReadAt = nowMs();
+			this->adopt(std::move(_row));
+		}
+		else if (result.current)
+		{
+			this->adoptRow(*result.current);
+		}
+	}
+
+	void Coordinator::takeUpstreams(const store::Rows& _rows)
+	{
+		for (const store::Row& row : _rows.rows)
+		{
+			if (row.gone)
+			{
+				continue; // a rank whose engine died comes back at its address, or never answers
+			}
+			const UpstreamRecord record = this->parts.decodeUpstream(row.key.key, row.value);
+			if (record.service != this->parts.settings.service || this->ranks.contains(record.address))
+			{
+				continue;
+			}
+			Rank rank;
+			rank.engineAddress = record.address;
+			rank.link = std::make_unique<RankLink>(this->parts.loop, daemonAddress(record.address, this->parts.settings.place.peerPort));
+			rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, record.address);
+			this->ranks.emplace(record.address, std::move(rank));
+		}
+	}
+
+	aio::Task<void> Coordinator::watchModel()
+	{
+		const std::string none;
+		std::optional<std::uint64_t> since;
+		Millis modelAt = 0;
+		while (!this->ended)
+		{
+			std::string failure;
+			Millis pauseMs = 0;
+			try
+			{
+				if (!this->model || nowMs() - modelAt > kModelLookMs)
+				{
+					const store::Rows rows = co_await this->parts.store.read(this->parts.names.configuration, none, none);
+					for (const store::Row& row : rows.rows)
+					{
+						const bool newest = row.key.key == this->parts.names.configurationKey;
+						const CatalogIndex index = newest ? makeIndex(this->parts.decodeCatalog(row.value)) : CatalogIndex();
+						const CatalogService* service = findService(index, this->parts.settings.service);
+						this->model = nullptr == service ? this->model : service->engine;
+						this->gapObjectiveMs = newest ? leastGapObjective(index.catalog, this->parts.settings.service) : this->gapObjectiveMs;
+					}
+					modelAt = nowMs();
+				}
+				store::Rows rows;
+				if (since)
+				{
+					rows = co_await this->parts.store.follow(this->parts.names.upstreams, *since, kUpstreamsWaitMs);
+				}
+				else
+				{
+					rows = co_await this->parts.store.read(this->parts.names.upstreams, none, none);
+				}
+				since = rows.historyGone ? std::nullopt : std::optional(rows.version);
+				this->takeUpstreams(rows);
+				pauseMs = rows.rows.empty() ? 0 : kStoreRetryMs; // changes that come together, in one call
+			}
+			catch (const kj::Exception& error)
+			{
+				failure = error.getDescription().cStr();
+			}
+			catch (const InvalidInputError& error)
+			{
+				failure = error.what();
+			}
+			if (!failure.empty())
+			{
+				logWarning("group_watch_failed", {{"group", this->group}, {"reason", failure}});
+				pauseMs = kStoreRetryMs;
+			}
+			co_await this->parts.loop.timer.afterDelay(pauseMs * kj::MILLISECONDS);
+		}
+	}
+
+	/// A hold that is seen while no switch is open stands in the way of the group.
+	Millis Coordinator::rowLookMs() const
+	{
+		const std::vector<RankView> ranks = this->views(kViewMaxAgeMs);
+		const bool stray = !this->switchIsOpen() && std::any_of(ranks.begin(), ranks.end(), [](const RankView& _rank) {
+			return _rank.seen && _rank.held;
+		});
+		const Millis usual = this->storeLost ? kStoreRetryMs : kRowLookMs;
+		return stray ? kStrayLookMs : usual;
+	}
+
+	aio::Task<void> Coordinator::checkRow()
+	{
+		const store::RowKey key = groupRowKey(this->parts.settings.service, this->group);
+		while (!this->ended)
+		{
+			co_await this->parts.loop.timer.afterDelay(this->rowLookMs() * kj::MILLISECONDS);
+			const bool before = this->storeLost;
+			std::string failure;
+			try
+			{
+				// The row is read after the ranks were seen: a hold that it doesn't name is stray.
+				const std::vector<RankView> seenBefore = this->views(kViewMaxAgeMs);
+				const store::Rows rows = co_await this->parts.store.read(key.table, key.part, key.key);
+				this->storeLost = false;
+				for (const store::Row& found : rows.rows)
+				{
+					if (found.key == key && found.version > this->rowVersion)
+					{
+						this->adoptRow(found);
+					}
+				}
+				for (const RankOrderPlan& order : releaseStrayHolds(this->intent, seenBefore))
+				{
+					logWarning("stray_hold", {{"group", this->group}, {"rank", order.rank}, {"step", order.step}, {"phase", toString(this->intent.phase)}});
+					this->tasks.add(this->send(order).take());
+				}
+			}
+			catch (const kj::Exception& error)
+			{
+				failure = error.getDescription().cStr();
+				this->storeLost = true;
+			}
+			if (before != this->storeLost)
+			{
+				logWarning(this->storeLost ? "store_lost" : "store_back", {{"table", key.table}, {"reason", failure}, {"term", this->intent.term}});
+			}
+		}
+	}
+} // namespace archdyke::group
