--- a/include/archdyke/forward_switch.h
+++ b/include/archdyke/forward_switch.h
@@ -110,6 +110,9 @@
 	{
 		std::uint64_t marginSteps = 2; ///< Between a boundary and the newest step seen.
 		bool giveUp = false;           ///< Preparing or holding has taken too long.
+		/// All ranks were heard of late: once the row says that there is no way back, the group
+		/// stands until each of them is armed.
+		bool allReachable = true;
 		/// Rank on the coordinator's VM, which isn't to hold: both would freeze together.
 		std::optional<std::uint32_t> avoidedRank;
 
--- a/src/decide/forward_switch.cpp
+++ b/src/decide/forward_switch.cpp
@@ -124,6 +124,10 @@
 			}
 			if (isHeld(_intent, _ranks))
 			{
+				if (!_patience.allReachable)
+				{
+					return step;
+				}
 				step.next = _intent;
 				step.next->phase = SwitchPhase::Switching;
 				step.store = true;
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -25,6 +25,8 @@
 		/// A boundary that isn't held by then is abandoned, ms: the rank that is to hold it, or
 		/// the store, is away.
 		constexpr Millis kHoldMs = 1'500;
+		/// The same while a rank isn't heard of, ms: the group may stand meanwhile.
+		constexpr Millis kHoldUnreachableMs = 250;
 		/// Time from the choice of a boundary to a released hold, ms, beside two writes and some
 		/// looks at all ranks: a hold, the arms, a release.
 		constexpr double kArmMs = 50.0;
@@ -165,12 +167,20 @@
 		return begun;
 	}
 
+	bool Coordinator::allReachable() const
+	{
+		const Millis now = nowMs();
+		return !this->ranks.empty() && std::all_of(this->ranks.begin(), this->ranks.end(), [&](const auto& _entry) {
+			return 0 != _entry.second.seenAt && now - _entry.second.seenAt <= kViewMaxAgeMs;
+		});
+	}
+
 	bool Coordinator::takesTooLong() const
 	{
 		const Millis since = nowMs() - this->phaseSince;
 		if (SwitchPhase::Holding == this->intent.phase)
 		{
-			return since > kHoldMs;
+			return since > (this->allReachable() ? kHoldMs : kHoldUnreachableMs);
 		}
 		const bool refused = std::any_of(this->sent.begin(), this->sent.end(), [](const auto& _entry) {
 			return RankOrderKind::Prepare == _entry.first.kind && _entry.second.refused;
@@ -189,7 +199,7 @@
 			}
 			co_return;
 		}
-		const SwitchPatience patience{this->marginSteps(), this->takesTooLong(), this->ownRank()};
+		const SwitchPatience patience{this->marginSteps(), this->takesTooLong(), this->allReachable(), this->ownRank()};
 		SwitchStep step = decideSwitch(this->intent, this->views(kViewMaxAgeMs), patience);
 		if (!step.next)
 		{
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -95,6 +95,7 @@
 		void adoptRow(const store::Row& _row);
 		void sendOrders(const std::vector<RankOrderPlan>& _orders);
 		bool takesTooLong() const;
+		bool allReachable() const;
 		std::optional<std::uint32_t> ownRank() const;
 		Millis rowLookMs() const;
 		void takeUpstreams(const store::Rows& _rows);
--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -517,6 +517,23 @@
 	cr_assert(step.next && step.store && 13 == step.next->boundary && SwitchPhase::Holding == step.next->phase);
 }
 
+/// A VM froze right after it gave the hold: the next coordinator went on to arm, and the group
+/// stood for the 4 s that the frozen rank couldn't be armed.
+Test(forward, a_hold_with_a_rank_out_of_reach_is_given_up_before_any_rank_is_armed)
+{
+	SwitchIntent intent;
+	intent.phase = SwitchPhase::Holding;
+	intent.epoch = 1;
+	intent.version = 5;
+	intent.boundary = 10;
+	const std::vector<RankView> ranks{{true, 1, true, 9, 0, 5, {}, 10}, RankView()};
+	const SwitchStep waits = decideSwitch(intent, ranks, {3, false, false, {}});
+	cr_assert(!waits.next && waits.orders.empty());
+	const SwitchStep gives = decideSwitch(intent, ranks, {3, true, false, {}});
+	cr_assert(gives.next && gives.store && SwitchPhase::Idle == gives.next->phase && 10 == gives.next->boundary);
+	cr_assert(1 == releaseStrayHolds(*gives.next, ranks).size());
+}
+
 Test(forward, a_rank_that_is_unseen_stops_the_release)
 {
 	SwitchIntent intent;
