--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -194,7 +194,11 @@
 		const store::RowKey key = groupRowKey(this->parts.settings.service, this->group);
 		while (!this->ended)
 		{
-			co_await this->parts.loop.timer.afterDelay(this->rowLookMs() * kj::MILLISECONDS);
+			// In short waits, since a stray hold may come up during a long one.
+			for (const Millis since = nowMs(); nowMs() < since + this->rowLookMs();)
+			{
+				co_await this->parts.loop.timer.afterDelay(kStrayLookMs * kj::MILLISECONDS);
+			}
 			const bool before = this->storeLost;
 			std::string failure;
 			try
