Drop what nobody uses in the HTTP parts and the gateway's board

Cause: ConnectionPool::drop, Lease::reused, HttpConnection::expectNoBody and close, hasToken, Board::replaceAll and countOpen, the least load of BoardLoad, and fields of GroupView and GatewayState were written or declared, but nothing read or called them.

Change: they are gone. BoardLoad becomes one number, the mean load, summed in the same order as before. Board::learn returns nothing, since nobody looked. Behaviour is the same.

--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -41,9 +41,8 @@
 
 		BatchView batchView(const RequestContext& _context, const GroupView& _view, Millis _now)
 		{
-			const BoardLoad load = _context.state.board.loadOfService(_context.service, _now);
 			const double passMs = _now - _view.at <= kViewMaxAgeMs ? _view.passMs : 0.0;
-			return {passMs, load.mean};
+			return {passMs, _context.state.board.meanLoad(_context.service, _now)};
 		}
 
 		Refusal refuse(RequestContext& _context, RefusalCause _cause, std::optional<Millis> _reopenMs)
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -10,6 +10,11 @@
 	{
 		/// A report older than this is left aside, ms: five missed reports of a coordinator.
 		constexpr Millis kReportMaxAgeMs = 1'000;
+
+		bool takesWork(const Upstream& _upstream, const std::string& _service)
+		{
+			return _upstream.record.service == _service && !_upstream.leavingSince;
+		}
 	} // namespace
 
 	double loadOf(const Upstream& _upstream, Millis _now)
@@ -28,7 +33,7 @@
 	{
 	}
 
-	bool Board::learn(const UpstreamRecord& _record, Millis _now)
+	void Board::learn(const UpstreamRecord& _record, Millis _now)
 	{
 		UpstreamRef& upstream = this->byIncarnation[_record.incarnation];
 		const bool isNew = nullptr == upstream;
@@ -47,7 +52,6 @@
 		{
 			logInfo("upstream_learned", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"zone", _record.zone}, {"leaving", upstream->leavingSince.has_value()}});
 		}
-		return changed;
 	}
 
 	void Board::forget(const std::string& _incarnation, Millis _now)
@@ -62,28 +66,6 @@
 		this->byIncarnation.erase(it);
 	}
 
-	void Board::replaceAll(const std::vector<UpstreamRecord>& _records, Millis _now)
-	{
-		std::set<std::string> named;
-		for (const UpstreamRecord& record : _records)
-		{
-			named.insert(record.incarnation);
-			this->learn(record, _now);
-		}
-		std::vector<std::string> gone;
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
-		{
-			if (!named.contains(incarnation))
-			{
-				gone.push_back(incarnation);
-			}
-		}
-		for (const std::string& incarnation : gone)
-		{
-			this->forget(incarnation, _now);
-		}
-	}
-
 	void Board::report(const std::string& _address, std::uint32_t _requests, Millis _now)
 	{
 		for (const auto& [incarnation, upstream] : this->byIncarnation)
@@ -101,7 +83,7 @@
 		std::vector<UpstreamCandidate> candidates;
 		for (const auto& [incarnation, upstream] : this->byIncarnation)
 		{
-			if (upstream->record.service == _service && !upstream->leavingSince)
+			if (takesWork(*upstream, _service))
 			{
 				open.push_back(upstream);
 				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now), _triedBefore.contains(incarnation), upstream->health.failureRate});
@@ -111,21 +93,19 @@
 		return chosen ? open[*chosen] : nullptr;
 	}
 
-	BoardLoad Board::loadOfService(const std::string& _service, Millis _now) const
+	double Board::meanLoad(const std::string& _service, Millis _now) const
 	{
-		BoardLoad result;
+		double total = 0.0;
+		std::size_t upstreams = 0;
 		for (const auto& [incarnation, upstream] : this->byIncarnation)
 		{
-			if (upstream->record.service == _service && !upstream->leavingSince)
+			if (takesWork(*upstream, _service))
 			{
-				const double load = loadOf(*upstream, _now);
-				result.least = 0 == result.upstreams ? load : std::min(result.least, load);
-				result.mean += load;
-				result.upstreams += 1;
+				total += loadOf(*upstream, _now);
+				upstreams += 1;
 			}
 		}
-		result.mean /= double(std::max<std::size_t>(1, result.upstreams));
-		return result;
+		return total / double(std::max<std::size_t>(1, upstreams));
 	}
 
 	std::vector<UpstreamRef> Board::all() const
@@ -137,11 +117,4 @@
 		}
 		return result;
 	}
-
-	std::size_t Board::countOpen(const std::string& _service) const
-	{
-		return std::size_t(std::count_if(this->byIncarnation.begin(), this->byIncarnation.end(), [&](const auto& _entry) {
-			return _entry.second->record.service == _service && !_entry.second->leavingSince;
-		}));
-	}
 } // namespace archdyke::gateway
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -38,45 +38,31 @@
 	/// finished since; without a recent report what this gateway has there.
 	double loadOf(const Upstream& _upstream, Millis _now);
 
-	/// Load of the upstreams of a service.
-	struct BoardLoad
-	{
-		double least = 0.0;
-		double mean = 0.0;
-		std::size_t upstreams = 0;
-
-		bool operator==(const BoardLoad&) const = default;
-	};
-
+	/// All upstreams that the list names, by incarnation.
 	class Board
 	{
 	public:
+		/// @param[in] _zone Of this gateway.
 		explicit Board(std::string _zone);
 
 		/// Takes in a row of the list of upstreams. Leaving stays for an incarnation.
-		/// @returns Whether it changed what may be chosen.
-		bool learn(const UpstreamRecord& _record, Millis _now);
+		void learn(const UpstreamRecord& _record, Millis _now);
 
 		/// The list names the upstream no longer.
 		void forget(const std::string& _incarnation, Millis _now);
 
-		/// Takes in a whole list: what it doesn't name is gone.
-		void replaceAll(const std::vector<UpstreamRecord>& _records, Millis _now);
-
 		/// Takes in the reported load of the upstream at an address.
 		void report(const std::string& _address, std::uint32_t _requests, Millis _now);
 
 		/// @returns An upstream for a request; null when there is none.
 		UpstreamRef choose(const std::string& _service, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const;
 
-		/// @returns Load of the upstreams of a service that may be chosen.
-		BoardLoad loadOfService(const std::string& _service, Millis _now) const;
+		/// @returns Mean load of the upstreams of a service that take work; 0 when there are none.
+		double meanLoad(const std::string& _service, Millis _now) const;
 
+		/// @returns All upstreams, those that leave too, in no order.
 		std::vector<UpstreamRef> all() const;
 
-		/// @returns Upstreams of a service that take work.
-		std::size_t countOpen(const std::string& _service) const;
-
 	private:
 		std::string zone;
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -61,7 +61,6 @@
 				co_await stopSignal(this->io.unixEventPort);
 				const Millis stoppedAt = nowMs();
 				this->state.leaving = true;
-				this->state.leavingSince = stoppedAt;
 				logInfo("leaving", {{"in_flight", this->state.inFlight}, {"grace_ms", this->state.settings.bounds.graceMs}});
 				const Millis serveUntil = stoppedAt + std::min(kServeAfterStopMs, this->state.settings.bounds.graceMs / 3);
 				const Millis endBy = stoppedAt + this->state.settings.bounds.graceMs - kStopMarginMs;
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -63,11 +63,9 @@
 		if (view.open != _loads.open || 0 == view.at)
 		{
 			logInfo(_loads.open ? "group_open" : "group_down", {{"service", _service}, {"term", _loads.newest.term}, {"coordinator", _loads.newest.address}, {"pass_ms", _loads.passMs}});
-			view.downSince = _loads.open ? 0 : now;
 		}
 		view.open = _loads.open;
 		view.passMs = _loads.passMs;
-		view.gateways = _loads.gateways;
 		view.at = now;
 		this->mostRanks = std::max(this->mostRanks, _loads.ranks.size());
 		for (const group::RankLoad& rank : _loads.ranks)
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -20,15 +20,14 @@
 	struct GroupView
 	{
 		bool open = true;
-		double passMs = 0.0;        ///< Mean time of the last passes; 0 when unknown.
-		std::uint32_t gateways = 1; ///< That ask for this view.
-		Millis at = 0;              ///< Own clock when it came; 0: never.
-		Millis downSince = 0;       ///< 0 while it is open.
-		Millis faultUntil = 0;      ///< An upstream said that its group failed.
+		double passMs = 0.0;   ///< Mean time of the last passes; 0 when unknown.
+		Millis at = 0;         ///< Own clock when it came; 0: never.
+		Millis faultUntil = 0; ///< An upstream said that its group failed.
 
 		bool operator==(const GroupView&) const = default;
 	};
 
+	/// One gateway's state. Stages keep references to it: it outlives them and isn't moved.
 	struct GatewayState
 	{
 		GatewaySettings settings;
@@ -42,9 +41,8 @@
 		Freshness freshness;
 		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
 		absl::flat_hash_map<std::string, GroupView> groups;    ///< By service.
-		bool leaving = false;
-		Millis leavingSince = 0;
-		std::uint32_t inFlight = 0;
+		bool leaving = false;                                  ///< The stop signal came.
+		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
 
 		GatewayState(GatewaySettings _settings, Codec _codec, http::LoopParts _loop, GatewayCounters& _counters, std::uint64_t _seed)
 		    : settings(std::move(_settings))
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -79,7 +79,6 @@
 				Lease lease;
 				lease.connection = std::move(candidate.connection);
 				lease.address = _address;
-				lease.reused = true;
 				lease.connection->setLimits(_options.limits);
 				co_return lease;
 			}
@@ -107,11 +106,6 @@
 		rested.push_back({std::move(_lease.connection), now, now + _restLimitMs});
 	}
 
-	void ConnectionPool::drop(const std::string& _address)
-	{
-		this->kept.erase(_address);
-	}
-
 	std::uint64_t ConnectionPool::opened() const
 	{
 		return this->openedCount;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -3,7 +3,6 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <deque>
-#include <functional>
 #include <kj/async-io.h>
 #include <memory>
 #include <string>
@@ -25,7 +24,6 @@
 	{
 		std::unique_ptr<HttpConnection> connection;
 		std::string address;
-		bool reused = false;
 	};
 
 	/// How a connection is to be had.
@@ -51,9 +49,6 @@
 		/// @param[in] _restLimitMs How long the other side keeps it.
 		void giveBack(Lease _lease, Millis _restLimitMs);
 
-		/// Closes kept connections to an address.
-		void drop(const std::string& _address);
-
 		/// @returns Connections opened since the start.
 		std::uint64_t opened() const;
 
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -29,7 +29,6 @@
 		std::size_t headBytes = 0;
 		std::size_t bodyBytes = 0;
 		bool valueSeen = true;
-		bool noBody = false;
 		bool inMessage = false;
 		bool interim = false;
 		PartKind failure = PartKind::Garbage;
@@ -109,7 +108,7 @@
 			return this->addTo(this->headers.lines.back().value, _at, _size);
 		}
 
-		/// @returns 1 to skip the body, as the library asks for.
+		/// @returns 1 when no body follows, as the library asks for.
 		int headDone()
 		{
 			this->interim = Side::Client == this->side && 200 > this->raw.status_code;
@@ -129,7 +128,7 @@
 				part.response = {int(this->raw.status_code), this->headers, keepAlive};
 			}
 			this->owner.take(std::move(part));
-			return this->noBody ? 1 : 0;
+			return 0;
 		}
 
 		int bodyPiece(const char* _at, std::size_t _size)
@@ -232,10 +231,6 @@
 
 	void HttpConnection::markGone(PartKind _how)
 	{
-		if (this->gone)
-		{
-			return;
-		}
 		this->gone = true;
 		Part part;
 		part.kind = _how;
@@ -277,10 +272,6 @@
 
 	aio::Task<void> HttpConnection::write(std::string _bytes)
 	{
-		if (nullptr == this->stream.get())
-		{
-			kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the connection was closed here"));
-		}
 		co_await this->stream->write(_bytes.data(), _bytes.size());
 	}
 
@@ -303,16 +294,4 @@
 	{
 		this->parser->limits = _limits;
 	}
-
-	void HttpConnection::expectNoBody()
-	{
-		this->parser->noBody = true;
-	}
-
-	void HttpConnection::close()
-	{
-		this->pumping = nullptr;
-		this->stream = nullptr;
-		this->markGone(PartKind::Reset);
-	}
 } // namespace archdyke::http
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -72,19 +72,15 @@
 		/// @returns Whether something came in that nobody has read, or the other side is gone.
 		bool hasUnread() const;
 
+		/// @returns Whether the other side has closed, or the connection broke.
 		bool isGone() const;
 
 		/// @returns Whether any byte of the message that is read now has come in.
 		bool midMessage() const;
 
+		/// Sets the bounds of what is parsed from now on.
 		void setLimits(MessageLimits _limits);
 
-		/// For a client: the answer to come has no body, whatever its head says.
-		void expectNoBody();
-
-		/// Closes for good. Ends the whole connection for both directions.
-		void close();
-
 	private:
 		struct Parser;
 
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -56,18 +56,6 @@
 		return absl::EqualsIgnoreCase(asAbsl(_a), asAbsl(_b));
 	}
 
-	bool hasToken(std::string_view _list, std::string_view _token)
-	{
-		for (const std::string_view part : splitText(_list, ','))
-		{
-			if (sameName(trimmed(part), _token))
-			{
-				return true;
-			}
-		}
-		return false;
-	}
-
 	std::optional<std::int64_t> parseWhole(std::string_view _text)
 	{
 		std::int64_t value = 0;
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -28,15 +28,13 @@
 		/// @returns The first value of that name, in any case of letters; none when absent.
 		std::optional<std::string_view> find(std::string_view _name) const;
 
+		/// Appends a line.
 		void add(std::string_view _name, std::string_view _value);
 	};
 
 	/// @returns Whether two header names are the same; the case of letters doesn't matter.
 	bool sameName(std::string_view _a, std::string_view _b);
 
-	/// @returns Whether a comma-separated list holds a token; the case of letters doesn't matter.
-	bool hasToken(std::string_view _list, std::string_view _token);
-
 	/// @returns The whole number that a text holds; none when it is anything else.
 	std::optional<std::int64_t> parseWhole(std::string_view _text);
 
