Gateway: refusals, reasons and whole answers are made in one place each

Cause: three copies of "503 with a time to come back" stood in request, admit and dispatch, with their statuses; heads of answers were prepared in three places; relayStream, tryUpstream, dispatch and LoadLink::ask were longer than a screen.

Change: refuseNotRun, addReason and proofIsYounger stand in request, handOn in relay, versionOf in state. takeEvents, sendOfStream, connectTo, noteSend and noteCoordinator are split off. Constants, log events and the order of operations on the wire stay; awaiting connectTo and sendOfStream takes some more turns of the event loop.

--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -1,7 +1,6 @@
 #include "gateway/admit.h"
 
 #include "archdyke/batch_admission.h"
-#include "archdyke/come_back.h"
 #include "log.h"
 #include "process.h"
 
@@ -9,7 +8,6 @@
 {
 	namespace
 	{
-		constexpr int kUnavailable = 503;
 		/// Between two looks for room, ms: a fraction of a pass.
 		constexpr Millis kLookMs = 10;
 		/// What is known of a group counts for this long, ms; older, requests are just sent.
@@ -44,12 +42,6 @@
 			const double passMs = _now - _view.at <= kViewMaxAgeMs ? _view.passMs : 0.0;
 			return {passMs, _context.state.board.meanLoad(_context.service, _now)};
 		}
-
-		Refusal refuse(RequestContext& _context, RefusalCause _cause, std::optional<Millis> _reopenMs)
-		{
-			const Millis left = _context.deadlineAt - nowMs();
-			return {kUnavailable, comeBackAfter(_cause, _reopenMs, left, _context.state.random), std::string(toString(_cause))};
-		}
 	} // namespace
 
 	void noteGroupFault(GatewayState& _state, const std::string& _service, Millis _now)
@@ -73,7 +65,7 @@
 			const GroupView view = state.groups[_context.service];
 			if (isDown(view, now))
 			{
-				co_return refuse(_context, RefusalCause::GroupDown, std::nullopt);
+				co_return refuseNotRun(_context, RefusalCause::GroupDown);
 			}
 			const BatchView batch = batchView(_context, view, now);
 			if (mayEnter(*engine, batch, request))
@@ -83,7 +75,7 @@
 			if (until <= now)
 			{
 				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"mean_load", batch.meanLoad}, {"limit", batchLimit(*engine, batch, request.gapObjectiveMs)}, {"pass_ms", batch.passMs}, {"view_age_ms", now - view.at}, {"came_back", request.cameBack}});
-				co_return refuse(_context, RefusalCause::Overloaded, std::nullopt);
+				co_return refuseNotRun(_context, RefusalCause::Overloaded);
 			}
 			co_await state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
 		}
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -1,6 +1,5 @@
 /// The stage that sends a request to upstreams until one answers or no further try is allowed.
 #include "aio/task.h"
-#include "archdyke/come_back.h"
 #include "gateway/admit.h"
 #include "gateway/relay.h"
 #include "log.h"
@@ -10,9 +9,6 @@
 {
 	namespace
 	{
-		constexpr int kBadGateway = 502;
-		constexpr int kUnavailable = 503;
-
 		RetryBounds retryBounds(const GatewayState& _state)
 		{
 			/// Share of the budget that is used, so that windows that slide between two
@@ -25,14 +21,28 @@
 		}
 
 		/// @param[in] _unknown Whether a try may have run: no promise is made then.
+		/// @param[in] _reason Given then; else the cause is.
 		Refusal refusalOf(RequestContext& _context, bool _unknown, RefusalCause _cause, const std::string& _reason)
 		{
 			if (_unknown)
 			{
 				return {kBadGateway, std::nullopt, _reason};
 			}
-			const Millis left = _context.deadlineAt - nowMs();
-			return {kUnavailable, comeBackAfter(_cause, std::nullopt, left, _context.state.random), std::string(toString(_cause))};
+			return refuseNotRun(_context, _cause);
+		}
+
+		/// Notes that a try at an upstream begins.
+		void noteSend(RequestContext& _context, const Upstream& _upstream)
+		{
+			GatewayState& state = _context.state;
+			_context.tried.insert(_upstream.record.incarnation);
+			_context.upstream = _upstream.record.incarnation;
+			if (0 == _context.sends)
+			{
+				noteFirstSend(state.retries[_context.service], nowMs());
+			}
+			(0 == _context.sends ? state.counters.sends : state.counters.resends).Increment();
+			_context.sends += 1;
 		}
 
 		void noteHealth(Upstream& _upstream, const TryResult& _result)
@@ -82,14 +92,7 @@
 				_context.reason += "no_upstream";
 				co_return refusalOf(_context, unknownBefore, RefusalCause::NoUpstream, "no_upstream_left");
 			}
-			_context.tried.insert(upstream->record.incarnation);
-			_context.upstream = upstream->record.incarnation;
-			if (0 == _context.sends)
-			{
-				noteFirstSend(state.retries[_context.service], nowMs());
-			}
-			(0 == _context.sends ? state.counters.sends : state.counters.resends).Increment();
-			_context.sends += 1;
+			noteSend(_context, *upstream);
 			TryResult result = co_await tryUpstream(_context, upstream);
 			noteHealth(*upstream, result);
 			if (result.answered)
@@ -98,7 +101,7 @@
 				co_return std::nullopt;
 			}
 			logTry(_context, *upstream, result);
-			_context.reason += (_context.reason.empty() ? "" : ",") + result.reason;
+			addReason(_context, result.reason);
 			unknownBefore = unknownBefore || Proof::NotRun != result.proof;
 			if (result.groupFault)
 			{
@@ -112,14 +115,8 @@
 			}
 			if (result.failure)
 			{
-				http::ResponseHead head = state.codec.encodeAnswer(result.failure->head);
-				head.keepAlive = _context.keepAlive && !state.leaving;
-				_context.keepAlive = head.keepAlive;
-				_context.headSent = true;
-				_context.status = head.status;
 				_context.ending = Ending::Answered;
-				std::string bytes = http::serialize(head, result.failure->body);
-				co_await _context.connection.write(std::move(bytes));
+				co_await handOn(_context, *result.failure);
 				co_return std::nullopt;
 			}
 			co_return refusalOf(_context, unknownBefore, RefusalCause::Overloaded, result.reason);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -20,6 +20,7 @@
 		constexpr Millis kServeAfterStopMs = 2'600;
 		/// The process ends this long before it would be killed, ms.
 		constexpr Millis kStopMarginMs = 300;
+		/// Between two looks whether requests are still under way, ms.
 		constexpr Millis kStopLookMs = 20;
 
 		/// @returns The address with the port that was bound.
@@ -86,9 +87,7 @@
 			/// A gateway whose proof is nearly too old for keyed requests sends callers elsewhere.
 			bool proofIsUsable() const
 			{
-				const Bounds& bounds = this->state.settings.bounds;
-				const std::optional<Millis> age = proofAge(this->state.freshness, nowMs());
-				return !bounds.strictRevocation || (age && *age < bounds.revocationMs * 3 / 5);
+				return proofIsYounger(this->state, this->state.settings.bounds.revocationMs * 3 / 5);
 			}
 
 			http::WholeAnswer readinessAnswer() const
@@ -122,7 +121,7 @@
 				{
 					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}});
 				}
-				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", nullptr == this->state.catalog ? 0 : this->state.catalog->catalog.version}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"upstreams", upstreams}};
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"upstreams", upstreams}};
 			}
 
 			/// Takes new bounds from the settings file on SIGHUP. Addresses stay.
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -12,6 +12,7 @@
 		constexpr Millis kAskMs = 120;
 		/// In large groups, ms a rank: an answer has 16 bytes a rank, and all gateways ask.
 		constexpr double kAskMsPerRank = 4.0;
+		/// Longest wait for an answer, ms.
 		constexpr Millis kAnswerMs = 250;
 
 		class TaskErrors final : public kj::TaskSet::ErrorHandler
@@ -74,6 +75,17 @@
 		}
 	}
 
+	void LoadLink::noteCoordinator(const std::string& _service, const group::RankLink* _link, const std::string& _failure)
+	{
+		const bool found = _failure.empty();
+		const bool before = this->up[_service];
+		this->up[_service] = found;
+		if (before != found)
+		{
+			logWarning(found ? "coordinator_found" : "coordinator_lost", {{"service", _service}, {"address", nullptr == _link ? "-" : _link->address()}, {"reason", found ? "-" : _failure}});
+		}
+	}
+
 	aio::Task<void> LoadLink::ask(std::string _service)
 	{
 		this->asking.insert(_service);
@@ -107,12 +119,7 @@
 				link = nullptr;
 			}
 		}
-		const bool before = this->up[_service];
-		this->up[_service] = failure.empty();
-		if (before != failure.empty())
-		{
-			logWarning(failure.empty() ? "coordinator_found" : "coordinator_lost", {{"service", _service}, {"address", nullptr == link ? "-" : link->address()}, {"reason", failure.empty() ? "-" : failure}});
-		}
+		this->noteCoordinator(_service, link.get(), failure);
 		this->asking.erase(_service);
 	}
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relay.h"
 
+#include <fmt/format.h>
+
 #include "aio/task.h"
 #include "log.h"
 #include "process.h"
@@ -47,6 +49,13 @@
 			return result;
 		}
 
+		TryResult answered()
+		{
+			TryResult result;
+			result.answered = true;
+			return result;
+		}
+
 		/// Counts the request at its upstream while the try lasts.
 		class InFlight
 		{
@@ -79,14 +88,26 @@
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
 
-		aio::Task<void> deliverHead(RequestContext& _context, const http::ResponseHead& _answer)
+		/// @returns The head that the caller gets; notes that it is on its way.
+		http::ResponseHead beginAnswer(RequestContext& _context, const http::ResponseHead& _answer)
 		{
 			http::ResponseHead head = _context.state.codec.encodeAnswer(_answer);
 			head.keepAlive = _context.keepAlive && !_context.state.leaving;
 			_context.keepAlive = head.keepAlive;
 			_context.headSent = true;
 			_context.status = head.status;
-			return _context.connection.write(http::serializeChunkedHead(head));
+			return head;
+		}
+
+		/// Sends bytes of a stream's body, and its head before the first ones.
+		aio::Task<void> sendOfStream(RequestContext& _context, const http::ResponseHead& _answer, std::string _bytes)
+		{
+			if (!_context.headSent)
+			{
+				std::string head = http::serializeChunkedHead(beginAnswer(_context, _answer));
+				co_await _context.connection.write(std::move(head));
+			}
+			co_await _context.connection.write(std::move(_bytes));
 		}
 
 		void noteEvent(RequestContext& _context)
@@ -104,6 +125,29 @@
 			_context.lastEventAt = now;
 		}
 
+		/// Takes in a piece of a stream.
+		/// @returns Bytes for the caller; none when events are missing before one.
+		std::optional<std::string> takeEvents(RequestContext& _context, std::string_view _piece)
+		{
+			std::string out;
+			for (const StreamEvent& event : splitEvents(_context.splitter, _piece))
+			{
+				const std::optional<std::uint64_t> last = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
+				const EventVerdict verdict = judgeEvent(event, last);
+				if (EventVerdict::Break == verdict)
+				{
+					return std::nullopt;
+				}
+				if (EventVerdict::Deliver == verdict)
+				{
+					out += event.bytes;
+					_context.delivered = event.id ? event.id : _context.delivered;
+					noteEvent(_context);
+				}
+			}
+			return out;
+		}
+
 		/// Relays the events of a stream. Only whole events go out, each once and in order.
 		aio::Task<TryResult> relayStream(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _answer)
 		{
@@ -117,44 +161,23 @@
 					{
 						co_return failed(Proof::Ran, "stream_ended_within_an_event");
 					}
-					if (!_context.headSent)
-					{
-						co_await deliverHead(_context, _answer);
-					}
 					std::string last(http::kLastChunk);
-					co_await _context.connection.write(std::move(last));
-					TryResult done;
-					done.answered = true;
-					co_return done;
+					co_await sendOfStream(_context, _answer, std::move(last));
+					co_return answered();
 				}
 				if (PartKind::Body != part.kind)
 				{
 					co_return failed(Proof::Ran, "stream_broke_off");
 				}
-				std::string out;
-				for (const StreamEvent& event : splitEvents(_context.splitter, part.body))
+				const std::optional<std::string> out = takeEvents(_context, part.body);
+				if (!out)
 				{
-					const std::optional<std::uint64_t> last = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
-					const EventVerdict verdict = judgeEvent(event, last);
-					if (EventVerdict::Break == verdict)
-					{
-						co_return failed(Proof::Ran, "stream_events_missing");
-					}
-					if (EventVerdict::Deliver == verdict)
-					{
-						out += event.bytes;
-						_context.delivered = event.id ? event.id : _context.delivered;
-						noteEvent(_context);
-					}
+					co_return failed(Proof::Ran, "stream_events_missing");
 				}
-				if (!out.empty())
+				if (!out->empty())
 				{
-					if (!_context.headSent)
-					{
-						co_await deliverHead(_context, _answer);
-					}
-					std::string chunk = http::serializeChunk(out);
-					co_await _context.connection.write(std::move(chunk));
+					std::string chunk = http::serializeChunk(*out);
+					co_await sendOfStream(_context, _answer, std::move(chunk));
 				}
 			}
 		}
@@ -178,20 +201,6 @@
 			}
 		}
 
-		aio::Task<TryResult> handOn(RequestContext& _context, http::WholeAnswer _answer)
-		{
-			http::ResponseHead head = _context.state.codec.encodeAnswer(_answer.head);
-			head.keepAlive = _context.keepAlive && !_context.state.leaving;
-			_context.keepAlive = head.keepAlive;
-			_context.headSent = true;
-			_context.status = head.status;
-			std::string bytes = http::serialize(head, _answer.body);
-			co_await _context.connection.write(std::move(bytes));
-			TryResult done;
-			done.answered = true;
-			co_return done;
-		}
-
 		/// An answer that is no success: may prove that the request didn't run.
 		aio::Task<TryResult> judgeFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, AnswerInfo _info)
 		{
@@ -255,8 +264,9 @@
 			{
 				co_return failed(Proof::Ran, "answer_broke_off");
 			}
-			http::WholeAnswer whole{_head, std::move(*body)};
-			co_return co_await handOn(_context, std::move(whole));
+			const http::WholeAnswer whole{_head, std::move(*body)};
+			co_await handOn(_context, whole);
+			co_return answered();
 		}
 
 		aio::Task<TryResult> relayAnswer(RequestContext& _context, http::Lease& _lease)
@@ -275,28 +285,41 @@
 			}
 			co_return result;
 		}
+
+		/// @returns A connection to an upstream; without one when it can't be reached.
+		/// @param[out] _error Why not.
+		aio::Task<http::Lease> connectTo(RequestContext& _context, const Upstream& _upstream, std::string& _error)
+		{
+			http::ConnectOptions options;
+			options.connectTimeoutMs = std::min(kConnectMs, std::max<Millis>(1, _context.deadlineAt - nowMs()));
+			options.maxRestMs = mayRepeat(*_context.route) ? kMaxRestMs : kMaxRestAtMostOnceMs;
+			http::Lease lease;
+			try
+			{
+				lease = co_await _context.state.pool.take(_upstream.record.address, options);
+			}
+			catch (const kj::Exception& error)
+			{
+				_error = error.getDescription().cStr();
+			}
+			co_return lease;
+		}
 	} // namespace
 
+	aio::Task<void> handOn(RequestContext& _context, const http::WholeAnswer& _answer)
+	{
+		const http::ResponseHead head = beginAnswer(_context, _answer.head);
+		return _context.connection.write(http::serialize(head, _answer.body));
+	}
+
 	aio::Task<TryResult> tryUpstream(RequestContext& _context, UpstreamRef _upstream)
 	{
 		const InFlight inFlight(_upstream);
-		GatewayState& state = _context.state;
-		http::ConnectOptions options;
-		options.connectTimeoutMs = std::min(kConnectMs, std::max<Millis>(1, _context.deadlineAt - nowMs()));
-		options.maxRestMs = mayRepeat(*_context.route) ? kMaxRestMs : kMaxRestAtMostOnceMs;
-		http::Lease lease;
 		std::string connectError;
-		try
-		{
-			lease = co_await state.pool.take(_upstream->record.address, options);
-		}
-		catch (const kj::Exception& error)
-		{
-			connectError = error.getDescription().cStr();
-		}
+		http::Lease lease = co_await connectTo(_context, *_upstream, connectError);
 		if (nullptr == lease.connection)
 		{
-			co_return failed(Proof::NotRun, "connect_failed: " + connectError, RefusalReason::None);
+			co_return failed(Proof::NotRun, "connect_failed: " + connectError);
 		}
 		_context.maybeRunning = true;
 		bool written = false;
@@ -310,7 +333,7 @@
 		const bool wholeExchange = result.answered || result.failure || RefusalReason::None != result.refusal;
 		if (wholeExchange && written && result.restMs)
 		{
-			state.pool.giveBack(std::move(lease), *result.restMs);
+			_context.state.pool.giveBack(std::move(lease), *result.restMs);
 		}
 		if (Proof::NotRun == result.proof && !result.answered)
 		{
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -18,6 +18,9 @@
 		std::string reason;                       ///< For the log.
 	};
 
+	/// Hands a whole answer of an upstream on to the caller.
+	aio::Task<void> handOn(RequestContext& _context, const http::WholeAnswer& _answer);
+
 	/// Sends the request to an upstream and relays the answer.
 	aio::Task<TryResult> tryUpstream(RequestContext& _context, UpstreamRef _upstream);
 } // namespace archdyke::gateway
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -1,7 +1,6 @@
 #include "gateway/request.h"
 
 #include "aio/task.h"
-#include "archdyke/come_back.h"
 #include "gateway/admit.h"
 #include "log.h"
 #include "process.h"
@@ -12,11 +11,8 @@
 	{
 		constexpr int kUnauthorized = 401;
 		constexpr int kNotFound = 404;
-		constexpr int kUnavailable = 503;
-		constexpr int kBadGateway = 502;
-		constexpr int kGatewayTimeout = 504;
-		/// The proof that a key holds may be this much younger than the bound on its
-		/// withdrawal: covers the rounding of clocks and the way of the request to here.
+		/// The proof that a key holds must be this much younger than the bound on its
+		/// withdrawal, ms: covers the rounding of clocks and the way of the request to here.
 		constexpr Millis kProofMarginMs = 300;
 
 		/// How a request's race between answer, deadline and caller ended.
@@ -27,12 +23,6 @@
 			CallerLeft
 		};
 
-		Refusal refuse(RequestContext& _context, RefusalCause _cause)
-		{
-			const Millis left = _context.deadlineAt - nowMs();
-			return {kUnavailable, comeBackAfter(_cause, std::nullopt, left, _context.state.random), std::string(toString(_cause))};
-		}
-
 		std::optional<Refusal> resolve(RequestContext& _context)
 		{
 			constexpr Millis kPatienceUnknownMs = 5'000; // for the time to come back, before a route is known
@@ -41,7 +31,7 @@
 			_context.deadlineAt = _context.received.arrivedAt + _context.caller.patienceMs.value_or(kPatienceUnknownMs);
 			if (nullptr == state.catalog)
 			{
-				return refuse(_context, RefusalCause::NoConfiguration);
+				return refuseNotRun(_context, RefusalCause::NoConfiguration);
 			}
 			_context.catalog = state.catalog;
 			_context.route = findRoute(*_context.catalog, _context.caller.host, _context.received.head.target);
@@ -54,20 +44,12 @@
 			const WeightedService* service = chooseService(*_context.route, double(randomBelow(state.random, 1'000'000)) / 1e6);
 			if (nullptr == service)
 			{
-				return refuse(_context, RefusalCause::NoUpstream);
+				return refuseNotRun(_context, RefusalCause::NoUpstream);
 			}
 			_context.service = service->name;
 			return std::nullopt;
 		}
 
-		/// Keys hold only as long as it is proved that the configuration is the newest.
-		bool proofIsFresh(const GatewayState& _state)
-		{
-			const Bounds& bounds = _state.settings.bounds;
-			const std::optional<Millis> age = proofAge(_state.freshness, nowMs());
-			return !bounds.strictRevocation || (age && *age < bounds.revocationMs - kProofMarginMs);
-		}
-
 		std::optional<Refusal> authenticate(RequestContext& _context)
 		{
 			if (_context.catalog->catalog.organisations.empty())
@@ -79,9 +61,10 @@
 			{
 				return std::nullopt;
 			}
-			if (!proofIsFresh(_context.state))
+			// Keys hold only as long as it is proved that the configuration is the newest.
+			if (!proofIsYounger(_context.state, _context.state.settings.bounds.revocationMs - kProofMarginMs))
 			{
-				return refuse(_context, RefusalCause::StaleProof);
+				return refuseNotRun(_context, RefusalCause::StaleProof);
 			}
 			if (nullptr == _context.organisation)
 			{
@@ -116,7 +99,7 @@
 
 		aio::Task<void> answerRefusal(RequestContext& _context, Refusal _refusal)
 		{
-			_context.reason += (_context.reason.empty() ? "" : ",") + _refusal.reason;
+			addReason(_context, _refusal.reason);
 			_context.status = _refusal.status;
 			_context.comeBackMs = _refusal.comeBackMs;
 			_context.ending = endingOf(_refusal.status);
@@ -133,7 +116,7 @@
 			{
 				return {kGatewayTimeout, std::nullopt, "deadline_over"};
 			}
-			Refusal refusal = refuse(_context, RefusalCause::Overloaded);
+			Refusal refusal = refuseNotRun(_context, RefusalCause::Overloaded);
 			refusal.reason = "deadline_over_before_a_send";
 			return refusal;
 		}
@@ -151,7 +134,7 @@
 				co_return;
 			}
 			// Its caller has a part of the answer: only a cut connection can't look whole.
-			_context.reason += (_context.reason.empty() ? "" : ",") + _refusal->reason;
+			addReason(_context, _refusal->reason);
 			_context.ending = Ending::Broken;
 			_context.keepAlive = false;
 		}
@@ -191,10 +174,27 @@
 			GatewayCounters& counters = _context.state.counters;
 			counters.requests[std::size_t(_context.ending)]->Increment();
 			counters.totalSeconds.Observe(double(now - _context.received.arrivedAt) / 1'000.0);
-			logInfo("request_ended", {{"request", _context.caller.id}, {"ending", toString(_context.ending)}, {"status", _context.status}, {"reason", _context.reason.empty() ? "-" : _context.reason}, {"route", nullptr == _context.route ? "-" : _context.route->name}, {"service", _context.service}, {"organisation", nullptr == _context.organisation ? "-" : _context.organisation->name}, {"sends", _context.sends}, {"upstream", _context.upstream}, {"first_ms", _context.firstEventAt ? *_context.firstEventAt - _context.received.arrivedAt : -1}, {"gap_ms", _context.longestGapMs}, {"total_ms", now - _context.received.arrivedAt}, {"left_ms", _context.deadlineAt - now}, {"come_back_ms", _context.comeBackMs.value_or(-1)}, {"catalog", nullptr == _context.catalog ? 0 : _context.catalog->catalog.version}, {"proof_age_ms", proofAge(_context.state.freshness, now).value_or(-1)}});
+			logInfo("request_ended", {{"request", _context.caller.id}, {"ending", toString(_context.ending)}, {"status", _context.status}, {"reason", _context.reason.empty() ? "-" : _context.reason}, {"route", nullptr == _context.route ? "-" : _context.route->name}, {"service", _context.service}, {"organisation", nullptr == _context.organisation ? "-" : _context.organisation->name}, {"sends", _context.sends}, {"upstream", _context.upstream}, {"first_ms", _context.firstEventAt ? *_context.firstEventAt - _context.received.arrivedAt : -1}, {"gap_ms", _context.longestGapMs}, {"total_ms", now - _context.received.arrivedAt}, {"left_ms", _context.deadlineAt - now}, {"come_back_ms", _context.comeBackMs.value_or(-1)}, {"catalog", versionOf(_context.catalog)}, {"proof_age_ms", proofAge(_context.state.freshness, now).value_or(-1)}});
 		}
 	} // namespace
 
+	Refusal refuseNotRun(RequestContext& _context, RefusalCause _cause)
+	{
+		const Millis left = _context.deadlineAt - nowMs();
+		return {kUnavailable, comeBackAfter(_cause, std::nullopt, left, _context.state.random), std::string(toString(_cause))};
+	}
+
+	void addReason(RequestContext& _context, const std::string& _reason)
+	{
+		_context.reason += (_context.reason.empty() ? "" : ",") + _reason;
+	}
+
+	bool proofIsYounger(const GatewayState& _state, Millis _limitMs)
+	{
+		const std::optional<Millis> age = proofAge(_state.freshness, nowMs());
+		return !_state.settings.bounds.strictRevocation || (age && *age < _limitMs);
+	}
+
 	aio::Task<AfterRequest> runRequest(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _received)
 	{
 		RequestContext context(_state, _connection, std::move(_received));
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -5,11 +5,17 @@
 #include <set>
 #include <string>
 
+#include "archdyke/come_back.h"
 #include "archdyke/event_stream.h"
 #include "gateway/state.h"
 
 namespace archdyke::gateway
 {
+	/// Statuses of the gateway's own final answers.
+	constexpr int kBadGateway = 502;     ///< It may have run.
+	constexpr int kUnavailable = 503;    ///< It has not run.
+	constexpr int kGatewayTimeout = 504; ///< The deadline is over, and it may have run.
+
 	/// A whole request as it was read.
 	struct ReceivedRequest
 	{
@@ -63,6 +69,16 @@
 		}
 	};
 
+	/// @returns The refusal of a request that has not run, with a time to come back.
+	Refusal refuseNotRun(RequestContext& _context, RefusalCause _cause);
+
+	/// Adds to the reasons why a request ended as it did.
+	void addReason(RequestContext& _context, const std::string& _reason);
+
+	/// @returns Whether keyed requests may be let in: the proof that the configuration is the
+	/// newest is younger than the limit, or the deployment doesn't ask for one.
+	bool proofIsYounger(const GatewayState& _state, Millis _limitMs);
+
 	/// Takes a request through all stages: resolve, authenticate, admit, dispatch, relay,
 	/// account. Never throws for what the world does.
 	aio::Task<AfterRequest> runRequest(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _received);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -27,6 +27,12 @@
 		bool operator==(const GroupView&) const = default;
 	};
 
+	/// @returns The version of a catalog; 0 when none is known.
+	inline std::uint64_t versionOf(const std::shared_ptr<const CatalogIndex>& _catalog)
+	{
+		return nullptr == _catalog ? 0 : _catalog->catalog.version;
+	}
+
 	/// One gateway's state. Stages keep references to it: it outlives them and isn't moved.
 	struct GatewayState
 	{
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -66,7 +66,7 @@
 		}
 		if (before != _up)
 		{
-			logWarning(_up ? "store_back" : "store_lost", {{"table", _table}, {"reason", _reason}, {"proof_age_ms", proofAge(this->state.freshness, nowMs()).value_or(-1)}, {"catalog", nullptr == this->state.catalog ? 0 : this->state.catalog->catalog.version}});
+			logWarning(_up ? "store_back" : "store_lost", {{"table", _table}, {"reason", _reason}, {"proof_age_ms", proofAge(this->state.freshness, nowMs()).value_or(-1)}, {"catalog", versionOf(this->state.catalog)}});
 		}
 	}
 
@@ -95,7 +95,7 @@
 			try
 			{
 				Catalog catalog = this->decoders.catalog(row.value);
-				const std::uint64_t held = nullptr == this->state.catalog ? 0 : this->state.catalog->catalog.version;
+				const std::uint64_t held = versionOf(this->state.catalog);
 				if (catalog.version <= held)
 				{
 					continue;
