--- a/include/archdyke/batch_admission.h
+++ b/include/archdyke/batch_admission.h
@@ -5,9 +5,6 @@
 /// it is refused at once, with a time to come back, instead.
 #pragma once
 
-#include <cstdint>
-#include <optional>
-
 #include "archdyke/catalog.h"
 #include "archdyke/types.h"
 
--- a/include/archdyke/catalog.h
+++ b/include/archdyke/catalog.h
@@ -52,25 +52,26 @@
 	/// Speed of a model engine as its operator declares it.
 	struct EngineModel
 	{
-		std::uint32_t slots = 0;    ///< Requests of one batch.
-		double stepMs = 0.0;        ///< A decoding step with an empty batch.
-		double perSequenceMs = 0.0; ///< More for each request that is decoding.
-		double contextMsPerK = 0.0; ///< More for 1,000 tokens of context.
-		double prefillTokensPerMs = 0.0;
-		std::uint32_t stride = 1;  ///< Decoding steps of one pass.
-		std::uint32_t sets = 0;    ///< Layer sets with experts; 0 for a dense model.
-		std::uint32_t experts = 0; ///< Experts of a set.
-		std::uint32_t places = 0;  ///< Experts of a set that a rank can hold.
-		std::uint32_t spare = 0;   ///< New experts of a set that a rank can copy at once.
-		double expertShare = 0.0;  ///< Share of a token's work that experts do.
-		double expertCopyMs = 0.0; ///< Time to copy one expert to a rank.
-		Millis formMs = 0;         ///< A group needs this to open again.
+		std::uint32_t slots = 0;         ///< Requests of one batch.
+		double stepMs = 0.0;             ///< A decoding step with an empty batch.
+		double perSequenceMs = 0.0;      ///< More for each request that is decoding.
+		double contextMsPerK = 0.0;      ///< More for 1,000 tokens of context.
+		double prefillTokensPerMs = 0.0; ///< Tokens of prompts that are read.
+		std::uint32_t stride = 1;        ///< Decoding steps of one pass.
+		std::uint32_t sets = 0;          ///< Layer sets with experts; 0 for a dense model.
+		std::uint32_t experts = 0;       ///< Experts of a set.
+		std::uint32_t places = 0;        ///< Experts of a set that a rank can hold.
+		std::uint32_t spare = 0;         ///< New experts of a set that a rank can copy at once.
+		double expertShare = 0.0;        ///< Share of a token's work that experts do.
+		double expertCopyMs = 0.0;       ///< Time to copy one expert to a rank.
+		Millis formMs = 0;               ///< A group needs this to open again.
 		std::uint32_t usualPromptTokens = 0;
 		std::uint32_t usualAnswerTokens = 0;
 
 		bool operator==(const EngineModel&) const = default;
 	};
 
+	/// Upstreams that do the same work.
 	struct CatalogService
 	{
 		std::string name;
@@ -91,6 +92,7 @@
 		bool operator==(const CallerLimits&) const = default;
 	};
 
+	/// Who pays for requests, told by a key.
 	struct CatalogOrganisation
 	{
 		std::string name;
@@ -121,6 +123,8 @@
 		absl::flat_hash_map<std::string, std::size_t> serviceByName;
 	};
 
+	/// Builds the indices. Of routes with equal prefixes, and of keys or names that stand
+	/// twice, the first one counts.
 	CatalogIndex makeIndex(Catalog _catalog);
 
 	/// @param[in] _host As a caller sent it; a port is passed over.
--- a/include/archdyke/come_back.h
+++ b/include/archdyke/come_back.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 
 #include "archdyke/random.h"
 #include "archdyke/types.h"
--- a/include/archdyke/event_stream.h
+++ b/include/archdyke/event_stream.h
@@ -38,6 +38,7 @@
 		Count
 	};
 
+	/// @returns What to do with an event.
 	/// @param[in] _delivered Id of the last event that went to the caller; none before the first.
 	EventVerdict judgeEvent(const StreamEvent& _event, std::optional<std::uint64_t> _delivered);
 } // namespace archdyke
--- a/include/archdyke/text.h
+++ b/include/archdyke/text.h
@@ -7,6 +7,7 @@
 
 namespace archdyke
 {
+	/// @returns The same text as Abseil's type; it points to the same bytes.
 	inline absl::string_view asAbsl(std::string_view _text)
 	{
 		return {_text.data(), _text.size()};
--- a/include/archdyke/upstream_choice.h
+++ b/include/archdyke/upstream_choice.h
@@ -1,6 +1,7 @@
 /// Which upstream of a service gets a request, by what is known of each.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -45,7 +46,8 @@
 	/// Information?", IEEE TPDS 11(1), 2000.
 	std::optional<std::size_t> chooseUpstream(const std::vector<UpstreamCandidate>& _candidates, Random& _random);
 
-	/// Naive version, for comparison.
+	/// Naive version, for comparison: always the least loaded one.
+	/// @returns Index of the chosen one; none when all are excluded.
 	std::optional<std::size_t> chooseLeastLoaded(const std::vector<UpstreamCandidate>& _candidates);
 
 	/// What the last answers of an upstream say of its health.
--- a/src/aio/task.h
+++ b/src/aio/task.h
@@ -1,8 +1,8 @@
 /// Lets C++ coroutines return and await kj promises.
 ///
 /// A coroutine that returns Task<T> starts at once and runs on the event loop of its thread.
-/// Dropping the task, or the promise made of it, cancels it: its frame is destroyed, and with it whatever it
-/// awaits. A coroutine must not drop its own task while it runs.
+/// Dropping the task, or the promise made of it, cancels it: its frame is destroyed, and with
+/// it whatever it awaits. A coroutine must not drop its own task while it runs.
 #pragma once
 
 #include <coroutine>
@@ -11,6 +11,7 @@
 #include <kj/debug.h>
 #include <memory>
 #include <optional>
+#include <type_traits>
 #include <utility>
 
 namespace archdyke::aio
@@ -62,7 +63,6 @@
 
 	namespace detail
 	{
-
 		/// Owns a coroutine's frame; lives as long as the promise that it is attached to.
 		class FrameOwner
 		{
--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -6,9 +6,10 @@
 {
 	namespace
 	{
-		/// Callers honour a time to come back of up to this share of what they have left;
+		/// Callers honour a time to come back of up to one part in so many of what they have left;
 		/// beyond it they come when they like.
 		constexpr Millis kHonouredShare = 3;
+		/// Least time to come back, ms.
 		constexpr Millis kLeastMs = 50;
 
 		struct Span
@@ -23,7 +24,7 @@
 			switch (_cause)
 			{
 			case RefusalCause::NoConfiguration:
-				return {200, 600}; // a first read of the store takes some 10 ms, 300 when slow
+				return {200, 600};         // a first read of the store takes some 10 ms, 300 when slow
 			case RefusalCause::StaleProof: // the caller's repeat reaches another gateway
 			case RefusalCause::NoUpstream:
 				return {500, 1'500};
--- a/src/decide/upstream_choice.cpp
+++ b/src/decide/upstream_choice.cpp
@@ -19,12 +19,15 @@
 		/// How long it is left alone then, ms; doubled for each further failure.
 		constexpr Millis kSuspendMs = 500;
 		constexpr Millis kMaxSuspendMs = 4'000;
+		/// Doublings that reach that time; more would overflow in the end.
+		constexpr std::uint32_t kMaxDoublings = 3;
 
 		double costOf(const UpstreamCandidate& _candidate)
 		{
 			const double perSlot = _candidate.load / double(std::max<std::uint32_t>(1, _candidate.slots));
 			return perSlot + kFailureWeight * _candidate.failureRate + (_candidate.ownZone ? 0.0 : kZoneAdvantage);
 		}
+
 		/// @returns Those that may get the request: the sound ones, else all that it wasn't at.
 		std::vector<std::size_t> usableOf(const std::vector<UpstreamCandidate>& _candidates)
 		{
@@ -81,7 +84,7 @@
 		_health.failuresInARow += 1;
 		if (kFailuresToSuspend <= _health.failuresInARow)
 		{
-			const std::uint32_t doublings = std::min<std::uint32_t>(3, _health.failuresInARow - kFailuresToSuspend);
+			const std::uint32_t doublings = std::min(kMaxDoublings, _health.failuresInARow - kFailuresToSuspend);
 			_health.suspendedUntil = _now + std::min(kMaxSuspendMs, kSuspendMs << doublings);
 		}
 	}
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -22,6 +22,9 @@
 			std::string reason;
 		};
 
+		constexpr int kTooSlow = 408;
+
+		/// @returns Status of the answer to what can't be read; 0 for none.
 		int statusOf(PartKind _kind)
 		{
 			switch (_kind)
@@ -80,7 +83,7 @@
 				}
 				if (begunAt && now - *begunAt > limits.headerTimeoutMs)
 				{
-					result.status = 408;
+					result.status = kTooSlow;
 					result.reason = "head_too_slow";
 					co_return result;
 				}
@@ -111,7 +114,7 @@
 				const std::optional<Part> part = co_await nextWithin(_state.loop.timer, _connection, idle);
 				if (!part)
 				{
-					result.status = 408;
+					result.status = kTooSlow;
 					result.reason = "body_too_slow";
 					co_return result;
 				}
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -7,9 +7,12 @@
 
 namespace archdyke::gateway
 {
+	/// Serves as long as it lives.
 	class CallerServer
 	{
 	public:
+		/// @param[in] _address "IP:port" to bind.
+		/// @throws kj::Exception When it can't be bound.
 		CallerServer(GatewayState& _state, const std::string& _address);
 
 		/// Ends the connections on which no request is under way.
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
+#include <string_view>
 
 #include "metrics.h"
 
@@ -22,6 +24,7 @@
 	/// @returns The name used in logs and labels.
 	std::string_view toString(Ending _ending);
 
+	/// What a gateway counts; the registry owns the counters.
 	struct GatewayCounters
 	{
 		explicit GatewayCounters(Metrics& _metrics);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_process.h"
 
+#include <csignal>
+#include <kj/async-io.h>
 #include <nlohmann/json.hpp>
 
 #include "aio/task.h"
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -12,13 +12,13 @@
 	/// Bounds that the deployment sets.
 	struct Bounds
 	{
-		Millis revocationMs = 5'000;  ///< A withdrawn key works no longer than this.
-		bool strictRevocation = true; ///< Also while the store can't be reached.
-		Millis graceMs = 8'000;       ///< From the stop signal to the kill.
-		double retryRatio = 0.2;      ///< Resends for each request, over all gateways.
-		Millis retryWindowMs = 10'000;
-		double retryAllowance = 0.0; ///< Resends of a window beyond the ratio, over all gateways.
-		Millis stallMs = 1'500;      ///< A group with a lost member stands still this long.
+		Millis revocationMs = 5'000;   ///< A withdrawn key works no longer than this.
+		bool strictRevocation = true;  ///< Also while the store can't be reached.
+		Millis graceMs = 8'000;        ///< From the stop signal to the kill.
+		double retryRatio = 0.2;       ///< Resends for each request, over all gateways.
+		Millis retryWindowMs = 10'000; ///< Length of the window in which resends are counted.
+		double retryAllowance = 0.0;   ///< Resends of a window beyond the ratio, over all gateways.
+		Millis stallMs = 1'500;        ///< A group with a lost member stands still this long.
 
 		bool operator==(const Bounds&) const = default;
 	};
@@ -37,6 +37,7 @@
 		bool operator==(const Place&) const = default;
 	};
 
+	/// Settings of archdyke-gateway.
 	struct GatewaySettings
 	{
 		Place place;
@@ -47,6 +48,7 @@
 		bool operator==(const GatewaySettings&) const = default;
 	};
 
+	/// Settings of archdyke-sidecar.
 	struct SidecarSettings
 	{
 		Place place;
@@ -57,6 +59,7 @@
 		bool operator==(const SidecarSettings&) const = default;
 	};
 
+	/// Both read a file.
 	/// @throws InvalidInputError Listing all that is wrong.
 	GatewaySettings loadGatewaySettings(const std::string& _path);
 	SidecarSettings loadSidecarSettings(const std::string& _path);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -35,6 +35,7 @@
 		MessageLimits limits;
 	};
 
+	/// Connections of one event loop.
 	class ConnectionPool
 	{
 	public:
@@ -60,6 +61,7 @@
 			Millis until = 0;
 		};
 
+		/// Closes what rested too long, at most once a sweep.
 		void dropOld();
 
 		LoopParts loop;
