--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_process.h"
 
+#include <csignal>
+#include <kj/async-io.h>
 #include <nlohmann/json.hpp>
 
 #include "aio/task.h"
@@ -20,6 +22,7 @@
 		constexpr Millis kServeAfterStopMs = 2'600;
 		/// The process ends this long before it would be killed, ms.
 		constexpr Millis kStopMarginMs = 300;
+		/// Between two looks whether requests are still under way, ms.
 		constexpr Millis kStopLookMs = 20;
 
 		/// @returns The address with the port that was bound.
@@ -61,7 +64,6 @@
 				co_await stopSignal(this->io.unixEventPort);
 				const Millis stoppedAt = nowMs();
 				this->state.leaving = true;
-				this->state.leavingSince = stoppedAt;
 				logInfo("leaving", {{"in_flight", this->state.inFlight}, {"grace_ms", this->state.settings.bounds.graceMs}});
 				const Millis serveUntil = stoppedAt + std::min(kServeAfterStopMs, this->state.settings.bounds.graceMs / 3);
 				const Millis endBy = stoppedAt + this->state.settings.bounds.graceMs - kStopMarginMs;
@@ -87,9 +89,7 @@
 			/// A gateway whose proof is nearly too old for keyed requests sends callers elsewhere.
 			bool proofIsUsable() const
 			{
-				const Bounds& bounds = this->state.settings.bounds;
-				const std::optional<Millis> age = proofAge(this->state.freshness, nowMs());
-				return !bounds.strictRevocation || (age && *age < bounds.revocationMs * 3 / 5);
+				return proofIsYounger(this->state, this->state.settings.bounds.revocationMs * 3 / 5);
 			}
 
 			http::WholeAnswer readinessAnswer() const
@@ -123,7 +123,7 @@
 				{
 					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}});
 				}
-				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", nullptr == this->state.catalog ? 0 : this->state.catalog->catalog.version}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"upstreams", upstreams}};
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"upstreams", upstreams}};
 			}
 
 			/// Takes new bounds from the settings file on SIGHUP. Addresses stay.
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -12,6 +12,7 @@
 		constexpr Millis kAskMs = 120;
 		/// In large groups, ms a rank: an answer has 16 bytes a rank, and all gateways ask.
 		constexpr double kAskMsPerRank = 4.0;
+		/// Longest wait for an answer, ms.
 		constexpr Millis kAnswerMs = 250;
 
 		class TaskErrors final : public kj::TaskSet::ErrorHandler
@@ -63,11 +64,9 @@
 		if (view.open != _loads.open || 0 == view.at)
 		{
 			logInfo(_loads.open ? "group_open" : "group_down", {{"service", _service}, {"term", _loads.newest.term}, {"coordinator", _loads.newest.address}, {"pass_ms", _loads.passMs}});
-			view.downSince = _loads.open ? 0 : now;
 		}
 		view.open = _loads.open;
 		view.passMs = _loads.passMs;
-		view.gateways = _loads.gateways;
 		view.at = now;
 		this->mostRanks = std::max(this->mostRanks, _loads.ranks.size());
 		for (const group::RankLoad& rank : _loads.ranks)
@@ -76,6 +75,17 @@
 		}
 	}
 
+	void LoadLink::noteCoordinator(const std::string& _service, const group::RankLink* _link, const std::string& _failure)
+	{
+		const bool found = _failure.empty();
+		const bool before = this->up[_service];
+		this->up[_service] = found;
+		if (before != found)
+		{
+			logWarning(found ? "coordinator_found" : "coordinator_lost", {{"service", _service}, {"address", nullptr == _link ? "-" : _link->address()}, {"reason", found ? "-" : _failure}});
+		}
+	}
+
 	aio::Task<void> LoadLink::ask(std::string _service)
 	{
 		this->asking.insert(_service);
@@ -109,12 +119,7 @@
 				link = nullptr;
 			}
 		}
-		const bool before = this->up[_service];
-		this->up[_service] = failure.empty();
-		if (before != failure.empty())
-		{
-			logWarning(failure.empty() ? "coordinator_found" : "coordinator_lost", {{"service", _service}, {"address", nullptr == link ? "-" : link->address()}, {"reason", failure.empty() ? "-" : failure}});
-		}
+		this->noteCoordinator(_service, link.get(), failure);
 		this->asking.erase(_service);
 	}
 
