Mend what reading as newcomers found: lost events, proofs, limits, memory

Left: a HEAD request waits for a body that doesn't come; several declared figures aren't used yet (docs/PLATFORM.md, Open).

--- a/include/archdyke/retry_window.h
+++ b/include/archdyke/retry_window.h
@@ -26,8 +26,8 @@
 		std::deque<Millis> resends;
 	};
 
-	/// Notes a request that went to an upstream for the first time.
-	void noteFirstSend(RetryWindow& _window, Millis _now);
+	/// Notes a request that went to an upstream for the first time; forgets those before the window.
+	void noteFirstSend(RetryWindow& _window, Millis _windowMs, Millis _now);
 
 	/// Takes one resend out of the budget.
 	/// @returns false when the window holds no more.
--- a/src/decide/retry_window.cpp
+++ b/src/decide/retry_window.cpp
@@ -13,8 +13,9 @@
 		}
 	} // namespace
 
-	void noteFirstSend(RetryWindow& _window, Millis _now)
+	void noteFirstSend(RetryWindow& _window, Millis _windowMs, Millis _now)
 	{
+		dropOld(_window.firsts, _now - _windowMs);
 		_window.firsts.push_back(_now);
 	}
 
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -39,7 +39,7 @@
 			_context.upstream = _upstream.record.incarnation;
 			if (0 == _context.sends)
 			{
-				noteFirstSend(state.retries[_context.service], nowMs());
+				noteFirstSend(state.retries[_context.service], state.settings.bounds.retryWindowMs, nowMs());
 			}
 			(0 == _context.sends ? state.counters.sends : state.counters.resends).Increment();
 			_context.sends += 1;
@@ -89,7 +89,7 @@
 			const UpstreamRef upstream = state.board.choose(_context.service, _context.tried, state.random, nowMs());
 			if (nullptr == upstream)
 			{
-				_context.reason += "no_upstream";
+				addReason(_context, "no_upstream");
 				co_return refusalOf(_context, unknownBefore, RefusalCause::NoUpstream, "no_upstream_left");
 			}
 			noteSend(_context, *upstream);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -101,6 +101,8 @@
 			http::WholeAnswer adminAnswer(const http::RequestHead& _head)
 			{
 				http::WholeAnswer answer{{200, {}, true}, ""};
+				this->counters.connectionsOpened.Increment(double(this->state.pool.opened() - this->connectionsTold));
+				this->connectionsTold = this->state.pool.opened();
 				if ("/dump" == _head.target)
 				{
 					answer.head.headers.add("Content-Type", "application/json");
@@ -156,6 +158,7 @@
 			CallerServer callers;
 			http::Listener readiness;
 			http::Listener admin;
+			std::uint64_t connectionsTold = 0; ///< Of those opened, how many the counter has.
 			kj::Promise<void> reloading = nullptr;
 		};
 	} // namespace
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -28,6 +28,8 @@
 		constexpr Millis kUsualRestMs = 4'000;
 		/// Largest answer that is held whole before it is handed on, bytes.
 		constexpr std::size_t kMaxAnswerBytes = std::size_t(8) << 20;
+		/// Longest stream, bytes: its events are handed on as they come, so it costs no memory.
+		constexpr std::size_t kMaxStreamBytes = std::size_t(1) << 30;
 
 		bool isSuccess(int _status)
 		{
@@ -125,27 +127,34 @@
 			_context.lastEventAt = now;
 		}
 
+		/// What a piece of a stream brought.
+		struct TakenEvents
+		{
+			std::string bytes;    ///< For the caller: whole events, in order.
+			bool missing = false; ///< Events are missing after them.
+		};
+
 		/// Takes in a piece of a stream.
-		/// @returns Bytes for the caller; none when events are missing before one.
-		std::optional<std::string> takeEvents(RequestContext& _context, std::string_view _piece)
+		TakenEvents takeEvents(RequestContext& _context, std::string_view _piece)
 		{
-			std::string out;
+			TakenEvents taken;
 			for (const StreamEvent& event : splitEvents(_context.splitter, _piece))
 			{
 				const std::optional<std::uint64_t> last = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
 				const EventVerdict verdict = judgeEvent(event, last);
 				if (EventVerdict::Break == verdict)
 				{
-					return std::nullopt;
+					taken.missing = true;
+					return taken;
 				}
 				if (EventVerdict::Deliver == verdict)
 				{
-					out += event.bytes;
+					taken.bytes += event.bytes;
 					_context.delivered = event.id ? event.id : _context.delivered;
 					noteEvent(_context);
 				}
 			}
-			return out;
+			return taken;
 		}
 
 		/// Relays the events of a stream. Only whole events go out, each once and in order.
@@ -169,15 +178,15 @@
 				{
 					co_return failed(Proof::Ran, "stream_broke_off");
 				}
-				const std::optional<std::string> out = takeEvents(_context, part.body);
-				if (!out)
+				const TakenEvents taken = takeEvents(_context, part.body);
+				if (!taken.bytes.empty())
 				{
-					co_return failed(Proof::Ran, "stream_events_missing");
+					std::string chunk = http::serializeChunk(taken.bytes);
+					co_await sendOfStream(_context, _answer, std::move(chunk));
 				}
-				if (!out->empty())
+				if (taken.missing)
 				{
-					std::string chunk = http::serializeChunk(*out);
-					co_await sendOfStream(_context, _answer, std::move(chunk));
+					co_return failed(Proof::Ran, "stream_events_missing");
 				}
 			}
 		}
@@ -292,6 +301,7 @@
 		{
 			http::ConnectOptions options;
 			options.connectTimeoutMs = std::min(kConnectMs, std::max<Millis>(1, _context.deadlineAt - nowMs()));
+			options.limits.bodyBytes = _context.route->stream ? kMaxStreamBytes : kMaxAnswerBytes;
 			options.maxRestMs = mayRepeat(*_context.route) ? kMaxRestMs : kMaxRestAtMostOnceMs;
 			http::Lease lease;
 			try
@@ -321,6 +331,7 @@
 		{
 			co_return failed(Proof::NotRun, "connect_failed: " + connectError);
 		}
+		const bool mayHaveRunBefore = _context.maybeRunning;
 		_context.maybeRunning = true;
 		bool written = false;
 		const kj::Promise<void> writing = lease.connection->write(requestBytes(_context, *_upstream)).take().then([&written] {
@@ -337,7 +348,7 @@
 		}
 		if (Proof::NotRun == result.proof && !result.answered)
 		{
-			_context.maybeRunning = false;
+			_context.maybeRunning = mayHaveRunBefore;
 		}
 		co_return result;
 	}
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -15,6 +15,9 @@
 		/// withdrawal, ms: covers the rounding of clocks and the way of the request to here.
 		constexpr Millis kProofMarginMs = 300;
 
+		/// Callers wait no longer than this, whatever they say, ms: an hour is beyond any route.
+		constexpr Millis kMostPatienceMs = 3'600'000;
+
 		/// How a request's race between answer, deadline and caller ended.
 		enum class RaceEnd
 		{
@@ -28,6 +31,10 @@
 			constexpr Millis kPatienceUnknownMs = 5'000; // for the time to come back, before a route is known
 			GatewayState& state = _context.state;
 			_context.caller = state.codec.decodeRequest(_context.received.head);
+			if (_context.caller.patienceMs)
+			{
+				_context.caller.patienceMs = std::clamp<Millis>(*_context.caller.patienceMs, 0, kMostPatienceMs);
+			}
 			_context.deadlineAt = _context.received.arrivedAt + _context.caller.patienceMs.value_or(kPatienceUnknownMs);
 			if (nullptr == state.catalog)
 			{
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -84,7 +84,7 @@
 	{
 		const std::string none;
 		store::Rows all = co_await this->store.read(_table, none, none);
-		while (all.more)
+		while (all.more && !all.rows.empty())
 		{
 			const std::string after = all.rows.back().key.key + '\0';
 			store::Rows next = co_await this->store.read(_table, none, after);
@@ -105,6 +105,7 @@
 			try
 			{
 				Catalog catalog = this->decoders.catalog(row.value);
+				this->unreadableRow = this->unreadableRow < row.version ? 0 : this->unreadableRow;
 				const std::uint64_t held = versionOf(this->state.catalog);
 				if (catalog.version <= held)
 				{
@@ -116,10 +117,12 @@
 			}
 			catch (const InvalidInputError& error)
 			{
-				logError("configuration_unreadable", {{"row_version", row.version}, {"reason", error.what()}});
+				logError("configuration_unreadable", {{"row_version", row.version}, {"reason", error.what()}, {"held", versionOf(this->state.catalog)}});
+				this->unreadableRow = std::max(this->unreadableRow, row.version);
 			}
 		}
-		if (nullptr != this->state.catalog)
+		// A newer configuration that can't be read may withdraw keys: what is held proves nothing.
+		if (nullptr != this->state.catalog && 0 == this->unreadableRow)
 		{
 			noteProof(this->state.freshness, _rows.sentAt, _rows.storeTime);
 		}
@@ -217,7 +220,7 @@
 				retryMs = kRetryMs;
 				if (rows.historyGone)
 				{
-					logWarning("store_history_gone", {{"table", _feed.name}, {"since", *since}});
+					logWarning("store_history_gone", {{"table", _feed.name}, {"since", since.value_or(0)}});
 					since.reset();
 					continue;
 				}
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -51,6 +51,7 @@
 
 		GatewayState& state;
 		store::TableStore& store;
+		std::uint64_t unreadableRow = 0; ///< Version of a configuration that can't be read; 0: none.
 		store::TableNames names;
 		DocumentDecoders decoders;
 		std::map<std::string, bool> up;                                ///< By table: whether the last call was answered.
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -180,6 +180,34 @@
 	}
 }
 
+/// Whole events before a gap in the same piece once counted as delivered, but were dropped.
+Test(gateway, events_before_a_gap_in_one_piece_are_delivered)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 6; ++call)
+	{
+		const RigAnswer answer = rig.call("/stream/x?do=jump&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(200 == answer.status);
+		cr_assert(answer.body == allEvents());
+	}
+}
+
+/// A configuration that can't be read proves nothing of the one that is held.
+Test(gateway, an_unreadable_configuration_leaves_keys_unproved)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.put("op", "config", {{"version", "no number"}});
+	cr_assert(lab::waitUntil(4'000, [&] {
+		return 503 == rig.call("/safe/x", GatewayRig::headersFor("r1")).status;
+	}));
+	rig.configure(7);
+	cr_assert(lab::waitUntil(4'000, [&] {
+		return 200 == rig.call("/safe/x", GatewayRig::headersFor("r2")).status;
+	}));
+}
+
 Test(gateway, a_callers_own_resume_begins_after_its_last_event)
 {
 	GatewayRig rig({"a"});
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -3,7 +3,8 @@
 ///
 /// Options: {"address"?, "id"}. A request's query says what to do, "do=...": ok, shed, fail, hang,
 /// cut, garbage, foreign, unsigned, encoded, unframed, stream, break (a stream that stops within
-/// its 4th event unless it is resumed), skip (a stream that leaves out its 3rd event). "only=ID":
+/// its 4th event unless it is resumed), skip (a stream that leaves out its 3rd event), jump (the
+/// same, all events in one piece). "only=ID":
 /// just the upstream of that id does so, the others answer as usual. GET /record tells, by request
 /// id, how often each ran and how often its caller left. POST /control {"mode": "up" | "refuse"}.
 #include <fmt/format.h>
@@ -141,7 +142,7 @@
 				const std::string expected = this->headerOf(_call, "X-Archdyke-Expect-Instance");
 				const std::string only = queryField(_call.head.target, "only");
 				const std::string wanted = queryField(_call.head.target, "do");
-				const std::string what = only.empty() || only == this->id ? wanted : ("break" == wanted || "skip" == wanted || "stream" == wanted ? "stream" : "ok");
+				const std::string what = only.empty() || only == this->id ? wanted : ("break" == wanted || "skip" == wanted || "jump" == wanted || "stream" == wanted ? "stream" : "ok");
 				if (!expected.empty() && expected != this->id)
 				{
 					bytes = http::serialize(this->headFor(_call, 421), "");
@@ -160,7 +161,7 @@
 				record.runs += 1;
 				record.organisation = this->headerOf(_call, "X-Archdyke-Tenant");
 				record.resumedAfter = this->headerOf(_call, "Last-Event-Id");
-				if ("stream" == what || "break" == what || "skip" == what)
+				if ("stream" == what || "break" == what || "skip" == what || "jump" == what)
 				{
 					co_return co_await this->stream(_connection, _call, what, record);
 				}
@@ -226,6 +227,12 @@
 				head.headers.add("Content-Type", "text/event-stream");
 				std::string bytes = http::serializeChunkedHead(head);
 				co_await _connection.write(std::move(bytes));
+				if ("jump" == _what)
+				{
+					std::string piece = http::serializeChunk("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 4\ndata: piece 4\n\n");
+					co_await _connection.write(std::move(piece));
+					co_return false;
+				}
 				const std::optional<std::int64_t> after = http::parseWhole(_record.resumedAfter);
 				for (std::uint64_t event = after ? std::uint64_t(*after) + 1 : 1; event <= kEvents; ++event)
 				{
