--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,5 +70,19 @@
 ' '				std::_Exit(0);
 				this->runs->stop();
 '
+mutant gateway-trusts-old-keys "gateway_keys_hold_only_while_the_newest_configuration_is_proved|gateway_an_unreadable_configuration_leaves_keys_unproved" src/gateway/request.cpp \
+	'if (!proofIsYounger(_context.state, _context.state.settings.bounds.revocationMs - kProofMarginMs))' 'if (false)'
+mutant gateway-calls-silence-not-run "gateway_what_may_have_run_is_never_told_as_not_run_nor_run_twice" src/gateway/relay.cpp \
+	'failed(Proof::Unknown, "no_answer_head")' 'failed(Proof::NotRun, "no_answer_head")'
+mutant gateway-takes-any-answer "gateway_an_answer_to_another_request_is_passed_over" src/gateway/relay.cpp \
+	'if (info.requestId == _context.caller.id)' 'if (true)'
+mutant gateway-takes-older-configurations "gateway_an_older_configuration_is_never_taken" src/gateway/watch.cpp \
+	'if (catalog.version <= held)' 'if (false)'
+mutant gateway-sends-to-leaving-upstreams "gateway_a_leaving_upstream_gets_nothing_new" src/gateway/board.cpp \
+	'_upstream.record.service == _service && !_upstream.leavingSince' '_upstream.record.service == _service'
+mutant group-goes-on-without-a-rank "forward_a_hold_with_a_rank_out_of_reach_is_given_up_before_any_rank_is_armed" src/decide/forward_switch.cpp \
+	'if (!_patience.allReachable)' 'if (false)'
+mutant group-uses-a-boundary-again "forward_.*" src/decide/forward_switch.cpp \
+	'return std::max(newestStep(_ranks) + _marginSteps, _intent.boundary + 1);' 'return newestStep(_ranks) + _marginSteps;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
 exit $missed
