A restarted process is not taken for the one before it

Since logs go to standard output, the line event=listening of a process lies in its .out file; a restart renames the .log file alone, and the harness could read the old line, with the old ports, before the new process had emptied the file. Ruled out: the entry (it never answered: the call went to the port of the process before).

Change: the file is removed before the new process is started.

--- a/tools/lab_process.cpp
+++ b/tools/lab_process.cpp
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -68,6 +69,9 @@
 		}
 		pointers.push_back(nullptr);
 		const std::string outputPath = this->logPath + ".out";
+		// A process of that name before this one left its lines; nobody may take them for new ones.
+		std::error_code ignored; // there is none as a rule
+		std::filesystem::remove(outputPath, ignored);
 		this->pid = fork();
 		if (0 == this->pid)
 		{
