A slow rank holds fewer experts and gets no requests while others can take them

Cause: in a lock-step group the slowest rank's part of a pass is everybody's.

The planner takes a rank's load times its pace, and the even load by the ranks' speeds. The choice passes over upstreams from pace 2 on unless no other is left. Lines rank_slow and rank_not_slow.

--- a/include/archdyke/map_policy.h
+++ b/include/archdyke/map_policy.h
@@ -36,7 +36,9 @@
 	/// Plans a map within what ranks can copy at once, and tells whether the switch pays.
 	/// @param[in] _hosts The map in use.
 	/// @param[in] _load Choices of the last window.
-	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load, const PassPressure& _pressure);
+	/// @param[in] _paces By rank, time of a step against the declared one; empty: all 1. All
+	/// ranks wait for the slowest, so a slow one is given less.
+	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load, const PassPressure& _pressure, const std::vector<double>& _paces = {});
 
 	/// @returns Skew that is tolerated: the more, the shorter the passes are against the
 	/// objective, since copies are paid for and short passes serve nobody better.
--- a/include/archdyke/placement.h
+++ b/include/archdyke/placement.h
@@ -28,6 +28,7 @@
 		double budget = 0.0;                ///< Experts that may be staged now.
 		std::uint32_t arrivalsPerRank = 0;  ///< New experts of a rank over all layers, at most; 0: any number.
 		std::uint32_t arrivalsPerLayer = 0; ///< New experts of a rank in one layer, at most; 0: any number.
+		std::vector<double> paces;          ///< By rank, time of a step against the usual one; empty: all 1.
 
 		bool operator==(const PlacementInput&) const = default;
 	};
@@ -43,9 +44,11 @@
 		bool operator==(const PlacementPlan&) const = default;
 	};
 
+	/// @param[in] _paces As in PlacementInput: a slow rank's load counts that much more.
 	/// @returns How far the slowest rank trails the mean, over all layers: sum of the
-	/// layers' greatest rank loads, by the sum of their mean rank loads, minus 1.
-	double skewOf(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks);
+	/// layers' greatest rank loads, by the sum of what all ranks would have if each took the
+	/// same time, minus 1.
+	double skewOf(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks, const std::vector<double>& _paces = {});
 
 	/// Plans moves, most skew saved for each staged expert first, within the budget, until
 	/// the skew is half of what the policy tolerates.
--- a/include/archdyke/upstream_choice.h
+++ b/include/archdyke/upstream_choice.h
@@ -34,6 +34,7 @@
 		bool suspended = false;   ///< Failed lately; used only when all are.
 		bool excluded = false;    ///< This request was there already.
 		double failureRate = 0.0; ///< Share of its late answers that failed, 0 to 1.
+		double pace = 1.0;        ///< Time of its steps against the declared one; 1 when unknown.
 
 		bool operator==(const UpstreamCandidate&) const = default;
 	};
--- a/src/decide/map_policy.cpp
+++ b/src/decide/map_policy.cpp
@@ -39,18 +39,19 @@
 		return kMostTolerated + share * (kSkewTolerance - kMostTolerated);
 	}
 
-	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load, const PassPressure& _pressure)
+	MapDecision decideMap(const EngineModel& _model, std::uint32_t _ranks, const ExpertHosts& _hosts, const ExpertLoad& _load, const PassPressure& _pressure, const std::vector<double>& _paces)
 	{
 		PlacementInput input;
 		input.ranks = _ranks;
 		input.slots = _model.places;
 		input.hosts = _hosts;
 		input.load = _load;
+		input.paces = _paces;
 		input.budget = kMostCopies;
 		input.arrivalsPerLayer = _model.spare;
 		input.arrivalsPerRank = 0.0 < _model.expertCopyMs ? std::max<std::uint32_t>(1, std::uint32_t(kCopyBudgetMs / _model.expertCopyMs)) : 0;
 		MapDecision decision;
-		decision.skewBefore = skewOf(_hosts, _load, _ranks);
+		decision.skewBefore = skewOf(_hosts, _load, _ranks, _paces);
 		if (decision.skewBefore < toleratedSkew(_pressure) || tokensOf(_load) <= 0.0)
 		{
 			return decision;
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -24,8 +24,27 @@
 			double staged = 0.0;
 			std::vector<std::vector<std::uint32_t>> before; ///< Hosts at the start, by expert.
 			std::vector<std::uint32_t> arrivals;            ///< New experts, by rank.
+			std::vector<double> paces;                      ///< By rank.
 		};
 
+		std::vector<double> pacesOf(const std::vector<double>& _paces, std::uint32_t _ranks)
+		{
+			return _paces.size() == _ranks ? _paces : std::vector<double>(_ranks, 1.0);
+		}
+
+		/// @returns Load of each rank if all took the same time.
+		double evenLoad(const std::vector<double>& _rankLoad, const std::vector<double>& _paces)
+		{
+			double tokens = 0.0;
+			double speed = 0.0;
+			for (std::size_t rank = 0; rank < _rankLoad.size(); ++rank)
+			{
+				tokens += _rankLoad[rank] / _paces[rank];
+				speed += 1.0 / _paces[rank];
+			}
+			return tokens / speed;
+		}
+
 		/// Limits on the new experts of a rank; what all layers together have taken so far.
 		struct ArrivalLimits
 		{
@@ -53,13 +72,13 @@
 			const std::vector<std::uint32_t>& hosts = _layer.hosts[_expert];
 			for (const std::uint32_t host : hosts)
 			{
-				_layer.rankLoad[host] += _sign * _layer.tokens[_expert] / double(hosts.size());
+				_layer.rankLoad[host] += _sign * _layer.paces[host] * _layer.tokens[_expert] / double(hosts.size());
 			}
 		}
 
 		Layer makeLayer(const PlacementInput& _input, std::size_t _index)
 		{
-			Layer layer{_input.hosts[_index], std::vector<std::vector<std::uint32_t>>(_input.ranks), _input.load[_index], std::vector<double>(_input.ranks, 0.0), 0.0, _input.hosts[_index], std::vector<std::uint32_t>(_input.ranks, 0)};
+			Layer layer{_input.hosts[_index], std::vector<std::vector<std::uint32_t>>(_input.ranks), _input.load[_index], std::vector<double>(_input.ranks, 0.0), 0.0, _input.hosts[_index], std::vector<std::uint32_t>(_input.ranks, 0), pacesOf(_input.paces, _input.ranks)};
 			for (std::uint32_t expert = 0; expert < layer.hosts.size(); ++expert)
 			{
 				for (const std::uint32_t host : layer.hosts[expert])
@@ -78,7 +97,7 @@
 
 		double meanLoad(const Layer& _layer)
 		{
-			return std::accumulate(_layer.rankLoad.begin(), _layer.rankLoad.end(), 0.0) / double(_layer.rankLoad.size());
+			return evenLoad(_layer.rankLoad, _layer.paces);
 		}
 
 		/// Whether a rank must copy an expert that it would host.
@@ -287,8 +306,9 @@
 		};
 	} // namespace
 
-	double skewOf(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks)
+	double skewOf(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks, const std::vector<double>& _paces)
 	{
+		const std::vector<double> paces = pacesOf(_paces, _ranks);
 		Totals totals;
 		std::vector<double> rankLoad(_ranks);
 		for (std::size_t layer = 0; layer < _hosts.size(); ++layer)
@@ -298,11 +318,11 @@
 			{
 				for (const std::uint32_t host : _hosts[layer][expert])
 				{
-					rankLoad[host] += _load[layer][expert] / double(_hosts[layer][expert].size());
+					rankLoad[host] += paces[host] * _load[layer][expert] / double(_hosts[layer][expert].size());
 				}
 			}
 			totals.greatest += *std::max_element(rankLoad.begin(), rankLoad.end());
-			totals.mean += std::accumulate(rankLoad.begin(), rankLoad.end(), 0.0) / double(_ranks);
+			totals.mean += evenLoad(rankLoad, paces);
 		}
 		return totals.skew();
 	}
@@ -386,6 +406,7 @@
 				one.slots = _input.slots;
 				one.hosts = {placeLayer(_layers[index].tokens, _input.ranks, _input.slots)};
 				one.load = {_layers[index].tokens};
+				one.paces = _input.paces;
 				const Layer anew = makeLayer(one, 0);
 				const double cost = countStaged({_input.hosts[index]}, one.hosts);
 				const double saved = countStaged({_input.hosts[index]}, {_layers[index].hosts});
--- a/src/decide/upstream_choice.cpp
+++ b/src/decide/upstream_choice.cpp
@@ -14,6 +14,9 @@
 		constexpr double kFailureWeight = 2.0;
 		/// Weight of the newest answer in the moving failure rate: looks back some ten answers.
 		constexpr double kFailureGain = 0.1;
+		/// From this pace on an upstream gets requests only when all others can't: in a lock-step
+		/// group each of its requests lengthens the pass of all ranks that many times.
+		constexpr double kSlowPace = 2.0;
 		/// Failures in a row that suspend an upstream: one is chance, three are not.
 		constexpr std::uint32_t kFailuresToSuspend = 3;
 		/// How long it is left alone then, ms; doubled for each further failure.
@@ -24,7 +27,8 @@
 
 		double costOf(const UpstreamCandidate& _candidate)
 		{
-			const double perSlot = _candidate.load / double(std::max<std::uint32_t>(1, _candidate.slots));
+			// With the request itself, so that a slow one is passed over also while it is empty.
+			const double perSlot = _candidate.pace * (_candidate.load + 1.0) / double(std::max<std::uint32_t>(1, _candidate.slots));
 			return perSlot + kFailureWeight * _candidate.failureRate + (_candidate.ownZone ? 0.0 : kZoneAdvantage);
 		}
 
@@ -37,7 +41,8 @@
 			{
 				if (!_candidates[index].excluded)
 				{
-					(_candidates[index].suspended ? suspended : sound).push_back(index);
+					const bool avoided = _candidates[index].suspended || kSlowPace <= _candidates[index].pace;
+					(avoided ? suspended : sound).push_back(index);
 				}
 			}
 			return sound.empty() ? suspended : sound;
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -11,6 +11,16 @@
 		/// A report older than this is left aside, ms: five missed reports of a coordinator.
 		constexpr Millis kReportMaxAgeMs = 1'000;
 
+		bool isRecent(const Upstream& _upstream, Millis _now)
+		{
+			return _upstream.reported && _now - _upstream.reported->at <= kReportMaxAgeMs;
+		}
+
+		double paceOf(const Upstream& _upstream, Millis _now)
+		{
+			return isRecent(_upstream, _now) ? std::max(1.0, _upstream.reported->pace) : 1.0;
+		}
+
 		bool takesWork(const Upstream& _upstream, const std::string& _service)
 		{
 			return _upstream.record.service == _service && !_upstream.leavingSince;
@@ -19,7 +29,7 @@
 
 	double loadOf(const Upstream& _upstream, Millis _now)
 	{
-		if (!_upstream.reported || _now - _upstream.reported->at > kReportMaxAgeMs)
+		if (!isRecent(_upstream, _now))
 		{
 			return _upstream.inFlight;
 		}
@@ -66,13 +76,13 @@
 		this->byIncarnation.erase(it);
 	}
 
-	void Board::report(const std::string& _address, std::uint32_t _requests, Millis _now)
+	void Board::report(const std::string& _address, std::uint32_t _requests, double _pace, Millis _now)
 	{
 		for (const auto& [incarnation, upstream] : this->byIncarnation)
 		{
 			if (upstream->record.address == _address)
 			{
-				upstream->reported = ReportedLoad{_requests, _now, upstream->inFlight};
+				upstream->reported = ReportedLoad{_requests, _now, upstream->inFlight, _pace};
 			}
 		}
 	}
@@ -86,7 +96,7 @@
 			if (takesWork(*upstream, _service))
 			{
 				open.push_back(upstream);
-				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now), _triedBefore.contains(incarnation), upstream->health.failureRate});
+				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now), _triedBefore.contains(incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
 			}
 		}
 		const std::optional<std::size_t> chosen = chooseUpstream(candidates, _random);
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -18,6 +18,7 @@
 		std::uint32_t requests = 0; ///< Running and waiting there, of all gateways.
 		Millis at = 0;              ///< Own clock when it came.
 		std::uint32_t ownThen = 0;  ///< Of these, how many were this gateway's then.
+		double pace = 1.0;          ///< Time of its steps against the declared one.
 
 		bool operator==(const ReportedLoad&) const = default;
 	};
@@ -52,7 +53,7 @@
 		void forget(const std::string& _incarnation, Millis _now);
 
 		/// Takes in the reported load of the upstream at an address.
-		void report(const std::string& _address, std::uint32_t _requests, Millis _now);
+		void report(const std::string& _address, std::uint32_t _requests, double _pace, Millis _now);
 
 		/// @returns An upstream for a request; null when there is none.
 		UpstreamRef choose(const std::string& _service, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const;
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -71,7 +71,7 @@
 		this->mostRanks = std::max(this->mostRanks, _loads.ranks.size());
 		for (const group::RankLoad& rank : _loads.ranks)
 		{
-			this->state.board.report(rank.address, rank.requests, now);
+			this->state.board.report(rank.address, rank.requests, rank.pace, now);
 		}
 	}
 
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -136,6 +136,20 @@
 		return map == this->intent.inForceVersion ? this->intent.inForce : ExpertHosts();
 	}
 
+	std::vector<double> Coordinator::paces(std::size_t _ranks) const
+	{
+		std::vector<double> result(_ranks, 1.0);
+		for (const auto& [engine, rank] : this->ranks)
+		{
+			const EngineReport& report = rank.report.engine;
+			if (0 != rank.seenAt && report.group == this->group && report.rank < _ranks)
+			{
+				result[report.rank] = std::max(1.0, report.pace);
+			}
+		}
+		return result;
+	}
+
 	std::optional<SwitchIntent> Coordinator::plan()
 	{
 		const std::vector<RankView> ranks = this->views(kViewMaxAgeMs);
@@ -163,7 +177,7 @@
 		{
 			return std::nullopt;
 		}
-		const MapDecision decision = decideMap(*this->model, std::uint32_t(ranks.size()), hosts, *load, {this->passMs, this->gapObjectiveMs});
+		const MapDecision decision = decideMap(*this->model, std::uint32_t(ranks.size()), hosts, *load, {this->passMs, this->gapObjectiveMs}, this->paces(ranks.size()));
 		this->lastSkew = decision.skewBefore;
 		if (!decision.worthwhile)
 		{
@@ -274,7 +288,7 @@
 			if (0 != rank.seenAt && now - rank.seenAt <= kViewMaxAgeMs && rank.report.engine.group == this->group)
 			{
 				loads.open = loads.open && rank.report.engine.view.open;
-				loads.ranks.push_back({engine, rank.report.engine.queued + rank.report.engine.active});
+				loads.ranks.push_back({engine, rank.report.engine.queued + rank.report.engine.active, rank.report.engine.pace});
 			}
 		}
 		return loads;
@@ -285,7 +299,7 @@
 		nlohmann::json seen = nlohmann::json::array();
 		for (const auto& [engine, rank] : this->ranks)
 		{
-			seen.push_back({{"engine", engine}, {"rank", rank.report.engine.rank}, {"ageMs", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"step", rank.report.engine.view.step}, {"map", rank.report.engine.view.map}, {"queued", rank.report.engine.queued}, {"active", rank.report.engine.active}});
+			seen.push_back({{"engine", engine}, {"rank", rank.report.engine.rank}, {"ageMs", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"step", rank.report.engine.view.step}, {"map", rank.report.engine.view.map}, {"queued", rank.report.engine.queued}, {"active", rank.report.engine.active}, {"pace", rank.report.engine.pace}});
 		}
 		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"ranks", seen}}.dump();
 	}
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -107,6 +107,7 @@
 		Millis rowLookMs() const;
 		void takeUpstreams(const store::Rows& _rows);
 		void hear(Rank& _rank, const RankReport& _report);
+		void notePace(const Rank& _rank, const EngineReport& _engine) const;
 		void notePass(const EngineReport& _engine);
 		void takeChoices(Rank& _rank, const ChoiceSample& _sample);
 		void askRanks();
@@ -118,6 +119,7 @@
 		const MapDifference& differenceFrom(bool _dealt, std::uint32_t _ranks);
 		std::optional<SwitchIntent> plan();
 		ExpertHosts currentHosts(const std::vector<RankView>& _ranks) const;
+		std::vector<double> paces(std::size_t _ranks) const;
 		std::vector<RankView> views(Millis _maxAgeMs) const;
 		std::uint64_t marginSteps() const;
 		bool switchIsOpen() const;
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -34,6 +34,8 @@
 		constexpr Millis kDirectAfterMs = 400;
 		/// Ranks that are asked while one of them is to hold.
 		constexpr std::size_t kAskedWhileHolding = 3;
+		/// From this pace on a rank is told to be slow, in the log; decisions take any pace as it is.
+		constexpr double kSlowPace = 1.5;
 		/// The time of a pass is the mean over about this long, ms: some passes.
 		constexpr Millis kPassWindowMs = 500;
 	} // namespace
@@ -79,6 +81,16 @@
 		_rank.sampledAt = now;
 	}
 
+	void Coordinator::notePace(const Rank& _rank, const EngineReport& _engine) const
+	{
+		const bool before = kSlowPace <= _rank.report.engine.pace;
+		const bool now = kSlowPace <= _engine.pace;
+		if (before != now)
+		{
+			logInfo(now ? "rank_slow" : "rank_not_slow", {{"engine", _rank.engineAddress}, {"group", _engine.group}, {"rank", _engine.rank}, {"pace", _engine.pace}, {"before", _rank.report.engine.pace}});
+		}
+	}
+
 	void Coordinator::hear(Rank& _rank, const RankReport& _report)
 	{
 		const bool stateChanged = _rank.report.engine.view.open != _report.engine.view.open || _rank.report.engine.view.epoch != _report.engine.view.epoch || 0 == _rank.seenAt;
@@ -86,6 +98,7 @@
 		{
 			logInfo("rank_state", {{"engine", _rank.engineAddress}, {"group", _report.engine.group}, {"rank", _report.engine.rank}, {"epoch", _report.engine.view.epoch}, {"open", _report.engine.view.open}, {"map", _report.engine.view.map}});
 		}
+		this->notePace(_rank, _report.engine);
 		this->takeChoices(_rank, _report.choices);
 		_rank.report = _report;
 		_rank.seenAt = nowMs();
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -260,3 +260,18 @@
 	}
 	cr_assert(comeBackAfter(RefusalCause::GroupDown, std::nullopt, 900, random) <= 300);
 }
+
+Test(decisions, a_slow_upstream_gets_little)
+{
+	Random random(7);
+	std::vector<UpstreamCandidate> candidates(4, UpstreamCandidate{2.0, 12, true, false, false, 0.0, 1.0});
+	candidates[1].load = 0.0;
+	candidates[1].pace = 4.0;
+	int slow = 0;
+	for (int draw = 0; draw < 400; ++draw)
+	{
+		slow += 1 == chooseUpstream(candidates, random) ? 1 : 0;
+	}
+	// Drawn twice, one time in 16, it has no rival; against any other it loses.
+	cr_assert(slow < 45, "%d of 400", slow);
+}
--- a/tests/test_map_policy.cpp
+++ b/tests/test_map_policy.cpp
@@ -124,3 +124,21 @@
 	cr_assert(!decideMap(engine(), kRanks, hosts, none, {60.0, 120}).worthwhile);
 	cr_assert(!decideMap(engine(), kRanks, hosts, even, {60.0, 120}).worthwhile);
 }
+
+/// All ranks wait for the slowest, so experts leave a slow one, a few in each switch.
+Test(mappolicy, a_slow_rank_is_given_less)
+{
+	std::vector<double> paces(kRanks, 1.0);
+	paces[3] = 4.0;
+	const ExpertLoad even(4, std::vector<double>(kExperts, 1.0));
+	ExpertHosts hosts = dealtInTurn(4, kExperts, kRanks);
+	const double before = skewOf(hosts, even, kRanks, paces);
+	cr_assert(before > 2.0 && std::abs(skewOf(hosts, even, kRanks)) < 1e-9);
+	for (int switches = 0; switches < 8; ++switches)
+	{
+		const MapDecision decision = decideMap(engine(), kRanks, hosts, even, {60.0, 120}, paces);
+		hosts = decision.worthwhile ? decision.hosts : hosts;
+	}
+	const double after = skewOf(hosts, even, kRanks, paces);
+	cr_assert(after < 0.6, "%f -> %f", before, after);
+}
