A soak of the programs for the users' platform, judged by callers and upstreams

Cause: the seeded chaos played an office behind archdyke's own interface only; gateway, sidecars and store client had focused tests, and no run in which faults overlap and come twice.

Each violation has a test of the judge.

--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -1,7 +1,6 @@
 /// A gateway before stand-ins of the users' platform, all as processes of their own.
 #pragma once
 
-#include <absl/strings/escaping.h>
 #include <criterion/criterion.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -11,7 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "address.h"
-#include "lab_process.h"
+#include "platform_lab.h"
 
 namespace archdyke::tests
 {
@@ -41,66 +40,9 @@
 		std::string path;
 	};
 
-	inline std::unique_ptr<lab::ChildProcess> startTool(const std::string& _name, const Json& _options, const std::string& _log)
-	{
-		return std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/tools/" + _name, std::vector<std::string>{_options.dump()}, _log);
-	}
-
-	inline httplib::Client clientOf(const std::string& _address)
-	{
-		const Address address = parseAddress(_address);
-		httplib::Client client(address.host, address.port);
-		client.set_read_timeout(10);
-		return client;
-	}
-
-	/// The store, as its operator and the upstreams use it.
-	class RigStore
-	{
-	public:
-		explicit RigStore(const std::string& _log)
-		    : process(startTool("stub-store", Json::object(), _log))
-		    , address(this->process->listening("http"))
-		{
-		}
-
-		/// Writes one row, whatever its version.
-		void put(const std::string& _table, const std::string& _key, const Json& _value)
-		{
-			this->putIn(_table, "", _key, _value.dump());
-		}
-
-		void putIn(const std::string& _table, const std::string& _part, const std::string& _key, const std::string& _value)
-		{
-			const Json row{{"table", _table}, {"part", _part}, {"key", _key}, {"value", absl::Base64Escape(_value)}};
-			this->transact({{"put", Json::array({row})}});
-		}
-
-		void remove(const std::string& _table, const std::string& _key)
-		{
-			this->removeIn(_table, "", _key);
-		}
-
-		void removeIn(const std::string& _table, const std::string& _part, const std::string& _key)
-		{
-			this->transact({{"remove", Json::array({{{"table", _table}, {"part", _part}, {"key", _key}}})}});
-		}
-
-		void control(const Json& _control)
-		{
-			clientOf(this->address).Post("/control", _control.dump(), "application/json");
-		}
-
-		std::unique_ptr<lab::ChildProcess> process;
-		std::string address;
-
-	private:
-		void transact(const Json& _body)
-		{
-			const httplib::Result result = clientOf(this->address).Post("/rows-tx", _body.dump(), "application/json");
-			cr_assert(result && 200 == result->status);
-		}
-	};
+	using lab::clientOf;
+	using lab::startTool;
+	using RigStore = lab::StoreStub;
 
 	/// One upstream with its row in the store.
 	struct RigWorker
@@ -152,24 +94,18 @@
 
 		void announce(const RigWorker& _worker, const std::string& _state)
 		{
-			this->store.put("servers", _worker.id, {{"service", "svc"}, {"address", _worker.address}, {"zone", "here"}, {"slots", 4}, {"state", _state}});
+			this->store.put("servers", _worker.id, lab::upstreamJson("svc", _worker.address, _state));
 		}
 
 		static Json route(const std::string& _prefix, const std::string& _kind)
 		{
-			return {{"name", _prefix}, {"host", "office.example"}, {"pathPrefix", _prefix}, {"routeKind", _kind}, {"timeoutMs", 1'500}, {"sloMs", 300}, {"priority", 1}, {"service", "svc"}, {"maxAttempts", 2}, {"public", false}};
+			return lab::routeJson(_prefix, _kind);
 		}
 
 		/// Writes a configuration with the usual routes and one key.
 		void configure(std::uint64_t _version, const std::string& _key = "key-one", const Json& _moreRoutes = Json::array())
 		{
-			Json stream = route("/stream/", "streaming");
-			stream["resumable"] = true;
-			Json open = route("/open/", "idempotent");
-			open["public"] = true;
-			Json routes = Json::array({route("/safe/", "idempotent"), route("/once/", "non_idempotent"), stream, open});
-			routes.insert(routes.end(), _moreRoutes.begin(), _moreRoutes.end());
-			this->store.put("op", "config", {{"version", _version}, {"routes", routes}, {"services", Json::array({{{"name", "svc"}, {"maxConns", 50}}})}, {"limits", {{"maxHeaderBytes", 4'096}, {"maxBodyBytes", 65'536}, {"headerTimeoutMs", 700}, {"idleTimeoutMs", 5'000}}}, {"tenants", Json::array({{{"name", "kitchen"}, {"apiKeys", Json::array({_key})}, {"priority", 1}}})}});
+			this->store.put("op", "config", lab::configurationJson(_version, {_key}, _moreRoutes));
 		}
 
 		void startGateway()
--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -106,13 +106,11 @@
 		{
 			if (nullptr == this->proxy)
 			{
-				this->proxy = startTool("stub-proxy", Json::object(), this->directory.path + "/proxy.log");
-				this->proxyControl = this->proxy->listening("http");
+				this->proxy = std::make_unique<lab::ProxyStub>(this->directory.path + "/proxy.log");
 			}
-			const httplib::Result link = clientOf(this->proxyControl).Post("/links", Json{{"name", _name}, {"target", this->store.address}}.dump(), "application/json");
-			cr_assert(link && 200 == link->status);
+			const std::string wayToStore = this->proxy->link(_name, this->store.address);
 			const std::string path = fmt::format("{}/{}.json", this->directory.path, _name);
-			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 7340}, {"metrics", "127.0.0.1:0"}, {"store", Json::parse(link->body)["address"]}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", kRevocationMs}, {"graceS", 8}}.dump();
+			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 7340}, {"metrics", "127.0.0.1:0"}, {"store", wayToStore}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", kRevocationMs}, {"graceS", 8}}.dump();
 			this->gateways[_name] = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, fmt::format("{}/{}.log", this->directory.path, _name));
 			this->gatewayMetrics[_name] = this->gateways[_name]->listening("metrics");
 			cr_assert(lab::waitUntil(kSwitchMs, [&] {
@@ -138,14 +136,13 @@
 
 		void cutFromStore(const std::string& _name, bool _cut) const
 		{
-			clientOf(this->proxyControl).Post("/faults", Json{{"name", _name}, {"cutToTarget", _cut}, {"cutToClient", _cut}}.dump(), "application/json");
+			this->proxy->faults(_name, {{"cutToTarget", _cut}, {"cutToClient", _cut}});
 		}
 
 		/// Writes the configuration again, as a newer version.
 		void configure(std::uint64_t _version)
 		{
-			const Json engine{{"slots", 4}, {"step_ms", 4.0}, {"per_seq_ms", 1.0}, {"read_per_s", 60'000.0}, {"chunk", 512}, {"stride", 1}, {"linkMbps", 180'000.0}, {"sets", 2}, {"experts", 8}, {"places", 4}, {"spare", 2}, {"expert_mb", 100.0}, {"expert_share", 0.8}, {"form_ms", 100.0}};
-			this->store.put("op", "config", {{"version", _version}, {"services", Json::array({{{"name", "svc"}, {"engine", engine}}})}});
+			this->store.put("op", "config", {{"version", _version}, {"services", Json::array({{{"name", "svc"}, {"engine", lab::rankEngineJson()}}})}});
 		}
 
 		static constexpr Millis kRevocationMs = 4'000;
@@ -153,8 +150,7 @@
 		ScratchDirectory directory;
 		RigStore store;
 		std::unique_ptr<lab::ChildProcess> ranks;
-		std::unique_ptr<lab::ChildProcess> proxy;
-		std::string proxyControl;
+		std::unique_ptr<lab::ProxyStub> proxy;
 		std::map<std::string, std::unique_ptr<lab::ChildProcess>> gateways;
 		std::map<std::string, std::string> gatewayMetrics;
 		std::vector<std::string> engines;
@@ -166,7 +162,7 @@
 			this->configure(1);
 			for (std::size_t rank = 0; rank < kRanks; ++rank)
 			{
-				this->store.put("servers", fmt::format("rank-{}", rank), {{"service", "svc"}, {"address", this->engines[rank]}, {"zone", "here"}, {"slots", 4}, {"state", "ready"}});
+				this->store.put("servers", fmt::format("rank-{}", rank), lab::upstreamJson("svc", this->engines[rank], "ready"));
 			}
 		}
 	};
--- /dev/null
+++ b/tests/test_soak.cpp
@@ -0,0 +1,116 @@
+/// The soak of the programs for the users' platform: its judge notices each broken promise, and short
+/// seeded runs keep them all.
+#include <criterion/criterion.h>
+
+#include "soak.h"
+
+using namespace archdyke;
+using namespace archdyke::lab;
+
+namespace
+{
+	constexpr Millis kSentAt = 100'000;
+
+	/// A deployment in which one request was answered whole.
+	SoakRecord calm(SoakKind _kind)
+	{
+		SoakRecord record;
+		record.heldKeys = {"key"};
+		record.calls = {{"r1", _kind, "key", "gateway-0", kSentAt, kSentAt + 50, 200, true}};
+		record.runs = {{"r1", "w0", kSentAt + 5}};
+		return record;
+	}
+
+	int violationsOf(const SoakRecord& _record, const std::string& _kind)
+	{
+		const SoakViolations violations = judgeSoak(_record, SoakBounds());
+		const auto found = violations.byKind.find(_kind);
+		return violations.byKind.end() == found ? 0 : found->second;
+	}
+
+	void playSeed(std::uint64_t _seed, std::uint32_t _faults)
+	{
+		ChaosOptions options;
+		options.scene = Scene::Platform;
+		options.seed = _seed;
+		options.faults = _faults;
+		const SoakResult result = runSoak(options);
+		std::string lines;
+		for (const std::string& line : result.violations.lines)
+		{
+			lines += line + "\n";
+		}
+		cr_assert(lines.empty(), "seed %llu:\n%s", static_cast<unsigned long long>(_seed), lines.c_str());
+		cr_assert(0 < result.statuses.at(200));
+	}
+} // namespace
+
+Test(soakjudge, a_whole_answer_is_no_violation)
+{
+	cr_assert(0 == judgeSoak(calm(SoakKind::Once), SoakBounds()).total());
+}
+
+Test(soakjudge, an_answer_of_another_request_is_noticed)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.calls[0].whole = false;
+	cr_assert(1 == violationsOf(record, "answer_not_its_own"));
+}
+
+Test(soakjudge, a_second_run_and_a_false_promise_are_noticed)
+{
+	SoakRecord record = calm(SoakKind::Once);
+	record.runs.push_back({"r1", "w1", kSentAt + 9});
+	cr_assert(1 == violationsOf(record, "ran_twice"));
+	record.calls[0].status = 503;
+	cr_assert(1 == violationsOf(record, "ran_though_told_not_run"));
+	record.calls[0].kind = SoakKind::Safe;
+	cr_assert(0 == judgeSoak(record, SoakBounds()).total());
+}
+
+Test(soakjudge, keys_count_by_when_they_were_withdrawn)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.withdrawnAt["key"] = kSentAt - 4'000;
+	cr_assert(0 == violationsOf(record, "key_not_held"));
+	record.withdrawnAt["key"] = kSentAt - 4'001;
+	cr_assert(1 == violationsOf(record, "key_not_held"));
+	record.withdrawnAt.clear();
+	record.heldKeys.clear();
+	cr_assert(1 == violationsOf(record, "key_not_held"));
+}
+
+Test(soakjudge, work_after_leaving_counts_while_the_gateway_is_in_touch)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.leavingAt["w0"] = kSentAt + 5 - 2'000;
+	cr_assert(0 == violationsOf(record, "work_after_leaving"));
+	record.leavingAt["w0"] = kSentAt + 5 - 2'001;
+	cr_assert(1 == violationsOf(record, "work_after_leaving"));
+	record.spans = {{"sidecar-0", FaultKind::FreezeSidecar, kSentAt - 3'000, kSentAt + 100}};
+	cr_assert(1 == violationsOf(record, "work_after_leaving"), "trouble of a sidecar excuses nothing");
+	record.spans = {{"store", FaultKind::StoreBusy, kSentAt - 3'000, kSentAt - 1'500}};
+	cr_assert(0 == violationsOf(record, "work_after_leaving"));
+}
+
+Test(soakjudge, a_cut_by_a_planned_stop_is_noticed)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.calls[0].status = 0;
+	record.spans = {{"gateway-0", FaultKind::StopGateway, kSentAt - 100, kSentAt + 3'000}};
+	cr_assert(1 == violationsOf(record, "cut_by_a_planned_stop_or_nothing"));
+	record.spans.push_back({"w0", FaultKind::KillWorker, kSentAt, kSentAt + 1'000});
+	cr_assert(0 == violationsOf(record, "cut_by_a_planned_stop_or_nothing"));
+}
+
+Test(soakjudge, a_run_that_nobody_asked_for_is_noticed)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.runs.push_back({"r2", "w0", kSentAt});
+	cr_assert(1 == violationsOf(record, "ran_unasked"));
+}
+
+Test(soak, a_short_seed_keeps_all_promises)
+{
+	playSeed(5, 10);
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -27,6 +27,35 @@
 		StopAgent,
 		StopEntry,
 		Drift,
+		// Of the programs for the users' platform, see soak.h.
+		KillGateway,
+		FreezeGateway,
+		StopGateway,
+		KillWorker,
+		FreezeWorker,
+		DrainWorker,
+		KillSidecar,
+		FreezeSidecar,
+		DelayLinks,
+		ResetWorkerLinks,
+		CutStoreOneWay,
+		StoreSilent,
+		StoreBusy,
+		StoreLose,
+		StoreSlow,
+		StoreForget,
+		RevokeKey,
+		ChangeConfiguration,
+		LateOrders,
+		FormAnew,
+		Count
+	};
+
+	/// Which faults a schedule draws from.
+	enum class Scene
+	{
+		Office,   ///< archdyke's own interface.
+		Platform, ///< The programs for the users' platform.
 		Count
 	};
 
@@ -46,6 +75,7 @@
 
 	struct ChaosOptions
 	{
+		Scene scene = Scene::Office;
 		std::string file;
 		std::uint64_t seed = 1;
 		std::uint32_t faults = 12;
--- a/tools/chaos_main.cpp
+++ b/tools/chaos_main.cpp
@@ -1,9 +1,11 @@
 /// archdyke-chaos: seeded runs of an office under faults, and what was violated.
+#include <algorithm>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <iostream>
 
 #include "chaos.h"
+#include "soak.h"
 
 namespace archdyke::lab
 {
@@ -26,10 +28,31 @@
 			std::cout << std::flush;
 		}
 
+		void print(std::uint64_t _seed, const SoakResult& _result)
+		{
+			std::string faults;
+			for (const auto& [kind, count] : _result.faults)
+			{
+				faults += fmt::format(" {}={}", kind, count);
+			}
+			std::string statuses;
+			for (const auto& [status, count] : _result.statuses)
+			{
+				statuses += fmt::format(" {}={}", 0 == status ? "broken" : std::to_string(status), count);
+			}
+			std::cout << fmt::format("seed {}: violations {}; calls:{}; faults:{}\n", _seed, _result.violations.total(), statuses, faults);
+			constexpr std::size_t kMostLines = 12;
+			for (std::size_t index = 0; index < std::min(kMostLines, _result.violations.lines.size()); ++index)
+			{
+				std::cout << "  " << _result.violations.lines[index] << "\n";
+			}
+			std::cout << std::flush;
+		}
+
 		int run(int _argc, char** _argv)
 		{
 			cxxopts::Options options("archdyke-chaos", "Runs an office under load and seeded faults, and judges it.");
-			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "How many seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls a second", cxxopts::value<double>()->default_value("80"))("h,help", "Print this help");
+			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "How many seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls a second", cxxopts::value<double>()->default_value("80"))("platform", "The programs for the users' platform, in place of an office")("h,help", "Print this help");
 			const cxxopts::ParseResult parsed = options.parse(_argc, _argv);
 			if (0 < parsed.count("help"))
 			{
@@ -45,6 +68,14 @@
 				chaos.seed = seed;
 				chaos.faults = parsed["faults"].as<std::uint32_t>();
 				chaos.perSecond = parsed["rate"].as<double>();
+				if (0 < parsed.count("platform"))
+				{
+					chaos.scene = Scene::Platform;
+					const SoakResult soak = runSoak(chaos);
+					print(seed, soak);
+					violations += soak.violations.total();
+					continue;
+				}
 				const ChaosResult result = runChaos(chaos);
 				print(seed, result);
 				violations += result.violations();
--- /dev/null
+++ b/tools/soak_judge.cpp
@@ -0,0 +1,132 @@
+#include <fmt/format.h>
+
+#include "soak.h"
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		using Runs = std::map<std::string, std::vector<const SoakRun*>>;
+
+		bool promisesNotRun(int _status)
+		{
+			return 408 == _status || 421 == _status || 429 == _status || 503 == _status;
+		}
+
+		bool overlaps(const SoakSpan& _span, Millis _from, Millis _until)
+		{
+			return _span.from <= _until && _from <= _span.until;
+		}
+
+		/// Whether a gateway is bound by what has a time bound: no trouble of its own, of its ways or
+		/// of the store for a while. What happens to sidecars excuses it of nothing.
+		bool isInTouch(const SoakRecord& _record, const std::string& _gateway, Millis _from, Millis _until)
+		{
+			for (const SoakSpan& span : _record.spans)
+			{
+				const bool its = span.part == _gateway || "store" == span.part || "links" == span.part;
+				if (its && overlaps(span, _from, _until))
+				{
+					return false;
+				}
+			}
+			return true;
+		}
+
+		/// Whether only a planned stop of the gateway touched a request.
+		bool onlyStopped(const SoakRecord& _record, const SoakCall& _call, const SoakBounds& _bounds)
+		{
+			for (const SoakSpan& span : _record.spans)
+			{
+				const bool itsStop = FaultKind::StopGateway == span.kind && span.part == _call.gateway;
+				const bool othersStop = FaultKind::StopGateway == span.kind && span.part != _call.gateway;
+				const bool harmless = FaultKind::KillSidecar == span.kind || FaultKind::FreezeSidecar == span.kind || FaultKind::LateOrders == span.kind || FaultKind::FormAnew == span.kind;
+				if (!itsStop && !othersStop && !harmless && overlaps(span, _call.sentAt - _bounds.contactMs, _call.endedAt))
+				{
+					return false;
+				}
+			}
+			return true;
+		}
+
+		void judgeCall(const SoakRecord& _record, const SoakBounds& _bounds, const SoakCall& _call, const std::vector<const SoakRun*>& _runs, SoakViolations& _violations)
+		{
+			const std::string where = fmt::format("request {} at {} sent at {}, ended at {} with {}, {} runs", _call.id, _call.gateway, _call.sentAt, _call.endedAt, _call.status, _runs.size());
+			if (200 == _call.status && !_call.whole)
+			{
+				_violations.add("answer_not_its_own", where);
+			}
+			if (SoakKind::Once == _call.kind && 1 < _runs.size())
+			{
+				_violations.add("ran_twice", where);
+			}
+			if (SoakKind::Once == _call.kind && promisesNotRun(_call.status) && !_runs.empty())
+			{
+				_violations.add("ran_though_told_not_run", where);
+			}
+			const auto withdrawn = _record.withdrawnAt.find(_call.key);
+			const bool late = _record.withdrawnAt.end() != withdrawn && _call.sentAt > withdrawn->second + _bounds.revocationMs;
+			if (!_runs.empty() && (late || !_record.heldKeys.contains(_call.key)))
+			{
+				_violations.add("key_not_held", where + fmt::format(", key {}", _call.key));
+			}
+			const bool passedOn = !_runs.empty() || _call.endedAt - _call.sentAt > _bounds.lossSlackMs;
+			if (0 == _call.status && passedOn && onlyStopped(_record, _call, _bounds))
+			{
+				_violations.add("cut_by_a_planned_stop_or_nothing", where);
+			}
+		}
+
+		void judgeRun(const SoakRecord& _record, const SoakBounds& _bounds, const SoakCall& _call, const SoakRun& _run, SoakViolations& _violations)
+		{
+			const auto leaving = _record.leavingAt.find(_run.upstream);
+			if (_record.leavingAt.end() == leaving || _run.at <= leaving->second + _bounds.drainMs)
+			{
+				return;
+			}
+			if (isInTouch(_record, _call.gateway, _run.at - _bounds.drainMs - _bounds.contactMs, _run.at))
+			{
+				_violations.add("work_after_leaving", fmt::format("request {} by {} ran at {} of {}, which left at {}", _call.id, _call.gateway, _run.at, _run.upstream, leaving->second));
+			}
+		}
+	} // namespace
+
+	void SoakViolations::add(const std::string& _kind, const std::string& _line)
+	{
+		this->byKind[_kind] += 1;
+		this->lines.push_back(_kind + ": " + _line);
+	}
+
+	int SoakViolations::total() const
+	{
+		return int(this->lines.size());
+	}
+
+	SoakViolations judgeSoak(const SoakRecord& _record, const SoakBounds& _bounds)
+	{
+		SoakViolations violations;
+		Runs runs;
+		for (const SoakRun& run : _record.runs)
+		{
+			runs[run.request].push_back(&run);
+		}
+		std::set<std::string> sent;
+		for (const SoakCall& call : _record.calls)
+		{
+			sent.insert(call.id);
+			judgeCall(_record, _bounds, call, runs[call.id], violations);
+			for (const SoakRun* run : runs[call.id])
+			{
+				judgeRun(_record, _bounds, call, *run, violations);
+			}
+		}
+		for (const auto& [request, ran] : runs)
+		{
+			if (!ran.empty() && !sent.contains(request))
+			{
+				violations.add("ran_unasked", "request " + request);
+			}
+		}
+		return violations;
+	}
+} // namespace archdyke::lab
--- a/tools/stub_proxy.cpp
+++ b/tools/stub_proxy.cpp
@@ -18,6 +18,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 #include "http_server.h"
 #include "log.h"
@@ -206,11 +207,16 @@
 	{
 		absl::Mutex mutex;
 		std::map<std::string, std::unique_ptr<Link>> links;
+		std::vector<std::unique_ptr<Link>> retired; // their threads still use them
 		HttpServer server;
 		server.routes().Post("/links", [&](const httplib::Request& _request, httplib::Response& _response) {
 			const Json body = Json::parse(_request.body);
 			absl::MutexLock lock(&mutex);
 			std::unique_ptr<Link>& link = links[body.at("name")];
+			if (nullptr != link)
+			{
+				retired.push_back(std::move(link));
+			}
 			link = std::make_unique<Link>(body.at("target").get<std::string>());
 			_response.set_content(Json{{"address", "127.0.0.1:" + std::to_string(link->listenPort())}}.dump(), "application/json");
 		});
--- a/tools/stub_store.cpp
+++ b/tools/stub_store.cpp
@@ -2,7 +2,7 @@
 /// feed of changes; and its troubles.
 ///
 /// Options: {"address"?}. POST /control {"mode": "up" | "busy" | "silent" | "lose", "delayMs"?,
-/// "forget"?}: busy answers 503, silent doesn't answer, lose does writes without an answer, forget
+/// "forget"?}, whose modes leave calls with the header X-Stub-Operator alone: busy answers 503, silent doesn't answer, lose does writes without an answer, forget
 /// drops the history once.
 #include <absl/strings/escaping.h>
 #include <absl/synchronization/mutex.h>
@@ -50,6 +50,11 @@
 			void addRoutes(httplib::Server& _routes)
 			{
 				_routes.Post("/rows-tx", [this](const httplib::Request& _request, httplib::Response& _response) {
+					if (_request.has_header("X-Stub-Operator"))
+					{
+						this->transact(Json::parse(_request.body), _response);
+						return;
+					}
 					this->guarded(_response, true, [&] {
 						this->transact(Json::parse(_request.body), _response);
 					});
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -112,6 +112,13 @@
 				return head;
 			}
 
+			/// A line a run, so that runs are known also when this process is killed.
+			void printRun(const Call& _call) const
+			{
+				fmt::print("run request={} at={} organisation={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->headerOf(_call, "X-Archdyke-Tenant"));
+				std::fflush(stdout);
+			}
+
 			std::string recordText() const
 			{
 				nlohmann::json records = nlohmann::json::object();
@@ -159,6 +166,7 @@
 				}
 				Record& record = this->records[this->headerOf(_call, "X-Archdyke-Request-Id")];
 				record.runs += 1;
+				this->printRun(_call);
 				record.organisation = this->headerOf(_call, "X-Archdyke-Tenant");
 				record.resumedAfter = this->headerOf(_call, "Last-Event-Id");
 				if ("stream" == what || "break" == what || "skip" == what || "jump" == what)
