--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -84,5 +84,25 @@
 	'if (!_patience.allReachable)' 'if (false)'
 mutant group-uses-a-boundary-again "forward_.*" src/decide/forward_switch.cpp \
 	'return std::max(newestStep(_ranks) + _marginSteps, _intent.boundary + 1);' 'return newestStep(_ranks) + _marginSteps;'
+mutant gateway-takes-proofs-of-another-row "group_a_gateway_that_the_store_turns_away_goes_by_what_others_have" src/gateway/watch.cpp \
+	'_proof.rowVersion == this->configurationRow' 'true'
+mutant gateway-trusts-old-news "group_gateways_ask_the_store_themselves_while_nobody_tells" src/gateway/watch.cpp \
+	'constexpr Millis kToldMaxAgeMs = 700;' 'constexpr Millis kToldMaxAgeMs = 700'"'"'000;' \
+	'constexpr Millis kNewsMaxAgeMs = 1'"'"'250;' 'constexpr Millis kNewsMaxAgeMs = 700'"'"'000;'
+mutant sidecar-takes-over-from-a-living-coordinator "group_ranks_that_start_together_agree_on_one_coordinator" src/group/sidecar.cpp \
+	'if (!this->coordinatorIsGone())
+					{
+						continue; // it was heard while the engine was asked' 'if (false)
+					{
+						continue; // it was heard while the engine was asked' \
+	'if (!this->coordinatorIsGone())
+					{
+						co_return; // it was heard while the row was read' 'if (false)
+					{
+						co_return; // it was heard while the row was read'
+mutant planner-ignores-paces "mappolicy_a_slow_rank_is_given_less" src/decide/map_policy.cpp \
+	'input.paces = _paces;' ''
+mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
+	'_upstream.record.service == _service && !_upstream.leavingSince' '_upstream.record.service == _service'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
 exit $missed
