--- a/include/archdyke/forward_switch.h
+++ b/include/archdyke/forward_switch.h
@@ -137,7 +137,7 @@
 	/// @returns The row of a coordinator that takes over: the open switch stays as it is.
 	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator);
 
-	/// @returns Text of a row.
+	/// @returns Text of a row. How it is laid out: switch_row.cpp.
 	std::string encodeIntent(const SwitchIntent& _intent);
 
 	/// @throws InvalidInputError When the text is no row.
