The soak is four small modules

Cause: tools/soak.cpp was one class of some 700 lines; deployment, callers, faults and the run could only be read together.

Change: soak_deployment has the processes and what the platform does to them, soak_callers the callers, soak_faults what each kind of fault does and when; soak.cpp is the run and its checks. Whether a span overlaps a time is said once, for run and judge.

--- a/tools/soak.h
+++ b/tools/soak.h
@@ -49,6 +49,9 @@
 		Millis until = 0;
 	};
 
+	/// @returns Whether it was so at any time from _from to _until.
+	bool overlaps(const SoakSpan& _span, Millis _from, Millis _until);
+
 	/// All that is known of a run when it is over.
 	struct SoakRecord
 	{
--- /dev/null
+++ b/tools/soak_callers.cpp
@@ -0,0 +1,124 @@
+#include "soak_callers.h"
+
+#include <fmt/format.h>
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		constexpr std::size_t kCallers = 8;
+		constexpr int kEvents = 12;             ///< Of a stream of the stand-in.
+		constexpr int kCallsOfAConnection = 25; ///< Then a caller goes to another gateway.
+		constexpr Millis kPatienceMs = 1'500;   ///< Deadline of a request.
+		constexpr Millis kReadSlackMs = 500;    ///< A caller waits so much longer than its deadline.
+		constexpr int kConnectWaitS = 1;
+		constexpr Millis kBrokenPauseMs = 25; ///< After a request without a whole answer.
+		constexpr Millis kMostPauseMs = 30;   ///< Between two requests, less than this.
+
+		std::string pathOf(SoakKind _kind)
+		{
+			switch (_kind)
+			{
+			case SoakKind::Safe:
+				return "/safe/x";
+			case SoakKind::Once:
+				return "/once/x";
+			default:
+				return "/stream/x?do=stream";
+			}
+		}
+
+		/// @returns The body that an upstream gives a request.
+		std::string expectedBody(SoakKind _kind)
+		{
+			if (SoakKind::Stream != _kind)
+			{
+				return "GET " + pathOf(_kind) + " ";
+			}
+			std::string body;
+			for (int event = 1; event <= kEvents; ++event)
+			{
+				body += fmt::format("id: {}\ndata: piece {}\n\n", event, event);
+			}
+			return body;
+		}
+
+		httplib::Client connectionTo(const std::string& _address)
+		{
+			httplib::Client client = clientOf(_address);
+			client.set_keep_alive(true);
+			client.set_connection_timeout(kConnectWaitS);
+			client.set_read_timeout(std::chrono::milliseconds(kPatienceMs + kReadSlackMs));
+			return client;
+		}
+
+		/// Sends a request.
+		/// @param[in] _call Its id, kind, key and gateway.
+		/// @returns The same with what it came to.
+		SoakCall send(httplib::Client& _client, SoakCall _call)
+		{
+			const httplib::Headers headers{{"Host", "office.example"}, {"X-Archdyke-Request-Id", _call.id}, {"X-Archdyke-Deadline-Ms", std::to_string(kPatienceMs)}, {"X-Api-Key", _call.key}};
+			const std::string path = pathOf(_call.kind);
+			_call.sentAt = nowMs();
+			const httplib::Result got = _client.Get(path, headers);
+			_call.endedAt = nowMs();
+			_call.status = got ? got->status : 0;
+			_call.whole = got && expectedBody(_call.kind) == got->body;
+			return _call;
+		}
+	} // namespace
+
+	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed)
+	    : deployment(_deployment)
+	    , seed(_seed)
+	{
+		for (std::size_t index = 0; index < kCallers; ++index)
+		{
+			this->threads.emplace_back([this, index] {
+				this->call(index);
+			});
+		}
+	}
+
+	std::vector<SoakCall> SoakCallers::stop()
+	{
+		this->over = true;
+		for (std::thread& thread : this->threads)
+		{
+			thread.join();
+		}
+		absl::MutexLock lock(&this->mutex);
+		return std::move(this->calls);
+	}
+
+	void SoakCallers::call(std::size_t _index)
+	{
+		constexpr std::uint64_t kSeedsApart = 1'000; // more than there are callers
+		Random random(this->seed * kSeedsApart + _index);
+		std::uint64_t made = 0;
+		while (!this->over)
+		{
+			const SoakDoor door = this->deployment.door(random);
+			httplib::Client client = connectionTo(door.address);
+			bool broken = false;
+			for (int calls = 0; calls < kCallsOfAConnection && !broken && !this->over; ++calls)
+			{
+				SoakCall call;
+				call.id = fmt::format("c{}-{}", _index, made++);
+				call.kind = SoakKind(randomBelow(random, std::uint64_t(SoakKind::Count)));
+				call.key = this->deployment.drawKey(random);
+				call.gateway = door.gateway;
+				call = send(client, std::move(call));
+				broken = 0 == call.status;
+				this->add(std::move(call));
+				pauseMs(broken ? kBrokenPauseMs : Millis(randomBelow(random, kMostPauseMs)));
+			}
+		}
+	}
+
+	void SoakCallers::add(SoakCall _call)
+	{
+		absl::MutexLock lock(&this->mutex);
+		this->calls.push_back(std::move(_call));
+	}
+} // namespace archdyke::lab
--- /dev/null
+++ b/tools/soak_callers.h
@@ -0,0 +1,32 @@
+/// Callers of a soak: each sends one request after the other over connections to any gateway.
+#pragma once
+
+#include <thread>
+
+#include "soak_deployment.h"
+
+namespace archdyke::lab
+{
+	class SoakCallers
+	{
+	public:
+		/// Starts them.
+		/// @param[in] _deployment Outlives the callers.
+		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed);
+
+		/// Ends them, which must be done once.
+		/// @returns What all their requests came to.
+		std::vector<SoakCall> stop();
+
+	private:
+		void call(std::size_t _index);
+		void add(SoakCall _call);
+
+		SoakDeployment& deployment;
+		const std::uint64_t seed;
+		std::atomic<bool> over{false};
+		absl::Mutex mutex;
+		std::vector<SoakCall> calls; ///< Under the mutex.
+		std::vector<std::thread> threads;
+	};
+} // namespace archdyke::lab
--- /dev/null
+++ b/tools/soak_deployment.cpp
@@ -0,0 +1,268 @@
+#include "soak_deployment.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <limits>
+#include <sstream>
+#include <unistd.h>
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		constexpr std::size_t kGateways = 3;
+		constexpr std::size_t kWorkers = 4;
+		constexpr std::size_t kRanks = 4;
+		/// How long a gateway may take to say what it has, ms: a frozen one doesn't answer.
+		constexpr Millis kDumpWaitMs = 200;
+		constexpr Millis kMsPerS = 1'000;
+		constexpr const char* kSteadyKey = "key-steady";
+		constexpr const char* kNobodysKey = "key-of-nobody";
+
+		std::string makeDirectory(std::uint64_t _seed)
+		{
+			std::string pattern = (std::filesystem::temp_directory_path() / fmt::format("archdyke-soak-{}-XXXXXX", _seed)).string();
+			if (nullptr == mkdtemp(pattern.data()))
+			{
+				throw std::runtime_error("no directory for the logs of a soak; make room for temporary files");
+			}
+			return pattern;
+		}
+
+		std::string keyName(std::uint64_t _number)
+		{
+			return fmt::format("key-{}", _number);
+		}
+	} // namespace
+
+	SoakDeployment::SoakDeployment(std::uint64_t _seed)
+	    : directory(makeDirectory(_seed))
+	    , store(this->directory + "/store.log")
+	    , proxy(this->directory + "/proxy.log")
+	{
+		this->record.heldKeys = {kSteadyKey};
+	}
+
+	/// Loopback addresses that no other run on this machine uses.
+	std::string SoakDeployment::ipOf(std::size_t _rank) const
+	{
+		const int process = getpid();
+		return fmt::format("127.{}.{}.{}", 1 + process % 200, 1 + process / 200 % 200, 10 + _rank);
+	}
+
+	std::string SoakDeployment::changingKey() const
+	{
+		return keyName(this->keysMade);
+	}
+
+	void SoakDeployment::start()
+	{
+		this->startRanks();
+		for (std::size_t index = 0; index < kWorkers; ++index)
+		{
+			this->addWorker();
+		}
+		this->configure();
+		for (std::size_t rank = 0; rank < kRanks; ++rank)
+		{
+			this->sidecars.emplace_back().name = fmt::format("sidecar-{}", rank);
+			this->startSidecar(rank);
+		}
+		for (std::size_t index = 0; index < kGateways; ++index)
+		{
+			this->gateways.emplace_back().name = fmt::format("gateway-{}", index);
+			this->startGateway(this->gateways.back());
+		}
+	}
+
+	void SoakDeployment::startRanks()
+	{
+		Json addresses = Json::array();
+		for (std::size_t rank = 0; rank < kRanks; ++rank)
+		{
+			addresses.push_back(this->ipOf(rank) + ":0");
+		}
+		this->ranks = startTool("stub-ranks", {{"addresses", addresses}, {"sets", 2}, {"experts", 8}, {"passMs", 15}}, this->directory + "/ranks.log");
+		std::istringstream list(this->ranks->listening("http"));
+		for (std::string address; std::getline(list, address, ',');)
+		{
+			this->store.put("servers", fmt::format("rank-{}", this->engines.size()), upstreamJson("maps", address, "ready"));
+			this->engines.push_back(address);
+		}
+	}
+
+	std::unique_ptr<ChildProcess> SoakDeployment::startDaemon(SoakPart& _part, const std::string& _program, Json _settings)
+	{
+		const std::string path = fmt::format("{}/{}.json", this->directory, _part.name);
+		_settings["name"] = _part.name;
+		_settings["zone"] = "here";
+		_settings["peerPort"] = 7340;
+		_settings["store"] = this->proxy.link("store<" + _part.name, this->store.address);
+		std::ofstream(path) << _settings.dump();
+		const std::string log = fmt::format("{}/{}-{}.log", this->directory, _part.name, _part.starts++);
+		return std::make_unique<ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/" + _program, std::vector<std::string>{"--settings", path}, log);
+	}
+
+	void SoakDeployment::startSidecar(std::size_t _rank)
+	{
+		SoakPart& sidecar = this->sidecars[_rank];
+		const std::string ip = this->ipOf(_rank);
+		sidecar.process = this->startDaemon(sidecar, "archdyke-sidecar", {{"ip", ip}, {"metrics", ip + ":7341"}, {"upstream", this->engines[_rank]}, {"service", "maps"}});
+	}
+
+	void SoakDeployment::startGateway(SoakPart& _gateway)
+	{
+		auto process = this->startDaemon(_gateway, "archdyke-gateway", {{"ip", "127.0.0.1"}, {"metrics", "127.0.0.1:0"}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->bounds.revocationMs}, {"graceS", this->bounds.graceMs / kMsPerS}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", 6'400.0}});
+		const std::string callers = process->listening("http");
+		absl::MutexLock lock(&this->mutex);
+		_gateway.metrics = process->listening("metrics");
+		_gateway.callers = this->proxy.link("callers>" + _gateway.name, callers);
+		_gateway.process = std::move(process);
+		_gateway.version = 0;
+		_gateway.stoppedAt = 0;
+	}
+
+	void SoakDeployment::addWorker()
+	{
+		SoakWorker worker;
+		worker.id = fmt::format("w{}", this->workers.size());
+		worker.process = startTool("stub-worker", {{"id", worker.id}}, this->directory + "/" + worker.id + ".log");
+		worker.link = "worker>" + worker.id;
+		worker.address = this->proxy.link(worker.link, worker.process->listening("http"));
+		this->store.put("servers", worker.id, upstreamJson("svc", worker.address, "ready"));
+		this->workers.push_back(std::move(worker));
+	}
+
+	void SoakDeployment::configure()
+	{
+		this->version += 1;
+		Json configuration = configurationJson(this->version, {kSteadyKey, this->changingKey()}, Json::array({routeJson(fmt::format("/extra-{}/", this->version), "idempotent")}));
+		configuration["services"].push_back({{"name", "maps"}, {"engine", rankEngineJson()}});
+		this->record.heldKeys.insert(this->changingKey());
+		this->store.put("op", "config", configuration);
+		this->configuredAt = nowMs();
+	}
+
+	void SoakDeployment::revokeKey()
+	{
+		const std::string before = this->changingKey();
+		this->keysMade += 1;
+		this->configure();
+		this->record.withdrawnAt[before] = nowMs();
+	}
+
+	std::size_t SoakDeployment::beginSpan(const std::string& _part, FaultKind _kind)
+	{
+		this->record.spans.push_back({_part, _kind, nowMs(), std::numeric_limits<Millis>::max()});
+		return this->record.spans.size() - 1;
+	}
+
+	void SoakDeployment::revive()
+	{
+		for (SoakPart& gateway : this->gateways)
+		{
+			if (!gateway.process->running())
+			{
+				this->startGateway(gateway);
+				const std::size_t span = this->beginSpan(gateway.name, FaultKind::KillGateway);
+				this->record.spans[span].until = nowMs();
+			}
+		}
+		for (std::size_t rank = 0; rank < this->sidecars.size(); ++rank)
+		{
+			if (!this->sidecars[rank].process->running())
+			{
+				this->startSidecar(rank);
+			}
+		}
+		while (this->livingWorkers() < kWorkers)
+		{
+			this->addWorker();
+		}
+	}
+
+	std::size_t SoakDeployment::livingWorkers() const
+	{
+		return std::size_t(std::count_if(this->workers.begin(), this->workers.end(), [](const SoakWorker& _worker) {
+			return !_worker.leaves && 0 == _worker.removeAt;
+		}));
+	}
+
+	void SoakDeployment::actAsPlatform()
+	{
+		for (SoakWorker& worker : this->workers)
+		{
+			if (0 != worker.removeAt && worker.removeAt <= nowMs())
+			{
+				this->store.remove("servers", worker.id);
+				worker.removeAt = std::numeric_limits<Millis>::max();
+			}
+		}
+		for (SoakPart& gateway : this->gateways)
+		{
+			const bool stopsLate = 0 != gateway.stoppedAt && nowMs() > gateway.stoppedAt + this->bounds.graceMs;
+			if (stopsLate && gateway.process->running())
+			{
+				gateway.process->kill(); // it may have been frozen meanwhile
+			}
+		}
+	}
+
+	void SoakDeployment::heal()
+	{
+		this->store.control({{"mode", "up"}, {"delayMs", 0}});
+		for (auto* parts : {&this->gateways, &this->sidecars})
+		{
+			for (SoakPart& part : *parts)
+			{
+				part.process->signal(SIGCONT);
+			}
+		}
+		for (SoakPart& gateway : this->gateways)
+		{
+			if (0 != gateway.stoppedAt)
+			{
+				gateway.process->waitForExit(this->bounds.graceMs);
+				gateway.process->kill();
+			}
+		}
+		this->revive();
+	}
+
+	void SoakDeployment::controlRanks(const Json& _order)
+	{
+		clientOf(this->engines.front()).Post("/control", _order.dump(), "application/json");
+	}
+
+	SoakDoor SoakDeployment::door(Random& _random)
+	{
+		absl::MutexLock lock(&this->mutex);
+		const SoakPart& gateway = this->gateways[randomBelow(_random, this->gateways.size())];
+		return {gateway.name, gateway.callers};
+	}
+
+	std::string SoakDeployment::drawKey(Random& _random) const
+	{
+		constexpr std::uint64_t kOneIn = 20;
+		const std::uint64_t draw = randomBelow(_random, kOneIn);
+		if (0 == draw)
+		{
+			return kNobodysKey;
+		}
+		const std::uint64_t made = this->keysMade;
+		// The changing key, and the one before it, which is withdrawn.
+		return draw < kOneIn / 2 ? kSteadyKey : keyName(made - std::min<std::uint64_t>(made, draw % 2));
+	}
+
+	Json dumpOf(const SoakPart& _gateway)
+	{
+		httplib::Client client = clientOf(_gateway.metrics);
+		client.set_read_timeout(std::chrono::milliseconds(kDumpWaitMs));
+		client.set_connection_timeout(std::chrono::milliseconds(kDumpWaitMs));
+		const httplib::Result result = client.Get("/dump");
+		return result ? Json::parse(result->body, nullptr, false) : Json();
+	}
+} // namespace archdyke::lab
--- /dev/null
+++ b/tools/soak_faults.cpp
@@ -0,0 +1,224 @@
+#include "soak_faults.h"
+
+#include <csignal>
+
+namespace archdyke::lab
+{
+	namespace
+	{
+		constexpr Millis kRowLapsesMs = 1'500; ///< After a kill; three heartbeats of half a second.
+		constexpr Millis kDelayMs = 150;       ///< Of each piece on a delayed link.
+		constexpr Millis kSlowStoreMs = 250;   ///< Of each answer of a slow store.
+		constexpr double kLateShare = 0.35;    ///< Of orders that ranks carry out late.
+
+		std::size_t strikePart(SoakDeployment& _deployment, SoakPart& _part, FaultKind _kind)
+		{
+			const std::size_t span = _deployment.beginSpan(_part.name, _kind);
+			if (FaultKind::KillGateway == _kind || FaultKind::KillSidecar == _kind)
+			{
+				_part.process->kill();
+			}
+			else if (FaultKind::StopGateway == _kind)
+			{
+				_part.process->signal(SIGTERM);
+				_part.stoppedAt = nowMs();
+			}
+			else
+			{
+				_part.process->signal(SIGSTOP);
+			}
+			return span;
+		}
+
+		std::size_t strikeWorker(SoakDeployment& _deployment, SoakWorker& _worker, FaultKind _kind)
+		{
+			const std::size_t span = _deployment.beginSpan(_worker.id, _kind);
+			if (FaultKind::KillWorker == _kind)
+			{
+				_worker.process->kill();
+				_worker.removeAt = nowMs() + kRowLapsesMs;
+			}
+			else if (FaultKind::FreezeWorker == _kind)
+			{
+				_worker.process->signal(SIGSTOP);
+			}
+			else if (!_worker.leaves)
+			{
+				_worker.leaves = true;
+				_deployment.store.put("servers", _worker.id, upstreamJson("svc", _worker.address, "draining"));
+				_deployment.record.leavingAt[_worker.id] = nowMs();
+			}
+			return span;
+		}
+
+		void faultWorkerLinks(SoakDeployment& _deployment, const Json& _faults)
+		{
+			for (const SoakWorker& worker : _deployment.workers)
+			{
+				_deployment.proxy.faults(worker.link, _faults);
+			}
+		}
+
+		/// @param[in] _cut Answers of the store don't reach the gateway.
+		void cutStore(SoakDeployment& _deployment, const SoakPart& _gateway, bool _cut)
+		{
+			_deployment.proxy.faults("store<" + _gateway.name, {{"cutToClient", _cut}});
+		}
+
+		/// @returns The order to the store's stand-in that begins a fault.
+		Json storeOrder(FaultKind _kind)
+		{
+			switch (_kind)
+			{
+			case FaultKind::StoreSilent:
+				return {{"mode", "silent"}};
+			case FaultKind::StoreBusy:
+				return {{"mode", "busy"}};
+			case FaultKind::StoreLose:
+				return {{"mode", "lose"}};
+			case FaultKind::StoreSlow:
+				return {{"delayMs", kSlowStoreMs}};
+			default:
+				return {{"forget", true}};
+			}
+		}
+
+		/// Begins a fault that has no target of its own.
+		/// @returns Index of its span.
+		std::size_t strikeShared(SoakDeployment& _deployment, FaultKind _kind)
+		{
+			switch (_kind)
+			{
+			case FaultKind::DelayLinks:
+				faultWorkerLinks(_deployment, {{"delayMs", kDelayMs}});
+				return _deployment.beginSpan("links", _kind);
+			case FaultKind::ResetWorkerLinks:
+				faultWorkerLinks(_deployment, {{"reset", true}});
+				return _deployment.beginSpan("links", _kind);
+			case FaultKind::RevokeKey:
+				_deployment.revokeKey();
+				return _deployment.beginSpan("-", _kind);
+			case FaultKind::ChangeConfiguration:
+				_deployment.configure();
+				return _deployment.beginSpan("-", _kind);
+			case FaultKind::LateOrders:
+				_deployment.controlRanks({{"lateShare", kLateShare}});
+				return _deployment.beginSpan("ranks", _kind);
+			case FaultKind::FormAnew:
+				_deployment.controlRanks({{"formAnew", true}});
+				return _deployment.beginSpan("ranks", _kind);
+			default:
+				_deployment.store.control(storeOrder(_kind));
+				return _deployment.beginSpan("store", _kind);
+			}
+		}
+
+		/// @param[in,out] _target A draw; then the index of what was struck.
+		/// @returns Index of its span.
+		std::size_t beginFault(SoakDeployment& _deployment, FaultKind _kind, std::size_t& _target)
+		{
+			switch (_kind)
+			{
+			case FaultKind::KillGateway:
+			case FaultKind::FreezeGateway:
+			case FaultKind::StopGateway:
+				_target %= _deployment.gateways.size();
+				return strikePart(_deployment, _deployment.gateways[_target], _kind);
+			case FaultKind::KillSidecar:
+			case FaultKind::FreezeSidecar:
+				_target %= _deployment.sidecars.size();
+				return strikePart(_deployment, _deployment.sidecars[_target], _kind);
+			case FaultKind::KillWorker:
+			case FaultKind::FreezeWorker:
+			case FaultKind::DrainWorker:
+				_target %= _deployment.workers.size();
+				return strikeWorker(_deployment, _deployment.workers[_target], _kind);
+			case FaultKind::CutStoreOneWay:
+				_target %= _deployment.gateways.size();
+				cutStore(_deployment, _deployment.gateways[_target], true);
+				return _deployment.beginSpan(_deployment.gateways[_target].name, _kind);
+			default:
+				return strikeShared(_deployment, _kind);
+			}
+		}
+
+		void endFault(SoakDeployment& _deployment, FaultKind _kind, std::size_t _target)
+		{
+			switch (_kind)
+			{
+			case FaultKind::FreezeGateway:
+				_deployment.gateways[_target].process->signal(SIGCONT);
+				break;
+			case FaultKind::FreezeSidecar:
+				_deployment.sidecars[_target].process->signal(SIGCONT);
+				break;
+			case FaultKind::FreezeWorker:
+				_deployment.workers[_target].process->signal(SIGCONT);
+				break;
+			case FaultKind::CutStoreOneWay:
+				cutStore(_deployment, _deployment.gateways[_target], false);
+				break;
+			case FaultKind::DelayLinks:
+				faultWorkerLinks(_deployment, {{"delayMs", 0}});
+				break;
+			case FaultKind::StoreSilent:
+			case FaultKind::StoreBusy:
+			case FaultKind::StoreLose:
+			case FaultKind::StoreSlow:
+				_deployment.store.control({{"mode", "up"}, {"delayMs", 0}});
+				break;
+			case FaultKind::LateOrders:
+				_deployment.controlRanks({{"lateShare", 0.0}});
+				break;
+			default:
+				break;
+			}
+			_deployment.revive();
+		}
+	} // namespace
+
+	SoakFaults::SoakFaults(const ChaosOptions& _options, SoakDeployment& _deployment)
+	    : deployment(_deployment)
+	    , plan(planFaults(_options))
+	    , begunAt(nowMs())
+	{
+	}
+
+	void SoakFaults::begin(const PlannedFault& _fault)
+	{
+		this->counts[std::string(toString(_fault.kind))] += 1;
+		ActiveFault item{_fault, std::size_t(_fault.dice), 0};
+		item.span = beginFault(this->deployment, _fault.kind, item.target);
+		this->active.push_back(item);
+	}
+
+	void SoakFaults::step()
+	{
+		const Millis since = nowMs() - this->begunAt;
+		if (!this->plan.empty() && this->plan.front().startMs <= since)
+		{
+			this->begin(this->plan.front());
+			this->plan.erase(this->plan.begin());
+		}
+		for (auto it = this->active.begin(); this->active.end() != it;)
+		{
+			const bool ended = it->fault.startMs + it->fault.lastMs <= since;
+			if (ended)
+			{
+				endFault(this->deployment, it->fault.kind, it->target);
+				this->deployment.record.spans[it->span].until = nowMs();
+			}
+			it = ended ? this->active.erase(it) : it + 1;
+		}
+	}
+
+	bool SoakFaults::areOver() const
+	{
+		return this->plan.empty() && this->active.empty();
+	}
+
+	const std::map<std::string, int>& SoakFaults::begun() const
+	{
+		return this->counts;
+	}
+} // namespace archdyke::lab
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -13,11 +13,6 @@
 			return 408 == _status || 421 == _status || 429 == _status || 503 == _status;
 		}
 
-		bool overlaps(const SoakSpan& _span, Millis _from, Millis _until)
-		{
-			return _span.from <= _until && _from <= _span.until;
-		}
-
 		/// Whether a gateway is bound by what has a time bound: no trouble of its own, of its ways or
 		/// of the store for a while. What happens to sidecars excuses it of nothing.
 		bool isInTouch(const SoakRecord& _record, const std::string& _gateway, Millis _from, Millis _until)
@@ -91,6 +86,11 @@
 		}
 	} // namespace
 
+	bool overlaps(const SoakSpan& _span, Millis _from, Millis _until)
+	{
+		return _span.from <= _until && _from <= _span.until;
+	}
+
 	void SoakViolations::add(const std::string& _kind, const std::string& _line)
 	{
 		this->byKind[_kind] += 1;
