Store watch and the group's row: names, order and shorter functions

Change: such constants stand together; two named flags in place of the map; members by what they are for; StoreWatch::takeAnswer and three parts of Coordinator::checkRow are functions; what was written twice is so once.

Behaviour is the same.

--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -1,5 +1,8 @@
 #include "gateway/watch.h"
 
+#include <algorithm>
+#include <set>
+
 #include "aio/task.h"
 #include "archdyke/errors.h"
 #include "log.h"
@@ -15,6 +18,9 @@
 		/// time for others. Each call is paid for.
 		constexpr double kWaitShareOfRevocation = 0.45;
 		constexpr Millis kMostWaitMs = 5'000; ///< At most, however long the bound is.
+		/// The same for a gateway that asks for others too, ms: they rely on its proof, see
+		/// kNewsMaxAgeMs.
+		constexpr Millis kReaderWaitMs = 500;
 		/// How long a call for changes of the upstreams hangs, ms: a change ends it at once, and
 		/// so does a failed call for the configuration.
 		constexpr Millis kUpstreamsWaitMs = 10'000;
@@ -31,12 +37,6 @@
 		constexpr Millis kLapsedRowsBackMs = 1'900;
 		/// Between two looks for upstreams that are in doubt no longer, ms.
 		constexpr Millis kDoubtLookMs = 100;
-		/// Names of the two tables in the log.
-		constexpr std::string_view kConfiguration = "configuration";
-		constexpr std::string_view kUpstreams = "upstreams";
-
-		/// The same for a gateway that asks for others too: they rely on its proof.
-		constexpr Millis kReaderWaitMs = 500;
 		/// A coordinator that told nothing for this long is gone, ms: some of its answers.
 		constexpr Millis kToldMaxAgeMs = 700;
 		/// What was told of the store counts while it is younger than this, ms: two waits of a
@@ -48,6 +48,9 @@
 		/// From this share of the bound on withdrawn keys on, a store that nobody had an answer of
 		/// was away: upstreams' rows lapse after some longer time.
 		constexpr double kAwayShareOfRevocation = 0.6;
+		/// Names of the two tables in the log.
+		constexpr std::string_view kConfiguration = "configuration";
+		constexpr std::string_view kUpstreams = "upstreams";
 	} // namespace
 
 	StoreWatch::StoreWatch(GatewayState& _state, store::TableStore& _store, store::TableNames _names, DocumentDecoders _decoders)
@@ -59,37 +62,41 @@
 		const auto fatal = [](kj::Exception&& _error) {
 			logError("watch_ended", {{"reason", _error.getDescription().cStr()}, {"remedy", "restart the process and report this line"}});
 		};
-		const Feed configurationFeed{kConfiguration, &StoreWatch::nextConfiguration, &StoreWatch::takeConfiguration, kConfigurationPauseMs, &this->configurationSince, &StoreWatch::configurationIsTold};
-		const Feed upstreamsFeed{kUpstreams, &StoreWatch::nextUpstreams, &StoreWatch::takeUpstreams, kUpstreamsPauseMs, &this->upstreamsSince, &StoreWatch::upstreamsAreTold};
-		this->configuration = this->follow(configurationFeed).take().eagerlyEvaluate(fatal);
-		this->upstreams = this->follow(upstreamsFeed).take().eagerlyEvaluate(fatal);
-		this->doubts = this->forgetDoubtful().take().eagerlyEvaluate(fatal);
+		const Feed configurationFeed{kConfiguration, &StoreWatch::nextConfiguration, &StoreWatch::takeConfiguration, kConfigurationPauseMs, &this->configurationSince, &this->configurationAnswered, &StoreWatch::configurationIsTold};
+		const Feed upstreamsFeed{kUpstreams, &StoreWatch::nextUpstreams, &StoreWatch::takeUpstreams, kUpstreamsPauseMs, &this->upstreamsSince, &this->upstreamsAnswered, &StoreWatch::upstreamsAreTold};
+		this->followingConfiguration = this->follow(configurationFeed).take().eagerlyEvaluate(fatal);
+		this->followingUpstreams = this->follow(upstreamsFeed).take().eagerlyEvaluate(fatal);
+		this->forgetting = this->forgetDoubtful().take().eagerlyEvaluate(fatal);
 	}
 
-	void StoreWatch::noteStore(std::string_view _table, bool _up, const std::string& _reason)
+	void StoreWatch::noteCall(const Feed& _feed, bool _answered, const std::string& _reason)
 	{
 		this->state.counters.storeCalls.Increment();
-		if (!_up)
+		if (!_answered)
 		{
 			this->state.counters.storeFailures.Increment();
 		}
-		bool& answered = this->up.try_emplace(std::string(_table), true).first->second;
-		const bool before = answered;
-		answered = _up;
-		if (!before && _up && kUpstreams == _table)
+		const bool before = *_feed.answered;
+		*_feed.answered = _answered;
+		if (!before && _answered && kUpstreams == _feed.name)
 		{
 			this->upstreamsBackAt = nowMs();
 		}
-		if (!_up && kConfiguration == _table && nullptr != this->upstreamsInterrupt.get())
+		if (!_answered && kConfiguration == _feed.name && nullptr != this->upstreamsInterrupt.get())
 		{
 			this->upstreamsInterrupt->reject(KJ_EXCEPTION(DISCONNECTED, "the call for the configuration failed"));
 		}
-		if (before != _up)
+		if (before != _answered)
 		{
-			logWarning(_up ? "store_back" : "store_lost", {{"table", _table}, {"reason", _reason}, {"proof_age_ms", proofAge(this->state.freshness, nowMs()).value_or(-1)}, {"catalog", versionOf(this->state.catalog)}});
+			logWarning(_answered ? "store_back" : "store_lost", {{"table", _feed.name}, {"reason", _reason}, {"proof_age_ms", proofAge(this->state.freshness, nowMs()).value_or(-1)}, {"catalog", versionOf(this->state.catalog)}});
 		}
 	}
 
+	Millis StoreWatch::shareOfRevocation(double _share) const
+	{
+		return Millis(_share * double(this->state.settings.bounds.revocationMs));
+	}
+
 	store::ConfigurationProof StoreWatch::proof() const
 	{
 		const Freshness& freshness = this->state.freshness;
@@ -107,7 +114,7 @@
 		const Millis now = nowMs();
 		const bool told = now - this->toldAt <= kToldMaxAgeMs && !this->isReader;
 		const bool fresh = proofAge(this->state.freshness, now).value_or(kNewsMaxAgeMs) < kNewsMaxAgeMs;
-		return told && fresh && this->told.rowVersion <= this->configurationRow && 0 == this->unreadableRow;
+		return told && fresh && this->toldProof.rowVersion <= this->configurationRow && 0 == this->unreadableRow;
 	}
 
 	bool StoreWatch::upstreamsAreTold() const
@@ -122,7 +129,7 @@
 		{
 			return kReaderWaitMs;
 		}
-		const Millis usual = std::min(kMostWaitMs, Millis(kWaitShareOfRevocation * double(this->state.settings.bounds.revocationMs)));
+		const Millis usual = std::min(kMostWaitMs, this->shareOfRevocation(kWaitShareOfRevocation));
 		const Millis age = proofAge(this->state.freshness, nowMs()).value_or(0);
 		return std::max<Millis>(0, usual - age); // what was told has an age already
 	}
@@ -136,7 +143,7 @@
 		}
 		this->isReader = _reader;
 		this->toldAt = now;
-		this->told = std::max(this->told, _proof);
+		this->toldProof = std::max(this->toldProof, _proof);
 		// A newer row than the held one is read by a call of one's own, which needn't wait.
 		if (0 != _proof.rowVersion && _proof.rowVersion == this->configurationRow && 0 == this->unreadableRow)
 		{
@@ -159,7 +166,7 @@
 	void StoreWatch::noteAnswer(Millis _answeredAt)
 	{
 		const Millis silent = _answeredAt - this->answeredAt;
-		if (0 != this->answeredAt && silent > Millis(kAwayShareOfRevocation * double(this->state.settings.bounds.revocationMs)))
+		if (0 != this->answeredAt && silent > this->shareOfRevocation(kAwayShareOfRevocation))
 		{
 			logWarning("store_was_away", {{"silent_ms", silent}});
 			this->upstreamsBackAt = nowMs();
@@ -290,6 +297,14 @@
 		return changes.exclusiveJoin(kj::mv(interrupt.promise));
 	}
 
+	Millis StoreWatch::takeAnswer(const Feed& _feed, const store::Rows& _rows, bool _whole)
+	{
+		this->noteAnswer(_rows.storeTime ? ownTimeOf(this->state.freshness, *_rows.storeTime).value_or(_rows.sentAt) : _rows.sentAt);
+		(this->*_feed.take)(_rows, _whole);
+		*_feed.since = std::max(_feed.since->value_or(0), _rows.version);
+		return _rows.rows.empty() ? 0 : _feed.pauseMs;
+	}
+
 	aio::Task<void> StoreWatch::follow(Feed _feed)
 	{
 		std::optional<std::uint64_t>& since = *_feed.since;
@@ -306,7 +321,7 @@
 			try
 			{
 				const store::Rows rows = co_await (this->*_feed.next)(since);
-				this->noteStore(_feed.name, true, "");
+				this->noteCall(_feed, true, "");
 				retryMs = kRetryMs;
 				if (rows.historyGone)
 				{
@@ -314,10 +329,7 @@
 					since.reset();
 					continue;
 				}
-				this->noteAnswer(rows.storeTime ? ownTimeOf(this->state.freshness, *rows.storeTime).value_or(rows.sentAt) : rows.sentAt);
-				(this->*_feed.take)(rows, whole);
-				since = std::max(since.value_or(0), rows.version);
-				pauseMs = rows.rows.empty() ? 0 : _feed.pauseMs;
+				pauseMs = this->takeAnswer(_feed, rows, whole);
 			}
 			catch (const kj::Exception& error)
 			{
@@ -325,7 +337,7 @@
 			}
 			if (!failure.empty())
 			{
-				this->noteStore(_feed.name, false, failure);
+				this->noteCall(_feed, false, failure);
 				pauseMs = retryMs;
 				retryMs = std::min(kMostRetryMs, 2 * retryMs);
 			}
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -45,10 +45,14 @@
 			void (StoreWatch::*take)(const store::Rows& _rows, bool _whole);
 			Millis pauseMs = 0;                            ///< After an answer that brought rows.
 			std::optional<std::uint64_t>* since = nullptr; ///< Version up to which the table is known.
+			bool* answered = nullptr;                      ///< Whether the last call for it was answered.
 			bool (StoreWatch::*isTold)() const;            ///< Whether others tell enough of it just now.
 		};
 
 		aio::Task<void> follow(Feed _feed);
+		/// Takes in an answer that has the rows asked for.
+		/// @returns Pause before the next call, ms.
+		Millis takeAnswer(const Feed& _feed, const store::Rows& _rows, bool _whole);
 		aio::Task<store::Rows> nextConfiguration(std::optional<std::uint64_t> _since);
 		aio::Task<store::Rows> nextUpstreams(std::optional<std::uint64_t> _since);
 		bool configurationIsTold() const;
@@ -66,27 +70,33 @@
 		void noteAnswer(Millis _answeredAt);
 		/// Accounts for a call to the store. A failed one for the configuration also ends the
 		/// call for the upstreams.
-		void noteStore(std::string_view _table, bool _up, const std::string& _reason);
+		void noteCall(const Feed& _feed, bool _answered, const std::string& _reason);
+		/// @returns A share of the bound on withdrawn keys, ms.
+		Millis shareOfRevocation(double _share) const;
 
 		GatewayState& state;
 		store::TableStore& store;
+		store::TableNames names;
+		DocumentDecoders decoders;
+
 		std::uint64_t unreadableRow = 0;    ///< Version of a configuration that can't be read; 0: none.
 		std::uint64_t configurationRow = 0; ///< Version of the row of the one that is held.
 		std::optional<std::uint64_t> configurationSince;
 		std::optional<std::uint64_t> upstreamsSince;
-		store::ConfigurationProof told; ///< The newest proof that others told.
-		Millis toldAt = 0;              ///< When a coordinator last told anything.
-		Millis upstreamsToldFrom = 0;   ///< Own clock, conservatively, at the store's last answer to it.
-		Millis answeredAt = 0;          ///< Own clock, conservatively, at the store's last answer that is known.
-		bool isReader = false;
-		store::TableNames names;
-		DocumentDecoders decoders;
-		std::map<std::string, bool> up;                                ///< By table: whether the last call was answered.
+		bool configurationAnswered = true;
+		bool upstreamsAnswered = true;
+
+		bool isReader = false;               ///< This gateway asks for the configuration, for others too.
+		store::ConfigurationProof toldProof; ///< The newest proof that others told.
+		Millis toldAt = 0;                   ///< When a coordinator last told anything.
+		Millis upstreamsToldFrom = 0;        ///< When the store last answered the coordinator that tells of upstreams; own clock, conservatively.
+		Millis answeredAt = 0;               ///< When the store last answered anybody; own clock, conservatively.
+
 		Millis upstreamsBackAt = 0;                                    ///< When the list could be read again.
 		std::map<std::string, Millis> doubtful;                        ///< Upstreams whose row went with the store; when to forget them.
 		kj::Own<kj::PromiseFulfiller<store::Rows>> upstreamsInterrupt; ///< Ends the call for the upstreams.
-		kj::Promise<void> configuration = nullptr;
-		kj::Promise<void> upstreams = nullptr;
-		kj::Promise<void> doubts = nullptr;
+		kj::Promise<void> followingConfiguration = nullptr;
+		kj::Promise<void> followingUpstreams = nullptr;
+		kj::Promise<void> forgetting = nullptr;
 	};
 } // namespace archdyke::gateway
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -94,6 +94,11 @@
 		aio::Task<void> watchModel();
 		aio::Task<store::Rows> nextUpstreams();
 		aio::Task<void> checkRow();
+		aio::Task<void> waitForRowLook();
+		void takeRow(const store::Rows& _rows);
+		/// @param[in] _seenBefore All ranks, as seen before the row was read.
+		void releaseStrays(const std::vector<RankView>& _seenBefore);
+		void noteWatchFailure(const std::string& _table, const std::string& _reason) const;
 		aio::Task<void> observe(std::string _engine, bool _counts);
 		aio::Task<void> observeDirectly(std::string _engine);
 		aio::Task<void> send(RankOrderPlan _plan);
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -17,10 +17,10 @@
 		/// Between two looks at the row while nothing is written, ms: notices another
 		/// coordinator, and a store that is lost.
 		constexpr Millis kRowLookMs = 2'000;
-		/// After a failed call, and between two that bring changes, ms.
-		constexpr Millis kStoreRetryMs = 300;
 		/// The same while a hold stands in the way of the group, ms.
 		constexpr Millis kStrayLookMs = 50;
+		/// After a failed call, ms.
+		constexpr Millis kStoreRetryMs = 300;
 		/// Between two looks at the engine's declared figures, ms; they hardly ever change.
 		constexpr Millis kModelLookMs = 20'000;
 		/// How long a call for changes of the upstreams hangs, ms: gateways rely on what is told
@@ -143,6 +143,11 @@
 		}
 	}
 
+	void Coordinator::noteWatchFailure(const std::string& _table, const std::string& _reason) const
+	{
+		logWarning("group_watch_failed", {{"group", this->group}, {"table", _table}, {"reason", _reason}});
+	}
+
 	aio::Task<void> Coordinator::watchModel()
 	{
 		while (!this->ended)
@@ -163,7 +168,7 @@
 			}
 			if (!failure.empty())
 			{
-				logWarning("group_watch_failed", {{"group", this->group}, {"table", this->parts.names.configuration}, {"reason", failure}});
+				this->noteWatchFailure(this->parts.names.configuration, failure);
 			}
 			co_await this->parts.loop.timer.afterDelay((failure.empty() ? kModelLookMs : kStoreRetryMs) * kj::MILLISECONDS);
 		}
@@ -214,16 +219,16 @@
 			}
 			if (!failure.empty())
 			{
-				logWarning("group_watch_failed", {{"group", this->group}, {"table", this->parts.names.upstreams}, {"reason", failure}});
+				this->noteWatchFailure(this->parts.names.upstreams, failure);
 				pauseMs = kStoreRetryMs;
 			}
 			co_await this->parts.loop.timer.afterDelay(pauseMs * kj::MILLISECONDS);
 		}
 	}
 
-	/// A hold that is seen while no switch is open stands in the way of the group.
 	Millis Coordinator::rowLookMs() const
 	{
+		// A hold that is seen while no switch is open stands in the way of the group.
 		const std::vector<RankView> ranks = this->views(kViewMaxAgeMs);
 		const bool stray = !this->switchIsOpen() && std::any_of(ranks.begin(), ranks.end(), [](const RankView& _rank) {
 			return _rank.seen && _rank.held;
@@ -232,16 +237,42 @@
 		return stray ? kStrayLookMs : usual;
 	}
 
-	aio::Task<void> Coordinator::checkRow()
+	aio::Task<void> Coordinator::waitForRowLook()
+	{
+		// In short waits, since a stray hold may come up during a long one.
+		for (const Millis since = nowMs(); nowMs() < since + this->rowLookMs();)
+		{
+			co_await this->parts.loop.timer.afterDelay(kStrayLookMs * kj::MILLISECONDS);
+		}
+	}
+
+	void Coordinator::takeRow(const store::Rows& _rows)
 	{
 		const store::RowKey key = groupRowKey(this->parts.settings.service, this->group);
-		while (!this->ended)
+		for (const store::Row& found : _rows.rows)
 		{
-			// In short waits, since a stray hold may come up during a long one.
-			for (const Millis since = nowMs(); nowMs() < since + this->rowLookMs();)
+			if (found.key == key && found.version > this->rowVersion)
 			{
-				co_await this->parts.loop.timer.afterDelay(kStrayLookMs * kj::MILLISECONDS);
+				this->adoptRow(found);
 			}
+		}
+	}
+
+	void Coordinator::releaseStrays(const std::vector<RankView>& _seenBefore)
+	{
+		for (const RankOrderPlan& order : releaseStrayHolds(this->intent, _seenBefore))
+		{
+			logWarning("stray_hold", {{"group", this->group}, {"rank", order.rank}, {"step", order.step}, {"phase", toString(this->intent.phase)}});
+			this->tasks.add(this->send(order).take());
+		}
+	}
+
+	aio::Task<void> Coordinator::checkRow()
+	{
+		const store::RowKey key = groupRowKey(this->parts.settings.service, this->group);
+		while (!this->ended)
+		{
+			co_await this->waitForRowLook();
 			const bool before = this->storeLost;
 			std::string failure;
 			try
@@ -250,18 +281,8 @@
 				const std::vector<RankView> seenBefore = this->views(kViewMaxAgeMs);
 				const store::Rows rows = co_await this->parts.store.read(key.table, key.part, key.key);
 				this->storeLost = false;
-				for (const store::Row& found : rows.rows)
-				{
-					if (found.key == key && found.version > this->rowVersion)
-					{
-						this->adoptRow(found);
-					}
-				}
-				for (const RankOrderPlan& order : releaseStrayHolds(this->intent, seenBefore))
-				{
-					logWarning("stray_hold", {{"group", this->group}, {"rank", order.rank}, {"step", order.step}, {"phase", toString(this->intent.phase)}});
-					this->tasks.add(this->send(order).take());
-				}
+				this->takeRow(rows);
+				this->releaseStrays(seenBefore);
 			}
 			catch (const kj::Exception& error)
 			{
