The server of a rank's daemon has a module of its own

Change: RankServer and the state it shares move to rank_server as they were; reading the group's row from an answer is a function of its own.

Behaviour is the same.

--- /dev/null
+++ b/src/group/rank_server.h
@@ -0,0 +1,53 @@
+/// The daemon's side of the protocol between the daemons of engine ranks: src/rank.capnp.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "group/coordinator.h"
+#include "group/rank_rpc.h"
+#include "process.h"
+
+namespace archdyke::group
+{
+	/// State of the sidecar, on its one event loop.
+	struct SidecarState
+	{
+		Coordination newest; ///< With the highest term that was heard.
+		Millis heardAt = 0;  ///< When a coordinator that reaches the store was last heard.
+		std::optional<EngineReport> lastReport;
+		bool engineUp = true;
+		std::unique_ptr<Coordinator> coordinator; ///< Null while another process coordinates.
+	};
+
+	/// Serves the coordinator of the group, and the gateways if it is this process.
+	class RankServer final : public rpc::RankDaemon::Server
+	{
+	public:
+		RankServer(SidecarState& _state, Engine& _engine, std::string _service);
+
+		kj::Promise<void> observe(ObserveContext _context) override;
+		kj::Promise<void> order(OrderContext _context) override;
+		kj::Promise<void> loads(LoadsContext _context) override;
+
+	private:
+		void hearCoordinator(const Coordination& _coordination);
+		aio::Task<void> answerObserve(ObserveContext _context);
+		/// @param[in] _held Sample that the coordinator has.
+		ChoiceSample takeSample(EngineCounts _counts, std::uint64_t _held);
+		/// Makes the map of a prepare of its difference from one that was given before.
+		/// @returns false when that one isn't known here.
+		bool buildMap(EngineOrder& _order, const MapDifference& _difference);
+		aio::Task<void> answerOrder(OrderContext _context);
+		/// Tells the engine's state with the answer to an order, which saves the coordinator a look.
+		aio::Task<void> reportAfterOrder(OrderContext _context);
+
+		SidecarState& state;
+		Engine& engine;
+		std::string service;
+		std::uint64_t lastSample = randomId() >> 1; ///< Numbers of another run don't fit.
+		EngineCounts lastCounts;
+		std::map<std::uint64_t, RankExperts> maps; ///< By version, the newest.
+	};
+} // namespace archdyke::group
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -3,6 +3,7 @@
 #include "archdyke/errors.h"
 #include "gateway/daemon.h"
 #include "group/coordinator.h"
+#include "group/rank_server.h"
 #include "http/http_listener.h"
 #include "http/socket_address.h"
 #include "log.h"
@@ -21,178 +22,29 @@
 		constexpr Millis kLookMs = 100;
 		/// After a try to take over that failed, ms.
 		constexpr Millis kTryAgainMs = 2'000;
-		/// Maps that a sidecar remembers: the one in force and some that were abandoned since.
-		constexpr std::size_t kMapsKept = 4;
 		/// Longest time a stopping sidecar takes, ms: it holds nothing that must end.
 		constexpr Millis kStopMs = 50;
 
-		/// State of the sidecar, on its one event loop.
-		struct SidecarState
+		/// The row of a group as the store has it.
+		struct GroupRow
 		{
-			Coordination newest;
-			Millis heardAt = 0;
-			std::optional<EngineReport> lastReport;
-			bool engineUp = true;
-			std::unique_ptr<Coordinator> coordinator;
+			SwitchIntent intent;
+			std::uint64_t version = 0; ///< 0: there is none yet.
 		};
 
-		/// Serves the coordinator of the group, and the gateways if it is this process.
-		class RankServer final : public rpc::RankDaemon::Server
+		/// @throws InvalidInputError When the row can't be read.
+		GroupRow groupRowIn(const store::Rows& _rows, const store::RowKey& _key)
 		{
-		public:
-			RankServer(SidecarState& _state, Engine& _engine, std::string _service)
-			    : state(_state)
-			    , engine(_engine)
-			    , service(std::move(_service))
-			{
-			}
-
-			kj::Promise<void> observe(ObserveContext _context) override
-			{
-				this->hearCoordinator(readCoordination(_context.getParams().getCoordination()));
-				return this->answerObserve(_context).take();
-			}
-
-			kj::Promise<void> order(OrderContext _context) override
-			{
-				return this->answerOrder(_context).take();
-			}
-
-			kj::Promise<void> loads(LoadsContext _context) override
-			{
-				GroupLoads loads;
-				if (nullptr != this->state.coordinator)
-				{
-					loads = this->state.coordinator->loads(readQuestion(_context.getParams()));
-				}
-				loads.newest = this->state.newest;
-				writeLoads(_context.getResults(), loads);
-				return kj::READY_NOW;
-			}
-
-		private:
-			void hearCoordinator(const Coordination& _coordination)
+			GroupRow found;
+			for (const store::Row& row : _rows.rows)
 			{
-				if (_coordination.term < this->state.newest.term)
+				if (row.key == _key)
 				{
-					return;
+					found = {decodeIntent(row.value), row.version};
 				}
-				if (_coordination.term > this->state.newest.term)
-				{
-					logInfo("coordinator_heard", {{"term", _coordination.term}, {"address", _coordination.address}, {"before", this->state.newest.term}});
-				}
-				// One that can't reach the store is followed, but another may take over.
-				this->state.heardAt = _coordination.storeLost ? this->state.heardAt : nowMs();
-				this->state.newest = _coordination;
-			}
-
-			aio::Task<void> answerObserve(ObserveContext _context)
-			{
-				RankReport report;
-				report.service = this->service;
-				report.engine = co_await this->engine.report();
-				if (_context.getParams().getCounts())
-				{
-					EngineCounts counts = co_await this->engine.counts();
-					report.choices = this->takeSample(std::move(counts), _context.getParams().getSample());
-				}
-				this->state.lastReport = report.engine;
-				writeCoordination(_context.getResults().initNewest(), this->state.newest);
-				writeReport(_context.getResults().initReport(), report);
-			}
-
-			/// @param[in] _held Sample that the coordinator has.
-			ChoiceSample takeSample(EngineCounts _counts, std::uint64_t _held)
-			{
-				ChoiceSample sample;
-				sample.epoch = _counts.epoch;
-				sample.sample = this->lastSample + 1;
-				const bool follows = 0 != _held && _held == this->lastSample && _counts.epoch == this->lastCounts.epoch && _counts.counts.size() == this->lastCounts.counts.size();
-				if (follows)
-				{
-					sample.since = _held;
-					sample.choices.resize(_counts.counts.size());
-					for (std::size_t index = 0; index < sample.choices.size(); ++index)
-					{
-						sample.choices[index] = _counts.counts[index] - this->lastCounts.counts[index];
-					}
-				}
-				this->lastSample = sample.sample;
-				this->lastCounts = std::move(_counts);
-				return sample;
 			}
-
-			/// Makes the map of a prepare of its difference from one that was given before.
-			/// @returns false when that one isn't known here.
-			bool buildMap(EngineOrder& _order, const MapDifference& _difference)
-			{
-				RankExperts base;
-				if (0 == _difference.base)
-				{
-					base = expertsByRank(dealtInTurn(_difference.sets, _difference.experts, _difference.ranks), _difference.ranks);
-				}
-				else if (this->maps.contains(_difference.base))
-				{
-					base = this->maps.at(_difference.base);
-				}
-				else
-				{
-					return false;
-				}
-				_order.expertsByRank = applyDifference(std::move(base), _difference);
-				this->maps[_order.version] = _order.expertsByRank;
-				while (kMapsKept < this->maps.size())
-				{
-					this->maps.erase(this->maps.begin());
-				}
-				return true;
-			}
-
-			aio::Task<void> answerOrder(OrderContext _context)
-			{
-				const std::uint64_t term = _context.getParams().getTerm();
-				if (term < this->state.newest.term)
-				{
-					logWarning("order_of_an_old_term", {{"term", term}, {"newest", this->state.newest.term}});
-					co_return;
-				}
-				EngineOrder order = readOrder(_context.getParams().getOrder());
-				if (RankOrderKind::Prepare == order.kind && !this->buildMap(order, readDifference(_context.getParams().getOrder().getMap())))
-				{
-					logWarning("map_base_unknown", {{"version", order.version}, {"base", _context.getParams().getOrder().getMap().getBase()}});
-					_context.getResults().setBaseUnknown(true);
-					co_return;
-				}
-				const OrderOutcome outcome = co_await this->engine.order(std::move(order));
-				_context.getResults().setAccepted(outcome.accepted);
-				_context.getResults().setStatus(std::uint16_t(outcome.status));
-				co_await this->reportAfterOrder(_context);
-			}
-
-			/// Tells the engine's state with the answer to an order, which saves the coordinator a look.
-			aio::Task<void> reportAfterOrder(OrderContext _context)
-			{
-				try
-				{
-					RankReport report;
-					report.service = this->service;
-					report.engine = co_await this->engine.report();
-					this->state.lastReport = report.engine;
-					writeReport(_context.getResults().initReport(), report);
-				}
-				catch (const kj::Exception& error)
-				{
-					logWarning("no_report_after_an_order", {{"engine", this->engine.address()}, {"reason", error.getDescription().cStr()}});
-				}
-			}
-
-			SidecarState& state;
-			Engine& engine;
-			std::string service;
-			std::uint64_t lastSample = randomId() >> 1; ///< Numbers of another run don't fit.
-			EngineCounts lastCounts;
-			std::map<std::uint64_t, RankExperts> maps; ///< By version, the newest.
-		};
+			return found;
+		}
 
 		class SidecarProcess
 		{
@@ -312,19 +164,12 @@
 				try
 				{
 					const store::Rows rows = co_await this->tableStore->read(key.table, key.part, key.key);
-					SwitchIntent found;
-					for (const store::Row& candidateRow : rows.rows)
-					{
-						if (candidateRow.key == key)
-						{
-							found = decodeIntent(candidateRow.value);
-							version = candidateRow.version;
-						}
-					}
-					if (found.term > this->state.newest.term)
+					const GroupRow found = groupRowIn(rows, key);
+					version = found.version;
+					if (found.intent.term > this->state.newest.term)
 					{
 						// Another one has taken over and will be heard; if not, the next look says so.
-						this->state.newest = {found.term, found.coordinator, false};
+						this->state.newest = {found.intent.term, found.intent.coordinator, false};
 						this->state.heardAt = nowMs();
 						co_return;
 					}
@@ -332,7 +177,7 @@
 					{
 						co_return; // it was heard while the row was read
 					}
-					row = archdyke::takeOver(found, this->address);
+					row = archdyke::takeOver(found.intent, this->address);
 					store::ConditionalWrite write{key, encodeIntent(*row), version};
 					const store::WriteResult result = co_await this->tableStore->write(std::move(write));
 					version = result.version;
