Names and comments that no longer said what is there

Cause: since ranks have a pace, rank loads are times and the upstreams used last aren't only suspended ones; a comment of the store's stand-in ran on.

Change: name and comments say so. Behaviour is the same.

Their unit tests were not run.

--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -20,7 +20,7 @@
 			std::vector<std::vector<std::uint32_t>> hosts;  ///< By expert.
 			std::vector<std::vector<std::uint32_t>> guests; ///< Experts by rank.
 			std::vector<double> tokens;                     ///< By expert.
-			std::vector<double> rankLoad;
+			std::vector<double> rankLoad;                   ///< By rank: tokens times its pace.
 			double staged = 0.0;
 			std::vector<std::vector<std::uint32_t>> before; ///< Hosts at the start, by expert.
 			std::vector<std::uint32_t> arrivals;            ///< New experts, by rank.
--- a/src/decide/upstream_choice.cpp
+++ b/src/decide/upstream_choice.cpp
@@ -36,16 +36,16 @@
 		std::vector<std::size_t> usableOf(const std::vector<UpstreamCandidate>& _candidates)
 		{
 			std::vector<std::size_t> sound;
-			std::vector<std::size_t> suspended;
+			std::vector<std::size_t> others; // suspended or slow
 			for (std::size_t index = 0; index < _candidates.size(); ++index)
 			{
 				if (!_candidates[index].excluded)
 				{
 					const bool avoided = _candidates[index].suspended || kSlowPace <= _candidates[index].pace;
-					(avoided ? suspended : sound).push_back(index);
+					(avoided ? others : sound).push_back(index);
 				}
 			}
-			return sound.empty() ? suspended : sound;
+			return sound.empty() ? others : sound;
 		}
 	} // namespace
 
--- a/tools/stub_store.cpp
+++ b/tools/stub_store.cpp
@@ -2,8 +2,8 @@
 /// feed of changes; and its troubles.
 ///
 /// Options: {"address"?}. POST /control {"mode": "up" | "busy" | "silent" | "lose", "delayMs"?,
-/// "forget"?}, whose modes leave calls with the header X-Stub-Operator alone: busy answers 503, silent doesn't answer, lose does writes without an answer, forget
-/// drops the history once.
+/// "forget"?}: busy answers 503, silent doesn't answer, lose does writes without an answer, forget
+/// drops the history once. Writes with the header X-Stub-Operator are served at once in all modes.
 #include <absl/strings/escaping.h>
 #include <absl/synchronization/mutex.h>
 #include <map>
