--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -1,6 +1,9 @@
 #include "gateway/admit.h"
 
+#include <algorithm>
+
 #include "archdyke/batch_admission.h"
+#include "archdyke/group_choice.h"
 #include "log.h"
 #include "process.h"
 
@@ -10,24 +13,24 @@
 	{
 		/// Between two looks for room, ms: a fraction of a pass.
 		constexpr Millis kLookMs = 10;
-		/// What is known of a group counts for this long, ms; older, requests are just sent.
-		constexpr Millis kViewMaxAgeMs = 1'000;
 		/// After an upstream has said that its group failed, ms; by then the coordinator says
 		/// how it is.
 		constexpr Millis kFaultMs = 400;
 		/// A caller that has less of its patience left than this share was here before.
 		constexpr double kFirstTimeShare = 0.97;
 
-		const EngineModel* engineOf(const RequestContext& _context)
+		/// The groups of a request's service, and what the choice goes by of each.
+		struct GroupOptions
 		{
-			const CatalogService* service = findService(*_context.catalog, _context.service);
-			return nullptr != service && service->engine ? &*service->engine : nullptr;
-		}
+			std::vector<GroupRef> groups;
+			std::vector<GroupCandidate> candidates;
+		};
 
-		bool isDown(const GroupView& _view, Millis _now)
+		/// @returns null when the request isn't a stream of an engine: others need no admission.
+		const EngineModel* batchEngineOf(const RequestContext& _context)
 		{
-			const bool told = _now - _view.at <= kViewMaxAgeMs && !_view.open;
-			return told || _now < _view.faultUntil;
+			const CatalogService* service = findService(*_context.catalog, _context.service);
+			return nullptr != service && service->engine && _context.route->stream ? &*service->engine : nullptr;
 		}
 
 		BatchRequest batchRequest(const RequestContext& _context)
@@ -37,44 +40,128 @@
 			return {_context.route->gapObjectiveMs, cameBack};
 		}
 
-		BatchView batchView(const RequestContext& _context, const GroupView& _view, Millis _now)
+		BatchView batchView(const UpstreamGroup& _group, Millis _now)
+		{
+			return {isKnown(_group, _now) ? _group.view.passMs : 0.0, meanLoad(_group, _now)};
+		}
+
+		GroupStanding standingOf(const UpstreamGroup& _group, Millis _gapObjectiveMs, Millis _now)
+		{
+			if (isDown(_group, _now))
+			{
+				return GroupStanding::Down;
+			}
+			if (!isKnown(_group, _now))
+			{
+				return GroupStanding::Unknown;
+			}
+			const bool late = 0 < _gapObjectiveMs && double(_gapObjectiveMs) < _group.view.passMs;
+			return late ? GroupStanding::Late : GroupStanding::InTime;
+		}
+
+		GroupCandidate candidateOf(const RequestContext& _context, const EngineModel* _engine, const BatchRequest& _request, const UpstreamGroup& _group, Millis _now)
+		{
+			GroupCandidate candidate;
+			candidate.standing = standingOf(_group, _request.gapObjectiveMs, _now);
+			candidate.ownZoneShare = double(_group.workingInZone) / double(std::max<std::uint32_t>(1, _group.working));
+			candidate.failedRequest = _context.failedInGroups.contains(_group.name);
+			candidate.hasRoom = 0 < _group.working;
+			if (nullptr != _engine)
+			{
+				const BatchView view = batchView(_group, _now);
+				const double limit = batchLimit(*_engine, view, _request.gapObjectiveMs);
+				candidate.hasRoom = candidate.hasRoom && mayEnter(*_engine, view, _request);
+				candidate.fullness = (view.meanLoad + 1.0) / limit;
+				candidate.room = (limit - view.meanLoad) * double(_group.working);
+			}
+			return candidate;
+		}
+
+		GroupOptions optionsOf(const RequestContext& _context)
+		{
+			const EngineModel* engine = batchEngineOf(_context);
+			const BatchRequest request = batchRequest(_context);
+			const Millis now = nowMs();
+			GroupOptions options;
+			options.groups = _context.state.board.groupsOf(_context.service);
+			for (const GroupRef& group : options.groups)
+			{
+				options.candidates.push_back(candidateOf(_context, engine, request, *group, now));
+			}
+			return options;
+		}
+
+		GroupRef chosenOf(const GroupOptions& _options, Random& _random)
+		{
+			const std::optional<std::size_t> chosen = chooseGroup(_options.candidates, _random);
+			return chosen ? _options.groups[*chosen] : nullptr;
+		}
+
+		bool allAreDown(const GroupOptions& _options)
 		{
-			const double passMs = _now - _view.at <= kViewMaxAgeMs ? _view.passMs : 0.0;
-			return {passMs, _context.state.board.meanLoad(_context.service, _now)};
+			return std::all_of(_options.candidates.begin(), _options.candidates.end(), [](const GroupCandidate& _candidate) {
+				return GroupStanding::Down == _candidate.standing;
+			});
+		}
+
+		/// One line for each group: why the request can't go there.
+		void logNoRoom(const RequestContext& _context, const GroupOptions& _options)
+		{
+			const Millis now = nowMs();
+			for (std::size_t index = 0; index < _options.groups.size(); ++index)
+			{
+				const UpstreamGroup& group = *_options.groups[index];
+				const GroupCandidate& candidate = _options.candidates[index];
+				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"group", group.name.empty() ? "-" : group.name}, {"standing", toString(candidate.standing)}, {"mean_load", meanLoad(group, now)}, {"fullness", candidate.fullness}, {"pass_ms", group.view.passMs}, {"view_age_ms", now - group.view.at}, {"came_back", batchRequest(_context).cameBack}});
+			}
 		}
 	} // namespace
 
-	void noteGroupFault(GatewayState& _state, const std::string& _service, Millis _now)
+	void noteGroupFault(UpstreamGroup& _group, Millis _now)
 	{
-		_state.groups[_service].faultUntil = _now + kFaultMs;
+		_group.view.faultUntil = _now + kFaultMs;
 	}
 
-	aio::Task<std::optional<Refusal>> admit(RequestContext& _context)
+	GroupRef chooseGroupAgain(RequestContext& _context)
 	{
-		const EngineModel* engine = engineOf(_context);
-		if (nullptr == engine || !_context.route->stream)
+		GroupOptions options = optionsOf(_context);
+		const GroupRef withRoom = chosenOf(options, _context.state.random);
+		if (nullptr != withRoom)
+		{
+			return withRoom;
+		}
+		// It was let in once: to refuse it for want of room now would lose what was done for it.
+		for (GroupCandidate& candidate : options.candidates)
 		{
-			co_return std::nullopt;
+			candidate.hasRoom = true;
 		}
+		return chosenOf(options, _context.state.random);
+	}
+
+	aio::Task<std::optional<Refusal>> admit(RequestContext& _context)
+	{
 		GatewayState& state = _context.state;
-		const BatchRequest request = batchRequest(_context);
+		const bool needsRoom = nullptr != batchEngineOf(_context);
 		const Millis until = nowMs() + longestWait(_context.route->objectiveMs);
 		while (true)
 		{
-			const Millis now = nowMs();
-			const GroupView view = state.groups[_context.service];
-			if (isDown(view, now))
+			const GroupOptions options = optionsOf(_context);
+			_context.group = chosenOf(options, state.random);
+			if (nullptr != _context.group || options.groups.empty())
+			{
+				co_return std::nullopt; // without any upstream dispatch says so
+			}
+			if (allAreDown(options))
 			{
 				co_return refuseNotRun(_context, RefusalCause::GroupDown);
 			}
-			const BatchView batch = batchView(_context, view, now);
-			if (mayEnter(*engine, batch, request))
+			if (!needsRoom)
 			{
-				co_return std::nullopt;
+				co_return std::nullopt; // all upstreams leave: dispatch says so
 			}
-			if (until <= now)
+			if (until <= nowMs())
 			{
-				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"mean_load", batch.meanLoad}, {"limit", batchLimit(*engine, batch, request.gapObjectiveMs)}, {"pass_ms", batch.passMs}, {"view_age_ms", now - view.at}, {"came_back", request.cameBack}});
+				logNoRoom(_context, options);
 				co_return refuseNotRun(_context, RefusalCause::Overloaded);
 			}
 			co_await state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -20,11 +20,6 @@
 		{
 			return isRecent(_upstream, _now) ? std::max(1.0, _upstream.reported->pace) : 1.0;
 		}
-
-		bool takesWork(const Upstream& _upstream, const std::string& _service)
-		{
-			return _upstream.record.service == _service && !_upstream.leavingSince;
-		}
 	} // namespace
 
 	double loadOf(const Upstream& _upstream, Millis _now)
@@ -38,11 +33,54 @@
 		return std::max(double(_upstream.inFlight), double(report.requests) + since);
 	}
 
+	double meanLoad(const UpstreamGroup& _group, Millis _now)
+	{
+		const double own = double(_group.inFlight);
+		const double total = isKnown(_group, _now) ? std::max(own, double(_group.reported) + own - double(_group.ownThen)) : own;
+		return total / double(std::max<std::uint32_t>(1, _group.working));
+	}
+
+	bool isKnown(const UpstreamGroup& _group, Millis _now)
+	{
+		return 0 != _group.view.at && _now - _group.view.at <= kReportMaxAgeMs;
+	}
+
+	bool isDown(const UpstreamGroup& _group, Millis _now)
+	{
+		const bool told = isKnown(_group, _now) && !_group.view.open;
+		return told || _now < _group.view.faultUntil;
+	}
+
+	InFlight::InFlight(UpstreamRef _upstream)
+	    : upstream(std::move(_upstream))
+	{
+		this->upstream->inFlight += 1;
+		this->upstream->group->inFlight += 1;
+	}
+
+	InFlight::~InFlight()
+	{
+		this->upstream->inFlight -= 1;
+		this->upstream->group->inFlight -= 1;
+	}
+
 	Board::Board(std::string _zone)
 	    : zone(std::move(_zone))
 	{
 	}
 
+	Board::~Board()
+	{
+		// Groups and their members hold each other.
+		for (const auto& [service, groups] : this->byService)
+		{
+			for (const GroupRef& group : groups)
+			{
+				group->members.clear();
+			}
+		}
+	}
+
 	void Board::learn(const UpstreamRecord& _record, Millis _now)
 	{
 		UpstreamRef& upstream = this->byIncarnation[_record.incarnation];
@@ -50,16 +88,20 @@
 		if (isNew)
 		{
 			upstream = std::make_shared<Upstream>();
+			upstream->record = _record;
+			this->put(upstream, this->groupNamed(_record.service, ""));
 		}
 		const bool leaves = _record.leaving && !upstream->leavingSince;
 		const bool changed = isNew || leaves || upstream->record != _record;
 		upstream->record = _record;
+		this->byAddress[_record.address] = upstream;
 		if (leaves)
 		{
 			upstream->leavingSince = _now;
 		}
 		if (changed)
 		{
+			this->count(*upstream->group);
 			logInfo("upstream_learned", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"zone", _record.zone}, {"leaving", upstream->leavingSince.has_value()}});
 		}
 	}
@@ -71,51 +113,97 @@
 		{
 			return;
 		}
-		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", it->second->record.service}, {"address", it->second->record.address}, {"in_flight", it->second->inFlight}});
-		it->second->leavingSince = it->second->leavingSince.value_or(_now);
+		const UpstreamRef upstream = it->second;
+		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
+		upstream->leavingSince = upstream->leavingSince.value_or(_now);
+		this->takeOut(upstream);
+		const auto address = this->byAddress.find(upstream->record.address);
+		if (this->byAddress.end() != address && address->second == upstream)
+		{
+			this->byAddress.erase(address);
+		}
 		this->byIncarnation.erase(it);
 	}
 
-	void Board::report(const std::string& _address, std::uint32_t _requests, double _pace, Millis _now)
+	void Board::report(const GroupReport& _report, Millis _now)
 	{
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		const GroupRef group = this->groupNamed(_report.service, _report.name);
+		if (group->view.open != _report.open || 0 == group->view.at)
 		{
-			if (upstream->record.address == _address)
+			logInfo(_report.open ? "group_open" : "group_down", {{"service", _report.service}, {"group", _report.name}, {"pass_ms", _report.passMs}, {"ranks", _report.ranks.size()}});
+		}
+		group->view.open = _report.open;
+		group->view.passMs = _report.passMs;
+		group->view.at = _now;
+		group->reported = 0;
+		for (const GroupReport::Rank& rank : _report.ranks)
+		{
+			const auto found = this->byAddress.find(rank.address);
+			if (this->byAddress.end() == found || found->second->record.service != _report.service)
+			{
+				continue;
+			}
+			const UpstreamRef upstream = found->second;
+			if (upstream->group != group)
 			{
-				upstream->reported = ReportedLoad{_requests, _now, upstream->inFlight, _pace};
+				upstream->group->inFlight -= upstream->inFlight;
+				this->takeOut(upstream);
+				this->put(upstream, group);
 			}
+			upstream->reported = ReportedLoad{rank.requests, _now, upstream->inFlight, rank.pace};
+			group->reported += rank.requests;
 		}
+		group->ownThen = group->inFlight;
+		if (group->members.empty())
+		{
+			std::erase(this->byService[_report.service], group);
+		}
+	}
+
+	const std::vector<GroupRef>& Board::groupsOf(const std::string& _service) const
+	{
+		static const std::vector<GroupRef> kNone;
+		const auto found = this->byService.find(_service);
+		return this->byService.end() == found ? kNone : found->second;
 	}
 
-	UpstreamRef Board::choose(const std::string& _service, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const
+	UpstreamRef Board::choose(const UpstreamGroup& _group, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const
 	{
 		std::vector<UpstreamRef> open;
 		std::vector<UpstreamCandidate> candidates;
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		for (const UpstreamRef& upstream : _group.members)
 		{
-			if (takesWork(*upstream, _service))
+			if (!upstream->leavingSince)
 			{
 				open.push_back(upstream);
-				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now), _triedBefore.contains(incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
+				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now), _triedBefore.contains(upstream->record.incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
 			}
 		}
 		const std::optional<std::size_t> chosen = chooseUpstream(candidates, _random);
 		return chosen ? open[*chosen] : nullptr;
 	}
 
-	double Board::meanLoad(const std::string& _service, Millis _now) const
+	UpstreamRef Board::drawUnheard(const std::string& _service, Random& _random, Millis _now) const
 	{
-		double total = 0.0;
-		std::size_t upstreams = 0;
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		std::vector<UpstreamRef> unheard;
+		for (const GroupRef& group : this->groupsOf(_service))
 		{
-			if (takesWork(*upstream, _service))
+			if (!isKnown(*group, _now))
 			{
-				total += loadOf(*upstream, _now);
-				upstreams += 1;
+				unheard.insert(unheard.end(), group->members.begin(), group->members.end());
 			}
 		}
-		return total / double(std::max<std::size_t>(1, upstreams));
+		return unheard.empty() ? nullptr : unheard[randomBelow(_random, unheard.size())];
+	}
+
+	std::vector<GroupRef> Board::allGroups() const
+	{
+		std::vector<GroupRef> result;
+		for (const auto& [service, groups] : this->byService)
+		{
+			result.insert(result.end(), groups.begin(), groups.end());
+		}
+		return result;
 	}
 
 	std::vector<UpstreamRef> Board::all() const
@@ -127,4 +215,51 @@
 		}
 		return result;
 	}
+
+	GroupRef Board::groupNamed(const std::string& _service, const std::string& _name)
+	{
+		std::vector<GroupRef>& groups = this->byService[_service];
+		const auto found = std::find_if(groups.begin(), groups.end(), [&](const GroupRef& _group) {
+			return _group->name == _name;
+		});
+		if (groups.end() != found)
+		{
+			return *found;
+		}
+		groups.push_back(std::make_shared<UpstreamGroup>());
+		groups.back()->service = _service;
+		groups.back()->name = _name;
+		return groups.back();
+	}
+
+	void Board::put(const UpstreamRef& _upstream, const GroupRef& _group)
+	{
+		_upstream->group = _group;
+		_group->members.push_back(_upstream);
+		_group->inFlight += _upstream->inFlight;
+		this->count(*_group);
+	}
+
+	void Board::takeOut(const UpstreamRef& _upstream)
+	{
+		const GroupRef group = _upstream->group;
+		std::erase(group->members, _upstream);
+		this->count(*group);
+		if (group->members.empty())
+		{
+			std::erase(this->byService[group->service], group);
+		}
+	}
+
+	void Board::count(UpstreamGroup& _group) const
+	{
+		_group.working = 0;
+		_group.workingInZone = 0;
+		for (const UpstreamRef& upstream : _group.members)
+		{
+			const bool works = !upstream->leavingSince;
+			_group.working += works ? 1 : 0;
+			_group.workingInZone += works && upstream->record.zone == this->zone ? 1 : 0;
+		}
+	}
 } // namespace archdyke::gateway
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -1,4 +1,5 @@
-/// The upstreams that one gateway knows: who they are, what load they have, how they fare.
+/// The upstreams that one gateway knows: who they are, which group each is in, what load they have,
+/// how they fare.
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
@@ -23,6 +24,9 @@
 		bool operator==(const ReportedLoad&) const = default;
 	};
 
+	struct UpstreamGroup;
+	using GroupRef = std::shared_ptr<UpstreamGroup>;
+
 	/// One upstream process. Kept while requests are at it, also once it is gone.
 	struct Upstream
 	{
@@ -31,20 +35,95 @@
 		std::optional<ReportedLoad> reported;
 		UpstreamHealth health;
 		std::optional<Millis> leavingSince; ///< Own clock; stays for this incarnation.
+		GroupRef group;                     ///< Never null on a board.
 	};
 
 	using UpstreamRef = std::shared_ptr<Upstream>;
 
+	/// What is known of the state of a group of engine ranks.
+	struct GroupView
+	{
+		bool open = true;
+		double passMs = 0.0;   ///< Mean time of the last passes; 0 when unknown.
+		Millis at = 0;         ///< Own clock when it came; 0: never.
+		Millis faultUntil = 0; ///< An upstream said that its group failed.
+
+		bool operator==(const GroupView&) const = default;
+	};
+
+	/// Upstreams of a service that serve together. Those that are in no group, or of whom none is
+	/// known yet, are together in one without a name.
+	struct UpstreamGroup
+	{
+		std::string service;
+		std::string name;
+		GroupView view;
+		std::vector<UpstreamRef> members;
+		std::uint32_t working = 0;       ///< Members that take work.
+		std::uint32_t workingInZone = 0; ///< Of these, in the gateway's zone.
+		std::uint32_t inFlight = 0;      ///< Requests of this gateway at its members.
+		std::uint32_t reported = 0;      ///< Requests of all gateways there, as last told.
+		std::uint32_t ownThen = 0;       ///< Of these, how many were this gateway's then.
+	};
+
+	/// What a coordinator tells of its group.
+	struct GroupReport
+	{
+		/// Load of one rank.
+		struct Rank
+		{
+			std::string address; ///< IP:port.
+			std::uint32_t requests = 0;
+			double pace = 1.0;
+
+			bool operator==(const Rank&) const = default;
+		};
+
+		std::string service;
+		std::string name;
+		bool open = true;
+		double passMs = 0.0;
+		std::vector<Rank> ranks;
+
+		bool operator==(const GroupReport&) const = default;
+	};
+
 	/// @returns Requests at an upstream: as reported, corrected by what this gateway sent and
 	/// finished since; without a recent report what this gateway has there.
 	double loadOf(const Upstream& _upstream, Millis _now);
 
-	/// All upstreams that the list names, by incarnation.
+	/// @returns Mean load of the members of a group that take work, likewise; 0 when there are none.
+	double meanLoad(const UpstreamGroup& _group, Millis _now);
+
+	/// @returns Whether a group was heard of lately.
+	bool isKnown(const UpstreamGroup& _group, Millis _now);
+
+	/// @returns Whether a group stands still, forms, or failed a request just now.
+	bool isDown(const UpstreamGroup& _group, Millis _now);
+
+	/// Counts a request of this gateway at an upstream while it lives.
+	class InFlight
+	{
+	public:
+		explicit InFlight(UpstreamRef _upstream);
+		~InFlight();
+		InFlight(const InFlight&) = delete;
+		InFlight& operator=(const InFlight&) = delete;
+
+	private:
+		UpstreamRef upstream;
+	};
+
+	/// All upstreams that the list names, by incarnation, and their groups. What a request costs
+	/// here grows with the groups of its service and with the ranks of one group, not with all.
 	class Board
 	{
 	public:
 		/// @param[in] _zone Of this gateway.
 		explicit Board(std::string _zone);
+		~Board();
+		Board(const Board&) = delete;
+		Board& operator=(const Board&) = delete;
 
 		/// Takes in a row of the list of upstreams. Leaving stays for an incarnation.
 		void learn(const UpstreamRecord& _record, Millis _now);
@@ -52,20 +131,36 @@
 		/// The list names the upstream no longer.
 		void forget(const std::string& _incarnation, Millis _now);
 
-		/// Takes in the reported load of the upstream at an address.
-		void report(const std::string& _address, std::uint32_t _requests, double _pace, Millis _now);
+		/// Takes in what a coordinator tells: its group's members, their loads, its state.
+		void report(const GroupReport& _report, Millis _now);
 
-		/// @returns An upstream for a request; null when there is none.
-		UpstreamRef choose(const std::string& _service, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const;
+		/// @returns The groups of a service that have members, in no order.
+		const std::vector<GroupRef>& groupsOf(const std::string& _service) const;
 
-		/// @returns Mean load of the upstreams of a service that take work; 0 when there are none.
-		double meanLoad(const std::string& _service, Millis _now) const;
+		/// @returns An upstream of a group for a request; null when there is none.
+		UpstreamRef choose(const UpstreamGroup& _group, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const;
+
+		/// @returns An upstream of the service, drawn at random, whose group wasn't heard of lately;
+		/// null when there is none.
+		UpstreamRef drawUnheard(const std::string& _service, Random& _random, Millis _now) const;
+
+		/// @returns The groups of all services, in no order.
+		std::vector<GroupRef> allGroups() const;
 
 		/// @returns All upstreams, those that leave too, in no order.
 		std::vector<UpstreamRef> all() const;
 
 	private:
+		GroupRef groupNamed(const std::string& _service, const std::string& _name);
+		/// Puts an upstream into a group, out of the one that it was in.
+		void put(const UpstreamRef& _upstream, const GroupRef& _group);
+		/// Takes an upstream out of its group; a group without members goes.
+		void takeOut(const UpstreamRef& _upstream);
+		void count(UpstreamGroup& _group) const;
+
 		std::string zone;
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
+		absl::flat_hash_map<std::string, UpstreamRef> byAddress; ///< The last one learnt there.
+		absl::flat_hash_map<std::string, std::vector<GroupRef>> byService;
 	};
 } // namespace archdyke::gateway
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -74,9 +74,32 @@
 			return true;
 		}
 
+		/// Chooses where the next try goes.
+		UpstreamRef nextUpstream(RequestContext& _context)
+		{
+			GatewayState& state = _context.state;
+			if (0 < _context.sends || nullptr == _context.group)
+			{
+				_context.group = chooseGroupAgain(_context);
+			}
+			return nullptr == _context.group ? nullptr : state.board.choose(*_context.group, _context.tried, state.random, nowMs());
+		}
+
+		/// Ranks of a group stand still together: after a failure another group is tried first.
+		/// @returns GroupDown when the group is at fault and no other is open, else Overloaded.
+		RefusalCause noteFailedGroup(RequestContext& _context, const Upstream& _upstream, const TryResult& _result)
+		{
+			if (RefusalReason::WrongIncarnation != _result.refusal)
+			{
+				_context.failedInGroups.insert(_upstream.group->name);
+			}
+			const bool nowhereElse = _result.groupFault && nullptr == chooseGroupAgain(_context);
+			return nowhereElse ? RefusalCause::GroupDown : RefusalCause::Overloaded;
+		}
+
 		void logTry(const RequestContext& _context, const Upstream& _upstream, const TryResult& _result)
 		{
-			logInfo("try_failed", {{"request", _context.caller.id}, {"send", _context.sends}, {"upstream", _upstream.record.incarnation}, {"address", _upstream.record.address}, {"not_run_proved", Proof::NotRun == _result.proof}, {"reason", _result.reason}, {"group_fault", _result.groupFault}, {"left_ms", _context.deadlineAt - nowMs()}, {"catalog", _context.catalog->catalog.version}});
+			logInfo("try_failed", {{"request", _context.caller.id}, {"send", _context.sends}, {"upstream", _upstream.record.incarnation}, {"group", _upstream.group->name.empty() ? "-" : _upstream.group->name}, {"address", _upstream.record.address}, {"not_run_proved", Proof::NotRun == _result.proof}, {"reason", _result.reason}, {"group_fault", _result.groupFault}, {"left_ms", _context.deadlineAt - nowMs()}, {"catalog", _context.catalog->catalog.version}});
 		}
 	} // namespace
 
@@ -86,7 +109,7 @@
 		bool unknownBefore = false;
 		while (true)
 		{
-			const UpstreamRef upstream = state.board.choose(_context.service, _context.tried, state.random, nowMs());
+			const UpstreamRef upstream = nextUpstream(_context);
 			if (nullptr == upstream)
 			{
 				addReason(_context, "no_upstream");
@@ -110,9 +133,12 @@
 			}
 			if (result.groupFault)
 			{
-				// Its ranks stand still together: another one can't run it either.
-				noteGroupFault(state, _context.service, nowMs());
-				co_return refusalOf(_context, unknownBefore, RefusalCause::GroupDown, result.reason);
+				noteGroupFault(*upstream->group, nowMs());
+			}
+			const RefusalCause cause = noteFailedGroup(_context, *upstream, result);
+			if (RefusalCause::GroupDown == cause)
+			{
+				co_return refusalOf(_context, unknownBefore, cause, result.reason);
 			}
 			if (mayTryAgain(_context, result))
 			{
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -7,6 +7,8 @@
 {
 	namespace
 	{
+		/// Between two looks which groups to ask, and for those whose coordinator isn't known, ms.
+		constexpr Millis kLookMs = 40;
 		/// Between two questions for the loads of a group, ms: about two passes. What this
 		/// gateway sent since is added to what was reported.
 		constexpr Millis kAskMs = 120;
@@ -28,6 +30,11 @@
 		{
 			return _address.substr(0, _address.rfind(':'));
 		}
+
+		Millis askEveryMs(std::size_t _ranks)
+		{
+			return std::max(kAskMs, Millis(kAskMsPerRank * double(_ranks)));
+		}
 	} // namespace
 
 	LoadLink::LoadLink(GatewayState& _state, StoreWatch& _watch)
@@ -41,107 +48,158 @@
 		});
 	}
 
-	std::optional<std::string> LoadLink::anyDaemon(const std::string& _service)
+	std::string LoadLink::daemonOf(const Upstream& _upstream) const
 	{
-		std::vector<std::string> daemons;
-		for (const UpstreamRef& upstream : this->state.board.all())
-		{
-			if (upstream->record.service == _service)
-			{
-				daemons.push_back(ipOf(upstream->record.address) + ":" + std::to_string(this->state.settings.place.peerPort));
-			}
-		}
-		if (daemons.empty())
+		return ipOf(_upstream.record.address) + ":" + std::to_string(this->state.settings.place.peerPort);
+	}
+
+	void LoadLink::take(const std::string& _service, const group::GroupLoads& _loads)
+	{
+		GroupReport report;
+		report.service = _service;
+		report.name = _loads.newest.group;
+		report.open = _loads.open;
+		report.passMs = _loads.passMs;
+		for (const group::RankLoad& rank : _loads.ranks)
 		{
-			return std::nullopt;
+			report.ranks.push_back({rank.address, rank.requests, rank.pace});
 		}
-		return daemons[randomBelow(this->state.random, daemons.size())];
+		this->storeWatch.takeNews({_service + "/" + report.name, _loads.proof, _loads.upstreams, _loads.reader});
+		this->state.board.report(report, nowMs());
 	}
 
-	void LoadLink::take(const std::string& _service, const group::GroupLoads& _loads)
+	bool LoadLink::follow(const std::string& _service, const group::Coordination& _newest)
 	{
-		const Millis now = nowMs();
-		GroupView& view = this->state.groups[_service];
-		if (view.open != _loads.open || 0 == view.at)
+		if (_newest.group.empty() || _newest.address.empty())
 		{
-			logInfo(_loads.open ? "group_open" : "group_down", {{"service", _service}, {"term", _loads.newest.term}, {"coordinator", _loads.newest.address}, {"pass_ms", _loads.passMs}});
+			return false;
 		}
-		view.open = _loads.open;
-		view.passMs = _loads.passMs;
-		view.at = now;
-		this->storeWatch.takeNews(_loads.proof, _loads.upstreams, _loads.reader);
-		this->mostRanks = std::max(this->mostRanks, _loads.ranks.size());
-		for (const group::RankLoad& rank : _loads.ranks)
+		std::shared_ptr<FollowedGroup>& followed = this->groups[{_service, _newest.group}];
+		if (nullptr != followed && followed->link->address() == _newest.address)
+		{
+			return false;
+		}
+		logInfo("coordinator_found", {{"service", _service}, {"group", _newest.group}, {"address", _newest.address}, {"term", _newest.term}});
+		followed = std::make_shared<FollowedGroup>();
+		followed->link = std::make_unique<group::RankLink>(this->state.loop, _newest.address);
+		return true;
+	}
+
+	void LoadLink::lose(const GroupKey& _key, const std::string& _failure)
+	{
+		const auto found = this->groups.find(_key);
+		if (this->groups.end() != found)
 		{
-			this->state.board.report(rank.address, rank.requests, rank.pace, now);
+			logWarning("coordinator_lost", {{"service", _key.first}, {"group", _key.second}, {"address", found->second->link->address()}, {"reason", _failure}});
+			this->groups.erase(found);
 		}
 	}
 
-	void LoadLink::noteCoordinator(const std::string& _service, const group::RankLink* _link, const std::string& _failure)
+	aio::Task<group::GroupLoads> LoadLink::question(group::RankLink& _link)
+	{
+		group::LoadsQuestion question{this->state.settings.place.name, this->storeWatch.upstreamsVersion(), this->storeWatch.proof()};
+		return _link.loads(std::move(question), kAnswerMs);
+	}
+
+	aio::Task<void> LoadLink::ask(GroupKey _key)
 	{
-		const bool found = _failure.empty();
-		const bool before = this->up[_service];
-		this->up[_service] = found;
-		if (before != found)
+		const std::shared_ptr<FollowedGroup> followed = this->groups.at(_key);
+		followed->asking = true;
+		followed->askedAt = nowMs();
+		std::string failure;
+		group::GroupLoads loads;
+		try
+		{
+			loads = co_await this->question(*followed->link);
+		}
+		catch (const kj::Exception& error)
+		{
+			failure = error.getDescription().cStr();
+		}
+		followed->asking = false;
+		const auto current = this->groups.find(_key);
+		if (this->groups.end() == current || current->second != followed)
+		{
+			co_return; // another coordinator was found meanwhile
+		}
+		if (failure.empty() && loads.known && loads.newest.group == _key.second)
+		{
+			followed->ranks = loads.ranks.size();
+			this->take(_key.first, loads);
+			co_return;
+		}
+		if (!failure.empty() || !this->follow(_key.first, loads.newest))
 		{
-			logWarning(found ? "coordinator_found" : "coordinator_lost", {{"service", _service}, {"address", nullptr == _link ? "-" : _link->address()}, {"reason", found ? "-" : _failure}});
+			this->lose(_key, failure.empty() ? "not the coordinator" : failure);
 		}
 	}
 
-	aio::Task<void> LoadLink::ask(std::string _service)
+	aio::Task<void> LoadLink::search(std::string _service)
 	{
-		this->asking.insert(_service);
-		std::unique_ptr<group::RankLink>& link = this->links[_service];
-		if (nullptr == link)
+		const UpstreamRef upstream = this->state.board.drawUnheard(_service, this->state.random, nowMs());
+		if (nullptr == upstream)
 		{
-			const std::optional<std::string> daemon = this->anyDaemon(_service);
-			link = daemon ? std::make_unique<group::RankLink>(this->state.loop, *daemon) : nullptr;
+			co_return;
 		}
+		this->searching.insert(_service);
+		group::RankLink link(this->state.loop, this->daemonOf(*upstream));
 		std::string failure;
-		if (nullptr != link)
+		try
 		{
-			try
+			const group::GroupLoads loads = co_await this->question(link);
+			this->follow(_service, loads.newest);
+			if (loads.known)
 			{
-				group::LoadsQuestion question{this->state.settings.place.name, this->storeWatch.upstreamsVersion(), this->storeWatch.proof()};
-				const group::GroupLoads loads = co_await link->loads(std::move(question), kAnswerMs);
-				if (loads.known)
-				{
-					this->take(_service, loads);
-				}
-				else
-				{
-					failure = "not the coordinator";
-					const bool named = !loads.newest.address.empty() && loads.newest.address != link->address();
-					link = named ? std::make_unique<group::RankLink>(this->state.loop, loads.newest.address) : nullptr;
-				}
+				this->take(_service, loads);
 			}
-			catch (const kj::Exception& error)
+		}
+		catch (const kj::Exception& error)
+		{
+			failure = error.getDescription().cStr();
+		}
+		if (!failure.empty())
+		{
+			logInfo("daemon_unheard", {{"service", _service}, {"address", link.address()}, {"reason", failure}});
+		}
+		this->searching.erase(_service);
+	}
+
+	void LoadLink::askGroups(const std::string& _service)
+	{
+		const Millis now = nowMs();
+		std::vector<GroupKey> due;
+		for (const auto& [key, followed] : this->groups)
+		{
+			if (key.first == _service && !followed->asking && now - followed->askedAt >= askEveryMs(followed->ranks))
 			{
-				failure = error.getDescription().cStr();
-				link = nullptr;
+				due.push_back(key);
 			}
 		}
-		this->noteCoordinator(_service, link.get(), failure);
-		this->asking.erase(_service);
+		for (GroupKey& key : due)
+		{
+			this->tasks.add(this->ask(std::move(key)).take());
+		}
+		if (!this->searching.contains(_service))
+		{
+			std::string service = _service;
+			this->tasks.add(this->search(std::move(service)).take());
+		}
 	}
 
 	aio::Task<void> LoadLink::watch()
 	{
 		while (true)
 		{
-			const Millis wait = std::max(kAskMs, Millis(kAskMsPerRank * double(this->mostRanks)));
-			co_await this->state.loop.timer.afterDelay(wait * kj::MILLISECONDS);
+			co_await this->state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
 			if (nullptr == this->state.catalog)
 			{
 				continue;
 			}
 			for (const CatalogService& service : this->state.catalog->catalog.services)
 			{
-				const bool grouped = service.engine && 0 < service.engine->sets;
-				if (grouped && !this->asking.contains(service.name))
+				if (service.engine && 0 < service.engine->sets)
 				{
-					std::string name = service.name;
-					this->tasks.add(this->ask(std::move(name)).take());
+					this->askGroups(service.name);
 				}
 			}
 		}
--- a/src/gateway/load_link.h
+++ b/src/gateway/load_link.h
@@ -1,4 +1,5 @@
-/// Asks the coordinators of engine groups for the loads of their ranks.
+/// Follows the coordinators of all groups of engine ranks: finds each, and asks it for the loads of
+/// its group and for its news of the store.
 #pragma once
 
 #include <map>
@@ -18,20 +19,36 @@
 		LoadLink(GatewayState& _state, StoreWatch& _watch);
 
 	private:
+		/// A group whose coordinator is known.
+		struct FollowedGroup
+		{
+			std::unique_ptr<group::RankLink> link; ///< To its coordinator.
+			std::size_t ranks = 0;                 ///< As last told.
+			Millis askedAt = 0;
+			bool asking = false;
+		};
+
+		/// Service and name.
+		using GroupKey = std::pair<std::string, std::string>;
+
 		aio::Task<void> watch();
-		/// One question to the coordinator of a service's group.
-		aio::Task<void> ask(std::string _service);
-		/// @returns Address of a daemon of the group, drawn at random; none when no upstream is known.
-		std::optional<std::string> anyDaemon(const std::string& _service);
+		void askGroups(const std::string& _service);
+		/// One question to the coordinator of a group.
+		aio::Task<void> ask(GroupKey _key);
+		/// Asks a daemon of a group that wasn't heard of lately who coordinates it.
+		aio::Task<void> search(std::string _service);
+		aio::Task<group::GroupLoads> question(group::RankLink& _link);
+		/// Follows the coordinator that a daemon named.
+		/// @returns Whether it is another one than before.
+		bool follow(const std::string& _service, const group::Coordination& _newest);
 		void take(const std::string& _service, const group::GroupLoads& _loads);
-		void noteCoordinator(const std::string& _service, const group::RankLink* _link, const std::string& _failure);
+		void lose(const GroupKey& _key, const std::string& _failure);
+		std::string daemonOf(const Upstream& _upstream) const;
 
 		GatewayState& state;
 		StoreWatch& storeWatch;
-		std::map<std::string, std::unique_ptr<group::RankLink>> links; ///< By service; null until a daemon is known.
-		std::size_t mostRanks = 0;                                     ///< Of the groups asked.
-		std::set<std::string> asking;                                  ///< Services whose question is under way.
-		std::map<std::string, bool> up;                                ///< By service: whether the coordinator answers.
+		std::map<GroupKey, std::shared_ptr<FollowedGroup>> groups;
+		std::set<std::string> searching; ///< Services in which a search is under way.
 		kj::Own<kj::TaskSet::ErrorHandler> errors;
 		kj::TaskSet tasks;
 		kj::Promise<void> watching = nullptr;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -58,28 +58,6 @@
 			return result;
 		}
 
-		/// Counts the request at its upstream while the try lasts.
-		class InFlight
-		{
-		public:
-			explicit InFlight(UpstreamRef _upstream)
-			    : upstream(std::move(_upstream))
-			{
-				this->upstream->inFlight += 1;
-			}
-
-			~InFlight()
-			{
-				this->upstream->inFlight -= 1;
-			}
-
-			InFlight(const InFlight&) = delete;
-			InFlight& operator=(const InFlight&) = delete;
-
-		private:
-			UpstreamRef upstream;
-		};
-
 		std::string requestBytes(const RequestContext& _context, const Upstream& _upstream)
 		{
 			DispatchInfo info;
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -45,7 +45,9 @@
 		std::string service;                               ///< resolve
 		Millis deadlineAt = 0;                             ///< resolve
 
-		std::set<std::string> tried; ///< dispatch: incarnations.
+		GroupRef group;                       ///< admit, and dispatch for later tries; null when there is none.
+		std::set<std::string> tried;          ///< dispatch: incarnations.
+		std::set<std::string> failedInGroups; ///< dispatch: groups whose ranks failed it.
 		std::uint32_t sends = 0;
 		bool maybeRunning = false; ///< A try was sent whose end isn't proved.
 		bool headSent = false;     ///< relay: bytes of an answer went to the caller.
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -16,17 +16,6 @@
 
 namespace archdyke::gateway
 {
-	/// What is known of the load and the state of a group of engine ranks.
-	struct GroupView
-	{
-		bool open = true;
-		double passMs = 0.0;   ///< Mean time of the last passes; 0 when unknown.
-		Millis at = 0;         ///< Own clock when it came; 0: never.
-		Millis faultUntil = 0; ///< An upstream said that its group failed.
-
-		bool operator==(const GroupView&) const = default;
-	};
-
 	/// @returns The version of a catalog; 0 when none is known.
 	inline std::uint64_t versionOf(const std::shared_ptr<const CatalogIndex>& _catalog)
 	{
@@ -46,7 +35,6 @@
 		std::shared_ptr<const CatalogIndex> catalog; ///< Null until the first one is known.
 		Freshness freshness;
 		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
-		absl::flat_hash_map<std::string, GroupView> groups;    ///< By service.
 		bool leaving = false;                                  ///< The stop signal came.
 		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
 
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -134,33 +134,49 @@
 		return std::max<Millis>(0, usual - age); // what was told has an age already
 	}
 
-	void StoreWatch::takeNews(const store::ConfigurationProof& _proof, const store::TableNews& _upstreams, bool _reader)
+	void StoreWatch::noteReader(const CoordinatorNews& _news)
 	{
 		const Millis now = nowMs();
-		if (this->isReader != _reader)
+		this->readerFor.erase(_news.teller);
+		if (_news.reader)
 		{
-			logInfo(_reader ? "store_reader" : "store_told", {{"proof_age_ms", proofAge(this->state.freshness, now).value_or(-1)}, {"catalog", versionOf(this->state.catalog)}});
+			this->readerFor[_news.teller] = now;
 		}
-		this->isReader = _reader;
-		this->toldAt = now;
-		this->toldProof = std::max(this->toldProof, _proof);
+		std::erase_if(this->readerFor, [&](const auto& _entry) {
+			return now - _entry.second > kToldMaxAgeMs;
+		});
+		const bool reader = !this->readerFor.empty();
+		if (this->isReader != reader)
+		{
+			logInfo(reader ? "store_reader" : "store_told", {{"teller", _news.teller}, {"proof_age_ms", proofAge(this->state.freshness, now).value_or(-1)}, {"catalog", versionOf(this->state.catalog)}});
+		}
+		this->isReader = reader;
+	}
+
+	void StoreWatch::takeNews(const CoordinatorNews& _news)
+	{
+		const store::ConfigurationProof& proof = _news.proof;
+		const store::TableNews& upstreams = _news.upstreams;
+		this->noteReader(_news);
+		this->toldAt = nowMs();
+		this->toldProof = std::max(this->toldProof, proof);
 		// A newer row than the held one is read by a call of one's own, which needn't wait.
-		if (0 != _proof.rowVersion && _proof.rowVersion == this->configurationRow && 0 == this->unreadableRow)
+		if (0 != proof.rowVersion && proof.rowVersion == this->configurationRow && 0 == this->unreadableRow)
 		{
-			noteToldProof(this->state.freshness, _proof.storeTime);
+			noteToldProof(this->state.freshness, proof.storeTime);
 			this->noteAnswer(this->state.freshness.provenAt.value_or(0));
 		}
-		const std::optional<Millis> from = _upstreams.storeTime ? ownTimeOf(this->state.freshness, *_upstreams.storeTime) : std::nullopt;
-		if (!from || !this->upstreamsSince || _upstreams.version < *this->upstreamsSince)
+		const std::optional<Millis> from = upstreams.storeTime ? ownTimeOf(this->state.freshness, *upstreams.storeTime) : std::nullopt;
+		if (!from || !this->upstreamsSince || upstreams.version < *this->upstreamsSince)
 		{
 			return;
 		}
 		this->noteAnswer(*from);
 		this->upstreamsToldFrom = std::max(this->upstreamsToldFrom, *from);
 		store::Rows rows;
-		rows.rows = _upstreams.rows;
-		rows.version = _upstreams.version;
-		this->takeUpstreams(rows, _upstreams.whole);
+		rows.rows = upstreams.rows;
+		rows.version = upstreams.version;
+		this->takeUpstreams(rows, upstreams.whole);
 	}
 
 	void StoreWatch::noteAnswer(Millis _answeredAt)
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -19,6 +19,15 @@
 		UpstreamRecord (*upstream)(const std::string& _incarnation, const std::string& _document);
 	};
 
+	/// What a coordinator tells of the store.
+	struct CoordinatorNews
+	{
+		std::string teller; ///< Service and group.
+		store::ConfigurationProof proof;
+		store::TableNews upstreams;
+		bool reader = false; ///< This gateway is to ask for the configuration, for the others too.
+	};
+
 	/// Runs as long as it lives.
 	class StoreWatch
 	{
@@ -31,9 +40,8 @@
 		/// @returns Version up to which the upstreams are known; 0 before the first read.
 		std::uint64_t upstreamsVersion() const;
 
-		/// Takes in what a coordinator told of the store.
-		/// @param[in] _reader This gateway is to ask for the configuration, for the others too.
-		void takeNews(const store::ConfigurationProof& _proof, const store::TableNews& _upstreams, bool _reader);
+		/// Takes in what a coordinator told of the store; of several the newest counts.
+		void takeNews(const CoordinatorNews& _news);
 
 	private:
 		/// A table that is followed, and what is done with its rows.
@@ -86,11 +94,15 @@
 		bool configurationAnswered = true;
 		bool upstreamsAnswered = true;
 
-		bool isReader = false;               ///< This gateway asks for the configuration, for others too.
-		store::ConfigurationProof toldProof; ///< The newest proof that others told.
-		Millis toldAt = 0;                   ///< When a coordinator last told anything.
-		Millis upstreamsToldFrom = 0;        ///< When the store last answered the coordinator that tells of upstreams; own clock, conservatively.
-		Millis answeredAt = 0;               ///< When the store last answered anybody; own clock, conservatively.
+		/// Takes in which coordinators want this gateway to read.
+		void noteReader(const CoordinatorNews& _news);
+
+		bool isReader = false;                   ///< This gateway asks for the configuration, for others too.
+		std::map<std::string, Millis> readerFor; ///< Coordinators that want it to, and when they last said so.
+		store::ConfigurationProof toldProof;     ///< The newest proof that others told.
+		Millis toldAt = 0;                       ///< When a coordinator last told anything.
+		Millis upstreamsToldFrom = 0;            ///< When the store last answered the coordinator that tells of upstreams; own clock, conservatively.
+		Millis answeredAt = 0;                   ///< When the store last answered anybody; own clock, conservatively.
 
 		Millis upstreamsBackAt = 0;                                    ///< When the list could be read again.
 		std::map<std::string, Millis> doubtful;                        ///< Upstreams whose row went with the store; when to forget them.
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -51,6 +51,11 @@
 		};
 	} // namespace
 
+	std::string_view toString(CoordinatorEnd _end)
+	{
+		return CoordinatorEnd::TermLost == _end ? "term_lost" : "group_left";
+	}
+
 	store::RowKey groupRowKey(const std::string& _service, const std::string& _group)
 	{
 		return {kTable, _group, _service};
@@ -70,7 +75,7 @@
 
 	Coordination Coordinator::coordination() const
 	{
-		return {this->intent.term, this->intent.coordinator, this->storeLost};
+		return {this->group, this->intent.term, this->intent.coordinator, this->storeLost};
 	}
 
 	bool Coordinator::switchIsOpen() const
@@ -185,16 +190,17 @@
 		}
 		logInfo("map_planned", {{"group", this->group}, {"epoch", first.epoch}, {"step", first.step}, {"skew", decision.skewBefore}, {"planned_skew", decision.skewAfter}, {"copies", decision.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.pieces.back().to}});
 		std::optional<SwitchIntent> begun = beginSwitch(this->intent, first.epoch, decision.hosts);
-		this->ended = this->ended || !begun; // no versions left: the next coordinator has a term of its own
+		if (!begun)
+		{
+			this->end(CoordinatorEnd::TermLost); // no versions left: the next coordinator has a term of its own
+		}
 		return begun;
 	}
 
 	bool Coordinator::allReachable() const
 	{
-		const Millis now = nowMs();
-		return !this->ranks.empty() && std::all_of(this->ranks.begin(), this->ranks.end(), [&](const auto& _entry) {
-			return 0 != _entry.second.seenAt && now - _entry.second.seenAt <= kViewMaxAgeMs;
-		});
+		const SearchProgress progress = this->progress();
+		return 0 < progress.found && progress.ranks <= progress.found;
 	}
 
 	bool Coordinator::takesTooLong() const
@@ -259,7 +265,7 @@
 	{
 		const auto fatal = [this](kj::Exception&& _error) {
 			logError("coordinator_failed", {{"group", this->group}, {"reason", _error.getDescription().cStr()}, {"remedy", "another daemon takes over; report this line"}});
-			this->ended = true;
+			this->end(CoordinatorEnd::TermLost);
 		};
 		this->modelling = this->watchModel().take().eagerlyEvaluate(fatal);
 		this->following = this->followUpstreams().take().eagerlyEvaluate(fatal);
@@ -269,7 +275,7 @@
 		{
 			co_await this->parts.loop.timer.afterDelay(kIdleLookMs * kj::MILLISECONDS);
 		}
-		co_return CoordinatorEnd::TermLost;
+		co_return *this->ended;
 	}
 
 	GroupLoads Coordinator::loads(const LoadsQuestion& _question)
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -7,6 +7,7 @@
 
 #include "archdyke/catalog.h"
 #include "archdyke/map_window.h"
+#include "archdyke/rank_search.h"
 #include "archdyke/upstream_choice.h"
 #include "gateway/settings.h"
 #include "group/rank_link.h"
@@ -31,10 +32,14 @@
 	/// Why a coordinator ended.
 	enum class CoordinatorEnd
 	{
-		TermLost, ///< Another one has a newer term.
+		TermLost,  ///< Another one has a newer term.
+		GroupLeft, ///< The own engine is in another group now.
 		Count
 	};
 
+	/// @returns The name used in logs.
+	std::string_view toString(CoordinatorEnd _end);
+
 	class Coordinator
 	{
 	public:
@@ -54,9 +59,11 @@
 	private:
 		struct Rank
 		{
-			std::unique_ptr<RankLink> link;
+			std::unique_ptr<RankLink> link; ///< This and the next are null until it is asked.
 			std::unique_ptr<Engine> direct; ///< The engine itself, asked while its daemon is away.
 			std::string engineAddress;
+			std::string incarnation; ///< Of the engine, as the list of upstreams has it.
+			SearchCandidate search;  ///< While it isn't known to be in this group.
 			RankReport report;
 			Millis seenAt = 0; ///< 0: never.
 			bool asking = false;
@@ -99,6 +106,7 @@
 		/// @param[in] _seenBefore All ranks, as seen before the row was read.
 		void releaseStrays(const std::vector<RankView>& _seenBefore);
 		void noteWatchFailure(const std::string& _table, const std::string& _reason) const;
+		void end(CoordinatorEnd _why);
 		aio::Task<void> observe(std::string _engine, bool _counts);
 		aio::Task<void> observeDirectly(std::string _engine);
 		aio::Task<void> send(RankOrderPlan _plan);
@@ -112,12 +120,22 @@
 		std::optional<std::uint32_t> ownRank() const;
 		Millis rowLookMs() const;
 		void takeUpstreams(const store::Rows& _rows);
+		/// The list of upstreams names an incarnation no longer.
+		void unlist(const std::string& _incarnation);
 		void takeConfiguration(const store::Rows& _rows);
 		void hear(Rank& _rank, const RankReport& _report);
 		void notePace(const Rank& _rank, const EngineReport& _engine) const;
 		void notePass(const EngineReport& _engine);
 		void takeChoices(Rank& _rank, const ChoiceSample& _sample);
 		void askRanks();
+		/// Asks other upstreams of the service while not all ranks of the group are known.
+		void searchGroup();
+		void ask(const std::string& _engine, Rank& _rank, bool _counts);
+		Rank& rankAt(const std::string& _engine);
+		/// Puts a rank among those of this group, or among the others.
+		void sortIn(const Rank& _rank);
+		/// @returns How many ranks were heard lately, of how many.
+		SearchProgress progress() const;
 		Millis sampleMs() const;
 		Millis orderTimeoutMs() const;
 		std::size_t sampledRanks() const;
@@ -140,8 +158,9 @@
 		Millis rowReadAt;
 		Millis phaseSince;
 		bool storeLost = false;
-		bool ended = false;
-		std::map<std::string, Rank> ranks; ///< By engine address.
+		std::optional<CoordinatorEnd> ended;
+		std::map<std::string, Rank> ranks;     ///< Of this group, by engine address.
+		std::map<std::string, Rank> strangers; ///< Other upstreams of the service; nodes move between the two and keep their places in memory.
 		std::optional<EngineModel> model;
 		std::map<RankOrderPlan, SentOrder> sent;
 		ChoiceWindow window;
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -38,6 +38,11 @@
 		constexpr double kSlowPace = 1.5;
 		/// The time of a pass is the mean over about this long, ms: some passes.
 		constexpr Millis kPassWindowMs = 500;
+
+		std::string daemonAddress(const std::string& _engine, int _peerPort)
+		{
+			return _engine.substr(0, _engine.rfind(':') + 1) + std::to_string(_peerPort);
+		}
 	} // namespace
 
 	void Coordinator::notePass(const EngineReport& _engine)
@@ -93,6 +98,10 @@
 
 	void Coordinator::hear(Rank& _rank, const RankReport& _report)
 	{
+		if (_report.engine.group != this->group)
+		{
+			logInfo("rank_elsewhere", {{"engine", _rank.engineAddress}, {"group", this->group}, {"its_group", _report.engine.group.empty() ? "-" : _report.engine.group}});
+		}
 		const bool stateChanged = _rank.report.engine.view.open != _report.engine.view.open || _rank.report.engine.view.epoch != _report.engine.view.epoch || 0 == _rank.seenAt;
 		if (stateChanged)
 		{
@@ -102,22 +111,76 @@
 		this->takeChoices(_rank, _report.choices);
 		_rank.report = _report;
 		_rank.seenAt = nowMs();
-		this->notePass(_report.engine);
+		this->sortIn(_rank);
+		if (_report.engine.group == this->group)
+		{
+			this->notePass(_report.engine);
+		}
+		else if (_rank.engineAddress == this->parts.settings.upstream)
+		{
+			this->end(CoordinatorEnd::GroupLeft);
+		}
+	}
+
+	Coordinator::Rank& Coordinator::rankAt(const std::string& _engine)
+	{
+		const auto own = this->ranks.find(_engine);
+		return this->ranks.end() != own ? own->second : this->strangers.at(_engine);
+	}
+
+	void Coordinator::sortIn(const Rank& _rank)
+	{
+		const bool belongs = _rank.report.engine.group == this->group;
+		std::map<std::string, Rank>& from = belongs ? this->strangers : this->ranks;
+		std::map<std::string, Rank>& to = belongs ? this->ranks : this->strangers;
+		const std::string engine = _rank.engineAddress;
+		if (from.contains(engine))
+		{
+			to.insert(from.extract(engine));
+		}
+		// One that is in no group may join this one at any time.
+		const bool elsewhere = !belongs && !_rank.report.engine.group.empty();
+		this->rankAt(engine).search.elsewhereAt = elsewhere ? nowMs() : 0;
+	}
+
+	SearchProgress Coordinator::progress() const
+	{
+		SearchProgress progress;
+		const Millis now = nowMs();
+		for (const auto& [engine, rank] : this->ranks)
+		{
+			if (now - rank.seenAt <= kViewMaxAgeMs)
+			{
+				progress.found += 1;
+				progress.ranks = std::max(progress.ranks, rank.report.engine.ranks);
+			}
+		}
+		return progress;
+	}
+
+	void Coordinator::end(CoordinatorEnd _why)
+	{
+		if (!this->ended)
+		{
+			logInfo("coordinator_ends", {{"group", this->group}, {"term", this->intent.term}, {"why", toString(_why)}});
+			this->ended = _why;
+		}
 	}
 
 	aio::Task<void> Coordinator::observe(std::string _engine, bool _counts)
 	{
-		Rank& rank = this->ranks.at(_engine);
+		Rank& rank = this->rankAt(_engine);
 		rank.asking = true;
+		rank.search.askedAt = nowMs();
 		std::string failure;
 		try
 		{
 			const Coordination mine = this->coordination();
 			const Observation observation = co_await rank.link->observe(mine, _counts, rank.sample, kObserveTimeoutMs);
-			if (!this->ended && observation.newest.term > this->intent.term)
+			if (!this->ended && observation.newest.group == this->group && observation.newest.term > this->intent.term)
 			{
 				logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", observation.newest.term}, {"coordinator", observation.newest.address}});
-				this->ended = true;
+				this->end(CoordinatorEnd::TermLost);
 			}
 			this->hear(rank, observation.report);
 		}
@@ -142,7 +205,7 @@
 
 	aio::Task<void> Coordinator::observeDirectly(std::string _engine)
 	{
-		Rank& rank = this->ranks.at(_engine);
+		Rank& rank = this->rankAt(_engine);
 		rank.asking = true;
 		std::string failure;
 		try
@@ -196,8 +259,38 @@
 			asked += 1;
 			const bool sampled = 0 < left;
 			left -= sampled ? 1 : 0;
-			std::string name = engine;
-			this->tasks.add(this->observe(std::move(name), sampled).take());
+			this->ask(engine, rank, sampled);
+		}
+		this->searchGroup();
+	}
+
+	void Coordinator::ask(const std::string& _engine, Rank& _rank, bool _counts)
+	{
+		if (nullptr == _rank.link)
+		{
+			_rank.link = std::make_unique<RankLink>(this->parts.loop, daemonAddress(_engine, this->parts.settings.place.peerPort));
+			_rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, _engine);
+		}
+		std::string name = _engine;
+		this->tasks.add(this->observe(std::move(name), _counts).take());
+	}
+
+	void Coordinator::searchGroup()
+	{
+		const SearchProgress progress = this->progress();
+		std::vector<std::pair<const std::string*, Rank*>> resting;
+		std::vector<SearchCandidate> candidates;
+		for (auto& [engine, rank] : this->strangers)
+		{
+			if (!rank.asking)
+			{
+				resting.emplace_back(&engine, &rank);
+				candidates.push_back(rank.search);
+			}
+		}
+		for (const std::size_t index : searchRanks(candidates, progress, nowMs()))
+		{
+			this->ask(*resting[index].first, *resting[index].second, false);
 		}
 	}
 
@@ -248,7 +341,7 @@
 			try
 			{
 				EngineOrder copy = order;
-				outcome = co_await target->link->order(this->intent.term, std::move(copy), std::move(difference), this->orderTimeoutMs());
+				outcome = co_await target->link->order(this->coordination(), std::move(copy), std::move(difference), this->orderTimeoutMs());
 				target->lacksBase = outcome.baseUnknown;
 			}
 			catch (const kj::Exception&)
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -45,11 +45,6 @@
 			}
 			return least;
 		}
-
-		std::string daemonAddress(const std::string& _engine, int _peerPort)
-		{
-			return _engine.substr(0, _engine.rfind(':') + 1) + std::to_string(_peerPort);
-		}
 	} // namespace
 
 	void Coordinator::adopt(SwitchIntent _intent)
@@ -70,7 +65,7 @@
 		if (current.term != this->intent.term)
 		{
 			logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", current.term}, {"coordinator", current.coordinator}});
-			this->ended = true;
+			this->end(CoordinatorEnd::TermLost);
 			return;
 		}
 		this->adopt(std::move(current));
@@ -107,24 +102,41 @@
 		}
 	}
 
+	void Coordinator::unlist(const std::string& _incarnation)
+	{
+		for (auto* known : {&this->ranks, &this->strangers})
+		{
+			for (auto& [engine, rank] : *known)
+			{
+				rank.search.listed = rank.search.listed && rank.incarnation != _incarnation;
+			}
+		}
+	}
+
 	void Coordinator::takeUpstreams(const store::Rows& _rows)
 	{
 		for (const store::Row& row : _rows.rows)
 		{
 			if (row.gone)
 			{
-				continue; // a rank whose engine died comes back at its address, or never answers
+				this->unlist(row.key.key); // its engine comes back at its address, or never answers
+				continue;
 			}
 			const UpstreamRecord record = this->parts.decodeUpstream(row.key.key, row.value);
-			if (record.service != this->parts.settings.service || this->ranks.contains(record.address))
+			if (record.service != this->parts.settings.service)
 			{
 				continue;
 			}
-			Rank rank;
+			const bool known = this->ranks.contains(record.address) || this->strangers.contains(record.address);
+			Rank& rank = known ? this->rankAt(record.address) : this->strangers[record.address];
 			rank.engineAddress = record.address;
-			rank.link = std::make_unique<RankLink>(this->parts.loop, daemonAddress(record.address, this->parts.settings.place.peerPort));
-			rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, record.address);
-			this->ranks.emplace(record.address, std::move(rank));
+			if (rank.incarnation != record.incarnation)
+			{
+				rank.incarnation = record.incarnation;
+				rank.search = {}; // another process may be in another group
+			}
+			rank.search.ownZone = record.zone == this->parts.settings.place.zone;
+			rank.search.listed = true;
 		}
 	}
 
--- a/src/group/rank_link.cpp
+++ b/src/group/rank_link.cpp
@@ -70,11 +70,12 @@
 		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
 	}
 
-	aio::Task<OrderOutcome> RankLink::order(std::uint64_t _term, EngineOrder _order, MapDifference _difference, Millis _timeoutMs)
+	aio::Task<OrderOutcome> RankLink::order(Coordination _coordination, EngineOrder _order, MapDifference _difference, Millis _timeoutMs)
 	{
 		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
 		auto request = link->daemon.orderRequest();
-		request.setTerm(_term);
+		request.setTerm(_coordination.term);
+		request.setGroup(_coordination.group);
 		writeOrder(request.initOrder(), _order, _difference);
 		kj::Promise<OrderOutcome> answer = request.send().then([](capnp::Response<rpc::RankDaemon::OrderResults>&& _response) {
 			OrderOutcome outcome{_response.getAccepted(), _response.getStatus(), _response.getBaseUnknown(), std::nullopt};
--- a/src/group/rank_link.h
+++ b/src/group/rank_link.h
@@ -26,7 +26,7 @@
 		/// All three throw kj::Exception when there is no answer in time.
 		/// @param[in] _sample The last sample of counts that is held, 0 for none.
 		aio::Task<Observation> observe(Coordination _coordination, bool _counts, std::uint64_t _sample, Millis _timeoutMs);
-		aio::Task<OrderOutcome> order(std::uint64_t _term, EngineOrder _order, MapDifference _difference, Millis _timeoutMs);
+		aio::Task<OrderOutcome> order(Coordination _coordination, EngineOrder _order, MapDifference _difference, Millis _timeoutMs);
 		aio::Task<GroupLoads> loads(LoadsQuestion _question, Millis _timeoutMs);
 
 		const std::string& address() const;
--- a/src/group/rank_rpc.cpp
+++ b/src/group/rank_rpc.cpp
@@ -165,11 +165,12 @@
 
 	Coordination readCoordination(rpc::Coordination::Reader _reader)
 	{
-		return {_reader.getTerm(), _reader.getAddress().cStr(), _reader.getStoreLost()};
+		return {_reader.getGroup().cStr(), _reader.getTerm(), _reader.getAddress().cStr(), _reader.getStoreLost()};
 	}
 
 	void writeCoordination(rpc::Coordination::Builder _builder, const Coordination& _coordination)
 	{
+		_builder.setGroup(_coordination.group);
 		_builder.setTerm(_coordination.term);
 		_builder.setAddress(_coordination.address);
 		_builder.setStoreLost(_coordination.storeLost);
--- a/src/group/rank_rpc.h
+++ b/src/group/rank_rpc.h
@@ -31,8 +31,9 @@
 	/// Who coordinates a group.
 	struct Coordination
 	{
+		std::string group;
 		std::uint64_t term = 0;
-		std::string address;
+		std::string address; ///< Empty: nobody was heard.
 		bool storeLost = false;
 
 		bool operator==(const Coordination&) const = default;
--- a/src/group/rank_server.cpp
+++ b/src/group/rank_server.cpp
@@ -11,6 +11,18 @@
 		constexpr std::size_t kMapsKept = 4;
 	} // namespace
 
+	void takeReport(SidecarState& _state, EngineReport _report)
+	{
+		if (_state.newest.group != _report.group)
+		{
+			logInfo("group_joined", {{"group", _report.group.empty() ? "-" : _report.group}, {"before", _state.newest.group.empty() ? "-" : _state.newest.group}, {"rank", _report.rank}, {"ranks", _report.ranks}, {"epoch", _report.view.epoch}});
+			_state.newest = {};
+			_state.newest.group = _report.group;
+			_state.heardAt = nowMs();
+		}
+		_state.lastReport = std::move(_report);
+	}
+
 	RankServer::RankServer(SidecarState& _state, Engine& _engine, std::string _service)
 	    : state(_state)
 	    , engine(_engine)
@@ -36,20 +48,20 @@
 		{
 			loads = this->state.coordinator->loads(readQuestion(_context.getParams()));
 		}
-		loads.newest = this->state.newest;
+		loads.newest = this->state.newest; // the group's name also while nobody was heard
 		writeLoads(_context.getResults(), loads);
 		return kj::READY_NOW;
 	}
 
 	void RankServer::hearCoordinator(const Coordination& _coordination)
 	{
-		if (_coordination.term < this->state.newest.term)
+		if (_coordination.group != this->state.newest.group || _coordination.term < this->state.newest.term)
 		{
 			return;
 		}
 		if (_coordination.term > this->state.newest.term)
 		{
-			logInfo("coordinator_heard", {{"term", _coordination.term}, {"address", _coordination.address}, {"before", this->state.newest.term}});
+			logInfo("coordinator_heard", {{"group", _coordination.group}, {"term", _coordination.term}, {"address", _coordination.address}, {"before", this->state.newest.term}});
 		}
 		// One that can't reach the store is followed, but another may take over.
 		this->state.heardAt = _coordination.storeLost ? this->state.heardAt : nowMs();
@@ -66,7 +78,9 @@
 			EngineCounts counts = co_await this->engine.counts();
 			report.choices = this->takeSample(std::move(counts), _context.getParams().getSample());
 		}
-		this->state.lastReport = report.engine;
+		takeReport(this->state, report.engine);
+		// Before its first report the daemon didn't know which group's coordinator to hear.
+		this->hearCoordinator(readCoordination(_context.getParams().getCoordination()));
 		writeCoordination(_context.getResults().initNewest(), this->state.newest);
 		writeReport(_context.getResults().initReport(), report);
 	}
@@ -118,9 +132,15 @@
 	aio::Task<void> RankServer::answerOrder(OrderContext _context)
 	{
 		const std::uint64_t term = _context.getParams().getTerm();
+		const std::string group = _context.getParams().getGroup().cStr();
+		if (group != this->state.newest.group)
+		{
+			logWarning("order_for_another_group", {{"group", group}, {"own", this->state.newest.group}, {"term", term}});
+			co_return;
+		}
 		if (term < this->state.newest.term)
 		{
-			logWarning("order_of_an_old_term", {{"term", term}, {"newest", this->state.newest.term}});
+			logWarning("order_of_an_old_term", {{"group", group}, {"term", term}, {"newest", this->state.newest.term}});
 			co_return;
 		}
 		EngineOrder order = readOrder(_context.getParams().getOrder());
@@ -143,7 +163,7 @@
 			RankReport report;
 			report.service = this->service;
 			report.engine = co_await this->engine.report();
-			this->state.lastReport = report.engine;
+			takeReport(this->state, report.engine);
 			writeReport(_context.getResults().initReport(), report);
 		}
 		catch (const kj::Exception& error)
--- a/src/group/rank_server.h
+++ b/src/group/rank_server.h
@@ -14,13 +14,17 @@
 	/// State of the sidecar, on its one event loop.
 	struct SidecarState
 	{
-		Coordination newest; ///< With the highest term that was heard.
+		Coordination newest; ///< Of the engine's group, with the highest term that was heard.
 		Millis heardAt = 0;  ///< When a coordinator that reaches the store was last heard.
 		std::optional<EngineReport> lastReport;
 		bool engineUp = true;
 		std::unique_ptr<Coordinator> coordinator; ///< Null while another process coordinates.
 	};
 
+	/// Takes in what the engine says of itself. What was heard of the group that it was in before
+	/// is forgotten.
+	void takeReport(SidecarState& _state, EngineReport _report);
+
 	/// Serves the coordinator of the group, and the gateways if it is this process.
 	class RankServer final : public rpc::RankDaemon::Server
 	{
@@ -32,6 +36,7 @@
 		kj::Promise<void> loads(LoadsContext _context) override;
 
 	private:
+		/// Passes over coordinators of groups that the engine isn't in.
 		void hearCoordinator(const Coordination& _coordination);
 		aio::Task<void> answerObserve(ObserveContext _context);
 		/// @param[in] _held Sample that the coordinator has.
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -136,7 +136,11 @@
 					if (!this->state.lastReport)
 					{
 						// Its rank tells how long to wait.
-						this->state.lastReport = co_await this->lookAtEngine();
+						std::optional<EngineReport> first = co_await this->lookAtEngine();
+						if (first)
+						{
+							takeReport(this->state, std::move(*first));
+						}
 						continue;
 					}
 					const std::optional<EngineReport> report = co_await this->lookAtEngine();
@@ -145,7 +149,7 @@
 						this->state.heardAt = nowMs();
 						continue;
 					}
-					this->state.lastReport = report;
+					takeReport(this->state, *report);
 					if (!this->coordinatorIsGone())
 					{
 						continue; // it was heard while the engine was asked
@@ -169,7 +173,7 @@
 					if (found.intent.term > this->state.newest.term)
 					{
 						// Another one has taken over and will be heard; if not, the next look says so.
-						this->state.newest = {found.intent.term, found.intent.coordinator, false};
+						this->state.newest = {_group, found.intent.term, found.intent.coordinator, false};
 						this->state.heardAt = nowMs();
 						co_return;
 					}
@@ -197,7 +201,7 @@
 					this->state.heardAt = nowMs() - kCoordinatorGoneMs + kTryAgainMs;
 					co_return;
 				}
-				this->state.newest = {row->term, this->address, false};
+				this->state.newest = {_group, row->term, this->address, false};
 				std::string group = _group;
 				co_await this->coordinate(std::move(group), std::move(*row), version);
 			}
@@ -206,8 +210,8 @@
 			{
 				CoordinatorParts parts{this->loop, *this->tableStore, this->deployment.tables, this->deployment.codec, this->deployment.decoders.catalog, this->deployment.decoders.upstream, this->settings, this->metrics};
 				this->state.coordinator = std::make_unique<Coordinator>(std::move(parts), _group, std::move(_row), _version);
-				co_await this->state.coordinator->run();
-				logInfo("coordinator_ended", {{"group", _group}});
+				const CoordinatorEnd end = co_await this->state.coordinator->run();
+				logInfo("coordinator_ended", {{"group", _group}, {"why", toString(end)}});
 				this->state.coordinator = nullptr;
 				this->state.heardAt = nowMs();
 			}
--- a/src/rank.capnp
+++ b/src/rank.capnp
@@ -37,6 +37,7 @@
 	term @0 :UInt64;
 	address @1 :Text;       # IP:port of the coordinator's process
 	storeLost @2 :Bool;     # it can't reach the store
+	group @3 :Text;         # which group; a daemon of another one passes it over
 }
 
 struct RankOrder
@@ -100,14 +101,14 @@
 	# sample: the last sample of counts that the coordinator has, 0 for none; wanted with counts.
 	observe @0 (coordination :Coordination, counts :Bool, sample :UInt64) -> (newest :Coordination, report :RankReport);
 
-	# Gives the engine an order.
+	# Gives the engine an order. A daemon whose engine is in another group orders nothing.
 	# accepted: the engine began it or has it already. status: the engine's answer, 0 for none.
 	# baseUnknown: the daemon lacks the map that a prepare builds on; nothing was ordered.
 	# report: the rank's state after the order, without counts; unset when the engine didn't say.
-	order @1 (term :UInt64, order :RankOrder) -> (accepted :Bool, status :UInt16, baseUnknown :Bool, report :RankReport);
+	order @1 (term :UInt64, order :RankOrder, group :Text) -> (accepted :Bool, status :UInt16, baseUnknown :Bool, report :RankReport);
 
-	# Asks for the loads of the group, and for news of the store, so that not each gateway has to
-	# ask it. Only the group's coordinator knows them.
+	# Asks for the loads of the daemon's group, and for news of the store, so that not each gateway
+	# has to ask it. Only the group's coordinator knows them; others name the group and whom they heard.
 	# upstreamsSince: version up to which the gateway knows the upstreams; 0 for none.
 	# proof: the newest that the gateway has; the answer brings the newest that any gateway told.
 	# reader: the gateway is to ask the store for the configuration itself, for the others too.
--- /dev/null
+++ b/tests/test_group_choice.cpp
@@ -0,0 +1,148 @@
+/// Which group a request goes to, and how a coordinator finds the ranks of its group.
+#include <algorithm>
+#include <array>
+#include <criterion/criterion.h>
+
+#include "archdyke/group_choice.h"
+#include "archdyke/rank_search.h"
+
+using namespace archdyke;
+
+namespace
+{
+	GroupCandidate inTime(double _fullness, double _ownZoneShare = 0.0)
+	{
+		return {GroupStanding::InTime, true, _fullness, 100.0 * (1.0 - _fullness), _ownZoneShare, false};
+	}
+
+	/// How often each of some groups is chosen.
+	std::vector<int> chosenOf(const std::vector<GroupCandidate>& _candidates, int _draws = 1'000)
+	{
+		Random random(5);
+		std::vector<int> counts(_candidates.size(), 0);
+		for (int draw = 0; draw < _draws; ++draw)
+		{
+			counts[*chooseGroup(_candidates, random)] += 1;
+		}
+		return counts;
+	}
+
+	/// @returns The most requests that one of three equal groups gets while all gateways go by the
+	/// same loads.
+	template <typename Choose>
+	int mostOfOneReport(Choose _choose)
+	{
+		std::vector<GroupCandidate> seen{inTime(0.50), inTime(0.52), inTime(0.54)};
+		std::array<int, 3> arrivals{};
+		Random random(11);
+		for (int request = 0; request < 90; ++request)
+		{
+			arrivals[*_choose(seen, random)] += 1;
+		}
+		return *std::max_element(arrivals.begin(), arrivals.end());
+	}
+} // namespace
+
+Test(groupchoice, a_group_that_is_down_or_full_gets_nothing)
+{
+	std::vector<GroupCandidate> candidates{inTime(0.2, 1.0), inTime(0.2), inTime(0.2)};
+	candidates[0].standing = GroupStanding::Down;
+	candidates[1].hasRoom = false;
+	cr_assert(1'000 == chosenOf(candidates)[2]);
+	candidates[2].standing = GroupStanding::Down;
+	Random random(1);
+	cr_assert(!chooseGroup(candidates, random));
+	cr_assert(!chooseGroup({}, random));
+}
+
+Test(groupchoice, the_own_zone_comes_first_until_it_is_much_fuller)
+{
+	cr_assert(1'000 == chosenOf({inTime(0.6, 1.0), inTime(0.4)})[0]);
+	const std::vector<int> spilled = chosenOf({inTime(0.9, 1.0), inTime(0.3)});
+	cr_assert(spilled[1] > spilled[0]);
+}
+
+Test(groupchoice, a_late_or_unheard_group_gets_what_those_in_time_have_no_room_for)
+{
+	std::vector<GroupCandidate> candidates{inTime(0.1, 1.0), inTime(0.9)};
+	for (const GroupStanding standing : {GroupStanding::Late, GroupStanding::Unknown})
+	{
+		candidates[0].standing = standing;
+		candidates[1].hasRoom = true;
+		cr_assert(1'000 == chosenOf(candidates)[1]);
+		candidates[1].hasRoom = false;
+		cr_assert(1'000 == chosenOf(candidates)[0]);
+	}
+}
+
+Test(groupchoice, a_second_try_goes_elsewhere_if_it_can)
+{
+	std::vector<GroupCandidate> candidates{inTime(0.1, 1.0), inTime(0.9)};
+	candidates[0].failedRequest = true;
+	cr_assert(1'000 == chosenOf(candidates)[1]);
+	candidates[1].standing = GroupStanding::Down;
+	cr_assert(1'000 == chosenOf(candidates)[0]);
+}
+
+/// All gateways know the same loads: taking the emptiest group would send all there.
+Test(groupchoice, gateways_with_the_same_loads_make_no_herd)
+{
+	const int drawn = mostOfOneReport([](const std::vector<GroupCandidate>& _seen, Random& _random) {
+		return chooseGroup(_seen, _random);
+	});
+	const int emptiest = mostOfOneReport([](const std::vector<GroupCandidate>& _seen, Random&) {
+		return chooseEmptiestGroup(_seen);
+	});
+	cr_assert(90 == emptiest && drawn < 45, "emptiest: %d at one, drawn: %d", emptiest, drawn);
+}
+
+Test(ranksearch, a_whole_group_asks_nobody_else)
+{
+	const std::vector<SearchCandidate> others(1'000);
+	cr_assert(searchRanks(others, {24, 24}, 10'000).empty());
+	cr_assert(!searchRanks(others, {23, 24}, 10'000).empty());
+	cr_assert(!searchRanks(others, {0, 0}, 10'000).empty());
+}
+
+Test(ranksearch, the_nearest_are_asked_first_and_few_at_a_time)
+{
+	std::vector<SearchCandidate> others(200);
+	for (std::size_t index = 100; index < 110; ++index)
+	{
+		others[index].ownZone = true;
+	}
+	const std::vector<std::size_t> asked = searchRanks(others, {1, 24}, 10'000);
+	cr_assert(asked.size() <= 32);
+	for (std::size_t index = 0; index < 10; ++index)
+	{
+		cr_assert(100 + index == asked[index]);
+	}
+}
+
+Test(ranksearch, all_are_asked_in_turn)
+{
+	std::vector<SearchCandidate> others(100);
+	for (int look = 1; look <= 4; ++look)
+	{
+		for (const std::size_t index : searchRanks(others, {1, 24}, 10'000 + look))
+		{
+			others[index].askedAt = 10'000 + look;
+		}
+	}
+	cr_assert(std::none_of(others.begin(), others.end(), [](const SearchCandidate& _candidate) {
+		return 0 == _candidate.askedAt;
+	}));
+}
+
+Test(ranksearch, those_in_other_groups_are_asked_again_only_now_and_then)
+{
+	SearchCandidate elsewhere;
+	elsewhere.askedAt = 10'000;
+	elsewhere.elsewhereAt = 10'000;
+	cr_assert(searchRanks({elsewhere}, {23, 24}, 11'000).empty());
+	cr_assert(1 == searchRanks({elsewhere}, {23, 24}, 20'000).size());
+	SearchCandidate gone;
+	gone.listed = false;
+	gone.askedAt = 10'000;
+	cr_assert(searchRanks({gone}, {23, 24}, 11'000).empty());
+}
--- /dev/null
+++ b/tests/test_groups.cpp
@@ -0,0 +1,163 @@
+/// Several groups of engine ranks in one service: each has its coordinator, its map and its faults,
+/// and gateways send requests where they can run.
+#include <csignal>
+
+#include "group_rig.h"
+
+using namespace archdyke;
+using namespace archdyke::tests;
+
+namespace
+{
+	constexpr const char* kGateway = "gateway-a";
+	constexpr int kCalls = 40;
+
+	/// Requests through a gateway, by the group that ran them; "" for those that nobody ran.
+	std::map<std::string, int> callsByGroup(const GroupRig& _rig, const std::string& _prefix, int _calls = kCalls)
+	{
+		std::map<std::string, int> counts;
+		for (int call = 0; call < _calls; ++call)
+		{
+			const RigAnswer answer = _rig.call(kGateway, fmt::format("{}-{}", _prefix, call));
+			counts[200 == answer.status ? answer.body : ""] += 1;
+		}
+		return counts;
+	}
+
+	/// Two groups that a gateway knows.
+	void startKnown(GroupRig& _rig)
+	{
+		_rig.startGateway(kGateway);
+		for (const RigGroup& group : _rig.groups)
+		{
+			cr_assert(_rig.waitForGroup(kGateway, group), "%s", _rig.gatewayDump(kGateway).dump().c_str());
+		}
+	}
+} // namespace
+
+Test(groups, each_group_has_a_coordinator_and_a_map_of_its_own)
+{
+	GroupRig rig(std::vector<std::size_t>{4, 3});
+	for (const RigGroup& group : rig.groups)
+	{
+		cr_assert(group.switchesAgain(2, kSwitchMs), "group %s", group.name.c_str());
+		group.expectNoSplit();
+		cr_assert(rig.coordinator(group) < kRanks);
+	}
+}
+
+Test(groups, a_gateway_knows_which_rank_is_in_which_group)
+{
+	GroupRig rig(std::vector<std::size_t>{4, 3});
+	startKnown(rig);
+	const std::map<std::string, int> calls = callsByGroup(rig, "both");
+	cr_assert(0 < calls.at("g-0") && 0 < calls.at("g-1") && !calls.contains(""));
+}
+
+Test(groups, requests_go_to_the_others_while_a_group_is_down)
+{
+	GroupRig rig(std::vector<std::size_t>{4, 3});
+	startKnown(rig);
+	rig.groups[0].control({{"broken", true}});
+	// From the first one on: what meets the broken group is proved not run, and is sent to the other.
+	const std::map<std::string, int> down = callsByGroup(rig, "down");
+	cr_assert(kCalls == down.at("g-1"), "%s", Json(down).dump().c_str());
+	rig.groups[0].control({{"broken", false}});
+	cr_assert(rig.waitForGroup(kGateway, rig.groups[0]));
+	const std::map<std::string, int> open = callsByGroup(rig, "open");
+	cr_assert(0 < open.at("g-0") && !open.contains(""));
+}
+
+Test(groups, when_all_groups_are_down_a_request_hears_it_at_once)
+{
+	GroupRig rig(std::vector<std::size_t>{2, 2});
+	startKnown(rig);
+	for (const RigGroup& group : rig.groups)
+	{
+		group.control({{"broken", true}});
+	}
+	for (const RigGroup& group : rig.groups)
+	{
+		cr_assert(rig.waitForGroup(kGateway, group, true));
+	}
+	const Millis before = nowMs();
+	const RigAnswer answer = rig.call(kGateway, "none");
+	cr_assert(503 == answer.status && answer.headers.contains("Retry-After"));
+	cr_assert(nowMs() - before < 300);
+}
+
+Test(groups, a_zone_that_is_cut_with_its_group_is_left_alone)
+{
+	GroupRig rig(std::vector<std::size_t>{2, 2});
+	startKnown(rig);
+	rig.groups[0].signal(SIGSTOP);
+	cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+		const Json cut = rig.groupDump(kGateway, "g-0");
+		return cut.is_object() && !cut["known"].get<bool>();
+	}));
+	const std::map<std::string, int> calls = callsByGroup(rig, "cut");
+	cr_assert(kCalls == calls.at("g-1"), "%s", Json(calls).dump().c_str());
+	rig.groups[0].signal(SIGCONT);
+	cr_assert(rig.waitForGroup(kGateway, rig.groups[0]));
+}
+
+Test(groups, a_killed_coordinator_stops_no_other_group)
+{
+	GroupRig rig(std::vector<std::size_t>{4, 3});
+	startKnown(rig);
+	cr_assert(rig.groups[0].switchesAgain(1, kSwitchMs));
+	const std::size_t first = rig.coordinator(rig.groups[0]);
+	cr_assert(first < kRanks);
+	rig.groups[0].sidecars[first]->kill();
+	cr_assert(rig.groups[1].switchesAgain(2, kSwitchMs));
+	cr_assert(!callsByGroup(rig, "killed").contains(""));
+	// A rank without its daemon isn't given a map.
+	rig.start(rig.groups[0], first);
+	cr_assert(rig.groups[0].switchesAgain(1, kSwitchMs));
+	for (const RigGroup& group : rig.groups)
+	{
+		group.expectNoSplit();
+	}
+}
+
+Test(groups, a_group_that_forms_anew_under_load_loses_no_request)
+{
+	GroupRig rig(std::vector<std::size_t>{4, 3});
+	startKnown(rig);
+	for (int round = 0; round < 3; ++round)
+	{
+		rig.groups[0].control({{"broken", true}});
+		cr_assert(!callsByGroup(rig, fmt::format("broken-{}", round), 10).contains(""));
+		rig.groups[0].control({{"formAnew", true}, {"broken", false}});
+		cr_assert(!callsByGroup(rig, fmt::format("formed-{}", round), 10).contains(""));
+	}
+	cr_assert(rig.groups[0].switchesAgain(1, kSwitchMs));
+	rig.groups[0].expectNoSplit();
+}
+
+/// A gateway is told the store's news by any coordinator, and stays out of the store's way.
+Test(groups, several_coordinators_leave_two_readers_of_the_store)
+{
+	GroupRig rig(std::vector<std::size_t>{2, 2});
+	for (const char* name : {"gateway-a", "gateway-b", "gateway-c"})
+	{
+		rig.startGateway(name);
+	}
+	for (const RigGroup& group : rig.groups)
+	{
+		cr_assert(rig.waitForGroup("gateway-b", group));
+	}
+	const double before = rig.storeCalls("gateway-b");
+	lab::waitUntil(3'000, [] {
+		return false;
+	});
+	const double calls = rig.storeCalls("gateway-b") - before;
+	cr_assert(calls <= 2.0, "%f calls in 3 s while it is told", calls);
+	// One of the two coordinators goes with its group; the other's news are enough.
+	rig.groups[0].signal(SIGSTOP);
+	rig.configure(2);
+	cr_assert(lab::waitUntil(2'000, [&] {
+		return 2 == rig.gatewayDump("gateway-b")["catalog"].get<int>();
+	}));
+	rig.groups[0].signal(SIGCONT);
+}
--- a/tools/stub_ranks.cpp
+++ b/tools/stub_ranks.cpp
@@ -2,11 +2,13 @@
 /// check no fence and compare no maps. It carries orders out late when told to, and judges at each
 /// pass whether all ranks are on the same map.
 ///
-/// Options: {"addresses": [IP:port, ...], "sets", "experts", "passMs"?, "reportDelayMs"?: time that
-/// each rank takes to answer a question, by rank}. POST /control at any rank
-/// {"lateShare": share of the orders that get no answer and are carried out 0.2 to 1.5 s later,
-/// "formAnew": true, "hot": [expert of each set]}. GET /record at any rank tells the passes begun,
-/// the switches, the splits seen, the longest time that a pass was held, ms.
+/// Options: {"addresses": [IP:port, ...], "sets", "experts", "group"?: its name, "passMs"?,
+/// "reportDelayMs"?: time that each rank takes to answer a question, by rank}. POST /control at any
+/// rank {"lateShare": share of the orders that get no answer and are carried out 0.2 to 1.5 s later,
+/// "formAnew": true, "broken": whether the group stands still and runs no request, "active": what
+/// each rank tells of its load, "hot": [expert of each set]}. GET /record at any rank tells the
+/// passes begun, the requests run, the switches, the splits seen, the longest time that a pass was
+/// held, ms. Any other GET is a caller's request, answered whole and at once.
 #include <fmt/format.h>
 #include <map>
 #include <random>
@@ -49,6 +51,7 @@
 			    , ranks(_options.at("addresses").size())
 			    , sets(_options.at("sets").get<std::uint32_t>())
 			    , experts(_options.at("experts").get<std::uint32_t>())
+			    , name(_options.value("group", "g"))
 			    , passMs(_options.value("passMs", Millis(20)))
 			    , hot(this->sets, 0)
 			    , delays(_options.value("reportDelayMs", std::vector<Millis>(this->ranks.size(), 0)))
@@ -159,7 +162,7 @@
 				{
 					co_await this->loop.timer.afterDelay(this->passMs * kj::MILLISECONDS);
 					const Millis since = nowMs();
-					while (this->isHeld(this->step + 1))
+					while (this->broken || this->isHeld(this->step + 1))
 					{
 						co_await this->loop.timer.afterDelay(kHeldLookMs * kj::MILLISECONDS);
 					}
@@ -176,7 +179,7 @@
 			Json report(std::size_t _rank) const
 			{
 				const Rank& rank = this->ranks[_rank];
-				return {{"group", {{"name", "g"}, {"epoch", this->epoch}, {"rank", _rank}, {"state", "open"}}}, {"size", this->ranks.size()}, {"queued", 0}, {"active", 2}, {"step", this->step}, {"map", rank.map}, {"prepared", orNull(rank.prepared)}, {"armed", orNull(rank.armed)}, {"held", orNull(rank.held)}};
+				return {{"group", {{"name", this->name}, {"epoch", this->epoch}, {"rank", _rank}, {"state", this->broken ? "broken" : "open"}}}, {"size", this->ranks.size()}, {"queued", 0}, {"active", this->active}, {"step", this->step}, {"map", rank.map}, {"prepared", orNull(rank.prepared)}, {"armed", orNull(rank.armed)}, {"held", orNull(rank.held)}};
 			}
 
 			int carryOut(std::size_t _rank, const Json& _order)
@@ -229,6 +232,22 @@
 				this->carryOut(_rank, _order);
 			}
 
+			/// Answers a caller's request, or says that the group can't run it.
+			std::string serveRequest(std::size_t _rank, const http::RequestHead& _head)
+			{
+				http::ResponseHead head{this->broken ? 503 : 200, {}, true};
+				head.headers.add("X-Archdyke-Request-Id", std::string(_head.headers.find("X-Archdyke-Request-Id").value_or("")));
+				if (this->broken)
+				{
+					head.headers.add("X-Archdyke-Not-Executed", "1");
+					head.headers.add("At-Server", "a member");
+					return http::serialize(head, "");
+				}
+				this->requests += 1;
+				head.headers.add("X-Archdyke-Server-Stamp", fmt::format("stamp-{}-{}", this->name, _rank));
+				return http::serialize(head, this->name);
+			}
+
 			/// @returns Bytes of the answer; none when there is none.
 			std::optional<std::string> answer(std::size_t _rank, const http::RequestHead& _head, const std::string& _body)
 			{
@@ -245,13 +264,19 @@
 				}
 				if ("/record" == _head.target)
 				{
-					return json(200, {{"passes", this->step}, {"switches", this->switches}, {"splits", this->splits}, {"epoch", this->epoch}, {"map", this->lastMap}, {"longestHoldMs", this->longestHoldMs}});
+					return json(200, {{"passes", this->step}, {"requests", this->requests}, {"switches", this->switches}, {"splits", this->splits}, {"epoch", this->epoch}, {"map", this->lastMap}, {"longestHoldMs", this->longestHoldMs}});
+				}
+				if ("GET" == _head.method)
+				{
+					return this->serveRequest(_rank, _head);
 				}
 				const Json order = Json::parse(_body);
 				if ("/control" == _head.target)
 				{
 					this->lateShare = order.value("lateShare", this->lateShare);
 					this->hot = order.value("hot", this->hot);
+					this->broken = order.value("broken", this->broken);
+					this->active = order.value("active", this->active);
 					if (order.value("formAnew", false))
 					{
 						this->form();
@@ -280,7 +305,11 @@
 			std::vector<Rank> ranks;
 			std::uint32_t sets;
 			std::uint32_t experts;
+			std::string name;
 			Millis passMs;
+			bool broken = false; ///< Runs no request and begins no pass.
+			std::uint32_t active = 2;
+			std::uint64_t requests = 0; ///< Run by all ranks.
 			std::vector<std::uint32_t> hot;
 			std::vector<Millis> delays; ///< Of each answer, by rank.
 			std::uint64_t epoch = 0;
