A group switches maps while a daemon is frozen, or the store takes a second an answer

Looks at the ranks stopped while the row was written, so that after a write of 0.9 s all ranks counted as unseen and the switch was abandoned; a boundary lay 16 steps ahead at most, fewer than pass during such a write; and a rank whose daemon is silent was seen by nobody, so nothing was planned until it was back (4 s). Change: looks go on during writes; the margin covers the steps of both writes; patience counts from the end of a write; engines of silent daemons are asked and ordered from afar, at the price of a probe each. Measured: on the stand-in with 0.9 s a write no switch in 15 s before, three in 9 s now; with a frozen daemon or coordinator none in 15 s before, five in 4 s now (three tests, all failed before).

--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -33,9 +33,9 @@
 		/// looks at all ranks: a hold, the arms, a release.
 		constexpr double kArmMs = 50.0;
 		constexpr double kArmLooks = 2.5;
-		/// Steps between a boundary and the newest one, at most: a group without requests has short
-		/// passes.
-		constexpr std::uint64_t kMaxMarginSteps = 16;
+		/// Steps between a boundary and the newest one, at most, beside those that pass during the
+		/// two writes: a group without requests has short passes.
+		constexpr double kMaxMarginSteps = 16.0;
 		/// A gateway that hasn't asked for this long is gone, ms.
 		constexpr Millis kGatewayGoneMs = 2'000;
 		/// Table of the groups' rows.
@@ -106,8 +106,15 @@
 
 	std::uint64_t Coordinator::marginSteps() const
 	{
-		const double steps = 0.0 < this->passMs ? std::ceil((kArmMs + 2.0 * this->writeMs + kArmLooks * this->switchingLookMs()) / this->passMs) : double(kMaxMarginSteps);
-		return 1 + std::min(kMaxMarginSteps, std::uint64_t(steps));
+		if (this->passMs <= 0.0)
+		{
+			return 1 + std::uint64_t(kMaxMarginSteps);
+		}
+		// Fewer than pass during the writes would let each boundary pass before it is held: with a
+		// store of 0.9 s a write no switch came about at all.
+		const double writing = std::ceil(2.0 * this->writeMs / this->passMs);
+		const double others = std::ceil((kArmMs + kArmLooks * this->switchingLookMs()) / this->passMs);
+		return 1 + std::uint64_t(writing + std::min(kMaxMarginSteps, others));
 	}
 
 	std::vector<RankView> Coordinator::views(Millis _maxAgeMs) const
@@ -255,6 +262,14 @@
 				this->askedAt = nowMs();
 				this->askRanks();
 			}
+			co_await this->parts.loop.timer.afterDelay(kTickMs * kj::MILLISECONDS);
+		}
+	}
+
+	aio::Task<void> Coordinator::decide()
+	{
+		while (!this->ended)
+		{
 			// Answers to orders come between two looks, and each may let the switch go on.
 			co_await this->parts.loop.timer.afterDelay(kTickMs * kj::MILLISECONDS);
 			co_await this->advance();
@@ -271,6 +286,7 @@
 		this->following = this->followUpstreams().take().eagerlyEvaluate(fatal);
 		this->checking = this->checkRow().take().eagerlyEvaluate(fatal);
 		this->watching = this->watchRanks().take().eagerlyEvaluate(fatal);
+		this->deciding = this->decide().take().eagerlyEvaluate(fatal);
 		while (!this->ended)
 		{
 			co_await this->parts.loop.timer.afterDelay(kIdleLookMs * kj::MILLISECONDS);
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -65,8 +65,12 @@
 			std::string incarnation; ///< Of the engine, as the list of upstreams has it.
 			SearchCandidate search;  ///< While it isn't known to be in this group.
 			RankReport report;
-			Millis seenAt = 0; ///< 0: never.
+			Millis seenAt = 0;        ///< 0: never.
+			Millis daemonHeardAt = 0; ///< When its daemon last answered, or was first asked; 0: never asked.
+			Millis daemonAskedAt = 0;
+			Millis directAt = 0; ///< When the engine itself was last asked.
 			bool asking = false;
+			bool askingDirectly = false;
 			bool lacksBase = false;   ///< Its daemon doesn't know the map in force.
 			std::uint64_t sample = 0; ///< Last sample of counts; 0: none.
 			std::uint64_t sampleEpoch = 0;
@@ -96,7 +100,10 @@
 			bool refused = false;
 		};
 
+		/// Looks at the ranks, also while the row is written: a store that takes a second an answer
+		/// would else leave all ranks unseen, and the switch abandoned.
 		aio::Task<void> watchRanks();
+		aio::Task<void> decide();
 		aio::Task<void> followUpstreams();
 		aio::Task<void> watchModel();
 		aio::Task<store::Rows> nextUpstreams();
@@ -131,6 +138,9 @@
 		/// Asks other upstreams of the service while not all ranks of the group are known.
 		void searchGroup();
 		void ask(const std::string& _engine, Rank& _rank, bool _counts);
+		/// Asks the engine itself when its daemon is silent and it is time.
+		void askDirectly(const std::string& _engine, Rank& _rank, Millis _everyMs);
+		bool daemonIsSilent(const Rank& _rank) const;
 		Rank& rankAt(const std::string& _engine);
 		/// Puts a rank among those of this group, or among the others.
 		void sortIn(const Rank& _rank);
@@ -182,6 +192,7 @@
 		kj::Own<kj::TaskSet::ErrorHandler> errors;
 		kj::TaskSet tasks;
 		kj::Promise<void> watching = nullptr;
+		kj::Promise<void> deciding = nullptr;
 		kj::Promise<void> modelling = nullptr;
 		kj::Promise<void> following = nullptr;
 		kj::Promise<void> checking = nullptr;
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -29,9 +29,19 @@
 		/// no effect after the longer time, ms.
 		constexpr Millis kRepeatMs = 60;
 		constexpr Millis kRepeatAcceptedMs = 400;
-		/// A rank whose daemon is silent for this long is asked directly while a switch can't go on
-		/// without it, ms; each such question is paid for.
+		/// A rank whose daemon is silent for this long is asked and ordered directly, ms: a frozen or
+		/// restarted daemon would keep its group on a map that no longer fits, with passes twice as
+		/// long, until it is back (4 s of a freeze of 4 s).
 		constexpr Millis kDirectAfterMs = 400;
+		/// Between two direct questions while no switch is open, ms, so that the rank counts as seen
+		/// all the time; each one is paid for.
+		constexpr Millis kDirectEveryMs = 200;
+		/// The same while a switch is open: it waits for what the rank says.
+		constexpr Millis kDirectSwitchingMs = 25;
+		/// The same for an upstream that isn't known to be in the group.
+		constexpr Millis kDirectSearchMs = 1'000;
+		/// Between two tries to reach a silent daemon, ms.
+		constexpr Millis kSilentRetryMs = 300;
 		/// Ranks that are asked while one of them is to hold.
 		constexpr std::size_t kAskedWhileHolding = 3;
 		/// From this pace on a rank is told to be slow, in the log; decisions take any pace as it is.
@@ -182,6 +192,7 @@
 				logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", observation.newest.term}, {"coordinator", observation.newest.address}});
 				this->end(CoordinatorEnd::TermLost);
 			}
+			rank.daemonHeardAt = nowMs();
 			this->hear(rank, observation.report);
 		}
 		catch (const kj::Exception& error)
@@ -193,20 +204,13 @@
 		{
 			co_return;
 		}
-		logWarning("rank_unseen", {{"engine", _engine}, {"daemon", rank.link->address()}, {"age_ms", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"reason", failure}});
-		const bool groupMayStand = SwitchPhase::Holding == this->intent.phase || SwitchPhase::Switching == this->intent.phase;
-		if (groupMayStand && nowMs() - rank.seenAt > kDirectAfterMs)
-		{
-			// The group may stand at the boundary: its engine is asked and ordered from here.
-			std::string engine = _engine;
-			co_await this->observeDirectly(std::move(engine));
-		}
+		logWarning("rank_unseen", {{"group", this->group}, {"engine", _engine}, {"daemon", rank.link->address()}, {"silent_ms", nowMs() - rank.daemonHeardAt}, {"seen_ms", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"reason", failure}});
 	}
 
 	aio::Task<void> Coordinator::observeDirectly(std::string _engine)
 	{
 		Rank& rank = this->rankAt(_engine);
-		rank.asking = true;
+		rank.askingDirectly = true;
 		std::string failure;
 		try
 		{
@@ -222,7 +226,7 @@
 		{
 			failure = error.getDescription().cStr();
 		}
-		rank.asking = false;
+		rank.askingDirectly = false;
 		if (!failure.empty())
 		{
 			logWarning("engine_unseen", {{"engine", _engine}, {"reason", failure}});
@@ -242,6 +246,11 @@
 		return std::max(kLeastSampled, std::size_t(affordable));
 	}
 
+	bool Coordinator::daemonIsSilent(const Rank& _rank) const
+	{
+		return 0 != _rank.daemonHeardAt && nowMs() - _rank.daemonHeardAt > kDirectAfterMs;
+	}
+
 	void Coordinator::askRanks()
 	{
 		const Millis now = nowMs();
@@ -251,13 +260,19 @@
 		std::size_t asked = 0;
 		for (auto& [engine, rank] : this->ranks)
 		{
+			const bool silent = this->daemonIsSilent(rank);
+			if (silent)
+			{
+				this->askDirectly(engine, rank, this->switchIsOpen() ? kDirectSwitchingMs : kDirectEveryMs);
+			}
 			const bool enough = SwitchPhase::Holding == this->intent.phase && !counts && kAskedWhileHolding <= asked;
-			if (rank.asking || enough)
+			const bool rests = silent && now - rank.daemonAskedAt < kSilentRetryMs;
+			if (rank.asking || enough || rests)
 			{
 				continue;
 			}
-			asked += 1;
-			const bool sampled = 0 < left;
+			asked += silent ? 0 : 1;
+			const bool sampled = !silent && 0 < left;
 			left -= sampled ? 1 : 0;
 			this->ask(engine, rank, sampled);
 		}
@@ -266,15 +281,30 @@
 
 	void Coordinator::ask(const std::string& _engine, Rank& _rank, bool _counts)
 	{
+		const Millis now = nowMs();
 		if (nullptr == _rank.link)
 		{
 			_rank.link = std::make_unique<RankLink>(this->parts.loop, daemonAddress(_engine, this->parts.settings.place.peerPort));
 			_rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, _engine);
+			_rank.daemonHeardAt = now;
 		}
+		_rank.daemonAskedAt = now;
 		std::string name = _engine;
 		this->tasks.add(this->observe(std::move(name), _counts).take());
 	}
 
+	void Coordinator::askDirectly(const std::string& _engine, Rank& _rank, Millis _everyMs)
+	{
+		const Millis now = nowMs();
+		if (_rank.askingDirectly || now - _rank.directAt < _everyMs)
+		{
+			return;
+		}
+		_rank.directAt = now;
+		std::string name = _engine;
+		this->tasks.add(this->observeDirectly(std::move(name)).take());
+	}
+
 	void Coordinator::searchGroup()
 	{
 		const SearchProgress progress = this->progress();
@@ -290,7 +320,13 @@
 		}
 		for (const std::size_t index : searchRanks(candidates, progress, nowMs()))
 		{
-			this->ask(*resting[index].first, *resting[index].second, false);
+			const std::string& engine = *resting[index].first;
+			Rank& rank = *resting[index].second;
+			this->ask(engine, rank, false);
+			if (this->daemonIsSilent(rank) && rank.search.listed)
+			{
+				this->askDirectly(engine, rank, kDirectSearchMs);
+			}
 		}
 	}
 
@@ -326,7 +362,7 @@
 			this->sent.erase(_plan);
 			co_return;
 		}
-		const EngineOrder order{_plan.kind, _plan.epoch, _plan.version, _plan.step, {}};
+		EngineOrder order{_plan.kind, _plan.epoch, _plan.version, _plan.step, {}};
 		MapDifference difference;
 		if (RankOrderKind::Prepare == _plan.kind)
 		{
@@ -334,7 +370,7 @@
 		}
 		// A VM that freezes with a hold just given would keep the group standing: the hold is
 		// given from here, so that the engine that has it can still be reached.
-		bool direct = RankOrderKind::Hold == _plan.kind;
+		bool direct = RankOrderKind::Hold == _plan.kind || this->daemonIsSilent(*target);
 		OrderOutcome outcome;
 		if (!direct)
 		{
@@ -346,12 +382,20 @@
 			}
 			catch (const kj::Exception&)
 			{
-				direct = RankOrderKind::Prepare != _plan.kind; // told by the line of the direct order
+				direct = true; // told by the line of the direct order
 			}
 		}
 		if (direct)
 		{
-			outcome = co_await target->direct->order(order);
+			if (RankOrderKind::Prepare == _plan.kind)
+			{
+				if (this->intent.version != _plan.version || SwitchPhase::Preparing != this->intent.phase)
+				{
+					co_return; // a version must never be given with another one's map
+				}
+				order.expertsByRank = expertsByRank(this->intent.map, target->report.engine.ranks);
+			}
+			outcome = co_await target->direct->order(std::move(order));
 		}
 		if (outcome.after)
 		{
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -95,6 +95,7 @@
 			this->rowVersion = result.version;
 			this->rowReadAt = nowMs();
 			this->adopt(std::move(_row));
+			this->phaseSince = nowMs(); // nothing could be done for the phase before, even if it was seen in the row
 		}
 		else if (result.current)
 		{
--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -179,3 +179,46 @@
 	});
 	cr_assert(!another);
 }
+
+/// A frozen daemon would keep its group on a map that no longer fits: its engine is asked and
+/// ordered from afar meanwhile.
+Test(group, maps_follow_the_hot_expert_while_a_daemon_is_frozen)
+{
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	const std::size_t frozen = (rig.coordinator() + 1) % kRanks;
+	group.sidecars[frozen]->signal(SIGSTOP);
+	cr_assert(group.switchesAgain(3, kSwitchMs));
+	group.sidecars[frozen]->signal(SIGCONT);
+	cr_assert(group.switchesAgain(2, kSwitchMs));
+	group.expectNoSplit();
+}
+
+/// The same for the coordinator's: the next one has never heard its daemon.
+Test(group, maps_follow_the_hot_expert_while_the_coordinator_is_frozen)
+{
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	const std::size_t frozen = rig.coordinator();
+	cr_assert(frozen < kRanks);
+	group.sidecars[frozen]->signal(SIGSTOP);
+	cr_assert(group.switchesAgain(3, kSwitchMs));
+	group.sidecars[frozen]->signal(SIGCONT);
+	cr_assert(group.switchesAgain(2, kSwitchMs));
+	group.expectNoSplit();
+}
+
+/// Each write of the row takes nearly a second: a switch takes two, and none is abandoned for it.
+Test(group, a_slow_store_abandons_no_switch)
+{
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	rig.store.control({{"delayMs", 900}});
+	cr_assert(group.switchesAgain(3, kSwitchMs));
+	const std::string log = group.sidecars[rig.coordinator()]->output();
+	cr_assert(std::string::npos == log.find("took_too_long"), "%s", log.c_str());
+	group.expectNoSplit();
+}
