Requests leave an upstream that is silent while others answer, and new ones pass it by

The rank looked empty, since nothing it got ever showed in a load, and callers that leave counted for nothing against it. Change: what a gateway hears of each upstream is noted. One with requests that said nothing for 0.6 s, though others of its group were heard since, is passed by; a request that may be repeated leaves it after 0.9 s for another, within the resend budget; a caller that leaves it unanswered counts as a failure. When a whole group is silent, its ranks wait for each other and nothing changes.

--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "log.h"
+#include "process.h"
 
 namespace archdyke::gateway
 {
@@ -51,15 +52,31 @@
 		return told || _now < _group.view.faultUntil;
 	}
 
-	InFlight::InFlight(UpstreamRef _upstream)
+	Hearing hearingOf(const Upstream& _upstream)
+	{
+		return {_upstream.inFlight, _upstream.quietSince, _upstream.group->heardAt};
+	}
+
+	void noteHeard(Upstream& _upstream, Millis _now)
+	{
+		_upstream.quietSince = _now;
+		_upstream.group->heardAt = _now;
+	}
+
+	InFlight::InFlight(UpstreamRef _upstream, Millis _now)
 	    : upstream(std::move(_upstream))
 	{
+		this->upstream->quietSince = 0 == this->upstream->inFlight ? _now : this->upstream->quietSince;
 		this->upstream->inFlight += 1;
 		this->upstream->group->inFlight += 1;
 	}
 
 	InFlight::~InFlight()
 	{
+		if (isSilent(hearingOf(*this->upstream), nowMs()))
+		{
+			noteTry(this->upstream->health, true, nowMs());
+		}
 		this->upstream->inFlight -= 1;
 		this->upstream->group->inFlight -= 1;
 	}
@@ -176,7 +193,7 @@
 			if (!upstream->leavingSince)
 			{
 				open.push_back(upstream);
-				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now), _triedBefore.contains(upstream->record.incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
+				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now) || isSilent(hearingOf(*upstream), _now), _triedBefore.contains(upstream->record.incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
 			}
 		}
 		const std::optional<std::size_t> chosen = chooseUpstream(candidates, _random);
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "archdyke/silence.h"
 #include "archdyke/upstream_choice.h"
 
 namespace archdyke::gateway
@@ -32,6 +33,7 @@
 	{
 		UpstreamRecord record;
 		std::uint32_t inFlight = 0; ///< Of this gateway.
+		Millis quietSince = 0;      ///< When it was last heard, or the first of these was sent.
 		std::optional<ReportedLoad> reported;
 		UpstreamHealth health;
 		std::optional<Millis> leavingSince; ///< Own clock; stays for this incarnation.
@@ -64,6 +66,7 @@
 		std::uint32_t inFlight = 0;      ///< Requests of this gateway at its members.
 		std::uint32_t reported = 0;      ///< Requests of all gateways there, as last told.
 		std::uint32_t ownThen = 0;       ///< Of these, how many were this gateway's then.
+		Millis heardAt = 0;              ///< When anything last came from a member.
 	};
 
 	/// What a coordinator tells of its group.
@@ -101,11 +104,18 @@
 	/// @returns Whether a group stands still, forms, or failed a request just now.
 	bool isDown(const UpstreamGroup& _group, Millis _now);
 
-	/// Counts a request of this gateway at an upstream while it lives.
+	/// @returns What was heard of an upstream and of its group.
+	Hearing hearingOf(const Upstream& _upstream);
+
+	/// Takes in that something came from an upstream.
+	void noteHeard(Upstream& _upstream, Millis _now);
+
+	/// Counts a request of this gateway at an upstream while it lives. One that ends while the
+	/// upstream is silent counts as failed there: its caller has left without an answer.
 	class InFlight
 	{
 	public:
-		explicit InFlight(UpstreamRef _upstream);
+		InFlight(UpstreamRef _upstream, Millis _now);
 		~InFlight();
 		InFlight(const InFlight&) = delete;
 		InFlight& operator=(const InFlight&) = delete;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -68,6 +68,18 @@
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
 
+		/// Waits for the next part of an answer.
+		aio::Task<Part> nextPart(RequestContext& _context, http::HttpConnection& _upstream)
+		{
+			Part part = co_await _upstream.next();
+			if (PartKind::Head == part.kind || PartKind::Body == part.kind || PartKind::End == part.kind)
+			{
+				_context.heardAt = nowMs();
+				noteHeard(*_context.sentTo, _context.heardAt);
+			}
+			co_return part;
+		}
+
 		/// @returns The head that the caller gets; notes that it is on its way.
 		http::ResponseHead beginAnswer(RequestContext& _context, const http::ResponseHead& _answer)
 		{
@@ -82,12 +94,15 @@
 		/// Sends bytes of a stream's body, and its head before the first ones.
 		aio::Task<void> sendOfStream(RequestContext& _context, const http::ResponseHead& _answer, std::string _bytes)
 		{
+			_context.writing = true;
 			if (!_context.headSent)
 			{
 				std::string head = http::serializeChunkedHead(beginAnswer(_context, _answer));
 				co_await _context.connection.write(std::move(head));
 			}
 			co_await _context.connection.write(std::move(_bytes));
+			_context.writing = false;
+			_context.heardAt = nowMs(); // nobody listened to the upstream meanwhile
 		}
 
 		void noteEvent(RequestContext& _context)
@@ -141,7 +156,7 @@
 			_context.splitter = {};
 			while (true)
 			{
-				Part part = co_await _upstream.next();
+				Part part = co_await nextPart(_context, _upstream);
 				if (PartKind::End == part.kind)
 				{
 					if (!_context.splitter.rest.empty())
@@ -170,12 +185,12 @@
 		}
 
 		/// @returns The rest of an answer; none when it isn't whole.
-		aio::Task<std::optional<std::string>> readBody(http::HttpConnection& _upstream)
+		aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream)
 		{
 			std::string body;
 			while (true)
 			{
-				Part part = co_await _upstream.next();
+				Part part = co_await nextPart(_context, _upstream);
 				if (PartKind::End == part.kind)
 				{
 					co_return body;
@@ -191,7 +206,7 @@
 		/// An answer that is no success: may prove that the request didn't run.
 		aio::Task<TryResult> judgeFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, AnswerInfo _info)
 		{
-			const std::optional<std::string> body = co_await readBody(_upstream);
+			const std::optional<std::string> body = co_await readBody(_context, _upstream);
 			const std::string reason = fmt::format("upstream_status_{}", _head.status);
 			if (_info.provedNotRun)
 			{
@@ -212,7 +227,7 @@
 		{
 			while (true)
 			{
-				Part part = co_await _upstream.next();
+				Part part = co_await nextPart(_context, _upstream);
 				if (PartKind::Head != part.kind)
 				{
 					co_return std::nullopt;
@@ -223,7 +238,7 @@
 					co_return part.response;
 				}
 				logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}});
-				const std::optional<std::string> skipped = co_await readBody(_upstream);
+				const std::optional<std::string> skipped = co_await readBody(_context, _upstream);
 				if (!skipped)
 				{
 					co_return std::nullopt;
@@ -246,13 +261,15 @@
 			{
 				co_return co_await relayStream(_context, _upstream, _head);
 			}
-			std::optional<std::string> body = co_await readBody(_upstream);
+			std::optional<std::string> body = co_await readBody(_context, _upstream);
 			if (!body)
 			{
 				co_return failed(Proof::Ran, "answer_broke_off");
 			}
 			const http::WholeAnswer whole{_head, std::move(*body)};
+			_context.writing = true;
 			co_await handOn(_context, whole);
+			_context.writing = false;
 			co_return answered();
 		}
 
@@ -273,6 +290,25 @@
 			co_return result;
 		}
 
+		/// Waits until a request that may be repeated should leave its upstream, which says nothing
+		/// while others answer.
+		aio::Task<TryResult> whenSilent(RequestContext& _context)
+		{
+			constexpr Millis kLookMs = 50;
+			const bool resumable = _context.route->stream && _context.route->resumable;
+			const bool movable = resumable || mayRepeat(*_context.route);
+			while (true)
+			{
+				co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
+				const Millis now = nowMs();
+				const bool wanted = movable && !_context.writing && _context.sends < _context.route->maxAttempts;
+				if (wanted && shouldLeaveSilent(hearingOf(*_context.sentTo), now - _context.heardAt, now))
+				{
+					co_return failed(Proof::Unknown, "upstream_silent");
+				}
+			}
+		}
+
 		/// @returns A connection to an upstream; without one when it can't be reached.
 		/// @param[out] _error Why not.
 		aio::Task<http::Lease> connectTo(RequestContext& _context, const Upstream& _upstream, std::string& _error)
@@ -302,7 +338,10 @@
 
 	aio::Task<TryResult> tryUpstream(RequestContext& _context, UpstreamRef _upstream)
 	{
-		const InFlight inFlight(_upstream);
+		const InFlight inFlight(_upstream, nowMs());
+		_context.sentTo = _upstream;
+		_context.writing = false;
+		_context.heardAt = nowMs();
 		std::string connectError;
 		http::Lease lease = co_await connectTo(_context, *_upstream, connectError);
 		if (nullptr == lease.connection)
@@ -318,7 +357,9 @@
 		                                      .eagerlyEvaluate([](kj::Exception&&) {
 			                                      // Whoever reads the answer sees the broken connection too, and judges it.
 		                                      });
-		TryResult result = co_await relayAnswer(_context, lease);
+		kj::Promise<TryResult> answer = relayAnswer(_context, lease).take();
+		kj::Promise<TryResult> silence = whenSilent(_context).take();
+		TryResult result = co_await answer.exclusiveJoin(kj::mv(silence));
 		const bool wholeExchange = result.answered || result.failure || RefusalReason::None != result.refusal;
 		if (wholeExchange && written && result.restMs)
 		{
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -58,6 +58,9 @@
 		Millis lastEventAt = 0;
 		Millis longestGapMs = 0;
 		int status = 0;
+		UpstreamRef sentTo;   ///< dispatch: where the try under way is.
+		Millis heardAt = 0;   ///< relay: when this try last heard something, or was sent.
+		bool writing = false; ///< relay: bytes are on their way to the caller, who may be slow.
 		std::string upstream; ///< Last incarnation tried.
 		std::string reason;   ///< Why it ended as it did; for the log.
 		std::optional<Millis> comeBackMs;
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -77,8 +77,8 @@
 	const GroupRef group = groupNamed(board, "g");
 	cr_assert(3.0 == meanLoad(*group, 20));
 	{
-		const InFlight first(group->members[0]);
-		const InFlight second(group->members[0]);
+		const InFlight first(group->members[0], 20);
+		const InFlight second(group->members[0], 20);
 		cr_assert(4.0 == meanLoad(*group, 20));
 		// The report is too old: only what this gateway has there is known.
 		cr_assert(1.0 == meanLoad(*group, 10'000));
@@ -91,7 +91,7 @@
 	Board board("here");
 	board.learn(recordOf("a", "1"), 0);
 	{
-		const InFlight request(groupNamed(board, "")->members[0]);
+		const InFlight request(groupNamed(board, "")->members[0], 0);
 		board.report(reportOf("g", {"1"}), 10);
 		cr_assert(1 == groupNamed(board, "g")->inFlight);
 	}
@@ -127,3 +127,23 @@
 	cr_assert(nullptr == board.drawUnheard(kService, random, 30));
 	cr_assert(nullptr != board.drawUnheard(kService, random, 10'000));
 }
+
+Test(board, a_silent_upstream_is_passed_by_while_others_answer)
+{
+	Board board("here");
+	Random random(1);
+	board.learn(recordOf("a", "1"), 0);
+	board.learn(recordOf("b", "2"), 0);
+	const GroupRef group = groupNamed(board, "");
+	const UpstreamRef silent = group->members[0];
+	const UpstreamRef other = group->members[1];
+	const InFlight unanswered(silent, 1'000);
+	noteHeard(*other, 1'900);
+	for (int draw = 0; draw < 20; ++draw)
+	{
+		cr_assert(other == board.choose(*group, {}, random, 2'000));
+	}
+	// When nobody is heard, the ranks of a group wait for each other: none is to blame.
+	noteHeard(*silent, 1'950);
+	cr_assert(!isSilent(hearingOf(*silent), 4'000));
+}
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -1,7 +1,10 @@
 /// The gateway as a process before stand-ins of the users' platform: whole answers and one's own,
 /// truth about what has not run, keys, leaving upstreams, streams, planned stops.
+#include <atomic>
 #include <csignal>
 #include <future>
+#include <thread>
+#include <vector>
 
 #include "gateway_rig.h"
 
@@ -399,3 +402,39 @@
 	}));
 	cr_assert(200 == rig.call("/safe/x", GatewayRig::headersFor("r1")).status);
 }
+
+/// An upstream that takes requests and says nothing, while others answer, would swallow a share of
+/// them until their callers leave.
+Test(gateway, a_request_leaves_a_silent_upstream_and_others_pass_it_by)
+{
+	GatewayRig rig({"w0", "w1", "w2"});
+	rig.waitReady();
+	std::atomic<bool> done{false};
+	std::vector<std::thread> others;
+	for (int other = 0; other < 6; ++other)
+	{
+		others.emplace_back([&rig, &done, other] {
+			for (int call = 0; !done; ++call)
+			{
+				rig.call("/stream/x?do=stream", GatewayRig::headersFor(fmt::format("other-{}-{}", other, call), 8'000));
+			}
+		});
+	}
+	rig.workers[0].process->signal(SIGSTOP); // its kernel still takes connections
+	int slow = 0;
+	int unanswered = 0;
+	for (int call = 0; call < 30; ++call)
+	{
+		const Millis before = nowMs();
+		const RigAnswer answer = rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("call-{}", call)));
+		unanswered += 200 == answer.status ? 0 : 1;
+		slow += nowMs() - before > 600 ? 1 : 0;
+	}
+	done = true;
+	for (std::thread& other : others)
+	{
+		other.join();
+	}
+	cr_assert(0 == unanswered, "%d of 30 not answered", unanswered);
+	cr_assert(slow <= 12, "%d of 30 were at the silent upstream", slow);
+}
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -8,6 +8,7 @@
 #include "archdyke/event_stream.h"
 #include "archdyke/freshness.h"
 #include "archdyke/retry_window.h"
+#include "archdyke/silence.h"
 #include "archdyke/upstream_choice.h"
 #include "check.h"
 
@@ -275,3 +276,12 @@
 	// Drawn twice, one time in 16, it has no rival; against any other it loses.
 	cr_assert(slow < 45, "%d of 400", slow);
 }
+
+Test(decisions, only_an_upstream_that_is_silent_among_others_is_left)
+{
+	const Hearing silent{1, 1'000, 2'000};
+	cr_assert(isSilent(silent, 2'000) && !isSilent(silent, 1'500));
+	cr_assert(!isSilent({0, 1'000, 2'000}, 2'000));
+	cr_assert(!isSilent({1, 1'000, 1'100}, 2'000));
+	cr_assert(shouldLeaveSilent(silent, 1'000, 2'000) && !shouldLeaveSilent(silent, 500, 2'000));
+}
