The soak plays two groups of ranks

Cause: it had one group of four, so that a daemon that went by another group's coordinator, or a gateway that mixed groups up, was never struck. Change: groups of four and three in one service; a group forms anew alone; each is asked for passes on different maps.

--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -175,14 +175,17 @@
 			}
 		}
 
-		/// Asks the group of ranks whether any pass ran on different maps.
+		/// Asks each group of ranks whether any pass ran on different maps.
 		void Soak::checkMaps()
 		{
-			const httplib::Result ranks = clientOf(this->deployment.engines.front()).Get("/record");
-			const int splits = ranks ? Json::parse(ranks->body).value("splits", 0) : -1;
-			if (0 != splits)
+			for (const SoakGroup& group : this->deployment.groups)
 			{
-				this->result.violations.add("maps_differ", fmt::format("{} passes", splits));
+				const httplib::Result ranks = clientOf(group.engines.front()).Get("/record");
+				const int splits = ranks ? Json::parse(ranks->body).value("splits", 0) : -1;
+				if (0 != splits)
+				{
+					this->result.violations.add("maps_differ", fmt::format("{} passes of {}", splits, group.name));
+				}
 			}
 		}
 	} // namespace
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -15,7 +15,8 @@
 	{
 		constexpr std::size_t kGateways = 3;
 		constexpr std::size_t kWorkers = 4;
-		constexpr std::size_t kRanks = 4;
+		/// Ranks of each group.
+		constexpr std::size_t kGroupSizes[] = {4, 3};
 		/// How long a gateway may take to say what it has, ms: a frozen one doesn't answer.
 		constexpr Millis kDumpWaitMs = 200;
 		constexpr Millis kMsPerS = 1'000;
@@ -47,10 +48,10 @@
 	}
 
 	/// Loopback addresses that no other run on this machine uses.
-	std::string SoakDeployment::ipOf(std::size_t _rank) const
+	std::string SoakDeployment::ipOf(std::size_t _sidecar) const
 	{
 		const int process = getpid();
-		return fmt::format("127.{}.{}.{}", 1 + process % 200, 1 + process / 200 % 200, 10 + _rank);
+		return fmt::format("127.{}.{}.{}", 1 + process % 200, 1 + process / 200 % 200, 10 + _sidecar);
 	}
 
 	std::string SoakDeployment::changingKey() const
@@ -60,16 +61,23 @@
 
 	void SoakDeployment::start()
 	{
-		this->startRanks();
+		for (const std::size_t size : kGroupSizes)
+		{
+			this->startRanks(fmt::format("g-{}", this->groups.size()), size);
+		}
 		for (std::size_t index = 0; index < kWorkers; ++index)
 		{
 			this->addWorker();
 		}
 		this->configure();
-		for (std::size_t rank = 0; rank < kRanks; ++rank)
+		for (const SoakGroup& group : this->groups)
 		{
-			this->sidecars.emplace_back().name = fmt::format("sidecar-{}", rank);
-			this->startSidecar(rank);
+			for (std::size_t rank = 0; rank < group.engines.size(); ++rank)
+			{
+				const std::size_t sidecar = this->sidecars.size();
+				this->sidecars.emplace_back().name = fmt::format("sidecar-{}", sidecar);
+				this->startSidecar(sidecar);
+			}
 		}
 		for (std::size_t index = 0; index < kGateways; ++index)
 		{
@@ -78,20 +86,42 @@
 		}
 	}
 
-	void SoakDeployment::startRanks()
+	void SoakDeployment::startRanks(const std::string& _group, std::size_t _ranks)
 	{
+		std::size_t before = 0;
+		for (const SoakGroup& other : this->groups)
+		{
+			before += other.engines.size();
+		}
 		Json addresses = Json::array();
-		for (std::size_t rank = 0; rank < kRanks; ++rank)
+		for (std::size_t rank = 0; rank < _ranks; ++rank)
 		{
-			addresses.push_back(this->ipOf(rank) + ":0");
+			addresses.push_back(this->ipOf(before + rank) + ":0");
 		}
-		this->ranks = startTool("stub-ranks", {{"addresses", addresses}, {"sets", 2}, {"experts", 8}, {"passMs", 15}}, this->directory + "/ranks.log");
-		std::istringstream list(this->ranks->listening("http"));
+		SoakGroup group;
+		group.name = _group;
+		group.ranks = startTool("stub-ranks", {{"addresses", addresses}, {"group", _group}, {"sets", 2}, {"experts", 8}, {"passMs", 15}}, fmt::format("{}/ranks-{}.log", this->directory, _group));
+		std::istringstream list(group.ranks->listening("http"));
 		for (std::string address; std::getline(list, address, ',');)
 		{
-			this->store.put("servers", fmt::format("rank-{}", this->engines.size()), upstreamJson("maps", address, "ready"));
-			this->engines.push_back(address);
+			this->store.put("servers", fmt::format("rank-{}", before + group.engines.size()), upstreamJson("maps", address, "ready"));
+			group.engines.push_back(address);
+		}
+		this->groups.push_back(std::move(group));
+	}
+
+	const std::string& SoakDeployment::engineOf(std::size_t _sidecar) const
+	{
+		std::size_t rank = _sidecar;
+		for (const SoakGroup& group : this->groups)
+		{
+			if (rank < group.engines.size())
+			{
+				return group.engines[rank];
+			}
+			rank -= group.engines.size();
 		}
+		throw std::out_of_range("a soak has no sidecar of that number");
 	}
 
 	std::unique_ptr<ChildProcess> SoakDeployment::startDaemon(SoakPart& _part, const std::string& _program, Json _settings)
@@ -106,11 +136,11 @@
 		return std::make_unique<ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/" + _program, std::vector<std::string>{"--settings", path}, log);
 	}
 
-	void SoakDeployment::startSidecar(std::size_t _rank)
+	void SoakDeployment::startSidecar(std::size_t _sidecar)
 	{
-		SoakPart& sidecar = this->sidecars[_rank];
-		const std::string ip = this->ipOf(_rank);
-		sidecar.process = this->startDaemon(sidecar, "archdyke-sidecar", {{"ip", ip}, {"metrics", ip + ":7341"}, {"upstream", this->engines[_rank]}, {"service", "maps"}});
+		SoakPart& sidecar = this->sidecars[_sidecar];
+		const std::string ip = this->ipOf(_sidecar);
+		sidecar.process = this->startDaemon(sidecar, "archdyke-sidecar", {{"ip", ip}, {"metrics", ip + ":7341"}, {"upstream", this->engineOf(_sidecar)}, {"service", "maps"}});
 	}
 
 	void SoakDeployment::startGateway(SoakPart& _gateway)
@@ -234,7 +264,15 @@
 
 	void SoakDeployment::controlRanks(const Json& _order)
 	{
-		clientOf(this->engines.front()).Post("/control", _order.dump(), "application/json");
+		for (std::size_t group = 0; group < this->groups.size(); ++group)
+		{
+			this->controlGroup(group, _order);
+		}
+	}
+
+	void SoakDeployment::controlGroup(std::size_t _group, const Json& _order)
+	{
+		clientOf(this->groups[_group].engines.front()).Post("/control", _order.dump(), "application/json");
 	}
 
 	SoakDoor SoakDeployment::door(Random& _random)
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -1,4 +1,4 @@
-/// The deployment that a soak strikes: store, upstreams, a group of engine ranks, sidecars and
+/// The deployment that a soak strikes: store, upstreams, groups of engine ranks, sidecars and
 /// gateways as processes of their own, and what an operator and the platform do to them.
 #pragma once
 
@@ -34,6 +34,14 @@
 		bool leaves = false;
 	};
 
+	/// A group of engine ranks; one process plays all of them.
+	struct SoakGroup
+	{
+		std::string name;
+		std::unique_ptr<ChildProcess> ranks;
+		std::vector<std::string> engines; ///< IP:port of each rank.
+	};
+
 	/// A gateway as a caller knows it.
 	struct SoakDoor
 	{
@@ -70,9 +78,12 @@
 		/// Ends all faults that last, and starts again what has ended.
 		void heal();
 
-		/// Sends an order to the group of ranks.
+		/// Sends an order to all groups of ranks.
 		void controlRanks(const Json& _order);
 
+		/// Sends an order to one of them.
+		void controlGroup(std::size_t _group, const Json& _order);
+
 		/// @returns A gateway to call. For any thread.
 		SoakDoor door(Random& _random);
 
@@ -83,21 +94,22 @@
 		const SoakBounds bounds;
 		StoreStub store;
 		ProxyStub proxy;
-		std::unique_ptr<ChildProcess> ranks;
-		std::vector<std::string> engines; ///< IP:port of each rank.
-		std::vector<SoakPart> sidecars;   ///< One for each rank.
-		std::vector<SoakWorker> workers;  ///< Those that are gone stay.
-		std::vector<SoakPart> gateways;   ///< What callers need is under the mutex.
-		std::uint64_t version = 0;        ///< Of the newest configuration.
-		Millis configuredAt = 0;          ///< When the store confirmed it.
+		std::vector<SoakGroup> groups;   ///< Of unlike sizes.
+		std::vector<SoakPart> sidecars;  ///< One for each rank of all groups, in their order.
+		std::vector<SoakWorker> workers; ///< Those that are gone stay.
+		std::vector<SoakPart> gateways;  ///< What callers need is under the mutex.
+		std::uint64_t version = 0;       ///< Of the newest configuration.
+		Millis configuredAt = 0;         ///< When the store confirmed it.
 		SoakRecord record;
 
 	private:
-		std::string ipOf(std::size_t _rank) const;
+		std::string ipOf(std::size_t _sidecar) const;
 		std::string changingKey() const;
-		void startRanks();
+		void startRanks(const std::string& _group, std::size_t _ranks);
 		std::unique_ptr<ChildProcess> startDaemon(SoakPart& _part, const std::string& _program, Json _settings);
-		void startSidecar(std::size_t _rank);
+		void startSidecar(std::size_t _sidecar);
+		/// @returns Address of the engine beside a sidecar.
+		const std::string& engineOf(std::size_t _sidecar) const;
 		void startGateway(SoakPart& _gateway);
 		void addWorker();
 		std::size_t livingWorkers() const;
--- a/tools/soak_faults.cpp
+++ b/tools/soak_faults.cpp
@@ -109,9 +109,9 @@
 			}
 		}
 
-		/// Begins a fault that has no target of its own.
+		/// Begins a fault of what all parts share; a group of ranks is the target of some.
 		/// @returns Index of its span, which begins before the first part is struck.
-		std::size_t strikeShared(SoakDeployment& _deployment, FaultKind _kind)
+		std::size_t strikeShared(SoakDeployment& _deployment, FaultKind _kind, std::size_t _target)
 		{
 			const std::size_t span = _deployment.beginSpan(sharedPart(_kind), _kind);
 			switch (_kind)
@@ -132,7 +132,7 @@
 				_deployment.controlRanks({{"lateShare", kLateShare}});
 				break;
 			case FaultKind::FormAnew:
-				_deployment.controlRanks({{"formAnew", true}});
+				_deployment.controlGroup(_target % _deployment.groups.size(), {{"formAnew", true}});
 				break;
 			default:
 				_deployment.store.control(storeOrder(_kind));
@@ -164,7 +164,7 @@
 				_target %= _deployment.gateways.size();
 				return strikeWayToStore(_deployment, _deployment.gateways[_target], _kind);
 			default:
-				return strikeShared(_deployment, _kind);
+				return strikeShared(_deployment, _kind, _target);
 			}
 		}
 
