--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -76,6 +76,8 @@
 		/// Notes when the store last answered anybody, and whether it was away before.
 		/// @param[in] _answeredAt Own clock, conservatively.
 		void noteAnswer(Millis _answeredAt);
+		/// Takes in which coordinators want this gateway to read.
+		void noteReader(const CoordinatorNews& _news);
 		/// Accounts for a call to the store. A failed one for the configuration also ends the
 		/// call for the upstreams.
 		void noteCall(const Feed& _feed, bool _answered, const std::string& _reason);
@@ -94,9 +96,6 @@
 		bool configurationAnswered = true;
 		bool upstreamsAnswered = true;
 
-		/// Takes in which coordinators want this gateway to read.
-		void noteReader(const CoordinatorNews& _news);
-
 		bool isReader = false;                   ///< This gateway asks for the configuration, for others too.
 		std::map<std::string, Millis> readerFor; ///< Coordinators that want it to, and when they last said so.
 		store::ConfigurationProof toldProof;     ///< The newest proof that others told.
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -294,6 +294,15 @@
 		co_return *this->ended;
 	}
 
+	void Coordinator::end(CoordinatorEnd _why)
+	{
+		if (!this->ended)
+		{
+			logInfo("coordinator_ends", {{"group", this->group}, {"term", this->intent.term}, {"why", toString(_why)}});
+			this->ended = _why;
+		}
+	}
+
 	GroupLoads Coordinator::loads(const LoadsQuestion& _question)
 	{
 		const Millis now = nowMs();
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -1,4 +1,4 @@
-/// The coordinator's part that asks ranks and gives them orders.
+/// The coordinator's part that looks at ranks and gives them orders.
 #include <algorithm>
 
 #include "archdyke/map_policy.h"
@@ -29,17 +29,11 @@
 		/// no effect after the longer time, ms.
 		constexpr Millis kRepeatMs = 60;
 		constexpr Millis kRepeatAcceptedMs = 400;
-		/// A rank whose daemon is silent for this long is asked and ordered directly, ms: a frozen or
-		/// restarted daemon would keep its group on a map that no longer fits, with passes twice as
-		/// long, until it is back (4 s of a freeze of 4 s).
-		constexpr Millis kDirectAfterMs = 400;
 		/// Between two direct questions while no switch is open, ms, so that the rank counts as seen
 		/// all the time; each one is paid for.
 		constexpr Millis kDirectEveryMs = 200;
 		/// The same while a switch is open: it waits for what the rank says.
 		constexpr Millis kDirectSwitchingMs = 25;
-		/// The same for an upstream that isn't known to be in the group.
-		constexpr Millis kDirectSearchMs = 1'000;
 		/// Between two tries to reach a silent daemon, ms.
 		constexpr Millis kSilentRetryMs = 300;
 		/// Ranks that are asked while one of them is to hold.
@@ -48,11 +42,6 @@
 		constexpr double kSlowPace = 1.5;
 		/// The time of a pass is the mean over about this long, ms: some passes.
 		constexpr Millis kPassWindowMs = 500;
-
-		std::string daemonAddress(const std::string& _engine, int _peerPort)
-		{
-			return _engine.substr(0, _engine.rfind(':') + 1) + std::to_string(_peerPort);
-		}
 	} // namespace
 
 	void Coordinator::notePass(const EngineReport& _engine)
@@ -132,51 +121,6 @@
 		}
 	}
 
-	Coordinator::Rank& Coordinator::rankAt(const std::string& _engine)
-	{
-		const auto own = this->ranks.find(_engine);
-		return this->ranks.end() != own ? own->second : this->strangers.at(_engine);
-	}
-
-	void Coordinator::sortIn(const Rank& _rank)
-	{
-		const bool belongs = _rank.report.engine.group == this->group;
-		std::map<std::string, Rank>& from = belongs ? this->strangers : this->ranks;
-		std::map<std::string, Rank>& to = belongs ? this->ranks : this->strangers;
-		const std::string engine = _rank.engineAddress;
-		if (from.contains(engine))
-		{
-			to.insert(from.extract(engine));
-		}
-		// One that is in no group may join this one at any time.
-		const bool elsewhere = !belongs && !_rank.report.engine.group.empty();
-		this->rankAt(engine).search.elsewhereAt = elsewhere ? nowMs() : 0;
-	}
-
-	SearchProgress Coordinator::progress() const
-	{
-		SearchProgress progress;
-		const Millis now = nowMs();
-		for (const auto& [engine, rank] : this->ranks)
-		{
-			if (now - rank.seenAt <= kViewMaxAgeMs)
-			{
-				progress.found += 1;
-				progress.ranks = std::max(progress.ranks, rank.report.engine.ranks);
-			}
-		}
-		return progress;
-	}
-
-	void Coordinator::end(CoordinatorEnd _why)
-	{
-		if (!this->ended)
-		{
-			logInfo("coordinator_ends", {{"group", this->group}, {"term", this->intent.term}, {"why", toString(_why)}});
-			this->ended = _why;
-		}
-	}
-
 	aio::Task<void> Coordinator::observe(std::string _engine, bool _counts)
 	{
 		Rank& rank = this->rankAt(_engine);
@@ -246,11 +190,6 @@
 		return std::max(kLeastSampled, std::size_t(affordable));
 	}
 
-	bool Coordinator::daemonIsSilent(const Rank& _rank) const
-	{
-		return 0 != _rank.daemonHeardAt && nowMs() - _rank.daemonHeardAt > kDirectAfterMs;
-	}
-
 	void Coordinator::askRanks()
 	{
 		const Millis now = nowMs();
@@ -279,57 +218,6 @@
 		this->searchGroup();
 	}
 
-	void Coordinator::ask(const std::string& _engine, Rank& _rank, bool _counts)
-	{
-		const Millis now = nowMs();
-		if (nullptr == _rank.link)
-		{
-			_rank.link = std::make_unique<RankLink>(this->parts.loop, daemonAddress(_engine, this->parts.settings.place.peerPort));
-			_rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, _engine);
-			_rank.daemonHeardAt = now;
-		}
-		_rank.daemonAskedAt = now;
-		std::string name = _engine;
-		this->tasks.add(this->observe(std::move(name), _counts).take());
-	}
-
-	void Coordinator::askDirectly(const std::string& _engine, Rank& _rank, Millis _everyMs)
-	{
-		const Millis now = nowMs();
-		if (_rank.askingDirectly || now - _rank.directAt < _everyMs)
-		{
-			return;
-		}
-		_rank.directAt = now;
-		std::string name = _engine;
-		this->tasks.add(this->observeDirectly(std::move(name)).take());
-	}
-
-	void Coordinator::searchGroup()
-	{
-		const SearchProgress progress = this->progress();
-		std::vector<std::pair<const std::string*, Rank*>> resting;
-		std::vector<SearchCandidate> candidates;
-		for (auto& [engine, rank] : this->strangers)
-		{
-			if (!rank.asking)
-			{
-				resting.emplace_back(&engine, &rank);
-				candidates.push_back(rank.search);
-			}
-		}
-		for (const std::size_t index : searchRanks(candidates, progress, nowMs()))
-		{
-			const std::string& engine = *resting[index].first;
-			Rank& rank = *resting[index].second;
-			this->ask(engine, rank, false);
-			if (this->daemonIsSilent(rank) && rank.search.listed)
-			{
-				this->askDirectly(engine, rank, kDirectSearchMs);
-			}
-		}
-	}
-
 	Millis Coordinator::orderTimeoutMs() const
 	{
 		return std::max(kOrderTimeoutMs, Millis(kOrderTimeoutMsPerRank * double(this->ranks.size())));
