--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/setup.sh release >&2
-name=${1:?name a bench: placement, routing, overload, cost or overhead}
+name=${1:?name a bench: placement, routing, overload, cost, groups or overhead}
 plot=""
 arguments=("$@")
 for ((i = 0; i < ${#arguments[@]}; ++i)); do
--- a/tools/bench.h
+++ b/tools/bench.h
@@ -47,5 +47,6 @@
 	std::vector<Table> benchRouting();
 	std::vector<Table> benchOverload();
 	std::vector<Table> benchCost();
+	std::vector<Table> benchGroups();
 	std::vector<Table> benchOverhead();
 } // namespace archdyke::bench
