Batches of slow groups and the margin to a boundary as they were

Suspected, not separated: the least limit of 6 of 10 slots keeps a group's passes above the objective after each shift, where 2 let it recover; and the margin was rounded up twice, a pass more in each switch. Change: the least limit is 2 again, the margin is rounded once. The wait for room stays 0.12.

--- a/src/decide/batch_admission.cpp
+++ b/src/decide/batch_admission.cpp
@@ -13,10 +13,8 @@
 		constexpr double kQueueBeyondBatch = 1.0;
 		/// More for a caller that was refused before: to refuse it again costs its answer.
 		constexpr double kMoreForReturning = 2.0;
-		/// Least limit: where not even this keeps the objective, all streams are late anyway, and a
-		/// pass of few requests ends fewer of them: with the wait below, mean worth of 14 seeded days
-		/// with a slow rank and a cut zone 0.313 -> 0.332.
-		constexpr double kLeastLimit = 6.0;
+		/// Least limit: a group so slow that not even this fits is measured wrongly, or stands.
+		constexpr double kLeastLimit = 2.0;
 		/// Share of the objective that a request may wait for room: a caller that can't be served hears
 		/// it after 60 ms of 500. Longer waits served nobody more.
 		constexpr double kWaitShare = 0.12;
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -112,9 +112,9 @@
 		}
 		// Fewer than pass during the writes would let each boundary pass before it is held: with a
 		// store of 0.9 s a write no switch came about at all.
-		const double writing = std::ceil(2.0 * this->writeMs / this->passMs);
-		const double others = std::ceil((kArmMs + kArmLooks * this->switchingLookMs()) / this->passMs);
-		return 1 + std::uint64_t(writing + std::min(kMaxMarginSteps, others));
+		const double writing = 2.0 * this->writeMs / this->passMs;
+		const double others = (kArmMs + kArmLooks * this->switchingLookMs()) / this->passMs;
+		return 1 + std::uint64_t(std::ceil(writing + std::min(kMaxMarginSteps, others)));
 	}
 
 	std::vector<RankView> Coordinator::views(Millis _maxAgeMs) const
