--- a/src/decide/map_policy.cpp
+++ b/src/decide/map_policy.cpp
@@ -23,9 +23,10 @@
 		/// Skew that a switch must save at least. One takes 0.3 to 0.5 s, and the group copies
 		/// meanwhile.
 		constexpr double kLeastGain = 0.12;
-		/// Experts that one switch copies at most: planning a copy takes 0.2 ms of the smallest
-		/// VMs' processor, and each is told to all ranks.
-		constexpr double kMostCopies = 128.0;
+		/// Experts that one switch copies at most, for each rank. An expert that draws a quarter of a
+		/// set's choices needs a host on a quarter of the ranks, in each set: 4 a rank with 16 sets. More
+		/// is seldom planned, and planning a copy takes 0.02 ms of a core.
+		constexpr double kMostCopiesPerRank = 6.0;
 		/// Time that the copies of one rank may take, ms; the rank with most of them is the
 		/// time of the switch.
 		constexpr double kCopyBudgetMs = 150.0;
@@ -49,7 +50,7 @@
 		input.hosts = _hosts;
 		input.load = _load;
 		input.paces = _paces;
-		input.budget = kMostCopies;
+		input.budget = kMostCopiesPerRank * double(_ranks);
 		input.arrivalsPerLayer = _model.spare;
 		input.arrivalsPerRank = 0.0 < _model.expertCopyMs ? std::max<std::uint32_t>(1, std::uint32_t(kCopyBudgetMs / _model.expertCopyMs)) : 0;
 		MapDecision decision;
--- a/src/decide/switch_row.cpp
+++ b/src/decide/switch_row.cpp
@@ -4,6 +4,7 @@
 
 #include "archdyke/errors.h"
 #include "archdyke/forward_switch.h"
+#include "archdyke/map_window.h"
 
 namespace archdyke
 {
@@ -11,11 +12,14 @@
 	{
 		using Json = nlohmann::json;
 
-		/// Ends the JSON head of a row; the maps follow as bytes, since a row is written twice a
-		/// switch over the link of a small VM, and JSON of a map of 63 ranks took 40 ms of it.
+		/// Ends the JSON head of a row; the maps follow as bytes, and by what differs from the map that
+		/// groups form with and from the map in force, since a row is written twice a switch over the
+		/// link of a small VM: JSON of a map of 63 ranks took 40 ms of it, whole maps of 129 ranks 27 ms.
 		constexpr char kHeadEnd = '\n';
 		constexpr unsigned kBitsPerByte = 7; ///< Of a number: the eighth says that more follow.
 		constexpr std::uint8_t kMoreFollow = 0x80;
+		/// Experts of all sets, and ranks: beyond this a row isn't one, and would fill the memory.
+		constexpr std::uint64_t kMostExperts = 1'000'000;
 
 		InvalidInputError unreadable(const std::string& _part, const std::string& _problem)
 		{
@@ -56,56 +60,104 @@
 			return !_a.empty() && _a.size() == _b.size() && _a.front().size() == _b.front().size();
 		}
 
-		/// @returns Bytes: the number of sets, that of experts of a set, and of each expert the number
-		/// of its hosts and the hosts; number 0 for an expert that has the hosts of _base.
-		std::string encodeHosts(const ExpertHosts& _hosts, const ExpertHosts& _base)
+		/// @returns The map of one size with _hosts that groups form with; most maps differ little from it.
+		ExpertHosts dealtLike(const ExpertHosts& _hosts, std::uint64_t _ranks)
+		{
+			return _hosts.empty() || 0 == _ranks ? ExpertHosts() : dealtInTurn(std::uint32_t(_hosts.size()), std::uint32_t(_hosts.front().size()), std::uint32_t(_ranks));
+		}
+
+		/// @returns Ranks that a map names, at least.
+		std::uint64_t ranksOf(const ExpertHosts& _hosts)
+		{
+			std::uint64_t ranks = 0;
+			for (const auto& set : _hosts)
+			{
+				for (const std::vector<std::uint32_t>& hosts : set)
+				{
+					ranks = hosts.empty() ? ranks : std::max<std::uint64_t>(ranks, 1 + *std::max_element(hosts.begin(), hosts.end()));
+				}
+			}
+			return ranks;
+		}
+
+		/// Appends the number of hosts and the hosts of each expert; for experts that have the hosts of
+		/// _base 0, and how many more of them follow.
+		void putHosts(std::string& _bytes, const ExpertHosts& _hosts, const ExpertHosts& _base)
 		{
-			std::string bytes;
-			const std::size_t experts = _hosts.empty() ? 0 : _hosts.front().size();
 			const bool based = haveOneSize(_hosts, _base);
-			putNumber(bytes, _hosts.size());
-			putNumber(bytes, experts);
+			std::uint64_t same = 0;
+			const auto endRun = [&] {
+				if (0 < same)
+				{
+					putNumber(_bytes, 0);
+					putNumber(_bytes, same - 1);
+					same = 0;
+				}
+			};
 			for (std::size_t set = 0; set < _hosts.size(); ++set)
 			{
-				for (std::size_t expert = 0; expert < experts; ++expert)
+				for (std::size_t expert = 0; expert < _hosts[set].size(); ++expert)
 				{
 					const std::vector<std::uint32_t>& ranks = _hosts[set][expert];
-					const bool same = based && ranks == _base[set][expert];
-					putNumber(bytes, same ? 0 : ranks.size());
-					for (std::size_t index = 0; !same && index < ranks.size(); ++index)
+					if (based ? ranks == _base[set][expert] : ranks.empty())
 					{
-						putNumber(bytes, ranks[index]);
+						same += 1;
+						continue;
+					}
+					endRun();
+					putNumber(_bytes, ranks.size());
+					for (const std::uint32_t rank : ranks)
+					{
+						putNumber(_bytes, rank);
 					}
 				}
 			}
+			endRun();
+		}
+
+		/// @returns Bytes: the number of sets, that of experts of a set, and their hosts.
+		std::string encodeHosts(const ExpertHosts& _hosts, const ExpertHosts& _base)
+		{
+			std::string bytes;
+			putNumber(bytes, _hosts.size());
+			putNumber(bytes, _hosts.empty() ? 0 : _hosts.front().size());
+			putHosts(bytes, _hosts, _base);
 			return bytes;
 		}
 
 		/// @param[in,out] _bytes What encodeHosts gave; shortened by what is read.
-		ExpertHosts decodeHosts(std::string_view& _bytes, const ExpertHosts& _base)
+		/// @param[in] _baseOf The base of a map with so many sets and experts.
+		template <typename BaseOf>
+		ExpertHosts decodeHosts(std::string_view& _bytes, BaseOf _baseOf)
 		{
 			const std::uint64_t sets = takeNumber(_bytes);
 			const std::uint64_t experts = takeNumber(_bytes);
-			if (0 < sets && (0 == experts || sets > _bytes.size() / experts)) // each expert has a byte at least
+			if (kMostExperts < sets || (0 < sets && experts > kMostExperts / sets))
 			{
-				throw unreadable("map", "is shorter than it says");
+				throw unreadable("map", "has more experts than any group");
 			}
-			ExpertHosts hosts;
-			for (std::uint64_t set = 0; set < sets; ++set)
+			ExpertHosts hosts(sets, std::vector<std::vector<std::uint32_t>>(experts));
+			const ExpertHosts base = _baseOf(hosts);
+			const bool based = haveOneSize(hosts, base);
+			std::uint64_t same = 0;
+			for (std::uint64_t index = 0; index < sets * experts; ++index)
 			{
-				std::vector<std::vector<std::uint32_t>> layer;
-				for (std::uint64_t expert = 0; expert < experts; ++expert)
+				std::vector<std::uint32_t>& ranks = hosts[index / experts][index % experts];
+				const std::uint64_t count = 0 < same ? 0 : takeNumber(_bytes);
+				if (0 == count)
 				{
-					const std::uint64_t count = takeNumber(_bytes);
-					const bool based = 0 == count && set < _base.size() && expert < _base[set].size();
-					std::vector<std::uint32_t> ranks = based ? _base[set][expert] : std::vector<std::uint32_t>();
-					for (std::uint64_t index = 0; index < count; ++index)
-					{
-						ranks.push_back(std::uint32_t(takeNumber(_bytes)));
-					}
-					layer.push_back(std::move(ranks));
+					same = 0 < same ? same - 1 : takeNumber(_bytes);
+					ranks = based ? base[index / experts][index % experts] : ranks;
+					continue;
+				}
+				for (std::uint64_t host = 0; host < count; ++host)
+				{
+					ranks.push_back(std::uint32_t(takeNumber(_bytes)));
 				}
-				hosts.push_back(std::move(layer));
+			}
+			if (0 < same)
+			{
+				throw unreadable("map", "has more experts than it says");
 			}
 			return hosts;
 		}
@@ -114,7 +166,10 @@
 	std::string encodeIntent(const SwitchIntent& _intent)
 	{
 		const Json head{{"term", _intent.term}, {"coordinator", _intent.coordinator}, {"phase", std::string(toString(_intent.phase))}, {"epoch", _intent.epoch}, {"version", _intent.version}, {"boundary", _intent.boundary}, {"inForceVersion", _intent.inForceVersion}};
-		return head.dump() + kHeadEnd + encodeHosts(_intent.inForce, {}) + encodeHosts(_intent.map, _intent.inForce);
+		const std::uint64_t ranks = ranksOf(_intent.inForce);
+		std::string bytes = head.dump() + kHeadEnd;
+		putNumber(bytes, ranks);
+		return bytes + encodeHosts(_intent.inForce, dealtLike(_intent.inForce, ranks)) + encodeHosts(_intent.map, _intent.inForce);
 	}
 
 	SwitchIntent decodeIntent(const std::string& _text)
@@ -135,8 +190,17 @@
 			intent.boundary = json.at("boundary").get<std::uint64_t>();
 			intent.inForceVersion = json.at("inForceVersion").get<std::uint64_t>();
 			std::string_view maps = std::string_view(_text).substr(std::min(end + 1, _text.size()));
-			intent.inForce = decodeHosts(maps, {});
-			intent.map = decodeHosts(maps, intent.inForce);
+			const std::uint64_t ranks = takeNumber(maps);
+			if (kMostExperts < ranks)
+			{
+				throw unreadable("map", "has more ranks than any group");
+			}
+			intent.inForce = decodeHosts(maps, [ranks](const ExpertHosts& _hosts) {
+				return dealtLike(_hosts, ranks);
+			});
+			intent.map = decodeHosts(maps, [&intent](const ExpertHosts&) {
+				return intent.inForce;
+			});
 			return intent;
 		}
 		catch (const Json::exception& error)
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -11,6 +11,9 @@
 	{
 		/// A report older than this is left aside, ms: five missed reports of a coordinator.
 		constexpr Millis kReportMaxAgeMs = 1'000;
+		/// One draw in so many looks beyond the own zone: its daemons may all be cut off from the
+		/// coordinator, or in other groups.
+		constexpr std::uint64_t kFarDraws = 8;
 
 		bool isRecent(const Upstream& _upstream, Millis _now)
 		{
@@ -151,7 +154,8 @@
 		}
 		group->view.open = _report.open;
 		group->view.passMs = _report.passMs;
-		group->view.at = _now;
+		const Millis at = _now - _report.ageMs;
+		group->view.at = at;
 		group->reported = 0;
 		for (const GroupReport::Rank& rank : _report.ranks)
 		{
@@ -167,7 +171,7 @@
 				this->takeOut(upstream);
 				this->put(upstream, group);
 			}
-			upstream->reported = ReportedLoad{rank.requests, _now, upstream->inFlight, rank.pace};
+			upstream->reported = ReportedLoad{rank.requests, at, upstream->inFlight, rank.pace};
 			group->reported += rank.requests;
 		}
 		group->ownThen = group->inFlight;
@@ -200,6 +204,29 @@
 		return chosen ? open[*chosen] : nullptr;
 	}
 
+	UpstreamRef Board::drawNear(const std::vector<UpstreamRef>& _upstreams, Random& _random) const
+	{
+		std::vector<UpstreamRef> near;
+		std::copy_if(_upstreams.begin(), _upstreams.end(), std::back_inserter(near), [&](const UpstreamRef& _upstream) {
+			return _upstream->record.zone == this->zone;
+		});
+		const bool anywhere = near.empty() || 0 == randomBelow(_random, kFarDraws);
+		const std::vector<UpstreamRef>& from = anywhere ? _upstreams : near;
+		return from.empty() ? nullptr : from[randomBelow(_random, from.size())];
+	}
+
+	UpstreamRef Board::drawMember(const std::string& _service, const std::string& _group, Random& _random) const
+	{
+		for (const GroupRef& group : this->groupsOf(_service))
+		{
+			if (group->name == _group)
+			{
+				return this->drawNear(group->members, _random);
+			}
+		}
+		return nullptr;
+	}
+
 	UpstreamRef Board::drawUnheard(const std::string& _service, Random& _random, Millis _now) const
 	{
 		std::vector<UpstreamRef> unheard;
@@ -210,7 +237,7 @@
 				unheard.insert(unheard.end(), group->members.begin(), group->members.end());
 			}
 		}
-		return unheard.empty() ? nullptr : unheard[randomBelow(_random, unheard.size())];
+		return this->drawNear(unheard, _random);
 	}
 
 	std::vector<GroupRef> Board::allGroups() const
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -86,6 +86,7 @@
 		std::string name;
 		bool open = true;
 		double passMs = 0.0;
+		Millis ageMs = 0; ///< Since the coordinator made it.
 		std::vector<Rank> ranks;
 
 		bool operator==(const GroupReport&) const = default;
@@ -150,7 +151,10 @@
 		/// @returns An upstream of a group for a request; null when there is none.
 		UpstreamRef choose(const UpstreamGroup& _group, const std::set<std::string>& _triedBefore, Random& _random, Millis _now) const;
 
-		/// @returns An upstream of the service, drawn at random, whose group wasn't heard of lately;
+		/// @returns A member of a group, drawn at random, as a rule of the own zone; null when there is none.
+		UpstreamRef drawMember(const std::string& _service, const std::string& _group, Random& _random) const;
+
+		/// @returns An upstream of the service, drawn likewise, whose group wasn't heard of lately;
 		/// null when there is none.
 		UpstreamRef drawUnheard(const std::string& _service, Random& _random, Millis _now) const;
 
@@ -161,6 +165,7 @@
 		std::vector<UpstreamRef> all() const;
 
 	private:
+		UpstreamRef drawNear(const std::vector<UpstreamRef>& _upstreams, Random& _random) const;
 		GroupRef groupNamed(const std::string& _service, const std::string& _name);
 		/// Puts an upstream into a group, out of the one that it was in.
 		void put(const UpstreamRef& _upstream, const GroupRef& _group);
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -7,15 +7,19 @@
 {
 	namespace
 	{
-		/// Between two looks which groups to ask, and for those whose coordinator isn't known, ms.
-		constexpr Millis kLookMs = 40;
+		/// Between two looks which groups to ask, ms.
+		constexpr Millis kLookMs = 20;
 		/// Between two questions for the loads of a group, ms: about two passes. What this
 		/// gateway sent since is added to what was reported.
-		constexpr Millis kAskMs = 120;
-		/// In large groups, ms a rank: an answer has 16 bytes a rank, and all gateways ask.
-		constexpr double kAskMsPerRank = 4.0;
-		/// Longest wait for an answer, ms.
+		constexpr Millis kAskMs = 100;
+		/// Longest wait for an answer, ms: a daemon of the own zone answers within 5 ms as a rule.
 		constexpr Millis kAnswerMs = 250;
+		/// News older than this are no news, ms: the daemon doesn't hear its coordinator, another one may.
+		constexpr Millis kStaleMs = 500;
+		/// After the first failure another daemon is asked at once, after more in a row with pauses up
+		/// to this, ms: when a group is cut off or has no coordinator, all gateways look for it.
+		constexpr Millis kFirstPauseMs = 20;
+		constexpr Millis kMostPauseMs = 640;
 
 		class TaskErrors final : public kj::TaskSet::ErrorHandler
 		{
@@ -31,9 +35,30 @@
 			return _address.substr(0, _address.rfind(':'));
 		}
 
-		Millis askEveryMs(std::size_t _ranks)
-		{
-			return std::max(kAskMs, Millis(kAskMsPerRank * double(_ranks)));
+		GroupReport reportOf(const std::string& _service, const group::Roster& _roster, const group::GroupNews& _news)
+		{
+			GroupReport report;
+			report.service = _service;
+			report.name = _news.coordination.group;
+			report.open = _news.open;
+			report.passMs = _news.passMs;
+			report.ageMs = _news.ageMs;
+			std::vector<double> paces(_roster.engines.size(), 1.0);
+			for (const group::RankPace& rank : _news.paces)
+			{
+				if (rank.rank < paces.size())
+				{
+					paces[rank.rank] = rank.pace;
+				}
+			}
+			for (std::size_t rank = 0; rank < _roster.engines.size() && rank < _news.loads.size(); ++rank)
+			{
+				if (!_roster.engines[rank].empty() && group::kLoadUnknown != _news.loads[rank])
+				{
+					report.ranks.push_back({_roster.engines[rank], _news.loads[rank], paces[rank]});
+				}
+			}
+			return report;
 		}
 	} // namespace
 
@@ -53,84 +78,86 @@
 		return ipOf(_upstream.record.address) + ":" + std::to_string(this->state.settings.place.peerPort);
 	}
 
-	void LoadLink::take(const std::string& _service, const group::GroupLoads& _loads)
+	Millis LoadLink::spread(Millis _pauseMs)
 	{
-		GroupReport report;
-		report.service = _service;
-		report.name = _loads.newest.group;
-		report.open = _loads.open;
-		report.passMs = _loads.passMs;
-		for (const group::RankLoad& rank : _loads.ranks)
-		{
-			report.ranks.push_back({rank.address, rank.requests, rank.pace});
-		}
-		this->storeWatch.takeNews({_service + "/" + report.name, _loads.proof, _loads.upstreams, _loads.reader});
-		this->state.board.report(report, nowMs());
+		return _pauseMs / 2 + Millis(randomBelow(this->state.random, std::uint64_t(_pauseMs) + 1));
 	}
 
-	bool LoadLink::follow(const std::string& _service, const group::Coordination& _newest)
+	aio::Task<group::NewsAnswer> LoadLink::question(group::RankLink& _source, const group::Roster& _roster)
 	{
-		if (_newest.group.empty() || _newest.address.empty())
+		const group::HeldVersions held{_roster.term, _roster.version, this->storeWatch.upstreamsVersion()};
+		group::NewsQuestion question{this->state.settings.place.name, held, this->storeWatch.proof()};
+		return _source.news(std::move(question), kAnswerMs);
+	}
+
+	bool LoadLink::take(const GroupKey& _key, FollowedGroup& _followed, const group::NewsAnswer& _answer)
+	{
+		const group::GroupNews& news = _answer.bundle.news;
+		if (0 == news.number || kStaleMs < news.ageMs || news.coordination.group != _key.second)
 		{
 			return false;
 		}
-		std::shared_ptr<FollowedGroup>& followed = this->groups[{_service, _newest.group}];
-		if (nullptr != followed && followed->link->address() == _newest.address)
+		if (0 != _answer.bundle.roster.version)
 		{
-			return false;
+			_followed.roster = _answer.bundle.roster;
+		}
+		const Millis now = nowMs();
+		_followed.heardAt = now;
+		_followed.pauseMs = kFirstPauseMs;
+		this->storeWatch.takeNews({_key.first + "/" + _key.second, news.gateways.proof, _answer.bundle.upstreams, _answer.reader});
+		if (_followed.roster.term == news.rosterTerm && _followed.roster.version == news.rosterVersion)
+		{
+			this->state.board.report(reportOf(_key.first, _followed.roster, news), now);
+		}
+		if (_followed.failing)
+		{
+			logInfo("group_heard_again", {{"service", _key.first}, {"group", _key.second}, {"coordinator", news.coordination.address}, {"age_ms", news.ageMs}});
 		}
-		logInfo("coordinator_found", {{"service", _service}, {"group", _newest.group}, {"address", _newest.address}, {"term", _newest.term}});
-		followed = std::make_shared<FollowedGroup>();
-		followed->link = std::make_unique<group::RankLink>(this->state.loop, _newest.address);
+		_followed.failing = false;
 		return true;
 	}
 
-	void LoadLink::lose(const GroupKey& _key, const std::string& _failure)
+	void LoadLink::leaveSource(const GroupKey& _key, FollowedGroup& _followed, const std::string& _reason)
 	{
-		const auto found = this->groups.find(_key);
-		if (this->groups.end() != found)
+		if (!_followed.failing)
 		{
-			logWarning("coordinator_lost", {{"service", _key.first}, {"group", _key.second}, {"address", found->second->link->address()}, {"reason", _failure}});
-			this->groups.erase(found);
+			logInfo("group_source_left", {{"service", _key.first}, {"group", _key.second}, {"daemon", _followed.source->address()}, {"reason", _reason}});
 		}
-	}
-
-	aio::Task<group::GroupLoads> LoadLink::question(group::RankLink& _link)
-	{
-		group::LoadsQuestion question{this->state.settings.place.name, this->storeWatch.upstreamsVersion(), this->storeWatch.proof()};
-		return _link.loads(std::move(question), kAnswerMs);
+		_followed.failing = true;
+		_followed.source = nullptr;
+		_followed.askAt = nowMs() + this->spread(_followed.pauseMs);
+		_followed.pauseMs = std::min(kMostPauseMs, 2 * _followed.pauseMs);
 	}
 
 	aio::Task<void> LoadLink::ask(GroupKey _key)
 	{
 		const std::shared_ptr<FollowedGroup> followed = this->groups.at(_key);
 		followed->asking = true;
-		followed->askedAt = nowMs();
+		followed->askAt = nowMs() + kAskMs;
+		if (nullptr == followed->source)
+		{
+			const UpstreamRef upstream = this->state.board.drawMember(_key.first, _key.second, this->state.random);
+			if (nullptr == upstream)
+			{
+				this->groups.erase(_key); // none of its ranks is listed: it is found anew
+				co_return;
+			}
+			followed->source = std::make_unique<group::RankLink>(this->state.loop, this->daemonOf(*upstream));
+		}
 		std::string failure;
-		group::GroupLoads loads;
 		try
 		{
-			loads = co_await this->question(*followed->link);
+			const group::NewsAnswer answer = co_await this->question(*followed->source, followed->roster);
+			failure = this->take(_key, *followed, answer) ? "" : "no fresh news";
 		}
 		catch (const kj::Exception& error)
 		{
 			failure = error.getDescription().cStr();
 		}
 		followed->asking = false;
-		const auto current = this->groups.find(_key);
-		if (this->groups.end() == current || current->second != followed)
-		{
-			co_return; // another coordinator was found meanwhile
-		}
-		if (failure.empty() && loads.known && loads.newest.group == _key.second)
-		{
-			followed->ranks = loads.ranks.size();
-			this->take(_key.first, loads);
-			co_return;
-		}
-		if (!failure.empty() || !this->follow(_key.first, loads.newest))
+		if (!failure.empty())
 		{
-			this->lose(_key, failure.empty() ? "not the coordinator" : failure);
+			this->leaveSource(_key, *followed, failure);
 		}
 	}
 
@@ -141,27 +168,32 @@
 		{
 			co_return;
 		}
-		this->searching.insert(_service);
-		group::RankLink link(this->state.loop, this->daemonOf(*upstream));
-		std::string failure;
+		Search& search = this->searches[_service];
+		search.underWay = true;
+		std::unique_ptr<group::RankLink> link = std::make_unique<group::RankLink>(this->state.loop, this->daemonOf(*upstream));
+		bool found = false;
 		try
 		{
-			const group::GroupLoads loads = co_await this->question(link);
-			this->follow(_service, loads.newest);
-			if (loads.known)
+			const group::Roster none;
+			const group::NewsAnswer answer = co_await this->question(*link, none);
+			const GroupKey key{_service, answer.newest.group};
+			std::shared_ptr<FollowedGroup> followed = this->groups.contains(key) ? this->groups.at(key) : std::make_shared<FollowedGroup>();
+			found = this->take(key, *followed, answer);
+			if (found && nullptr == followed->source)
 			{
-				this->take(_service, loads);
+				logInfo("group_found", {{"service", _service}, {"group", key.second}, {"daemon", link->address()}, {"coordinator", answer.newest.address}, {"term", answer.newest.term}});
+				followed->source = std::move(link);
+				followed->askAt = nowMs() + kAskMs;
+				this->groups[key] = followed;
 			}
 		}
-		catch (const kj::Exception& error)
-		{
-			failure = error.getDescription().cStr();
-		}
-		if (!failure.empty())
+		catch (const kj::Exception&)
 		{
-			logInfo("daemon_unheard", {{"service", _service}, {"address", link.address()}, {"reason", failure}});
+			found = false; // told by the group that stays unheard; others are tried
 		}
-		this->searching.erase(_service);
+		search.underWay = false;
+		search.pauseMs = found ? kFirstPauseMs : std::clamp(2 * search.pauseMs, kFirstPauseMs, kMostPauseMs);
+		search.nextAt = nowMs() + this->spread(search.pauseMs);
 	}
 
 	void LoadLink::askGroups(const std::string& _service)
@@ -170,7 +202,7 @@
 		std::vector<GroupKey> due;
 		for (const auto& [key, followed] : this->groups)
 		{
-			if (key.first == _service && !followed->asking && now - followed->askedAt >= askEveryMs(followed->ranks))
+			if (key.first == _service && !followed->asking && followed->askAt <= now)
 			{
 				due.push_back(key);
 			}
@@ -179,7 +211,8 @@
 		{
 			this->tasks.add(this->ask(std::move(key)).take());
 		}
-		if (!this->searching.contains(_service))
+		const Search& search = this->searches[_service];
+		if (!search.underWay && search.nextAt <= now)
 		{
 			std::string service = _service;
 			this->tasks.add(this->search(std::move(service)).take());
--- /dev/null
+++ b/src/group/branch.cpp
@@ -0,0 +1,234 @@
+#include "group/branch.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "group/news_rpc.h"
+
+namespace archdyke::group
+{
+	namespace
+	{
+		/// @returns The number as its field holds it; larger ones as the largest.
+		template <typename Field>
+		Field clamped(std::uint64_t _number)
+		{
+			return Field(std::min<std::uint64_t>(_number, std::numeric_limits<Field>::max()));
+		}
+
+		/// What ranks of a group share as a rule, so that it is told once: a rank takes 24 bytes
+		/// then, in place of 150.
+		EngineReport sharedPart(const EngineReport& _report)
+		{
+			EngineReport shared;
+			shared.group = _report.group;
+			shared.ranks = _report.ranks;
+			shared.view = _report.view;
+			shared.view.step = 0;
+			return shared;
+		}
+
+		EngineReport readShared(rpc::SharedState::Reader _reader)
+		{
+			EngineReport shared;
+			shared.group = _reader.getGroup().cStr();
+			shared.ranks = _reader.getRanks();
+			shared.view = {true, _reader.getEpoch(), _reader.getOpen(), 0, _reader.getMap(), fromNone(_reader.getPrepared()), fromNone(_reader.getArmed()), fromNone(_reader.getHeld())};
+			return shared;
+		}
+
+		void writeShared(rpc::SharedState::Builder _builder, const EngineReport& _shared)
+		{
+			_builder.setGroup(_shared.group);
+			_builder.setRanks(_shared.ranks);
+			_builder.setEpoch(_shared.view.epoch);
+			_builder.setOpen(_shared.view.open);
+			_builder.setMap(_shared.view.map);
+			_builder.setPrepared(orNone(_shared.view.prepared));
+			_builder.setArmed(orNone(_shared.view.armed));
+			_builder.setHeld(orNone(_shared.view.held));
+		}
+
+		void writeChild(rpc::ChildState::Builder _builder, const ChildSight& _child, std::size_t _place, std::size_t _shared, std::uint64_t _leastStep)
+		{
+			_builder.setChild(std::uint16_t(_place));
+			_builder.setShared(std::uint16_t(_shared));
+			_builder.setAgeMs(clamped<std::uint16_t>(std::uint64_t(_child.ageMs)));
+			_builder.setRank(std::uint16_t(_child.report.rank));
+			_builder.setQueued(clamped<std::uint16_t>(_child.report.queued));
+			_builder.setActive(clamped<std::uint16_t>(_child.report.active));
+			_builder.setStepsAhead(clamped<std::uint32_t>(_child.report.view.step - _leastStep));
+			_builder.setPace(float(_child.report.pace));
+		}
+
+		/// Children as two lists, of what they share and of each.
+		template <typename Builder>
+		void writeChildren(Builder _builder, const std::vector<ChildSight>& _children, const std::vector<std::string>& _engines)
+		{
+			std::vector<EngineReport> shared;
+			std::uint64_t leastStep = _children.empty() ? 0 : std::numeric_limits<std::uint64_t>::max();
+			for (const ChildSight& child : _children)
+			{
+				leastStep = std::min(leastStep, child.report.view.step);
+			}
+			auto children = _builder.initChildren(unsigned(_children.size()));
+			for (unsigned index = 0; index < children.size(); ++index)
+			{
+				const EngineReport common = sharedPart(_children[index].report);
+				const auto known = std::find(shared.begin(), shared.end(), common);
+				const std::size_t place = std::size_t(known - shared.begin());
+				if (shared.end() == known)
+				{
+					shared.push_back(common);
+				}
+				const auto engine = std::find(_engines.begin(), _engines.end(), _children[index].engine);
+				writeChild(children[index], _children[index], std::size_t(engine - _engines.begin()), place, leastStep);
+			}
+			_builder.setLeastStep(leastStep);
+			auto list = _builder.initShared(unsigned(shared.size()));
+			for (unsigned index = 0; index < list.size(); ++index)
+			{
+				writeShared(list[index], shared[index]);
+			}
+		}
+
+		template <typename Reader>
+		std::vector<ChildSight> readChildren(Reader _reader, const std::vector<std::string>& _engines)
+		{
+			std::vector<EngineReport> shared;
+			for (const auto state : _reader.getShared())
+			{
+				shared.push_back(readShared(state));
+			}
+			std::vector<ChildSight> children;
+			for (const auto child : _reader.getChildren())
+			{
+				if (child.getChild() >= _engines.size() || child.getShared() >= shared.size())
+				{
+					continue; // a relay of another version: the rank counts as unseen
+				}
+				ChildSight sight{_engines[child.getChild()], shared[child.getShared()], child.getAgeMs()};
+				sight.report.rank = child.getRank();
+				sight.report.queued = child.getQueued();
+				sight.report.active = child.getActive();
+				sight.report.view.step = _reader.getLeastStep() + child.getStepsAhead();
+				sight.report.pace = child.getPace();
+				children.push_back(std::move(sight));
+			}
+			return children;
+		}
+
+		template <typename List>
+		std::vector<std::string> readEngines(List _list)
+		{
+			std::vector<std::string> engines;
+			for (const auto engine : _list)
+			{
+				engines.push_back(readEndpoint(engine));
+			}
+			return engines;
+		}
+
+		template <typename List>
+		void writeEngines(List _list, const std::vector<std::string>& _engines)
+		{
+			for (unsigned index = 0; index < _list.size(); ++index)
+			{
+				writeEndpoint(_list[index], _engines[index]);
+			}
+		}
+	} // namespace
+
+	BranchQuestion readBranchQuestion(rpc::RankDaemon::RelayParams::Reader _reader)
+	{
+		return {readCoordination(_reader.getCoordination()), readEngines(_reader.getEngines()), Millis(_reader.getPatienceMs()), _reader.getCounted()};
+	}
+
+	void writeBranchQuestion(rpc::RankDaemon::RelayParams::Builder _builder, const BranchQuestion& _question)
+	{
+		writeCoordination(_builder.initCoordination(), _question.coordination);
+		writeEngines(_builder.initEngines(unsigned(_question.engines.size())), _question.engines);
+		_builder.setPatienceMs(clamped<std::uint16_t>(std::uint64_t(_question.patienceMs)));
+		_builder.setCounted(clamped<std::uint16_t>(_question.counted));
+	}
+
+	BranchSight readBranchSight(rpc::RankDaemon::RelayResults::Reader _reader, const std::vector<std::string>& _engines)
+	{
+		BranchSight sight;
+		sight.newest = readCoordination(_reader.getNewest());
+		sight.tookMs = _reader.getTookMs();
+		sight.children = readChildren(_reader, _engines);
+		const RankReport counts = readReport(_reader.getChoices());
+		sight.choices = {counts.choices.epoch, Millis(_reader.getChoicesSpanMs()), counts.choices.choices};
+		sight.gateways = readTally(_reader.getGateways());
+		sight.held = readHeld(_reader);
+		return sight;
+	}
+
+	void writeBranchSight(rpc::RankDaemon::RelayResults::Builder _builder, const BranchSight& _sight, const std::vector<std::string>& _engines)
+	{
+		writeCoordination(_builder.initNewest(), _sight.newest);
+		_builder.setTookMs(clamped<std::uint32_t>(std::uint64_t(_sight.tookMs)));
+		writeChildren(_builder, _sight.children, _engines);
+		if (!_sight.choices.choices.empty())
+		{
+			RankReport counts;
+			counts.choices.epoch = _sight.choices.epoch;
+			counts.choices.choices = _sight.choices.choices;
+			writeReport(_builder.initChoices(), counts);
+			_builder.setChoicesSpanMs(clamped<std::uint32_t>(std::uint64_t(_sight.choices.spanMs)));
+		}
+		writeTally(_builder.initGateways(), _sight.gateways);
+		writeHeld(_builder, _sight.held);
+	}
+
+	BranchOrder readBranchOrder(rpc::RankDaemon::RelayOrdersParams::Reader _reader)
+	{
+		const auto batch = _reader.getBatch();
+		return {readCoordination(_reader.getCoordination()), readOrder(batch.getOrder()), readDifference(batch.getOrder().getMap()), readEngines(batch.getEngines()), Millis(_reader.getPatienceMs())};
+	}
+
+	void writeBranchOrder(rpc::RankDaemon::RelayOrdersParams::Builder _builder, const BranchOrder& _order)
+	{
+		writeCoordination(_builder.initCoordination(), _order.coordination);
+		auto batch = _builder.initBatch();
+		writeOrder(batch.initOrder(), _order.order, _order.difference);
+		writeEngines(batch.initEngines(unsigned(_order.engines.size())), _order.engines);
+		_builder.setPatienceMs(clamped<std::uint16_t>(std::uint64_t(_order.patienceMs)));
+	}
+
+	BranchOutcome readBranchOutcome(rpc::RankDaemon::RelayOrdersResults::Reader _reader, const std::vector<std::string>& _engines)
+	{
+		BranchOutcome outcome;
+		outcome.tookMs = _reader.getTookMs();
+		outcome.children = readChildren(_reader, _engines);
+		outcome.outcomes.resize(_engines.size());
+		const auto list = _reader.getOutcomes();
+		for (unsigned index = 0; index < list.size() && index < outcome.outcomes.size(); ++index)
+		{
+			if (list[index].getAnswered())
+			{
+				outcome.outcomes[index] = OrderOutcome{list[index].getAccepted(), list[index].getStatus(), list[index].getBaseUnknown(), std::nullopt};
+			}
+		}
+		return outcome;
+	}
+
+	void writeBranchOutcome(rpc::RankDaemon::RelayOrdersResults::Builder _builder, const BranchOutcome& _outcome, const std::vector<std::string>& _engines)
+	{
+		_builder.setTookMs(clamped<std::uint32_t>(std::uint64_t(_outcome.tookMs)));
+		writeChildren(_builder, _outcome.children, _engines);
+		auto list = _builder.initOutcomes(unsigned(_outcome.outcomes.size()));
+		for (unsigned index = 0; index < list.size(); ++index)
+		{
+			const std::optional<OrderOutcome>& outcome = _outcome.outcomes[index];
+			list[index].setAnswered(outcome.has_value());
+			if (outcome)
+			{
+				list[index].setAccepted(outcome->accepted);
+				list[index].setStatus(std::uint16_t(outcome->status));
+				list[index].setBaseUnknown(outcome->baseUnknown);
+			}
+		}
+	}
+} // namespace archdyke::group
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -18,10 +18,10 @@
 		constexpr Millis kPreparingLookMs = 25;
 		/// Between two looks while the group may stand at the boundary, ms.
 		constexpr Millis kSwitchingLookMs = 8;
-		/// A look costs the coordinator some 60 us a rank; this keeps it below a tenth of a core
-		/// in large groups.
-		constexpr double kLookMsPerRank = 0.6;
-		constexpr double kIdleLookMsPerRank = 2.0;
+		/// A look costs some 60 us a daemon that is asked from here; this keeps it below a tenth of a
+		/// core.
+		constexpr double kLookMsPerMessage = 0.6;
+		constexpr double kIdleLookMsPerMessage = 2.0;
 		/// A switch that isn't prepared by then is abandoned, ms; beyond the time of its copies.
 		constexpr Millis kPrepareMs = 2'500;
 		/// A boundary that isn't held by then is abandoned, ms: the rank that is to hold it, or
@@ -36,8 +36,6 @@
 		/// Steps between a boundary and the newest one, at most, beside those that pass during the
 		/// two writes: a group without requests has short passes.
 		constexpr double kMaxMarginSteps = 16.0;
-		/// A gateway that hasn't asked for this long is gone, ms.
-		constexpr Millis kGatewayGoneMs = 2'000;
 		/// Table of the groups' rows.
 		constexpr const char* kTable = "archdyke_groups";
 
@@ -83,17 +81,22 @@
 		return SwitchPhase::Idle != this->intent.phase;
 	}
 
-	Millis Coordinator::lookMs() const
+	double Coordinator::messagesPerLook() const
 	{
 		const double ranks = double(this->ranks.size());
+		// The relays' own messages count as well: the slowest of them makes the look.
+		return this->ranks.size() <= kTreeFanOut ? ranks : double(this->branches.size()) + ranks / std::max(1.0, double(this->branches.size()));
+	}
+
+	Millis Coordinator::lookMs() const
+	{
+		const double messages = this->messagesPerLook();
 		switch (this->intent.phase)
 		{
 		case SwitchPhase::Idle:
-			return std::max(kIdleLookMs, Millis(kIdleLookMsPerRank * ranks));
+			return std::max(kIdleLookMs, Millis(kIdleLookMsPerMessage * messages));
 		case SwitchPhase::Preparing:
-			return std::max(kPreparingLookMs, Millis(kLookMsPerRank * ranks));
-		case SwitchPhase::Holding:
-			return kSwitchingLookMs;
+			return std::max(kPreparingLookMs, Millis(kLookMsPerMessage * messages));
 		default:
 			return Millis(this->switchingLookMs());
 		}
@@ -101,7 +104,7 @@
 
 	double Coordinator::switchingLookMs() const
 	{
-		return std::max(double(kSwitchingLookMs), kLookMsPerRank * double(this->ranks.size()));
+		return std::max(double(kSwitchingLookMs), kLookMsPerMessage * this->messagesPerLook());
 	}
 
 	std::uint64_t Coordinator::marginSteps() const
@@ -123,7 +126,7 @@
 		const Millis now = nowMs();
 		for (const auto& [engine, rank] : this->ranks)
 		{
-			const EngineReport& report = rank.report.engine;
+			const EngineReport& report = rank.report;
 			if (0 == rank.seenAt || report.group != this->group)
 			{
 				continue;
@@ -153,7 +156,7 @@
 		std::vector<double> result(_ranks, 1.0);
 		for (const auto& [engine, rank] : this->ranks)
 		{
-			const EngineReport& report = rank.report.engine;
+			const EngineReport& report = rank.report;
 			if (0 != rank.seenAt && report.group == this->group && report.rank < _ranks)
 			{
 				result[report.rank] = std::max(1.0, report.pace);
@@ -303,41 +306,13 @@
 		}
 	}
 
-	GroupLoads Coordinator::loads(const LoadsQuestion& _question)
-	{
-		const Millis now = nowMs();
-		this->gateways[_question.gateway] = now;
-		std::erase_if(this->gateways, [&](const auto& _entry) {
-			return now - _entry.second > kGatewayGoneMs;
-		});
-		GroupLoads loads;
-		loads.known = true;
-		loads.newest = this->coordination();
-		loads.passMs = this->passMs;
-		loads.gateways = std::uint32_t(this->gateways.size());
-		this->proof = std::max(this->proof, _question.proof);
-		loads.proof = this->proof;
-		// The first and the last by name: as a rule they are in different zones.
-		loads.reader = _question.gateway == this->gateways.begin()->first || _question.gateway == this->gateways.rbegin()->first;
-		loads.upstreams = store::newsSince(this->upstreams, _question.upstreamsSince);
-		for (const auto& [engine, rank] : this->ranks)
-		{
-			if (0 != rank.seenAt && now - rank.seenAt <= kViewMaxAgeMs && rank.report.engine.group == this->group)
-			{
-				loads.open = loads.open && rank.report.engine.view.open;
-				loads.ranks.push_back({engine, rank.report.engine.queued + rank.report.engine.active, rank.report.engine.pace});
-			}
-		}
-		return loads;
-	}
-
 	std::string Coordinator::describe() const
 	{
 		nlohmann::json seen = nlohmann::json::array();
 		for (const auto& [engine, rank] : this->ranks)
 		{
-			seen.push_back({{"engine", engine}, {"rank", rank.report.engine.rank}, {"ageMs", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"step", rank.report.engine.view.step}, {"map", rank.report.engine.view.map}, {"queued", rank.report.engine.queued}, {"active", rank.report.engine.active}, {"pace", rank.report.engine.pace}});
+			seen.push_back({{"engine", engine}, {"rank", rank.report.rank}, {"ageMs", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"step", rank.report.view.step}, {"map", rank.report.view.map}, {"queued", rank.report.queued}, {"active", rank.report.active}, {"pace", rank.report.pace}});
 		}
-		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"ranks", seen}}.dump();
+		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"branches", this->branches.size()}, {"gateways", this->parts.knowledge.news.gateways.count}, {"ranks", seen}}.dump();
 	}
 } // namespace archdyke::group
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -1,5 +1,5 @@
-/// Coordinates one group of engine ranks: watches all of them, decides when another expert
-/// map pays and carries the switch forward, and tells gateways the loads.
+/// Coordinates one group of engine ranks: watches all of them through the tree of relays, decides
+/// when another expert map pays and carries the switch forward, and tells the loads.
 #pragma once
 
 #include <map>
@@ -8,9 +8,10 @@
 #include "archdyke/catalog.h"
 #include "archdyke/map_window.h"
 #include "archdyke/rank_search.h"
+#include "archdyke/relay_tree.h"
 #include "archdyke/upstream_choice.h"
 #include "gateway/settings.h"
-#include "group/rank_link.h"
+#include "group/fan_out.h"
 #include "metrics.h"
 #include "store/table_store.h"
 
@@ -26,7 +27,8 @@
 		Catalog (*decodeCatalog)(const std::string& _document);
 		UpstreamRecord (*decodeUpstream)(const std::string& _incarnation, const std::string& _document);
 		gateway::SidecarSettings settings;
-		Metrics& metrics;
+		GroupKnowledge& knowledge; ///< Of this daemon; the coordinator puts its news there.
+		FanOut& fanOut;            ///< Of this daemon.
 	};
 
 	/// Why a coordinator ended.
@@ -49,32 +51,40 @@
 		/// Coordinates until another process does.
 		aio::Task<CoordinatorEnd> run();
 
-		GroupLoads loads(const LoadsQuestion& _question);
-
 		Coordination coordination() const;
 
+		/// Looks also at an engine that the list of upstreams doesn't have yet.
+		void invite(const std::string& _engine);
+
 		/// @returns What it knows, for the state dump.
 		std::string describe() const;
 
 	private:
 		struct Rank
 		{
-			std::unique_ptr<RankLink> link; ///< This and the next are null until it is asked.
-			std::unique_ptr<Engine> direct; ///< The engine itself, asked while its daemon is away.
+			std::unique_ptr<Engine> direct; ///< The engine itself, asked while its daemon is away; null until it is asked.
 			std::string engineAddress;
 			std::string incarnation; ///< Of the engine, as the list of upstreams has it.
+			std::string zone;        ///< Likewise; empty: it isn't listed yet.
 			SearchCandidate search;  ///< While it isn't known to be in this group.
-			RankReport report;
-			Millis seenAt = 0;        ///< 0: never.
+			EngineReport report;
+			Millis seenAt = 0;        ///< Not after the engine said so; 0: never.
 			Millis daemonHeardAt = 0; ///< When its daemon last answered, or was first asked; 0: never asked.
-			Millis daemonAskedAt = 0;
-			Millis directAt = 0; ///< When the engine itself was last asked.
-			bool asking = false;
+			Millis directAt = 0;      ///< When the engine itself was last asked.
+			Millis relayFailedAt = 0; ///< When its daemon last failed a question as a relay.
 			bool askingDirectly = false;
-			bool lacksBase = false;   ///< Its daemon doesn't know the map in force.
-			std::uint64_t sample = 0; ///< Last sample of counts; 0: none.
-			std::uint64_t sampleEpoch = 0;
-			Millis sampledAt = 0;
+			bool lacksBase = false; ///< Its daemon doesn't know the map in force.
+		};
+
+		/// What the coordinator keeps of a branch of the tree from one look to the next.
+		struct Branch
+		{
+			std::shared_ptr<RankLink> link; ///< To the relay; null for the coordinator's own branch.
+			bool asking = false;
+			std::optional<HeldVersions> held; ///< What the relay has; none: it hasn't said so.
+			std::uint64_t told = 0;           ///< Number of the last news that it was sent.
+			GatewayTally gateways;            ///< Of its daemons, as last told.
+			Millis heardAt = 0;
 		};
 
 		/// A pass that was seen to have begun.
@@ -114,9 +124,12 @@
 		void releaseStrays(const std::vector<RankView>& _seenBefore);
 		void noteWatchFailure(const std::string& _table, const std::string& _reason) const;
 		void end(CoordinatorEnd _why);
-		aio::Task<void> observe(std::string _engine, bool _counts);
 		aio::Task<void> observeDirectly(std::string _engine);
-		aio::Task<void> send(RankOrderPlan _plan);
+		/// Gives an order to the engine itself, past its daemon.
+		aio::Task<void> sendDirectly(RankOrderPlan _plan);
+		void noteOutcome(const RankOrderPlan& _plan, const OrderOutcome& _outcome);
+		/// Gives orders that differ in their rank alone, through a branch.
+		aio::Task<void> sendThrough(std::string _relay, std::vector<RankOrderPlan> _plans);
 		aio::Task<void> advance();
 		aio::Task<void> writeRow(SwitchIntent _row, std::string _reason);
 		void adopt(SwitchIntent _intent);
@@ -127,27 +140,44 @@
 		std::optional<std::uint32_t> ownRank() const;
 		Millis rowLookMs() const;
 		void takeUpstreams(const store::Rows& _rows);
+		void takeKnownUpstreams();
 		/// The list of upstreams names an incarnation no longer.
 		void unlist(const std::string& _incarnation);
 		void takeConfiguration(const store::Rows& _rows);
-		void hear(Rank& _rank, const RankReport& _report);
+		/// @param[in] _seenAt Not after the engine said so.
+		void hear(Rank& _rank, const EngineReport& _report, Millis _seenAt);
 		void notePace(const Rank& _rank, const EngineReport& _engine) const;
 		void notePass(const EngineReport& _engine);
-		void takeChoices(Rank& _rank, const ChoiceSample& _sample);
 		void askRanks();
+		/// The ranks as members of the tree, in the order of their addresses.
+		std::vector<TreeMember> treeMembers() const;
+		/// Looks at a branch, unless it has a question to answer.
+		void askBranch(const std::vector<TreeMember>& _members, const TreeBranch& _branch, std::size_t _counted);
+		aio::Task<void> lookAt(std::string _relay, BranchQuestion _question);
+		void takeSight(const BranchSight& _sight, Millis _askedAt);
+		void takeChildren(const std::vector<ChildSight>& _children, Millis _answeredAt);
+		/// Makes the news of the group.
+		void publish();
+		GatewayTally gatewayTally() const;
+		Branch& branchAt(const std::string& _relay);
 		/// Asks other upstreams of the service while not all ranks of the group are known.
 		void searchGroup();
-		void ask(const std::string& _engine, Rank& _rank, bool _counts);
+		aio::Task<void> lookAtStrangers(BranchQuestion _question);
 		/// Asks the engine itself when its daemon is silent and it is time.
 		void askDirectly(const std::string& _engine, Rank& _rank, Millis _everyMs);
 		bool daemonIsSilent(const Rank& _rank) const;
 		Rank& rankAt(const std::string& _engine);
+		Rank* findRank(const std::string& _engine);
+		/// @returns The ranks by their numbers; null for one that was never seen.
+		std::vector<Rank*> ranksByNumber();
+		/// Prepares to ask an engine and its daemon for the first time.
+		void meet(const std::string& _engine, Rank& _rank);
 		/// Puts a rank among those of this group, or among the others.
 		void sortIn(const Rank& _rank);
 		/// @returns How many ranks were heard lately, of how many.
 		SearchProgress progress() const;
 		Millis sampleMs() const;
-		Millis orderTimeoutMs() const;
+		Millis orderTimeoutMs(RankOrderKind _kind) const;
 		std::size_t sampledRanks() const;
 		/// @returns What makes the map of the open switch, made once a version.
 		/// @param[in] _dealt Of the map that groups form with; else of the one in force.
@@ -160,6 +190,8 @@
 		bool switchIsOpen() const;
 		Millis lookMs() const;
 		double switchingLookMs() const;
+		/// @returns Daemons that one look asks from here.
+		double messagesPerLook() const;
 
 		CoordinatorParts parts;
 		std::string group;
@@ -173,9 +205,12 @@
 		std::map<std::string, Rank> strangers; ///< Other upstreams of the service; nodes move between the two and keep their places in memory.
 		std::optional<EngineModel> model;
 		std::map<RankOrderPlan, SentOrder> sent;
+		std::map<std::string, Branch> branches;      ///< By the relay's engine; "" is the coordinator's own.
+		std::map<std::string, std::string> branchOf; ///< Of each rank's engine, by the last look.
 		ChoiceWindow window;
-		Millis countsAt = 0;  ///< When ranks were last asked for counts.
-		Millis askedAt = 0;   ///< When ranks were last asked.
+		Millis countsAt = 0; ///< When ranks were last asked for counts.
+		Millis askedAt = 0;  ///< When ranks were last asked.
+		Millis publishedAt = 0;
 		Millis plannedTo = 0; ///< End of the newest counts that were planned from.
 		KnownDifference fromDealt;
 		KnownDifference fromInForce;
@@ -185,9 +220,6 @@
 		std::uint64_t passEpoch = 0;
 		Millis gapObjectiveMs = 0;
 		double lastSkew = 0.0;
-		store::FollowedTable upstreams;
-		store::ConfigurationProof proof;        ///< The newest that a gateway told.
-		std::map<std::string, Millis> gateways; ///< When each last asked.
 		std::uint64_t switches = 0;
 		kj::Own<kj::TaskSet::ErrorHandler> errors;
 		kj::TaskSet tasks;
--- /dev/null
+++ b/src/group/coordinator_orders.cpp
@@ -0,0 +1,187 @@
+/// The coordinator's part that gives ranks the orders of an open switch.
+#include <algorithm>
+#include <tuple>
+
+#include "group/coordinator.h"
+#include "group/coordinator_p.h"
+#include "log.h"
+#include "process.h"
+
+namespace archdyke::group
+{
+	namespace
+	{
+		/// Time limit of an order through a rank's daemon, ms; its engine has 60 ms of it.
+		constexpr Millis kOrderTimeoutMs = 150;
+		/// The same of a prepare, ms: it brings a map, which the daemon lays out for its engine.
+		constexpr Millis kPrepareTimeoutMs = 400;
+		/// More for each daemon that is told from one process, ms: all share its link.
+		constexpr double kOrderTimeoutMsPerMessage = 6.0;
+		/// What the way to a relay and back may take beside its own waiting, ms.
+		constexpr Millis kRelayWayMs = 50;
+		/// An order without an answer is sent again after this, one that was accepted but shows
+		/// no effect after the longer time, ms.
+		constexpr Millis kRepeatMs = 60;
+		constexpr Millis kRepeatAcceptedMs = 400;
+
+		EngineOrder orderOf(const RankOrderPlan& _plan)
+		{
+			return {_plan.kind, _plan.epoch, _plan.version, _plan.step, {}};
+		}
+	} // namespace
+
+	Millis Coordinator::orderTimeoutMs(RankOrderKind _kind) const
+	{
+		const Millis usual = RankOrderKind::Prepare == _kind ? kPrepareTimeoutMs : kOrderTimeoutMs;
+		const double messages = std::min(double(this->ranks.size()), double(kTreeFanOut));
+		return std::max(usual, Millis(kOrderTimeoutMsPerMessage * messages));
+	}
+
+	const MapDifference& Coordinator::differenceFrom(bool _dealt, std::uint32_t _ranks)
+	{
+		KnownDifference& known = _dealt ? this->fromDealt : this->fromInForce;
+		if (known.version != this->intent.version)
+		{
+			const std::uint32_t sets = std::uint32_t(this->intent.map.size());
+			const std::uint32_t experts = 0 == sets ? 0 : std::uint32_t(this->intent.map.front().size());
+			const ExpertHosts base = _dealt ? dealtInTurn(sets, experts, _ranks) : this->intent.inForce;
+			known.version = this->intent.version;
+			known.difference = differenceOf(_dealt ? 0 : this->intent.inForceVersion, expertsByRank(base, _ranks), expertsByRank(this->intent.map, _ranks), experts);
+		}
+		return known.difference;
+	}
+
+	std::vector<Coordinator::Rank*> Coordinator::ranksByNumber()
+	{
+		std::vector<Rank*> result;
+		for (auto& [engine, rank] : this->ranks)
+		{
+			if (0 != rank.seenAt && rank.report.group == this->group && rank.report.rank < rank.report.ranks)
+			{
+				result.resize(std::max<std::size_t>(result.size(), rank.report.ranks), nullptr);
+				result[rank.report.rank] = &rank;
+			}
+		}
+		return result;
+	}
+
+	aio::Task<void> Coordinator::sendDirectly(RankOrderPlan _plan)
+	{
+		const std::vector<Rank*> known = this->ranksByNumber();
+		Rank* target = _plan.rank < known.size() ? known[_plan.rank] : nullptr;
+		// A version must never be given with another one's map.
+		const bool mapIsGone = RankOrderKind::Prepare == _plan.kind && (this->intent.version != _plan.version || SwitchPhase::Preparing != this->intent.phase);
+		if (nullptr == target || nullptr == target->direct || mapIsGone)
+		{
+			this->sent.erase(_plan);
+			co_return;
+		}
+		EngineOrder order = orderOf(_plan);
+		if (RankOrderKind::Prepare == _plan.kind)
+		{
+			order.expertsByRank = expertsByRank(this->intent.map, target->report.ranks);
+		}
+		const OrderOutcome outcome = co_await target->direct->order(std::move(order));
+		this->noteOutcome(_plan, outcome);
+		if (outcome.accepted && RankOrderKind::Hold == _plan.kind && !target->askingDirectly)
+		{
+			// Seen at once, the group stands a look less: 20 ms of each switch at 129 ranks.
+			std::string engine = target->engineAddress;
+			co_await this->observeDirectly(std::move(engine));
+		}
+	}
+
+	void Coordinator::noteOutcome(const RankOrderPlan& _plan, const OrderOutcome& _outcome)
+	{
+		SentOrder& sentOrder = this->sent[_plan];
+		sentOrder.pending = false;
+		sentOrder.accepted = _outcome.accepted;
+		sentOrder.refused = !_outcome.accepted && 0 != _outcome.status;
+	}
+
+	aio::Task<void> Coordinator::sendThrough(std::string _relay, std::vector<RankOrderPlan> _plans)
+	{
+		const std::vector<Rank*> known = this->ranksByNumber();
+		const RankOrderPlan& first = _plans.front();
+		BranchOrder order{this->coordination(), orderOf(first), {}, {}, this->orderTimeoutMs(first.kind)};
+		if (RankOrderKind::Prepare == first.kind)
+		{
+			const Rank& target = *known[first.rank];
+			order.difference = this->differenceFrom(target.lacksBase || 0 == this->intent.inForceVersion, target.report.ranks);
+		}
+		for (const RankOrderPlan& plan : _plans)
+		{
+			order.engines.push_back(known[plan.rank]->engineAddress);
+		}
+		const std::vector<std::string> engines = order.engines;
+		const Millis askedAt = nowMs();
+		BranchOutcome outcome;
+		std::string failure;
+		try
+		{
+			if (_relay.empty())
+			{
+				outcome = co_await this->parts.fanOut.give(std::move(order));
+			}
+			else
+			{
+				const Millis timeoutMs = order.patienceMs + kRelayWayMs;
+				const std::shared_ptr<RankLink> link = this->branchAt(_relay).link; // the tree may change meanwhile
+				outcome = co_await link->relayOrders(std::move(order), timeoutMs);
+			}
+		}
+		catch (const kj::Exception& error)
+		{
+			failure = error.getDescription().cStr();
+			logWarning("orders_unanswered", {{"group", this->group}, {"relay", _relay}, {"kind", toString(first.kind)}, {"ranks", engines.size()}, {"reason", failure}});
+		}
+		outcome.outcomes.resize(engines.size());
+		for (std::size_t index = 0; index < engines.size(); ++index)
+		{
+			// Without an answer it is sent again, through whoever relays then.
+			const OrderOutcome result = outcome.outcomes[index].value_or(OrderOutcome());
+			this->noteOutcome(_plans[index], result);
+			Rank* rank = this->findRank(engines[index]);
+			if (nullptr != rank && outcome.outcomes[index])
+			{
+				rank->lacksBase = result.baseUnknown;
+			}
+		}
+		this->takeChildren(outcome.children, askedAt + outcome.tookMs);
+	}
+
+	void Coordinator::sendOrders(const std::vector<RankOrderPlan>& _orders)
+	{
+		const Millis now = nowMs();
+		const std::vector<Rank*> known = this->ranksByNumber();
+		/// Orders that one message can bring: of one branch, kind, epoch, version, step and base.
+		using Batch = std::tuple<std::string, RankOrderKind, std::uint64_t, std::uint64_t, std::uint64_t, bool>;
+		std::map<Batch, std::vector<RankOrderPlan>> batches;
+		for (const RankOrderPlan& order : _orders)
+		{
+			SentOrder& last = this->sent[order];
+			const Millis wait = last.accepted ? kRepeatAcceptedMs : kRepeatMs;
+			const bool due = !last.pending && (0 == last.at || now - last.at >= wait);
+			if (!due || order.rank >= known.size() || nullptr == known[order.rank])
+			{
+				continue;
+			}
+			last.at = now;
+			last.pending = true;
+			const Rank& target = *known[order.rank];
+			// A VM that freezes with a hold just given would keep the group standing: the hold is
+			// given from here, so that the engine that has it can still be reached.
+			if (RankOrderKind::Hold == order.kind || this->daemonIsSilent(target))
+			{
+				this->tasks.add(this->sendDirectly(order).take());
+				continue;
+			}
+			batches[{this->branchOf[target.engineAddress], order.kind, order.epoch, order.version, order.step, target.lacksBase}].push_back(order);
+		}
+		for (auto& [batch, plans] : batches)
+		{
+			std::string relay = std::get<0>(batch);
+			this->tasks.add(this->sendThrough(std::move(relay), std::move(plans)).take());
+		}
+	}
+} // namespace archdyke::group
--- a/src/group/coordinator_p.h
+++ b/src/group/coordinator_p.h
@@ -9,4 +9,9 @@
 	constexpr Millis kIdleLookMs = 60;
 	/// What a rank last said counts for this long, ms: several looks, and a lost answer.
 	constexpr Millis kViewMaxAgeMs = 600;
+	/// Between two direct questions while no switch is open, ms, so that the rank counts as seen
+	/// all the time; each one is paid for.
+	constexpr Millis kDirectEveryMs = 200;
+	/// The same while a switch is open: it waits for what the rank says.
+	constexpr Millis kDirectSwitchingMs = 25;
 } // namespace archdyke::group
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -128,14 +128,13 @@
 			{
 				continue;
 			}
-			const bool known = this->ranks.contains(record.address) || this->strangers.contains(record.address);
-			Rank& rank = known ? this->rankAt(record.address) : this->strangers[record.address];
-			rank.engineAddress = record.address;
+			Rank& rank = this->rankAt(record.address);
 			if (rank.incarnation != record.incarnation)
 			{
 				rank.incarnation = record.incarnation;
 				rank.search = {}; // another process may be in another group
 			}
+			rank.zone = record.zone;
 			rank.search.ownZone = record.zone == this->parts.settings.place.zone;
 			rank.search.listed = true;
 		}
@@ -189,7 +188,7 @@
 
 	aio::Task<store::Rows> Coordinator::nextUpstreams()
 	{
-		const bool whole = 0 == this->upstreams.version;
+		const bool whole = 0 == this->parts.knowledge.upstreams.version;
 		std::string name = this->parts.names.upstreams;
 		store::Rows rows;
 		if (whole)
@@ -198,20 +197,39 @@
 		}
 		else
 		{
-			rows = co_await this->parts.store.follow(std::move(name), this->upstreams.version, kNewsWaitMs);
+			rows = co_await this->parts.store.follow(std::move(name), this->parts.knowledge.upstreams.version, kNewsWaitMs);
 		}
 		if (rows.historyGone)
 		{
-			logWarning("store_history_gone", {{"group", this->group}, {"since", this->upstreams.version}});
-			this->upstreams.version = 0;
+			logWarning("store_history_gone", {{"group", this->group}, {"since", this->parts.knowledge.upstreams.version}});
+			this->parts.knowledge.upstreams.version = 0;
 			co_return rows;
 		}
-		store::takeRows(this->upstreams, rows, whole);
+		store::takeRows(this->parts.knowledge.upstreams, rows, whole);
 		co_return rows;
 	}
 
+	void Coordinator::takeKnownUpstreams()
+	{
+		store::Rows rows;
+		for (const auto& [key, row] : this->parts.knowledge.upstreams.rows)
+		{
+			rows.rows.push_back(row);
+		}
+		this->takeUpstreams(rows);
+	}
+
 	aio::Task<void> Coordinator::followUpstreams()
 	{
+		try
+		{
+			this->takeKnownUpstreams(); // as the coordinator before told this daemon
+		}
+		catch (const InvalidInputError& error)
+		{
+			this->noteWatchFailure(this->parts.names.upstreams, error.what());
+			this->parts.knowledge.upstreams = {};
+		}
 		while (!this->ended)
 		{
 			std::string failure;
@@ -276,7 +294,7 @@
 		for (const RankOrderPlan& order : releaseStrayHolds(this->intent, _seenBefore))
 		{
 			logWarning("stray_hold", {{"group", this->group}, {"rank", order.rank}, {"step", order.step}, {"phase", toString(this->intent.phase)}});
-			this->tasks.add(this->send(order).take());
+			this->tasks.add(this->sendDirectly(order).take());
 		}
 	}
 
--- a/src/group/coordinator_search.cpp
+++ b/src/group/coordinator_search.cpp
@@ -17,22 +17,50 @@
 		constexpr Millis kDirectAfterMs = 400;
 		/// The same for an upstream that isn't known to be in the group.
 		constexpr Millis kDirectSearchMs = 1'000;
+		/// Wait for the answers of those that are searched, ms: a zone that is far answers in 5.
+		constexpr Millis kSearchPatienceMs = 30;
+	} // namespace
 
-		std::string daemonAddress(const std::string& _engine, int _peerPort)
+	Coordinator::Rank* Coordinator::findRank(const std::string& _engine)
+	{
+		for (auto* known : {&this->ranks, &this->strangers})
 		{
-			return _engine.substr(0, _engine.rfind(':') + 1) + std::to_string(_peerPort);
+			const auto found = known->find(_engine);
+			if (known->end() != found)
+			{
+				return &found->second;
+			}
 		}
-	} // namespace
+		return nullptr;
+	}
 
 	Coordinator::Rank& Coordinator::rankAt(const std::string& _engine)
 	{
-		const auto own = this->ranks.find(_engine);
-		return this->ranks.end() != own ? own->second : this->strangers.at(_engine);
+		Rank* known = this->findRank(_engine);
+		Rank& rank = nullptr == known ? this->strangers[_engine] : *known;
+		rank.engineAddress = _engine;
+		return rank;
+	}
+
+	void Coordinator::invite(const std::string& _engine)
+	{
+		Rank& rank = this->rankAt(_engine);
+		rank.search.listed = true;
+		rank.search.elsewhereAt = 0;
+	}
+
+	void Coordinator::meet(const std::string& _engine, Rank& _rank)
+	{
+		if (nullptr == _rank.direct)
+		{
+			_rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, _engine);
+			_rank.daemonHeardAt = nowMs();
+		}
 	}
 
 	void Coordinator::sortIn(const Rank& _rank)
 	{
-		const bool belongs = _rank.report.engine.group == this->group;
+		const bool belongs = _rank.report.group == this->group;
 		std::map<std::string, Rank>& from = belongs ? this->strangers : this->ranks;
 		std::map<std::string, Rank>& to = belongs ? this->ranks : this->strangers;
 		const std::string engine = _rank.engineAddress;
@@ -41,7 +69,7 @@
 			to.insert(from.extract(engine));
 		}
 		// One that is in no group may join this one at any time.
-		const bool elsewhere = !belongs && !_rank.report.engine.group.empty();
+		const bool elsewhere = !belongs && !_rank.report.group.empty();
 		this->rankAt(engine).search.elsewhereAt = elsewhere ? nowMs() : 0;
 	}
 
@@ -54,7 +82,7 @@
 			if (now - rank.seenAt <= kViewMaxAgeMs)
 			{
 				progress.found += 1;
-				progress.ranks = std::max(progress.ranks, rank.report.engine.ranks);
+				progress.ranks = std::max(progress.ranks, rank.report.ranks);
 			}
 		}
 		return progress;
@@ -65,20 +93,6 @@
 		return 0 != _rank.daemonHeardAt && nowMs() - _rank.daemonHeardAt > kDirectAfterMs;
 	}
 
-	void Coordinator::ask(const std::string& _engine, Rank& _rank, bool _counts)
-	{
-		const Millis now = nowMs();
-		if (nullptr == _rank.link)
-		{
-			_rank.link = std::make_unique<RankLink>(this->parts.loop, daemonAddress(_engine, this->parts.settings.place.peerPort));
-			_rank.direct = std::make_unique<Engine>(this->parts.loop, this->parts.codec, _engine);
-			_rank.daemonHeardAt = now;
-		}
-		_rank.daemonAskedAt = now;
-		std::string name = _engine;
-		this->tasks.add(this->observe(std::move(name), _counts).take());
-	}
-
 	void Coordinator::askDirectly(const std::string& _engine, Rank& _rank, Millis _everyMs)
 	{
 		const Millis now = nowMs();
@@ -93,26 +107,34 @@
 
 	void Coordinator::searchGroup()
 	{
-		const SearchProgress progress = this->progress();
-		std::vector<std::pair<const std::string*, Rank*>> resting;
+		std::vector<Rank*> resting;
 		std::vector<SearchCandidate> candidates;
 		for (auto& [engine, rank] : this->strangers)
 		{
-			if (!rank.asking)
-			{
-				resting.emplace_back(&engine, &rank);
-				candidates.push_back(rank.search);
-			}
+			resting.push_back(&rank);
+			candidates.push_back(rank.search);
 		}
-		for (const std::size_t index : searchRanks(candidates, progress, nowMs()))
+		BranchQuestion question{this->coordination(), {}, kSearchPatienceMs, 0};
+		for (const std::size_t index : searchRanks(candidates, this->progress(), nowMs()))
 		{
-			const std::string& engine = *resting[index].first;
-			Rank& rank = *resting[index].second;
-			this->ask(engine, rank, false);
+			Rank& rank = *resting[index];
+			this->meet(rank.engineAddress, rank);
+			rank.search.askedAt = nowMs();
+			question.engines.push_back(rank.engineAddress);
 			if (this->daemonIsSilent(rank) && rank.search.listed)
 			{
-				this->askDirectly(engine, rank, kDirectSearchMs);
+				this->askDirectly(rank.engineAddress, rank, kDirectSearchMs);
 			}
 		}
+		if (!question.engines.empty())
+		{
+			this->tasks.add(this->lookAtStrangers(std::move(question)).take());
+		}
+	}
+
+	aio::Task<void> Coordinator::lookAtStrangers(BranchQuestion _question)
+	{
+		const BranchSight sight = co_await this->parts.fanOut.look(std::move(_question));
+		this->takeChildren(sight.children, nowMs());
 	}
 } // namespace archdyke::group
--- /dev/null
+++ b/src/group/news_rpc.cpp
@@ -0,0 +1,117 @@
+#include "group/news_rpc.h"
+
+#include "group/rank_rpc.h"
+
+namespace archdyke::group
+{
+	store::TableNews readTable(rpc::TableNews::Reader _reader)
+	{
+		const Millis storeTime = _reader.getStoreTime();
+		store::TableNews news{0 == storeTime ? std::nullopt : std::optional(storeTime), _reader.getVersion(), _reader.getWhole(), {}};
+		for (const auto row : _reader.getRows())
+		{
+			const auto value = row.getValue().asChars();
+			news.rows.push_back({{"", "", row.getKey().cStr()}, std::string(value.begin(), value.size()), row.getVersion(), row.getGone()});
+		}
+		return news;
+	}
+
+	void writeTable(rpc::TableNews::Builder _builder, const store::TableNews& _news)
+	{
+		_builder.setStoreTime(_news.storeTime.value_or(0));
+		_builder.setVersion(_news.version);
+		_builder.setWhole(_news.whole);
+		auto rows = _builder.initRows(unsigned(_news.rows.size()));
+		for (unsigned index = 0; index < rows.size(); ++index)
+		{
+			const store::Row& row = _news.rows[index];
+			rows[index].setKey(row.key.key);
+			rows[index].setVersion(row.version);
+			rows[index].setGone(row.gone);
+			rows[index].setValue(kj::StringPtr(row.value.c_str(), row.value.size()).asBytes());
+		}
+	}
+
+	store::ConfigurationProof readProof(rpc::ConfigurationProof::Reader _reader)
+	{
+		return {_reader.getRowVersion(), _reader.getStoreTime()};
+	}
+
+	void writeProof(rpc::ConfigurationProof::Builder _builder, const store::ConfigurationProof& _proof)
+	{
+		_builder.setRowVersion(_proof.rowVersion);
+		_builder.setStoreTime(_proof.storeTime);
+	}
+
+	GatewayTally readTally(rpc::GatewayTally::Reader _reader)
+	{
+		return {_reader.getCount(), _reader.getFirst().cStr(), _reader.getLast().cStr(), readProof(_reader.getProof())};
+	}
+
+	void writeTally(rpc::GatewayTally::Builder _builder, const GatewayTally& _tally)
+	{
+		_builder.setCount(_tally.count);
+		_builder.setFirst(_tally.first);
+		_builder.setLast(_tally.last);
+		writeProof(_builder.initProof(), _tally.proof);
+	}
+
+	Roster readRoster(rpc::Roster::Reader _reader)
+	{
+		Roster roster{_reader.getTerm(), _reader.getVersion(), {}};
+		for (const auto engine : _reader.getEngines())
+		{
+			roster.engines.push_back(readEndpoint(engine));
+		}
+		return roster;
+	}
+
+	void writeRoster(rpc::Roster::Builder _builder, const Roster& _roster)
+	{
+		_builder.setTerm(_roster.term);
+		_builder.setVersion(_roster.version);
+		auto engines = _builder.initEngines(unsigned(_roster.engines.size()));
+		for (unsigned rank = 0; rank < engines.size(); ++rank)
+		{
+			writeEndpoint(engines[rank], _roster.engines[rank]);
+		}
+	}
+
+	GroupNews readNews(rpc::GroupNews::Reader _reader)
+	{
+		GroupNews news;
+		news.coordination = readCoordination(_reader.getCoordination());
+		news.number = _reader.getNumber();
+		news.ageMs = _reader.getAgeMs();
+		news.open = _reader.getOpen();
+		news.passMs = _reader.getPassMs();
+		news.rosterTerm = _reader.getRosterTerm();
+		news.rosterVersion = _reader.getRosterVersion();
+		news.loads.assign(_reader.getLoads().begin(), _reader.getLoads().end());
+		for (const auto rank : _reader.getPaces())
+		{
+			news.paces.push_back({rank.getRank(), rank.getPace()});
+		}
+		news.gateways = readTally(_reader.getGateways());
+		return news;
+	}
+
+	void writeNews(rpc::GroupNews::Builder _builder, const GroupNews& _news)
+	{
+		writeCoordination(_builder.initCoordination(), _news.coordination);
+		_builder.setNumber(_news.number);
+		_builder.setAgeMs(std::uint32_t(_news.ageMs));
+		_builder.setOpen(_news.open);
+		_builder.setPassMs(float(_news.passMs));
+		_builder.setRosterTerm(_news.rosterTerm);
+		_builder.setRosterVersion(_news.rosterVersion);
+		_builder.setLoads(kj::arrayPtr(_news.loads.data(), _news.loads.size()));
+		auto paces = _builder.initPaces(unsigned(_news.paces.size()));
+		for (unsigned index = 0; index < paces.size(); ++index)
+		{
+			paces[index].setRank(std::uint16_t(_news.paces[index].rank));
+			paces[index].setPace(float(_news.paces[index].pace));
+		}
+		writeTally(_builder.initGateways(), _news.gateways);
+	}
+} // namespace archdyke::group
--- a/src/group/rank_link.cpp
+++ b/src/group/rank_link.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include "group/news_rpc.h"
 #include "http/socket_address.h"
 
 namespace archdyke::group
@@ -57,15 +58,29 @@
 		}
 	}
 
-	aio::Task<Observation> RankLink::observe(Coordination _coordination, bool _counts, std::uint64_t _sample, Millis _timeoutMs)
+	aio::Task<Observation> RankLink::observe(Coordination _coordination, bool _counts, std::uint64_t _sample, NewsBundle _bundle, Millis _timeoutMs)
 	{
 		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
 		auto request = link->daemon.observeRequest();
 		writeCoordination(request.initCoordination(), _coordination);
 		request.setCounts(_counts);
 		request.setSample(_sample);
+		writeBundle(rpc::RankDaemon::ObserveParams::Builder(request), _bundle);
 		kj::Promise<Observation> answer = request.send().then([](capnp::Response<rpc::RankDaemon::ObserveResults>&& _response) {
-			return Observation{readCoordination(_response.getNewest()), readReport(_response.getReport())};
+			const rpc::RankDaemon::ObserveResults::Reader reader = _response;
+			return Observation{readCoordination(reader.getNewest()), readReport(reader.getReport()), readTally(reader.getGateways()), readHeld(reader)};
+		});
+		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
+	}
+
+	aio::Task<BranchSight> RankLink::relay(BranchQuestion _question, NewsBundle _bundle, Millis _timeoutMs)
+	{
+		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
+		auto request = link->daemon.relayRequest();
+		writeBranchQuestion(request, _question);
+		writeBundle(rpc::RankDaemon::RelayParams::Builder(request), _bundle);
+		kj::Promise<BranchSight> answer = request.send().then([engines = std::move(_question.engines)](capnp::Response<rpc::RankDaemon::RelayResults>&& _response) {
+			return readBranchSight(_response, engines);
 		});
 		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
 	}
@@ -88,13 +103,39 @@
 		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
 	}
 
-	aio::Task<GroupLoads> RankLink::loads(LoadsQuestion _question, Millis _timeoutMs)
+	aio::Task<BranchOutcome> RankLink::relayOrders(BranchOrder _order, Millis _timeoutMs)
+	{
+		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
+		auto request = link->daemon.relayOrdersRequest();
+		writeBranchOrder(request, _order);
+		kj::Promise<BranchOutcome> answer = request.send().then([engines = std::move(_order.engines)](capnp::Response<rpc::RankDaemon::RelayOrdersResults>&& _response) {
+			return readBranchOutcome(_response, engines);
+		});
+		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
+	}
+
+	aio::Task<NewsAnswer> RankLink::news(NewsQuestion _question, Millis _timeoutMs)
+	{
+		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
+		auto request = link->daemon.newsRequest();
+		request.setName(_question.gateway);
+		writeHeld(rpc::RankDaemon::NewsParams::Builder(request), _question.held);
+		writeProof(request.initProof(), _question.proof);
+		kj::Promise<NewsAnswer> answer = request.send().then([](capnp::Response<rpc::RankDaemon::NewsResults>&& _response) {
+			const rpc::RankDaemon::NewsResults::Reader reader = _response;
+			return NewsAnswer{readCoordination(reader.getNewest()), readBundle(reader), reader.getReader()};
+		});
+		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
+	}
+
+	aio::Task<JoinAnswer> RankLink::join(std::string _engine, std::string _group, Millis _timeoutMs)
 	{
 		const std::shared_ptr<Connection> link = co_await this->connect(_timeoutMs);
-		auto request = link->daemon.loadsRequest();
-		writeQuestion(request, _question);
-		kj::Promise<GroupLoads> answer = request.send().then([](capnp::Response<rpc::RankDaemon::LoadsResults>&& _response) {
-			return readLoads(_response);
+		auto request = link->daemon.joinRequest();
+		writeEndpoint(request.initEngine(), _engine);
+		request.setGroup(_group);
+		kj::Promise<JoinAnswer> answer = request.send().then([](capnp::Response<rpc::RankDaemon::JoinResults>&& _response) {
+			return JoinAnswer{readCoordination(_response.getNewest()), _response.getCoordinates(), Millis(_response.getHeardMsAgo())};
 		});
 		co_return co_await this->within(kj::mv(answer), link, _timeoutMs);
 	}
--- a/src/group/rank_link.h
+++ b/src/group/rank_link.h
@@ -4,30 +4,65 @@
 
 #include <capnp/rpc-twoparty.h>
 
-#include "group/rank_rpc.h"
+#include "group/branch.h"
 
 namespace archdyke::group
 {
-	/// What a rank's daemon answers a coordinator.
+	/// What a rank's daemon answers to one that looks at it.
 	struct Observation
 	{
 		Coordination newest;
 		RankReport report;
+		GatewayTally gateways; ///< That ask this daemon.
+		HeldVersions held;
 
 		bool operator==(const Observation&) const = default;
 	};
 
+	/// What a gateway asks a daemon.
+	struct NewsQuestion
+	{
+		std::string gateway; ///< Its name.
+		HeldVersions held;
+		store::ConfigurationProof proof; ///< The newest that it has.
+
+		bool operator==(const NewsQuestion&) const = default;
+	};
+
+	/// What a daemon tells a gateway.
+	struct NewsAnswer
+	{
+		Coordination newest; ///< Names the group also while no coordinator was heard.
+		NewsBundle bundle;
+		bool reader = false; ///< The gateway is to ask the store for the configuration, for others too.
+
+		bool operator==(const NewsAnswer&) const = default;
+	};
+
+	/// What a daemon says of the coordinator when another one asks.
+	struct JoinAnswer
+	{
+		Coordination newest;
+		bool coordinates = false; ///< It is the coordinator of the group, and reaches the store.
+		Millis heardMsAgo = 0;    ///< Since it heard a coordinator that reaches the store.
+
+		bool operator==(const JoinAnswer&) const = default;
+	};
+
 	class RankLink
 	{
 	public:
 		/// @param[in] _address "IP:port" of the daemon.
 		RankLink(http::LoopParts _loop, std::string _address);
 
-		/// All three throw kj::Exception when there is no answer in time.
+		/// All throw kj::Exception when there is no answer in time.
 		/// @param[in] _sample The last sample of counts that is held, 0 for none.
-		aio::Task<Observation> observe(Coordination _coordination, bool _counts, std::uint64_t _sample, Millis _timeoutMs);
+		aio::Task<Observation> observe(Coordination _coordination, bool _counts, std::uint64_t _sample, NewsBundle _bundle, Millis _timeoutMs);
+		aio::Task<BranchSight> relay(BranchQuestion _question, NewsBundle _bundle, Millis _timeoutMs);
 		aio::Task<OrderOutcome> order(Coordination _coordination, EngineOrder _order, MapDifference _difference, Millis _timeoutMs);
-		aio::Task<GroupLoads> loads(LoadsQuestion _question, Millis _timeoutMs);
+		aio::Task<BranchOutcome> relayOrders(BranchOrder _order, Millis _timeoutMs);
+		aio::Task<NewsAnswer> news(NewsQuestion _question, Millis _timeoutMs);
+		aio::Task<JoinAnswer> join(std::string _engine, std::string _group, Millis _timeoutMs);
 
 		const std::string& address() const;
 
--- a/src/group/rank_rpc.cpp
+++ b/src/group/rank_rpc.cpp
@@ -12,16 +12,6 @@
 {
 	namespace
 	{
-		std::uint64_t orNone(const std::optional<std::uint64_t>& _value)
-		{
-			return _value.value_or(0);
-		}
-
-		std::optional<std::uint64_t> fromNone(std::uint64_t _value)
-		{
-			return 0 == _value ? std::nullopt : std::optional(_value);
-		}
-
 		/// Bits of the counts of a sample on the wire. Shares of choices are what counts, and the
 		/// hottest expert draws at most some 20 times the mean.
 		constexpr unsigned kChoiceBits = 8;
@@ -105,62 +95,34 @@
 				}
 			}
 		}
+	} // namespace
 
-		store::TableNews readNews(rpc::TableNews::Reader _reader)
-		{
-			const Millis storeTime = _reader.getStoreTime();
-			store::TableNews news{0 == storeTime ? std::nullopt : std::optional(storeTime), _reader.getVersion(), _reader.getWhole(), {}};
-			for (const auto row : _reader.getRows())
-			{
-				const auto value = row.getValue().asChars();
-				news.rows.push_back({{"", "", row.getKey().cStr()}, std::string(value.begin(), value.size()), row.getVersion(), row.getGone()});
-			}
-			return news;
-		}
-
-		void writeNews(rpc::TableNews::Builder _builder, const store::TableNews& _news)
-		{
-			_builder.setStoreTime(_news.storeTime.value_or(0));
-			_builder.setVersion(_news.version);
-			_builder.setWhole(_news.whole);
-			auto rows = _builder.initRows(unsigned(_news.rows.size()));
-			for (unsigned index = 0; index < rows.size(); ++index)
-			{
-				const store::Row& row = _news.rows[index];
-				rows[index].setKey(row.key.key);
-				rows[index].setVersion(row.version);
-				rows[index].setGone(row.gone);
-				rows[index].setValue(kj::StringPtr(row.value.c_str(), row.value.size()).asBytes());
-			}
-		}
-
-		store::ConfigurationProof readProof(rpc::ConfigurationProof::Reader _reader)
-		{
-			return {_reader.getRowVersion(), _reader.getStoreTime()};
-		}
-
-		void writeProof(rpc::ConfigurationProof::Builder _builder, const store::ConfigurationProof& _proof)
-		{
-			_builder.setRowVersion(_proof.rowVersion);
-			_builder.setStoreTime(_proof.storeTime);
-		}
+	std::uint64_t orNone(const std::optional<std::uint64_t>& _value)
+	{
+		return _value.value_or(0);
+	}
 
-		std::string textOf(std::uint32_t _ip, std::uint16_t _port)
-		{
-			return fmt::format("{}.{}.{}.{}:{}", _ip >> 24, (_ip >> 16) & 255U, (_ip >> 8) & 255U, _ip & 255U, _port);
-		}
-	} // namespace
+	std::optional<std::uint64_t> fromNone(std::uint64_t _value)
+	{
+		return 0 == _value ? std::nullopt : std::optional(_value);
+	}
 
-	LoadsQuestion readQuestion(rpc::RankDaemon::LoadsParams::Reader _reader)
+	std::string readEndpoint(rpc::Endpoint::Reader _reader)
 	{
-		return {_reader.getGateway().cStr(), _reader.getUpstreamsSince(), readProof(_reader.getProof())};
+		const std::uint32_t ip = _reader.getIp();
+		const bool none = 0 == ip && 0 == _reader.getPort();
+		return none ? std::string() : fmt::format("{}.{}.{}.{}:{}", ip >> 24, (ip >> 16) & 255U, (ip >> 8) & 255U, ip & 255U, _reader.getPort());
 	}
 
-	void writeQuestion(rpc::RankDaemon::LoadsParams::Builder _builder, const LoadsQuestion& _question)
+	void writeEndpoint(rpc::Endpoint::Builder _builder, const std::string& _address)
 	{
-		_builder.setGateway(_question.gateway);
-		_builder.setUpstreamsSince(_question.upstreamsSince);
-		writeProof(_builder.initProof(), _question.proof);
+		if (_address.empty())
+		{
+			return;
+		}
+		const sockaddr_in address = http::socketAddress(_address);
+		_builder.setIp(ntohl(address.sin_addr.s_addr));
+		_builder.setPort(ntohs(address.sin_port));
 	}
 
 	Coordination readCoordination(rpc::Coordination::Reader _reader)
@@ -283,43 +245,4 @@
 		}
 		return _base;
 	}
-
-	GroupLoads readLoads(rpc::RankDaemon::LoadsResults::Reader _reader)
-	{
-		GroupLoads loads;
-		loads.known = _reader.getKnown();
-		loads.newest = readCoordination(_reader.getNewest());
-		loads.open = _reader.getOpen();
-		loads.passMs = _reader.getPassMs();
-		loads.gateways = std::max<std::uint32_t>(1, _reader.getGateways());
-		for (const auto rank : _reader.getRanks())
-		{
-			loads.ranks.push_back({textOf(rank.getIp(), rank.getPort()), rank.getRequests(), rank.getPace()});
-		}
-		loads.proof = readProof(_reader.getProof());
-		loads.reader = _reader.getReader();
-		loads.upstreams = readNews(_reader.getUpstreams());
-		return loads;
-	}
-
-	void writeLoads(rpc::RankDaemon::LoadsResults::Builder _builder, const GroupLoads& _loads)
-	{
-		_builder.setKnown(_loads.known);
-		writeCoordination(_builder.initNewest(), _loads.newest);
-		_builder.setOpen(_loads.open);
-		_builder.setPassMs(float(_loads.passMs));
-		_builder.setGateways(_loads.gateways);
-		auto ranks = _builder.initRanks(unsigned(_loads.ranks.size()));
-		for (unsigned index = 0; index < ranks.size(); ++index)
-		{
-			const sockaddr_in address = http::socketAddress(_loads.ranks[index].address);
-			ranks[index].setIp(ntohl(address.sin_addr.s_addr));
-			ranks[index].setPort(ntohs(address.sin_port));
-			ranks[index].setRequests(_loads.ranks[index].requests);
-			ranks[index].setPace(float(_loads.ranks[index].pace));
-		}
-		writeProof(_builder.initProof(), _loads.proof);
-		_builder.setReader(_loads.reader);
-		writeNews(_builder.initUpstreams(), _loads.upstreams);
-	}
 } // namespace archdyke::group
--- a/src/group/rank_rpc.h
+++ b/src/group/rank_rpc.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "generated/rank.capnp.h"
+#include "group/coordination.h"
 #include "group/engine.h"
-#include "store/table_news.h"
 
 namespace archdyke::group
 {
@@ -28,17 +28,6 @@
 		bool operator==(const RankReport&) const = default;
 	};
 
-	/// Who coordinates a group.
-	struct Coordination
-	{
-		std::string group;
-		std::uint64_t term = 0;
-		std::string address; ///< Empty: nobody was heard.
-		bool storeLost = false;
-
-		bool operator==(const Coordination&) const = default;
-	};
-
 	/// An expert that comes to a rank, or goes from it.
 	struct MapChange
 	{
@@ -69,44 +58,10 @@
 	/// @throws InvalidInputError When it doesn't fit the base.
 	RankExperts applyDifference(RankExperts _base, const MapDifference& _difference);
 
-	/// Load of one rank, by its engine's address.
-	struct RankLoad
-	{
-		std::string address; ///< IP:port.
-		std::uint32_t requests = 0;
-		double pace = 1.0; ///< Time of a step against the declared one.
-
-		bool operator==(const RankLoad&) const = default;
-	};
-
-	/// What a coordinator tells gateways.
-	struct GroupLoads
-	{
-		bool known = false; ///< The asked one is the coordinator.
-		Coordination newest;
-		bool open = true;
-		double passMs = 0.0;
-		std::uint32_t gateways = 1;
-		std::vector<RankLoad> ranks;
-		store::ConfigurationProof proof; ///< The newest that any gateway told.
-		bool reader = false;             ///< The asker is to ask the store for the configuration.
-		store::TableNews upstreams;
-
-		bool operator==(const GroupLoads&) const = default;
-	};
-
-	/// What a gateway tells when it asks for loads.
-	struct LoadsQuestion
-	{
-		std::string gateway;              ///< Its name.
-		std::uint64_t upstreamsSince = 0; ///< Version up to which it knows the upstreams; 0: none.
-		store::ConfigurationProof proof;  ///< The newest that it has.
-
-		bool operator==(const LoadsQuestion&) const = default;
-	};
+	/// Versions and steps count from 1 on the wire: 0 is none.
+	std::uint64_t orNone(const std::optional<std::uint64_t>& _value);
+	std::optional<std::uint64_t> fromNone(std::uint64_t _value);
 
-	LoadsQuestion readQuestion(rpc::RankDaemon::LoadsParams::Reader _reader);
-	void writeQuestion(rpc::RankDaemon::LoadsParams::Builder _builder, const LoadsQuestion& _question);
 	Coordination readCoordination(rpc::Coordination::Reader _reader);
 	void writeCoordination(rpc::Coordination::Builder _builder, const Coordination& _coordination);
 	RankReport readReport(rpc::RankReport::Reader _reader);
@@ -114,6 +69,9 @@
 	EngineOrder readOrder(rpc::RankOrder::Reader _reader);
 	MapDifference readDifference(rpc::PlacedExperts::Reader _reader);
 	void writeOrder(rpc::RankOrder::Builder _builder, const EngineOrder& _order, const MapDifference& _difference);
-	GroupLoads readLoads(rpc::RankDaemon::LoadsResults::Reader _reader);
-	void writeLoads(rpc::RankDaemon::LoadsResults::Builder _builder, const GroupLoads& _loads);
+
+	/// @returns "IP:port".
+	std::string readEndpoint(rpc::Endpoint::Reader _reader);
+	/// @param[in] _address "IP:port"; empty: none.
+	void writeEndpoint(rpc::Endpoint::Builder _builder, const std::string& _address);
 } // namespace archdyke::group
--- a/src/group/rank_server.cpp
+++ b/src/group/rank_server.cpp
@@ -1,6 +1,7 @@
 #include "group/rank_server.h"
 
 #include "archdyke/placement.h"
+#include "group/news_rpc.h"
 #include "log.h"
 
 namespace archdyke::group
@@ -9,6 +10,8 @@
 	{
 		/// Maps that a sidecar remembers: the one in force and some that were abandoned since.
 		constexpr std::size_t kMapsKept = 4;
+		/// Told by a daemon that never heard a coordinator, ms.
+		constexpr std::uint32_t kNeverMs = 3'600'000;
 	} // namespace
 
 	void takeReport(SidecarState& _state, EngineReport _report)
@@ -19,13 +22,17 @@
 			_state.newest = {};
 			_state.newest.group = _report.group;
 			_state.heardAt = nowMs();
+			std::map<std::string, GroupKnowledge::Gateway> gateways = std::move(_state.knowledge.gateways);
+			_state.knowledge = {};
+			_state.knowledge.gateways = std::move(gateways);
 		}
 		_state.lastReport = std::move(_report);
 	}
 
-	RankServer::RankServer(SidecarState& _state, Engine& _engine, std::string _service)
+	RankServer::RankServer(SidecarState& _state, Engine& _engine, FanOut& _fanOut, std::string _service)
 	    : state(_state)
 	    , engine(_engine)
+	    , fanOut(_fanOut)
 	    , service(std::move(_service))
 	{
 	}
@@ -41,15 +48,43 @@
 		return this->answerOrder(_context).take();
 	}
 
-	kj::Promise<void> RankServer::loads(LoadsContext _context)
+	kj::Promise<void> RankServer::relay(RelayContext _context)
 	{
-		GroupLoads loads;
-		if (nullptr != this->state.coordinator)
+		return this->answerRelay(_context).take();
+	}
+
+	kj::Promise<void> RankServer::relayOrders(RelayOrdersContext _context)
+	{
+		return this->answerRelayOrders(_context).take();
+	}
+
+	kj::Promise<void> RankServer::news(NewsContext _context)
+	{
+		const auto params = _context.getParams();
+		const std::string gateway = params.getName().cStr();
+		const Millis now = nowMs();
+		noteGateway(this->state.knowledge, gateway, readProof(params.getProof()), now);
+		auto results = _context.getResults();
+		writeCoordination(results.initNewest(), this->state.newest); // the group's name also while nobody was heard
+		writeBundle(results, this->fanOut.newsWithin(readHeld(params)));
+		results.setReader(isReader(this->state.knowledge.news, gateway));
+		return kj::READY_NOW;
+	}
+
+	kj::Promise<void> RankServer::join(JoinContext _context)
+	{
+		const auto params = _context.getParams();
+		const bool coordinates = nullptr != this->state.coordinator && params.getGroup() == this->state.newest.group.c_str();
+		const Coordination newest = coordinates ? this->state.coordinator->coordination() : this->state.newest;
+		if (coordinates)
 		{
-			loads = this->state.coordinator->loads(readQuestion(_context.getParams()));
+			this->state.coordinator->invite(readEndpoint(params.getEngine()));
 		}
-		loads.newest = this->state.newest; // the group's name also while nobody was heard
-		writeLoads(_context.getResults(), loads);
+		auto results = _context.getResults();
+		writeCoordination(results.initNewest(), newest);
+		results.setCoordinates(coordinates && !newest.storeLost);
+		const bool heard = params.getGroup() == newest.group.c_str() && 0 != newest.term;
+		results.setHeardMsAgo(heard ? std::uint32_t(nowMs() - this->state.heardAt) : kNeverMs);
 		return kj::READY_NOW;
 	}
 
@@ -68,6 +103,47 @@
 		this->state.newest = _coordination;
 	}
 
+	bool RankServer::follows(const Coordination& _coordination) const
+	{
+		return _coordination.group == this->state.newest.group && _coordination.term == this->state.newest.term;
+	}
+
+	void RankServer::hearNews(const NewsBundle& _bundle)
+	{
+		if (_bundle.news.coordination.group == this->state.newest.group)
+		{
+			takeNews(this->state.knowledge, _bundle, nowMs());
+		}
+	}
+
+	aio::Task<void> RankServer::answerRelay(RelayContext _context)
+	{
+		const BranchQuestion question = readBranchQuestion(_context.getParams());
+		this->hearCoordinator(question.coordination);
+		BranchSight sight;
+		if (this->follows(question.coordination))
+		{
+			this->hearNews(readBundle(_context.getParams()));
+			BranchQuestion copy = question;
+			sight = co_await this->fanOut.look(std::move(copy));
+		}
+		sight.newest = sight.newest.term < this->state.newest.term ? this->state.newest : sight.newest;
+		writeBranchSight(_context.getResults(), sight, question.engines);
+	}
+
+	aio::Task<void> RankServer::answerRelayOrders(RelayOrdersContext _context)
+	{
+		const BranchOrder order = readBranchOrder(_context.getParams());
+		if (!this->follows(order.coordination))
+		{
+			logWarning("orders_not_relayed", {{"group", order.coordination.group}, {"own", this->state.newest.group}, {"term", order.coordination.term}, {"newest", this->state.newest.term}});
+			co_return;
+		}
+		BranchOrder copy = order;
+		const BranchOutcome outcome = co_await this->fanOut.give(std::move(copy));
+		writeBranchOutcome(_context.getResults(), outcome, order.engines);
+	}
+
 	aio::Task<void> RankServer::answerObserve(ObserveContext _context)
 	{
 		RankReport report;
@@ -81,8 +157,12 @@
 		takeReport(this->state, report.engine);
 		// Before its first report the daemon didn't know which group's coordinator to hear.
 		this->hearCoordinator(readCoordination(_context.getParams().getCoordination()));
-		writeCoordination(_context.getResults().initNewest(), this->state.newest);
-		writeReport(_context.getResults().initReport(), report);
+		this->hearNews(readBundle(_context.getParams()));
+		auto results = _context.getResults();
+		writeCoordination(results.initNewest(), this->state.newest);
+		writeReport(results.initReport(), report);
+		writeTally(results.initGateways(), tallyOf(this->state.knowledge, nowMs()));
+		writeHeld(results, heldOf(this->state.knowledge));
 	}
 
 	ChoiceSample RankServer::takeSample(EngineCounts _counts, std::uint64_t _held)
--- a/src/group/rank_server.h
+++ b/src/group/rank_server.h
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "group/coordinator.h"
-#include "group/rank_rpc.h"
+#include "group/fan_out.h"
 #include "process.h"
 
 namespace archdyke::group
@@ -18,6 +18,7 @@
 		Millis heardAt = 0;  ///< When a coordinator that reaches the store was last heard.
 		std::optional<EngineReport> lastReport;
 		bool engineUp = true;
+		GroupKnowledge knowledge;                 ///< What the coordinator told of the group, for gateways and as a relay.
 		std::unique_ptr<Coordinator> coordinator; ///< Null while another process coordinates.
 	};
 
@@ -25,19 +26,28 @@
 	/// is forgotten.
 	void takeReport(SidecarState& _state, EngineReport _report);
 
-	/// Serves the coordinator of the group, and the gateways if it is this process.
+	/// Serves the coordinator of the group, as a relay too, and gateways.
 	class RankServer final : public rpc::RankDaemon::Server
 	{
 	public:
-		RankServer(SidecarState& _state, Engine& _engine, std::string _service);
+		RankServer(SidecarState& _state, Engine& _engine, FanOut& _fanOut, std::string _service);
 
 		kj::Promise<void> observe(ObserveContext _context) override;
+		kj::Promise<void> relay(RelayContext _context) override;
 		kj::Promise<void> order(OrderContext _context) override;
-		kj::Promise<void> loads(LoadsContext _context) override;
+		kj::Promise<void> relayOrders(RelayOrdersContext _context) override;
+		kj::Promise<void> news(NewsContext _context) override;
+		kj::Promise<void> join(JoinContext _context) override;
 
 	private:
 		/// Passes over coordinators of groups that the engine isn't in.
 		void hearCoordinator(const Coordination& _coordination);
+		/// Takes in news of the group that the engine is in.
+		void hearNews(const NewsBundle& _bundle);
+		/// @returns Whether it is the coordinator to follow: of the engine's group, and of no old term.
+		bool follows(const Coordination& _coordination) const;
+		aio::Task<void> answerRelay(RelayContext _context);
+		aio::Task<void> answerRelayOrders(RelayOrdersContext _context);
 		aio::Task<void> answerObserve(ObserveContext _context);
 		/// @param[in] _held Sample that the coordinator has.
 		ChoiceSample takeSample(EngineCounts _counts, std::uint64_t _held);
@@ -50,6 +60,7 @@
 
 		SidecarState& state;
 		Engine& engine;
+		FanOut& fanOut;
 		std::string service;
 		std::uint64_t lastSample = randomId() >> 1; ///< Numbers of another run don't fit.
 		EngineCounts lastCounts;
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -20,6 +20,10 @@
 		constexpr Millis kWaitPerRankMs = 120;
 		constexpr Millis kMaxWaitForRankMs = 4'000;
 		constexpr Millis kLookMs = 100;
+		/// Time limit of a question whether a coordinator lives, ms: it may be short of processor.
+		constexpr Millis kJoinMs = 400;
+		/// Other ranks' daemons that are asked whether they hear a coordinator.
+		constexpr std::size_t kWitnesses = 2;
 		/// After a try to take over that failed, ms.
 		constexpr Millis kTryAgainMs = 2'000;
 		/// Longest time a stopping sidecar takes, ms: it holds nothing that must end.
@@ -57,7 +61,8 @@
 			    , loop{_io.provider->getNetwork(), _io.provider->getTimer()}
 			    , tableStore(_deployment.makeStore(this->loop, this->settings.place.store))
 			    , engine(this->loop, _deployment.codec, this->settings.upstream)
-			    , server(kj::heap<RankServer>(this->state, this->engine, this->settings.service))
+			    , fanOut(this->loop, this->settings.place.peerPort, this->settings.place.linkMbps, this->state.knowledge)
+			    , server(kj::heap<RankServer>(this->state, this->engine, this->fanOut, this->settings.service))
 			    , address(this->settings.place.ip + ":" + std::to_string(this->settings.place.peerPort))
 			    , admin(this->loop, this->settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
 				            return this->adminAnswer(_head);
@@ -154,11 +159,90 @@
 					{
 						continue; // it was heard while the engine was asked
 					}
+					const bool lives = co_await this->coordinatorLives();
+					if (lives)
+					{
+						continue; // it is slow, or hasn't found this rank yet
+					}
 					std::string group = report->group;
 					co_await this->takeOver(std::move(group));
 				}
 			}
 
+			/// Asks a daemon of the group what it heard, and to look at this rank.
+			aio::Task<std::optional<JoinAnswer>> askToJoin(std::string _daemon)
+			{
+				std::optional<JoinAnswer> answer;
+				std::string engine = this->settings.upstream;
+				std::string group = this->state.newest.group;
+				try
+				{
+					RankLink link(this->loop, std::move(_daemon));
+					answer = co_await link.join(std::move(engine), std::move(group), kJoinMs);
+				}
+				catch (const kj::Exception& error)
+				{
+					logInfo("join_unanswered", {{"reason", error.getDescription().cStr()}});
+				}
+				co_return answer;
+			}
+
+			/// Asks the coordinator itself: one that is slow isn't dead, and one that has just begun
+			/// may not know this rank.
+			/// @returns Whether it coordinates and reaches the store.
+			aio::Task<bool> coordinatorAnswers()
+			{
+				std::string daemon = this->state.newest.address;
+				if (daemon.empty() || daemon == this->address)
+				{
+					co_return false;
+				}
+				const std::optional<JoinAnswer> answer = co_await this->askToJoin(std::move(daemon));
+				const bool coordinates = answer && answer->coordinates && answer->newest.group == this->state.newest.group && answer->newest.term >= this->state.newest.term;
+				if (coordinates)
+				{
+					this->state.newest = answer->newest;
+					this->state.heardAt = nowMs();
+				}
+				co_return coordinates;
+			}
+
+			/// Asks some other ranks' daemons: a link of this VM that is cut or full is no reason to
+			/// take over a group whose others are led.
+			aio::Task<bool> othersHearIt()
+			{
+				const std::vector<std::string> engines = this->state.knowledge.roster.engines;
+				for (std::size_t asked = 0; asked < kWitnesses && !engines.empty(); ++asked)
+				{
+					std::uint64_t drawn = randomId() % engines.size();
+					const std::string& engine = engines[drawn];
+					if (engine.empty() || engine == this->settings.upstream)
+					{
+						continue;
+					}
+					std::string daemon = daemonAddress(engine, this->settings.place.peerPort);
+					const std::optional<JoinAnswer> answer = co_await this->askToJoin(std::move(daemon));
+					if (answer && answer->heardMsAgo <= kCoordinatorGoneMs && answer->newest.term >= this->state.newest.term)
+					{
+						this->state.heardAt = nowMs() - answer->heardMsAgo;
+						co_return true;
+					}
+				}
+				co_return false;
+			}
+
+			/// Confirms by others that nobody coordinates.
+			aio::Task<bool> coordinatorLives()
+			{
+				const bool answers = co_await this->coordinatorAnswers();
+				if (answers)
+				{
+					co_return true;
+				}
+				const bool heard = co_await this->othersHearIt();
+				co_return heard;
+			}
+
 			aio::Task<void> takeOver(std::string _group)
 			{
 				const store::RowKey key = groupRowKey(this->settings.service, _group);
@@ -172,10 +256,13 @@
 					version = found.version;
 					if (found.intent.term > this->state.newest.term)
 					{
-						// Another one has taken over and will be heard; if not, the next look says so.
+						// Another one has taken over; whether it lives, it says itself.
 						this->state.newest = {_group, found.intent.term, found.intent.coordinator, false};
-						this->state.heardAt = nowMs();
-						co_return;
+						const bool lives = co_await this->coordinatorAnswers();
+						if (lives)
+						{
+							co_return;
+						}
 					}
 					if (!this->coordinatorIsGone())
 					{
@@ -208,7 +295,7 @@
 
 			aio::Task<void> coordinate(std::string _group, SwitchIntent _row, std::uint64_t _version)
 			{
-				CoordinatorParts parts{this->loop, *this->tableStore, this->deployment.tables, this->deployment.codec, this->deployment.decoders.catalog, this->deployment.decoders.upstream, this->settings, this->metrics};
+				CoordinatorParts parts{this->loop, *this->tableStore, this->deployment.tables, this->deployment.codec, this->deployment.decoders.catalog, this->deployment.decoders.upstream, this->settings, this->state.knowledge, this->fanOut};
 				this->state.coordinator = std::make_unique<Coordinator>(std::move(parts), _group, std::move(_row), _version);
 				const CoordinatorEnd end = co_await this->state.coordinator->run();
 				logInfo("coordinator_ended", {{"group", _group}, {"why", toString(end)}});
@@ -225,6 +312,7 @@
 			SidecarState state;
 			std::unique_ptr<store::TableStore> tableStore;
 			Engine engine;
+			FanOut fanOut;
 			capnp::TwoPartyServer server;
 			const std::string address;
 			http::Listener admin;
--- a/src/rank.capnp
+++ b/src/rank.capnp
@@ -1,5 +1,5 @@
-# What the daemons beside the engine ranks of one group, their coordinator and the gateways
-# say to each other.
+# What the daemons beside the engine ranks of one group, their coordinator, its relays and the
+# gateways say to each other. docs/PLATFORM.md walks a look, an order and a load report through it.
 #
 # After a change run scripts/generate.sh; the generated code in src/generated is committed.
 @0xb7c1f3a95d204e86;
@@ -61,13 +61,92 @@
 	changes @4 :List(UInt32);
 }
 
-# Load of one rank, by the address at which its engine takes requests.
-struct RankLoad
+# Where something listens, host byte order.
+struct Endpoint
 {
-	ip @0 :UInt32;          # host byte order
+	ip @0 :UInt32;
 	port @1 :UInt16;
-	requests @2 :UInt32;    # running and waiting
-	pace @3 :Float32;       # see RankReport
+}
+
+# Who is in a group: the addresses at which the engines take requests, by rank.
+struct Roster
+{
+	version @0 :UInt64;      # rises with each change within a term; 0: unknown
+	term @1 :UInt64;
+	engines @2 :List(Endpoint);
+}
+
+# A rank that isn't as declared.
+struct RankPace
+{
+	rank @0 :UInt16;
+	pace @1 :Float32;        # see RankReport
+}
+
+# What the coordinator tells of its group; relays pass it on. Of two the one with the higher term,
+# then the higher number is the newer.
+struct GroupNews
+{
+	coordination @0 :Coordination;
+	number @1 :UInt64;       # 0: nothing is known
+	ageMs @2 :UInt32;        # since the coordinator made it, as far as those who passed it on know
+	open @3 :Bool;
+	passMs @4 :Float32;
+	rosterTerm @5 :UInt64;   # of the roster that the loads are for
+	rosterVersion @6 :UInt64;
+	loads @7 :Data;          # requests running and waiting, a byte a rank; 255: not heard lately
+	paces @8 :List(RankPace);
+	gateways @9 :GatewayTally;
+}
+
+# The gateways that ask some daemons, summed up.
+struct GatewayTally
+{
+	count @0 :UInt32;
+	first @1 :Text;          # the first and the last by name; empty: none
+	last @2 :Text;
+	proof @3 :ConfigurationProof; # the newest that any of them told
+}
+
+# State that several ranks share; all but the step as in RankReport.
+struct SharedState
+{
+	epoch @0 :UInt64;
+	ranks @1 :UInt32;
+	open @2 :Bool;
+	map @3 :UInt64;
+	prepared @4 :UInt64;
+	armed @5 :UInt64;
+	held @6 :UInt64;
+	group @7 :Text;
+}
+
+# What a relay knows of one of the daemons it was asked for.
+struct ChildState
+{
+	child @0 :UInt16;        # its place in the question
+	shared @1 :UInt16;       # its place among the shared states of the answer
+	ageMs @2 :UInt16;        # since its daemon was asked
+	rank @3 :UInt16;
+	queued @4 :UInt16;
+	active @5 :UInt16;
+	stepsAhead @6 :UInt32;   # of the least step of the answer
+	pace @7 :Float32;
+}
+
+# Orders of one kind, epoch, version and step for some ranks.
+struct OrderBatch
+{
+	order @0 :RankOrder;
+	engines @1 :List(Endpoint);
+}
+
+struct ChildOutcome
+{
+	answered @0 :Bool;       # its daemon said what became of the order
+	accepted @1 :Bool;
+	status @2 :UInt16;
+	baseUnknown @3 :Bool;
 }
 
 # A row of a table that the coordinator follows in the store.
@@ -97,20 +176,38 @@
 
 interface RankDaemon
 {
-	# Asks for the rank's state. A coordinator of an older term is told the newer one.
-	# sample: the last sample of counts that the coordinator has, 0 for none; wanted with counts.
-	observe @0 (coordination :Coordination, counts :Bool, sample :UInt64) -> (newest :Coordination, report :RankReport);
+	# Asks for the rank's state, and brings the news of the group. A coordinator of an older term is
+	# told the newer one.
+	# sample: the last sample of counts that the asker has, 0 for none; wanted with counts.
+	# rosterTerm, rosterVersion, upstreamsVersion: what the daemon has, so that it is brought what it lacks.
+	observe @0 (coordination :Coordination, counts :Bool, sample :UInt64, news :GroupNews, roster :Roster, upstreams :TableNews)
+		-> (newest :Coordination, report :RankReport, gateways :GatewayTally, rosterTerm :UInt64, rosterVersion :UInt64, upstreamsVersion :UInt64);
+
+	# Asks a relay to observe the daemons of some engines and to tell what it saw of them. It answers
+	# once all have answered, or after patienceMs, with what it has.
+	# counted: of how many of them, the first ones, to ask the counts; they are summed up.
+	relay @1 (coordination :Coordination, engines :List(Endpoint), patienceMs :UInt16, counted :UInt16, news :GroupNews, roster :Roster, upstreams :TableNews)
+		-> (newest :Coordination, tookMs :UInt32, leastStep :UInt64, shared :List(SharedState), children :List(ChildState), choices :RankReport, choicesSpanMs :UInt32, gateways :GatewayTally, rosterTerm :UInt64, rosterVersion :UInt64, upstreamsVersion :UInt64);
 
 	# Gives the engine an order. A daemon whose engine is in another group orders nothing.
 	# accepted: the engine began it or has it already. status: the engine's answer, 0 for none.
 	# baseUnknown: the daemon lacks the map that a prepare builds on; nothing was ordered.
 	# report: the rank's state after the order, without counts; unset when the engine didn't say.
-	order @1 (term :UInt64, order :RankOrder, group :Text) -> (accepted :Bool, status :UInt16, baseUnknown :Bool, report :RankReport);
+	order @2 (term :UInt64, order :RankOrder, group :Text) -> (accepted :Bool, status :UInt16, baseUnknown :Bool, report :RankReport);
+
+	# Asks a relay to give the orders to the daemons of some engines, all at once.
+	# outcomes: one for each engine of the batch. The rest is as relay answers it.
+	relayOrders @3 (coordination :Coordination, batch :OrderBatch, patienceMs :UInt16)
+		-> (outcomes :List(ChildOutcome), tookMs :UInt32, leastStep :UInt64, shared :List(SharedState), children :List(ChildState));
 
-	# Asks for the loads of the daemon's group, and for news of the store, so that not each gateway
-	# has to ask it. Only the group's coordinator knows them; others name the group and whom they heard.
-	# upstreamsSince: version up to which the gateway knows the upstreams; 0 for none.
-	# proof: the newest that the gateway has; the answer brings the newest that any gateway told.
+	# A gateway asks any daemon of a group for what its coordinator told, and tells its proof.
+	# name: of the gateway. The answer brings what the gateway lacks, and says who was heard.
 	# reader: the gateway is to ask the store for the configuration itself, for the others too.
-	loads @2 (gateway :Text, upstreamsSince :UInt64, proof :ConfigurationProof) -> (known :Bool, newest :Coordination, open :Bool, passMs :Float32, gateways :UInt32, ranks :List(RankLoad), proof :ConfigurationProof, reader :Bool, upstreams :TableNews);
+	news @4 (name :Text, rosterTerm :UInt64, rosterVersion :UInt64, upstreamsVersion :UInt64, proof :ConfigurationProof)
+		-> (newest :Coordination, news :GroupNews, roster :Roster, upstreams :TableNews, reader :Bool);
+
+	# A daemon that heard no coordinator asks another one. If that one coordinates the group, it looks
+	# at the engine from now on.
+	# heardMsAgo: since it last heard a coordinator that reaches the store; it is one itself: 0.
+	join @5 (engine :Endpoint, group :Text) -> (newest :Coordination, coordinates :Bool, heardMsAgo :UInt32);
 }
--- a/src/store/table_news.h
+++ b/src/store/table_news.h
@@ -41,6 +41,9 @@
 	/// Takes in an answer of the store: a whole table, or the changes since table.version.
 	void takeRows(FollowedTable& _table, const Rows& _rows, bool _whole);
 
+	/// Takes in what another process told of the table; of two the one that knows more counts.
+	void takeNews(FollowedTable& _table, const TableNews& _news);
+
 	/// @returns What is told to one who knows the table up to a version, 0 for none.
 	TableNews newsSince(const FollowedTable& _table, std::uint64_t _since);
 } // namespace archdyke::store
--- a/tools/bench.h
+++ b/tools/bench.h
@@ -48,5 +48,6 @@
 	std::vector<Table> benchOverload();
 	std::vector<Table> benchCost();
 	std::vector<Table> benchGroups();
+	std::vector<Table> benchMaps();
 	std::vector<Table> benchOverhead();
 } // namespace archdyke::bench
