--- a/src/store/table_news.cpp
+++ b/src/store/table_news.cpp
@@ -35,7 +35,7 @@
 			{
 				const auto before = known.find(row.key.key);
 				const bool same = row.value.empty() && known.end() != before && before->second.version == row.version;
-				_table.rows[row.key.key] = same ? std::move(before->second) : row;
+				_table.rows[row.key.key] = same ? before->second : row;
 			}
 			_table.wholeAt = _news.version;
 		}
