Of two incarnations at one address the one written last gets requests

Cause: a whole read of the list comes by its keys, and whatever stood last at an address was taken for the process there. Change: rows are taken in the order in which they were written; the one before is superseded and counts again if the one after it goes (a ghost).

--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -26,6 +26,11 @@
 		}
 	} // namespace
 
+	bool takesWork(const Upstream& _upstream)
+	{
+		return !_upstream.leavingSince && !_upstream.superseded;
+	}
+
 	double loadOf(const Upstream& _upstream, Millis _now)
 	{
 		if (!isRecent(_upstream, _now))
@@ -116,7 +121,15 @@
 		const bool leaves = _record.leaving && !upstream->leavingSince;
 		const bool changed = isNew || leaves || upstream->record != _record;
 		upstream->record = _record;
-		this->byAddress[_record.address] = upstream;
+		UpstreamRef& holder = this->byAddress[_record.address];
+		if (nullptr != holder && holder != upstream && !holder->superseded)
+		{
+			logInfo("upstream_superseded", {{"incarnation", holder->record.incarnation}, {"by", _record.incarnation}, {"address", _record.address}});
+			holder->superseded = true;
+			this->count(*holder->group);
+		}
+		upstream->superseded = false;
+		holder = upstream;
 		if (leaves)
 		{
 			upstream->leavingSince = _now;
@@ -145,6 +158,25 @@
 			this->byAddress.erase(address);
 		}
 		this->byIncarnation.erase(it);
+		this->reinstate(upstream->record.address);
+	}
+
+	void Board::reinstate(const std::string& _address)
+	{
+		if (this->byAddress.contains(_address))
+		{
+			return;
+		}
+		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		{
+			if (upstream->record.address == _address)
+			{
+				upstream->superseded = false;
+				this->byAddress[_address] = upstream;
+				this->count(*upstream->group);
+				return;
+			}
+		}
 	}
 
 	void Board::report(const GroupReport& _report, Millis _now)
@@ -196,7 +228,7 @@
 		std::vector<UpstreamCandidate> candidates;
 		for (const UpstreamRef& upstream : _group.members)
 		{
-			if (!upstream->leavingSince)
+			if (takesWork(*upstream))
 			{
 				open.push_back(upstream);
 				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now) || isSilent(hearingOf(*upstream, _now), _now), _triedBefore.contains(upstream->record.incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
@@ -303,7 +335,7 @@
 		_group.workingInZone = 0;
 		for (const UpstreamRef& upstream : _group.members)
 		{
-			const bool works = !upstream->leavingSince;
+			const bool works = takesWork(*upstream);
 			_group.working += works ? 1 : 0;
 			_group.workingInZone += works && upstream->record.zone == this->zone ? 1 : 0;
 		}
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -37,6 +37,7 @@
 		std::optional<ReportedLoad> reported;
 		UpstreamHealth health;
 		std::optional<Millis> leavingSince; ///< Own clock; stays for this incarnation.
+		bool superseded = false;            ///< Another incarnation was listed at its address later.
 		GroupRef group;                     ///< Never null on a board.
 	};
 
@@ -92,6 +93,9 @@
 		bool operator==(const GroupReport&) const = default;
 	};
 
+	/// @returns Whether an upstream gets requests at all.
+	bool takesWork(const Upstream& _upstream);
+
 	/// @returns Requests at an upstream: as reported, corrected by what this gateway sent and
 	/// finished since; without a recent report what this gateway has there.
 	double loadOf(const Upstream& _upstream, Millis _now);
@@ -136,7 +140,9 @@
 		Board(const Board&) = delete;
 		Board& operator=(const Board&) = delete;
 
-		/// Takes in a row of the list of upstreams. Leaving stays for an incarnation.
+		/// Takes in a row of the list of upstreams; rows come in the order in which they were written.
+		/// Leaving stays for an incarnation. Of several at one address the last one gets requests: the
+		/// rows of processes that were killed stay for some heartbeats.
 		void learn(const UpstreamRecord& _record, Millis _now);
 
 		/// The list names the upstream no longer.
@@ -167,6 +173,8 @@
 	private:
 		UpstreamRef drawNear(const std::vector<UpstreamRef>& _upstreams, Random& _random) const;
 		GroupRef groupNamed(const std::string& _service, const std::string& _name);
+		/// The newest incarnation at an address is gone: one that it had superseded counts again.
+		void reinstate(const std::string& _address);
 		/// Puts an upstream into a group, out of the one that it was in.
 		void put(const UpstreamRef& _upstream, const GroupRef& _group);
 		/// Takes an upstream out of its group; a group without members goes.
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -331,7 +331,7 @@
 			this->loseUnnamed(_rows);
 		}
 		this->upstreamsSince = _rows.version;
-		for (const store::Row& row : _rows.rows)
+		for (const store::Row& row : store::inOrderOfWriting(_rows.rows))
 		{
 			if (row.version <= known)
 			{
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -116,7 +116,7 @@
 
 	void Coordinator::takeUpstreams(const store::Rows& _rows)
 	{
-		for (const store::Row& row : _rows.rows)
+		for (const store::Row& row : store::inOrderOfWriting(_rows.rows))
 		{
 			if (row.gone)
 			{
--- a/src/store/table_news.cpp
+++ b/src/store/table_news.cpp
@@ -69,4 +69,12 @@
 		}
 		return news;
 	}
+
+	std::vector<Row> inOrderOfWriting(std::vector<Row> _rows)
+	{
+		std::sort(_rows.begin(), _rows.end(), [](const Row& _a, const Row& _b) {
+			return _a.version < _b.version;
+		});
+		return _rows;
+	}
 } // namespace archdyke::store
--- a/src/store/table_news.h
+++ b/src/store/table_news.h
@@ -46,4 +46,8 @@
 
 	/// @returns What is told to one who knows the table up to a version, 0 for none.
 	TableNews newsSince(const FollowedTable& _table, std::uint64_t _since);
+
+	/// @returns The rows in the order in which they were last written. A whole table comes by its keys,
+	/// where the row of a process that was killed may stand behind that of the one after it.
+	std::vector<Row> inOrderOfWriting(std::vector<Row> _rows);
 } // namespace archdyke::store
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -68,6 +68,35 @@
 	cr_assert("b" == groupNamed(board, "h")->members.front()->record.incarnation);
 }
 
+/// After all processes were killed, the list names those before and those after at the same addresses
+/// for some heartbeats.
+Test(board, of_two_incarnations_at_an_address_the_one_written_last_gets_requests)
+{
+	Board board("here");
+	Random random(1);
+	board.learn(recordOf("dead", "1"), 0);
+	board.learn(recordOf("alive", "1"), 0);
+	board.report(reportOf("g", {"1"}), 10);
+	const GroupRef unnamed = groupNamed(board, "");
+	cr_assert(nullptr == unnamed || 0 == unnamed->working, "the dead one gets nothing");
+	cr_assert("alive" == board.choose(*groupNamed(board, "g"), {}, random, 20)->record.incarnation);
+	board.forget("dead", 30);
+	board.report(reportOf("g", {"1"}), 40);
+	cr_assert("alive" == board.choose(*groupNamed(board, "g"), {}, random, 50)->record.incarnation);
+}
+
+/// The last one may be a ghost: its address says that it isn't there.
+Test(board, an_incarnation_counts_again_when_the_one_after_it_is_gone)
+{
+	Board board("here");
+	Random random(1);
+	board.learn(recordOf("alive", "1"), 0);
+	board.learn(recordOf("ghost", "1"), 0);
+	board.forget("ghost", 10);
+	board.report(reportOf("g", {"1"}), 20);
+	cr_assert("alive" == board.choose(*groupNamed(board, "g"), {}, random, 30)->record.incarnation);
+}
+
 Test(board, a_groups_load_is_what_was_told_and_what_was_sent_since)
 {
 	Board board("here");
--- a/tests/test_store_news.cpp
+++ b/tests/test_store_news.cpp
@@ -82,3 +82,10 @@
 	cr_assert(newer > older);
 	cr_assert(later > newer);
 }
+
+/// A table comes by its keys; of two processes at one address the one that was listed last counts.
+Test(storenews, rows_are_taken_in_the_order_in_which_they_were_written)
+{
+	const std::vector<Row> ordered = inOrderOfWriting({row("a", "A", 9), row("b", "B", 3), row("c", "C", 5)});
+	cr_assert("b" == ordered[0].key.key && "c" == ordered[1].key.key && "a" == ordered[2].key.key);
+}
