All daemons get the roster before any gets the list of upstreams

Change: a child that lacks both gets the roster alone. Test: 23 children at once, red before. The test of lists whole or not at all now gives its children the roster first, since the list comes after it; what it checks of the list is as before.

--- a/src/group/fan_out.cpp
+++ b/src/group/fan_out.cpp
@@ -55,8 +55,7 @@
 		this->listBytesLeft = std::min(this->listBytesPerMs * double(kListBurstMs), this->listBytesLeft + saved);
 		this->listBytesAt = now;
 		NewsBundle bundle = newsFor(this->knowledge, _held.value_or(HeldVersions()), now);
-		const std::size_t bytes = extraBytes(bundle);
-		if (!_held || (0 < bytes && this->listBytesLeft <= 0.0))
+		if (!_held || (0 < extraBytes(bundle) && this->listBytesLeft <= 0.0))
 		{
 			// Nothing of the lists, not even up to which version they are: that would be taken for
 			// having them.
@@ -64,7 +63,14 @@
 			bundle.upstreams = {};
 			return bundle;
 		}
-		this->listBytesLeft -= double(bytes);
+		if (0 != bundle.roster.version)
+		{
+			// Loads are of no use without the roster, and it is short: all daemons get it before any gets
+			// the list of upstreams. After all of 72 daemons were killed, gateways followed their groups
+			// 0.65 s later when the lists went out together.
+			bundle.upstreams = {};
+		}
+		this->listBytesLeft -= double(extraBytes(bundle));
 		return bundle;
 	}
 
--- a/tests/test_group_news.cpp
+++ b/tests/test_group_news.cpp
@@ -86,6 +86,7 @@
 	for (int child = 0; child < 13; ++child)
 	{
 		GroupKnowledge told;
+		told.roster = knowledge.roster; // it comes before the list
 		if (0 == child % 2)
 		{
 			takeNews(told, newsFor(knowing(10), {}, 0), 50); // it has the first of them already
@@ -101,6 +102,23 @@
 	cr_assert(0 == unheard.upstreams.version && 0 == unheard.roster.version);
 }
 
+/// After all daemons were killed each of them lacks both. A gateway that asks one without the roster
+/// can't use its group.
+Test(groupnews, all_get_the_roster_before_any_gets_the_list)
+{
+	kj::AsyncIoContext io = kj::setupAsyncIo();
+	const GroupKnowledge knowledge = knowing(130);
+	FanOut fanOut({io.provider->getNetwork(), io.provider->getTimer()}, 7340, kLinkMbps, knowledge);
+	std::vector<GroupKnowledge> children(23);
+	for (GroupKnowledge& child : children)
+	{
+		takeNews(child, fanOut.newsWithin(heldOf(child)), 100);
+		cr_assert(1 == child.roster.version);
+	}
+	takeNews(children.front(), fanOut.newsWithin(heldOf(children.front())), 200);
+	cr_assert(130 == children.front().upstreams.rows.size());
+}
+
 Test(groupnews, changes_alone_make_no_list)
 {
 	store::FollowedTable table;
