A gateway without a group looks for one each 160 ms, not each 640

Cause: after a restart of all, gateways that had looked in vain for 1.4 s paused up to 0.96 s each time; groups were open at 43.4 s and found until 45.5 s. A question in vain costs a daemon what following a group costs it ten times a second.

--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -17,9 +17,10 @@
 		/// News older than this are no news, ms: the daemon doesn't hear its coordinator, another one may.
 		constexpr Millis kStaleMs = 500;
 		/// After the first failure another daemon is asked at once, after more in a row with pauses up
-		/// to this, ms: when a group is cut off or has no coordinator, all gateways look for it.
+		/// to this, ms: when a group is cut off or has no coordinator, all gateways look for it. Looking
+		/// for one then costs its daemons no more than following it does.
 		constexpr Millis kFirstPauseMs = 20;
-		constexpr Millis kMostPauseMs = 640;
+		constexpr Millis kMostPauseMs = 160;
 
 		class TaskErrors final : public kj::TaskSet::ErrorHandler
 		{
