Who came back waits out a usual outage

Change: a caller that was here before waits while no group is heard to serve, for 2.6 s of an outage at most (what standing, forming and being found take) and half of its patience. Who comes first hears when to come back, as before. Tests: two of the decision, one with processes (red before).

--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -33,11 +33,19 @@
 			return nullptr != service && service->engine && _context.route->stream ? &*service->engine : nullptr;
 		}
 
+		Millis patienceOf(const RequestContext& _context)
+		{
+			return _context.caller.patienceMs.value_or(_context.route->timeoutMs);
+		}
+
+		bool cameBack(const RequestContext& _context)
+		{
+			return double(patienceOf(_context)) < kFirstTimeShare * double(_context.route->timeoutMs);
+		}
+
 		BatchRequest batchRequest(const RequestContext& _context)
 		{
-			const Millis patience = _context.caller.patienceMs.value_or(_context.route->timeoutMs);
-			const bool cameBack = double(patience) < kFirstTimeShare * double(_context.route->timeoutMs);
-			return {_context.route->gapObjectiveMs, cameBack};
+			return {_context.route->gapObjectiveMs, cameBack(_context)};
 		}
 
 		BatchView batchView(const UpstreamGroup& _group, Millis _now)
@@ -104,6 +112,27 @@
 			});
 		}
 
+		/// @returns Whether any group is heard of and open. Of a dense engine nothing is heard.
+		bool anyServes(const RequestContext& _context, const GroupOptions& _options)
+		{
+			const CatalogService* service = findService(*_context.catalog, _context.service);
+			const bool inGroups = nullptr != service && service->engine && 0 < service->engine->sets;
+			return std::any_of(_options.candidates.begin(), _options.candidates.end(), [&](const GroupCandidate& _candidate) {
+				const bool heard = GroupStanding::InTime == _candidate.standing || GroupStanding::Late == _candidate.standing;
+				return heard || !inGroups;
+			});
+		}
+
+		/// @returns Whether a caller that came back waits for a group to open.
+		bool awaitsOpening(RequestContext& _context, const GroupOptions& _options, Millis _arrivedAt)
+		{
+			const Millis now = nowMs();
+			Outage& outage = _context.state.outages[_context.service];
+			const bool serves = anyServes(_context, _options);
+			noteOutage(outage, serves, now);
+			return !serves && mayAwaitOpening(outage, {cameBack(_context), patienceOf(_context), now - _arrivedAt}, now);
+		}
+
 		/// One line for each group: why the request can't go there.
 		void logNoRoom(const RequestContext& _context, const GroupOptions& _options)
 		{
@@ -112,7 +141,7 @@
 			{
 				const UpstreamGroup& group = *_options.groups[index];
 				const GroupCandidate& candidate = _options.candidates[index];
-				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"group", group.name.empty() ? "-" : group.name}, {"standing", toString(candidate.standing)}, {"mean_load", meanLoad(group, now)}, {"fullness", candidate.fullness}, {"pass_ms", group.view.passMs}, {"view_age_ms", now - group.view.at}, {"came_back", batchRequest(_context).cameBack}});
+				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"group", group.name.empty() ? "-" : group.name}, {"standing", toString(candidate.standing)}, {"mean_load", meanLoad(group, now)}, {"fullness", candidate.fullness}, {"pass_ms", group.view.passMs}, {"view_age_ms", now - group.view.at}, {"came_back", cameBack(_context)}});
 			}
 		}
 	} // namespace
@@ -142,10 +171,16 @@
 	{
 		GatewayState& state = _context.state;
 		const bool needsRoom = nullptr != batchEngineOf(_context);
-		const Millis until = nowMs() + longestWait(_context.route->objectiveMs);
+		const Millis arrivedAt = nowMs();
+		const Millis until = arrivedAt + longestWait(_context.route->objectiveMs);
 		while (true)
 		{
 			const GroupOptions options = optionsOf(_context);
+			if (awaitsOpening(_context, options, arrivedAt))
+			{
+				co_await state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
+				continue;
+			}
 			_context.group = chosenOf(options, state.random);
 			if (nullptr != _context.group || options.groups.empty())
 			{
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -7,6 +7,7 @@
 
 #include "archdyke/catalog.h"
 #include "archdyke/freshness.h"
+#include "archdyke/outage.h"
 #include "archdyke/resend_share.h"
 #include "archdyke/retry_window.h"
 #include "gateway/board.h"
@@ -36,6 +37,7 @@
 		std::shared_ptr<const CatalogIndex> catalog; ///< Null until the first one is known.
 		Freshness freshness;
 		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
+		absl::flat_hash_map<std::string, Outage> outages;      ///< By service.
 		ResendShare resendShare;                               ///< Of the allowance, for each service.
 		bool leaving = false;                                  ///< The stop signal came.
 		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -7,6 +7,7 @@
 #include "archdyke/come_back.h"
 #include "archdyke/event_stream.h"
 #include "archdyke/freshness.h"
+#include "archdyke/outage.h"
 #include "archdyke/retry_window.h"
 #include "archdyke/silence.h"
 #include "archdyke/upstream_choice.h"
@@ -285,3 +286,32 @@
 	cr_assert(!isSilent({1, 1'000, 1'100}, 2'000));
 	cr_assert(shouldLeaveSilent(silent, 1'000, 2'000) && !shouldLeaveSilent(silent, 500, 2'000));
 }
+
+/// All processes were killed: callers whose streams broke come back before their group opens 1.6 s later.
+Test(decisions, who_came_back_waits_out_a_usual_outage)
+{
+	Outage outage;
+	noteOutage(outage, false, 10'000);
+	Millis now = 10'000;
+	for (; now < 11'600; now += 10)
+	{
+		noteOutage(outage, false, now);
+		cr_assert(mayAwaitOpening(outage, {true, 6'000, now - 10'000}, now));
+		cr_assert(!mayAwaitOpening(outage, {false, 8'000, 0}, now), "who is here for the first time is told when to come back");
+	}
+	cr_assert(!mayAwaitOpening(outage, {true, 2'000, 1'000}, now), "half of its patience is left for its answer");
+	noteOutage(outage, true, now);
+	noteOutage(outage, false, now + 5'000);
+	cr_assert(mayAwaitOpening(outage, {true, 6'000, 0}, now + 5'000), "another outage");
+}
+
+/// A zone is cut off for 6 s: nobody waits for a group that stays down, but at its beginning.
+Test(decisions, nobody_waits_long_in_an_outage_that_lasts)
+{
+	Outage outage;
+	for (Millis now = 10'000; now < 16'000; now += 100)
+	{
+		noteOutage(outage, false, now);
+		cr_assert(mayAwaitOpening(outage, {true, 6'000, 0}, now) == (now < 12'600));
+	}
+}
--- a/tests/test_groups.cpp
+++ b/tests/test_groups.cpp
@@ -86,6 +86,26 @@
 	cr_assert(nowMs() - before < 300);
 }
 
+/// After all groups stood, callers whose answers broke come back before the gateway hears that they are
+/// open again. A caller comes back once as a rule.
+Test(groups, who_came_back_is_served_when_a_group_opens)
+{
+	constexpr Millis kLeftMs = 1'400; // of the route's 1,500: it was here before
+	GroupRig rig(std::vector<std::size_t>{2, 2});
+	startKnown(rig);
+	for (const RigGroup& group : rig.groups)
+	{
+		group.control({{"broken", true}});
+	}
+	for (const RigGroup& group : rig.groups)
+	{
+		cr_assert(rig.waitForGroup(kGateway, group, true));
+	}
+	rig.groups[0].control({{"formAnew", true}, {"broken", false}});
+	const RigAnswer answer = rig.call(kGateway, "again", kLeftMs);
+	cr_assert(200 == answer.status && "g-0" == answer.body, "%d %s", answer.status, answer.body.c_str());
+}
+
 Test(groups, a_zone_that_is_cut_with_its_group_is_left_alone)
 {
 	GroupRig rig(std::vector<std::size_t>{2, 2});
