A request leaves a silent upstream only with a resend in hand

Change: no request leaves while no resend is left. Test: a stream whose upstream pauses for 1.2 s with no budget left arrives whole; it was cut before.

--- a/include/archdyke/retry_window.h
+++ b/include/archdyke/retry_window.h
@@ -29,6 +29,13 @@
 	/// Notes a request that went to an upstream for the first time; forgets those before the window.
 	void noteFirstSend(RetryWindow& _window, Millis _windowMs, Millis _now);
 
+	/// @returns Resends that the window still holds; negative when firsts have left it since.
+	double resendsLeft(RetryWindow& _window, const RetryBounds& _bounds, Millis _now);
+
+	/// @returns Whether the window holds so many that one may be spent on a request that still gets
+	/// its answer where it is: the rest is kept for those that failed.
+	bool hasResendToSpare(RetryWindow& _window, const RetryBounds& _bounds, Millis _now);
+
 	/// Takes one resend out of the budget.
 	/// @returns false when the window holds no more.
 	bool takeResend(RetryWindow& _window, const RetryBounds& _bounds, Millis _now);
--- a/src/decide/retry_window.cpp
+++ b/src/decide/retry_window.cpp
@@ -1,5 +1,7 @@
 #include "archdyke/retry_window.h"
 
+#include <algorithm>
+
 namespace archdyke
 {
 	namespace
@@ -19,12 +21,23 @@
 		_window.firsts.push_back(_now);
 	}
 
-	bool takeResend(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
+	double resendsLeft(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
 	{
 		dropOld(_window.firsts, _now - _bounds.windowMs);
 		dropOld(_window.resends, _now - _bounds.windowMs);
 		const double allowed = _bounds.ratio * double(_window.firsts.size()) + _bounds.allowance;
-		if (double(_window.resends.size()) + 1.0 > allowed)
+		return allowed - double(_window.resends.size());
+	}
+
+	bool hasResendToSpare(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
+	{
+		const double left = resendsLeft(_window, _bounds, _now);
+		return std::max(1.0, double(_window.resends.size())) <= left;
+	}
+
+	bool takeResend(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
+	{
+		if (resendsLeft(_window, _bounds, _now) < 1.0)
 		{
 			return false;
 		}
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -9,16 +9,6 @@
 {
 	namespace
 	{
-		RetryBounds retryBounds(const GatewayState& _state)
-		{
-			/// Share of the budget that is used, so that windows that slide between two
-			/// gateways' counts don't add up to more.
-			constexpr double kUsedShare = 0.8;
-			const Bounds& bounds = _state.settings.bounds;
-			const double share = allowanceShare(_state.resendShare, bounds.retryWindowMs, nowMs());
-			return {kUsedShare * bounds.retryRatio, share * bounds.retryAllowance, bounds.retryWindowMs};
-		}
-
 		/// @param[in] _unknown Whether a try may have run: no promise is made then.
 		/// @param[in] _reason Given then; else the cause is.
 		Refusal refusalOf(RequestContext& _context, bool _unknown, RefusalCause _cause, const std::string& _reason)
@@ -102,6 +92,16 @@
 		}
 	} // namespace
 
+	RetryBounds retryBounds(const GatewayState& _state)
+	{
+		/// Share of the budget that is used, so that windows that slide between two
+		/// gateways' counts don't add up to more.
+		constexpr double kUsedShare = 0.8;
+		const Bounds& bounds = _state.settings.bounds;
+		const double share = allowanceShare(_state.resendShare, bounds.retryWindowMs, nowMs());
+		return {kUsedShare * bounds.retryRatio, share * bounds.retryAllowance, bounds.retryWindowMs};
+	}
+
 	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context)
 	{
 		GatewayState& state = _context.state;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -290,6 +290,12 @@
 			co_return result;
 		}
 
+		bool hasResend(RequestContext& _context)
+		{
+			const GatewayState& state = _context.state;
+			return 1.0 <= resendsLeft(_context.state.retries[_context.service], retryBounds(state), nowMs());
+		}
+
 		/// Waits until a request that may be repeated should leave its upstream, which says nothing
 		/// while others answer.
 		aio::Task<TryResult> whenSilent(RequestContext& _context)
@@ -301,7 +307,8 @@
 			{
 				co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
 				const Millis now = nowMs();
-				const bool wanted = movable && !_context.writing && _context.sends < _context.route->maxAttempts;
+				// A stream that left without a resend in hand would be cut, though its upstream may go on.
+				const bool wanted = movable && !_context.writing && _context.sends < _context.route->maxAttempts && hasResend(_context);
 				if (wanted && shouldLeaveSilent(hearingOf(*_context.sentTo, now), now - _context.heardAt, now))
 				{
 					co_return failed(Proof::Unknown, "upstream_silent");
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -88,6 +88,9 @@
 	/// account. Never throws for what the world does.
 	aio::Task<AfterRequest> runRequest(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _received);
 
+	/// @returns Bounds of this gateway's resends now.
+	RetryBounds retryBounds(const GatewayState& _state);
+
 	/// Sends a request to upstreams until it is answered or no further try is allowed.
 	/// @returns A refusal of the gateway's own; none when an upstream's answer was delivered.
 	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -438,3 +438,41 @@
 	cr_assert(0 == unanswered, "%d of 30 not answered", unanswered);
 	cr_assert(slow <= 12, "%d of 30 were at the silent upstream", slow);
 }
+
+/// A stream whose upstream paused was taken away from it and cut, as no resend was left to go on with.
+Test(gateway, a_stream_stays_at_a_silent_upstream_while_no_resend_is_left)
+{
+	GatewayRig rig({"w0", "w1", "w2", "w3", "w4"});
+	rig.retryAllowance = 0.0;
+	rig.startGateway();
+	rig.waitReady();
+	RigAnswer answer;
+	std::thread caller([&rig, &answer] {
+		answer = rig.call("/stream/x?do=stream", GatewayRig::headersFor("long", 8'000));
+	});
+	RigWorker* paused = nullptr;
+	cr_assert(lab::waitUntil(1'000, [&] {
+		for (RigWorker& worker : rig.workers)
+		{
+			paused = worker.recordOf("long").is_null() ? paused : &worker;
+		}
+		return nullptr != paused;
+	}));
+	paused->process->signal(SIGSTOP);
+	std::vector<std::thread> others;
+	for (const Millis at : {400, 600, 800})
+	{
+		others.emplace_back([&rig, at] {
+			std::this_thread::sleep_for(std::chrono::milliseconds(at));
+			rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("other-{}", at)));
+		});
+	}
+	std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+	paused->process->signal(SIGCONT);
+	caller.join();
+	for (std::thread& other : others)
+	{
+		other.join();
+	}
+	cr_assert(200 == answer.status && std::string::npos != answer.body.find("id: 12"), "%d %s", answer.status, answer.body.c_str());
+}
