Streams leave a slow rank while its group is late; times to come back go by the age of an outage

Change: a stream that may be resumed elsewhere leaves when its rank is at least twice slow and its group's passes are over the objective, with half of the resends kept for requests that failed. Second: callers of an outage that has lasted a while were told 2 s as those at its beginning; they hear the rest of a usual outage, and one who comes a little early waits. Tests: three of decisions.

--- a/include/archdyke/outage.h
+++ b/include/archdyke/outage.h
@@ -3,6 +3,8 @@
 /// Most callers come back once, so one that is refused then is lost.
 #pragma once
 
+#include <optional>
+
 #include "archdyke/types.h"
 
 namespace archdyke
@@ -32,4 +34,8 @@
 	/// @returns Whether a caller may wait on: it is here for the second time, a group is expected to open
 	/// soon, and enough of its patience is left then. Others are told when to come back.
 	bool mayAwaitOpening(const Outage& _outage, const WaitingCaller& _caller, Millis _now);
+
+	/// @returns When a group is expected to open, ms from now; none when the outage has lasted too long to
+	/// tell. Who comes back a little early waits.
+	std::optional<Millis> expectedOpeningMs(const Outage& _outage, Millis _now);
 } // namespace archdyke
--- a/src/decide/retry_window.cpp
+++ b/src/decide/retry_window.cpp
@@ -1,7 +1,5 @@
 #include "archdyke/retry_window.h"
 
-#include <algorithm>
-
 namespace archdyke
 {
 	namespace
@@ -32,7 +30,8 @@
 	bool hasResendToSpare(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
 	{
 		const double left = resendsLeft(_window, _bounds, _now);
-		return std::max(1.0, double(_window.resends.size())) <= left;
+		const double taken = double(_window.resends.size());
+		return taken + 1.0 <= (left + taken) / 2.0;
 	}
 
 	bool takeResend(RetryWindow& _window, const RetryBounds& _bounds, Millis _now)
--- a/src/decide/upstream_choice.cpp
+++ b/src/decide/upstream_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "archdyke/slow_rank.h"
+
 namespace archdyke
 {
 	namespace
@@ -14,9 +16,6 @@
 		constexpr double kFailureWeight = 2.0;
 		/// Weight of the newest answer in the moving failure rate: looks back some ten answers.
 		constexpr double kFailureGain = 0.1;
-		/// From this pace on an upstream gets requests only when all others can't: in a lock-step
-		/// group each of its requests lengthens the pass of all ranks that many times.
-		constexpr double kSlowPace = 2.0;
 		/// Failures in a row that suspend an upstream: one is chance, three are not.
 		constexpr std::uint32_t kFailuresToSuspend = 3;
 		/// How long it is left alone then, ms; doubled for each further failure.
@@ -41,7 +40,7 @@
 			{
 				if (!_candidates[index].excluded)
 				{
-					const bool avoided = _candidates[index].suspended || kSlowPace <= _candidates[index].pace;
+					const bool avoided = _candidates[index].suspended || isSlow(_candidates[index].pace);
 					(avoided ? others : sound).push_back(index);
 				}
 			}
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -19,13 +19,13 @@
 		{
 			return _upstream.reported && _now - _upstream.reported->at <= kReportMaxAgeMs;
 		}
-
-		double paceOf(const Upstream& _upstream, Millis _now)
-		{
-			return isRecent(_upstream, _now) ? std::max(1.0, _upstream.reported->pace) : 1.0;
-		}
 	} // namespace
 
+	double paceOf(const Upstream& _upstream, Millis _now)
+	{
+		return isRecent(_upstream, _now) ? std::max(1.0, _upstream.reported->pace) : 1.0;
+	}
+
 	bool takesWork(const Upstream& _upstream)
 	{
 		return !_upstream.leavingSince && !_upstream.superseded;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -112,6 +112,9 @@
 	/// @returns What was heard of an upstream and of its group.
 	Hearing hearingOf(const Upstream& _upstream, Millis _now);
 
+	/// @returns Time of an upstream's steps against the declared one; 1 without a recent report.
+	double paceOf(const Upstream& _upstream, Millis _now);
+
 	/// Takes in that something came from an upstream.
 	void noteHeard(Upstream& _upstream, Millis _now);
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "aio/task.h"
+#include "archdyke/slow_rank.h"
 #include "log.h"
 #include "process.h"
 
@@ -296,9 +297,18 @@
 			return 1.0 <= resendsLeft(_context.state.retries[_context.service], retryBounds(state), nowMs());
 		}
 
+		/// @returns Whether a stream should leave its upstream, which slows its whole group.
+		bool leavesSlow(RequestContext& _context, Millis _now)
+		{
+			const Upstream& upstream = *_context.sentTo;
+			GatewayState& state = _context.state;
+			const double passMs = isKnown(*upstream.group, _now) ? upstream.group->view.passMs : 0.0;
+			return shouldLeaveSlow({paceOf(upstream, _now), passMs, _context.route->gapObjectiveMs}) && hasResendToSpare(state.retries[_context.service], retryBounds(state), _now);
+		}
+
 		/// Waits until a request that may be repeated should leave its upstream, which says nothing
-		/// while others answer.
-		aio::Task<TryResult> whenSilent(RequestContext& _context)
+		/// while others answer, or is slow.
+		aio::Task<TryResult> whenToLeave(RequestContext& _context)
 		{
 			constexpr Millis kLookMs = 50;
 			const bool resumable = _context.route->stream && _context.route->resumable;
@@ -313,6 +323,10 @@
 				{
 					co_return failed(Proof::Unknown, "upstream_silent");
 				}
+				if (wanted && resumable && leavesSlow(_context, now))
+				{
+					co_return failed(Proof::Unknown, "upstream_slow");
+				}
 			}
 		}
 
@@ -365,8 +379,8 @@
 			                                      // Whoever reads the answer sees the broken connection too, and judges it.
 		                                      });
 		kj::Promise<TryResult> answer = relayAnswer(_context, lease).take();
-		kj::Promise<TryResult> silence = whenSilent(_context).take();
-		TryResult result = co_await answer.exclusiveJoin(kj::mv(silence));
+		kj::Promise<TryResult> leaving = whenToLeave(_context).take();
+		TryResult result = co_await answer.exclusiveJoin(kj::mv(leaving));
 		const bool wholeExchange = result.answered || result.failure || RefusalReason::None != result.refusal;
 		if (wholeExchange && written && result.restMs)
 		{
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -187,8 +187,10 @@
 
 	Refusal refuseNotRun(RequestContext& _context, RefusalCause _cause)
 	{
-		const Millis left = _context.deadlineAt - nowMs();
-		return {kUnavailable, comeBackAfter(_cause, std::nullopt, left, _context.state.random), std::string(toString(_cause))};
+		const Millis now = nowMs();
+		const Millis left = _context.deadlineAt - now;
+		const std::optional<Millis> opening = RefusalCause::GroupDown == _cause ? expectedOpeningMs(_context.state.outages[_context.service], now) : std::nullopt;
+		return {kUnavailable, comeBackAfter(_cause, opening, left, _context.state.random), std::string(toString(_cause))};
 	}
 
 	void addReason(RequestContext& _context, const std::string& _reason)
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -10,6 +10,7 @@
 #include "archdyke/outage.h"
 #include "archdyke/retry_window.h"
 #include "archdyke/silence.h"
+#include "archdyke/slow_rank.h"
 #include "archdyke/upstream_choice.h"
 #include "check.h"
 
@@ -315,3 +316,48 @@
 		cr_assert(mayAwaitOpening(outage, {true, 6'000, 0}, now) == (now < 12'600));
 	}
 }
+
+/// Callers of an outage that has lasted a while come back when it ends, not 2 s after they were told.
+Test(decisions, the_time_to_come_back_goes_by_the_age_of_the_outage)
+{
+	Outage outage;
+	cr_assert(!expectedOpeningMs(outage, 10'000));
+	noteOutage(outage, false, 10'000);
+	cr_assert(2'000 == expectedOpeningMs(outage, 10'000));
+	noteOutage(outage, false, 10'900);
+	cr_assert(600 == expectedOpeningMs(outage, 11'400));
+	noteOutage(outage, false, 11'500);
+	noteOutage(outage, false, 12'400);
+	cr_assert(200 == expectedOpeningMs(outage, 12'500));
+	cr_assert(!expectedOpeningMs(outage, 12'700), "it isn't one of the usual kind");
+	cr_assert(!expectedOpeningMs(outage, 14'000), "no request has seen it lately");
+}
+
+/// One rank of 24 takes 12 times its time for 9 s: its streams of 20 events kept all passes at 350 ms to
+/// the end of it, though its experts had been moved within 3 s.
+Test(decisions, streams_leave_a_slow_rank_while_its_group_is_late)
+{
+	cr_assert(shouldLeaveSlow({12.0, 350.0, 150}));
+	cr_assert(!shouldLeaveSlow({12.0, 120.0, 150}), "its group is in time: a move would make the stream late");
+	cr_assert(!shouldLeaveSlow({1.3, 350.0, 150}), "it isn't the one that slows the group");
+	cr_assert(!shouldLeaveSlow({12.0, 0.0, 150}) && !shouldLeaveSlow({12.0, 350.0, 0}));
+}
+
+/// Moves of streams that get their answers anyway take half of the budget at most.
+Test(decisions, resends_are_kept_for_requests_that_failed)
+{
+	RetryWindow window;
+	const RetryBounds bounds{0.2, 2.0, 10'000};
+	for (int first = 0; first < 40; ++first)
+	{
+		noteFirstSend(window, bounds.windowMs, first);
+	}
+	int moved = 0;
+	for (; moved < 100 && hasResendToSpare(window, bounds, 100); ++moved)
+	{
+		cr_assert(takeResend(window, bounds, 100));
+	}
+	cr_assert(5 == moved, "%d of 10", moved);
+	cr_assert(std::abs(resendsLeft(window, bounds, 100) - 5.0) < 1e-9);
+	cr_assert(takeResend(window, bounds, 100));
+}
