--- a/include/archdyke/catalog.h
+++ b/include/archdyke/catalog.h
@@ -71,11 +71,21 @@
 		bool operator==(const EngineModel&) const = default;
 	};
 
+	/// What an upstream bears for some time after it started.
+	struct ColdLimit
+	{
+		Millis coldMs = 0;         ///< How long it is cold after a start.
+		double requestsPerS = 0.0; ///< Arrivals that a cold one bears, of all gateways together.
+
+		bool operator==(const ColdLimit&) const = default;
+	};
+
 	/// Upstreams that do the same work.
 	struct CatalogService
 	{
 		std::string name;
 		std::uint32_t maxConnections = 0; ///< Of one upstream, from all gateways together.
+		std::optional<ColdLimit> cold;    ///< None: a cold upstream bears as much as any.
 		std::optional<EngineModel> engine;
 
 		bool operator==(const CatalogService&) const = default;
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -30,7 +30,8 @@
 		std::optional<Millis> patienceMs;         ///< How long the caller will wait.
 		std::optional<std::uint64_t> resumeAfter; ///< Last event that the caller has.
 		std::uint32_t promptTokens = 0;
-		std::uint32_t answerTokens = 0; ///< The caller's guess; its bound when there is no guess.
+		std::uint32_t answerTokens = 0;           ///< Most that it may get; 0 when unknown.
+		std::optional<std::uint32_t> answerGuess; ///< The caller's guess: right in the median, often far off.
 		std::vector<PromptPart> prompt;
 
 		bool operator==(const CallerRequest&) const = default;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -38,6 +38,9 @@
 			bounds.retryWindowMs = Millis(1'000.0 * _reader.numberOr("retryWindowS", 0.1, 3'600.0, double(usual.retryWindowMs) / 1'000.0));
 			bounds.retryAllowance = _reader.numberOr("retryAllowance", 0.0, kMaxRetries, usual.retryAllowance);
 			bounds.stallMs = Millis(_reader.numberOr("stallMs", 0.0, double(kMaxBoundMs), double(usual.stallMs)));
+			bounds.evacuationMs = _reader.integerOr("evacuationMs", 1, kMaxBoundMs, usual.evacuationMs);
+			bounds.coldOvershoot = _reader.numberOr("coldOvershoot", 1.0, 100.0, usual.coldOvershoot);
+			bounds.coldAllowance = _reader.numberOr("coldAllowance", 0.0, kMaxRetries, usual.coldAllowance);
 			return bounds;
 		}
 	} // namespace
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -20,6 +20,9 @@
 		Millis retryWindowMs = 10'000; ///< Length of the window in which resends are counted.
 		double retryAllowance = 0.0;   ///< Resends of a window beyond the ratio, over all gateways.
 		Millis stallMs = 1'500;        ///< A group with a lost member stands still this long.
+		Millis evacuationMs = 5'000;   ///< An evacuated zone gets nothing after this.
+		double coldOvershoot = 1.0;    ///< Arrivals that a cold upstream survives, against those that it bears.
+		double coldAllowance = 0.0;    ///< Arrivals of a second that it survives beyond that.
 
 		bool operator==(const Bounds&) const = default;
 	};
