--- a/include/archdyke/upstream_choice.h
+++ b/include/archdyke/upstream_choice.h
@@ -21,7 +21,7 @@
 		std::string zone;
 		std::uint32_t slots = 1; ///< Requests at once.
 		bool leaving = false;    ///< Takes no new work.
-		Millis coldLeftMs = 0;   ///< How much longer it was cold when it said so.
+		Millis coldForMs = 0;    ///< How much longer it was cold when it said so.
 		Millis startedAt = 0;    ///< Unix time of its start, ms; 0: it doesn't say. A later one holds and knows nothing of before.
 
 		bool operator==(const UpstreamRecord&) const = default;
