--- a/include/archdyke/cold_share.h
+++ b/include/archdyke/cold_share.h
@@ -8,10 +8,12 @@
 /// gateways than that have the further send.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <string_view>
 
+#include "archdyke/resend_share.h"
 #include "archdyke/types.h"
 
 namespace archdyke
@@ -44,6 +46,12 @@
 		bool operator==(const ColdState&) const = default;
 	};
 
+	/// @returns How many gateways share what cold upstreams bear: as many as were told of steadily, else
+	/// more than the upstreams suggest. One that was restarted or is cut off is told nothing.
+	/// @param[in] _upstreams Listed, of all services.
+	/// @param[in] _windowMs Of what was told the most counts for this long.
+	std::uint32_t gatewaysAssumed(const ResendShare& _told, std::size_t _upstreams, Millis _windowMs, Millis _now);
+
 	/// @returns Shares that keep all gateways together within the terms.
 	ColdShare coldShareOf(const ColdTerms& _terms);
 
--- a/src/decide/cold_share.cpp
+++ b/src/decide/cold_share.cpp
@@ -18,6 +18,15 @@
 		/// Halvings in the search for a share: one in a million of a gateway.
 		constexpr int kHalvings = 20;
 
+		/// A number of gateways must have been told for this long without growth, ms: after a restart of all,
+		/// coordinators hear of them one by one, and one that goes by half their number sends twice its share.
+		constexpr Millis kSteadyMs = 1'500;
+		/// Gateways that are assumed for each upstream while nobody tells: one serves several upstreams, so
+		/// nobody pays for as many.
+		constexpr std::uint32_t kGatewaysPerUpstream = 2;
+		/// The least that are assumed: of few upstreams one can't tell.
+		constexpr std::uint32_t kLeastGateways = 128;
+
 		/// @returns Bound on the logarithm of the chance that more than _most of _count gateways are drawn
 		/// when each is with _chance. H. Chernoff, Ann. Math. Statist. 23(4), 1952.
 		double logOfExcess(double _count, double _chance, double _most)
@@ -53,6 +62,17 @@
 		}
 	} // namespace
 
+	std::uint32_t gatewaysAssumed(const ResendShare& _told, std::size_t _upstreams, Millis _windowMs, Millis _now)
+	{
+		const std::optional<std::uint32_t> steady = gatewaysTold(_told, _windowMs, kSteadyMs, _now);
+		if (steady)
+		{
+			return *steady;
+		}
+		const std::uint32_t likely = std::clamp(kGatewaysPerUpstream * std::uint32_t(_upstreams), kLeastGateways, kMostGateways);
+		return std::max(likely, gatewaysTold(_told, _windowMs, 0, _now).value_or(0));
+	}
+
 	ColdShare coldShareOf(const ColdTerms& _terms)
 	{
 		const double count = std::max<double>(1.0, _terms.gateways);
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -288,6 +288,11 @@
 		return result;
 	}
 
+	std::size_t Board::size() const
+	{
+		return this->byIncarnation.size();
+	}
+
 	std::vector<UpstreamRef> Board::all() const
 	{
 		std::vector<UpstreamRef> result;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -201,6 +201,9 @@
 		/// @returns The groups of all services, in no order.
 		std::vector<GroupRef> allGroups() const;
 
+		/// @returns How many upstreams there are, those that leave too.
+		std::size_t size() const;
+
 		/// @returns All upstreams, those that leave too, in no order.
 		std::vector<UpstreamRef> all() const;
 
--- a/src/gateway/cold_limits.cpp
+++ b/src/gateway/cold_limits.cpp
@@ -4,10 +4,6 @@
 {
 	namespace
 	{
-		/// The number of gateways must have been told for this long without growth, ms: after a mass restart
-		/// coordinators hear of gateways one by one, and one that goes by half their number sends twice its share.
-		constexpr Millis kSteadyMs = 1'500;
-
 		std::optional<ColdTerms> termsOf(const GatewayState& _state, const CatalogService& _service, Millis _now)
 		{
 			if (!_service.cold)
@@ -16,8 +12,8 @@
 			}
 			const Bounds& bounds = _state.settings.bounds;
 			const double borne = _service.cold->requestsPerS;
-			const std::optional<std::uint32_t> gateways = gatewaysTold(_state.resendShare, bounds.retryWindowMs, kSteadyMs, _now);
-			return ColdTerms{borne, borne * bounds.coldOvershoot + bounds.coldAllowance, gateways.value_or(kMostGateways)};
+			const std::uint32_t gateways = gatewaysAssumed(_state.resendShare, _state.board.size(), bounds.retryWindowMs, _now);
+			return ColdTerms{borne, borne * bounds.coldOvershoot + bounds.coldAllowance, gateways};
 		}
 	} // namespace
 
