--- a/include/archdyke/cold_share.h
+++ b/include/archdyke/cold_share.h
@@ -62,7 +62,7 @@
 	void noteCold(ColdState& _state, Millis _forMs, Millis _now);
 
 	/// @returns How much longer an upstream counts as cold, ms.
-	Millis coldLeftMs(const ColdState& _state, Millis _now);
+	Millis warmInMs(const ColdState& _state, Millis _now);
 
 	/// @returns Whether this gateway may send to a cold upstream now.
 	/// @param[in] _sends That it has in a window.
--- a/src/decide/cold_share.cpp
+++ b/src/decide/cold_share.cpp
@@ -94,7 +94,7 @@
 		_state.until = std::max(_state.until, _now + _forMs);
 	}
 
-	Millis coldLeftMs(const ColdState& _state, Millis _now)
+	Millis warmInMs(const ColdState& _state, Millis _now)
 	{
 		return std::max<Millis>(0, _state.until - _now);
 	}
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -9,7 +9,7 @@
 {
 	bool isLimitedCold(const Upstream& _upstream, Millis _now)
 	{
-		return _upstream.coldSends && 0 < coldLeftMs(_upstream.cold, _now);
+		return _upstream.coldSends && 0 < warmInMs(_upstream.cold, _now);
 	}
 
 	bool mayGet(const Upstream& _upstream, Millis _now)
@@ -102,7 +102,7 @@
 			{
 				if (takesWork(*upstream) && isLimitedCold(*upstream, _now))
 				{
-					const Millis left = coldLeftMs(upstream->cold, _now);
+					const Millis left = warmInMs(upstream->cold, _now);
 					least = std::min(least.value_or(left), left);
 				}
 			}
--- a/tests/test_cold_share.cpp
+++ b/tests/test_cold_share.cpp
@@ -272,7 +272,7 @@
 	ColdState state;
 	noteCold(state, 3'000, 1'000);
 	noteCold(state, 500, 2'000);
-	cr_assert(2'000 == coldLeftMs(state, 2'000));
+	cr_assert(2'000 == warmInMs(state, 2'000));
 	noteCold(state, 3'000, 2'000);
-	cr_assert(3'000 == coldLeftMs(state, 2'000) && 0 == coldLeftMs(state, 5'000));
+	cr_assert(3'000 == warmInMs(state, 2'000) && 0 == warmInMs(state, 5'000));
 }
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -494,7 +494,7 @@
 		row["coldLeftMs"] = _coldForMs;
 		_rig.store.put("servers", _rig.workers.front().id, row);
 		cr_assert(lab::waitUntil(2'000, [&] {
-			return 0 < _rig.dump()["upstreams"][0]["coldLeftMs"].get<int>();
+			return 0 < _rig.dump()["upstreams"][0]["warmInMs"].get<int>();
 		}));
 	}
 
@@ -575,7 +575,7 @@
 	rig.waitReady();
 	announceCold(rig, 1'000);
 	cr_assert(lab::waitUntil(2'500, [&] {
-		return 0 == rig.dump()["upstreams"][0]["coldLeftMs"].get<int>();
+		return 0 == rig.dump()["upstreams"][0]["warmInMs"].get<int>();
 	}));
 	for (int call = 0; call < 20; ++call)
 	{
