--- /dev/null
+++ b/src/gateway/cold_limits.cpp
@@ -0,0 +1,37 @@
+#include "gateway/cold_limits.h"
+
+namespace archdyke::gateway
+{
+	namespace
+	{
+		std::optional<ColdTerms> termsOf(const GatewayState& _state, const CatalogService& _service, Millis _now)
+		{
+			if (!_service.cold)
+			{
+				return std::nullopt;
+			}
+			const Bounds& bounds = _state.settings.bounds;
+			const double borne = _service.cold->requestsPerS;
+			const std::uint32_t gateways = gatewaysAssumed(_state.resendShare, _state.board.size(), bounds.retryWindowMs, _now);
+			return ColdTerms{borne, borne * bounds.coldOvershoot + bounds.coldAllowance, gateways};
+		}
+	} // namespace
+
+	void refreshColdLimits(GatewayState& _state, Millis _now)
+	{
+		if (nullptr == _state.catalog)
+		{
+			return;
+		}
+		for (const CatalogService& service : _state.catalog->catalog.services)
+		{
+			_state.board.limitCold(service.name, termsOf(_state, service, _now));
+		}
+	}
+
+	Millis coldAfterStartMs(const GatewayState& _state, const std::string& _service)
+	{
+		const CatalogService* service = nullptr == _state.catalog ? nullptr : findService(*_state.catalog, _service);
+		return nullptr != service && service->cold ? service->cold->coldMs : 0;
+	}
+} // namespace archdyke::gateway
