Counts of a rank that went back are no choices

An upstream may start anew under its name, and its counts then begin with nothing. The difference to the count before wraps to four billion choices of each expert, which would place experts for the whole window. choicesBetween() says none then, and the sample counts as a first one.

mapwindow_* failed first, with the subtraction as it stood.

--- a/include/archdyke/map_window.h
+++ b/include/archdyke/map_window.h
@@ -28,6 +28,10 @@
 		std::deque<ChoicePiece> pieces;
 	};
 
+	/// @returns What was chosen between two counts of a rank, that each begin with its start; none when one
+	/// went back: the rank has started anew, and its choices since then aren't those of the time between.
+	std::optional<std::vector<std::uint32_t>> choicesBetween(const std::vector<std::uint32_t>& _before, const std::vector<std::uint32_t>& _after);
+
 	/// Adds a piece; pieces of another epoch are forgotten, and those that ended before the window.
 	void addPiece(ChoiceWindow& _window, ChoicePiece _piece, Millis _windowMs);
 
--- a/src/decide/map_window.cpp
+++ b/src/decide/map_window.cpp
@@ -4,6 +4,24 @@
 
 namespace archdyke
 {
+	std::optional<std::vector<std::uint32_t>> choicesBetween(const std::vector<std::uint32_t>& _before, const std::vector<std::uint32_t>& _after)
+	{
+		if (_before.size() != _after.size())
+		{
+			return std::nullopt;
+		}
+		std::vector<std::uint32_t> choices;
+		for (std::size_t index = 0; index < _after.size(); ++index)
+		{
+			if (_after[index] < _before[index])
+			{
+				return std::nullopt;
+			}
+			choices.push_back(_after[index] - _before[index]);
+		}
+		return choices;
+	}
+
 	void addPiece(ChoiceWindow& _window, ChoicePiece _piece, Millis _windowMs)
 	{
 		const bool another = !_window.pieces.empty() && (_window.pieces.back().epoch != _piece.epoch || _window.pieces.back().choices.size() != _piece.choices.size());
--- a/src/group/rank_server.cpp
+++ b/src/group/rank_server.cpp
@@ -185,15 +185,12 @@
 		ChoiceSample sample;
 		sample.epoch = _counts.epoch;
 		sample.sample = this->lastSample + 1;
-		const bool follows = 0 != _held && _held == this->lastSample && _counts.epoch == this->lastCounts.epoch && _counts.counts.size() == this->lastCounts.counts.size();
-		if (follows)
+		const bool follows = 0 != _held && _held == this->lastSample && _counts.epoch == this->lastCounts.epoch;
+		std::optional<std::vector<std::uint32_t>> choices = follows ? choicesBetween(this->lastCounts.counts, _counts.counts) : std::nullopt;
+		if (choices)
 		{
 			sample.since = _held;
-			sample.choices.resize(_counts.counts.size());
-			for (std::size_t index = 0; index < sample.choices.size(); ++index)
-			{
-				sample.choices[index] = _counts.counts[index] - this->lastCounts.counts[index];
-			}
+			sample.choices = std::move(*choices);
 		}
 		this->lastSample = sample.sample;
 		this->lastCounts = std::move(_counts);
--- /dev/null
+++ b/tests/test_map_window.cpp
@@ -0,0 +1,30 @@
+/// Choices of experts, gathered from counts that ranks keep since their start.
+#include "archdyke/map_window.h"
+
+#include <criterion/criterion.h>
+
+using namespace archdyke;
+
+namespace
+{
+	using Counts = std::vector<std::uint32_t>;
+
+	std::optional<Counts> between(const Counts& _before, const Counts& _after)
+	{
+		return choicesBetween(_before, _after);
+	}
+} // namespace
+
+Test(mapwindow, choices_are_what_was_counted_between)
+{
+	const Counts expected{1, 0, 4};
+	cr_assert(expected == between({5, 7, 0}, {6, 7, 4}));
+	cr_assert(!between({5, 7}, {6, 7, 4}), "another number of experts");
+}
+
+/// A rank that starts anew counts from nothing. Taken for a difference it would be four billion choices of each
+/// expert, and experts would be placed by nothing else for the whole window.
+Test(mapwindow, counts_that_went_back_are_no_choices)
+{
+	cr_assert(!between({5'120, 88, 940}, {3, 90, 1'000}));
+}
