A row of an upstream that another writer made names none

Rows may lack fields, have them of another type, or hold bytes that are no document. decodeUpstream converted what it found (true and 1.5 were slots, any unknown state was leaving, any text an address). It now takes a row as it is told or not at all; the name goes into a header, so it has to be printable. A coordinator stopped at the first such row of an answer and never learnt those after it; it passes over that row alone, and looks for the group of a rank anew that started again under its name.

platform_a_row_of_another_writer_names_no_upstream and platform_a_row_that_was_tampered_with_* failed first. The coordinator's part has no test of its own yet.

--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -65,6 +65,7 @@
 			std::unique_ptr<Engine> direct; ///< The engine itself, asked while its daemon is away; null until it is asked.
 			std::string engineAddress;
 			std::string incarnation; ///< Of the engine, as the list of upstreams has it.
+			Millis startedAt = 0;    ///< Likewise; a later one under the same name is another run.
 			std::string zone;        ///< Likewise; empty: it isn't listed yet.
 			SearchCandidate search;  ///< While it isn't known to be in this group.
 			EngineReport report;
@@ -140,6 +141,7 @@
 		std::optional<std::uint32_t> ownRank() const;
 		Millis rowLookMs() const;
 		void takeUpstreams(const store::Rows& _rows);
+		void takeUpstream(const UpstreamRecord& _record);
 		void takeKnownUpstreams();
 		/// The list of upstreams names an incarnation no longer.
 		void unlist(const std::string& _incarnation);
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -123,23 +123,36 @@
 				this->unlist(row.key.key); // its engine comes back at its address, or never answers
 				continue;
 			}
-			const UpstreamRecord record = this->parts.decodeUpstream(row.key.key, row.value);
-			if (record.service != this->parts.settings.service)
+			try
 			{
-				continue;
+				this->takeUpstream(this->parts.decodeUpstream(row.key.key, row.value));
 			}
-			Rank& rank = this->rankAt(record.address);
-			if (rank.incarnation != record.incarnation)
+			catch (const InvalidInputError& error)
 			{
-				rank.incarnation = record.incarnation;
-				rank.search = {}; // another process may be in another group
+				logWarning("upstream_unreadable", {{"group", this->group}, {"incarnation", row.key.key}, {"reason", error.what()}});
+				this->unlist(row.key.key); // one such row kept all others of its answer out
 			}
-			rank.zone = record.zone;
-			rank.search.ownZone = record.zone == this->parts.settings.place.zone;
-			rank.search.listed = true;
 		}
 	}
 
+	void Coordinator::takeUpstream(const UpstreamRecord& _record)
+	{
+		if (_record.service != this->parts.settings.service)
+		{
+			return;
+		}
+		Rank& rank = this->rankAt(_record.address);
+		if (rank.incarnation != _record.incarnation || rank.startedAt < _record.startedAt)
+		{
+			rank.incarnation = _record.incarnation;
+			rank.startedAt = _record.startedAt;
+			rank.search = {}; // another run may be in another group
+		}
+		rank.zone = _record.zone;
+		rank.search.ownZone = _record.zone == this->parts.settings.place.zone;
+		rank.search.listed = true;
+	}
+
 	void Coordinator::takeConfiguration(const store::Rows& _rows)
 	{
 		for (const store::Row& row : _rows.rows)
@@ -229,15 +242,7 @@
 
 	aio::Task<void> Coordinator::followUpstreams()
 	{
-		try
-		{
-			this->takeKnownUpstreams(); // as the coordinator before told this daemon
-		}
-		catch (const InvalidInputError& error)
-		{
-			this->noteWatchFailure(this->parts.names.upstreams, error.what());
-			this->parts.knowledge.upstreams = {};
-		}
+		this->takeKnownUpstreams(); // as the coordinator before told this daemon
 		while (!this->ended)
 		{
 			std::string failure;
@@ -252,10 +257,6 @@
 			{
 				failure = error.getDescription().cStr();
 			}
-			catch (const InvalidInputError& error)
-			{
-				failure = error.what();
-			}
 			if (!failure.empty())
 			{
 				this->noteWatchFailure(this->parts.names.upstreams, failure);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -3,6 +3,9 @@
 #include "codec.h"
 #include "documents.h"
 #include "engine.h"
+#include "http/socket_address.h"
+
+#include <nlohmann/json.hpp>
 
 #include "check.h"
 
@@ -10,6 +13,51 @@
 
 namespace
 {
+	using Json = nlohmann::json;
+
+	/// A row as an upstream writes it.
+	Json upstreamRow()
+	{
+		return {{"service", "s"}, {"address", "10.0.0.9:80"}, {"zone", "z"}, {"version", "v1"}, {"slots", 12}, {"state", "ready"}, {"coldLeftMs", 2'500.5}, {"seq", 4}, {"born", 1'764'720'000'123}};
+	}
+
+	bool namesNone(const Json& _row, const std::string& _key = "i-1")
+	{
+		try
+		{
+			platform::decodeUpstream(_key, _row.is_string() ? _row.get<std::string>() : _row.dump());
+			return false;
+		}
+		catch (const InvalidInputError&)
+		{
+			return true;
+		}
+	}
+
+	/// A row with one field of another writer's.
+	Json with(const char* _field, Json _value)
+	{
+		Json row = upstreamRow();
+		row[_field] = std::move(_value);
+		return row;
+	}
+
+	Json without(const char* _field)
+	{
+		Json row = upstreamRow();
+		row.erase(_field);
+		return row;
+	}
+
+	/// A value that nobody expects, or one that nearly fits.
+	rc::Gen<Json> foreignValue()
+	{
+		return rc::gen::map(rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::arbitrary<std::int64_t>()), [](const std::pair<int, std::int64_t>& _draw) {
+			const std::vector<Json> values{Json(), Json(true), Json::array({1}), Json::object(), Json(_draw.second), Json(double(_draw.second) / 3.0), Json(std::to_string(_draw.second)), Json("10.0.0.9:" + std::to_string(_draw.second % 100'000)), Json(std::string("10.0.0.9\0:80", 12)), Json("draining")};
+			return values[std::size_t(_draw.first)];
+		});
+	}
+
 	http::RequestHead callerHead()
 	{
 		http::RequestHead head{"POST", "/x/y?z=1", {}, true};
@@ -102,3 +150,62 @@
 	cr_assert(codec.encodeOrder({RankOrderKind::Arm, 2, 6, 90, {}}) == R"({"epoch":2,"op":"arm","step":90,"version":6})");
 	cr_assert(codec.isAccepted(202) && codec.isAccepted(200) && !codec.isAccepted(409));
 }
+
+Test(platform, a_row_says_when_its_upstream_started_and_how_long_it_is_cold)
+{
+	const UpstreamRecord record = platform::decodeUpstream("i-1", upstreamRow().dump());
+	cr_assert(1'764'720'000'123 == record.startedAt && 2'500 == record.coldForMs && !record.leaving);
+	cr_assert(platform::decodeUpstream("i-1", with("state", "draining").dump()).leaving);
+	cr_assert(0 == platform::decodeUpstream("i-1", without("born").dump()).startedAt, "those before it don't say");
+}
+
+Test(platform, a_row_of_another_writer_names_no_upstream)
+{
+	for (const char* field : {"service", "address", "zone", "slots", "state"})
+	{
+		cr_assert(namesNone(without(field)), "without %s", field);
+	}
+	for (const Json& row : {with("state", "asleep"), with("state", 1), with("service", 3), with("service", ""), with("zone", Json()), with("slots", "4"), with("slots", -1), with("slots", 1.5), with("slots", true), with("coldLeftMs", "12"), with("coldLeftMs", -1), with("coldLeftMs", 1e300), with("born", 1.5), with("born", "1764720000123"), with("born", -5), with("born", Json()), with("seq", "4"), with("version", 1)})
+	{
+		cr_assert(namesNone(row), "%s", row.dump().c_str());
+	}
+	for (const char* address : {"", "nowhere", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:70000", "10.0.0.900:80", "host:80", ":80", "[::1]:80"})
+	{
+		cr_assert(namesNone(with("address", address)), "%s", address);
+	}
+	for (const char* text : {"", "{", "[]", "null", "7", "\xff\xfe", "\"ready\""})
+	{
+		cr_assert(namesNone(Json(std::string(text))), "%s", text);
+	}
+	// The key goes into a header.
+	cr_assert(namesNone(upstreamRow(), "i-1\r\nX-Api-Key: k") && namesNone(upstreamRow(), ""));
+}
+
+/// Whatever is changed in a row: it is rejected as a whole, or names an upstream that can be reached.
+Test(platform, a_row_that_was_tampered_with_never_yields_an_address_that_cannot_be_used)
+{
+	tests::checkProperty("tampered rows", [] {
+		Json row = upstreamRow();
+		const int changes = *rc::gen::inRange(1, 4);
+		for (int change = 0; change < changes; ++change)
+		{
+			const std::string field = *rc::gen::element<std::string>("service", "address", "zone", "version", "slots", "state", "coldLeftMs", "seq", "born");
+			row[field] = *foreignValue();
+		}
+		std::string text = row.dump();
+		if (*rc::gen::arbitrary<bool>())
+		{
+			text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+		}
+		try
+		{
+			const UpstreamRecord record = platform::decodeUpstream("i-1", text);
+			RC_ASSERT(0 != http::socketAddress(record.address).sin_port);
+			RC_ASSERT(!record.service.empty() && 0 < record.slots && 0 <= record.startedAt && 0 <= record.coldForMs);
+		}
+		catch (const InvalidInputError&)
+		{
+			return;
+		}
+	});
+}
