--- a/include/archdyke/cold_share.h
+++ b/include/archdyke/cold_share.h
@@ -24,6 +24,7 @@
 		double bornePerS = 0.0;     ///< Arrivals a second that it bears, of all gateways together.
 		double mostPerS = 0.0;      ///< Arrivals in any one second that it survives.
 		std::uint32_t gateways = 1; ///< That share them.
+		Millis assumedMs = 0;       ///< How long one counts as cold that may have turned cold and doesn't say.
 
 		bool operator==(const ColdTerms&) const = default;
 	};
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -176,7 +176,7 @@
 		// It was let in once: to refuse it for want of room now would lose what was done for it.
 		for (std::size_t index = 0; index < options.groups.size(); ++index)
 		{
-			options.candidates[index].hasRoom = !hasOnlyCold(*options.groups[index], nowMs());
+			options.candidates[index].hasRoom = 0 < membersThatMayGet(*options.groups[index], nowMs());
 		}
 		return chosenOf(options, _context.state.random);
 	}
@@ -189,6 +189,10 @@
 		const Millis until = arrivedAt + longestWait(_context.route->objectiveMs);
 		while (true)
 		{
+			if (state.board.isEvacuated(_context.service))
+			{
+				co_return refuseNotRun(_context, RefusalCause::Evacuated); // it lasts longer than callers wait
+			}
 			const GroupOptions options = optionsOf(_context);
 			if (awaitsOpening(_context, options, arrivedAt))
 			{
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -84,6 +84,10 @@
 		/// @returns Why no upstream was found for a try.
 		RefusalCause whyNone(const RequestContext& _context)
 		{
+			if (_context.state.board.isEvacuated(_context.service))
+			{
+				return RefusalCause::Evacuated;
+			}
 			const std::vector<GroupRef>& groups = _context.state.board.groupsOf(_context.service);
 			const bool cold = std::any_of(groups.begin(), groups.end(), [](const GroupRef& _group) {
 				return hasOnlyCold(*_group, nowMs());
