--- a/tests/test_group_news.cpp
+++ b/tests/test_group_news.cpp
@@ -159,7 +159,7 @@
 }
 
 /// Gateways that look for their groups after a restart ask many daemons: 36 were counted as 296.
-Test(group_news, a_gateway_that_looks_for_a_group_is_not_counted)
+Test(groupnews, a_gateway_that_looks_for_a_group_is_not_counted)
 {
 	GroupKnowledge knowledge = knowing(1);
 	noteGateway(knowledge, "", {3, 10}, 1'000);
