A service that only routes name is known; rows kept aside go with their row

Kept aside, an upstream that lapsed while the store was away stayed there, and a service that a configuration names in a route alone would not have been served any more.

--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -1,5 +1,5 @@
-/// Follows what operators ask for, the configuration and zones to evacuate, and the list of upstreams: by what a group's coordinator tells of the
-/// store, and by calls of its own while nobody tells enough.
+/// Follows what operators ask for, the configuration and zones to evacuate, and the list of upstreams:
+/// by what a group's coordinator tells of the store, and by calls of its own while nobody tells enough.
 #pragma once
 
 #include <map>
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -96,6 +96,7 @@
 
 	void StoreWatch::loseUpstream(const std::string& _incarnation)
 	{
+		this->unplaced.erase(_incarnation);
 		const Millis now = nowMs();
 		const Millis trustedFrom = this->upstreamsBackAt + kLapsedRowsBackMs;
 		if (0 != this->upstreamsBackAt && now < trustedFrom)
@@ -106,7 +107,6 @@
 			}
 			return;
 		}
-		this->unplaced.erase(_incarnation);
 		this->state.board.forget(_incarnation, now);
 	}
 
@@ -131,7 +131,16 @@
 
 	bool StoreWatch::isPlaced(const UpstreamRecord& _record) const
 	{
-		return nullptr == this->state.catalog || nullptr != findService(*this->state.catalog, _record.service);
+		if (nullptr == this->state.catalog || nullptr != findService(*this->state.catalog, _record.service))
+		{
+			return true;
+		}
+		const std::vector<CatalogRoute>& routes = this->state.catalog->catalog.routes;
+		return std::any_of(routes.begin(), routes.end(), [&](const CatalogRoute& _route) {
+			return std::any_of(_route.services.begin(), _route.services.end(), [&](const WeightedService& _service) {
+				return _service.name == _record.service;
+			});
+		});
 	}
 
 	void StoreWatch::takeUpstream(const store::Row& _row)
