--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -135,6 +135,29 @@
 	}));
 }
 
+/// All daemons start while such a row is the first that was written: the coordinator reads the list whole.
+Test(group, a_row_of_another_writer_keeps_no_rank_out)
+{
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	for (auto& sidecar : group.sidecars)
+	{
+		sidecar->kill();
+	}
+	rig.store.putIn("servers", "", "0-foreign", "{");
+	for (std::size_t rank = 0; rank < group.engines.size(); ++rank)
+	{
+		rig.store.put("servers", fmt::format("rank-{}", rank), lab::upstreamJson("svc", group.engines[rank], "ready"));
+	}
+	for (std::size_t rank = 0; rank < group.engines.size(); ++rank)
+	{
+		rig.start(group, rank);
+	}
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	group.expectNoSplit();
+}
+
 /// Without a coordinator each gateway asks the store, and a change is in force as before.
 Test(group, gateways_ask_the_store_themselves_while_nobody_tells)
 {
