Coordinator: weighs each switch of the map, and learns from those that it made

Change: plan() and what it knows move to coordinator_maps.cpp; the coordinator measures how long a switch takes and how long the group stands at its boundary, judges a map only by passes that began on it, and leaves the time without requests out of a pass. map_planned tells what is saved and lost, map_not_worth why none is made; metrics archdyke_map_*; the dump has 'maps'.

--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "archdyke/map_policy.h"
 #include "group/coordinator_p.h"
 #include "log.h"
 #include "process.h"
@@ -68,6 +67,7 @@
 	    , rowVersion(_rowVersion)
 	    , rowReadAt(nowMs())
 	    , phaseSince(nowMs())
+	    , mapCounters(this->parts.metrics)
 	    , errors(kj::heap<QuietErrors>())
 	    , tasks(*this->errors)
 	{
@@ -222,45 +222,6 @@
 		return obstacle.empty();
 	}
 
-	std::optional<SwitchIntent> Coordinator::plan()
-	{
-		const std::vector<RankView> ranks = this->views(kViewMaxAgeMs);
-		if (!this->mayPlan(ranks))
-		{
-			return std::nullopt;
-		}
-		const RankView& first = ranks.front();
-		const bool newCounts = !this->window.pieces.empty() && this->window.pieces.back().to > this->plannedTo && this->window.pieces.back().epoch == first.epoch;
-		if (!newCounts)
-		{
-			return std::nullopt;
-		}
-		const std::optional<ExpertLoad> load = loadOf(this->window, this->model->experts, kCountWindowMs);
-		if (!load)
-		{
-			return std::nullopt;
-		}
-		this->plannedTo = this->window.pieces.back().to;
-		const ExpertHosts hosts = this->currentHosts(ranks);
-		if (hosts.size() != load->size())
-		{
-			return std::nullopt;
-		}
-		const MapDecision decision = decideMap(*this->model, std::uint32_t(ranks.size()), hosts, *load, {this->passMs, this->gapObjectiveMs}, this->paces(ranks.size()));
-		this->lastSkew = decision.skewBefore;
-		if (!decision.worthwhile)
-		{
-			return std::nullopt;
-		}
-		logInfo("map_planned", {{"group", this->group}, {"epoch", first.epoch}, {"step", first.step}, {"skew", decision.skewBefore}, {"planned_skew", decision.skewAfter}, {"copies", decision.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.pieces.back().to}});
-		std::optional<SwitchIntent> begun = beginSwitch(this->intent, first.epoch, decision.hosts);
-		if (!begun)
-		{
-			this->end(CoordinatorEnd::TermLost); // no versions left: the next coordinator has a term of its own
-		}
-		return begun;
-	}
-
 	bool Coordinator::allReachable() const
 	{
 		const SearchProgress progress = this->progress();
@@ -367,6 +328,6 @@
 		{
 			seen.push_back({{"engine", engine}, {"rank", rank.report.rank}, {"ageMs", 0 == rank.seenAt ? -1 : nowMs() - rank.seenAt}, {"step", rank.report.view.step}, {"map", rank.report.view.map}, {"queued", rank.report.queued}, {"active", rank.report.active}, {"pace", rank.report.pace}});
 		}
-		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"branches", this->branches.size()}, {"gateways", this->parts.knowledge.news.gateways.count}, {"ranks", seen}}.dump();
+		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"maps", this->describeMaps()}, {"branches", this->branches.size()}, {"gateways", this->parts.knowledge.news.gateways.count}, {"ranks", seen}}.dump();
 	}
 } // namespace archdyke::group
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 
 #include "archdyke/catalog.h"
 #include "archdyke/map_window.h"
 #include "archdyke/rank_search.h"
 #include "archdyke/relay_tree.h"
+#include "archdyke/switch_worth.h"
 #include "archdyke/upstream_choice.h"
 #include "gateway/settings.h"
 #include "group/fan_out.h"
@@ -29,6 +31,19 @@
 		gateway::SidecarSettings settings;
 		GroupKnowledge& knowledge; ///< Of this daemon; the coordinator puts its news there.
 		FanOut& fanOut;            ///< Of this daemon.
+		Metrics& metrics;          ///< Of this process.
+	};
+
+	/// What a coordinator counts of its maps; the registry owns the counters.
+	struct MapCounters
+	{
+		explicit MapCounters(Metrics& _metrics);
+
+		prometheus::Counter& switches;
+		prometheus::Counter& stoodMs;
+		prometheus::Gauge& skew;
+		prometheus::Gauge& savedMs;
+		prometheus::Gauge& costMs;
 	};
 
 	/// Why a coordinator ended.
@@ -66,6 +81,7 @@
 			std::string engineAddress;
 			std::string incarnation; ///< Of the engine, as the list of upstreams has it.
 			std::string zone;        ///< Likewise; empty: it isn't listed yet.
+			bool leaving = false;    ///< Likewise: it drains.
 			SearchCandidate search;  ///< While it isn't known to be in this group.
 			EngineReport report;
 			Millis seenAt = 0;        ///< Not after the engine said so; 0: never.
@@ -94,6 +110,15 @@
 			Millis at = 0;
 		};
 
+		/// The last switch that was planned, until it is in force or a later one is planned.
+		struct PlannedSwitch
+		{
+			std::uint64_t version = 0; ///< Of the map; 0: none.
+			Millis at = 0;
+			double copyMs = 0.0;
+			double stoodMs = 0.0; ///< At its boundary, as far as seen.
+		};
+
 		/// The map of the open switch as its difference from another map.
 		struct KnownDifference
 		{
@@ -183,6 +208,19 @@
 		/// @param[in] _dealt Of the map that groups form with; else of the one in force.
 		const MapDifference& differenceFrom(bool _dealt, std::uint32_t _ranks);
 		std::optional<SwitchIntent> plan();
+		/// @returns Choices to plan from, if there are newer ones than were planned from before.
+		std::optional<ExpertLoad> newLoad(std::uint64_t _epoch);
+		/// @returns How the group does, from its passes on the map in use; none before there are enough.
+		std::optional<GroupPressure> pressure() const;
+		/// @returns Mean time of the passes on the map in use, ms; none before there are enough.
+		std::optional<double> passOnThisMap() const;
+		static double meanPassMs(const PassSample& _first, const PassSample& _last);
+		/// Takes in how long the last switch took, once it is in force.
+		void noteLastSwitch();
+		/// A pass was seen to begin: tells whether the group stood at a boundary before it.
+		void noteStand(const PassSample& _before, const PassSample& _now);
+		void notePlan(const SwitchChoice& _choice, const RankView& _first);
+		nlohmann::json describeMaps() const;
 		/// @returns Why no map can be planned now; empty when one can.
 		std::string_view obstacle(const std::vector<RankView>& _ranks) const;
 		/// The same, with a log line when it lasts.
@@ -225,6 +263,12 @@
 		std::uint64_t passEpoch = 0;
 		Millis gapObjectiveMs = 0;
 		double lastSkew = 0.0;
+		SwitchRecord switchRecord;
+		SavingRecord savings;
+		SwitchChoice lastChoice; ///< The last one that was weighed.
+		PlannedSwitch lastPlanned;
+		Millis notWorthToldAt = 0; ///< When a switch that doesn't pay was last logged.
+		MapCounters mapCounters;
 		std::uint64_t switches = 0;
 		kj::Own<kj::TaskSet::ErrorHandler> errors;
 		kj::TaskSet tasks;
--- a/src/group/coordinator_p.h
+++ b/src/group/coordinator_p.h
@@ -14,4 +14,6 @@
 	constexpr Millis kDirectEveryMs = 200;
 	/// The same while a switch is open: it waits for what the rank says.
 	constexpr Millis kDirectSwitchingMs = 25;
+	/// The time of a pass is the mean over about this long, ms: some passes.
+	constexpr Millis kPassWindowMs = 500;
 } // namespace archdyke::group
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -12,8 +12,6 @@
 	{
 		/// From this pace on a rank is told to be slow, in the log; decisions take any pace as it is.
 		constexpr double kSlowPace = 1.5;
-		/// The time of a pass is the mean over about this long, ms: some passes.
-		constexpr Millis kPassWindowMs = 500;
 	} // namespace
 
 	void Coordinator::notePass(const EngineReport& _engine)
@@ -26,6 +24,10 @@
 		}
 		if (this->passes.empty() || this->passes.back().step < _engine.view.step)
 		{
+			if (!this->passes.empty())
+			{
+				this->noteStand(this->passes.back(), {_engine.view.step, now});
+			}
 			this->passes.push_back({_engine.view.step, now});
 		}
 		while (2 < this->passes.size() && this->passes[1].at < now - kPassWindowMs)
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -137,6 +137,7 @@
 			rank.zone = record.zone;
 			rank.search.ownZone = record.zone == this->parts.settings.place.zone;
 			rank.search.listed = true;
+			rank.leaving = record.leaving;
 		}
 	}
 
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -295,7 +295,7 @@
 
 			aio::Task<void> coordinate(std::string _group, SwitchIntent _row, std::uint64_t _version)
 			{
-				CoordinatorParts parts{this->loop, *this->tableStore, this->deployment.tables, this->deployment.codec, this->deployment.decoders.catalog, this->deployment.decoders.upstream, this->settings, this->state.knowledge, this->fanOut};
+				CoordinatorParts parts{this->loop, *this->tableStore, this->deployment.tables, this->deployment.codec, this->deployment.decoders.catalog, this->deployment.decoders.upstream, this->settings, this->state.knowledge, this->fanOut, this->metrics};
 				this->state.coordinator = std::make_unique<Coordinator>(std::move(parts), _group, std::move(_row), _version);
 				const CoordinatorEnd end = co_await this->state.coordinator->run();
 				logInfo("coordinator_ended", {{"group", _group}, {"why", toString(end)}});
