--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -219,7 +219,8 @@
 		void noteLastSwitch();
 		/// A pass was seen to begin: tells whether the group stood at a boundary before it.
 		void noteStand(const PassSample& _before, const PassSample& _now);
-		void notePlan(const SwitchChoice& _choice, const RankView& _first);
+		/// @param[in] _passMs What was decided by.
+		void notePlan(const SwitchChoice& _choice, const RankView& _first, double _passMs);
 		nlohmann::json describeMaps() const;
 		/// @returns Why no map can be planned now; empty when one can.
 		std::string_view obstacle(const std::vector<RankView>& _ranks) const;
--- a/src/group/coordinator_maps.cpp
+++ b/src/group/coordinator_maps.cpp
@@ -113,7 +113,7 @@
 		this->lastPlanned = {};
 	}
 
-	void Coordinator::notePlan(const SwitchChoice& _choice, const RankView& _first)
+	void Coordinator::notePlan(const SwitchChoice& _choice, const RankView& _first, double _passMs)
 	{
 		const SwitchWorth& worth = _choice.worth;
 		this->lastSkew = _choice.plan.skewBefore;
@@ -128,12 +128,12 @@
 		this->mapCounters.costMs.Set(worth.costMs);
 		if (SwitchDoubt::None == _choice.doubt)
 		{
-			logInfo("map_planned", {{"group", this->group}, {"epoch", _first.epoch}, {"step", _first.step}, {"skew", _choice.plan.skewBefore}, {"planned_skew", _choice.plan.skewAfter}, {"copies", _choice.plan.copies}, {"pass_ms", this->passMs}, {"counts_age_ms", nowMs() - this->window.pieces.back().to}, {"saved_ms", worth.savedMs}, {"cost_ms", worth.costMs}, {"expected_ms", worth.expectedMs}, {"kept", worth.keptShare}, {"stood_ms", this->switchRecord.mean.stoodMs}, {"overhead_ms", this->switchRecord.mean.overheadMs}});
+			logInfo("map_planned", {{"group", this->group}, {"epoch", _first.epoch}, {"step", _first.step}, {"skew", _choice.plan.skewBefore}, {"planned_skew", _choice.plan.skewAfter}, {"copies", _choice.plan.copies}, {"pass_ms", _passMs}, {"counts_age_ms", nowMs() - this->window.pieces.back().to}, {"saved_ms", worth.savedMs}, {"cost_ms", worth.costMs}, {"expected_ms", worth.expectedMs}, {"kept", worth.keptShare}, {"stood_ms", this->switchRecord.mean.stoodMs}, {"overhead_ms", this->switchRecord.mean.overheadMs}});
 		}
 		else if (nowMs() - this->notWorthToldAt >= kNotWorthEveryMs)
 		{
 			this->notWorthToldAt = nowMs();
-			logInfo("map_not_worth", {{"group", this->group}, {"why", toString(_choice.doubt)}, {"step", _first.step}, {"skew", _choice.plan.skewBefore}, {"planned_skew", _choice.plan.skewAfter}, {"copies", _choice.plan.copies}, {"pass_ms", this->passMs}, {"saved_ms", worth.savedMs}, {"cost_ms", worth.costMs}, {"expected_ms", worth.expectedMs}, {"kept", worth.keptShare}, {"stood_ms", this->switchRecord.mean.stoodMs}, {"overhead_ms", this->switchRecord.mean.overheadMs}});
+			logInfo("map_not_worth", {{"group", this->group}, {"why", toString(_choice.doubt)}, {"step", _first.step}, {"skew", _choice.plan.skewBefore}, {"planned_skew", _choice.plan.skewAfter}, {"copies", _choice.plan.copies}, {"pass_ms", _passMs}, {"saved_ms", worth.savedMs}, {"cost_ms", worth.costMs}, {"expected_ms", worth.expectedMs}, {"kept", worth.keptShare}, {"stood_ms", this->switchRecord.mean.stoodMs}, {"overhead_ms", this->switchRecord.mean.overheadMs}});
 		}
 	}
 
@@ -154,7 +154,7 @@
 			return std::nullopt;
 		}
 		const SwitchChoice choice = chooseSwitch(*this->model, std::uint32_t(ranks.size()), hosts, *load, *pressure, this->paces(ranks.size()), this->switchRecord, this->savings, nowMs());
-		this->notePlan(choice, first);
+		this->notePlan(choice, first, pressure->passes.passMs);
 		if (SwitchDoubt::None != choice.doubt)
 		{
 			return std::nullopt;
