--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -151,6 +151,7 @@
 		rank.zone = _record.zone;
 		rank.search.ownZone = _record.zone == this->parts.settings.place.zone;
 		rank.search.listed = true;
+		rank.leaving = _record.leaving;
 	}
 
 	void Coordinator::takeConfiguration(const store::Rows& _rows)
