--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -141,7 +141,7 @@
 			{
 				const UpstreamGroup& group = *_options.groups[index];
 				const GroupCandidate& candidate = _options.candidates[index];
-				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"group", group.name.empty() ? "-" : group.name}, {"standing", toString(candidate.standing)}, {"mean_load", meanLoad(group, now)}, {"fullness", candidate.fullness}, {"pass_ms", group.view.passMs}, {"view_age_ms", now - group.view.at}, {"came_back", cameBack(_context)}});
+				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"group", group.name.empty() ? "-" : group.name}, {"standing", toString(candidate.standing)}, {"working", group.working}, {"mean_load", meanLoad(group, now)}, {"fullness", candidate.fullness}, {"pass_ms", group.view.passMs}, {"view_age_ms", now - group.view.at}, {"came_back", cameBack(_context)}});
 			}
 		}
 	} // namespace
