A switch that hurts few is made ahead of need where nobody waits

Cause: only switches that make fewer than 1 stream in 50 late were made ahead; with brief holds a shift was followed only once it was felt. Change: 1 in 10, where fewer than a tenth of the ranks have a queue.

--- a/src/decide/switch_worth.cpp
+++ b/src/decide/switch_worth.cpp
@@ -43,9 +43,12 @@
 		/// The same by which a small switch must be better than a large one.
 		constexpr double kClearGainShare = 0.02;
 		/// A switch that makes fewer of the running streams late is made whenever there is skew over what is
-		/// tolerated: with passes far below the gap nothing would be saved now, and a switch begun only when
-		/// places have filled makes all of them late.
-		constexpr double kHarmless = 0.02;
+		/// tolerated and hardly a request waits: with passes far below the gap nothing would be saved now, and
+		/// one begun only when skew is felt comes late. With holds of 20 ms and topics of 4 s 0.58 -> 0.80 of the
+		/// streams are in time (replayed).
+		constexpr double kHarmless = 0.1;
+		/// Share of the ranks with a queue from which on a switch must pay: the time that it takes is theirs.
+		constexpr double kFewWaiting = 0.1;
 		/// Of the copies that a rank can make in a switch, those of a small one.
 		constexpr double kSmallSwitch = 0.4;
 
@@ -145,9 +148,10 @@
 			return _worth.savedMs - _worth.costMs;
 		}
 
-		bool pays(const SwitchWorth& _worth)
+		bool pays(const SwitchWorth& _worth, const GroupPressure& _group)
 		{
-			return gainOf(_worth) > kLeastGainShare * _worth.expectedMs || _worth.madeLate < kHarmless;
+			const bool harmless = _worth.madeLate < kHarmless && _group.waiting < kFewWaiting;
+			return harmless || gainOf(_worth) > kLeastGainShare * _worth.expectedMs;
 		}
 
 		/// What a plan is weighed with.
@@ -190,7 +194,7 @@
 		{
 			const double copyMs = _plan.hosts.empty() ? 0.0 : _with.model.expertCopyMs * mostCopies(_with.hosts, _plan.hosts, _with.ranks);
 			const SwitchWorth worth = worthOf(_with.model, _with.group, _plan, copyMs, _with.record, _with.times);
-			return {pays(worth) ? SwitchDoubt::None : SwitchDoubt::CostsMore, std::move(_plan), worth};
+			return {pays(worth, _with.group) ? SwitchDoubt::None : SwitchDoubt::CostsMore, std::move(_plan), worth};
 		}
 	} // namespace
 
