A coordinator that lost its term writes no row

Cause: a coordinator that read a row of a newer term took its version over before it ended, and its loop decided once more: a sidecar that was stopped and went on wrote the row of its old term over the newer one. The group had a row that named a map which wasn't in force, and planned none from then on (no_map_planned, why=map_unknown). Change: the version is taken only from a row of the own term, and an ended coordinator decides nothing.

--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -329,7 +329,10 @@
 		{
 			// Answers to orders come between two looks, and each may let the switch go on.
 			co_await this->parts.loop.timer.afterDelay(kTickMs * kj::MILLISECONDS);
-			co_await this->advance();
+			if (!this->ended) // meanwhile
+			{
+				co_await this->advance();
+			}
 		}
 	}
 
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -60,14 +60,15 @@
 	void Coordinator::adoptRow(const store::Row& _row)
 	{
 		SwitchIntent current = decodeIntent(_row.value);
-		this->rowVersion = _row.version;
-		this->rowReadAt = nowMs();
 		if (current.term != this->intent.term)
 		{
+			// The version stays unknown: with it, a write of this term would take the row back.
 			logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", current.term}, {"coordinator", current.coordinator}});
 			this->end(CoordinatorEnd::TermLost);
 			return;
 		}
+		this->rowVersion = _row.version;
+		this->rowReadAt = nowMs();
 		this->adopt(std::move(current));
 	}
 
