--- a/src/group/coordinator_maps.cpp
+++ b/src/group/coordinator_maps.cpp
@@ -159,7 +159,7 @@
 		{
 			return std::nullopt;
 		}
-		std::optional<SwitchIntent> begun = beginSwitch(this->intent, first.epoch, choice.plan.hosts);
+		std::optional<SwitchIntent> begun = beginSwitch(this->intent, first.epoch, choice.plan.hosts, this->history.version);
 		if (!begun)
 		{
 			this->end(CoordinatorEnd::TermLost); // no versions left: the next coordinator has a term of its own
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -60,14 +60,15 @@
 	void Coordinator::adoptRow(const store::Row& _row)
 	{
 		SwitchIntent current = decodeIntent(_row.value);
-		this->rowVersion = _row.version;
-		this->rowReadAt = nowMs();
 		if (current.term != this->intent.term)
 		{
+			// The version stays unknown: with it, a write of this term would take the row back.
 			logWarning("term_lost", {{"group", this->group}, {"term", this->intent.term}, {"newer", current.term}, {"coordinator", current.coordinator}});
 			this->end(CoordinatorEnd::TermLost);
 			return;
 		}
+		this->rowVersion = _row.version;
+		this->rowReadAt = nowMs();
 		this->adopt(std::move(current));
 	}
 
@@ -269,11 +270,8 @@
 
 	Millis Coordinator::rowLookMs() const
 	{
-		// A hold that is seen while no switch is open stands in the way of the group.
-		const std::vector<RankView> ranks = this->views(kViewMaxAgeMs);
-		const bool stray = !this->switchIsOpen() && std::any_of(ranks.begin(), ranks.end(), [](const RankView& _rank) {
-			return _rank.seen && _rank.held;
-		});
+		// A hold that no open switch owns stands in the way of the group.
+		const bool stray = !releaseStrayHolds(this->intent, this->views(kViewMaxAgeMs)).empty();
 		const Millis usual = this->storeLost ? kStoreRetryMs : kRowLookMs;
 		return stray ? kStrayLookMs : usual;
 	}
