--- a/include/archdyke/come_back.h
+++ b/include/archdyke/come_back.h
@@ -16,8 +16,6 @@
 		StaleProof,      ///< Whether its key still holds can't be told.
 		NoUpstream,      ///< No upstream takes work.
 		Overloaded,      ///< All upstreams have what they can do in time.
-		LessUrgent,      ///< There is room, but only for more urgent requests.
-		OverShare,       ///< Its organisation has more than its share of what is scarce.
 		ColdUpstreams,   ///< The upstreams that are left are cold and have what they bear.
 		Evacuated,       ///< The zones of all upstreams are evacuated.
 		GroupDown,       ///< The group of engine ranks stands still or forms.
--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -30,8 +30,6 @@
 				return {500, 1'500};
 			case RefusalCause::ColdUpstreams: // each second brings what they bear anew
 			case RefusalCause::Evacuated:     // callers' repeats find upstreams of another zone that are back
-			case RefusalCause::LessUrgent:
-			case RefusalCause::OverShare:
 			case RefusalCause::Overloaded:
 				return {700, 2'000}; // a stream of usual length ends in 1 to 3 s
 			case RefusalCause::GroupDown:
@@ -54,10 +52,6 @@
 			return "no_upstream";
 		case RefusalCause::Overloaded:
 			return "overloaded";
-		case RefusalCause::LessUrgent:
-			return "less_urgent";
-		case RefusalCause::OverShare:
-			return "over_share";
 		case RefusalCause::ColdUpstreams:
 			return "cold_upstreams";
 		case RefusalCause::Evacuated:
