--- a/include/archdyke/upstream_choice.h
+++ b/include/archdyke/upstream_choice.h
@@ -19,10 +19,10 @@
 		std::string service;
 		std::string address; ///< IP:port.
 		std::string zone;
-		std::uint32_t slots = 1; ///< Requests at once.
-		bool leaving = false;    ///< Takes no new work.
-		Millis coldForMs = 0;    ///< How much longer it was cold when it said so.
-		Millis startedAt = 0;    ///< Unix time of its start, ms; 0: it doesn't say. A later one holds and knows nothing of before.
+		std::uint32_t slots = 1;         ///< Requests at once.
+		bool leaving = false;            ///< Takes no new work.
+		std::optional<Millis> coldForMs; ///< How much longer it was cold when it said so; none: it doesn't say.
+		Millis startedAt = 0;            ///< Unix time of its start, ms; 0: it doesn't say. A later one holds and knows nothing of before.
 
 		bool operator==(const UpstreamRecord&) const = default;
 	};
--- a/src/decide/switch_worth.cpp
+++ b/src/decide/switch_worth.cpp
@@ -137,6 +137,24 @@
 			return 0 < _group.passes.gapObjectiveMs && 0.0 < _group.passes.passMs && 0.0 < _model.expertShare;
 		}
 
+		/// @returns Whether counts and ranks are those of the group that a map was made for: it may have formed
+		/// anew with fewer ranks, or its model may have changed.
+		bool fits(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks)
+		{
+			bool same = _hosts.size() == _load.size();
+			for (std::size_t set = 0; same && set < _hosts.size(); ++set)
+			{
+				same = _hosts[set].size() == _load[set].size();
+				for (const std::vector<std::uint32_t>& hosts : _hosts[set])
+				{
+					same = same && std::all_of(hosts.begin(), hosts.end(), [&](std::uint32_t _rank) {
+						       return _rank < _ranks;
+					       });
+				}
+			}
+			return same;
+		}
+
 		/// @returns Whether it is time to follow another plan.
 		bool trialIsDue(const SavingRecord& _record, Millis _now)
 		{
@@ -217,7 +235,7 @@
 	{
 		for (PlanTrial& trial : _record.trials)
 		{
-			const bool sameShape = trial.before.size() == _load.size();
+			const bool sameShape = fits(trial.before, _load, _ranks) && fits(trial.after, _load, _ranks);
 			while (trial.nextAge < kSavingAges.size() && trial.at + kSavingAges[trial.nextAge] <= _now)
 			{
 				const std::size_t age = trial.nextAge++;
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -113,19 +113,6 @@
 			});
 		}
 
-		/// @returns Whether of all groups that aren't down only cold upstreams are left, with what they bear.
-		bool onlyColdAreLeft(const GroupOptions& _options, Millis _now)
-		{
-			for (std::size_t index = 0; index < _options.groups.size(); ++index)
-			{
-				if (GroupStanding::Down != _options.candidates[index].standing && !hasOnlyCold(*_options.groups[index], _now))
-				{
-					return false;
-				}
-			}
-			return true;
-		}
-
 		/// @returns Whether any group is heard of and open. Of a dense engine nothing is heard.
 		bool anyServes(const RequestContext& _context, const GroupOptions& _options)
 		{
@@ -208,7 +195,7 @@
 			{
 				co_return refuseNotRun(_context, RefusalCause::GroupDown);
 			}
-			if (onlyColdAreLeft(options, nowMs()))
+			if (onlyColdAreLeft(options.groups, nowMs()))
 			{
 				co_return refuseNotRun(_context, RefusalCause::ColdUpstreams);
 			}
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -49,6 +49,16 @@
 
 	double meanLoad(const UpstreamGroup& _group, Millis _now)
 	{
+		if (0 < _group.evacuated)
+		{
+			// What still runs in an evacuated zone takes no place of those that are left.
+			double left = 0.0;
+			for (const UpstreamRef& upstream : _group.members)
+			{
+				left += takesWork(*upstream) ? loadOf(*upstream, _now) : 0.0;
+			}
+			return left / double(std::max<std::uint32_t>(1, _group.working));
+		}
 		const double own = double(_group.inFlight);
 		const double total = isKnown(_group, _now) ? std::max(own, double(_group.reported) + own - double(_group.ownThen)) : own;
 		return total / double(std::max<std::uint32_t>(1, _group.working));
@@ -136,8 +146,13 @@
 			holder->superseded = true;
 			this->count(*holder->group);
 		}
+		const bool isBack = _upstream->superseded;
 		_upstream->superseded = false;
 		holder = _upstream;
+		if (isBack)
+		{
+			this->count(*_upstream->group);
+		}
 	}
 
 	void Board::learn(const UpstreamRecord& _record, Millis _now, Millis _coldIfNewMs)
@@ -161,8 +176,10 @@
 		}
 		const bool leaves = _record.leaving && !upstream->leavingSince;
 		const bool changed = isNew || leaves || upstream->record != _record;
-		const bool started = isNew || upstream->record.startedAt != _record.startedAt;
+		const bool started = isNew || upstream->record.startedAt < _record.startedAt;
+		const Millis startedAt = std::max(upstream->record.startedAt, _record.startedAt);
 		upstream->record = _record;
+		upstream->record.startedAt = startedAt; // a row that doesn't say is of the run that is known
 		this->setColdSends(*upstream);
 		upstream->evacuated = this->evacuatedZones.contains(_record.zone);
 		this->takeAddress(upstream);
@@ -174,7 +191,7 @@
 		{
 			this->count(*upstream->group);
 			logInfo("upstream_learned", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"zone", _record.zone}, {"leaving", upstream->leavingSince.has_value()}});
-			this->beginCold(upstream, 0 < _record.coldForMs || !started ? _record.coldForMs : _coldIfNewMs, _now);
+			this->beginCold(upstream, _record.coldForMs.value_or(started ? _coldIfNewMs : 0), _now);
 		}
 	}
 
@@ -243,7 +260,7 @@
 				this->put(upstream, group);
 			}
 			upstream->reported = ReportedLoad{rank.requests, at, upstream->inFlight, rank.pace};
-			group->reported += upstream->evacuated ? 0 : rank.requests; // the mean is over those that take work
+			group->reported += rank.requests;
 		}
 		group->ownThen = group->inFlight;
 		if (group->members.empty())
@@ -376,10 +393,12 @@
 	{
 		_group.working = 0;
 		_group.workingInZone = 0;
+		_group.evacuated = 0;
 		for (const UpstreamRef& upstream : _group.members)
 		{
 			const bool works = takesWork(*upstream);
 			_group.working += works ? 1 : 0;
+			_group.evacuated += upstream->evacuated ? 1 : 0;
 			_group.workingInZone += works && upstream->record.zone == this->zone ? 1 : 0;
 		}
 	}
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -68,6 +68,7 @@
 		std::vector<UpstreamRef> members;
 		std::uint32_t working = 0;       ///< Members that take work.
 		std::uint32_t workingInZone = 0; ///< Of these, in the gateway's zone.
+		std::uint32_t evacuated = 0;     ///< Members whose zone is to get nothing.
 		std::uint32_t inFlight = 0;      ///< Requests of this gateway at its members.
 		std::uint32_t reported = 0;      ///< Requests of all gateways there, as last told.
 		std::uint32_t ownThen = 0;       ///< Of these, how many were this gateway's then.
@@ -117,6 +118,10 @@
 	/// this gateway.
 	bool hasOnlyCold(const UpstreamGroup& _group, Millis _now);
 
+	/// @returns Whether of some groups those that aren't down have nothing left for this gateway but cold
+	/// upstreams that have what they bear.
+	bool onlyColdAreLeft(const std::vector<GroupRef>& _groups, Millis _now);
+
 	/// @returns Requests at an upstream: as reported, corrected by what this gateway sent and
 	/// finished since; without a recent report what this gateway has there.
 	double loadOf(const Upstream& _upstream, Millis _now);
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -33,6 +33,24 @@
 		return 0 < _group.working && 0 == membersThatMayGet(_group, _now);
 	}
 
+	bool onlyColdAreLeft(const std::vector<GroupRef>& _groups, Millis _now)
+	{
+		bool anyCold = false;
+		for (const GroupRef& group : _groups)
+		{
+			if (isDown(*group, _now))
+			{
+				continue;
+			}
+			if (0 < membersThatMayGet(*group, _now))
+			{
+				return false;
+			}
+			anyCold = anyCold || hasOnlyCold(*group, _now);
+		}
+		return anyCold;
+	}
+
 	void Board::beginCold(const UpstreamRef& _upstream, Millis _forMs, Millis _now)
 	{
 		if (_forMs <= 0)
@@ -44,7 +62,7 @@
 		_upstream->group->coldUntil = std::max(_upstream->group->coldUntil, _upstream->cold.until);
 		if (!before && _upstream->coldSends)
 		{
-			logInfo("upstream_cold", {{"incarnation", _upstream->record.incarnation}, {"service", _upstream->record.service}, {"group", _upstream->group->name.empty() ? "-" : _upstream->group->name}, {"for_ms", _forMs}, {"told", 0 < _upstream->record.coldForMs}, {"sends", *_upstream->coldSends}, {"gateways", this->coldLimits.at(_upstream->record.service).terms.gateways}});
+			logInfo("upstream_cold", {{"incarnation", _upstream->record.incarnation}, {"service", _upstream->record.service}, {"group", _upstream->group->name.empty() ? "-" : _upstream->group->name}, {"for_ms", _forMs}, {"told", _upstream->record.coldForMs.has_value()}, {"sends", *_upstream->coldSends}, {"gateways", this->coldLimits.at(_upstream->record.service).terms.gateways}});
 		}
 	}
 
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -88,10 +88,7 @@
 			{
 				return RefusalCause::Evacuated;
 			}
-			const std::vector<GroupRef>& groups = _context.state.board.groupsOf(_context.service);
-			const bool cold = std::any_of(groups.begin(), groups.end(), [](const GroupRef& _group) {
-				return hasOnlyCold(*_group, nowMs());
-			});
+			const bool cold = onlyColdAreLeft(_context.state.board.groupsOf(_context.service), nowMs());
 			return cold ? RefusalCause::ColdUpstreams : RefusalCause::NoUpstream;
 		}
 
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -95,8 +95,8 @@
 
 	std::string LoadLink::nameInSearch() const
 	{
-		// A gateway that asks some daemons in a row is counted at each: of 36 gateways 249 were told 3 s after
-		// their start, and the share of a cold upstream is as much smaller. Resends alone are safe with that.
+		// A gateway that asks some daemons in a row is counted at each, and its share of a cold upstream is as
+		// much smaller. Shares of resends are only safer by it.
 		const std::vector<CatalogService>& services = this->state.catalog->catalog.services;
 		const bool anyCold = std::any_of(services.begin(), services.end(), [](const CatalogService& _service) {
 			return _service.cold.has_value();
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -209,9 +209,9 @@
 		/// @returns The map that is prepared under a version: of the open switch, or the one in force when
 		/// it voids the switch; none when the version is another one's.
 		std::optional<ExpertHosts> mapOf(std::uint64_t _version, std::uint32_t _ranks) const;
-		/// @returns What makes the map of a version, made once a version.
+		/// @returns What makes the map of a version, made once a version; null when no map is prepared under it.
 		/// @param[in] _dealt Of the map that groups form with; else of the one in force.
-		const MapDifference& differenceFrom(bool _dealt, std::uint64_t _version, std::uint32_t _ranks);
+		const MapDifference* differenceFrom(bool _dealt, std::uint64_t _version, std::uint32_t _ranks);
 		std::optional<SwitchIntent> plan();
 		/// @returns Choices to plan from, if there are newer ones than were planned from before.
 		std::optional<ExpertLoad> newLoad(std::uint64_t _epoch);
--- a/src/group/coordinator_orders.cpp
+++ b/src/group/coordinator_orders.cpp
@@ -53,11 +53,15 @@
 		return dealt ? dealtInTurn(std::uint32_t(this->intent.map.size()), std::uint32_t(this->intent.map.front().size()), _ranks) : this->intent.inForce;
 	}
 
-	const MapDifference& Coordinator::differenceFrom(bool _dealt, std::uint64_t _version, std::uint32_t _ranks)
+	const MapDifference* Coordinator::differenceFrom(bool _dealt, std::uint64_t _version, std::uint32_t _ranks)
 	{
 		KnownDifference& known = _dealt ? this->fromDealt : this->fromInForce;
 		const std::optional<ExpertHosts> map = this->mapOf(_version, _ranks);
-		if (known.version != _version && map && !map->empty())
+		if (!map || map->empty())
+		{
+			return nullptr;
+		}
+		if (known.version != _version)
 		{
 			const std::uint32_t sets = std::uint32_t(map->size());
 			const std::uint32_t experts = std::uint32_t(map->front().size());
@@ -65,7 +69,7 @@
 			known.version = _version;
 			known.difference = differenceOf(_dealt ? 0 : this->intent.inForceVersion, expertsByRank(base, _ranks), expertsByRank(*map, _ranks), experts);
 		}
-		return known.difference;
+		return &known.difference;
 	}
 
 	std::vector<Coordinator::Rank*> Coordinator::ranksByNumber()
@@ -125,7 +129,16 @@
 		if (RankOrderKind::Prepare == first.kind)
 		{
 			const Rank& target = *known[first.rank];
-			order.difference = this->differenceFrom(target.lacksBase || 0 == this->intent.inForceVersion, first.version, target.report.ranks);
+			const MapDifference* difference = this->differenceFrom(target.lacksBase || 0 == this->intent.inForceVersion, first.version, target.report.ranks);
+			if (nullptr == difference)
+			{
+				for (const RankOrderPlan& plan : _plans)
+				{
+					this->sent.erase(plan); // a version must never be given with another one's map
+				}
+				co_return;
+			}
+			order.difference = *difference;
 		}
 		for (const RankOrderPlan& plan : _plans)
 		{
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -59,7 +59,16 @@
 
 	void Coordinator::adoptRow(const store::Row& _row)
 	{
-		SwitchIntent current = decodeIntent(_row.value);
+		SwitchIntent current;
+		try
+		{
+			current = decodeIntent(_row.value);
+		}
+		catch (const InvalidInputError& error)
+		{
+			logError("group_row_unreadable", {{"group", this->group}, {"row_version", _row.version}, {"reason", error.what()}});
+			return;
+		}
 		if (current.term != this->intent.term)
 		{
 			// The version stays unknown: with it, a write of this term would take the row back.
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -351,3 +351,62 @@
 	board.learn(record, 50);
 	cr_assert(takesWork(*board.all().front()) && 2'000 == board.all().front()->record.startedAt);
 }
+
+Test(board, what_still_runs_in_an_evacuated_zone_takes_no_place_of_the_others)
+{
+	Board board("here");
+	board.learn(recordOf("a", "1"), 0);
+	board.learn(recordOf("b", "2", "there"), 0);
+	board.report(reportOf("g", {"1", "2"}, 4), 10);
+	const UpstreamRef emptied = board.choose(*groupNamed(board, "g"), {"b"}, *std::make_unique<Random>(1), 10);
+	std::vector<std::unique_ptr<InFlight>> running;
+	for (int request = 0; request < 8; ++request)
+	{
+		running.push_back(std::make_unique<InFlight>(emptied, 10));
+	}
+	board.evacuate("here");
+	cr_assert(4.0 == meanLoad(*groupNamed(board, "g"), 10), "at once, not from the next report on");
+	board.report(reportOf("g", {"1", "2"}, 4), 20);
+	running.clear();
+	cr_assert(4.0 == meanLoad(*groupNamed(board, "g"), 20), "nor less when it ends");
+}
+
+Test(board, a_cold_zone_beside_an_evacuated_one_leaves_only_cold_upstreams)
+{
+	Board board("here", "gateway-1");
+	board.limitCold(kService, ColdTerms{20.0, 30.0, 2'048});
+	board.learn(recordOf("a", "1"), 0);
+	UpstreamRecord cold = recordOf("b", "2", "there");
+	cold.coldForMs = 3'000;
+	board.learn(cold, 0);
+	board.report(reportOf("g", {"1"}, 0), 10);
+	board.report(reportOf("h", {"2"}, 0), 10);
+	cr_assert(!onlyColdAreLeft(board.groupsOf(kService), 10));
+	board.evacuate("here");
+	cr_assert(onlyColdAreLeft(board.groupsOf(kService), 10));
+}
+
+Test(board, a_row_without_a_start_is_of_the_run_that_is_known)
+{
+	Board board("here");
+	UpstreamRecord record = recordOf("a", "1");
+	record.startedAt = 1'000;
+	board.learn(record, 0);
+	record.startedAt = 0;
+	record.leaving = true;
+	board.learn(record, 10);
+	record.startedAt = 900;
+	record.leaving = false;
+	board.learn(record, 20);
+	cr_assert(1'000 == board.all().front()->record.startedAt && !takesWork(*board.all().front()));
+}
+
+Test(board, an_upstream_that_says_it_is_warm_is_not_taken_for_cold)
+{
+	Board board("here", "gateway-1");
+	board.limitCold(kService, ColdTerms{20.0, 30.0, 2'048});
+	UpstreamRecord warm = recordOf("a", "1");
+	warm.coldForMs = 0;
+	board.learn(warm, 0, 3'000);
+	cr_assert(1 == membersThatMayGet(*groupNamed(board, ""), 10));
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -157,6 +157,8 @@
 	cr_assert(1'764'720'000'123 == record.startedAt && 2'500 == record.coldForMs && !record.leaving);
 	cr_assert(platform::decodeUpstream("i-1", with("state", "draining").dump()).leaving);
 	cr_assert(0 == platform::decodeUpstream("i-1", without("born").dump()).startedAt, "those before it don't say");
+	cr_assert(!platform::decodeUpstream("i-1", without("coldLeftMs").dump()).coldForMs);
+	cr_assert(0 == platform::decodeUpstream("i-1", with("coldLeftMs", 0).dump()).coldForMs, "it says that it is warm");
 }
 
 Test(platform, a_row_of_another_writer_names_no_upstream)
@@ -201,7 +203,7 @@
 		{
 			const UpstreamRecord record = platform::decodeUpstream("i-1", text);
 			RC_ASSERT(0 != http::socketAddress(record.address).sin_port);
-			RC_ASSERT(!record.service.empty() && 0 < record.slots && 0 <= record.startedAt && 0 <= record.coldForMs);
+			RC_ASSERT(!record.service.empty() && 0 < record.slots && 0 <= record.startedAt && 0 <= record.coldForMs.value_or(0));
 		}
 		catch (const InvalidInputError&)
 		{
@@ -209,3 +211,14 @@
 		}
 	});
 }
+
+Test(platform, limits_of_cold_upstreams_are_bounded)
+{
+	const auto coldOf = [](const Json& _service) {
+		return platform::decodeCatalog(Json{{"version", 1}, {"services", Json::array({_service})}}.dump()).services.front().cold;
+	};
+	cr_assert((ColdLimit{3'000, 18.0}) == coldOf({{"name", "s"}, {"coldS", 3}, {"coldPerS", 18}}));
+	cr_assert(!coldOf({{"name", "s"}}) && !coldOf({{"name", "s"}, {"coldS", 3}, {"coldPerS", -18}}));
+	cr_assert(0 == coldOf({{"name", "s"}, {"coldS", -3}, {"coldPerS", 18}})->coldMs);
+	cr_assert(1e9 > coldOf({{"name", "s"}, {"coldS", 1e300}, {"coldPerS", 1e300}})->requestsPerS);
+}
--- a/tests/test_switch_worth.cpp
+++ b/tests/test_switch_worth.cpp
@@ -498,3 +498,17 @@
 	const SwitchWorth leaving = worthOf(engine(), {{110.0, kGapMs}, 10.0, 0.0, true}, plan, 81.0, {}, times);
 	cr_assert(leaving.expectedMs < staying.expectedMs && leaving.savedMs < staying.savedMs);
 }
+
+Test(switchworth, a_plan_of_a_larger_group_is_not_compared_with_the_counts_of_a_smaller_one)
+{
+	const EngineModel model = engine();
+	SavingRecord record;
+	MapDecision plan;
+	plan.hosts = dealtInTurn(model.sets, model.experts, kRanks);
+	plan.skewBefore = 1.0;
+	addTrial(record, plan.hosts, plan, 0);
+	takeCounts(record, ExpertLoad(model.sets, std::vector<double>(model.experts, 1.0)), kRanks / 2, {}, 500);
+	takeCounts(record, ExpertLoad(model.sets, std::vector<double>(model.experts / 2, 1.0)), kRanks, {}, 1'000);
+	const double compared = std::accumulate(record.planned.begin(), record.planned.end(), 0.0);
+	cr_assert(0.0 == compared);
+}
