Fair queue as a module of its own, used by the entries' queue

Cause: the gateway is to order waiting requests fairly among organisations; the start-time fair queue stood inside the entries' admission. Change: include/archdyke/fair_queue.h; Admission builds on it. No change of behaviour.

--- a/include/archdyke/admission.h
+++ b/include/archdyke/admission.h
@@ -2,14 +2,13 @@
 /// and early to refuse what can't be served in time.
 #pragma once
 
-#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "archdyke/fair_queue.h"
 #include "archdyke/types.h"
 
 namespace archdyke
@@ -26,23 +25,13 @@
 		bool operator==(const QueuedRun&) const = default;
 	};
 
-	/// The waiting runs of one organisation.
-	struct OrganisationQueue
-	{
-		std::deque<QueuedRun> runs;
-		double finishTag = 0.0; ///< Virtual time at which its last started run is paid for.
-	};
-
-	/// State of the queue.
-	struct Admission
+	/// State of the queue; its flows are organisations.
+	struct Admission : FairQueue<QueuedRun>
 	{
 		std::uint32_t slots = 1;  ///< Runs that the upstream takes at once.
 		std::size_t capacity = 0; ///< Runs that may wait.
 		std::uint32_t running = 0;
-		std::size_t queued = 0;
-		double virtualTime = 0.0;
-		double meanRunMs = 50.0; ///< Moving mean of run times.
-		absl::btree_map<std::string, OrganisationQueue> organisations;
+		double meanRunMs = 50.0;                          ///< Moving mean of run times.
 		absl::flat_hash_map<std::string, double> returns; ///< When the last refused caller of an organisation was told to come back, ms.
 	};
 
@@ -73,8 +62,7 @@
 	/// gives up its newest run, or the offered run is refused if it is that one's.
 	AdmitResult admitRun(Admission& _admission, const QueuedRun& _run, Millis _now);
 
-	/// Takes the next run if a slot is free: start-time fair queueing, see P. Goyal,
-	/// H. M. Vin, H. Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
+	/// Takes the next run if a slot is free, in fair order.
 	TakeResult takeRun(Admission& _admission, Millis _now);
 
 	/// Takes a waiting run out, if it is there.
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -15,21 +15,6 @@
 		/// Organisations whose last promise is remembered before old ones are forgotten.
 		constexpr std::size_t kReturnsKept = 1'024;
 
-		double sharePerWeight(const OrganisationQueue& _queue)
-		{
-			return _queue.runs.empty() ? 0.0 : double(_queue.runs.size()) / double(_queue.runs.back().weight);
-		}
-
-		double totalWeight(const Admission& _admission)
-		{
-			double weight = 0.0;
-			for (const auto& [name, queue] : _admission.organisations)
-			{
-				weight += queue.runs.empty() ? 0.0 : double(queue.runs.back().weight);
-			}
-			return weight;
-		}
-
 		double runsPerMs(const Admission& _admission)
 		{
 			return double(_admission.slots) / std::max(1.0, _admission.meanRunMs);
@@ -45,8 +30,9 @@
 		/// @returns When a refused caller should come back, ms from now.
 		Millis promiseReturn(Admission& _admission, const std::string& _organisation, std::uint32_t _weight, Millis _now)
 		{
-			const bool waits = _admission.organisations.contains(_organisation) && !_admission.organisations[_organisation].runs.empty();
-			const double share = double(_weight) / (totalWeight(_admission) + (waits ? 0.0 : double(_weight)));
+			const auto flow = _admission.flows.find(_organisation);
+			const bool waits = _admission.flows.end() != flow && !flow->second.items.empty();
+			const double share = double(_weight) / (waitingWeight(_admission) + (waits ? 0.0 : double(_weight)));
 			double& last = _admission.returns[_organisation];
 			last = std::max(double(_now + drainMs(_admission)), last + 1.0 / (runsPerMs(_admission) * share));
 			last = std::min(last, double(_now + kLongestRetryAfterMs));
@@ -65,38 +51,18 @@
 			return {_reason, promiseReturn(_admission, _run.organisation, _run.weight, _now), std::nullopt};
 		}
 
-		void dropIfIdle(Admission& _admission, const std::string& _organisation)
-		{
-			const auto it = _admission.organisations.find(_organisation);
-			if (_admission.organisations.end() != it && it->second.runs.empty() && it->second.finishTag <= _admission.virtualTime)
-			{
-				_admission.organisations.erase(it);
-			}
-		}
-
-		std::string largestHolder(const Admission& _admission)
-		{
-			const auto it = std::max_element(_admission.organisations.begin(), _admission.organisations.end(), [](const auto& _a, const auto& _b) {
-				return sharePerWeight(_a.second) < sharePerWeight(_b.second);
-			});
-			return it->first;
-		}
-
 		/// @returns Runs that leave the queue because they can't end by their deadline.
 		std::vector<RunKey> takeExpired(Admission& _admission, Millis _now)
 		{
 			std::vector<RunKey> expired;
-			for (auto& [name, queue] : _admission.organisations)
-			{
-				_admission.queued -= std::erase_if(queue.runs, [&](const QueuedRun& _run) {
-					const bool late = _run.deadline < _now + Millis(_admission.meanRunMs);
-					if (late)
-					{
-						expired.push_back(_run.key);
-					}
-					return late;
-				});
-			}
+			eraseItems(_admission, [&](const QueuedRun& _run) {
+				const bool late = _run.deadline < _now + Millis(_admission.meanRunMs);
+				if (late)
+				{
+					expired.push_back(_run.key);
+				}
+				return late;
+			});
 			return expired;
 		}
 	} // namespace
@@ -107,9 +73,9 @@
 		{
 			return 0;
 		}
-		const auto it = _admission.organisations.find(_organisation);
-		const double own = _admission.organisations.end() == it ? 0.0 : double(it->second.runs.size());
-		const double others = totalWeight(_admission) - (own > 0.0 ? double(_weight) : 0.0);
+		const auto it = _admission.flows.find(_organisation);
+		const double own = _admission.flows.end() == it ? 0.0 : double(it->second.items.size());
+		const double others = waitingWeight(_admission) - (own > 0.0 ? double(_weight) : 0.0);
 		const double fair = (own + 1.0) * (others + double(_weight)) / double(_weight);
 		const double ahead = std::min(double(_admission.queued) + 1.0, fair);
 		return Millis(ahead / runsPerMs(_admission));
@@ -124,22 +90,20 @@
 		AdmitResult result;
 		if (_admission.capacity <= _admission.queued)
 		{
-			const std::string holder = largestHolder(_admission);
-			OrganisationQueue& largest = _admission.organisations[holder];
-			const auto own = _admission.organisations.find(_run.organisation);
-			const double ownRuns = _admission.organisations.end() == own ? 0.0 : double(own->second.runs.size());
+			FairFlow<QueuedRun>& largest = _admission.flows[largestFlow(_admission)];
+			const auto own = _admission.flows.find(_run.organisation);
+			const double ownRuns = _admission.flows.end() == own ? 0.0 : double(own->second.items.size());
 			if ((ownRuns + 1.0) / double(_run.weight) >= sharePerWeight(largest))
 			{
 				return refuse(_admission, _run, RefusalReason::Overloaded, _now);
 			}
-			const QueuedRun& last = largest.runs.back();
+			const QueuedRun& last = largest.items.back();
 			result.evicted = last.key;
 			result.retryAfterMs = promiseReturn(_admission, last.organisation, last.weight, _now);
-			largest.runs.pop_back();
+			largest.items.pop_back();
 			_admission.queued -= 1;
 		}
-		_admission.organisations[_run.organisation].runs.push_back(_run);
-		_admission.queued += 1;
+		pushItem(_admission, _run.organisation, _run.weight, _run);
 		return result;
 	}
 
@@ -151,35 +115,16 @@
 		{
 			return result;
 		}
-		OrganisationQueue* best = nullptr;
-		double bestTag = 0.0;
-		for (auto& [name, queue] : _admission.organisations)
-		{
-			const double tag = std::max(_admission.virtualTime, queue.finishTag);
-			if (!queue.runs.empty() && (nullptr == best || tag < bestTag))
-			{
-				best = &queue;
-				bestTag = tag;
-			}
-		}
-		result.next = best->runs.front();
-		best->runs.pop_front();
-		best->finishTag = bestTag + 1.0 / double(result.next->weight);
-		_admission.virtualTime = bestTag;
-		_admission.queued -= 1;
+		result.next = takeFirst(_admission, nextFlow(_admission));
 		_admission.running += 1;
-		dropIfIdle(_admission, result.next->organisation);
 		return result;
 	}
 
 	void removeRun(Admission& _admission, const RunKey& _key)
 	{
-		for (auto& [name, queue] : _admission.organisations)
-		{
-			_admission.queued -= std::erase_if(queue.runs, [&](const QueuedRun& _run) {
-				return _key == _run.key;
-			});
-		}
+		eraseItems(_admission, [&](const QueuedRun& _run) {
+			return _key == _run.key;
+		});
 	}
 
 	void endRun(Admission& _admission, Millis _runMs)
