Less urgent requests wait before the engines, in order and with room left for the urgent

Cause: all requests polled for room in no order, so a burst of the least urgent kind made the urgent late. The gateway's admit asks the queue and is woken by tries that end and by news of loads. The coordinator tells how long nine passes in ten take. The same checks fail without the order: the tests replay both.

--- a/include/archdyke/fair_queue.h
+++ b/include/archdyke/fair_queue.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace archdyke
 {
@@ -49,6 +51,15 @@
 		_queue.queued += 1;
 	}
 
+	/// Puts an item into its flow, behind those that come before it or are its equals.
+	template <typename Item, typename Before>
+	void insertItem(FairQueue<Item>& _queue, const std::string& _name, std::uint32_t _weight, Item _item, Before _before)
+	{
+		std::deque<Item>& items = flowOf(_queue, _name, _weight).items;
+		items.insert(std::upper_bound(items.begin(), items.end(), _item, _before), std::move(_item));
+		_queue.queued += 1;
+	}
+
 	/// @returns Items waiting by the flow's weight.
 	template <typename Item>
 	double sharePerWeight(const FairFlow<Item>& _flow)
@@ -78,7 +89,14 @@
 		return most->first;
 	}
 
-	/// @returns Name of the flow whose next item starts first in virtual time. The queue isn't empty.
+	/// @returns Virtual time at which the next item of a flow starts.
+	template <typename Item>
+	double startTag(const FairQueue<Item>& _queue, const FairFlow<Item>& _flow)
+	{
+		return std::max(_queue.virtualTime, _flow.finishTag);
+	}
+
+	/// @returns Name of the flow whose next item starts first. The queue isn't empty.
 	template <typename Item>
 	std::string nextFlow(const FairQueue<Item>& _queue)
 	{
@@ -86,7 +104,7 @@
 		double nextTag = 0.0;
 		for (const auto& [name, flow] : _queue.flows)
 		{
-			const double tag = std::max(_queue.virtualTime, flow.finishTag);
+			const double tag = startTag(_queue, flow);
 			if (!flow.items.empty() && (nullptr == next || tag < nextTag))
 			{
 				next = &name;
@@ -96,6 +114,27 @@
 		return *next;
 	}
 
+	/// @returns Names of the flows that wait, the one whose next item starts first at the front.
+	template <typename Item>
+	std::vector<std::string> flowsInOrder(const FairQueue<Item>& _queue)
+	{
+		std::vector<std::pair<double, std::string>> tagged;
+		for (const auto& [name, flow] : _queue.flows)
+		{
+			if (!flow.items.empty())
+			{
+				tagged.emplace_back(startTag(_queue, flow), name);
+			}
+		}
+		std::sort(tagged.begin(), tagged.end());
+		std::vector<std::string> names;
+		for (auto& [tag, name] : tagged)
+		{
+			names.push_back(std::move(name));
+		}
+		return names;
+	}
+
 	/// Takes the first item of a flow and charges it; a flow that waits for nothing and has paid goes.
 	template <typename Item>
 	Item takeFirst(FairQueue<Item>& _queue, const std::string& _name)
@@ -105,7 +144,7 @@
 		Item item = std::move(flow.items.front());
 		flow.items.pop_front();
 		_queue.queued -= 1;
-		const double start = std::max(_queue.virtualTime, flow.finishTag);
+		const double start = startTag(_queue, flow);
 		flow.finishTag = start + 1.0 / double(flow.weight);
 		_queue.virtualTime = start;
 		if (flow.items.empty() && flow.finishTag <= _queue.virtualTime)
--- a/include/archdyke/resend_share.h
+++ b/include/archdyke/resend_share.h
@@ -36,6 +36,9 @@
 	/// @param[in] _windowMs In which resends are counted.
 	void noteGateways(ResendShare& _share, std::uint32_t _count, Millis _windowMs, Millis _now);
 
+	/// @returns How many gateways there are, as last told; one when that was too long ago.
+	std::uint32_t gatewaysTold(const ResendShare& _share, Millis _now);
+
 	/// @returns Part of the allowance that this gateway may spend in a window, 0 to 1.
 	double allowanceShare(const ResendShare& _share, Millis _windowMs, Millis _now);
 } // namespace archdyke
--- a/src/decide/batch_admission.cpp
+++ b/src/decide/batch_admission.cpp
@@ -18,31 +18,72 @@
 		/// Share of the objective that a request may wait for room: a caller that can't be served hears
 		/// it after 60 ms of 500. Longer waits served nobody more.
 		constexpr double kWaitShare = 0.12;
+		/// Likewise where requests differ in urgency: short of the quarter of the objective within which a
+		/// refusal still lets the caller be served in time, less what the refusal's way takes.
+		constexpr double kWaitShareInOrder = 0.22;
+		/// Passes from a send to the first event: the one under way, and the one that reads the prompt.
+		constexpr double kPassesToFirstEvent = 2.0;
+		/// Least part of the slots that long passes leave to requests that yield: passes that would be too
+		/// long with half a batch are long for other reasons, and an emptier batch would only serve fewer.
+		constexpr double kLeastSlotShare = 0.5;
+
+		/// @returns Requests of an engine with which passes that now take so long keep the objective.
+		double fittingLoad(const EngineModel& _model, double _passMs, double _meanLoad, double _objectiveMs)
+		{
+			const double modelled = double(_model.stride) * (_model.stepMs + _model.perSequenceMs * _meanLoad);
+			// How much longer passes take than the engine alone would: skew, reading, slow ranks.
+			const double stretch = std::max(1.0, _passMs / modelled);
+			const double step = _objectiveMs / (stretch * double(_model.stride));
+			return (step - _model.stepMs) / _model.perSequenceMs;
+		}
+
+		/// @returns Whether the declared speed tells what a request more costs.
+		bool hasModel(const EngineModel& _model, double _meanLoad)
+		{
+			const double step = _model.stepMs + _model.perSequenceMs * _meanLoad;
+			return 0.0 < _model.perSequenceMs && 0.0 < step && 0 < _model.stride;
+		}
 	} // namespace
 
 	double batchLimit(const EngineModel& _model, const BatchView& _view, Millis _gapObjectiveMs)
 	{
 		const double slots = double(_model.slots) + kQueueBeyondBatch;
-		const double modelled = double(_model.stride) * (_model.stepMs + _model.perSequenceMs * _view.meanLoad);
-		if (_view.passMs <= 0.0 || _gapObjectiveMs <= 0 || modelled <= 0.0 || _model.perSequenceMs <= 0.0)
+		if (_view.passMs <= 0.0 || _gapObjectiveMs <= 0 || !hasModel(_model, _view.meanLoad))
 		{
 			return slots;
 		}
-		// How much longer passes take than the engine alone would: skew, reading, slow ranks.
-		const double stretch = std::max(1.0, _view.passMs / modelled);
-		const double step = kPassShare * double(_gapObjectiveMs) / (stretch * double(_model.stride));
-		const double fitting = (step - _model.stepMs) / _model.perSequenceMs;
+		const double fitting = fittingLoad(_model, _view.passMs, _view.meanLoad, kPassShare * double(_gapObjectiveMs));
 		return std::clamp(fitting, kLeastLimit, slots);
 	}
 
+	double yieldingRoom(const EngineModel& _model, const BatchView& _view, const BatchRequest& _request)
+	{
+		double room = _view.freeSlots;
+		const double longPassMs = std::max(_view.passMs, _view.longPassMs);
+		if (0.0 < longPassMs && 0 < _request.gapObjectiveMs && hasModel(_model, _view.meanLoad))
+		{
+			const double fitting = fittingLoad(_model, longPassMs, _view.meanLoad, double(_request.gapObjectiveMs));
+			const bool emptierHelps = kLeastSlotShare * double(_model.slots) <= fitting;
+			room = emptierHelps ? std::min(room, (fitting - _view.meanLoad) * _view.engines) : room;
+		}
+		return room - _request.headroom;
+	}
+
 	bool mayEnter(const EngineModel& _model, const BatchView& _view, const BatchRequest& _request)
 	{
 		const double limit = batchLimit(_model, _view, _request.gapObjectiveMs);
-		return _view.meanLoad + 1.0 <= limit + (_request.cameBack ? kMoreForReturning : 0.0);
+		const bool fits = _view.meanLoad + 1.0 <= limit + (_request.cameBack ? kMoreForReturning : 0.0);
+		return fits && (!_request.yields || 1.0 <= yieldingRoom(_model, _view, _request));
 	}
 
 	Millis longestWait(Millis _objectiveMs)
 	{
 		return Millis(kWaitShare * double(_objectiveMs));
 	}
+
+	OrderedWait orderedWait(Millis _objectiveMs, double _longPassMs)
+	{
+		const double untilTooLate = std::max(0.0, double(_objectiveMs) - kPassesToFirstEvent * _longPassMs);
+		return {Millis(std::min(untilTooLate, kWaitShareInOrder * double(_objectiveMs))), Millis(untilTooLate)};
+	}
 } // namespace archdyke
--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -30,10 +30,11 @@
 				return {500, 1'500};
 			case RefusalCause::ColdUpstreams: // each second brings what they bear anew
 			case RefusalCause::Evacuated:     // callers' repeats find upstreams of another zone that are back
-			case RefusalCause::LessUrgent:
 			case RefusalCause::OverShare:
 			case RefusalCause::Overloaded:
 				return {700, 2'000}; // a stream of usual length ends in 1 to 3 s
+			case RefusalCause::LessUrgent:
+				return {1'000, 2'600}; // more urgent ones fill the room for some seconds: as late as most callers honour
 			case RefusalCause::GroupDown:
 				return {2'000, 2'600}; // stall and forming take some 2 s, a crash or a cut of a zone 4 to 6
 			default:
--- a/src/decide/resend_share.cpp
+++ b/src/decide/resend_share.cpp
@@ -54,6 +54,12 @@
 		_share.told.push_back({_now, _count});
 	}
 
+	std::uint32_t gatewaysTold(const ResendShare& _share, Millis _now)
+	{
+		const bool told = !_share.told.empty() && _now - _share.told.back().at <= kLapseMs;
+		return told ? std::max<std::uint32_t>(1, _share.told.back().count) : 1;
+	}
+
 	double allowanceShare(const ResendShare& _share, Millis _windowMs, Millis _now)
 	{
 		const bool told = !_share.told.empty() && _now - _share.told.back().at <= std::min(kLapseMs, _windowMs);
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -2,115 +2,18 @@
 
 #include <algorithm>
 
-#include "archdyke/batch_admission.h"
-#include "archdyke/group_choice.h"
-#include "log.h"
+#include "gateway/group_options.h"
 #include "process.h"
 
 namespace archdyke::gateway
 {
 	namespace
 	{
-		/// Between two looks for room, ms: a fraction of a pass.
+		/// Between two looks whether a group has opened, ms: a fraction of a pass.
 		constexpr Millis kLookMs = 10;
 		/// After an upstream has said that its group failed, ms; by then the coordinator says
 		/// how it is.
 		constexpr Millis kFaultMs = 400;
-		/// A caller that has less of its patience left than this share was here before.
-		constexpr double kFirstTimeShare = 0.97;
-
-		/// The groups of a request's service, and what the choice goes by of each.
-		struct GroupOptions
-		{
-			std::vector<GroupRef> groups;
-			std::vector<GroupCandidate> candidates;
-		};
-
-		/// @returns null when the request isn't a stream of an engine: others need no admission.
-		const EngineModel* batchEngineOf(const RequestContext& _context)
-		{
-			const CatalogService* service = findService(*_context.catalog, _context.service);
-			return nullptr != service && service->engine && _context.route->stream ? &*service->engine : nullptr;
-		}
-
-		Millis patienceOf(const RequestContext& _context)
-		{
-			return _context.caller.patienceMs.value_or(_context.route->timeoutMs);
-		}
-
-		bool cameBack(const RequestContext& _context)
-		{
-			return double(patienceOf(_context)) < kFirstTimeShare * double(_context.route->timeoutMs);
-		}
-
-		BatchRequest batchRequest(const RequestContext& _context)
-		{
-			return {_context.route->gapObjectiveMs, cameBack(_context)};
-		}
-
-		BatchView batchView(const UpstreamGroup& _group, Millis _now)
-		{
-			return {isKnown(_group, _now) ? _group.view.passMs : 0.0, meanLoad(_group, _now)};
-		}
-
-		GroupStanding standingOf(const UpstreamGroup& _group, Millis _gapObjectiveMs, Millis _now)
-		{
-			if (isDown(_group, _now))
-			{
-				return GroupStanding::Down;
-			}
-			if (!isKnown(_group, _now))
-			{
-				return GroupStanding::Unknown;
-			}
-			const bool late = 0 < _gapObjectiveMs && double(_gapObjectiveMs) < _group.view.passMs;
-			return late ? GroupStanding::Late : GroupStanding::InTime;
-		}
-
-		GroupCandidate candidateOf(const RequestContext& _context, const EngineModel* _engine, const BatchRequest& _request, const UpstreamGroup& _group, Millis _now)
-		{
-			GroupCandidate candidate;
-			candidate.standing = standingOf(_group, _request.gapObjectiveMs, _now);
-			candidate.ownZoneShare = double(_group.workingInZone) / double(std::max<std::uint32_t>(1, _group.working));
-			candidate.failedRequest = _context.failedInGroups.contains(_group.name);
-			candidate.hasRoom = 0 < _group.working;
-			if (nullptr != _engine)
-			{
-				const BatchView view = batchView(_group, _now);
-				const double limit = batchLimit(*_engine, view, _request.gapObjectiveMs);
-				candidate.hasRoom = candidate.hasRoom && mayEnter(*_engine, view, _request);
-				candidate.fullness = (view.meanLoad + 1.0) / limit;
-				candidate.room = (limit - view.meanLoad) * double(_group.working);
-			}
-			return candidate;
-		}
-
-		GroupOptions optionsOf(const RequestContext& _context)
-		{
-			const EngineModel* engine = batchEngineOf(_context);
-			const BatchRequest request = batchRequest(_context);
-			const Millis now = nowMs();
-			GroupOptions options;
-			options.groups = _context.state.board.groupsOf(_context.service);
-			for (const GroupRef& group : options.groups)
-			{
-				options.candidates.push_back(candidateOf(_context, engine, request, *group, now));
-			}
-			return options;
-		}
-
-		GroupRef chosenOf(const GroupOptions& _options, Random& _random)
-		{
-			const std::optional<std::size_t> chosen = chooseGroup(_options.candidates, _random);
-			return chosen ? _options.groups[*chosen] : nullptr;
-		}
-
-		bool allAreDown(const GroupOptions& _options)
-		{
-			return std::all_of(_options.candidates.begin(), _options.candidates.end(), [](const GroupCandidate& _candidate) {
-				return GroupStanding::Down == _candidate.standing;
-			});
-		}
 
 		/// @returns Whether any group is heard of and open. Of a dense engine nothing is heard.
 		bool anyServes(const RequestContext& _context, const GroupOptions& _options)
@@ -133,15 +36,69 @@
 			return !serves && mayAwaitOpening(outage, {cameBack(_context), patienceOf(_context), now - _arrivedAt}, now);
 		}
 
-		/// One line for each group: why the request can't go there.
-		void logNoRoom(const RequestContext& _context, const GroupOptions& _options)
+		/// A request that needs no room of engines: any group that isn't down will do.
+		aio::Task<std::optional<Refusal>> admitAnywhere(RequestContext& _context)
 		{
-			const Millis now = nowMs();
-			for (std::size_t index = 0; index < _options.groups.size(); ++index)
+			const Millis arrivedAt = nowMs();
+			while (true)
 			{
-				const UpstreamGroup& group = *_options.groups[index];
-				const GroupCandidate& candidate = _options.candidates[index];
-				logInfo("no_room", {{"request", _context.caller.id}, {"service", _context.service}, {"group", group.name.empty() ? "-" : group.name}, {"standing", toString(candidate.standing)}, {"mean_load", meanLoad(group, now)}, {"fullness", candidate.fullness}, {"pass_ms", group.view.passMs}, {"view_age_ms", now - group.view.at}, {"came_back", cameBack(_context)}});
+				const GroupOptions options = optionsOf(_context, anyRoom);
+				if (awaitsOpening(_context, options, arrivedAt))
+				{
+					co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
+					continue;
+				}
+				_context.group = chosenOf(options, _context.state.random);
+				if (nullptr == _context.group && !options.groups.empty() && allAreDown(options))
+				{
+					co_return refuseNotRun(_context, RefusalCause::GroupDown);
+				}
+				co_return std::nullopt; // without any upstream dispatch says so
+			}
+		}
+
+		/// Waits in the queue of its service until there is room, or it is to be told to come back.
+		aio::Task<std::optional<Refusal>> admitInOrder(RequestContext& _context)
+		{
+			const Millis arrivedAt = nowMs();
+			std::optional<Ticket> ticket;
+			while (true)
+			{
+				const GroupOptions options = optionsOf(_context, anyRoom);
+				if (awaitsOpening(_context, options, arrivedAt))
+				{
+					ticket.reset(); // nothing of it is to go to a group that nobody has heard of
+					co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
+					continue;
+				}
+				if (options.groups.empty())
+				{
+					co_return std::nullopt; // dispatch says so
+				}
+				if (allAreDown(options))
+				{
+					co_return refuseNotRun(_context, RefusalCause::GroupDown);
+				}
+				if (!ticket)
+				{
+					ticket.emplace(_context, arrivedAt);
+				}
+				serveWaiting(_context.state, _context.service);
+				if (ticket->admitted())
+				{
+					co_return std::nullopt;
+				}
+				const std::optional<RefusalCause> refused = ticket->refusal();
+				if (refused)
+				{
+					logNoRoom(_context, options);
+					co_return refuseNotRun(_context, *refused);
+				}
+				co_await ticket->change();
+				if (ticket->admitted())
+				{
+					co_return std::nullopt;
+				}
 			}
 		}
 	} // namespace
@@ -153,7 +110,7 @@
 
 	GroupRef chooseGroupAgain(RequestContext& _context)
 	{
-		GroupOptions options = optionsOf(_context);
+		GroupOptions options = optionsOf(_context, anyRoom);
 		const GroupRef withRoom = chosenOf(options, _context.state.random);
 		if (nullptr != withRoom)
 		{
@@ -169,37 +126,6 @@
 
 	aio::Task<std::optional<Refusal>> admit(RequestContext& _context)
 	{
-		GatewayState& state = _context.state;
-		const bool needsRoom = nullptr != batchEngineOf(_context);
-		const Millis arrivedAt = nowMs();
-		const Millis until = arrivedAt + longestWait(_context.route->objectiveMs);
-		while (true)
-		{
-			const GroupOptions options = optionsOf(_context);
-			if (awaitsOpening(_context, options, arrivedAt))
-			{
-				co_await state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
-				continue;
-			}
-			_context.group = chosenOf(options, state.random);
-			if (nullptr != _context.group || options.groups.empty())
-			{
-				co_return std::nullopt; // without any upstream dispatch says so
-			}
-			if (allAreDown(options))
-			{
-				co_return refuseNotRun(_context, RefusalCause::GroupDown);
-			}
-			if (!needsRoom)
-			{
-				co_return std::nullopt; // all upstreams leave: dispatch says so
-			}
-			if (until <= nowMs())
-			{
-				logNoRoom(_context, options);
-				co_return refuseNotRun(_context, RefusalCause::Overloaded);
-			}
-			co_await state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
-		}
+		return nullptr == batchEngineOf(_context) ? admitAnywhere(_context) : admitInOrder(_context);
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -49,6 +49,23 @@
 		return total / double(std::max<std::uint32_t>(1, _group.working));
 	}
 
+	double freeSlots(const UpstreamGroup& _group, std::uint32_t _alike, Millis _now)
+	{
+		double slots = 0.0;
+		double taken = 0.0;
+		for (const UpstreamRef& upstream : _group.members)
+		{
+			if (takesWork(*upstream))
+			{
+				const double some = upstream->record.slots;
+				slots += some;
+				taken += std::min(some, loadOf(*upstream, _now));
+			}
+		}
+		const double untold = isKnown(_group, _now) ? 0.0 : double(_alike) * double(_group.inFlight);
+		return std::max(0.0, slots - std::max(taken, untold));
+	}
+
 	bool isKnown(const UpstreamGroup& _group, Millis _now)
 	{
 		return 0 != _group.view.at && _now - _group.view.at <= kReportMaxAgeMs;
@@ -188,6 +205,7 @@
 		}
 		group->view.open = _report.open;
 		group->view.passMs = _report.passMs;
+		group->view.longPassMs = _report.longPassMs;
 		const Millis at = _now - _report.ageMs;
 		group->view.at = at;
 		group->reported = 0;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -47,9 +47,10 @@
 	struct GroupView
 	{
 		bool open = true;
-		double passMs = 0.0;   ///< Mean time of the last passes; 0 when unknown.
-		Millis at = 0;         ///< Own clock when it came; 0: never.
-		Millis faultUntil = 0; ///< An upstream said that its group failed.
+		double passMs = 0.0;     ///< Mean time of the last passes; 0 when unknown.
+		double longPassMs = 0.0; ///< Nine in ten of them end within it; 0 when unknown.
+		Millis at = 0;           ///< Own clock when it came; 0: never.
+		Millis faultUntil = 0;   ///< An upstream said that its group failed.
 
 		bool operator==(const GroupView&) const = default;
 	};
@@ -87,6 +88,7 @@
 		std::string name;
 		bool open = true;
 		double passMs = 0.0;
+		double longPassMs = 0.0;
 		Millis ageMs = 0; ///< Since the coordinator made it.
 		std::vector<Rank> ranks;
 
@@ -103,6 +105,11 @@
 	/// @returns Mean load of the members of a group that take work, likewise; 0 when there are none.
 	double meanLoad(const UpstreamGroup& _group, Millis _now);
 
+	/// @returns Requests that the members that take work may get before one has more than its slots:
+	/// what one has beyond its slots waits there, however empty others are.
+	/// @param[in] _alike Gateways that are taken to do as this one does while nothing was heard of the group.
+	double freeSlots(const UpstreamGroup& _group, std::uint32_t _alike, Millis _now);
+
 	/// @returns Whether a group was heard of lately.
 	bool isKnown(const UpstreamGroup& _group, Millis _now);
 
--- a/src/gateway/counters.cpp
+++ b/src/gateway/counters.cpp
@@ -22,7 +22,8 @@
 	}
 
 	GatewayCounters::GatewayCounters(Metrics& _metrics)
-	    : totalSeconds(_metrics.seconds("archdyke_gateway_request_seconds", "From the request's head to the end of its answer"))
+	    : waiting(_metrics.gauge("archdyke_gateway_waiting", "Requests that wait for room at engines"))
+	    , totalSeconds(_metrics.seconds("archdyke_gateway_request_seconds", "From the request's head to the end of its answer"))
 	    , firstSeconds(_metrics.seconds("archdyke_gateway_first_event_seconds", "From the request's head to the first event of a stream"))
 	    , sends(_metrics.counter("archdyke_gateway_sends_total", "Requests sent to an upstream, first sends"))
 	    , resends(_metrics.counter("archdyke_gateway_resends_total", "Requests sent to a further upstream"))
@@ -32,6 +33,13 @@
 	    , configurationVersion(_metrics.gauge("archdyke_configuration_version", "Version in force"))
 	    , proofAgeMs(_metrics.gauge("archdyke_configuration_proof_age_ms", "Age of the proof that this version is the newest"))
 	{
+		for (std::size_t urgency = 0; urgency < this->urgencies.size(); ++urgency)
+		{
+			const auto counterOf = [&](const std::string& _step) {
+				return &_metrics.counter("archdyke_gateway_room_total", "Requests that asked for room at engines", {{"urgency", std::to_string(urgency)}, {"step", _step}});
+			};
+			this->urgencies[urgency] = {counterOf("admitted"), counterOf("waited"), counterOf("refused")};
+		}
 		for (std::size_t ending = 0; ending < this->requests.size(); ++ending)
 		{
 			this->requests[ending] = &_metrics.counter("archdyke_gateway_requests_total", "Requests by how they ended", {{"ending", std::string(toString(Ending(ending)))}});
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string_view>
 
+#include "archdyke/urgency.h"
 #include "metrics.h"
 
 namespace archdyke::gateway
@@ -24,12 +25,22 @@
 	/// @returns The name used in logs and labels.
 	std::string_view toString(Ending _ending);
 
+	/// Requests of one urgency that asked for room at engines.
+	struct UrgencyCounters
+	{
+		prometheus::Counter* admitted = nullptr;
+		prometheus::Counter* waited = nullptr; ///< Of the admitted, those for whom there was no room at once.
+		prometheus::Counter* refused = nullptr;
+	};
+
 	/// What a gateway counts; the registry owns the counters.
 	struct GatewayCounters
 	{
 		explicit GatewayCounters(Metrics& _metrics);
 
 		std::array<prometheus::Counter*, std::size_t(Ending::Count)> requests{};
+		std::array<UrgencyCounters, kUrgencies> urgencies{};
+		prometheus::Gauge& waiting;
 		prometheus::Histogram& totalSeconds;
 		prometheus::Histogram& firstSeconds;
 		prometheus::Counter& sends;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -124,7 +124,7 @@
 				const Millis now = nowMs();
 				for (const GroupRef& group : this->state.board.allGroups())
 				{
-					groups.push_back({{"service", group->service}, {"group", group->name}, {"known", isKnown(*group, now)}, {"down", isDown(*group, now)}, {"passMs", group->view.passMs}, {"members", group->members.size()}, {"working", group->working}, {"meanLoad", meanLoad(*group, now)}, {"inFlight", group->inFlight}});
+					groups.push_back({{"service", group->service}, {"group", group->name}, {"known", isKnown(*group, now)}, {"down", isDown(*group, now)}, {"passMs", group->view.passMs}, {"longPassMs", group->view.longPassMs}, {"members", group->members.size()}, {"working", group->working}, {"meanLoad", meanLoad(*group, now)}, {"inFlight", group->inFlight}});
 				}
 				return groups;
 			}
@@ -137,7 +137,7 @@
 				{
 					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}});
 				}
-				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"groups", this->dumpGroups()}, {"waiting", describeWaiting(this->state)}, {"upstreams", upstreams}};
 			}
 
 			/// Takes new bounds from the settings file on SIGHUP. Addresses stay.
--- a/src/gateway/load_link.cpp
+++ b/src/gateway/load_link.cpp
@@ -43,6 +43,7 @@
 			report.name = _news.coordination.group;
 			report.open = _news.open;
 			report.passMs = _news.passMs;
+			report.longPassMs = _news.longPassMs;
 			report.ageMs = _news.ageMs;
 			std::vector<double> paces(_roster.engines.size(), 1.0);
 			for (const group::RankPace& rank : _news.paces)
@@ -110,6 +111,7 @@
 		if (_followed.roster.term == news.rosterTerm && _followed.roster.version == news.rosterVersion)
 		{
 			this->state.board.report(reportOf(_key.first, _followed.roster, news), now);
+			serveWaiting(this->state, _key.first);
 		}
 		if (_followed.failing)
 		{
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -65,6 +65,7 @@
 			info.incarnation = _upstream.record.incarnation;
 			info.organisation = nullptr == _context.organisation ? "" : _context.organisation->name;
 			info.budgetMs = _context.deadlineAt - nowMs();
+			info.urgency = _context.urgency;
 			info.resumeAfter = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -230,6 +230,7 @@
 		}
 		_state.inFlight -= 1;
 		account(context);
+		serveWaiting(_state, context.service);
 		co_return context.keepAlive ? AfterRequest::KeepOpen : AfterRequest::Close;
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -45,6 +45,7 @@
 		std::string service;                               ///< resolve
 		Millis deadlineAt = 0;                             ///< resolve
 
+		std::optional<std::uint32_t> urgency; ///< admit: 0 to 9, 0 first; none where requests of the service don't differ.
 		GroupRef group;                       ///< admit, and dispatch for later tries; null when there is none.
 		std::set<std::string> tried;          ///< dispatch: incarnations.
 		std::set<std::string> failedInGroups; ///< dispatch: groups whose ranks failed it.
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/node_hash_map.h>
 #include <memory>
 #include <string>
 
@@ -14,6 +15,7 @@
 #include "gateway/codec.h"
 #include "gateway/counters.h"
 #include "gateway/settings.h"
+#include "gateway/waiting.h"
 #include "http/connection_pool.h"
 
 namespace archdyke::gateway
@@ -39,6 +41,7 @@
 		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
 		absl::flat_hash_map<std::string, Outage> outages;      ///< By service.
 		ResendShare resendShare;                               ///< Of the allowance, for each service.
+		absl::node_hash_map<std::string, ServiceQueue> queues; ///< By service.
 		bool leaving = false;                                  ///< The stop signal came.
 		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
 
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -7,6 +7,7 @@
 
 #include "archdyke/catalog.h"
 #include "archdyke/map_window.h"
+#include "archdyke/pass_times.h"
 #include "archdyke/rank_search.h"
 #include "archdyke/relay_tree.h"
 #include "archdyke/upstream_choice.h"
@@ -87,13 +88,6 @@
 			Millis heardAt = 0;
 		};
 
-		/// A pass that was seen to have begun.
-		struct PassSample
-		{
-			std::uint64_t step = 0;
-			Millis at = 0;
-		};
-
 		/// The map of the open switch as its difference from another map.
 		struct KnownDifference
 		{
@@ -220,9 +214,8 @@
 		KnownDifference fromDealt;
 		KnownDifference fromInForce;
 		double passMs = 0.0;
-		double writeMs = 15.0;         ///< Mean time of a write of the row; begins with a usual one.
-		std::deque<PassSample> passes; ///< Of one epoch; each step once.
-		std::uint64_t passEpoch = 0;
+		double writeMs = 15.0; ///< Mean time of a write of the row; begins with a usual one.
+		PassTimes passTimes;
 		Millis gapObjectiveMs = 0;
 		double lastSkew = 0.0;
 		std::uint64_t switches = 0;
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -12,32 +12,14 @@
 	{
 		/// From this pace on a rank is told to be slow, in the log; decisions take any pace as it is.
 		constexpr double kSlowPace = 1.5;
-		/// The time of a pass is the mean over about this long, ms: some passes.
-		constexpr Millis kPassWindowMs = 500;
 	} // namespace
 
 	void Coordinator::notePass(const EngineReport& _engine)
 	{
 		const Millis now = nowMs();
-		if (this->passEpoch != _engine.view.epoch)
-		{
-			this->passes.clear();
-			this->passEpoch = _engine.view.epoch;
-		}
-		if (this->passes.empty() || this->passes.back().step < _engine.view.step)
-		{
-			this->passes.push_back({_engine.view.step, now});
-		}
-		while (2 < this->passes.size() && this->passes[1].at < now - kPassWindowMs)
-		{
-			this->passes.pop_front();
-		}
-		const PassSample& first = this->passes.front();
-		const PassSample& last = this->passes.back();
-		if (first.step < last.step)
-		{
-			this->passMs = double(last.at - first.at) / double(last.step - first.step);
-		}
+		noteStep(this->passTimes, _engine.view.epoch, _engine.view.step, now);
+		const double mean = meanPassMs(this->passTimes, now);
+		this->passMs = 0.0 < mean ? mean : this->passMs;
 	}
 
 	void Coordinator::notePace(const Rank& _rank, const EngineReport& _engine) const
--- a/src/group/coordinator_tree.cpp
+++ b/src/group/coordinator_tree.cpp
@@ -222,6 +222,7 @@
 		news.coordination = this->coordination();
 		news.number = known.news.coordination.term == this->intent.term ? known.news.number + 1 : 1;
 		news.passMs = this->passMs;
+		news.longPassMs = longPassMs(this->passTimes);
 		Roster roster{this->intent.term, 1, {}};
 		for (const auto& [engine, rank] : this->ranks)
 		{
--- a/src/group/group_news.h
+++ b/src/group/group_news.h
@@ -53,7 +53,8 @@
 		std::uint64_t number = 0; ///< Rises within a term; 0: nothing is known.
 		Millis ageMs = 0;         ///< Since the coordinator made it.
 		bool open = true;
-		double passMs = 0.0;
+		double passMs = 0.0;          ///< Mean of the last passes; 0 when unknown.
+		double longPassMs = 0.0;      ///< Nine in ten of them end within it; 0 when it isn't told.
 		std::uint64_t rosterTerm = 0; ///< Of the roster that the loads are for.
 		std::uint64_t rosterVersion = 0;
 		std::vector<std::uint8_t> loads; ///< Requests running and waiting, by rank.
--- a/src/group/news_rpc.cpp
+++ b/src/group/news_rpc.cpp
@@ -85,6 +85,7 @@
 		news.ageMs = _reader.getAgeMs();
 		news.open = _reader.getOpen();
 		news.passMs = _reader.getPassMs();
+		news.longPassMs = _reader.getLongPassMs();
 		news.rosterTerm = _reader.getRosterTerm();
 		news.rosterVersion = _reader.getRosterVersion();
 		news.loads.assign(_reader.getLoads().begin(), _reader.getLoads().end());
@@ -103,6 +104,7 @@
 		_builder.setAgeMs(std::uint32_t(_news.ageMs));
 		_builder.setOpen(_news.open);
 		_builder.setPassMs(float(_news.passMs));
+		_builder.setLongPassMs(float(_news.longPassMs));
 		_builder.setRosterTerm(_news.rosterTerm);
 		_builder.setRosterVersion(_news.rosterVersion);
 		_builder.setLoads(kj::arrayPtr(_news.loads.data(), _news.loads.size()));
--- a/src/rank.capnp
+++ b/src/rank.capnp
@@ -97,6 +97,7 @@
 	loads @7 :Data;          # requests running and waiting, a byte a rank; 255: not heard lately
 	paces @8 :List(RankPace);
 	gateways @9 :GatewayTally;
+	longPassMs @10 :Float32; # nine passes in ten end within it; 0: unknown, or told by an older version
 }
 
 # The gateways that ask some daemons, summed up.
--- /dev/null
+++ b/tests/test_waiting_room.cpp
@@ -0,0 +1,410 @@
+/// The queue before the engines under bursts and floods: many gateways, each with its own queue and a
+/// view of the loads that is 150 ms old, before engines whose room is a number that drains.
+#include <cmath>
+#include <deque>
+#include <map>
+
+#include "archdyke/batch_admission.h"
+#include "archdyke/room_share.h"
+#include "archdyke/waiting_room.h"
+#include "check.h"
+
+using namespace archdyke;
+
+namespace
+{
+	constexpr std::uint32_t kGateways = 36;
+	constexpr double kEngines = 72.0;
+	constexpr double kSlots = 720.0;
+	constexpr Millis kViewAgeMs = 150;
+	constexpr Millis kNewsMs = 100;
+	constexpr Millis kTickMs = 10;
+	constexpr Millis kStreamMs = 2'000; ///< Mean; a quarter to seven quarters of it.
+	constexpr double kPassMs = 70.0;
+
+	/// Requests of one kind and organisation.
+	struct Source
+	{
+		std::string organisation;
+		std::uint32_t urgency = 0;
+		Millis objectiveMs = 500;
+		double perS = 0.0;
+		double burstPerS = 0.0; ///< From second 10 to 17.
+	};
+
+	/// What became of a source's requests.
+	struct Served
+	{
+		double asked = 0.0;
+		double inTime = 0.0;
+		double served = 0.0;
+
+		double share() const
+		{
+			return this->inTime / std::max(1.0, this->asked);
+		}
+	};
+
+	struct Caller
+	{
+		std::size_t source = 0;
+		Millis arrivedAt = 0;
+		WaitingRequest request;
+		bool inTimeCounts = true;
+	};
+
+	struct Gateway
+	{
+		WaitingRoom room;
+		std::map<std::uint64_t, Caller> callers;
+		Millis newsAt = 0;
+		std::map<Rank, RoomShare> shares;
+		double sentSinceNews = 0.0;
+	};
+
+	EngineModel engine()
+	{
+		EngineModel model;
+		model.slots = 10;
+		model.stepMs = 6.0;
+		model.perSequenceMs = 0.4;
+		model.stride = 6;
+		return model;
+	}
+
+	/// The load of some seconds, with or without the order of the waiting room.
+	class Replay
+	{
+	public:
+		Replay(std::vector<Source> _sources, bool _ordered)
+		    : sources(std::move(_sources))
+		    , ordered(_ordered)
+		    , gateways(kGateways)
+		    , result(this->sources.size())
+		    , ends(std::size_t(kEndMs + kStreamMs * 8))
+		{
+		}
+
+		std::vector<Served> run(Millis _blindFrom = kEndMs)
+		{
+			for (Millis now = 0; now < kEndMs; now += kTickMs)
+			{
+				this->running -= this->ends[std::size_t(now)];
+				this->history.push_back(this->running);
+				const Millis sight = std::min(now, _blindFrom) - kViewAgeMs;
+				this->seen = this->history[std::size_t(std::max<Millis>(0, sight / kTickMs))];
+				this->arrive(now);
+				for (Gateway& gateway : this->gateways)
+				{
+					this->look(gateway, now);
+				}
+			}
+			return this->result;
+		}
+
+	private:
+		static constexpr Millis kEndMs = 22'000;
+
+		void arrive(Millis _now)
+		{
+			for (std::size_t index = 0; index < this->sources.size(); ++index)
+			{
+				const bool bursts = 10'000 <= _now && _now < 17'000;
+				const double perTick = (bursts ? this->sources[index].burstPerS : this->sources[index].perS) * double(kTickMs) / 1'000.0;
+				this->due[index] += perTick * (0.5 + double(randomBelow(this->random, 1'000)) / 1'000.0);
+				for (; 1.0 <= this->due[index]; this->due[index] -= 1.0)
+				{
+					this->result[index].asked += 1.0;
+					this->ask({index, _now, {}, true}, false, _now);
+				}
+			}
+			while (!this->returning.empty() && this->returning.begin()->first <= _now)
+			{
+				Caller caller = this->returning.begin()->second;
+				this->returning.erase(this->returning.begin());
+				caller.arrivedAt = _now;
+				this->ask(caller, true, _now);
+			}
+		}
+
+		void ask(Caller _caller, bool _cameBack, Millis _now)
+		{
+			Gateway& gateway = this->gateways[randomBelow(this->random, kGateways)];
+			const Source& source = this->sources[_caller.source];
+			const Millis alike = longestWait(source.objectiveMs);
+			const OrderedWait wait = this->ordered ? orderedWait(source.objectiveMs, kPassMs) : OrderedWait{alike, alike};
+			_caller.request = {++this->tickets, source.urgency, source.organisation, false, _cameBack, _now + (_cameBack ? wait.longestMs : wait.tellMs), _now + wait.longestMs, 100};
+			if (this->ordered)
+			{
+				_caller.request = noteArrival(gateway.room, _caller.request, _now);
+			}
+			else
+			{
+				_caller.request.urgency = 0;
+				_caller.request.organisation = "";
+			}
+			gateway.callers[_caller.request.ticket] = _caller;
+			cr_assert(joinRoom(gateway.room, _caller.request).empty());
+		}
+
+		bool hasRoom(Gateway& _gateway, const WaitingRequest& _request, bool _owed, Millis _now)
+		{
+			const double load = std::max(0.0, this->seen + _gateway.sentSinceNews);
+			const BatchView view{kPassMs, load / kEngines, kPassMs, kEngines, std::max(0.0, kSlots - load)};
+			BatchRequest request{120, _request.cameBack && !(this->ordered && Rank() < rankOf(_request)), this->ordered && !_owed && Rank() < rankOf(_request), 0.0};
+			request.headroom = expectedBefore(_gateway.room, rankOf(_request), kViewAgeMs + kNewsMs, kGateways, _now) * (_request.cameBack ? 0.5 : 1.0);
+			if (!request.yields)
+			{
+				return mayEnter(engine(), view, request);
+			}
+			const Rank rank = rankOf(_request);
+			const Millis wait = orderedWait(this->objectiveOf(_gateway, _request), kPassMs).tellMs;
+			RoomShare& share = _gateway.shares[rank];
+			share.chance = chanceOfRoom({yieldingRoom(engine(), view, request), kViewAgeMs, kNewsMs, expectedOf(_gateway.room, rank, 1, kGateways, _now), nearlyAllGo(_gateway.room, rank, _now) ? 0 : wait});
+			countContenders(share, waitingOf(_gateway.room, rank), this->random);
+			if (0 == share.left || !mayEnter(engine(), view, request))
+			{
+				return false;
+			}
+			takeOfShare(share);
+			return true;
+		}
+
+		Millis objectiveOf(const Gateway& _gateway, const WaitingRequest& _request) const
+		{
+			return this->sources[_gateway.callers.at(_request.ticket).source].objectiveMs;
+		}
+
+		void look(Gateway& _gateway, Millis _now)
+		{
+			if (_gateway.newsAt + kNewsMs <= _now)
+			{
+				_gateway.newsAt = _now;
+				_gateway.shares.clear();
+				_gateway.sentSinceNews = 0.0;
+			}
+			const HasRoom test = [&](const WaitingRequest& _request, bool _owed) {
+				return this->hasRoom(_gateway, _request, _owed, _now);
+			};
+			for (std::optional<WaitingRequest> next = takeNext(_gateway.room, test, _now); next; next = takeNext(_gateway.room, test, _now))
+			{
+				this->send(_gateway, *next, _now);
+			}
+			this->expire(_gateway, _now);
+		}
+
+		void send(Gateway& _gateway, const WaitingRequest& _request, Millis _now)
+		{
+			const Caller caller = _gateway.callers.at(_request.ticket);
+			_gateway.callers.erase(_request.ticket);
+			_gateway.sentSinceNews += 1.0;
+			// Beyond the slots it waits at its engine for a stream to end.
+			const double queued = std::max(0.0, this->running + 1.0 - kSlots);
+			const Millis engineWait = Millis(queued * double(kStreamMs) / kSlots);
+			this->running += 1.0;
+			const Millis lasts = kStreamMs / 4 + Millis(randomBelow(this->random, std::uint64_t(kStreamMs) * 3 / 2));
+			this->ends[std::size_t(_now + engineWait + lasts) / kTickMs * kTickMs] += 1.0;
+			const Millis first = _now - caller.arrivedAt + engineWait + Millis(2.0 * kPassMs);
+			const double worth = caller.inTimeCounts ? 1.0 : 0.5;
+			this->result[caller.source].inTime += first <= this->sources[caller.source].objectiveMs ? worth : 0.0;
+			this->result[caller.source].served += 1.0;
+		}
+
+		void expire(Gateway& _gateway, Millis _now)
+		{
+			std::vector<WaitingRequest> over;
+			for (const auto& [ticket, caller] : _gateway.callers)
+			{
+				if (isHopeless(_gateway.room, caller.request, _now))
+				{
+					over.push_back(caller.request);
+				}
+			}
+			for (const WaitingRequest& request : over)
+			{
+				Caller caller = _gateway.callers.at(request.ticket);
+				if (request.cameBack && this->ordered && !request.overShare && this->hasRoom(_gateway, request, true, _now))
+				{
+					takeAnyway(_gateway.room, request, _now);
+					this->send(_gateway, request, _now);
+					continue;
+				}
+				leaveRoom(_gateway.room, request);
+				_gateway.callers.erase(request.ticket);
+				if (!request.cameBack)
+				{
+					caller.inTimeCounts = false;
+					this->returning.emplace(_now + 1'000 + Millis(randomBelow(this->random, 1'600)), caller);
+				}
+			}
+		}
+
+		std::vector<Source> sources;
+		bool ordered;
+		std::vector<Gateway> gateways;
+		std::vector<Served> result;
+		std::vector<double> ends; ///< Streams that end, by ms.
+		std::vector<double> history;
+		std::multimap<Millis, Caller> returning;
+		std::map<std::size_t, double> due;
+		double running = 0.0;
+		double seen = 0.0;
+		std::uint64_t tickets = 0;
+		Random random{11};
+	};
+
+	std::vector<Source> threeKinds(double _liveBurst, double _batchBurst)
+	{
+		return {{"", 0, 400, 92.0, 92.0 * _liveBurst}, {"", 1, 400, 40.0, 40.0}, {"", 2, 1'000, 121.0, 121.0 * _batchBurst}};
+	}
+} // namespace
+
+/// 2.4 times the least urgent kind for 7 s: 844 streams for 720 slots.
+Test(waiting_room, a_burst_of_the_least_urgent_leaves_the_urgent_alone)
+{
+	const std::vector<Served> calm = Replay(threeKinds(1.0, 1.0), true).run();
+	const std::vector<Served> burst = Replay(threeKinds(1.0, 2.4), true).run();
+	const std::vector<Served> unordered = Replay(threeKinds(1.0, 2.4), false).run();
+	cr_log_warn("urgent: calm %.3f, burst %.3f, unordered %.3f; batch: %.3f, unordered %.3f, served %.3f", calm[0].share(), burst[0].share(), unordered[0].share(), burst[2].share(), unordered[2].share(), burst[2].served / burst[2].asked);
+	cr_assert(calm[0].share() - 0.05 <= burst[0].share(), "urgent in time: %.3f of %.3f", burst[0].share(), calm[0].share());
+	cr_assert(calm[1].share() - 0.05 <= burst[1].share(), "less urgent in time: %.3f of %.3f", burst[1].share(), calm[1].share());
+	cr_assert(unordered[0].share() < calm[0].share() - 0.05, "the load is none: %.3f", unordered[0].share());
+	// The urgent leave slots for 0.79 of the least urgent while the burst lasts.
+	cr_assert(0.7 < burst[2].share(), "batch in time: %.3f", burst[2].share());
+	cr_assert(0.9 < burst[2].served / burst[2].asked, "batch served: %.3f", burst[2].served / burst[2].asked);
+}
+
+/// A burst of the urgent kind itself: it goes first, and nobody behind it starves.
+Test(waiting_room, a_burst_of_the_urgent_starves_nobody)
+{
+	const std::vector<Served> burst = Replay(threeKinds(4.0, 1.0), true).run();
+	for (const Served& served : burst)
+	{
+		cr_assert(0.25 < served.served / served.asked, "served %.3f", served.served / served.asked);
+	}
+	cr_assert(burst[2].share() < burst[0].share() + 0.05 && burst[1].share() < burst[0].share() + 0.05);
+}
+
+/// One of twelve organisations sends 10 times its share for 7 s: the others keep theirs.
+Test(waiting_room, a_flood_of_one_organisation_costs_itself)
+{
+	std::vector<Source> sources;
+	for (int index = 0; index < 12; ++index)
+	{
+		sources.push_back({"o" + std::to_string(index), 0, 500, 21.0, 0 == index ? 210.0 : 21.0});
+	}
+	const auto othersOf = [](const std::vector<Served>& _served) {
+		double share = 0.0;
+		for (std::size_t index = 1; index < _served.size(); ++index)
+		{
+			share += _served[index].share() / double(_served.size() - 1);
+		}
+		return share;
+	};
+	std::vector<Source> calm = sources;
+	calm[0].burstPerS = 21.0;
+	const std::vector<Served> ordered = Replay(sources, true).run();
+	const double before = othersOf(Replay(calm, true).run());
+	const double unordered = othersOf(Replay(sources, false).run());
+	cr_log_warn("others: calm %.3f, flood %.3f, unordered %.3f; flood itself %.3f", before, othersOf(ordered), unordered, ordered[0].share());
+	cr_assert(before - 0.05 <= othersOf(ordered), "others in time: %.3f of %.3f", othersOf(ordered), before);
+	cr_assert(unordered < before - 0.05, "the load is none: %.3f", unordered);
+	cr_assert(0.25 < ordered[0].served / ordered[0].asked, "the flood starves: %.3f", ordered[0].served / ordered[0].asked);
+}
+
+/// The loads aren't heard any more, 2 s into the burst: what was known stays in use, nobody stops.
+Test(waiting_room, without_sight_of_loads_the_order_stays)
+{
+	const std::vector<Served> blind = Replay(threeKinds(1.0, 2.4), true).run(12'000);
+	cr_assert(blind[2].served / blind[2].asked <= blind[0].served / blind[0].asked + 0.05);
+	cr_assert(blind[0].served / blind[0].asked > 0.9);
+}
+
+Test(waiting_room, within_an_urgency_who_came_back_goes_first)
+{
+	WaitingRoom room;
+	joinRoom(room, {1, 1, "a", false, false, 100, 100, 1});
+	joinRoom(room, {2, 1, "a", false, true, 900, 900, 1});
+	joinRoom(room, {3, 0, "a", false, false, 500, 500, 1});
+	joinRoom(room, {4, 1, "a", true, true, 50, 50, 1});
+	const HasRoom any = [](const WaitingRequest&, bool) {
+		return true;
+	};
+	for (const std::uint64_t ticket : {3, 2, 1, 4})
+	{
+		cr_assert(ticket == takeNext(room, any, 0)->ticket);
+	}
+	cr_assert(!takeNext(room, any, 0) && 0 == room.number && 0 == room.bytes);
+}
+
+Test(waiting_room, one_in_twenty_goes_to_whoever_is_always_passed_over)
+{
+	WaitingRoom room;
+	joinRoom(room, {1, 2, "", false, false, 100, 100, 1});
+	int before = 0;
+	for (std::uint64_t ticket = 2; ticket < 100; ++ticket)
+	{
+		joinRoom(room, {ticket, 0, "", false, false, 100, 100, 1});
+		const std::optional<WaitingRequest> taken = takeNext(
+		    room, [](const WaitingRequest& _request, bool _owed) {
+			    return 0 == _request.urgency || _owed;
+		    },
+		    0);
+		if (1 == taken->ticket)
+		{
+			break;
+		}
+		before += 1;
+	}
+	cr_assert(19 <= before && before <= 21, "after %d", before);
+}
+
+Test(waiting_room, a_full_room_loses_the_newest_of_the_largest_of_the_last_rank)
+{
+	WaitingRoom room;
+	std::uint64_t ticket = 0;
+	joinRoom(room, {++ticket, 1, "small", false, false, 100, 100, 1});
+	for (int index = 0; index < 255; ++index)
+	{
+		cr_assert(joinRoom(room, {++ticket, 1, "large", false, false, 100, 100, 1}).empty());
+	}
+	const std::vector<WaitingRequest> displaced = joinRoom(room, {++ticket, 0, "small", false, false, 100, 100, 1});
+	cr_assert(1 == displaced.size() && 256 == displaced.front().ticket);
+	const std::vector<WaitingRequest> itself = joinRoom(room, {++ticket, 3, "small", false, false, 100, 100, 1});
+	cr_assert(1 == itself.size() && ticket == itself.front().ticket);
+	const std::vector<WaitingRequest> large = joinRoom(room, {++ticket, 0, "small", false, false, 100, 100, std::size_t(17) << 20});
+	cr_assert(1 == large.size() && ticket == large.front().ticket && 256 == room.number, "a body that doesn't fit at all displaces nobody");
+}
+
+Test(waiting_room, what_cannot_go_in_time_is_told_at_once)
+{
+	WaitingRoom room;
+	const HasRoom any = [](const WaitingRequest&, bool) {
+		return true;
+	};
+	for (Millis now = 0; now < 4'000; now += 200)
+	{
+		joinRoom(room, noteArrival(room, {std::uint64_t(now), 1, "", false, false, now + 200, now + 200, 1}, now));
+		takeNext(room, any, now);
+	}
+	const WaitingRequest next{9'003, 1, "", false, false, 4'000, 4'260, 1};
+	joinRoom(room, next);
+	cr_assert(canExpectRoom(room, next, 4'000), "five go a second");
+	joinRoom(room, {9'001, 1, "", false, false, 4'000, 4'100, 1});
+	joinRoom(room, {9'002, 1, "", false, false, 4'000, 4'100, 1});
+	cr_assert(!canExpectRoom(room, next, 4'000), "two are before it");
+	cr_assert(canExpectRoom(room, {9'004, 2, "", false, false, 4'000, 4'210, 1}, 4'000), "of this rank none has asked");
+}
+
+Test(waiting_room, headroom_grows_with_the_age_of_the_loads)
+{
+	WaitingRoom room;
+	for (Millis now = 0; now < 10'000; now += 400)
+	{
+		joinRoom(room, noteArrival(room, {std::uint64_t(now + 1), 0, "", false, false, now, now, 1}, now));
+	}
+	const double usual = expectedBefore(room, {2, false}, 150, kGateways, 10'000);
+	cr_assert(9.0 < usual && usual < 19.0, "%.1f for 13.5 expected", usual);
+	cr_assert(1.5 * usual < expectedBefore(room, {2, false}, 300, kGateways, 10'000));
+	cr_assert(0.0 == expectedBefore(room, {0, false}, 150, kGateways, 10'000));
+}
