Age of loads counts what engines tell late; free slots for who came back; the urgent wait no shorter

Change: EngineModel::reportLagMs; Claim: usual, free slots, first; orderedWait keeps at least the time to tell.

--- a/include/archdyke/batch_admission.h
+++ b/include/archdyke/batch_admission.h
@@ -60,6 +60,7 @@
 	};
 
 	/// @returns How long it may wait: as long as it can still begin in time with the passes as they are;
-	/// and how long until it is told, were it refused: nearly a quarter of the objective.
+	/// and how long until it is told, were it refused: nearly a quarter of the objective. Where passes are
+	/// so long that it can't begin in time, it waits that long too: no one is told sooner for being urgent.
 	OrderedWait orderedWait(Millis _objectiveMs, double _longPassMs);
 } // namespace archdyke
--- a/include/archdyke/catalog.h
+++ b/include/archdyke/catalog.h
@@ -64,6 +64,7 @@
 		std::uint32_t spare = 0;         ///< New experts of a set that a rank can copy at once.
 		double expertShare = 0.0;        ///< Share of a token's work that experts do.
 		double expertCopyMs = 0.0;       ///< Time to copy one expert to a rank.
+		Millis reportLagMs = 0;          ///< What an engine says of its load is this old.
 		Millis formMs = 0;               ///< A group needs this to open again.
 		std::uint32_t usualPromptTokens = 0;
 		std::uint32_t usualAnswerTokens = 0;
--- a/include/archdyke/waiting_room.h
+++ b/include/archdyke/waiting_room.h
@@ -64,9 +64,17 @@
 		std::size_t bytes = 0;
 	};
 
+	/// What a request may take.
+	enum class Claim
+	{
+		Usual,     ///< What its rank leaves to those before it stays free.
+		FreeSlots, ///< Any slot that is free: it is to be refused a second time, or late, otherwise.
+		First,     ///< What the most urgent may take: its rank was passed over for long.
+		Count
+	};
+
 	/// Says whether a request may go now.
-	/// @param[in] owed It may take room that is kept for ranks before its own.
-	using HasRoom = std::function<bool(const WaitingRequest&, bool owed)>;
+	using HasRoom = std::function<bool(const WaitingRequest&, Claim)>;
 
 	/// @returns Where a request stands.
 	Rank rankOf(const WaitingRequest& _request);
--- a/src/decide/batch_admission.cpp
+++ b/src/decide/batch_admission.cpp
@@ -83,7 +83,8 @@
 
 	OrderedWait orderedWait(Millis _objectiveMs, double _longPassMs)
 	{
-		const double untilTooLate = std::max(0.0, double(_objectiveMs) - kPassesToFirstEvent * _longPassMs);
-		return {Millis(std::min(untilTooLate, kWaitShareInOrder * double(_objectiveMs))), Millis(untilTooLate)};
+		const double tell = kWaitShareInOrder * double(_objectiveMs);
+		const double untilTooLate = double(_objectiveMs) - kPassesToFirstEvent * _longPassMs;
+		return {Millis(tell), Millis(std::max(tell, untilTooLate))};
 	}
 } // namespace archdyke
--- a/src/decide/waiting_room.cpp
+++ b/src/decide/waiting_room.cpp
@@ -68,13 +68,13 @@
 			return displaced;
 		}
 
-		std::optional<WaitingRequest> takeOfLine(WaitingLine& _line, const HasRoom& _hasRoom, bool _owed)
+		std::optional<WaitingRequest> takeOfLine(WaitingLine& _line, const HasRoom& _hasRoom, Claim _claim)
 		{
 			std::vector<std::string> names = flowsInOrder(_line.queue);
 			names.resize(std::min(names.size(), kMostAsked));
 			for (const std::string& name : names)
 			{
-				if (_hasRoom(_line.queue.flows[name].items.front(), _owed))
+				if (_hasRoom(_line.queue.flows[name].items.front(), _claim))
 				{
 					return takeFirst(_line.queue, name);
 				}
@@ -102,7 +102,7 @@
 				{
 					continue;
 				}
-				std::optional<WaitingRequest> taken = takeOfLine(line, _hasRoom, true);
+				std::optional<WaitingRequest> taken = takeOfLine(line, _hasRoom, Claim::First);
 				if (taken)
 				{
 					line.owed = 0.0;
@@ -116,7 +116,7 @@
 		{
 			for (auto& [rank, line] : _room.lines)
 			{
-				std::optional<WaitingRequest> taken = takeOfLine(line, _hasRoom, false);
+				std::optional<WaitingRequest> taken = takeOfLine(line, _hasRoom, Claim::Usual);
 				if (taken)
 				{
 					noteServed(_room, rank);
--- a/src/gateway/waiting.cpp
+++ b/src/gateway/waiting.cpp
@@ -58,12 +58,18 @@
 			return std::max(1.0, engines);
 		}
 
+		/// @returns How old what is known of a group's loads is, ms.
+		Millis ageOfLoads(const RequestContext& _context, const UpstreamGroup& _group, Millis _now)
+		{
+			const Millis told = isKnown(_group, _now) ? _now - _group.view.at : 0;
+			return told + batchEngineOf(_context)->reportLagMs;
+		}
+
 		/// @returns Slots of a group that a request leaves to more urgent ones.
 		double headroomIn(const RequestContext& _context, const ServiceQueue& _queue, const WaitingRequest& _request, const UpstreamGroup& _group, Millis _now)
 		{
 			const GatewayState& state = _context.state;
-			const Millis age = isKnown(_group, _now) ? _now - _group.view.at : 0;
-			const double expected = expectedBefore(_queue.room, rankOf(_request), age + kNewsMs, gatewaysTold(state.resendShare, _now), _now);
+			const double expected = expectedBefore(_queue.room, rankOf(_request), ageOfLoads(_context, _group, _now) + kNewsMs, gatewaysTold(state.resendShare, _now), _now);
 			const double part = double(_group.working) / enginesOf(state, _context.service);
 			return expected * part * (_request.cameBack ? kHeadroomOfReturning : 1.0);
 		}
@@ -82,7 +88,7 @@
 				const double room = yieldingRoom(*batchEngineOf(_context), view, {route.gapObjectiveMs, false, true, _headroom});
 				const double perMs = expectedOf(_queue.room, rank, 1, gateways, _now) * part;
 				const Millis waitMs = nearlyAllGo(_queue.room, rank, _now) ? 0 : orderedWait(route.objectiveMs, 0.0).tellMs;
-				share = {_group.view.at, chanceOfRoom({room, _now - _group.view.at, kNewsMs, perMs, waitMs}), 0, 0, 0};
+				share = {_group.view.at, chanceOfRoom({room, ageOfLoads(_context, _group, _now), kNewsMs, perMs, waitMs}), 0, 0, 0};
 			}
 			countContenders(share, waitingOf(_queue.room, rank), _context.state.random);
 			return share;
@@ -149,7 +155,7 @@
 			return std::nullopt;
 		}
 		const Granted none;
-		if (this->hasLastChance() && this->findGroup(true, none))
+		if (this->hasLastChance() && this->findGroup(Claim::FreeSlots, none))
 		{
 			takeAnyway(this->queue.room, this->request, nowMs());
 			Granted granted;
@@ -174,14 +180,14 @@
 		return paf.promise.exclusiveJoin(this->context.state.loop.timer.afterDelay(std::min(left, kLookAnywayMs) * kj::MILLISECONDS));
 	}
 
-	bool Ticket::findGroup(bool _owed, const Granted& _granted)
+	bool Ticket::findGroup(Claim _claim, const Granted& _granted)
 	{
 		const Millis now = nowMs();
-		const bool yielding = this->yields() && !_owed;
+		const bool yielding = this->yields() && Claim::First != _claim;
 		const GroupOptions options = optionsOf(this->context, [&](const UpstreamGroup& _group) {
 			const auto granted = _granted.find(&_group);
 			RoomTerms terms{yielding, 0.0, _granted.end() == granted ? 0 : granted->second, false, !this->yields()};
-			if (yielding)
+			if (yielding && Claim::Usual == _claim)
 			{
 				terms.headroom = headroomIn(this->context, this->queue, this->request, _group, now);
 				terms.shareSpent = isKnown(_group, now) && 0 == shareOf(this->context, this->queue, this->request, _group, terms.headroom, now).left;
@@ -234,7 +240,7 @@
 	RefusalCause Ticket::causeNow()
 	{
 		const Granted none;
-		const bool roomForOthers = this->yields() && this->findGroup(true, none);
+		const bool roomForOthers = this->yields() && this->findGroup(Claim::First, none);
 		this->context.group = nullptr;
 		if (!roomForOthers)
 		{
@@ -252,8 +258,8 @@
 		}
 		ServiceQueue& queue = found->second;
 		Granted granted;
-		const HasRoom hasRoom = [&](const WaitingRequest& _request, bool _owed) {
-			return queue.tickets.at(_request.ticket)->findGroup(_owed, granted);
+		const HasRoom hasRoom = [&](const WaitingRequest& _request, Claim _claim) {
+			return queue.tickets.at(_request.ticket)->findGroup(_claim, granted);
 		};
 		for (int grant = 0; grant < kMostGrants; ++grant)
 		{
--- a/src/gateway/waiting.h
+++ b/src/gateway/waiting.h
@@ -55,8 +55,7 @@
 		kj::Promise<void> change();
 
 		/// Looks for a group with room.
-		/// @param[in] _owed Also in room that is kept for more urgent ones.
-		bool findGroup(bool _owed, const Granted& _granted);
+		bool findGroup(Claim _claim, const Granted& _granted);
 		/// Lets it in to the group that was found.
 		void admit(Granted& _granted);
 		/// It loses its place.
