--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -62,7 +62,7 @@
 		{
 			const Millis arrivedAt = nowMs();
 			std::optional<Ticket> ticket;
-			while (true)
+			while (!ticket || !ticket->admitted())
 			{
 				const GroupOptions options = optionsOf(_context, anyRoom);
 				if (awaitsOpening(_context, options, arrivedAt))
@@ -84,22 +84,15 @@
 					ticket.emplace(_context, arrivedAt);
 				}
 				serveWaiting(_context.state, _context.service);
-				if (ticket->admitted())
-				{
-					co_return std::nullopt;
-				}
-				const std::optional<RefusalCause> refused = ticket->refusal();
+				const std::optional<RefusalCause> refused = ticket->admitted() ? std::nullopt : ticket->refusal();
 				if (refused)
 				{
 					logNoRoom(_context, options);
 					co_return refuseNotRun(_context, *refused);
 				}
 				co_await ticket->change();
-				if (ticket->admitted())
-				{
-					co_return std::nullopt;
-				}
 			}
+			co_return std::nullopt;
 		}
 	} // namespace
 
