--- a/src/decide/pass_times.cpp
+++ b/src/decide/pass_times.cpp
@@ -7,8 +7,6 @@
 {
 	namespace
 	{
-		/// The mean is over about this long, ms: some passes.
-		constexpr Millis kMeanWindowMs = 500;
 		/// Long passes are looked for over this long, ms: a dozen passes, half of a usual stream.
 		constexpr Millis kLongWindowMs = 1'000;
 		/// Share of the passes that end within the long one. The very longest stands for a single event,
@@ -38,20 +36,6 @@
 		}
 	}
 
-	double meanPassMs(const PassTimes& _times, Millis _now)
-	{
-		if (_times.seen.size() < 2)
-		{
-			return 0.0;
-		}
-		std::size_t first = 0;
-		while (first + 2 < _times.seen.size() && _times.seen[first + 1].at < _now - kMeanWindowMs)
-		{
-			first += 1;
-		}
-		return passMsBetween(_times.seen[first], _times.seen.back());
-	}
-
 	double longPassMs(const PassTimes& _times)
 	{
 		std::vector<double> passes;
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -15,6 +15,19 @@
 		/// how it is.
 		constexpr Millis kFaultMs = 400;
 
+		/// @returns Whether of all groups that aren't down only cold upstreams are left, with what they bear.
+		bool onlyColdAreLeft(const GroupOptions& _options, Millis _now)
+		{
+			for (std::size_t index = 0; index < _options.groups.size(); ++index)
+			{
+				if (GroupStanding::Down != _options.candidates[index].standing && !hasOnlyCold(*_options.groups[index], _now))
+				{
+					return false;
+				}
+			}
+			return true;
+		}
+
 		/// @returns Whether any group is heard of and open. Of a dense engine nothing is heard.
 		bool anyServes(const RequestContext& _context, const GroupOptions& _options)
 		{
@@ -36,25 +49,41 @@
 			return !serves && mayAwaitOpening(outage, {cameBack(_context), patienceOf(_context), now - _arrivedAt}, now);
 		}
 
+		/// @returns Why no group takes anything, however long a request waits.
+		std::optional<RefusalCause> closedCause(const RequestContext& _context, const GroupOptions& _options)
+		{
+			if (_context.state.board.isEvacuated(_context.service))
+			{
+				return RefusalCause::Evacuated;
+			}
+			if (_options.groups.empty())
+			{
+				return std::nullopt; // dispatch says so
+			}
+			if (allAreDown(_options))
+			{
+				return RefusalCause::GroupDown;
+			}
+			return onlyColdAreLeft(_options, nowMs()) ? std::optional(RefusalCause::ColdUpstreams) : std::nullopt;
+		}
+
 		/// A request that needs no room of engines: any group that isn't down will do.
 		aio::Task<std::optional<Refusal>> admitAnywhere(RequestContext& _context)
 		{
 			const Millis arrivedAt = nowMs();
-			while (true)
+			GroupOptions options = optionsOf(_context, anyRoom);
+			while (!_context.state.board.isEvacuated(_context.service) && awaitsOpening(_context, options, arrivedAt))
 			{
-				const GroupOptions options = optionsOf(_context, anyRoom);
-				if (awaitsOpening(_context, options, arrivedAt))
-				{
-					co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
-					continue;
-				}
-				_context.group = chosenOf(options, _context.state.random);
-				if (nullptr == _context.group && !options.groups.empty() && allAreDown(options))
-				{
-					co_return refuseNotRun(_context, RefusalCause::GroupDown);
-				}
-				co_return std::nullopt; // without any upstream dispatch says so
+				co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
+				options = optionsOf(_context, anyRoom);
+			}
+			const std::optional<RefusalCause> closed = closedCause(_context, options);
+			_context.group = closed ? nullptr : chosenOf(options, _context.state.random);
+			if (closed)
+			{
+				co_return refuseNotRun(_context, *closed);
 			}
+			co_return std::nullopt; // without any upstream dispatch says so
 		}
 
 		/// Waits in the queue of its service until there is room, or it is to be told to come back.
@@ -65,19 +94,21 @@
 			while (!ticket || !ticket->admitted())
 			{
 				const GroupOptions options = optionsOf(_context, anyRoom);
-				if (awaitsOpening(_context, options, arrivedAt))
+				const bool evacuated = _context.state.board.isEvacuated(_context.service);
+				if (!evacuated && awaitsOpening(_context, options, arrivedAt))
 				{
 					ticket.reset(); // nothing of it is to go to a group that nobody has heard of
 					co_await _context.state.loop.timer.afterDelay(kLookMs * kj::MILLISECONDS);
 					continue;
 				}
-				if (options.groups.empty())
+				const std::optional<RefusalCause> closed = closedCause(_context, options);
+				if (closed)
 				{
-					co_return std::nullopt; // dispatch says so
+					co_return refuseNotRun(_context, *closed);
 				}
-				if (allAreDown(options))
+				if (options.groups.empty())
 				{
-					co_return refuseNotRun(_context, RefusalCause::GroupDown);
+					co_return std::nullopt; // dispatch says so
 				}
 				if (!ticket)
 				{
@@ -110,9 +141,9 @@
 			return withRoom;
 		}
 		// It was let in once: to refuse it for want of room now would lose what was done for it.
-		for (GroupCandidate& candidate : options.candidates)
+		for (std::size_t index = 0; index < options.groups.size(); ++index)
 		{
-			candidate.hasRoom = true;
+			options.candidates[index].hasRoom = 0 < membersThatMayGet(*options.groups[index], nowMs());
 		}
 		return chosenOf(options, _context.state.random);
 	}
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -26,11 +26,16 @@
 		return isRecent(_upstream, _now) ? std::max(1.0, _upstream.reported->pace) : 1.0;
 	}
 
-	bool takesWork(const Upstream& _upstream)
+	bool isServing(const Upstream& _upstream)
 	{
 		return !_upstream.leavingSince && !_upstream.superseded;
 	}
 
+	bool takesWork(const Upstream& _upstream)
+	{
+		return isServing(_upstream) && !_upstream.evacuated;
+	}
+
 	double loadOf(const Upstream& _upstream, Millis _now)
 	{
 		if (!isRecent(_upstream, _now))
@@ -55,7 +60,7 @@
 		double taken = 0.0;
 		for (const UpstreamRef& upstream : _group.members)
 		{
-			if (takesWork(*upstream))
+			if (mayGet(*upstream, _now))
 			{
 				const double some = upstream->record.slots;
 				slots += some;
@@ -108,8 +113,9 @@
 		this->upstream->group->inFlight -= 1;
 	}
 
-	Board::Board(std::string _zone)
+	Board::Board(std::string _zone, std::string _gateway)
 	    : zone(std::move(_zone))
+	    , gateway(std::move(_gateway))
 	{
 	}
 
@@ -125,8 +131,43 @@
 		}
 	}
 
-	void Board::learn(const UpstreamRecord& _record, Millis _now)
+	bool Board::startedAnew(const UpstreamRecord& _record) const
+	{
+		const auto known = this->byIncarnation.find(_record.incarnation);
+		const Millis before = this->byIncarnation.end() == known ? 0 : known->second->record.startedAt;
+		return 0 != before && before < _record.startedAt;
+	}
+
+	bool Board::isOfEarlierRun(const UpstreamRecord& _record) const
 	{
+		const auto known = this->byIncarnation.find(_record.incarnation);
+		return this->byIncarnation.end() != known && 0 != _record.startedAt && _record.startedAt < known->second->record.startedAt;
+	}
+
+	void Board::takeAddress(const UpstreamRef& _upstream)
+	{
+		UpstreamRef& holder = this->byAddress[_upstream->record.address];
+		if (nullptr != holder && holder != _upstream && !holder->superseded)
+		{
+			logInfo("upstream_superseded", {{"incarnation", holder->record.incarnation}, {"by", _upstream->record.incarnation}, {"address", _upstream->record.address}});
+			holder->superseded = true;
+			this->count(*holder->group);
+		}
+		_upstream->superseded = false;
+		holder = _upstream;
+	}
+
+	void Board::learn(const UpstreamRecord& _record, Millis _now, Millis _coldIfNewMs)
+	{
+		if (this->isOfEarlierRun(_record))
+		{
+			return; // a write of the run before that was late
+		}
+		if (this->startedAnew(_record))
+		{
+			logInfo("upstream_started_anew", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"started_at", _record.startedAt}});
+			this->forget(_record.incarnation, _now);
+		}
 		UpstreamRef& upstream = this->byIncarnation[_record.incarnation];
 		const bool isNew = nullptr == upstream;
 		if (isNew)
@@ -137,16 +178,11 @@
 		}
 		const bool leaves = _record.leaving && !upstream->leavingSince;
 		const bool changed = isNew || leaves || upstream->record != _record;
+		const bool started = isNew || upstream->record.startedAt != _record.startedAt;
 		upstream->record = _record;
-		UpstreamRef& holder = this->byAddress[_record.address];
-		if (nullptr != holder && holder != upstream && !holder->superseded)
-		{
-			logInfo("upstream_superseded", {{"incarnation", holder->record.incarnation}, {"by", _record.incarnation}, {"address", _record.address}});
-			holder->superseded = true;
-			this->count(*holder->group);
-		}
-		upstream->superseded = false;
-		holder = upstream;
+		this->setColdSends(*upstream);
+		upstream->evacuated = this->evacuatedZones.contains(_record.zone);
+		this->takeAddress(upstream);
 		if (leaves)
 		{
 			upstream->leavingSince = _now;
@@ -155,6 +191,7 @@
 		{
 			this->count(*upstream->group);
 			logInfo("upstream_learned", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"zone", _record.zone}, {"leaving", upstream->leavingSince.has_value()}});
+			this->beginCold(upstream, 0 < _record.coldForMs || !started ? _record.coldForMs : _coldIfNewMs, _now);
 		}
 	}
 
@@ -224,7 +261,7 @@
 				this->put(upstream, group);
 			}
 			upstream->reported = ReportedLoad{rank.requests, at, upstream->inFlight, rank.pace};
-			group->reported += rank.requests;
+			group->reported += upstream->evacuated ? 0 : rank.requests; // the mean is over those that take work
 		}
 		group->ownThen = group->inFlight;
 		if (group->members.empty())
@@ -246,7 +283,7 @@
 		std::vector<UpstreamCandidate> candidates;
 		for (const UpstreamRef& upstream : _group.members)
 		{
-			if (takesWork(*upstream))
+			if (mayGet(*upstream, _now))
 			{
 				open.push_back(upstream);
 				candidates.push_back({loadOf(*upstream, _now), upstream->record.slots, upstream->record.zone == this->zone, isSuspended(upstream->health, _now) || isSilent(hearingOf(*upstream, _now), _now), _triedBefore.contains(upstream->record.incarnation), upstream->health.failureRate, paceOf(*upstream, _now)});
@@ -302,6 +339,11 @@
 		return result;
 	}
 
+	std::size_t Board::addresses() const
+	{
+		return this->byAddress.size();
+	}
+
 	std::vector<UpstreamRef> Board::all() const
 	{
 		std::vector<UpstreamRef> result;
@@ -333,6 +375,7 @@
 		_upstream->group = _group;
 		_group->members.push_back(_upstream);
 		_group->inFlight += _upstream->inFlight;
+		_group->coldUntil = std::max(_group->coldUntil, _upstream->cold.until);
 		this->count(*_group);
 	}
 
--- a/src/gateway/counters.cpp
+++ b/src/gateway/counters.cpp
@@ -27,11 +27,15 @@
 	    , firstSeconds(_metrics.seconds("archdyke_gateway_first_event_seconds", "From the request's head to the first event of a stream"))
 	    , sends(_metrics.counter("archdyke_gateway_sends_total", "Requests sent to an upstream, first sends"))
 	    , resends(_metrics.counter("archdyke_gateway_resends_total", "Requests sent to a further upstream"))
+	    , coldSends(_metrics.counter("archdyke_gateway_cold_sends_total", "Requests sent to a cold upstream, of first sends and resends"))
+	    , coldRefusals(_metrics.counter("archdyke_gateway_cold_refusals_total", "Requests refused since all upstreams left were cold"))
 	    , storeCalls(_metrics.counter("archdyke_store_calls_total", "Calls to the metadata store"))
 	    , storeFailures(_metrics.counter("archdyke_store_failures_total", "Calls to the metadata store without a usable answer"))
 	    , connectionsOpened(_metrics.counter("archdyke_gateway_upstream_connections_total", "Connections opened to upstreams"))
 	    , configurationVersion(_metrics.gauge("archdyke_configuration_version", "Version in force"))
 	    , proofAgeMs(_metrics.gauge("archdyke_configuration_proof_age_ms", "Age of the proof that this version is the newest"))
+	    , evacuatedZones(_metrics.gauge("archdyke_evacuated_zones", "Zones whose upstreams get no requests on an operator's word"))
+	    , unusableRows(_metrics.counter("archdyke_upstream_rows_unusable_total", "Rows of upstreams that name none to use"))
 	{
 		for (std::size_t urgency = 0; urgency < this->urgencies.size(); ++urgency)
 		{
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -45,10 +45,14 @@
 		prometheus::Histogram& firstSeconds;
 		prometheus::Counter& sends;
 		prometheus::Counter& resends;
+		prometheus::Counter& coldSends;
+		prometheus::Counter& coldRefusals;
 		prometheus::Counter& storeCalls;
 		prometheus::Counter& storeFailures;
 		prometheus::Counter& connectionsOpened;
 		prometheus::Gauge& configurationVersion;
 		prometheus::Gauge& proofAgeMs;
+		prometheus::Gauge& evacuatedZones;
+		prometheus::Counter& unusableRows;
 	};
 } // namespace archdyke::gateway
--- a/src/gateway/group_options.cpp
+++ b/src/gateway/group_options.cpp
@@ -40,14 +40,15 @@
 			candidate.standing = standingOf(_group, request.gapObjectiveMs, _now);
 			candidate.ownZoneShare = double(_group.workingInZone) / double(std::max<std::uint32_t>(1, _group.working));
 			candidate.failedRequest = _context.failedInGroups.contains(_group.name);
-			candidate.hasRoom = 0 < _group.working;
+			const std::uint32_t members = membersThatMayGet(_group, _now);
+			candidate.hasRoom = 0 < members;
 			if (nullptr != _engine)
 			{
 				const BatchView view = withGranted(batchView(_group, _context.state, _now), _terms.granted);
 				const double limit = batchLimit(*_engine, view, request.gapObjectiveMs);
 				candidate.hasRoom = candidate.hasRoom && mayEnter(*_engine, view, request) && !_terms.shareSpent;
 				candidate.fullness = (view.meanLoad + 1.0) / limit;
-				candidate.room = _terms.yields ? yieldingRoom(*_engine, view, request) : (limit - view.meanLoad) * double(_group.working);
+				candidate.room = _terms.yields ? yieldingRoom(*_engine, view, request) : (limit - view.meanLoad) * double(members);
 			}
 			return candidate;
 		}
@@ -69,10 +70,15 @@
 		return double(patienceOf(_context)) < kFirstTimeShare * double(_context.route->timeoutMs);
 	}
 
+	std::uint32_t gatewaysAlike(const GatewayState& _state, Millis _now)
+	{
+		return gatewaysTold(_state.resendShare, _state.settings.bounds.retryWindowMs, 0, _now).value_or(1);
+	}
+
 	BatchView batchView(const UpstreamGroup& _group, const GatewayState& _state, Millis _now)
 	{
 		const bool known = isKnown(_group, _now);
-		const double freeNow = freeSlots(_group, gatewaysTold(_state.resendShare, _now), _now);
+		const double freeNow = freeSlots(_group, gatewaysAlike(_state, _now), _now);
 		return {known ? _group.view.passMs : 0.0, meanLoad(_group, _now), known ? _group.view.longPassMs : 0.0, double(_group.working), freeNow};
 	}
 
--- a/src/gateway/group_options.h
+++ b/src/gateway/group_options.h
@@ -40,6 +40,9 @@
 	/// @returns Whether the caller was here before with this request.
 	bool cameBack(const RequestContext& _context);
 
+	/// @returns Gateways that serve the deployment, as last told: they get alike many requests.
+	std::uint32_t gatewaysAlike(const GatewayState& _state, Millis _now);
+
 	/// @returns What is known of a group's engines.
 	BatchView batchView(const UpstreamGroup& _group, const GatewayState& _state, Millis _now);
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "archdyke/catalog.h"
+#include "archdyke/evacuation.h"
 #include "archdyke/freshness.h"
 #include "archdyke/outage.h"
 #include "archdyke/resend_share.h"
@@ -37,10 +38,11 @@
 		http::ConnectionPool pool;
 		Random random;
 		std::shared_ptr<const CatalogIndex> catalog; ///< Null until the first one is known.
+		OperatorTable operators;
 		Freshness freshness;
 		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
 		absl::flat_hash_map<std::string, Outage> outages;      ///< By service.
-		ResendShare resendShare;                               ///< Of the allowance, for each service.
+		ResendShare resendShare;                               ///< Of the allowance, for each service; and how many gateways there are.
 		absl::node_hash_map<std::string, ServiceQueue> queues; ///< By service.
 		bool leaving = false;                                  ///< The stop signal came.
 		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
@@ -50,7 +52,7 @@
 		    , codec(_codec)
 		    , loop(_loop)
 		    , counters(_counters)
-		    , board(this->settings.place.zone)
+		    , board(this->settings.place.zone, this->settings.place.name)
 		    , pool(_loop)
 		    , random(_seed)
 		{
--- a/src/gateway/waiting.cpp
+++ b/src/gateway/waiting.cpp
@@ -75,7 +75,7 @@
 		double headroomIn(const RequestContext& _context, const ServiceQueue& _queue, const WaitingRequest& _request, const UpstreamGroup& _group, Millis _now)
 		{
 			const GatewayState& state = _context.state;
-			const double expected = expectedBefore(_queue.room, rankOf(_request), ageOfLoads(_context, _group, _now) + kNewsMs, gatewaysTold(state.resendShare, _now), _now);
+			const double expected = expectedBefore(_queue.room, rankOf(_request), ageOfLoads(_context, _group, _now) + kNewsMs, gatewaysAlike(state, _now), _now);
 			const double part = double(_group.working) / enginesOf(state, _context.service);
 			return expected * part * (_request.cameBack ? kHeadroomOfReturning : 1.0);
 		}
@@ -88,7 +88,7 @@
 			RoomShare& share = _queue.shares[{_group.name, rank}];
 			if (share.newsAt != _group.view.at)
 			{
-				const std::uint32_t gateways = gatewaysTold(_context.state.resendShare, _now);
+				const std::uint32_t gateways = gatewaysAlike(_context.state, _now);
 				const double part = double(_group.working) / enginesOf(_context.state, _context.service);
 				const BatchView view = batchView(_group, _context.state, _now);
 				const double room = yieldingRoom(*batchEngineOf(_context), view, {route.gapObjectiveMs, false, true, _headroom});
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -18,8 +18,29 @@
 	{
 		const Millis now = nowMs();
 		noteStep(this->passTimes, _engine.view.epoch, _engine.view.step, now);
-		const double mean = meanPassMs(this->passTimes, now);
-		this->passMs = 0.0 < mean ? mean : this->passMs;
+		if (this->passEpoch != _engine.view.epoch)
+		{
+			this->passes.clear();
+			this->passEpoch = _engine.view.epoch;
+		}
+		if (this->passes.empty() || this->passes.back().step < _engine.view.step)
+		{
+			if (!this->passes.empty())
+			{
+				this->noteStand(this->passes.back(), {_engine.view.step, now});
+			}
+			this->passes.push_back({_engine.view.step, now});
+		}
+		while (2 < this->passes.size() && this->passes[1].at < now - kPassWindowMs)
+		{
+			this->passes.pop_front();
+		}
+		const PassSample& first = this->passes.front();
+		const PassSample& last = this->passes.back();
+		if (first.step < last.step)
+		{
+			this->passMs = double(last.at - first.at) / double(last.step - first.step);
+		}
 	}
 
 	void Coordinator::notePace(const Rank& _rank, const EngineReport& _engine) const
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -195,3 +195,178 @@
 	noteHeard(*silent, 1'950);
 	cr_assert(!isSilent(hearingOf(*silent, 4'000), 4'000));
 }
+
+namespace
+{
+	/// Terms by which each gateway has two sends in a window, and none one more.
+	constexpr ColdTerms kTwoSends{20.0, 30.0, 14};
+
+	/// @returns How many requests a gateway that has more than it may send gets out at one time.
+	int sendsNow(const Board& _board, Random& _random, Millis _now)
+	{
+		int sends = 0;
+		while (const UpstreamRef upstream = _board.choose(*groupNamed(_board, ""), {}, _random, _now))
+		{
+			noteColdSend(upstream->cold, _now);
+			sends += 1;
+			cr_assert(sends < 100);
+		}
+		return sends;
+	}
+} // namespace
+
+Test(board, an_upstream_that_turns_cold_gets_its_share_and_no_more)
+{
+	Board board("here", "gateway-1");
+	Random random(1);
+	board.limitCold(kService, kTwoSends);
+	board.learn(recordOf("a", "1"), 0);
+	const GroupRef group = groupNamed(board, "");
+	cr_assert(1 == membersThatMayGet(*group, 0) && !hasOnlyCold(*group, 0));
+	UpstreamRecord cold = recordOf("a", "1");
+	cold.coldForMs = 3'000;
+	board.learn(cold, 10'000);
+	cr_assert(3'000 == board.nextWarmMs(kService, 10'000));
+	cr_assert(2 == sendsNow(board, random, 10'000));
+	cr_assert(hasOnlyCold(*group, 11'000) && 0 == sendsNow(board, random, 11'000));
+	cr_assert(2 == sendsNow(board, random, 11'500));
+	board.endCold(13'000);
+	cr_assert(!hasOnlyCold(*group, 13'000) && !board.nextWarmMs(kService, 13'000));
+}
+
+Test(board, a_warm_upstream_gets_what_a_cold_one_cannot_take)
+{
+	Board board("here", "gateway-1");
+	Random random(1);
+	board.limitCold(kService, kTwoSends);
+	UpstreamRecord cold = recordOf("cold", "1");
+	cold.coldForMs = 3'000;
+	board.learn(cold, 0);
+	board.learn(recordOf("warm", "2"), 0);
+	const GroupRef group = groupNamed(board, "");
+	int atCold = 0;
+	for (int request = 0; request < 100; ++request)
+	{
+		const UpstreamRef chosen = board.choose(*group, {}, random, 100);
+		cr_assert(nullptr != chosen);
+		if ("cold" == chosen->record.incarnation)
+		{
+			noteColdSend(chosen->cold, 100);
+			atCold += 1;
+		}
+	}
+	cr_assert(2 == atCold && 1 == membersThatMayGet(*group, 100));
+}
+
+Test(board, a_new_upstream_that_does_not_say_counts_as_cold)
+{
+	Board board("here", "gateway-1");
+	board.limitCold(kService, kTwoSends);
+	board.learn(recordOf("first", "1"), 0);
+	cr_assert(!board.nextWarmMs(kService, 0));
+	board.learn(recordOf("later", "2"), 1'000, 3'000);
+	cr_assert(3'000 == board.nextWarmMs(kService, 1'000));
+	// A later row of the same process says nothing new of it; a restart under its name does.
+	UpstreamRecord row = recordOf("first", "1");
+	row.slots = 5;
+	board.learn(row, 2'000, 3'000);
+	cr_assert(!isLimitedCold(*groupNamed(board, "")->members.front(), 2'000));
+	row.startedAt = 1'700'000'000'000;
+	board.learn(row, 2'000, 3'000);
+	cr_assert(isLimitedCold(*groupNamed(board, "")->members.front(), 2'000));
+}
+
+Test(board, upstreams_that_restarted_are_counted_once)
+{
+	Board board("here", "gateway-1");
+	board.learn(recordOf("before", "1"), 0);
+	board.learn(recordOf("after", "1"), 0);
+	board.learn(recordOf("other", "2"), 0);
+	cr_assert(2 == board.addresses());
+	board.forget("before", 10);
+	cr_assert(2 == board.addresses());
+}
+
+Test(board, where_nothing_is_declared_a_cold_upstream_gets_as_much_as_any)
+{
+	Board board("here", "gateway-1");
+	UpstreamRecord cold = recordOf("a", "1");
+	cold.coldForMs = 3'000;
+	board.learn(cold, 0);
+	cr_assert(1 == membersThatMayGet(*groupNamed(board, ""), 100));
+	board.limitCold(kService, ColdTerms{20.0, 30.0, 2'048});
+	cr_assert(hasOnlyCold(*groupNamed(board, ""), 100));
+	board.limitCold(kService, std::nullopt);
+	cr_assert(1 == membersThatMayGet(*groupNamed(board, ""), 100));
+}
+
+Test(board, an_evacuated_zone_takes_no_work_until_it_is_taken_back)
+{
+	Board board("here");
+	board.limitCold(kService, ColdTerms{18.0, 32.0, 1, 3'000});
+	Random random(1);
+	board.learn(recordOf("a", "1"), 0);
+	board.learn(recordOf("b", "2", "there"), 0);
+	board.evacuate("here");
+	board.learn(recordOf("c", "3"), 0); // learnt meanwhile
+	const GroupRef group = groupNamed(board, "");
+	cr_assert(1 == group->working && 0 == group->workingInZone);
+	for (int draw = 0; draw < 20; ++draw)
+	{
+		cr_assert("b" == board.choose(*group, {}, random, 10)->record.incarnation);
+	}
+	board.report(reportOf("g", {"1", "2"}, 4), 10);
+	cr_assert(4.0 == meanLoad(*groupNamed(board, "g"), 10), "of those that take work");
+	cr_assert(!board.isEvacuated(kService));
+	board.takeBack("here", 700);
+	cr_assert(1 == groupNamed(board, "")->working && 2 == groupNamed(board, "g")->working);
+	for (const UpstreamRef& upstream : board.all())
+	{
+		cr_assert(("there" == upstream->record.zone ? 0 : 3'000) == warmInMs(upstream->cold, 700), "they may have turned cold meanwhile");
+	}
+}
+
+Test(board, a_service_counts_as_evacuated_when_nothing_else_keeps_its_upstreams_from_work)
+{
+	Board board("here");
+	cr_assert(!board.isEvacuated(kService));
+	board.learn(recordOf("a", "1"), 0);
+	UpstreamRecord leaving = recordOf("b", "2", "there");
+	leaving.leaving = true;
+	board.learn(leaving, 0);
+	board.evacuate("here");
+	cr_assert(board.isEvacuated(kService) && !board.isEvacuated("other"));
+	board.learn(recordOf("c", "3", "there"), 0);
+	cr_assert(!board.isEvacuated(kService));
+	board.forget("a", 0);
+	board.forget("c", 0);
+	cr_assert(!board.isEvacuated(kService), "only one that leaves is left");
+}
+
+/// A process that starts again under its name holds and knows nothing of before.
+Test(board, a_later_start_under_the_same_name_is_another_run)
+{
+	Board board("here");
+	Random random(1);
+	UpstreamRecord record = recordOf("a", "1");
+	record.startedAt = 1'000;
+	record.leaving = true;
+	board.learn(record, 0);
+	board.report(reportOf("g", {"1"}, 9), 10);
+	const UpstreamRef before = groupNamed(board, "g")->members.front();
+	before->health.suspendedUntil = 60'000;
+	const InFlight request(before, 20);
+	record.startedAt = 2'000;
+	record.leaving = false;
+	board.learn(record, 30);
+	const std::vector<UpstreamRef> all = board.all();
+	cr_assert(1 == all.size() && takesWork(*all.front()) && !isSuspended(all.front()->health, 30));
+	cr_assert(!all.front()->reported && 0 == all.front()->inFlight, "what is told of the run before isn't its load");
+	cr_assert(1 == before->inFlight, "a request at the run before goes on");
+	cr_assert(all.front() == board.choose(*all.front()->group, {}, random, 40));
+	// A write of the run before may come late.
+	record.startedAt = 1'000;
+	record.leaving = true;
+	board.learn(record, 50);
+	cr_assert(takesWork(*board.all().front()) && 2'000 == board.all().front()->record.startedAt);
+}
