A coordinator that takes over gives no first arm while a rank is out of reach

Change: arms begin once all ranks are in reach, or go on once one is seen armed. Without a first arm the switch is voided after kHoldUnreachableMs.

--- a/src/decide/forward_switch.cpp
+++ b/src/decide/forward_switch.cpp
@@ -257,8 +257,12 @@
 			const bool allInReach = allSeen && _patience.allReachable;
 			if (isHeld(_intent, _ranks))
 			{
-				// With one rank armed the group would stand until the last one can be.
-				return allInReach || !_patience.nobodyArmed ? armOrRelease(_intent, _ranks) : std::vector<RankOrderPlan>();
+				// Behind an armed rank the switch can't be voided, and the group stands until all are armed: a
+				// coordinator that takes over gives no first arm before it has seen all ranks.
+				const bool anyArmed = anyRank(_ranks, [&](const RankView& _rank) {
+					return _rank.seen && (isArmed(_rank, _intent) || isOnMap(_rank, _intent));
+				});
+				return allInReach || anyArmed ? armOrRelease(_intent, _ranks) : std::vector<RankOrderPlan>();
 			}
 			const bool released = allRanks(_ranks, [&](const RankView& _rank) {
 				return isArmed(_rank, _intent);
--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -809,6 +809,28 @@
 	cr_assert(1 == releaseStrayHolds(*ends.next, {holding, copied, RankView()}).size());
 }
 
+/// A coordinator that took over armed all ranks that it saw first. The one beside the frozen coordinator couldn't
+/// be armed, the switch not be voided any more, and the group stood until the VM woke.
+Test(forward, a_coordinator_that_takes_over_gives_no_first_arm_while_a_rank_is_out_of_reach)
+{
+	SwitchIntent intent;
+	intent.term = 2;
+	intent.phase = SwitchPhase::Switching;
+	intent.epoch = 1;
+	intent.version = 5;
+	intent.boundary = 10;
+	intent.last = 2;
+	const RankView holding{true, 1, true, 9, 0, 5, {}, 10};
+	RankView copied{true, 1, true, 9, 0, 5, {}, {}};
+	const SwitchPatience taken = withHistory({3, false, false, {}}, intent, historyOf(intent));
+	cr_assert(decideSwitch(intent, {holding, copied, RankView()}, taken) == SwitchStep());
+	cr_assert(decideSwitch(intent, {holding, RankView(), RankView()}, taken) == SwitchStep(), "nor to the first one seen");
+	const SwitchPatience all = withHistory({3, false, true, {}}, intent, historyOf(intent));
+	cr_assert(2 == decideSwitch(intent, {holding, copied, copied}, all).orders.size());
+	copied.armed = 5;
+	cr_assert(1 == decideSwitch(intent, {holding, copied, RankView()}, taken).orders.size(), "one is armed: there is no way back");
+}
+
 Test(forward, a_switch_with_an_armed_rank_is_not_voided_behind_it)
 {
 	SwitchIntent intent;
