--- a/include/archdyke/switch_worth.h
+++ b/include/archdyke/switch_worth.h
@@ -110,6 +110,7 @@
 		LittleSkew,  ///< Less than is tolerated.
 		NoBetterMap, ///< Within what ranks can copy.
 		CostsMore,   ///< It makes more streams late than it keeps in time.
+		NonePays,    ///< The same for any map: not even one without skew or copies would pay. None was planned.
 		Count
 	};
 
--- a/src/decide/switch_worth.cpp
+++ b/src/decide/switch_worth.cpp
@@ -167,7 +167,8 @@
 			return _record.trials.empty() || _now - _record.trials.back().at >= kTrialEveryMs;
 		}
 
-		double gainOf(const SwitchWorth& _worth)
+		/// @returns What is gained beyond the cost, ms.
+		double netOf(const SwitchWorth& _worth)
 		{
 			return _worth.savedMs - _worth.costMs;
 		}
@@ -175,7 +176,7 @@
 		bool pays(const SwitchWorth& _worth, const GroupPressure& _group)
 		{
 			const bool harmless = _worth.madeLate < kHarmless && _group.waiting < kFewWaiting;
-			return harmless || gainOf(_worth) > kLeastGainShare * _worth.expectedMs;
+			return harmless || netOf(_worth) > kLeastGainShare * _worth.expectedMs;
 		}
 
 		/// What a plan is weighed with.
@@ -194,7 +195,7 @@
 		{
 			const bool onlyOne = SwitchDoubt::None != _large.doubt && SwitchDoubt::None == _small.doubt;
 			const bool neither = SwitchDoubt::None != _large.doubt || SwitchDoubt::None == _small.doubt;
-			return onlyOne || (neither && gainOf(_small.worth) > gainOf(_large.worth) + kClearGainShare * _small.worth.expectedMs);
+			return onlyOne || (neither && netOf(_small.worth) > netOf(_large.worth) + kClearGainShare * _small.worth.expectedMs);
 		}
 
 		std::uint32_t mostCopies(const ExpertHosts& _from, const ExpertHosts& _to, std::uint32_t _ranks)
@@ -224,7 +225,7 @@
 
 	std::string_view toString(SwitchDoubt _doubt)
 	{
-		constexpr std::array<std::string_view, std::size_t(SwitchDoubt::Count)> kNames{"none", "little_skew", "no_better_map", "costs_more"};
+		constexpr std::array<std::string_view, std::size_t(SwitchDoubt::Count)> kNames{"none", "little_skew", "no_better_map", "costs_more", "none_pays"};
 		return kNames[std::size_t(_doubt)];
 	}
 
@@ -335,9 +336,10 @@
 		if (weighed && !trialIsDue(_record, _now))
 		{
 			// If not even a map without skew would pay that needed no copies, none is planned.
-			choice = weigh(weighing, std::move(choice.plan));
-			if (SwitchDoubt::None != choice.doubt)
+			const SwitchChoice ideal = weigh(weighing, choice.plan);
+			if (SwitchDoubt::None != ideal.doubt)
 			{
+				choice.doubt = SwitchDoubt::NonePays;
 				return choice;
 			}
 		}
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -111,6 +111,13 @@
 			Millis at = 0;
 		};
 
+		/// From which step on the map in use was taken.
+		struct MapStart
+		{
+			std::uint64_t epoch = 0;
+			std::uint64_t step = 0; ///< 0: the group formed with it, or another coordinator switched.
+		};
+
 		/// The last switch that was planned, until it is in force or a later one is planned.
 		struct PlannedSwitch
 		{
@@ -274,6 +281,7 @@
 		SavingRecord savings;
 		SwitchChoice lastChoice; ///< The last one that was weighed.
 		PlannedSwitch lastPlanned;
+		MapStart mapStart;
 		Millis notWorthToldAt = 0; ///< When a switch that doesn't pay was last logged.
 		MapCounters mapCounters;
 		std::uint64_t switches = 0;
--- a/src/group/coordinator_maps.cpp
+++ b/src/group/coordinator_maps.cpp
@@ -46,9 +46,10 @@
 
 	std::optional<double> Coordinator::passOnThisMap() const
 	{
-		const bool switched = this->passEpoch == this->intent.epoch && 0 != this->intent.inForceVersion;
+		// Not the boundary of the row: that of a switch that was given up is none at which the map changed.
+		const bool switched = this->passEpoch == this->mapStart.epoch;
 		const auto isOnThisMap = [&](const PassSample& _pass) {
-			return !switched || this->intent.boundary <= _pass.step;
+			return !switched || this->mapStart.step <= _pass.step;
 		};
 		if (this->passes.empty() || isOnThisMap(this->passes.front()))
 		{
@@ -107,6 +108,7 @@
 		{
 			const double overheadMs = std::max(0.0, double(nowMs() - this->lastPlanned.at) - this->lastPlanned.copyMs);
 			noteSwitch(*this->model, this->switchRecord, {this->lastPlanned.stoodMs, overheadMs}, nowMs());
+			this->mapStart = {this->intent.epoch, this->intent.boundary};
 			this->mapCounters.switches.Increment();
 			this->mapCounters.stoodMs.Increment(this->lastPlanned.stoodMs);
 		}
@@ -122,10 +124,13 @@
 		{
 			return;
 		}
-		this->lastChoice = _choice;
-		this->lastChoice.plan.hosts.clear();
-		this->mapCounters.savedMs.Set(worth.savedMs);
-		this->mapCounters.costMs.Set(worth.costMs);
+		if (SwitchDoubt::NonePays != _choice.doubt)
+		{
+			this->lastChoice = _choice;
+			this->lastChoice.plan.hosts.clear();
+			this->mapCounters.savedMs.Set(worth.savedMs);
+			this->mapCounters.costMs.Set(worth.costMs);
+		}
 		if (SwitchDoubt::None == _choice.doubt)
 		{
 			logInfo("map_planned", {{"group", this->group}, {"epoch", _first.epoch}, {"step", _first.step}, {"skew", _choice.plan.skewBefore}, {"planned_skew", _choice.plan.skewAfter}, {"copies", _choice.plan.copies}, {"pass_ms", _passMs}, {"counts_age_ms", nowMs() - this->window.pieces.back().to}, {"saved_ms", worth.savedMs}, {"cost_ms", worth.costMs}, {"expected_ms", worth.expectedMs}, {"kept", worth.keptShare}, {"stood_ms", this->switchRecord.mean.stoodMs}, {"overhead_ms", this->switchRecord.mean.overheadMs}});
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -38,7 +38,7 @@
 		const PassSample& last = this->passes.back();
 		if (first.step < last.step)
 		{
-			this->passMs = double(last.at - first.at) / double(last.step - first.step);
+			this->passMs = meanPassMs(first, last);
 		}
 	}
 
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -140,7 +140,7 @@
 			catch (const InvalidInputError& error)
 			{
 				logWarning("upstream_unreadable", {{"group", this->group}, {"incarnation", row.key.key}, {"reason", error.what()}});
-				this->unlist(row.key.key); // one such row kept all others of its answer out
+				this->unlist(row.key.key); // it names no engine, and the other rows of the answer hold
 			}
 		}
 	}
@@ -149,9 +149,14 @@
 	{
 		if (_record.service != this->parts.settings.service)
 		{
+			this->unlist(_record.incarnation); // it may have been listed for this one before
 			return;
 		}
 		Rank& rank = this->rankAt(_record.address);
+		if (rank.incarnation == _record.incarnation && 0 != _record.startedAt && _record.startedAt < rank.startedAt)
+		{
+			return; // a write of the run before that was late
+		}
 		if (rank.incarnation != _record.incarnation || rank.startedAt < _record.startedAt)
 		{
 			rank.incarnation = _record.incarnation;
