--- a/include/archdyke/switch_worth.h
+++ b/include/archdyke/switch_worth.h
@@ -131,6 +131,9 @@
 		bool operator==(const SwitchWorth&) const = default;
 	};
 
+	/// @returns Whether switches of a group can be weighed, and copies take long enough for it; else skew alone decides.
+	bool isWeighed(const EngineModel& _model, Millis _gapObjectiveMs);
+
 	/// @param[in] _copyMs Time of the copies of the rank with most of them.
 	SwitchWorth worthOf(const EngineModel& _model, const GroupPressure& _group, const MapDecision& _plan, double _copyMs, const SavingRecord& _record, const SwitchTimes& _times);
 
--- a/src/decide/switch_worth.cpp
+++ b/src/decide/switch_worth.cpp
@@ -132,17 +132,11 @@
 		}
 
 		/// Share of the longest pause that the copy of one expert takes at least where switches are weighed. Where
-		/// experts are copied faster a switch is over before most streams feel it, and to wait until its skew
-		/// is felt serves fewer: of a busy day of a group of 63 ranks, a tenth of the pause a copy, callers got 0.500
-		/// of what all answers in time are worth by skew alone, 0.464 weighed; mean of three plays.
+		/// experts are copied faster a switch costs little more than its hold, and weighing showed no gain: worth of
+		/// a busy day on 63 ranks, a tenth of the pause a copy, 0.484 by skew (six plays, 0.458 to 0.511) and
+		/// 0.464 weighed (three, 0.437 to 0.491).
 		constexpr double kLeastCopyShare = 0.125;
 
-		/// Without the longest pause, the passes or the experts' share, or with fast copies, only skew tells.
-		bool canBeWeighed(const EngineModel& _model, const GroupPressure& _group)
-		{
-			return 0 < _group.passes.gapObjectiveMs && 0.0 < _group.passes.passMs && 0.0 < _model.expertShare && _model.expertCopyMs >= kLeastCopyShare * double(_group.passes.gapObjectiveMs);
-		}
-
 		/// @returns Whether counts and ranks are those of the group that a map was made for: it may have formed
 		/// anew with fewer ranks, or its model may have changed.
 		bool fits(const ExpertHosts& _hosts, const ExpertLoad& _load, std::uint32_t _ranks)
@@ -223,6 +217,11 @@
 		}
 	} // namespace
 
+	bool isWeighed(const EngineModel& _model, Millis _gapObjectiveMs)
+	{
+		return 0 < _gapObjectiveMs && 0.0 < _model.expertShare && _model.expertCopyMs >= kLeastCopyShare * double(_gapObjectiveMs);
+	}
+
 	std::string_view toString(SwitchDoubt _doubt)
 	{
 		constexpr std::array<std::string_view, std::size_t(SwitchDoubt::Count)> kNames{"none", "little_skew", "no_better_map", "costs_more", "none_pays"};
@@ -326,7 +325,7 @@
 	{
 		takeCounts(_record, _load, _ranks, _paces, _now);
 		const Weighing weighing{_model, _ranks, _hosts, _group, _record, expectedTimes(_model, _switches, _now)};
-		const bool weighed = canBeWeighed(_model, _group);
+		const bool weighed = isWeighed(_model, _group.passes.gapObjectiveMs) && 0.0 < _group.passes.passMs;
 		SwitchChoice choice;
 		choice.plan.skewBefore = skewOf(_hosts, _load, _ranks, _paces);
 		if (choice.plan.skewBefore < toleratedSkew(_group.passes))
--- a/src/group/coordinator_maps.cpp
+++ b/src/group/coordinator_maps.cpp
@@ -65,7 +65,8 @@
 
 	std::optional<GroupPressure> Coordinator::pressure() const
 	{
-		const std::optional<double> passMs = this->passOnThisMap();
+		// Where skew alone decides, passes on the map before do as well, and the next switch needn't wait for others.
+		const std::optional<double> passMs = isWeighed(*this->model, this->gapObjectiveMs) ? this->passOnThisMap() : std::optional(this->passMs);
 		if (!passMs)
 		{
 			return std::nullopt;
