Check what a follower of the operators' table believes against the store

The property said that a gateway believes what the store had, but asserted provenAt <= knownUpTo only: first reads were feeds, versions were of zones alone, and zones were never compared. It now compares the evacuated zones with the store at provenAt, with whole first reads, restarts, late answers, versions of the configuration and of a key that counts for nobody. The old assertion would be wrong then, as a proof may be of a later moment than the newest row; in its place every row that the store shows at that moment must be known.

--- a/tests/test_evacuation.cpp
+++ b/tests/test_evacuation.cpp
@@ -2,6 +2,7 @@
 #include "archdyke/evacuation.h"
 
 #include <algorithm>
+#include <set>
 
 #include "check.h"
 
@@ -25,35 +26,176 @@
 		return std::vector<ZoneChange>{{_zone, _version, _evacuated}} == _changes;
 	}
 
-	/// The store's table: each step writes or removes the row of a zone.
+	const std::vector<std::string> kZones{"north", "south"};
+	const std::string kConfiguration = "configuration";
+	const std::string kOtherKey = "mark"; ///< Counts for nobody, but takes a version.
+
+	/// The operators' table: each change writes or removes the row of a key.
 	struct StoreHistory
 	{
-		std::vector<EvacuationRow> changes; ///< Versions 1, 2, ...
+		std::vector<EvacuationRow> changes; ///< Versions 1, 2, ... of all keys; the key stands as zone.
 
-		std::vector<EvacuationRow> since(std::uint64_t _version) const
+		/// @returns The last change of each key in versions (_from, _upTo].
+		std::map<std::string, EvacuationRow> lastChanges(std::size_t _from, std::size_t _upTo) const
 		{
 			std::map<std::string, EvacuationRow> last;
-			for (std::size_t index = _version; index < this->changes.size(); ++index)
+			for (std::size_t index = _from; index < _upTo; ++index)
 			{
 				last[this->changes[index].zone] = this->changes[index];
 			}
+			return last;
+		}
+
+		/// @returns What an answer of the feed, or one of the whole table, held when the store had _upTo changes.
+		std::vector<EvacuationRow> rows(std::size_t _from, std::size_t _upTo, bool _whole) const
+		{
 			std::vector<EvacuationRow> result;
-			for (const auto& [zone, change] : last)
+			for (const auto& [key, change] : this->lastChanges(_whole ? 0 : _from, _upTo))
 			{
-				result.push_back(change);
+				if (!_whole || !change.gone)
+				{
+					result.push_back(change);
+				}
 			}
 			return result;
 		}
+	};
+
+	/// One process that follows the table.
+	struct Follower
+	{
+		OperatorTable table;
+		std::size_t provenAt = 0;        ///< Changes that the store had at the newest proof.
+		std::size_t startedAt = 0;       ///< Changes that the first read showed.
+		std::size_t proverStartedAt = 0; ///< The same of the process whose read is the newest proof.
+		std::set<std::uint64_t> removed; ///< Versions of removals that it saw, or was told while it knew all up to there.
+		std::set<std::uint64_t> unheard; ///< Those that its newest proof couldn't tell, see isUnheardRemoval.
 
-		std::vector<EvacuationRow> whole() const
+		void read(const StoreHistory& _store, std::size_t _upTo, bool _whole)
 		{
-			std::vector<EvacuationRow> result = this->since(0);
-			std::erase_if(result, [](const EvacuationRow& _row) {
-				return _row.gone;
+			std::vector<EvacuationRow> rows = _store.rows(this->table.knownUpTo, _upTo, _whole);
+			this->startedAt = 0 == this->table.knownUpTo ? _upTo : this->startedAt;
+			std::uint64_t configuration = 0;
+			std::erase_if(rows, [&](const EvacuationRow& _row) {
+				configuration = kConfiguration == _row.zone ? _row.version : configuration;
+				return std::find(kZones.begin(), kZones.end(), _row.zone) == kZones.end();
 			});
-			return result;
+			const std::map<std::string, EvacuationRow> last = _store.lastChanges(0, _upTo);
+			for (const ZoneChange& change : takeEvacuations(this->table, rows, _upTo, _whole))
+			{
+				this->noteSeen(last.at(change.zone));
+			}
+			std::for_each(rows.begin(), rows.end(), [&](const EvacuationRow& _row) {
+				this->noteSeen(_row);
+			});
+			noteChange(this->table, configuration);
+			if (this->provenAt <= _upTo)
+			{
+				this->takeProof(_upTo, this->startedAt);
+			}
+		}
+
+		void takeNews(const Follower& _teller)
+		{
+			const std::uint64_t told = _teller.table.changedAt;
+			noteToldChange(this->table, told);
+			if (!isBehind(this->table, told))
+			{
+				this->removed.insert(_teller.removed.begin(), _teller.removed.end());
+			}
+			if (covers(this->table, told) && this->provenAt < _teller.provenAt)
+			{
+				this->takeProof(_teller.provenAt, _teller.proverStartedAt);
+			}
+		}
+
+	private:
+		void takeProof(std::size_t _provenAt, std::size_t _proverStartedAt)
+		{
+			this->provenAt = _provenAt;
+			this->proverStartedAt = _proverStartedAt;
+			this->unheard.clear();
+		}
+
+		void noteSeen(const EvacuationRow& _row)
+		{
+			if (_row.gone)
+			{
+				this->removed.insert(_row.version);
+			}
 		}
 	};
+
+	/// The hole in what a proof covers: whose read is the proof has started since the removal, so no row showed
+	/// it, and when the proof was taken nobody that it came through had seen the removal or been told of it.
+	/// docs/design/evacuation.md. Where somebody else had seen it, that's a fault with a test of its own:
+	/// a_process_that_just_started_hides_no_removal_that_another_one_saw.
+	bool isUnheardRemoval(Follower& _believer, const EvacuationRow& _removal)
+	{
+		if (_removal.gone && !_believer.removed.contains(_removal.version) && _removal.version <= _believer.proverStartedAt)
+		{
+			_believer.unheard.insert(_removal.version);
+		}
+		return _believer.unheard.contains(_removal.version);
+	}
+
+	/// Compares what a follower believes with what the store had at the moment of its newest proof.
+	void assertBelievesTheStore(const StoreHistory& _store, Follower& _follower)
+	{
+		const std::map<std::string, EvacuationRow> last = _store.lastChanges(0, _follower.provenAt);
+		for (const auto& [key, change] : last)
+		{
+			const bool shown = kOtherKey != key && !change.gone;
+			RC_ASSERT(!shown || change.version <= _follower.table.knownUpTo);
+		}
+		for (const std::string& zone : kZones)
+		{
+			const auto found = last.find(zone);
+			const bool inStore = last.end() != found && !found->second.gone;
+			const std::vector<std::string> evacuated = evacuatedZones(_follower.table);
+			const bool believed = std::find(evacuated.begin(), evacuated.end(), zone) != evacuated.end();
+			RC_ASSERT(believed || !inStore);
+			RC_ASSERT(!believed || inStore || (last.end() != found && isUnheardRemoval(_follower, found->second)));
+		}
+	}
+
+	/// One step: a change in the store, an answer of it, news of another, or a process that starts anew.
+	void step(StoreHistory& _store, std::vector<Follower>& _followers)
+	{
+		enum class Action
+		{
+			Change,
+			Feed,
+			WholeRead,
+			News,
+			Restart
+		};
+		using enum Action;
+		Follower& self = _followers[*rc::gen::element<std::size_t>(0, 1, 2)];
+		const Action action = *rc::gen::element(Change, Change, Feed, Feed, WholeRead, News, News, News, Restart);
+		if (Change == action)
+		{
+			const std::string key = *rc::gen::element(kZones[0], kZones[0], kZones[1], kConfiguration, kOtherKey);
+			const bool gone = kConfiguration != key && *rc::gen::arbitrary<bool>();
+			_store.changes.push_back({key, _store.changes.size() + 1, gone});
+		}
+		else if (News == action)
+		{
+			self.takeNews(_followers[*rc::gen::element<std::size_t>(0, 1, 2)]);
+		}
+		else if (Action::Restart == action)
+		{
+			self = Follower();
+		}
+		else
+		{
+			// An answer that comes late shows fewer changes than the store has by now.
+			const bool late = *rc::gen::element(false, false, true);
+			const std::size_t newest = _store.changes.size();
+			const std::size_t upTo = late ? *rc::gen::inRange<std::size_t>(self.table.knownUpTo, newest + 1) : newest;
+			self.read(_store, upTo, WholeRead == action);
+		}
+	}
 } // namespace
 
 Test(evacuation, a_zone_is_evacuated_while_its_row_is_there)
@@ -133,43 +275,47 @@
 	cr_assert(7 == table.changedAt && isEvacuated(table, "north"));
 }
 
-/// Three gateways read by turns, in the feed or whole, or go by what another one proved. Whoever has a
-/// proof of a moment believes what the store had then.
+/// Three gateways read by turns, in the feed or whole, start anew, or go by what another one proved. Whoever
+/// has a proof of a moment believes what the store had then.
 Test(evacuation, a_told_proof_covers_no_change_that_is_not_known)
 {
+	constexpr int kHistoriesACase = 100; // a rule that is taken out shows in few of them
+	constexpr int kMostSteps = 60;
 	checkProperty("proofs of others hold", [] {
-		StoreHistory store;
-		std::vector<OperatorTable> gateways(3);
-		std::vector<std::size_t> provenAt(3, 0); // changes that the store had at each one's newest proof
-		const int steps = *rc::gen::inRange(1, 40);
-		for (int step = 0; step < steps; ++step)
+		for (int history = 0; history < kHistoriesACase; ++history)
 		{
-			const std::size_t self = *rc::gen::inRange<std::size_t>(0, 3);
-			OperatorTable& table = gateways[self];
-			const int action = *rc::gen::inRange(0, 4);
-			if (0 == action)
+			StoreHistory store{{row("north", 1), row(kConfiguration, 2)}};
+			std::vector<Follower> followers(3);
+			for (Follower& follower : followers)
 			{
-				const std::string zone = *rc::gen::element(std::string("north"), std::string("south"));
-				store.changes.push_back({zone, store.changes.size() + 1, *rc::gen::arbitrary<bool>()});
+				follower.read(store, *rc::gen::element<std::size_t>(0, 2), true);
 			}
-			else if (3 == action)
+			const int steps = *rc::gen::inRange(1, kMostSteps);
+			for (int count = 0; count < steps; ++count)
 			{
-				const std::size_t other = *rc::gen::inRange<std::size_t>(0, 3);
-				const std::uint64_t told = gateways[other].changedAt;
-				noteToldChange(table, told);
-				provenAt[self] = covers(table, told) ? std::max(provenAt[self], provenAt[other]) : provenAt[self];
-			}
-			else
-			{
-				// A first read is a feed from the start, as for a process that was just started.
-				const bool whole = 2 == action && 0 != table.knownUpTo;
-				takeEvacuations(table, whole ? store.whole() : store.since(table.knownUpTo), store.changes.size(), whole);
-				provenAt[self] = store.changes.size();
-			}
-			for (std::size_t index = 0; index < gateways.size(); ++index)
-			{
-				RC_ASSERT(provenAt[index] <= gateways[index].knownUpTo);
+				step(store, followers);
+				for (Follower& follower : followers)
+				{
+					assertBelievesTheStore(store, follower);
+				}
 			}
 		}
 	});
 }
+
+/// The proof of a process whose first read came after a removal doesn't tell it until it has news of who saw it.
+/// Whoever hears of that process first goes on believing in the zone, by a proof of a moment when it was taken back.
+Test(evacuation, a_process_that_just_started_hides_no_removal_that_another_one_saw)
+{
+	const StoreHistory store{{row("north", 1), row(kConfiguration, 2), gone("north", 3)}};
+	Follower believer;
+	Follower witness;
+	Follower started;
+	believer.read(store, 2, true);
+	witness.read(store, 2, true);
+	witness.read(store, 3, false);
+	started.read(store, 3, true);
+	cr_assert(witness.removed.contains(3));
+	believer.takeNews(started);
+	cr_assert(!isEvacuated(believer.table, "north") || believer.provenAt < 3, "evacuated by a proof of %zu", believer.provenAt);
+}
