Say in the names which explorations of the switch visit the nearest states only

Figures that no run of the tests gives are gone; comments state the rule and its cause in place of plays and durations.

--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -579,7 +579,7 @@
 
 Test(forward, two_coordinators_never_split_three_ranks)
 {
-	expectSafe({3, 2, 1, 2}); // with three steps 1,013,964 states, explored by hand: no split
+	expectSafe({3, 2, 1, 2});
 }
 
 Test(forward, two_coordinators_never_split_a_group_over_four_steps)
@@ -587,8 +587,8 @@
 	expectSafe({2, 4, 1, 2});
 }
 
-/// The whole space has over 1.2 million states; only the nearest are visited.
-Test(forward, three_coordinators_never_split_two_ranks)
+/// A whole exploration is cut short at kLimit; only the nearest states are visited.
+Test(forward, three_coordinators_split_two_ranks_in_none_of_the_nearest_states)
 {
 	constexpr std::size_t kNearest = 500'000;
 	cr_assert(!explored({2, 2, 1, 3}, WithoutRule::None, kNearest).violated);
@@ -604,8 +604,8 @@
 	expectSafe({2, 3, 1, 1, true});
 }
 
-/// The whole space has over 2.5 million states; only the nearest are visited.
-Test(forward, two_coordinators_that_see_ranks_late_never_split_them)
+/// A whole exploration is cut short at kLimit; only the nearest states are visited.
+Test(forward, two_coordinators_that_see_ranks_late_split_them_in_none_of_the_nearest_states)
 {
 	constexpr std::size_t kNearest = 500'000;
 	cr_assert(!explored({2, 2, 1, 2, true}, WithoutRule::None, kNearest).violated);
@@ -722,7 +722,8 @@
 	cr_assert(!decideSwitch(intent, {past, RankView()}, {3, false}).next);
 }
 
-/// A hold that waited for another write stood through a zone's cut of 5 s: its row says all that is needed.
+/// The hold needs no further write once its row says all that is needed: a store out of reach between
+/// two writes would hold the group for as long.
 Test(forward, the_row_says_that_it_switches_before_the_group_is_held)
 {
 	SwitchIntent intent;
@@ -759,8 +760,8 @@
 	cr_assert(!next.next && 2 == next.orders.size());
 }
 
-/// A VM froze right after it gave the hold: the next coordinator went on to arm, and the group
-/// stood for the 4 s that the frozen rank couldn't be armed.
+/// Once one rank is armed there is no way back, and the group stands until the rank that is out of reach is
+/// armed too. Before that the hold can be given up.
 Test(forward, a_hold_with_a_rank_out_of_reach_is_given_up_before_any_rank_is_armed)
 {
 	SwitchIntent intent;
@@ -776,8 +777,8 @@
 	cr_assert(1 == releaseStrayHolds(*gives.next, ranks).size());
 }
 
-/// The coordinator's VM froze right after it gave the hold: the group stood for the 4 s that its own
-/// rank couldn't be armed.
+/// The last rank to be armed is the coordinator's own. When its VM is out of reach the group would stand until
+/// it is back; the others void the switch instead, as no arm of the last rank can have come first.
 Test(forward, a_switch_whose_last_rank_is_out_of_reach_is_voided)
 {
 	SwitchIntent intent;
@@ -809,8 +810,8 @@
 	cr_assert(1 == releaseStrayHolds(*ends.next, {holding, copied, RankView()}).size());
 }
 
-/// A coordinator that took over armed all ranks that it saw first. The one beside the frozen coordinator couldn't
-/// be armed, the switch not be voided any more, and the group stood until the VM woke.
+/// With the first arm the switch can't be voided any more. Given while a rank is out of reach, it makes the
+/// group stand until that rank is back.
 Test(forward, a_coordinator_that_takes_over_gives_no_first_arm_while_a_rank_is_out_of_reach)
 {
 	SwitchIntent intent;
