--- a/tests/test_cold_share.cpp
+++ b/tests/test_cold_share.cpp
@@ -157,6 +157,19 @@
 		std::vector<std::string> upstreams;
 		std::vector<std::vector<Millis>> arrivals = std::vector<std::vector<Millis>>(kUpstreams);
 	};
+
+	/// Cuts the first gateways off from those that tell the number, or no longer.
+	void setCut(Flood& _flood, std::size_t _first, bool _cut)
+	{
+		std::for_each_n(_flood.gateways.begin(), _first, [&](Gateway& _gateway) {
+			_gateway.cut = _cut;
+		});
+	}
+
+	void expectBorne(Flood& _flood)
+	{
+		cr_assert(double(_flood.most()) <= kMostPerS, "%zu in a second of %zu gateways", _flood.most(), _flood.gateways.size());
+	}
 } // namespace
 
 Test(cold_share, no_second_of_a_flood_brings_more_than_an_upstream_survives)
@@ -178,15 +191,11 @@
 	{
 		Flood flood(count, 7);
 		flood.run(3'000);
-		std::for_each(flood.gateways.begin(), flood.gateways.begin() + std::ptrdiff_t(count / 3), [](Gateway& _gateway) {
-			_gateway.cut = true;
-		});
+		setCut(flood, count / 3, true);
 		flood.run(15'000);
-		std::for_each(flood.gateways.begin(), flood.gateways.end(), [](Gateway& _gateway) {
-			_gateway.cut = false;
-		});
+		setCut(flood, count, false);
 		flood.run(4'000);
-		cr_assert(double(flood.most()) <= kMostPerS, "%zu in a second of %zu gateways", flood.most(), count);
+		expectBorne(flood);
 	}
 }
 
@@ -200,7 +209,7 @@
 		flood.run(5'000);
 		flood.restartAll();
 		flood.run(5'000);
-		cr_assert(double(flood.most()) <= kMostPerS, "%zu in a second of %zu gateways", flood.most(), count);
+		expectBorne(flood);
 	}
 }
 
@@ -224,12 +233,10 @@
 	for (const std::size_t count : {36, 100, 300})
 	{
 		Flood flood(count, 5);
-		std::for_each(flood.gateways.begin(), flood.gateways.end(), [](Gateway& _gateway) {
-			_gateway.cut = true;
-		});
+		setCut(flood, count, true);
 		flood.run(4'000);
 		const double perS = double(flood.arrived(11'000, 13'000)) / 2.0;
-		cr_assert(double(flood.most()) <= kMostPerS, "%zu in a second of %zu gateways", flood.most(), count);
+		expectBorne(flood);
 		cr_assert(0.1 * kBornePerS * double(kUpstreams) < perS, "%.0f a second of %zu gateways", perS, count);
 	}
 }
--- a/tests/test_switch_exploration.cpp
+++ b/tests/test_switch_exploration.cpp
@@ -27,6 +27,12 @@
 		cr_assert(explorer.states < kLimit, "the exploration was cut short");
 		cr_assert(explorer.switched);
 	}
+
+	/// The exploration finds the fault that a rule prevents.
+	void expectSplitWithout(WithoutRule _rule, Bounds _bounds)
+	{
+		cr_assert(explored(_bounds, _rule).violated);
+	}
 } // namespace
 
 Test(forward, one_coordinator_never_splits_two_ranks)
@@ -97,51 +103,51 @@
 
 Test(forward, arms_before_the_hold_is_seen_split_the_group)
 {
-	cr_assert(explored({2, 3, 1, 1}, WithoutRule::HoldSeenBeforeArm).violated);
+	expectSplitWithout(WithoutRule::HoldSeenBeforeArm, {2, 3, 1, 1});
 }
 
 Test(forward, a_release_before_all_are_armed_splits_the_group)
 {
-	cr_assert(explored({2, 3, 1, 1}, WithoutRule::AllArmedBeforeRelease).violated);
+	expectSplitWithout(WithoutRule::AllArmedBeforeRelease, {2, 3, 1, 1});
 }
 
 Test(forward, a_way_back_while_switching_splits_the_group)
 {
-	cr_assert(explored({2, 3, 1, 1}, WithoutRule::NoWayBackWhileSwitching).violated);
+	expectSplitWithout(WithoutRule::NoWayBackWhileSwitching, {2, 3, 1, 1});
 }
 
 Test(forward, a_way_back_behind_the_writer_splits_the_group)
 {
-	cr_assert(explored({2, 3, 1, 2}, WithoutRule::OnlyTheWriterGoesBack).violated);
+	expectSplitWithout(WithoutRule::OnlyTheWriterGoesBack, {2, 3, 1, 2});
 }
 
 Test(forward, arms_after_a_way_back_split_the_group)
 {
-	cr_assert(explored({2, 3, 1, 2}, WithoutRule::NoArmsOnceGoneBack).violated);
+	expectSplitWithout(WithoutRule::NoArmsOnceGoneBack, {2, 3, 1, 2});
 }
 
 Test(forward, a_way_back_after_an_arm_splits_the_group)
 {
-	cr_assert(explored({2, 3, 1, 1}, WithoutRule::NoWayBackOnceArmed).violated);
+	expectSplitWithout(WithoutRule::NoWayBackOnceArmed, {2, 3, 1, 1});
 }
 
 Test(forward, a_boundary_moved_before_it_is_passed_splits_the_group)
 {
-	cr_assert(explored({2, 4, 1, 1}, WithoutRule::MovedOnlyOncePassed).violated);
+	expectSplitWithout(WithoutRule::MovedOnlyOncePassed, {2, 4, 1, 1});
 }
 
 /// The writer may have armed the last rank: whoever voids the switch behind it can't tell.
 Test(forward, arms_in_any_order_split_the_group)
 {
-	cr_assert(explored({2, 3, 1, 2}, WithoutRule::OneArmedLast).violated);
+	expectSplitWithout(WithoutRule::OneArmedLast, {2, 3, 1, 2});
 }
 
 Test(forward, a_stray_hold_released_by_an_old_row_splits_the_group)
 {
-	cr_assert(explored({2, 3, 1, 2}, WithoutRule::RowReadAfterStrayHold).violated);
+	expectSplitWithout(WithoutRule::RowReadAfterStrayHold, {2, 3, 1, 2});
 }
 
 Test(forward, versions_without_a_term_split_the_group)
 {
-	cr_assert(explored({2, 3, 1, 2}, WithoutRule::VersionsBearTheTerm).violated);
+	expectSplitWithout(WithoutRule::VersionsBearTheTerm, {2, 3, 1, 2});
 }
