--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -162,4 +162,27 @@
 		Millis revocationMs = 2'000;
 		double retryAllowance = 163'840.0; ///< One gateway that nobody tells their number, of 2,048, gets 80 resends a window.
 	};
+
+	/// @returns How often a request ran, at all upstreams together.
+	inline int runsOf(const GatewayRig& _rig, const std::string& _request)
+	{
+		int runs = 0;
+		for (const RigWorker& worker : _rig.workers)
+		{
+			const Json record = worker.recordOf(_request);
+			runs += record.is_object() ? record["runs"].get<int>() : 0;
+		}
+		return runs;
+	}
+
+	/// @returns What a whole stream brings.
+	inline std::string allEvents()
+	{
+		std::string events;
+		for (int event = 1; event <= 12; ++event)
+		{
+			events += fmt::format("id: {}\ndata: piece {}\n\n", event, event);
+		}
+		return events;
+	}
 } // namespace archdyke::tests
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -1,9 +1,8 @@
 /// The gateway as a process before stand-ins of the users' platform: whole answers and one's own,
-/// truth about what has not run, keys, leaving upstreams, streams, planned stops.
+/// truth about what has not run, keys, leaving upstreams, planned stops.
 #include <atomic>
 #include <csignal>
 #include <future>
-#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -12,30 +11,6 @@
 using namespace archdyke;
 using namespace archdyke::tests;
 
-namespace
-{
-	int runsOf(const GatewayRig& _rig, const std::string& _request)
-	{
-		int runs = 0;
-		for (const RigWorker& worker : _rig.workers)
-		{
-			const Json record = worker.recordOf(_request);
-			runs += record.is_object() ? record["runs"].get<int>() : 0;
-		}
-		return runs;
-	}
-
-	std::string allEvents()
-	{
-		std::string events;
-		for (int event = 1; event <= 12; ++event)
-		{
-			events += fmt::format("id: {}\ndata: piece {}\n\n", event, event);
-		}
-		return events;
-	}
-} // namespace
-
 Test(gateway, an_answer_goes_back_whole_with_its_signature)
 {
 	GatewayRig rig({"a"});
@@ -152,51 +127,6 @@
 	}));
 }
 
-Test(gateway, a_stream_arrives_whole)
-{
-	GatewayRig rig({"a"});
-	rig.waitReady();
-	const RigAnswer answer = rig.call("/stream/x?do=stream", GatewayRig::headersFor("r1"));
-	cr_assert(200 == answer.status);
-	cr_assert(answer.body == allEvents());
-}
-
-Test(gateway, a_broken_stream_goes_on_at_another_upstream)
-{
-	GatewayRig rig({"a", "b"});
-	rig.waitReady();
-	for (int call = 0; call < 4; ++call)
-	{
-		const RigAnswer answer = rig.call("/stream/x?do=break", GatewayRig::headersFor(fmt::format("r{}", call)));
-		cr_assert(200 == answer.status);
-		cr_assert(answer.body == allEvents());
-	}
-}
-
-Test(gateway, a_stream_that_leaves_an_event_out_is_mended_or_cut)
-{
-	GatewayRig rig({"a", "b"});
-	rig.waitReady();
-	for (int call = 0; call < 4; ++call)
-	{
-		const RigAnswer answer = rig.call("/stream/x?do=skip&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
-		cr_assert(0 == answer.status || answer.body == allEvents());
-	}
-}
-
-/// Whole events before a gap in the same piece once counted as delivered, but were dropped.
-Test(gateway, events_before_a_gap_in_one_piece_are_delivered)
-{
-	GatewayRig rig({"a", "b"});
-	rig.waitReady();
-	for (int call = 0; call < 6; ++call)
-	{
-		const RigAnswer answer = rig.call("/stream/x?do=jump&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
-		cr_assert(200 == answer.status);
-		cr_assert(answer.body == allEvents());
-	}
-}
-
 /// A configuration that can't be read proves nothing of the one that is held.
 Test(gateway, an_unreadable_configuration_leaves_keys_unproved)
 {
@@ -212,17 +142,6 @@
 	}));
 }
 
-Test(gateway, a_callers_own_resume_begins_after_its_last_event)
-{
-	GatewayRig rig({"a"});
-	rig.waitReady();
-	httplib::Headers headers = GatewayRig::headersFor("r1");
-	headers.emplace("Last-Event-Id", "9");
-	const RigAnswer answer = rig.call("/stream/x?do=stream", headers);
-	cr_assert(200 == answer.status);
-	cr_assert_str_eq(answer.body.c_str(), "id: 10\ndata: piece 10\n\nid: 11\ndata: piece 11\n\nid: 12\ndata: piece 12\n\n");
-}
-
 Test(gateway, a_new_configuration_is_in_force_within_a_second)
 {
 	GatewayRig rig({"a"});
@@ -439,149 +358,3 @@
 	cr_assert(0 == unanswered, "%d of 30 not answered", unanswered);
 	cr_assert(slow <= 12, "%d of 30 were at the silent upstream", slow);
 }
-
-/// A stream whose upstream paused was taken away from it and cut, as no resend was left to go on with.
-Test(gateway, a_stream_stays_at_a_silent_upstream_while_no_resend_is_left)
-{
-	GatewayRig rig({"w0", "w1", "w2", "w3", "w4"});
-	rig.retryAllowance = 0.0;
-	rig.startGateway();
-	rig.waitReady();
-	RigAnswer answer;
-	std::thread caller([&rig, &answer] {
-		answer = rig.call("/stream/x?do=stream", GatewayRig::headersFor("long", 8'000));
-	});
-	RigWorker* paused = nullptr;
-	cr_assert(lab::waitUntil(1'000, [&] {
-		for (RigWorker& worker : rig.workers)
-		{
-			paused = worker.recordOf("long").is_null() ? paused : &worker;
-		}
-		return nullptr != paused;
-	}));
-	paused->process->signal(SIGSTOP);
-	std::vector<std::thread> others;
-	for (const Millis at : {400, 600, 800})
-	{
-		others.emplace_back([&rig, at] {
-			std::this_thread::sleep_for(std::chrono::milliseconds(at));
-			rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("other-{}", at)));
-		});
-	}
-	std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
-	paused->process->signal(SIGCONT);
-	caller.join();
-	for (std::thread& other : others)
-	{
-		other.join();
-	}
-	cr_assert(200 == answer.status && std::string::npos != answer.body.find("id: 12"), "%d %s", answer.status, answer.body.c_str());
-}
-
-namespace
-{
-	/// Announces an upstream that is cold, in a service whose cold upstreams bear a limited rate. A gateway
-	/// that nobody tells their number goes by 128 of them, and has 4 or 5 sends in a window at this rate.
-	void announceCold(GatewayRig& _rig, Millis _coldForMs)
-	{
-		Json configuration = lab::configurationJson(2, {"key-one"}, Json::array());
-		configuration["services"] = Json::array({{{"name", "svc"}, {"maxConns", 50}, {"coldS", 3}, {"coldPerS", 560}}});
-		_rig.store.put("op", "config", configuration);
-		cr_assert(lab::waitUntil(2'000, [&] {
-			return 2 == _rig.dump()["catalog"].get<int>();
-		}));
-		Json row = lab::upstreamJson("svc", _rig.workers.front().address, "ready");
-		row["coldLeftMs"] = _coldForMs;
-		_rig.store.put("servers", _rig.workers.front().id, row);
-		cr_assert(lab::waitUntil(2'000, [&] {
-			return 0 < _rig.dump()["upstreams"][0]["warmInMs"].get<int>();
-		}));
-	}
-
-	/// @returns The most runs within a second, by an upstream's own record.
-	std::size_t mostRunsInASecond(const RigWorker& _worker)
-	{
-		std::vector<Millis> times;
-		std::istringstream lines(_worker.process->log());
-		for (std::string line; std::getline(lines, line);)
-		{
-			const std::size_t at = line.find(" at=");
-			if (line.starts_with("run ") && std::string::npos != at)
-			{
-				times.push_back(std::stoll(line.substr(at + 4)));
-			}
-		}
-		std::size_t most = 0;
-		for (std::size_t first = 0, last = 0; last < times.size(); ++last)
-		{
-			while (times[last] - times[first] >= 1'000)
-			{
-				++first;
-			}
-			most = std::max(most, last - first + 1);
-		}
-		return most;
-	}
-
-	/// What callers that repeat at once got.
-	struct FloodEnd
-	{
-		std::atomic<int> served{0};
-		std::atomic<int> refused{0};
-		std::atomic<int> other{0}; ///< Another status, another reason, or late.
-	};
-
-	void flood(const GatewayRig& _rig, int _caller, Millis _until, FloodEnd& _end)
-	{
-		constexpr Millis kAtOnceMs = 250;
-		for (int call = 0; nowMs() < _until; ++call)
-		{
-			const Millis begun = nowMs();
-			const RigAnswer answer = _rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("flood-{}-{}", _caller, call)));
-			const bool refusedAtOnce = 503 == answer.status && "cold_upstreams\n" == answer.body && answer.headers.contains("Retry-After") && nowMs() - begun < kAtOnceMs;
-			(200 == answer.status ? _end.served : refusedAtOnce ? _end.refused
-			                                                    : _end.other) += 1;
-			lab::pauseMs(5);
-		}
-	}
-} // namespace
-
-Test(gateway, a_cold_upstream_gets_its_share_of_a_flood_and_the_rest_is_refused_at_once)
-{
-	GatewayRig rig({"a"});
-	rig.waitReady();
-	announceCold(rig, 60'000);
-	FloodEnd end;
-	std::vector<std::thread> callers;
-	for (int caller = 0; caller < 4; ++caller)
-	{
-		callers.emplace_back([&rig, &end, caller, until = nowMs() + 3'000] {
-			flood(rig, caller, until, end);
-		});
-	}
-	for (std::thread& caller : callers)
-	{
-		caller.join();
-	}
-	const std::size_t most = mostRunsInASecond(rig.workers.front());
-	cr_assert(4 <= most && most <= 5, "%zu in a second", most);
-	cr_assert(8 <= end.served && end.served <= 15, "%d served", end.served.load());
-	cr_assert(100 < end.refused && 0 == end.other, "%d refused, %d other", end.refused.load(), end.other.load());
-}
-
-Test(gateway, an_upstream_that_is_warm_again_gets_all)
-{
-	GatewayRig rig({"a"});
-	rig.waitReady();
-	announceCold(rig, 1'000);
-	cr_assert(lab::waitUntil(2'500, [&] {
-		return 0 == rig.dump()["upstreams"][0]["warmInMs"].get<int>();
-	}));
-	for (int call = 0; call < 20; ++call)
-	{
-		cr_assert(200 == rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("warm-{}", call))).status);
-	}
-	cr_assert(lab::waitUntil(1'000, [&] {
-		return std::string::npos != rig.gateway->log().find("event=upstream_warm");
-	}));
-}
--- /dev/null
+++ b/tests/test_gateway_streams.cpp
@@ -0,0 +1,103 @@
+/// Streams through the gateway as a process: whole, broken, with gaps, resumed, from an upstream that pauses.
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include "gateway_rig.h"
+
+using namespace archdyke;
+using namespace archdyke::tests;
+
+Test(gateway, a_stream_arrives_whole)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const RigAnswer answer = rig.call("/stream/x?do=stream", GatewayRig::headersFor("r1"));
+	cr_assert(200 == answer.status);
+	cr_assert(answer.body == allEvents());
+}
+
+Test(gateway, a_broken_stream_goes_on_at_another_upstream)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 4; ++call)
+	{
+		const RigAnswer answer = rig.call("/stream/x?do=break", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(200 == answer.status);
+		cr_assert(answer.body == allEvents());
+	}
+}
+
+Test(gateway, a_stream_that_leaves_an_event_out_is_mended_or_cut)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 4; ++call)
+	{
+		const RigAnswer answer = rig.call("/stream/x?do=skip&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(0 == answer.status || answer.body == allEvents());
+	}
+}
+
+/// Whole events before a gap in the same piece once counted as delivered, but were dropped.
+Test(gateway, events_before_a_gap_in_one_piece_are_delivered)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	for (int call = 0; call < 6; ++call)
+	{
+		const RigAnswer answer = rig.call("/stream/x?do=jump&only=a", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(200 == answer.status);
+		cr_assert(answer.body == allEvents());
+	}
+}
+
+Test(gateway, a_callers_own_resume_begins_after_its_last_event)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	httplib::Headers headers = GatewayRig::headersFor("r1");
+	headers.emplace("Last-Event-Id", "9");
+	const RigAnswer answer = rig.call("/stream/x?do=stream", headers);
+	cr_assert(200 == answer.status);
+	cr_assert_str_eq(answer.body.c_str(), "id: 10\ndata: piece 10\n\nid: 11\ndata: piece 11\n\nid: 12\ndata: piece 12\n\n");
+}
+
+/// A stream whose upstream paused was taken away from it and cut, as no resend was left to go on with.
+Test(gateway, a_stream_stays_at_a_silent_upstream_while_no_resend_is_left)
+{
+	GatewayRig rig({"w0", "w1", "w2", "w3", "w4"});
+	rig.retryAllowance = 0.0;
+	rig.startGateway();
+	rig.waitReady();
+	RigAnswer answer;
+	std::thread caller([&rig, &answer] {
+		answer = rig.call("/stream/x?do=stream", GatewayRig::headersFor("long", 8'000));
+	});
+	RigWorker* paused = nullptr;
+	cr_assert(lab::waitUntil(1'000, [&] {
+		for (RigWorker& worker : rig.workers)
+		{
+			paused = worker.recordOf("long").is_null() ? paused : &worker;
+		}
+		return nullptr != paused;
+	}));
+	paused->process->signal(SIGSTOP);
+	std::vector<std::thread> others;
+	for (const Millis at : {400, 600, 800})
+	{
+		others.emplace_back([&rig, at] {
+			std::this_thread::sleep_for(std::chrono::milliseconds(at));
+			rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("other-{}", at)));
+		});
+	}
+	std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+	paused->process->signal(SIGCONT);
+	caller.join();
+	for (std::thread& other : others)
+	{
+		other.join();
+	}
+	cr_assert(200 == answer.status && std::string::npos != answer.body.find("id: 12"), "%d %s", answer.status, answer.body.c_str());
+}
