Say why the test of a silent upstream sleeps

The three sleeps pace the load and the upstream's pause by design: answers of others count from 300 ms on, and a request would leave after 900 ms (src/decide/silence.cpp). They wait for nothing, so there is no condition to wait on.

--- a/tests/test_gateway_streams.cpp
+++ b/tests/test_gateway_streams.cpp
@@ -85,6 +85,7 @@
 	}));
 	paused->process->signal(SIGSTOP);
 	std::vector<std::thread> others;
+	// Paces the load: answers of others count from 300 ms after the upstream fell silent on (kOthersAnswerMs).
 	for (const Millis at : {400, 600, 800})
 	{
 		others.emplace_back([&rig, at] {
@@ -92,6 +93,7 @@
 			rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("other-{}", at)));
 		});
 	}
+	// The pause itself: longer than the 900 ms after which a request would leave, with a resend (kLeaveShare).
 	std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
 	paused->process->signal(SIGCONT);
 	caller.join();
