An upstream whose row names another service or address moves there

Cause: Board::learn kept the group of a row that changed its service, so that the group of the service before sent it requests; a changed address left the old one in byAddress, so that a report put an upstream back that was gone, an incarnation that it had superseded got nothing, and addresses() counted it.

Change: such a row takes the upstream out of its group, with its requests in flight, and frees the address that it left. What was reported of it is forgotten, how it fares is kept.

--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -178,6 +178,10 @@
 		const bool changed = isNew || leaves || upstream->record != _record;
 		const bool started = isNew || upstream->record.startedAt < _record.startedAt;
 		const Millis startedAt = std::max(upstream->record.startedAt, _record.startedAt);
+		if (upstream->record.service != _record.service || upstream->record.address != _record.address)
+		{
+			this->move(upstream, _record);
+		}
 		upstream->record = _record;
 		upstream->record.startedAt = startedAt; // a row that doesn't say is of the run that is known
 		this->setColdSends(*upstream);
@@ -206,13 +210,32 @@
 		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
 		upstream->leavingSince = upstream->leavingSince.value_or(_now);
 		this->takeOut(upstream);
-		const auto address = this->byAddress.find(upstream->record.address);
-		if (this->byAddress.end() != address && address->second == upstream)
+		this->byIncarnation.erase(it);
+		this->freeAddress(upstream, upstream->record.address);
+	}
+
+	void Board::move(const UpstreamRef& _upstream, const UpstreamRecord& _record)
+	{
+		const std::string before = _upstream->record.address;
+		logInfo("upstream_moved", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"service_before", _upstream->record.service}, {"address_before", before}});
+		_upstream->record.service = _record.service;
+		_upstream->record.address = _record.address;
+		_upstream->reported.reset();
+		this->regroup(_upstream, _record.service, "");
+		if (before != _record.address)
 		{
-			this->byAddress.erase(address);
+			this->freeAddress(_upstream, before);
 		}
-		this->byIncarnation.erase(it);
-		this->reinstate(upstream->record.address);
+	}
+
+	void Board::freeAddress(const UpstreamRef& _upstream, const std::string& _address)
+	{
+		const auto holder = this->byAddress.find(_address);
+		if (this->byAddress.end() != holder && holder->second == _upstream)
+		{
+			this->byAddress.erase(holder);
+		}
+		this->reinstate(_address);
 	}
 
 	void Board::reinstate(const std::string& _address)
@@ -255,9 +278,7 @@
 			const UpstreamRef upstream = found->second;
 			if (upstream->group != group)
 			{
-				upstream->group->inFlight -= upstream->inFlight;
-				this->takeOut(upstream);
-				this->put(upstream, group);
+				this->regroup(upstream, _report.service, _report.name);
 			}
 			upstream->reported = ReportedLoad{rank.requests, at, upstream->inFlight, rank.pace};
 			group->reported += rank.requests;
@@ -378,6 +399,13 @@
 		this->count(*_group);
 	}
 
+	void Board::regroup(const UpstreamRef& _upstream, const std::string& _service, const std::string& _name)
+	{
+		_upstream->group->inFlight -= _upstream->inFlight;
+		this->takeOut(_upstream);
+		this->put(_upstream, this->groupNamed(_service, _name));
+	}
+
 	void Board::takeOut(const UpstreamRef& _upstream)
 	{
 		const GroupRef group = _upstream->group;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -236,9 +236,16 @@
 		void setEvacuated(const std::string& _zone, bool _evacuated);
 		/// Upstreams of a zone that was taken back may have turned cold meanwhile.
 		void noteTakenBack(const std::string& _zone, Millis _now);
+		/// An upstream's row names another service or address: it is in no group until it is reported there.
+		/// Else it would get requests of the service before, and hold the address that it has left.
+		void move(const UpstreamRef& _upstream, const UpstreamRecord& _record);
+		/// An upstream is no longer at an address.
+		void freeAddress(const UpstreamRef& _upstream, const std::string& _address);
 		/// The newest incarnation at an address is gone: one that it had superseded counts again.
 		void reinstate(const std::string& _address);
-		/// Puts an upstream into a group, out of the one that it was in.
+		/// Moves an upstream, with its requests in flight, out of its group into another one.
+		void regroup(const UpstreamRef& _upstream, const std::string& _service, const std::string& _name);
+		/// Puts an upstream that is in no group into one.
 		void put(const UpstreamRef& _upstream, const GroupRef& _group);
 		/// Takes an upstream out of its group; a group without members goes.
 		void takeOut(const UpstreamRef& _upstream);
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -410,3 +410,62 @@
 	board.learn(warm, 0, 3'000);
 	cr_assert(1 == membersThatMayGet(*groupNamed(board, ""), 10));
 }
+
+namespace
+{
+	UpstreamRecord recordOfService(UpstreamRecord _record, const std::string& _service)
+	{
+		_record.service = _service;
+		return _record;
+	}
+} // namespace
+
+/// Its process stays the same: what runs there and how it fares hold.
+Test(board, an_upstream_that_changes_its_service_leaves_the_group_of_the_one_before)
+{
+	Board board("here");
+	Random random(1);
+	board.learn(recordOf("a", "1"), 0);
+	board.learn(recordOf("b", "2"), 0);
+	board.report(reportOf("g", {"1", "2"}, 4), 10);
+	const GroupRef before = groupNamed(board, "g");
+	const UpstreamRef moved = board.choose(*before, {"b"}, random, 10);
+	const InFlight request(moved, 10);
+	moved->health.suspendedUntil = 60'000;
+	board.learn(recordOfService(recordOf("a", "1"), "other"), 20);
+	cr_assert(1 == before->members.size() && 1 == before->working && 0 == before->inFlight);
+	cr_assert("b" == board.choose(*before, {}, random, 30)->record.incarnation);
+	const std::vector<GroupRef>& groups = board.groupsOf("other");
+	cr_assert(1 == groups.size() && groups.front()->name.empty() && groups.front()->members.front() == moved);
+	cr_assert(1 == groups.front()->inFlight && isSuspended(moved->health, 30) && !moved->reported);
+	board.report(reportOf("g", {"1", "2"}, 4), 40);
+	cr_assert(1 == groupNamed(board, "g")->members.size(), "its coordinator doesn't bring it back");
+}
+
+Test(board, an_upstream_that_moves_frees_its_address)
+{
+	Board board("here");
+	Random random(1);
+	board.learn(recordOf("before", "1"), 0);
+	board.learn(recordOf("moves", "1"), 0);
+	board.report(reportOf("g", {"1"}), 10);
+	board.learn(recordOf("moves", "2"), 20);
+	cr_assert(2 == board.addresses() && takesWork(*board.all().front()) && takesWork(*board.all().back()));
+	board.forget("moves", 30);
+	cr_assert(1 == board.addresses());
+	board.report(reportOf("g", {"1"}), 40);
+	cr_assert(1 == groupNamed(board, "g")->members.size());
+	cr_assert("before" == board.choose(*groupNamed(board, "g"), {}, random, 50)->record.incarnation);
+}
+
+/// A report may name an address that its upstream has left.
+Test(board, an_upstream_that_is_gone_is_in_no_group_at_an_address_it_had)
+{
+	Board board("here");
+	board.learn(recordOf("a", "1"), 0);
+	board.learn(recordOf("b", "3"), 0);
+	board.learn(recordOf("a", "2"), 10);
+	board.forget("a", 20);
+	board.report(reportOf("g", {"1", "3"}), 30);
+	cr_assert(1 == board.addresses() && 1 == groupNamed(board, "g")->members.size());
+}
