An unreadable row hides an upstream and forgets nothing of it

Cause: a row that couldn't be read, or whose service no configuration names, made the board forget its upstream. A readable row after it then gave a fresh one: it took work though its process drains, without its health, suspension and the guard against late rows of an earlier run.

Change: the board sets such an upstream aside by its incarnation: in no group, at no address, out of the dump. A row that can be used brings it back; it is forgotten when its row goes or a later run of it is named.

--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -124,17 +124,46 @@
 		}
 	}
 
+	UpstreamRef Board::known(const std::string& _incarnation) const
+	{
+		const auto listed = this->byIncarnation.find(_incarnation);
+		if (this->byIncarnation.end() != listed)
+		{
+			return listed->second;
+		}
+		const auto kept = this->aside.find(_incarnation);
+		return this->aside.end() == kept ? nullptr : kept->second;
+	}
+
 	bool Board::startedAnew(const UpstreamRecord& _record) const
 	{
-		const auto known = this->byIncarnation.find(_record.incarnation);
-		const Millis before = this->byIncarnation.end() == known ? 0 : known->second->record.startedAt;
-		return 0 != before && before < _record.startedAt;
+		const UpstreamRef before = this->known(_record.incarnation);
+		return nullptr != before && 0 != before->record.startedAt && before->record.startedAt < _record.startedAt;
 	}
 
 	bool Board::isOfEarlierRun(const UpstreamRecord& _record) const
 	{
-		const auto known = this->byIncarnation.find(_record.incarnation);
-		return this->byIncarnation.end() != known && 0 != _record.startedAt && _record.startedAt < known->second->record.startedAt;
+		const UpstreamRef before = this->known(_record.incarnation);
+		return nullptr != before && 0 != _record.startedAt && _record.startedAt < before->record.startedAt;
+	}
+
+	UpstreamRef Board::listed(const UpstreamRecord& _record)
+	{
+		UpstreamRef& upstream = this->byIncarnation[_record.incarnation];
+		const auto kept = this->aside.find(_record.incarnation);
+		if (this->aside.end() != kept)
+		{
+			upstream = kept->second;
+			this->aside.erase(kept);
+			this->regroup(upstream, _record.service, "");
+		}
+		else if (nullptr == upstream)
+		{
+			upstream = std::make_shared<Upstream>();
+			upstream->record = _record;
+			this->put(upstream, this->groupNamed(_record.service, ""));
+		}
+		return upstream;
 	}
 
 	void Board::takeAddress(const UpstreamRef& _upstream)
@@ -166,16 +195,11 @@
 			logInfo("upstream_started_anew", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"started_at", _record.startedAt}});
 			this->forget(_record.incarnation, _now);
 		}
-		UpstreamRef& upstream = this->byIncarnation[_record.incarnation];
-		const bool isNew = nullptr == upstream;
-		if (isNew)
-		{
-			upstream = std::make_shared<Upstream>();
-			upstream->record = _record;
-			this->put(upstream, this->groupNamed(_record.service, ""));
-		}
+		const bool isNew = nullptr == this->known(_record.incarnation);
+		const bool wasListed = this->byIncarnation.contains(_record.incarnation);
+		const UpstreamRef upstream = this->listed(_record);
 		const bool leaves = _record.leaving && !upstream->leavingSince;
-		const bool changed = isNew || leaves || upstream->record != _record;
+		const bool changed = !wasListed || leaves || upstream->record != _record;
 		const bool started = isNew || upstream->record.startedAt < _record.startedAt;
 		const Millis startedAt = std::max(upstream->record.startedAt, _record.startedAt);
 		if (upstream->record.service != _record.service || upstream->record.address != _record.address)
@@ -201,17 +225,36 @@
 
 	void Board::forget(const std::string& _incarnation, Millis _now)
 	{
-		const auto it = this->byIncarnation.find(_incarnation);
-		if (this->byIncarnation.end() == it)
+		const UpstreamRef upstream = this->known(_incarnation);
+		if (nullptr == upstream)
 		{
 			return;
 		}
-		const UpstreamRef upstream = it->second;
 		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
 		upstream->leavingSince = upstream->leavingSince.value_or(_now);
-		this->takeOut(upstream);
-		this->byIncarnation.erase(it);
-		this->freeAddress(upstream, upstream->record.address);
+		this->unlist(upstream);
+		this->aside.erase(_incarnation);
+	}
+
+	void Board::setAside(const std::string& _incarnation)
+	{
+		const auto found = this->byIncarnation.find(_incarnation);
+		if (this->byIncarnation.end() == found)
+		{
+			return;
+		}
+		const UpstreamRef upstream = found->second;
+		logInfo("upstream_set_aside", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
+		this->unlist(upstream);
+		upstream->reported.reset();
+		this->aside[_incarnation] = upstream;
+	}
+
+	void Board::unlist(const UpstreamRef& _upstream)
+	{
+		this->takeOut(_upstream);
+		this->byIncarnation.erase(_upstream->record.incarnation);
+		this->freeAddress(_upstream, _upstream->record.address);
 	}
 
 	void Board::move(const UpstreamRef& _upstream, const UpstreamRecord& _record)
@@ -374,6 +417,20 @@
 		return result;
 	}
 
+	std::vector<std::string> Board::incarnations() const
+	{
+		std::vector<std::string> result;
+		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		{
+			result.push_back(incarnation);
+		}
+		for (const auto& [incarnation, upstream] : this->aside)
+		{
+			result.push_back(incarnation);
+		}
+		return result;
+	}
+
 	GroupRef Board::groupNamed(const std::string& _service, const std::string& _name)
 	{
 		std::vector<GroupRef>& groups = this->byService[_service];
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -192,6 +192,10 @@
 		/// The list names the upstream no longer.
 		void forget(const std::string& _incarnation, Millis _now);
 
+		/// An upstream's row names none to use for now: it counts as gone, but if it is learnt again before its
+		/// row goes, how it fares, when it started and that it leaves hold on.
+		void setAside(const std::string& _incarnation);
+
 		/// The upstreams of a zone, those that are learnt later too, take no work until it is taken back.
 		void evacuate(const std::string& _zone);
 		void takeBack(const std::string& _zone, Millis _now);
@@ -224,9 +228,18 @@
 		/// @returns All upstreams, those that leave too, in no order.
 		std::vector<UpstreamRef> all() const;
 
+		/// @returns The incarnations that have a row, those set aside too, in no order.
+		std::vector<std::string> incarnations() const;
+
 	private:
 		UpstreamRef drawNear(const std::vector<UpstreamRef>& _upstreams, Random& _random) const;
 		GroupRef groupNamed(const std::string& _service, const std::string& _name);
+		/// @returns What is known under a name, also if it is set aside; null when nothing is.
+		UpstreamRef known(const std::string& _incarnation) const;
+		/// @returns A record's upstream, listed by now; one that is new or was set aside is in no group yet.
+		UpstreamRef listed(const UpstreamRecord& _record);
+		/// Takes an upstream off the board but for the requests at it.
+		void unlist(const UpstreamRef& _upstream);
 		/// A record is of another run than the one known under its name.
 		bool startedAnew(const UpstreamRecord& _record) const;
 		/// A record is of a run before the one known under its name.
@@ -262,6 +275,7 @@
 		std::string gateway;
 		absl::flat_hash_map<std::string, ColdLimits> coldLimits; ///< By service.
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
+		absl::flat_hash_map<std::string, UpstreamRef> aside;     ///< By incarnation; in no group, at no address.
 		absl::flat_hash_map<std::string, UpstreamRef> byAddress; ///< The last one learnt there.
 		absl::flat_hash_map<std::string, std::vector<GroupRef>> byService;
 		std::set<std::string> evacuatedZones;
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -76,7 +76,7 @@
 		/// Whether a zone counts as evacuated and the store wasn't asked for it for long.
 		bool evacuationIsUnsure(Millis _now) const;
 		void takeUpstreams(const store::Rows& _rows, bool _whole);
-		/// Takes in a row; one that can't be read names no upstream, also if it did before.
+		/// Takes in a row; one that can't be read names no upstream to use, also if it did before.
 		/// @param[in] _isNew It wasn't there in the first list.
 		void takeUpstream(const store::Row& _row, bool _isNew);
 		/// Whether the configuration names the service of an upstream.
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -119,11 +119,11 @@
 		{
 			named.insert(row.key.key);
 		}
-		for (const UpstreamRef& upstream : this->state.board.all())
+		for (const std::string& incarnation : this->state.board.incarnations())
 		{
-			if (!named.contains(upstream->record.incarnation))
+			if (!named.contains(incarnation))
 			{
-				this->loseUpstream(upstream->record.incarnation);
+				this->loseUpstream(incarnation);
 			}
 		}
 		std::erase_if(this->unplaced, [&](const auto& _entry) {
@@ -167,7 +167,7 @@
 			logError("upstream_unreadable", {{"incarnation", incarnation}, {"reason", error.what()}});
 		}
 		this->state.counters.unusableRows.Increment();
-		this->state.board.forget(incarnation, nowMs());
+		this->state.board.setAside(incarnation);
 	}
 
 	void StoreWatch::placeUpstreams()
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -469,3 +469,64 @@
 	board.report(reportOf("g", {"1", "3"}), 30);
 	cr_assert(1 == board.addresses() && 1 == groupNamed(board, "g")->members.size());
 }
+
+/// Another writer's row says nothing of the process: what was known of it holds when it is named again.
+Test(board, an_upstream_that_was_set_aside_is_the_one_that_it_was)
+{
+	Board board("here", "gateway-1");
+	board.limitCold(kService, kTwoSends);
+	UpstreamRecord record = recordOf("a", "1");
+	record.startedAt = 1'000;
+	board.learn(record, 0);
+	board.report(reportOf("g", {"1"}), 10);
+	const UpstreamRef upstream = board.all().front();
+	upstream->health.suspendedUntil = 60'000;
+	const InFlight request(upstream, 10);
+	board.setAside("a");
+	cr_assert(board.all().empty() && board.groupsOf(kService).empty() && 0 == board.addresses());
+	cr_assert(std::vector<std::string>{"a"} == board.incarnations());
+	UpstreamRecord earlier = record;
+	earlier.startedAt = 900;
+	board.learn(earlier, 20, 3'000);
+	cr_assert(board.all().empty(), "a late write of the run before");
+	board.learn(record, 30, 3'000);
+	cr_assert(std::vector<UpstreamRef>{upstream} == board.all() && isSuspended(upstream->health, 30));
+	cr_assert(1 == groupNamed(board, "")->working && 1 == groupNamed(board, "")->inFlight);
+	cr_assert(!isLimitedCold(*upstream, 30), "it is no new one");
+}
+
+Test(board, an_upstream_that_was_set_aside_is_forgotten_when_its_row_goes_or_another_run_comes)
+{
+	Board board("here");
+	UpstreamRecord record = recordOf("a", "1");
+	record.startedAt = 1'000;
+	record.leaving = true;
+	board.learn(record, 0);
+	board.setAside("a");
+	record.leaving = false;
+	board.learn(record, 10);
+	cr_assert(!takesWork(*board.all().front()));
+	board.setAside("a");
+	record.startedAt = 2'000;
+	board.learn(record, 20);
+	cr_assert(1 == board.all().size() && takesWork(*board.all().front()));
+	record.leaving = true;
+	board.learn(record, 30);
+	board.setAside("a");
+	board.forget("a", 40);
+	cr_assert(board.incarnations().empty());
+	record.leaving = false;
+	board.learn(record, 50);
+	cr_assert(takesWork(*board.all().front()));
+}
+
+Test(board, an_upstream_counts_again_when_the_one_after_it_is_set_aside)
+{
+	Board board("here");
+	Random random(1);
+	board.learn(recordOf("alive", "1"), 0);
+	board.learn(recordOf("odd", "1"), 0);
+	board.setAside("odd");
+	board.report(reportOf("g", {"1"}), 20);
+	cr_assert("alive" == board.choose(*groupNamed(board, "g"), {}, random, 30)->record.incarnation);
+}
--- a/tests/test_gateway_rows.cpp
+++ b/tests/test_gateway_rows.cpp
@@ -88,3 +88,28 @@
 	rig.store.put("op", "config", configuration);
 	cr_assert(comesToKnow(rig, {"a", "b", "early"}));
 }
+
+/// Its process goes on to drain: what comes there would be refused.
+Test(gatewayrows, an_upstream_that_leaves_gets_no_work_after_an_unreadable_row_either)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.announce(rig.workers[0], "draining");
+	cr_assert(lab::waitUntil(kSoonMs, [&] {
+		return rig.dump()["upstreams"].dump().find("\"leaving\":true") != std::string::npos;
+	}));
+	rig.store.putIn("servers", "", "a", "\xff no document");
+	cr_assert(comesToKnow(rig, {"b"}));
+	rig.announce(rig.workers[0], "ready");
+	cr_assert(comesToKnow(rig, {"a", "b"}));
+	cr_assert(0 == callsTo(rig, rig.workers[0], "late"));
+	// Until its row goes.
+	rig.store.putIn("servers", "", "a", "\xff no document");
+	cr_assert(comesToKnow(rig, {"b"}));
+	rig.store.remove("servers", "a");
+	rig.addWorker("c"); // comes after it
+	cr_assert(comesToKnow(rig, {"b", "c"}));
+	rig.announce(rig.workers[0], "ready");
+	cr_assert(comesToKnow(rig, {"a", "b", "c"}));
+	cr_assert(0 < callsTo(rig, rig.workers[0], "again"));
+}
