Cold limits go with the service that declared them

Cause: the limits of a service that left the configuration stayed until the gateway restarted, and its upstreams were sent no more than cold ones bear. A change of one service's limits recomputed the upstreams of all services.

Change: limits of a service that the configuration doesn't hold are taken back, and limits are set on the upstreams of their own service only.

--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -186,6 +186,9 @@
 		/// Sets what cold upstreams of a service bear; none: as much as any.
 		void limitCold(const std::string& _service, const std::optional<ColdTerms>& _terms);
 
+		/// @returns The services whose cold upstreams bear less than others, in no order.
+		std::vector<std::string> servicesLimitedCold() const;
+
 		/// @returns Time until a cold upstream of a service is warm; none when none is cold.
 		std::optional<Millis> nextWarmMs(const std::string& _service, Millis _now) const;
 
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -95,10 +95,23 @@
 		{
 			this->coldLimits[_service] = {*_terms, coldShareOf(*_terms)};
 		}
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		for (const GroupRef& group : this->groupsOf(_service))
+		{
+			for (const UpstreamRef& upstream : group->members)
+			{
+				this->setColdSends(*upstream);
+			}
+		}
+	}
+
+	std::vector<std::string> Board::servicesLimitedCold() const
+	{
+		std::vector<std::string> result;
+		for (const auto& [service, limits] : this->coldLimits)
 		{
-			this->setColdSends(*upstream);
+			result.push_back(service);
 		}
+		return result;
 	}
 
 	void Board::setColdSends(Upstream& _upstream) const
--- a/src/gateway/cold_limits.cpp
+++ b/src/gateway/cold_limits.cpp
@@ -27,6 +27,14 @@
 		{
 			_state.board.limitCold(service.name, termsOf(_state, service, _now));
 		}
+		// A service that left the configuration declares nothing any more.
+		for (const std::string& service : _state.board.servicesLimitedCold())
+		{
+			if (nullptr == findService(*_state.catalog, service))
+			{
+				_state.board.limitCold(service, std::nullopt);
+			}
+		}
 	}
 
 	Millis coldAfterStartMs(const GatewayState& _state, const std::string& _service)
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -530,3 +530,17 @@
 	board.report(reportOf("g", {"1"}), 20);
 	cr_assert("alive" == board.choose(*groupNamed(board, "g"), {}, random, 30)->record.incarnation);
 }
+
+Test(board, limits_of_one_service_leave_those_of_others_alone)
+{
+	Board board("here", "gateway-1");
+	board.limitCold(kService, kTwoSends);
+	board.limitCold("other", kTwoSends);
+	board.learn(recordOf("a", "1"), 0);
+	board.learn(recordOfService(recordOf("b", "2"), "other"), 0);
+	cr_assert(2 == board.servicesLimitedCold().size());
+	board.limitCold("other", std::nullopt);
+	cr_assert(std::vector<std::string>{kService} == board.servicesLimitedCold());
+	cr_assert(2 == board.groupsOf(kService).front()->members.front()->coldSends);
+	cr_assert(!board.groupsOf("other").front()->members.front()->coldSends);
+}
--- a/tests/test_gateway_rows.cpp
+++ b/tests/test_gateway_rows.cpp
@@ -113,3 +113,50 @@
 	cr_assert(comesToKnow(rig, {"a", "b", "c"}));
 	cr_assert(0 < callsTo(rig, rig.workers[0], "again"));
 }
+
+namespace
+{
+	/// A configuration with a service whose upstreams are cold for some time after a start.
+	Json coldConfiguration(std::uint64_t _version, const std::string& _service)
+	{
+		Json configuration = lab::configurationJson(_version, {"key-one"}, Json::array());
+		configuration["services"].push_back({{"name", _service}, {"maxConns", 50}, {"coldS", 60}, {"coldPerS", 560}});
+		return configuration;
+	}
+
+	/// @returns A field of an upstream; null when the gateway doesn't know it.
+	Json fieldOf(const GatewayRig& _rig, const std::string& _id, const std::string& _field)
+	{
+		const Json dump = _rig.dump();
+		for (const Json& upstream : dump["upstreams"])
+		{
+			if (_id == upstream["incarnation"])
+			{
+				return upstream[_field];
+			}
+		}
+		return Json();
+	}
+
+	bool comesToHave(const GatewayRig& _rig, const std::string& _id, const std::string& _field, const Json& _value)
+	{
+		return lab::waitUntil(kSoonMs, [&] {
+			return _value == fieldOf(_rig, _id, _field);
+		});
+	}
+} // namespace
+
+/// Its upstreams may be in the list for some time yet, and another configuration may name it again.
+Test(gatewayrows, a_service_that_left_the_configuration_limits_no_upstream)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	Json configuration = coldConfiguration(2, "late");
+	rig.store.put("op", "config", configuration);
+	rig.store.put("servers", "b", lab::upstreamJson("late", "127.0.0.1:9", "ready"));
+	cr_assert(lab::waitUntil(kSoonMs, [&] {
+		return fieldOf(rig, "b", "coldSends").is_number() && 0 <= fieldOf(rig, "b", "coldSends");
+	}));
+	rig.store.put("op", "config", lab::configurationJson(3, {"key-one"}, Json::array()));
+	cr_assert(comesToHave(rig, "b", "coldSends", -1));
+}
