An upstream that was kept aside keeps what its rows said

Cause: an upstream whose service no configuration named yet was learnt as new when one did, so that one of the first list counted as cold and got a fraction of its share; that it had said that it leaves was lost with its next row. The flag for it, _isNew, is true for every row after the first list.

Change: what is kept aside holds its record and whether it came after the first list; a later row of the same run adds to it, an unreadable one only keeps it from being placed. The flag is named for what it is.

--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -58,6 +58,14 @@
 			bool (StoreWatch::*isTold)() const;            ///< Whether others tell enough of it just now.
 		};
 
+		/// An upstream as its rows list it.
+		struct Listing
+		{
+			UpstreamRecord record;
+			bool afterFirstList = true; ///< It wasn't there when this gateway first read the list.
+			bool readable = true;       ///< Its last row is.
+		};
+
 		aio::Task<void> follow(Feed _feed);
 		/// Takes in an answer that has the rows asked for.
 		/// @returns Pause before the next call, ms.
@@ -77,8 +85,12 @@
 		bool evacuationIsUnsure(Millis _now) const;
 		void takeUpstreams(const store::Rows& _rows, bool _whole);
 		/// Takes in a row; one that can't be read names no upstream to use, also if it did before.
-		/// @param[in] _isNew It wasn't there in the first list.
-		void takeUpstream(const store::Row& _row, bool _isNew);
+		/// @param[in] _afterFirstList The row came after the first list: an upstream that is new with it has
+		/// started just now.
+		void takeUpstream(const store::Row& _row, bool _afterFirstList);
+		/// @returns A row's upstream with what was known of the same run while it was kept aside.
+		Listing listingOf(UpstreamRecord _record, bool _afterFirstList) const;
+		void learn(const Listing& _listing);
 		/// Whether the configuration names the service of an upstream.
 		bool isPlaced(const UpstreamRecord& _record) const;
 		/// Learns the upstreams whose service is named by now.
@@ -129,7 +141,7 @@
 		Millis answeredAt = 0;                   ///< When the store last answered anybody; own clock, conservatively.
 
 		Millis upstreamsBackAt = 0;                                    ///< When the list could be read again.
-		std::map<std::string, UpstreamRecord> unplaced;                ///< Upstreams whose service no configuration names.
+		std::map<std::string, Listing> unplaced;                       ///< Upstreams whose service no configuration names.
 		std::map<std::string, Millis> doubtful;                        ///< Upstreams whose row went with the store; when to forget them.
 		kj::Own<kj::PromiseFulfiller<store::Rows>> upstreamsInterrupt; ///< Ends the call for the upstreams.
 		kj::Promise<void> followingConfiguration = nullptr;
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -145,26 +145,54 @@
 		});
 	}
 
-	void StoreWatch::takeUpstream(const store::Row& _row, bool _isNew)
+	StoreWatch::Listing StoreWatch::listingOf(UpstreamRecord _record, bool _afterFirstList) const
+	{
+		const auto found = this->unplaced.find(_record.incarnation);
+		if (this->unplaced.end() == found)
+		{
+			return {std::move(_record), _afterFirstList};
+		}
+		const Listing& before = found->second;
+		const bool isLaterRun = 0 != before.record.startedAt && before.record.startedAt < _record.startedAt;
+		if (isLaterRun)
+		{
+			return {std::move(_record), true};
+		}
+		_record.leaving = _record.leaving || before.record.leaving;
+		return {std::move(_record), before.afterFirstList};
+	}
+
+	void StoreWatch::learn(const Listing& _listing)
+	{
+		const UpstreamRecord& record = _listing.record;
+		this->state.board.learn(record, nowMs(), _listing.afterFirstList ? coldAfterStartMs(this->state, record.service) : 0);
+	}
+
+	void StoreWatch::takeUpstream(const store::Row& _row, bool _afterFirstList)
 	{
 		const std::string& incarnation = _row.key.key;
 		this->doubtful.erase(incarnation);
-		this->unplaced.erase(incarnation);
 		try
 		{
-			const UpstreamRecord record = this->decoders.upstream(incarnation, _row.value);
-			if (this->isPlaced(record))
+			const Listing listing = this->listingOf(this->decoders.upstream(incarnation, _row.value), _afterFirstList);
+			if (this->isPlaced(listing.record))
 			{
-				this->state.board.learn(record, nowMs(), _isNew ? coldAfterStartMs(this->state, record.service) : 0);
+				this->unplaced.erase(incarnation);
+				this->learn(listing);
 				return;
 			}
 			// Were it learnt now, it would push the upstream at its address aside.
-			logWarning("upstream_unplaced", {{"incarnation", incarnation}, {"service", record.service}, {"address", record.address}, {"reason", "no configuration names its service"}});
-			this->unplaced.emplace(incarnation, record);
+			logWarning("upstream_unplaced", {{"incarnation", incarnation}, {"service", listing.record.service}, {"address", listing.record.address}, {"reason", "no configuration names its service"}});
+			this->unplaced.insert_or_assign(incarnation, listing);
 		}
 		catch (const InvalidInputError& error)
 		{
 			logError("upstream_unreadable", {{"incarnation", incarnation}, {"reason", error.what()}});
+			const auto kept = this->unplaced.find(incarnation);
+			if (this->unplaced.end() != kept)
+			{
+				kept->second.readable = false;
+			}
 		}
 		this->state.counters.unusableRows.Increment();
 		this->state.board.setAside(incarnation);
@@ -174,12 +202,12 @@
 	{
 		for (auto it = this->unplaced.begin(); this->unplaced.end() != it;)
 		{
-			if (!this->isPlaced(it->second))
+			if (!it->second.readable || !this->isPlaced(it->second.record))
 			{
 				++it;
 				continue;
 			}
-			this->state.board.learn(it->second, nowMs(), coldAfterStartMs(this->state, it->second.service));
+			this->learn(it->second);
 			it = this->unplaced.erase(it);
 		}
 	}
@@ -197,7 +225,7 @@
 			this->loseUnnamed(_rows);
 		}
 		this->upstreamsSince = _rows.version;
-		const bool listed = this->upstreamsListed; // what the first list names may have been there for long
+		const bool afterFirstList = this->upstreamsListed; // what the first list names may have been there for long
 		this->upstreamsListed = true;
 		for (const store::Row& row : store::inOrderOfWriting(_rows.rows))
 		{
@@ -210,7 +238,7 @@
 				this->loseUpstream(row.key.key);
 				continue;
 			}
-			this->takeUpstream(row, listed);
+			this->takeUpstream(row, afterFirstList);
 		}
 	}
 
--- a/tests/test_gateway_rows.cpp
+++ b/tests/test_gateway_rows.cpp
@@ -160,3 +160,41 @@
 	rig.store.put("op", "config", lab::configurationJson(3, {"key-one"}, Json::array()));
 	cr_assert(comesToHave(rig, "b", "coldSends", -1));
 }
+
+/// What the first list names may have run for long.
+Test(gatewayrows, an_upstream_of_the_first_list_is_not_cold_when_its_service_is_named)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.put("servers", "old", lab::upstreamJson("late", "127.0.0.1:9", "ready"));
+	rig.startGateway();
+	rig.waitReady();
+	Json row = lab::upstreamJson("late", "127.0.0.1:9", "ready");
+	row["slots"] = 2;
+	rig.store.put("servers", "old", row); // a heartbeat
+	rig.store.put("servers", "new", lab::upstreamJson("late", "127.0.0.1:10", "ready"));
+	rig.addWorker("b"); // comes after them
+	cr_assert(comesToKnow(rig, {"a", "b"}));
+	rig.store.put("op", "config", coldConfiguration(2, "late"));
+	cr_assert(comesToKnow(rig, {"a", "b", "old", "new"}));
+	cr_assert(0 < fieldOf(rig, "new", "warmInMs").get<int>());
+	cr_assert(0 == fieldOf(rig, "old", "warmInMs").get<int>());
+}
+
+Test(gatewayrows, an_upstream_that_leaves_while_nobody_knows_its_service_leaves_after_that_too)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.put("servers", "late", lab::upstreamJson("late", "127.0.0.1:9", "draining"));
+	rig.addWorker("b"); // comes after it
+	cr_assert(comesToKnow(rig, {"a", "b"}));
+	rig.store.putIn("servers", "", "late", "\xff no document");
+	rig.addWorker("c");
+	cr_assert(comesToKnow(rig, {"a", "b", "c"}));
+	rig.store.put("servers", "late", lab::upstreamJson("late", "127.0.0.1:9", "ready"));
+	rig.addWorker("d");
+	cr_assert(comesToKnow(rig, {"a", "b", "c", "d"}));
+	rig.store.put("op", "config", coldConfiguration(2, "late"));
+	cr_assert(comesToKnow(rig, {"a", "b", "c", "d", "late"}));
+	cr_assert(fieldOf(rig, "late", "leaving").get<bool>());
+}
