A remaining cold time that falls is no change worth a log line

Cause: each heartbeat of a cold upstream tells a shorter time, and each was logged as upstream_learned.

Change: the comparison that logs leaves that time out; it is taken in as before. Board::learn hands the record over to a function of its own.

Result: board/a_heartbeat_that_only_counts_down_is_not_logged failed before (4 lines in place of 2) and passes now; 29 of 29 tests of the board pass.

--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -15,6 +15,13 @@
 		/// coordinator, or in other groups.
 		constexpr std::uint64_t kFarDraws = 8;
 
+		/// Remaining cold time falls with each heartbeat: that is no change worth a line.
+		bool saysTheSame(UpstreamRecord _before, const UpstreamRecord& _after)
+		{
+			_before.coldForMs = _after.coldForMs;
+			return _before == _after;
+		}
+
 		bool isRecent(const Upstream& _upstream, Millis _now)
 		{
 			return _upstream.reported && _now - _upstream.reported->at <= kReportMaxAgeMs;
@@ -184,6 +191,20 @@
 		}
 	}
 
+	void Board::takeRecord(const UpstreamRef& _upstream, const UpstreamRecord& _record)
+	{
+		if (_upstream->record.service != _record.service || _upstream->record.address != _record.address)
+		{
+			this->move(_upstream, _record);
+		}
+		const Millis startedAt = std::max(_upstream->record.startedAt, _record.startedAt);
+		_upstream->record = _record;
+		_upstream->record.startedAt = startedAt; // a row that doesn't say is of the run that is known
+		this->setColdSends(*_upstream);
+		_upstream->evacuated = this->evacuatedZones.contains(_record.zone);
+		this->takeAddress(_upstream);
+	}
+
 	void Board::learn(const UpstreamRecord& _record, Millis _now, Millis _coldIfNewMs)
 	{
 		if (this->isOfEarlierRun(_record))
@@ -199,18 +220,10 @@
 		const bool wasListed = this->byIncarnation.contains(_record.incarnation);
 		const UpstreamRef upstream = this->listed(_record);
 		const bool leaves = _record.leaving && !upstream->leavingSince;
-		const bool changed = !wasListed || leaves || upstream->record != _record;
+		const bool changed = !wasListed || leaves || !saysTheSame(upstream->record, _record);
+		const bool tellsCold = changed || upstream->record.coldForMs != _record.coldForMs;
 		const bool started = isNew || upstream->record.startedAt < _record.startedAt;
-		const Millis startedAt = std::max(upstream->record.startedAt, _record.startedAt);
-		if (upstream->record.service != _record.service || upstream->record.address != _record.address)
-		{
-			this->move(upstream, _record);
-		}
-		upstream->record = _record;
-		upstream->record.startedAt = startedAt; // a row that doesn't say is of the run that is known
-		this->setColdSends(*upstream);
-		upstream->evacuated = this->evacuatedZones.contains(_record.zone);
-		this->takeAddress(upstream);
+		this->takeRecord(upstream, _record);
 		if (leaves)
 		{
 			upstream->leavingSince = _now;
@@ -219,6 +232,9 @@
 		{
 			this->count(*upstream->group);
 			logInfo("upstream_learned", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"zone", _record.zone}, {"leaving", upstream->leavingSince.has_value()}});
+		}
+		if (tellsCold)
+		{
 			this->beginCold(upstream, _record.coldForMs.value_or(started ? _coldIfNewMs : 0), _now);
 		}
 	}
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -241,6 +241,8 @@
 		UpstreamRef known(const std::string& _incarnation) const;
 		/// @returns A record's upstream, listed by now; one that is new or was set aside is in no group yet.
 		UpstreamRef listed(const UpstreamRecord& _record);
+		/// A listed upstream is what its record says.
+		void takeRecord(const UpstreamRef& _upstream, const UpstreamRecord& _record);
 		/// Takes an upstream off the board but for the requests at it.
 		void unlist(const UpstreamRef& _upstream);
 		/// A record is of another run than the one known under its name.
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -2,6 +2,10 @@
 // Before Criterion, whose macros break the hash headers.
 #include "gateway/board.h"
 
+#include <cstdio>
+#include <functional>
+#include <unistd.h>
+
 #include <criterion/criterion.h>
 
 using namespace archdyke;
@@ -544,3 +548,51 @@
 	cr_assert(2 == board.groupsOf(kService).front()->members.front()->coldSends);
 	cr_assert(!board.groupsOf("other").front()->members.front()->coldSends);
 }
+
+namespace
+{
+	/// @returns What the process logs meanwhile.
+	std::string linesOf(const std::function<void()>& _action)
+	{
+		const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::tmpfile(), &std::fclose);
+		const int before = dup(STDOUT_FILENO);
+		dup2(fileno(file.get()), STDOUT_FILENO);
+		_action();
+		dup2(before, STDOUT_FILENO);
+		close(before);
+		std::string lines(std::size_t(std::ftell(file.get())), '\0');
+		std::rewind(file.get());
+		lines.resize(std::fread(lines.data(), 1, lines.size(), file.get()));
+		return lines;
+	}
+
+	int countOf(const std::string& _lines, const std::string& _event)
+	{
+		int count = 0;
+		for (std::size_t at = _lines.find(_event); std::string::npos != at; at = _lines.find(_event, at + 1))
+		{
+			count += 1;
+		}
+		return count;
+	}
+} // namespace
+
+/// A row for each heartbeat tells how much longer its upstream is cold.
+Test(board, a_heartbeat_that_only_counts_down_is_not_logged)
+{
+	Board board("here", "gateway-1");
+	board.limitCold(kService, kTwoSends);
+	UpstreamRecord cold = recordOf("a", "1");
+	cold.coldForMs = 3'000;
+	const std::string lines = linesOf([&] {
+		board.learn(cold, 0);
+		cold.coldForMs = 2'000;
+		board.learn(cold, 1'000);
+		cold.coldForMs = 5'000; // cold anew
+		board.learn(cold, 2'000);
+		cold.slots = 7;
+		board.learn(cold, 2'000);
+	});
+	cr_assert(2 == countOf(lines, "event=upstream_learned"), "%s", lines.c_str());
+	cr_assert(5'000 == board.nextWarmMs(kService, 2'000));
+}
