Names that say what they cover

hasOnlyCold also means that the shares of cold upstreams are spent: coldSharesAreSpent. The watch follows the operators' table, of which the configuration is one row: takeOperators, operatorsSince. A proof's version is the one that no known change of that table is newer than, as in OperatorTable: changedAt.

--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -116,7 +116,7 @@
 
 	/// @returns Whether a group has members that take work, but all are cold and have what they bear of
 	/// this gateway.
-	bool hasOnlyCold(const UpstreamGroup& _group, Millis _now);
+	bool coldSharesAreSpent(const UpstreamGroup& _group, Millis _now);
 
 	/// @returns Whether of some groups those that aren't down have nothing left for this gateway but cold
 	/// upstreams that have what they bear.
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -28,7 +28,7 @@
 		}));
 	}
 
-	bool hasOnlyCold(const UpstreamGroup& _group, Millis _now)
+	bool coldSharesAreSpent(const UpstreamGroup& _group, Millis _now)
 	{
 		return 0 < _group.working && 0 == membersThatMayGet(_group, _now);
 	}
@@ -46,7 +46,7 @@
 			{
 				return false;
 			}
-			anyCold = anyCold || hasOnlyCold(*group, _now);
+			anyCold = anyCold || coldSharesAreSpent(*group, _now);
 		}
 		return anyCold;
 	}
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -65,7 +65,7 @@
 		const auto fatal = [](kj::Exception&& _error) {
 			logError("watch_ended", {{"reason", _error.getDescription().cStr()}, {"remedy", "restart the process and report this line"}});
 		};
-		const Feed configurationFeed{kConfiguration, &StoreWatch::nextConfiguration, &StoreWatch::takeConfiguration, kConfigurationPauseMs, &this->configurationSince, &this->configurationAnswered, &StoreWatch::configurationIsTold};
+		const Feed configurationFeed{kConfiguration, &StoreWatch::nextConfiguration, &StoreWatch::takeOperators, kConfigurationPauseMs, &this->operatorsSince, &this->configurationAnswered, &StoreWatch::configurationIsTold};
 		const Feed upstreamsFeed{kUpstreams, &StoreWatch::nextUpstreams, &StoreWatch::takeUpstreams, this->shareOfChange(kPauseShareOfChange), &this->upstreamsSince, &this->upstreamsAnswered, &StoreWatch::upstreamsAreTold};
 		this->followingConfiguration = this->follow(configurationFeed).take().eagerlyEvaluate(fatal);
 		this->followingUpstreams = this->follow(upstreamsFeed).take().eagerlyEvaluate(fatal);
@@ -127,7 +127,7 @@
 		const bool told = now - this->toldAt <= kToldMaxAgeMs && !this->isReader;
 		const Millis mostMs = this->shareOfChange(kNewsShareOfChange);
 		const bool fresh = proofAge(this->state.freshness, now).value_or(mostMs) < mostMs;
-		return told && fresh && !isBehind(this->state.operators, this->toldProof.rowVersion) && !this->evacuationIsUnsure(now) && 0 == this->unreadableRow;
+		return told && fresh && !isBehind(this->state.operators, this->toldProof.changedAt) && !this->evacuationIsUnsure(now) && 0 == this->unreadableRow;
 	}
 
 	bool StoreWatch::evacuationIsUnsure(Millis _now) const
@@ -176,7 +176,7 @@
 		{
 			return kFirstWaitMs;
 		}
-		if (isBehind(this->state.operators, this->toldProof.rowVersion))
+		if (isBehind(this->state.operators, this->toldProof.changedAt))
 		{
 			return 0; // there is a change, or a whole read that covers one; the answer tells up to there
 		}
@@ -217,8 +217,8 @@
 		this->toldGateways = _news.gateways;
 		this->toldProof = std::max(this->toldProof, proof);
 		// A change that isn't known here is read by a call of one's own, which needn't wait.
-		noteToldChange(this->state.operators, proof.rowVersion);
-		if (nullptr != this->state.catalog && covers(this->state.operators, proof.rowVersion) && 0 == this->unreadableRow)
+		noteToldChange(this->state.operators, proof.changedAt);
+		if (nullptr != this->state.catalog && covers(this->state.operators, proof.changedAt) && 0 == this->unreadableRow)
 		{
 			noteToldProof(this->state.freshness, proof.storeTime);
 			this->noteAnswer(this->state.freshness.provenAt.value_or(0));
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -77,7 +77,7 @@
 		/// @returns How long a call for the configuration hangs, ms.
 		Millis configurationWait() const;
 		/// Takes in an answer for the operators' table.
-		void takeConfiguration(const store::Rows& _rows, bool _whole);
+		void takeOperators(const store::Rows& _rows, bool _whole);
 		/// @returns Whether the configuration in force has changed.
 		bool takeCatalog(const store::Row& _row);
 		void takeZones(const store::Rows& _rows, bool _whole);
@@ -125,7 +125,7 @@
 		std::uint64_t unreadableRow = 0; ///< Version of a configuration that can't be read; 0: none.
 		Millis operatorsReadAt = 0;      ///< When a call of one's own for the operators' table was last answered.
 		/// From the first change on: one call brings the first configuration as soon as it is there.
-		std::optional<std::uint64_t> configurationSince = 0;
+		std::optional<std::uint64_t> operatorsSince = 0;
 		std::optional<std::uint64_t> upstreamsSince;
 		bool upstreamsListed = false; ///< A whole list was read.
 		bool configurationAnswered = true;
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -75,7 +75,7 @@
 		this->state.counters.evacuatedZones.Set(double(evacuatedZones(this->state.operators).size()));
 	}
 
-	void StoreWatch::takeConfiguration(const store::Rows& _rows, bool _whole)
+	void StoreWatch::takeOperators(const store::Rows& _rows, bool _whole)
 	{
 		this->operatorsReadAt = nowMs();
 		this->takeZones(_rows, _whole); // first: a first configuration lets requests in
--- a/src/group/news_rpc.cpp
+++ b/src/group/news_rpc.cpp
@@ -39,7 +39,7 @@
 
 	void writeProof(rpc::ConfigurationProof::Builder _builder, const store::ConfigurationProof& _proof)
 	{
-		_builder.setRowVersion(_proof.rowVersion);
+		_builder.setRowVersion(_proof.changedAt);
 		_builder.setStoreTime(_proof.storeTime);
 	}
 
--- a/src/store/table_news.h
+++ b/src/store/table_news.h
@@ -32,8 +32,8 @@
 	/// each other. In the store's time, so that it doesn't matter how long it was on its way.
 	struct ConfigurationProof
 	{
-		std::uint64_t rowVersion = 0; ///< No change that the teller knows is newer; 0: nothing is known.
-		Millis storeTime = 0;         ///< The store's clock when it had no more.
+		std::uint64_t changedAt = 0; ///< Version in the store: no change that the teller knows is newer; 0: nothing is known.
+		Millis storeTime = 0;        ///< The store's clock when it had no more.
 
 		auto operator<=>(const ConfigurationProof&) const = default;
 	};
--- a/tests/test_group_news.cpp
+++ b/tests/test_group_news.cpp
@@ -72,7 +72,7 @@
 	cr_assert(2 == tally.count && "a" == tally.first && "b" == tally.last && 40 == tally.proof.storeTime);
 	cr_assert(1 == tallyOf(knowledge, 3'100).count);
 	const GatewayTally both = merged(tally, {1, "c", "c", {4, 1}});
-	cr_assert(3 == both.count && "c" == both.last && 4 == both.proof.rowVersion);
+	cr_assert(3 == both.count && "c" == both.last && 4 == both.proof.changedAt);
 }
 
 /// One who is told up to which version a list is takes that for having it: a list that doesn't fit into
