--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -124,115 +124,6 @@
 		}
 	}
 
-	bool Board::startedAnew(const UpstreamRecord& _record) const
-	{
-		const auto known = this->byIncarnation.find(_record.incarnation);
-		const Millis before = this->byIncarnation.end() == known ? 0 : known->second->record.startedAt;
-		return 0 != before && before < _record.startedAt;
-	}
-
-	bool Board::isOfEarlierRun(const UpstreamRecord& _record) const
-	{
-		const auto known = this->byIncarnation.find(_record.incarnation);
-		return this->byIncarnation.end() != known && 0 != _record.startedAt && _record.startedAt < known->second->record.startedAt;
-	}
-
-	void Board::takeAddress(const UpstreamRef& _upstream)
-	{
-		UpstreamRef& holder = this->byAddress[_upstream->record.address];
-		if (nullptr != holder && holder != _upstream && !holder->superseded)
-		{
-			logInfo("upstream_superseded", {{"incarnation", holder->record.incarnation}, {"by", _upstream->record.incarnation}, {"address", _upstream->record.address}});
-			holder->superseded = true;
-			this->count(*holder->group);
-		}
-		const bool isBack = _upstream->superseded;
-		_upstream->superseded = false;
-		holder = _upstream;
-		if (isBack)
-		{
-			this->count(*_upstream->group);
-		}
-	}
-
-	void Board::learn(const UpstreamRecord& _record, Millis _now, Millis _coldIfNewMs)
-	{
-		if (this->isOfEarlierRun(_record))
-		{
-			return; // a write of the run before that was late
-		}
-		if (this->startedAnew(_record))
-		{
-			logInfo("upstream_started_anew", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"started_at", _record.startedAt}});
-			this->forget(_record.incarnation, _now);
-		}
-		UpstreamRef& upstream = this->byIncarnation[_record.incarnation];
-		const bool isNew = nullptr == upstream;
-		if (isNew)
-		{
-			upstream = std::make_shared<Upstream>();
-			upstream->record = _record;
-			this->put(upstream, this->groupNamed(_record.service, ""));
-		}
-		const bool leaves = _record.leaving && !upstream->leavingSince;
-		const bool changed = isNew || leaves || upstream->record != _record;
-		const bool started = isNew || upstream->record.startedAt < _record.startedAt;
-		const Millis startedAt = std::max(upstream->record.startedAt, _record.startedAt);
-		upstream->record = _record;
-		upstream->record.startedAt = startedAt; // a row that doesn't say is of the run that is known
-		this->setColdSends(*upstream);
-		upstream->evacuated = this->evacuatedZones.contains(_record.zone);
-		this->takeAddress(upstream);
-		if (leaves)
-		{
-			upstream->leavingSince = _now;
-		}
-		if (changed)
-		{
-			this->count(*upstream->group);
-			logInfo("upstream_learned", {{"incarnation", _record.incarnation}, {"service", _record.service}, {"address", _record.address}, {"zone", _record.zone}, {"leaving", upstream->leavingSince.has_value()}});
-			this->beginCold(upstream, _record.coldForMs.value_or(started ? _coldIfNewMs : 0), _now);
-		}
-	}
-
-	void Board::forget(const std::string& _incarnation, Millis _now)
-	{
-		const auto it = this->byIncarnation.find(_incarnation);
-		if (this->byIncarnation.end() == it)
-		{
-			return;
-		}
-		const UpstreamRef upstream = it->second;
-		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
-		upstream->leavingSince = upstream->leavingSince.value_or(_now);
-		this->takeOut(upstream);
-		const auto address = this->byAddress.find(upstream->record.address);
-		if (this->byAddress.end() != address && address->second == upstream)
-		{
-			this->byAddress.erase(address);
-		}
-		this->byIncarnation.erase(it);
-		this->reinstate(upstream->record.address);
-	}
-
-	void Board::reinstate(const std::string& _address)
-	{
-		if (this->byAddress.contains(_address))
-		{
-			return;
-		}
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
-		{
-			if (upstream->record.address == _address)
-			{
-				upstream->superseded = false;
-				this->byAddress[_address] = upstream;
-				this->count(*upstream->group);
-				return;
-			}
-		}
-	}
-
 	void Board::report(const GroupReport& _report, Millis _now)
 	{
 		const GroupRef group = this->groupNamed(_report.service, _report.name);
@@ -255,9 +146,7 @@
 			const UpstreamRef upstream = found->second;
 			if (upstream->group != group)
 			{
-				upstream->group->inFlight -= upstream->inFlight;
-				this->takeOut(upstream);
-				this->put(upstream, group);
+				this->regroup(upstream, _report.service, _report.name);
 			}
 			upstream->reported = ReportedLoad{rank.requests, at, upstream->inFlight, rank.pace};
 			group->reported += rank.requests;
@@ -353,6 +242,20 @@
 		return result;
 	}
 
+	std::vector<std::string> Board::incarnations() const
+	{
+		std::vector<std::string> result;
+		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		{
+			result.push_back(incarnation);
+		}
+		for (const auto& [incarnation, upstream] : this->aside)
+		{
+			result.push_back(incarnation);
+		}
+		return result;
+	}
+
 	GroupRef Board::groupNamed(const std::string& _service, const std::string& _name)
 	{
 		std::vector<GroupRef>& groups = this->byService[_service];
@@ -378,6 +281,13 @@
 		this->count(*_group);
 	}
 
+	void Board::regroup(const UpstreamRef& _upstream, const std::string& _service, const std::string& _name)
+	{
+		_upstream->group->inFlight -= _upstream->inFlight;
+		this->takeOut(_upstream);
+		this->put(_upstream, this->groupNamed(_service, _name));
+	}
+
 	void Board::takeOut(const UpstreamRef& _upstream)
 	{
 		const GroupRef group = _upstream->group;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -116,7 +116,7 @@
 
 	/// @returns Whether a group has members that take work, but all are cold and have what they bear of
 	/// this gateway.
-	bool hasOnlyCold(const UpstreamGroup& _group, Millis _now);
+	bool coldSharesAreSpent(const UpstreamGroup& _group, Millis _now);
 
 	/// @returns Whether of some groups those that aren't down have nothing left for this gateway but cold
 	/// upstreams that have what they bear.
@@ -186,12 +186,19 @@
 		/// Sets what cold upstreams of a service bear; none: as much as any.
 		void limitCold(const std::string& _service, const std::optional<ColdTerms>& _terms);
 
+		/// @returns The services whose cold upstreams bear less than others, in no order.
+		std::vector<std::string> servicesLimitedCold() const;
+
 		/// @returns Time until a cold upstream of a service is warm; none when none is cold.
 		std::optional<Millis> nextWarmMs(const std::string& _service, Millis _now) const;
 
 		/// The list names the upstream no longer.
 		void forget(const std::string& _incarnation, Millis _now);
 
+		/// An upstream's row names none to use for now: it counts as gone, but if it is learnt again before its
+		/// row goes, how it fares, when it started and that it leaves hold on.
+		void setAside(const std::string& _incarnation);
+
 		/// The upstreams of a zone, those that are learnt later too, take no work until it is taken back.
 		void evacuate(const std::string& _zone);
 		void takeBack(const std::string& _zone, Millis _now);
@@ -224,9 +231,20 @@
 		/// @returns All upstreams, those that leave too, in no order.
 		std::vector<UpstreamRef> all() const;
 
+		/// @returns The incarnations that have a row, those set aside too, in no order.
+		std::vector<std::string> incarnations() const;
+
 	private:
 		UpstreamRef drawNear(const std::vector<UpstreamRef>& _upstreams, Random& _random) const;
 		GroupRef groupNamed(const std::string& _service, const std::string& _name);
+		/// @returns What is known under a name, also if it is set aside; null when nothing is.
+		UpstreamRef known(const std::string& _incarnation) const;
+		/// @returns A record's upstream, listed by now; one that is new or was set aside is in no group yet.
+		UpstreamRef listed(const UpstreamRecord& _record);
+		/// A listed upstream is what its record says.
+		void takeRecord(const UpstreamRef& _upstream, const UpstreamRecord& _record);
+		/// Takes an upstream off the board but for the requests at it.
+		void unlist(const UpstreamRef& _upstream);
 		/// A record is of another run than the one known under its name.
 		bool startedAnew(const UpstreamRecord& _record) const;
 		/// A record is of a run before the one known under its name.
@@ -236,9 +254,16 @@
 		void setEvacuated(const std::string& _zone, bool _evacuated);
 		/// Upstreams of a zone that was taken back may have turned cold meanwhile.
 		void noteTakenBack(const std::string& _zone, Millis _now);
+		/// An upstream's row names another service or address: it is in no group until it is reported there.
+		/// Else it would get requests of the service before, and hold the address that it has left.
+		void move(const UpstreamRef& _upstream, const UpstreamRecord& _record);
+		/// An upstream is no longer at an address.
+		void freeAddress(const UpstreamRef& _upstream, const std::string& _address);
 		/// The newest incarnation at an address is gone: one that it had superseded counts again.
 		void reinstate(const std::string& _address);
-		/// Puts an upstream into a group, out of the one that it was in.
+		/// Moves an upstream, with its requests in flight, out of its group into another one.
+		void regroup(const UpstreamRef& _upstream, const std::string& _service, const std::string& _name);
+		/// Puts an upstream that is in no group into one.
 		void put(const UpstreamRef& _upstream, const GroupRef& _group);
 		/// Takes an upstream out of its group; a group without members goes.
 		void takeOut(const UpstreamRef& _upstream);
@@ -255,6 +280,7 @@
 		std::string gateway;
 		absl::flat_hash_map<std::string, ColdLimits> coldLimits; ///< By service.
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
+		absl::flat_hash_map<std::string, UpstreamRef> aside;     ///< By incarnation; in no group, at no address.
 		absl::flat_hash_map<std::string, UpstreamRef> byAddress; ///< The last one learnt there.
 		absl::flat_hash_map<std::string, std::vector<GroupRef>> byService;
 		std::set<std::string> evacuatedZones;
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -28,7 +28,7 @@
 		}));
 	}
 
-	bool hasOnlyCold(const UpstreamGroup& _group, Millis _now)
+	bool coldSharesAreSpent(const UpstreamGroup& _group, Millis _now)
 	{
 		return 0 < _group.working && 0 == membersThatMayGet(_group, _now);
 	}
@@ -46,7 +46,7 @@
 			{
 				return false;
 			}
-			anyCold = anyCold || hasOnlyCold(*group, _now);
+			anyCold = anyCold || coldSharesAreSpent(*group, _now);
 		}
 		return anyCold;
 	}
@@ -95,10 +95,23 @@
 		{
 			this->coldLimits[_service] = {*_terms, coldShareOf(*_terms)};
 		}
-		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		for (const GroupRef& group : this->groupsOf(_service))
+		{
+			for (const UpstreamRef& upstream : group->members)
+			{
+				this->setColdSends(*upstream);
+			}
+		}
+	}
+
+	std::vector<std::string> Board::servicesLimitedCold() const
+	{
+		std::vector<std::string> result;
+		for (const auto& [service, limits] : this->coldLimits)
 		{
-			this->setColdSends(*upstream);
+			result.push_back(service);
 		}
+		return result;
 	}
 
 	void Board::setColdSends(Upstream& _upstream) const
--- a/tests/test_gateway_rows.cpp
+++ b/tests/test_gateway_rows.cpp
@@ -88,3 +88,113 @@
 	rig.store.put("op", "config", configuration);
 	cr_assert(comesToKnow(rig, {"a", "b", "early"}));
 }
+
+/// Its process goes on to drain: what comes there would be refused.
+Test(gatewayrows, an_upstream_that_leaves_gets_no_work_after_an_unreadable_row_either)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.announce(rig.workers[0], "draining");
+	cr_assert(lab::waitUntil(kSoonMs, [&] {
+		return rig.dump()["upstreams"].dump().find("\"leaving\":true") != std::string::npos;
+	}));
+	rig.store.putIn("servers", "", "a", "\xff no document");
+	cr_assert(comesToKnow(rig, {"b"}));
+	rig.announce(rig.workers[0], "ready");
+	cr_assert(comesToKnow(rig, {"a", "b"}));
+	cr_assert(0 == callsTo(rig, rig.workers[0], "late"));
+	// Until its row goes.
+	rig.store.putIn("servers", "", "a", "\xff no document");
+	cr_assert(comesToKnow(rig, {"b"}));
+	rig.store.remove("servers", "a");
+	rig.addWorker("c"); // comes after it
+	cr_assert(comesToKnow(rig, {"b", "c"}));
+	rig.announce(rig.workers[0], "ready");
+	cr_assert(comesToKnow(rig, {"a", "b", "c"}));
+	cr_assert(0 < callsTo(rig, rig.workers[0], "again"));
+}
+
+namespace
+{
+	/// A configuration with a service whose upstreams are cold for some time after a start.
+	Json coldConfiguration(std::uint64_t _version, const std::string& _service)
+	{
+		Json configuration = lab::configurationJson(_version, {"key-one"}, Json::array());
+		configuration["services"].push_back({{"name", _service}, {"maxConns", 50}, {"coldS", 60}, {"coldPerS", 560}});
+		return configuration;
+	}
+
+	/// @returns A field of an upstream; null when the gateway doesn't know it.
+	Json fieldOf(const GatewayRig& _rig, const std::string& _id, const std::string& _field)
+	{
+		const Json dump = _rig.dump();
+		for (const Json& upstream : dump["upstreams"])
+		{
+			if (_id == upstream["incarnation"])
+			{
+				return upstream[_field];
+			}
+		}
+		return Json();
+	}
+
+	bool comesToHave(const GatewayRig& _rig, const std::string& _id, const std::string& _field, const Json& _value)
+	{
+		return lab::waitUntil(kSoonMs, [&] {
+			return _value == fieldOf(_rig, _id, _field);
+		});
+	}
+} // namespace
+
+/// Its upstreams may be in the list for some time yet, and another configuration may name it again.
+Test(gatewayrows, a_service_that_left_the_configuration_limits_no_upstream)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	Json configuration = coldConfiguration(2, "late");
+	rig.store.put("op", "config", configuration);
+	rig.store.put("servers", "b", lab::upstreamJson("late", "127.0.0.1:9", "ready"));
+	cr_assert(lab::waitUntil(kSoonMs, [&] {
+		return fieldOf(rig, "b", "coldSends").is_number() && 0 <= fieldOf(rig, "b", "coldSends");
+	}));
+	rig.store.put("op", "config", lab::configurationJson(3, {"key-one"}, Json::array()));
+	cr_assert(comesToHave(rig, "b", "coldSends", -1));
+}
+
+/// What the first list names may have run for long.
+Test(gatewayrows, an_upstream_of_the_first_list_is_not_cold_when_its_service_is_named)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.put("servers", "old", lab::upstreamJson("late", "127.0.0.1:9", "ready"));
+	rig.startGateway();
+	rig.waitReady();
+	Json row = lab::upstreamJson("late", "127.0.0.1:9", "ready");
+	row["slots"] = 2;
+	rig.store.put("servers", "old", row); // a heartbeat
+	rig.store.put("servers", "new", lab::upstreamJson("late", "127.0.0.1:10", "ready"));
+	rig.addWorker("b"); // comes after them
+	cr_assert(comesToKnow(rig, {"a", "b"}));
+	rig.store.put("op", "config", coldConfiguration(2, "late"));
+	cr_assert(comesToKnow(rig, {"a", "b", "old", "new"}));
+	cr_assert(0 < fieldOf(rig, "new", "warmInMs").get<int>());
+	cr_assert(0 == fieldOf(rig, "old", "warmInMs").get<int>());
+}
+
+Test(gatewayrows, an_upstream_that_leaves_while_nobody_knows_its_service_leaves_after_that_too)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	rig.store.put("servers", "late", lab::upstreamJson("late", "127.0.0.1:9", "draining"));
+	rig.addWorker("b"); // comes after it
+	cr_assert(comesToKnow(rig, {"a", "b"}));
+	rig.store.putIn("servers", "", "late", "\xff no document");
+	rig.addWorker("c");
+	cr_assert(comesToKnow(rig, {"a", "b", "c"}));
+	rig.store.put("servers", "late", lab::upstreamJson("late", "127.0.0.1:9", "ready"));
+	rig.addWorker("d");
+	cr_assert(comesToKnow(rig, {"a", "b", "c", "d"}));
+	rig.store.put("op", "config", coldConfiguration(2, "late"));
+	cr_assert(comesToKnow(rig, {"a", "b", "c", "d", "late"}));
+	cr_assert(fieldOf(rig, "late", "leaving").get<bool>());
+}
