The flat files of src in rooms by program and job: moves alone

Cause: 77 files lay flat in src/ with no sign of which program they belong to. The check of pure decisions refuses the rooms' headers too.

--- a/scripts/check-decide.sh
+++ b/scripts/check-decide.sh
@@ -3,7 +3,7 @@
 # thread, clock, log or random device. What is random or timed is passed in.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-banned='<(thread|mutex|atomic|chrono|ctime|condition_variable|future|iostream|fstream|filesystem|sys/|netinet|unistd|pthread|httplib|kj/|capnp/|absl/(synchronization|time)|fmt/|prometheus)|random_device|getenv|"(log|process|call|rpc_|http_)'
+banned='<(thread|mutex|atomic|chrono|ctime|condition_variable|future|iostream|fstream|filesystem|sys/|netinet|unistd|pthread|httplib|kj/|capnp/|absl/(synchronization|time)|fmt/|prometheus)|random_device|getenv|"(base/(address|admin|config_rows|daemon_main|http_server|log|metrics|pause_guard|platform_client|process|settings)|(rpc|entry|agent|operator|gateway|group|store|http|aio)/)'
 if grep -nE "#include $banned|random_device|system_clock|steady_clock|getenv" src/decide/* include/archdyke/*; then
 	echo "the decisions must be pure: pass time, randomness and messages in" >&2
 	exit 1
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -34,7 +34,7 @@
 mutant relay-takes-any-frame "relay_.*|path_a_reset_link_resumes_the_stream" src/decide/relay.cpp \
 	'if (_frame.offset > _state.nextOffset)' 'if (false)' \
 	'const std::uint64_t skip = _state.nextOffset - _frame.offset;' 'const std::uint64_t skip = 0;'
-mutant broken-stream-ends-cleanly "path_a_killed_agent_breaks_the_stream_visibly" src/entry_http.cpp \
+mutant broken-stream-ends-cleanly "path_a_killed_agent_breaks_the_stream_visibly" src/entry/entry_http.cpp \
 	'_sink.write(event.data(), event.size());
 			this->account(*_exchange, error.answer.outcome);
 			return false;' '_sink.done();
@@ -45,18 +45,18 @@
 	'_ledger.runs[_key.requestId].push_back({_key.attempt, RunState::Revoked});
 			_ledger.ended.push_back({_key, _now});
 			return RevokeState::NotRun;' 'return RevokeState::NotRun;'
-mutant lost-link-means-not-run "outcome_a_lost_verdict_is_never_told_as_not_run" src/request_reconnect.cpp \
+mutant lost-link-means-not-run "outcome_a_lost_verdict_is_never_told_as_not_run" src/entry/request_reconnect.cpp \
 	'const std::optional<RevokeState> state = this->settle(_until);' 'const std::optional<RevokeState> state = RevokeState::NotRun;'
-mutant no-claims "once_the_same_key_through_two_entries_runs_once|once_an_entry_killed_after_its_claim_leaves_the_key_in_doubt" src/entry_http.cpp \
+mutant no-claims "once_the_same_key_through_two_entries_runs_once|once_an_entry_killed_after_its_claim_leaves_the_key_in_doubt" src/entry/entry_http.cpp \
 	'if (_exchange.request.repeatable || _exchange.caller.idempotencyKey.empty())' 'if (true)'
 mutant retry-whatever-is-proved "retry_.*|outcome_seeded_faults_at_random_moments|outcome_frozen_and_killed_agents_are_never_told_as_not_run" src/decide/retry.cpp \
 	'const bool mayRepeat = Proof::NotRun == _try.proof || _try.repeatable;' 'const bool mayRepeat = true;'
 mutant commit-on-own-vote "mapswitch_.*|map_agents_killed_in_a_switch_find_their_vote_again|map_frozen_and_cut_agents_hold_the_group_together" src/decide/mapswitch.cpp \
 	'const bool all = !_switch.votes.empty() && std::all_of(_switch.votes.begin(), _switch.votes.end(), is(MapVote::Yes));' 'const bool all = !_switch.votes.empty() && MapVote::Yes == _switch.votes[_switch.rank];'
-mutant head-moves-first "config_a_zone_cut_from_the_platform_learns_from_its_peers|config_a_zone_cut_from_all_serves_and_is_waited_for" src/apply.cpp \
+mutant head-moves-first "config_a_zone_cut_from_the_platform_learns_from_its_peers|config_a_zone_cut_from_all_serves_and_is_waited_for" src/operator/apply.cpp \
 	'const std::vector<std::string> missing = waitForZones(client, _options, stage);' 'const std::vector<std::string> missing;
 		(void)waitForZones;'
-mutant no-pause-guard "config_a_paused_entry_serves_nothing_old" src/pause_guard.cpp \
+mutant no-pause-guard "config_a_paused_entry_serves_nothing_old" src/base/pause_guard.cpp \
 	'return this->lookedAt == this->count;' 'return 0 != this->lookedAt;'
 mutant older-version-taken "acceptance_.*" src/decide/acceptance.cpp \
 	'return _head.version > _held.head.version;' 'return _head.version != _held.head.version;'
@@ -64,7 +64,7 @@
 	'if (_ledger.leaving)' 'if (false)'
 mutant list-takes-leaving-back "membership_.*|leaving_a_list_that_says_live_again_changes_nothing" src/decide/membership.cpp \
 	'&& _member.incarnation != _member.leavingIncarnation' ''
-mutant stop-at-once "stopping_agents_stop_without_cutting_anything" src/agent_main.cpp \
+mutant stop-at-once "stopping_agents_stop_without_cutting_anything" src/agent/agent_main.cpp \
 	'while (nowMs() < until && (nowMs() < farewell || 0 < this->unfinished()))' 'while (false && nowMs() < until && nowMs() < farewell)' \
 	'				this->runs->stop();
 ' '				std::_Exit(0);
--- a/src/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -1,14 +1,14 @@
 /// archdyke-agent: stands before one upstream and is the only way to it.
 
-#include "admin.h"
-#include "agent_runs.h"
-#include "agent_server.h"
-#include "config.h"
-#include "daemon_main.h"
-#include "rank_control.h"
-#include "rpc_listener.h"
-#include "settings.h"
-#include "upstream_call.h"
+#include "agent/agent_runs.h"
+#include "agent/agent_server.h"
+#include "agent/rank_control.h"
+#include "agent/upstream_call.h"
+#include "base/admin.h"
+#include "base/config.h"
+#include "base/daemon_main.h"
+#include "base/settings.h"
+#include "rpc/rpc_listener.h"
 
 namespace archdyke
 {
--- a/src/agent_runs.cpp
+++ b/src/agent/agent_runs.cpp
@@ -1,7 +1,7 @@
-#include "agent_runs.h"
+#include "agent/agent_runs.h"
 
-#include "config.h"
-#include "process.h"
+#include "base/config.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/agent_runs.h
+++ b/src/agent/agent_runs.h
@@ -8,12 +8,12 @@
 #include <thread>
 #include <vector>
 
-#include "answer_buffer.h"
+#include "agent/answer_buffer.h"
 #include "archdyke/admission.h"
 #include "archdyke/ledger.h"
-#include "metrics.h"
-#include "run.h"
-#include "settings.h"
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "rpc/run.h"
 
 namespace archdyke
 {
--- a/src/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -1,10 +1,10 @@
-#include "agent_server.h"
+#include "agent/agent_server.h"
 
-#include "config.h"
-#include "process.h"
-#include "rank_control.h"
-#include "rpc_convert.h"
-#include "rpc_convert_map.h"
+#include "agent/rank_control.h"
+#include "base/config.h"
+#include "base/process.h"
+#include "rpc/rpc_convert.h"
+#include "rpc/rpc_convert_map.h"
 
 namespace archdyke
 {
--- a/src/agent_server.h
+++ b/src/agent/agent_server.h
@@ -5,9 +5,9 @@
 #include <capnp/rpc-twoparty.h>
 #include <memory>
 
-#include "agent_runs.h"
+#include "agent/agent_runs.h"
 #include "generated/rpc.capnp.h"
-#include "rpc_loop.h"
+#include "rpc/rpc_loop.h"
 
 namespace archdyke
 {
--- a/src/answer_buffer.cpp
+++ b/src/agent/answer_buffer.cpp
@@ -1,6 +1,6 @@
-#include "answer_buffer.h"
+#include "agent/answer_buffer.h"
 
-#include "config.h"
+#include "base/config.h"
 
 namespace archdyke
 {
--- a/src/answer_buffer.h
+++ b/src/agent/answer_buffer.h
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-#include "run.h"
+#include "rpc/run.h"
 
 namespace archdyke
 {
--- a/src/rank_control.cpp
+++ b/src/agent/rank_control.cpp
@@ -1,11 +1,11 @@
-#include "rank_control.h"
+#include "agent/rank_control.h"
 
 #include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
 #include "archdyke/errors.h"
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/rank_control.h
+++ b/src/agent/rank_control.h
@@ -14,9 +14,9 @@
 
 #include "archdyke/mapswitch.h"
 #include "archdyke/random.h"
-#include "metrics.h"
-#include "rpc_loop.h"
-#include "settings.h"
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "rpc/rpc_loop.h"
 
 namespace archdyke
 {
--- a/src/rank_engine.cpp
+++ b/src/agent/rank_engine.cpp
@@ -1,9 +1,9 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "agent/rank_control.h"
 #include "archdyke/errors.h"
-#include "http_server.h"
-#include "rank_control.h"
+#include "base/http_server.h"
 
 namespace archdyke
 {
--- a/src/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -1,9 +1,9 @@
-#include "upstream_call.h"
+#include "agent/upstream_call.h"
 
 #include <httplib.h>
 
-#include "config.h"
-#include "http_server.h"
+#include "base/config.h"
+#include "base/http_server.h"
 
 namespace archdyke
 {
--- a/src/upstream_call.h
+++ b/src/agent/upstream_call.h
@@ -1,7 +1,7 @@
 /// Calls of an agent to its engine or service, by HTTP.
 #pragma once
 
-#include "agent_runs.h"
+#include "agent/agent_runs.h"
 
 namespace archdyke
 {
--- a/src/vote_sender.cpp
+++ b/src/agent/vote_sender.cpp
@@ -1,6 +1,6 @@
-#include "rank_control.h"
-#include "rpc_convert_map.h"
-#include "rpc_pool.h"
+#include "agent/rank_control.h"
+#include "rpc/rpc_convert_map.h"
+#include "rpc/rpc_pool.h"
 
 namespace archdyke
 {
--- a/src/address.cpp
+++ b/src/base/address.cpp
@@ -1,4 +1,4 @@
-#include "address.h"
+#include "base/address.h"
 
 #include "archdyke/errors.h"
 
--- a/src/admin.cpp
+++ b/src/base/admin.cpp
@@ -1,4 +1,4 @@
-#include "admin.h"
+#include "base/admin.h"
 
 namespace archdyke
 {
--- a/src/admin.h
+++ b/src/base/admin.h
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "http_server.h"
-#include "metrics.h"
+#include "base/http_server.h"
+#include "base/metrics.h"
 
 namespace archdyke
 {
--- a/src/config_rows.cpp
+++ b/src/base/config_rows.cpp
@@ -1,4 +1,4 @@
-#include "config_rows.h"
+#include "base/config_rows.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/config_rows.h
+++ b/src/base/config_rows.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "archdyke/acceptance.h"
-#include "platform_client.h"
+#include "base/platform_client.h"
 
 namespace archdyke
 {
--- a/src/daemon_main.h
+++ b/src/base/daemon_main.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "archdyke/errors.h"
-#include "log.h"
-#include "process.h"
-#include "version.h"
+#include "base/log.h"
+#include "base/process.h"
+#include "base/version.h"
 
 namespace archdyke
 {
--- a/src/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -1,11 +1,11 @@
-#include "http_server.h"
+#include "base/http_server.h"
 
 #include <absl/synchronization/mutex.h>
 #include <pthread.h>
 #include <sys/socket.h>
 
 #include "archdyke/errors.h"
-#include "config.h"
+#include "base/config.h"
 
 namespace archdyke
 {
--- a/src/http_server.h
+++ b/src/base/http_server.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <thread>
 
-#include "address.h"
+#include "base/address.h"
 
 namespace archdyke
 {
--- a/src/log.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "base/log.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
@@ -8,7 +8,7 @@
 #include <poll.h>
 #include <unistd.h>
 
-#include "process.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -1,4 +1,4 @@
-#include "metrics.h"
+#include "base/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/src/pause_guard.cpp
+++ b/src/base/pause_guard.cpp
@@ -1,9 +1,9 @@
-#include "pause_guard.h"
+#include "base/pause_guard.h"
 
 #include <absl/time/time.h>
 
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/platform_client.cpp
+++ b/src/base/platform_client.cpp
@@ -1,10 +1,10 @@
-#include "platform_client.h"
+#include "base/platform_client.h"
 
 #include <algorithm>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include "http_server.h"
+#include "base/http_server.h"
 
 namespace archdyke
 {
--- a/src/process.cpp
+++ b/src/base/process.cpp
@@ -1,4 +1,4 @@
-#include "process.h"
+#include "base/process.h"
 
 #include <cerrno>
 #include <csignal>
--- a/src/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,6 +1,6 @@
-#include "settings.h"
+#include "base/settings.h"
 
-#include "settings_reader.h"
+#include "base/settings_reader.h"
 
 namespace archdyke
 {
--- a/src/settings_reader.h
+++ b/src/base/settings_reader.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "address.h"
 #include "archdyke/fields.h"
-#include "process.h"
+#include "base/address.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/decide/document.cpp
+++ b/src/decide/document.cpp
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "archdyke/fields.h"
-#include "config.h"
+#include "base/config.h"
 
 namespace archdyke
 {
--- a/src/decide/lease.cpp
+++ b/src/decide/lease.cpp
@@ -1,6 +1,6 @@
 #include "archdyke/lease.h"
 
-#include "config.h"
+#include "base/config.h"
 
 namespace archdyke
 {
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "config.h"
+#include "base/config.h"
 
 namespace archdyke
 {
--- a/src/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -1,9 +1,9 @@
-#include "agent_link_p.h"
+#include "entry/agent_link_p.h"
 
-#include "config.h"
-#include "log.h"
-#include "process.h"
-#include "rpc_convert.h"
+#include "base/config.h"
+#include "base/log.h"
+#include "base/process.h"
+#include "rpc/rpc_convert.h"
 
 namespace archdyke
 {
--- a/src/agent_link.h
+++ b/src/entry/agent_link.h
@@ -11,9 +11,9 @@
 
 #include "archdyke/membership.h"
 #include "archdyke/route.h"
-#include "call.h"
-#include "rpc_loop.h"
-#include "run.h"
+#include "entry/call.h"
+#include "rpc/rpc_loop.h"
+#include "rpc/run.h"
 
 namespace archdyke
 {
--- a/src/agent_link_calls.cpp
+++ b/src/entry/agent_link_calls.cpp
@@ -1,6 +1,6 @@
 /// The calls of a link that belong to a run.
-#include "agent_link_p.h"
-#include "rpc_convert.h"
+#include "entry/agent_link_p.h"
+#include "rpc/rpc_convert.h"
 
 namespace archdyke
 {
--- a/src/agent_link_p.h
+++ b/src/entry/agent_link_p.h
@@ -3,10 +3,10 @@
 
 #include <capnp/rpc-twoparty.h>
 
-#include "agent_link.h"
-#include "config.h"
+#include "base/config.h"
+#include "base/process.h"
+#include "entry/agent_link.h"
 #include "generated/rpc.capnp.h"
-#include "process.h"
 
 namespace archdyke
 {
--- a/src/call.cpp
+++ b/src/entry/call.cpp
@@ -1,10 +1,10 @@
-#include "call.h"
+#include "entry/call.h"
 
 #include <absl/time/time.h>
 #include <algorithm>
 #include <utility>
 
-#include "process.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/call.h
+++ b/src/entry/call.h
@@ -5,7 +5,7 @@
 #include <deque>
 #include <optional>
 
-#include "run.h"
+#include "rpc/run.h"
 
 namespace archdyke
 {
--- a/src/claims.cpp
+++ b/src/entry/claims.cpp
@@ -1,10 +1,10 @@
-#include "claims.h"
+#include "entry/claims.h"
 
 #include <absl/time/time.h>
 #include <algorithm>
 
-#include "config.h"
-#include "process.h"
+#include "base/config.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/claims.h
+++ b/src/entry/claims.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "archdyke/claim.h"
-#include "metrics.h"
-#include "platform_client.h"
+#include "base/metrics.h"
+#include "base/platform_client.h"
 
 namespace archdyke
 {
--- a/src/config_keeper.cpp
+++ b/src/entry/config_keeper.cpp
@@ -1,10 +1,10 @@
-#include "config_keeper.h"
+#include "entry/config_keeper.h"
 
 #include <chrono>
 
 #include "archdyke/errors.h"
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/directory.cpp
+++ b/src/entry/directory.cpp
@@ -1,8 +1,8 @@
-#include "directory.h"
+#include "entry/directory.h"
 
 #include <algorithm>
 
-#include "config.h"
+#include "base/config.h"
 
 namespace archdyke
 {
--- a/src/directory.h
+++ b/src/entry/directory.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "agent_link.h"
-#include "config_keeper.h"
-#include "platform_client.h"
+#include "base/platform_client.h"
+#include "entry/agent_link.h"
+#include "entry/config_keeper.h"
 
 namespace archdyke
 {
--- a/src/entry_http.cpp
+++ b/src/entry/entry_http.cpp
@@ -1,9 +1,9 @@
-#include "entry_http.h"
+#include "entry/entry_http.h"
 
 #include <nlohmann/json.hpp>
 
-#include "config.h"
-#include "process.h"
+#include "base/config.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/entry_http.h
+++ b/src/entry/entry_http.h
@@ -5,14 +5,14 @@
 #include <atomic>
 #include <memory>
 
-#include "claims.h"
-#include "config_keeper.h"
-#include "directory.h"
-#include "filters.h"
-#include "http_server.h"
-#include "metrics.h"
-#include "pause_guard.h"
-#include "request_run.h"
+#include "base/http_server.h"
+#include "base/metrics.h"
+#include "base/pause_guard.h"
+#include "entry/claims.h"
+#include "entry/config_keeper.h"
+#include "entry/directory.h"
+#include "entry/filters.h"
+#include "entry/request_run.h"
 
 namespace archdyke
 {
--- a/src/entry_main.cpp
+++ b/src/entry/entry_main.cpp
@@ -2,14 +2,14 @@
 #include <absl/synchronization/notification.h>
 #include <array>
 
-#include "admin.h"
-#include "config.h"
-#include "daemon_main.h"
-#include "entry_http.h"
-#include "planner.h"
-#include "rpc_listener.h"
-#include "settings.h"
-#include "watcher.h"
+#include "base/admin.h"
+#include "base/config.h"
+#include "base/daemon_main.h"
+#include "base/settings.h"
+#include "entry/entry_http.h"
+#include "entry/planner.h"
+#include "entry/watcher.h"
+#include "rpc/rpc_listener.h"
 
 namespace archdyke
 {
--- a/src/filters.cpp
+++ b/src/entry/filters.cpp
@@ -1,9 +1,9 @@
-#include "filters.h"
+#include "entry/filters.h"
 
 #include <nlohmann/json.hpp>
 
 #include "archdyke/route.h"
-#include "process.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/filters.h
+++ b/src/entry/filters.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "archdyke/limits.h"
-#include "config_keeper.h"
-#include "request.h"
+#include "entry/config_keeper.h"
+#include "entry/request.h"
 
 namespace archdyke
 {
--- a/src/peers.cpp
+++ b/src/entry/peers.cpp
@@ -1,6 +1,6 @@
-#include "peers.h"
+#include "entry/peers.h"
 
-#include "rpc_convert.h"
+#include "rpc/rpc_convert.h"
 
 namespace archdyke
 {
--- a/src/peers.h
+++ b/src/entry/peers.h
@@ -10,7 +10,7 @@
 
 #include "archdyke/acceptance.h"
 #include "generated/rpc.capnp.h"
-#include "rpc_pool.h"
+#include "rpc/rpc_pool.h"
 
 namespace archdyke
 {
--- a/src/planner.cpp
+++ b/src/entry/planner.cpp
@@ -1,14 +1,14 @@
-#include "planner.h"
+#include "entry/planner.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "archdyke/errors.h"
 #include "archdyke/route.h"
-#include "config.h"
-#include "log.h"
-#include "process.h"
-#include "rpc_convert_map.h"
+#include "base/config.h"
+#include "base/log.h"
+#include "base/process.h"
+#include "rpc/rpc_convert_map.h"
 
 namespace archdyke
 {
--- a/src/planner.h
+++ b/src/entry/planner.h
@@ -9,16 +9,16 @@
 #include <string>
 #include <thread>
 
+#include "agent/rank_control.h"
 #include "archdyke/lease.h"
 #include "archdyke/placement.h"
-#include "config_keeper.h"
-#include "directory.h"
+#include "base/metrics.h"
+#include "base/platform_client.h"
+#include "base/settings.h"
+#include "entry/config_keeper.h"
+#include "entry/directory.h"
 #include "generated/rpc.capnp.h"
-#include "metrics.h"
-#include "platform_client.h"
-#include "rank_control.h"
-#include "rpc_pool.h"
-#include "settings.h"
+#include "rpc/rpc_pool.h"
 
 namespace archdyke
 {
--- a/src/request_reconnect.cpp
+++ b/src/entry/request_reconnect.cpp
@@ -1,9 +1,9 @@
 /// What a request does when the link to its agent is lost.
 #include <algorithm>
 
-#include "config.h"
-#include "process.h"
-#include "request_run.h"
+#include "base/config.h"
+#include "base/process.h"
+#include "entry/request_run.h"
 
 namespace archdyke
 {
--- a/src/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -1,9 +1,9 @@
-#include "request_run.h"
+#include "entry/request_run.h"
 
 #include <algorithm>
 
-#include "config.h"
-#include "process.h"
+#include "base/config.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/request_run.h
+++ b/src/entry/request_run.h
@@ -7,10 +7,10 @@
 
 #include "archdyke/relay.h"
 #include "archdyke/retry.h"
-#include "call.h"
-#include "directory.h"
-#include "metrics.h"
-#include "request.h"
+#include "base/metrics.h"
+#include "entry/call.h"
+#include "entry/directory.h"
+#include "entry/request.h"
 
 namespace archdyke
 {
--- a/src/watcher.cpp
+++ b/src/entry/watcher.cpp
@@ -1,12 +1,12 @@
-#include "watcher.h"
+#include "entry/watcher.h"
 
 #include <absl/time/time.h>
 #include <algorithm>
 
 #include "archdyke/route.h"
-#include "config.h"
-#include "log.h"
-#include "process.h"
+#include "base/config.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/watcher.h
+++ b/src/entry/watcher.h
@@ -5,14 +5,14 @@
 #include <absl/synchronization/mutex.h>
 #include <thread>
 
-#include "config_keeper.h"
-#include "config_rows.h"
-#include "directory.h"
-#include "metrics.h"
-#include "pause_guard.h"
-#include "peers.h"
-#include "platform_client.h"
-#include "settings.h"
+#include "base/config_rows.h"
+#include "base/metrics.h"
+#include "base/pause_guard.h"
+#include "base/platform_client.h"
+#include "base/settings.h"
+#include "entry/config_keeper.h"
+#include "entry/directory.h"
+#include "entry/peers.h"
 
 namespace archdyke
 {
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -4,8 +4,8 @@
 
 #include "archdyke/batch_admission.h"
 #include "archdyke/group_choice.h"
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -1,8 +1,8 @@
 #include "gateway/caller_server.h"
 
 #include "aio/task.h"
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <string_view>
 
-#include "metrics.h"
+#include "base/metrics.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -6,8 +6,8 @@
 #include <iostream>
 
 #include "archdyke/errors.h"
-#include "log.h"
-#include "version.h"
+#include "base/log.h"
+#include "base/version.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -2,10 +2,10 @@
 #include <algorithm>
 
 #include "aio/task.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "gateway/admit.h"
 #include "gateway/relay.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -5,13 +5,13 @@
 #include <nlohmann/json.hpp>
 
 #include "aio/task.h"
+#include "base/log.h"
+#include "base/process.h"
+#include "base/version.h"
 #include "gateway/caller_server.h"
 #include "gateway/daemon.h"
 #include "gateway/load_link.h"
 #include "http/http_listener.h"
-#include "log.h"
-#include "process.h"
-#include "version.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -4,8 +4,8 @@
 
 #include "aio/task.h"
 #include "archdyke/slow_rank.h"
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -1,9 +1,9 @@
 #include "gateway/request.h"
 
 #include "aio/task.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "gateway/admit.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "settings_reader.h"
+#include "base/settings_reader.h"
 
 namespace archdyke::gateway
 {
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "aio/task.h"
-#include "log.h"
-#include "process.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "store/read_whole.h"
 
 namespace archdyke::gateway
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -4,10 +4,10 @@
 
 #include "aio/task.h"
 #include "archdyke/errors.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "gateway/cold_limits.h"
 #include "gateway/watch.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::gateway
 {
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/log.h"
+#include "base/process.h"
 #include "group/coordinator_p.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::group
 {
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -12,9 +12,9 @@
 #include "archdyke/relay_tree.h"
 #include "archdyke/switch_worth.h"
 #include "archdyke/upstream_choice.h"
+#include "base/metrics.h"
 #include "gateway/settings.h"
 #include "group/fan_out.h"
-#include "metrics.h"
 #include "store/table_store.h"
 
 namespace archdyke::group
--- a/src/group/coordinator_orders.cpp
+++ b/src/group/coordinator_orders.cpp
@@ -2,10 +2,10 @@
 #include <algorithm>
 #include <tuple>
 
+#include "base/log.h"
+#include "base/process.h"
 #include "group/coordinator.h"
 #include "group/coordinator_p.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::group
 {
--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -1,10 +1,10 @@
 /// The coordinator's part that takes in what ranks say, and asks engines whose daemon is away.
 #include <algorithm>
 
+#include "base/log.h"
+#include "base/process.h"
 #include "group/coordinator.h"
 #include "group/coordinator_p.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::group
 {
--- a/src/group/coordinator_tree.cpp
+++ b/src/group/coordinator_tree.cpp
@@ -2,10 +2,10 @@
 #include <algorithm>
 
 #include "archdyke/map_policy.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "group/coordinator.h"
 #include "group/coordinator_p.h"
-#include "log.h"
-#include "process.h"
 
 namespace archdyke::group
 {
--- a/src/group/engine.cpp
+++ b/src/group/engine.cpp
@@ -1,6 +1,6 @@
 #include "group/engine.h"
 
-#include "log.h"
+#include "base/log.h"
 
 namespace archdyke::group
 {
--- a/src/group/rank_server.cpp
+++ b/src/group/rank_server.cpp
@@ -1,8 +1,8 @@
 #include "group/rank_server.h"
 
 #include "archdyke/placement.h"
+#include "base/log.h"
 #include "group/news_rpc.h"
-#include "log.h"
 
 namespace archdyke::group
 {
--- a/src/group/rank_server.h
+++ b/src/group/rank_server.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <optional>
 
+#include "base/process.h"
 #include "group/coordinator.h"
 #include "group/fan_out.h"
-#include "process.h"
 
 namespace archdyke::group
 {
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -1,14 +1,14 @@
 #include "group/sidecar.h"
 
 #include "archdyke/errors.h"
+#include "base/log.h"
+#include "base/process.h"
+#include "base/version.h"
 #include "gateway/daemon.h"
 #include "group/coordinator.h"
 #include "group/rank_server.h"
 #include "http/http_listener.h"
 #include "http/socket_address.h"
-#include "log.h"
-#include "process.h"
-#include "version.h"
 
 namespace archdyke::group
 {
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -5,8 +5,8 @@
 #include <sys/socket.h>
 
 #include "aio/task.h"
+#include "base/process.h"
 #include "http/socket_address.h"
-#include "process.h"
 
 namespace archdyke::http
 {
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -1,8 +1,8 @@
 #include "http/http_listener.h"
 
 #include "aio/task.h"
+#include "base/log.h"
 #include "http/socket_address.h"
-#include "log.h"
 
 namespace archdyke::http
 {
--- a/src/http/socket_address.cpp
+++ b/src/http/socket_address.cpp
@@ -2,8 +2,8 @@
 
 #include <arpa/inet.h>
 
-#include "address.h"
 #include "archdyke/errors.h"
+#include "base/address.h"
 
 namespace archdyke::http
 {
--- a/src/apply.cpp
+++ b/src/operator/apply.cpp
@@ -1,4 +1,4 @@
-#include "apply.h"
+#include "operator/apply.h"
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
@@ -7,9 +7,9 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "config_rows.h"
-#include "http_server.h"
-#include "process.h"
+#include "base/config_rows.h"
+#include "base/http_server.h"
+#include "base/process.h"
 
 namespace archdyke
 {
--- a/src/apply.h
+++ b/src/operator/apply.h
@@ -6,7 +6,7 @@
 
 #include "archdyke/acceptance.h"
 #include "archdyke/errors.h"
-#include "platform_client.h"
+#include "base/platform_client.h"
 
 namespace archdyke
 {
--- a/src/operator_main.cpp
+++ b/src/operator/operator_main.cpp
@@ -4,11 +4,11 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "apply.h"
 #include "archdyke/document.h"
-#include "http_server.h"
-#include "process.h"
-#include "version.h"
+#include "base/http_server.h"
+#include "base/process.h"
+#include "base/version.h"
+#include "operator/apply.h"
 
 namespace archdyke
 {
--- a/src/rpc_convert.cpp
+++ b/src/rpc/rpc_convert.cpp
@@ -1,4 +1,4 @@
-#include "rpc_convert.h"
+#include "rpc/rpc_convert.h"
 
 namespace archdyke
 {
--- a/src/rpc_convert.h
+++ b/src/rpc/rpc_convert.h
@@ -3,7 +3,7 @@
 
 #include "archdyke/acceptance.h"
 #include "generated/rpc.capnp.h"
-#include "run.h"
+#include "rpc/run.h"
 
 namespace archdyke
 {
--- a/src/rpc_convert_map.cpp
+++ b/src/rpc/rpc_convert_map.cpp
@@ -1,4 +1,4 @@
-#include "rpc_convert_map.h"
+#include "rpc/rpc_convert_map.h"
 
 namespace archdyke
 {
--- a/src/rpc_convert_map.h
+++ b/src/rpc/rpc_convert_map.h
@@ -1,8 +1,8 @@
 /// Between the messages of the wire and the structs of the map switch.
 #pragma once
 
+#include "agent/rank_control.h"
 #include "generated/rpc.capnp.h"
-#include "rank_control.h"
 
 namespace archdyke
 {
--- a/src/rpc_listener.cpp
+++ b/src/rpc/rpc_listener.cpp
@@ -1,4 +1,4 @@
-#include "rpc_listener.h"
+#include "rpc/rpc_listener.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/rpc_listener.h
+++ b/src/rpc/rpc_listener.h
@@ -4,8 +4,8 @@
 #include <capnp/rpc-twoparty.h>
 #include <string>
 
-#include "http_server.h"
-#include "rpc_loop.h"
+#include "base/http_server.h"
+#include "rpc/rpc_loop.h"
 
 namespace archdyke
 {
--- a/src/rpc_loop.cpp
+++ b/src/rpc/rpc_loop.cpp
@@ -1,9 +1,9 @@
-#include "rpc_loop.h"
+#include "rpc/rpc_loop.h"
 
 #include <absl/synchronization/notification.h>
 #include <utility>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace archdyke
 {
--- a/src/rpc_pool.h
+++ b/src/rpc/rpc_pool.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "archdyke/types.h"
-#include "rpc_loop.h"
+#include "rpc/rpc_loop.h"
 
 namespace archdyke
 {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-#include "address.h"
+#include "base/address.h"
 #include "platform_lab.h"
 
 namespace archdyke::tests
--- a/tests/test_config.cpp
+++ b/tests/test_config.cpp
@@ -2,7 +2,7 @@
 /// outages, cuts, fresh and paused processes.
 #include <httplib.h>
 
-#include "http_server.h"
+#include "base/http_server.h"
 #include "office.h"
 
 using namespace archdyke;
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -4,8 +4,8 @@
 #include <optional>
 
 #include "archdyke/lease.h"
+#include "base/config.h"
 #include "check.h"
-#include "config.h"
 
 using namespace archdyke;
 
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -3,8 +3,8 @@
 #include <set>
 
 #include "archdyke/ledger.h"
+#include "base/config.h"
 #include "check.h"
-#include "config.h"
 
 using namespace archdyke;
 
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -1,8 +1,8 @@
 /// Token buckets and retries.
 #include "archdyke/limits.h"
 #include "archdyke/retry.h"
+#include "base/config.h"
 #include "check.h"
-#include "config.h"
 
 using namespace archdyke;
 
--- a/tests/test_path.cpp
+++ b/tests/test_path.cpp
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http_server.h"
+#include "base/http_server.h"
 #include "office.h"
 
 using namespace archdyke;
--- a/tools/bench_cost.cpp
+++ b/tools/bench_cost.cpp
@@ -12,11 +12,11 @@
 #include "archdyke/ledger.h"
 #include "archdyke/mapswitch.h"
 #include "archdyke/placement.h"
+#include "base/process.h"
 #include "bench.h"
-#include "config_keeper.h"
+#include "entry/config_keeper.h"
 #include "lab.h"
 #include "load.h"
-#include "process.h"
 
 namespace archdyke::bench
 {
--- a/tools/bench_groups.cpp
+++ b/tools/bench_groups.cpp
@@ -4,9 +4,9 @@
 #include <fmt/format.h>
 
 #include "archdyke/group_choice.h"
+#include "base/log.h"
 #include "bench.h"
 #include "gateway/board.h"
-#include "log.h"
 
 namespace archdyke::bench
 {
--- a/tools/bench_overhead.cpp
+++ b/tools/bench_overhead.cpp
@@ -3,8 +3,8 @@
 #include <fmt/format.h>
 #include <httplib.h>
 
+#include "base/http_server.h"
 #include "bench.h"
-#include "http_server.h"
 #include "lab.h"
 #include "load.h"
 
--- a/tools/lab.cpp
+++ b/tools/lab.cpp
@@ -8,7 +8,7 @@
 #include <set>
 
 #include "archdyke/fields.h"
-#include "http_server.h"
+#include "base/http_server.h"
 
 namespace archdyke::lab
 {
--- a/tools/lab_process.h
+++ b/tools/lab_process.h
@@ -57,7 +57,7 @@
 	std::string fieldOf(const std::string& _line, const std::string& _key);
 } // namespace archdyke::lab
 
-#include "process.h"
+#include "base/process.h"
 
 namespace archdyke::lab
 {
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -8,10 +8,10 @@
 
 #include "archdyke/random.h"
 #include "archdyke/route.h"
+#include "base/http_server.h"
+#include "base/process.h"
 #include "engine_words.h"
-#include "http_server.h"
 #include "lab_process.h"
-#include "process.h"
 
 namespace archdyke::lab
 {
--- a/tools/load_main.cpp
+++ b/tools/load_main.cpp
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include "archdyke/document.h"
+#include "base/process.h"
 #include "load.h"
-#include "process.h"
 
 namespace archdyke::lab
 {
--- a/tools/platform_lab.cpp
+++ b/tools/platform_lab.cpp
@@ -3,7 +3,7 @@
 #include <absl/strings/escaping.h>
 #include <stdexcept>
 
-#include "address.h"
+#include "base/address.h"
 
 namespace archdyke::lab
 {
--- a/tools/stub_engine.cpp
+++ b/tools/stub_engine.cpp
@@ -17,11 +17,11 @@
 #include <thread>
 
 #include "archdyke/route.h"
+#include "base/http_server.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "engine_group.h"
 #include "engine_words.h"
-#include "http_server.h"
-#include "log.h"
-#include "process.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
--- a/tools/stub_main.cpp
+++ b/tools/stub_main.cpp
@@ -2,7 +2,7 @@
 
 #include <iostream>
 
-#include "process.h"
+#include "base/process.h"
 
 int main(int _argc, char** _argv)
 {
--- a/tools/stub_proxy.cpp
+++ b/tools/stub_proxy.cpp
@@ -20,9 +20,9 @@
 #include <unistd.h>
 #include <vector>
 
-#include "http_server.h"
-#include "log.h"
-#include "process.h"
+#include "base/http_server.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
--- a/tools/stub_ranks.cpp
+++ b/tools/stub_ranks.cpp
@@ -13,10 +13,10 @@
 #include <map>
 #include <random>
 
-#include "address.h"
+#include "base/address.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "http/http_listener.h"
-#include "log.h"
-#include "process.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
--- a/tools/stub_service.cpp
+++ b/tools/stub_service.cpp
@@ -8,9 +8,9 @@
 #include <map>
 #include <mutex>
 
-#include "http_server.h"
-#include "log.h"
-#include "process.h"
+#include "base/http_server.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
--- a/tools/stub_store.cpp
+++ b/tools/stub_store.cpp
@@ -8,9 +8,9 @@
 #include <absl/synchronization/mutex.h>
 #include <map>
 
-#include "http_server.h"
-#include "log.h"
-#include "process.h"
+#include "base/http_server.h"
+#include "base/log.h"
+#include "base/process.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
