--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -76,19 +76,19 @@
 	'failed(Proof::Unknown, "no_answer_head")' 'failed(Proof::NotRun, "no_answer_head")'
 mutant gateway-takes-any-answer "gateway_an_answer_to_another_request_is_passed_over" src/gateway/relay.cpp \
 	'if (info.requestId == _context.caller.id)' 'if (true)'
-mutant gateway-takes-older-configurations "gateway_an_older_configuration_is_never_taken" src/gateway/watch.cpp \
+mutant gateway-takes-older-configurations "gateway_an_older_configuration_is_never_taken" src/gateway/watch_rows.cpp \
 	'if (catalog.version <= held)' 'if (false)'
 mutant gateway-sends-to-leaving-upstreams "gateway_a_leaving_upstream_gets_nothing_new" src/gateway/board.cpp \
-	'_upstream.record.service == _service && !_upstream.leavingSince' '_upstream.record.service == _service'
-mutant group-goes-on-without-a-rank "forward_a_hold_with_a_rank_out_of_reach_is_given_up_before_any_rank_is_armed" src/decide/forward_switch.cpp \
-	'if (!_patience.allReachable)' 'if (false)'
+	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
+mutant group-goes-on-without-a-rank "forward_a_coordinator_that_takes_over_gives_no_first_arm_while_a_rank_is_out_of_reach" src/decide/forward_switch.cpp \
+	'allInReach || anyArmed ?' 'allInReach || !anyArmed || anyArmed ?'
 mutant group-uses-a-boundary-again "forward_.*" src/decide/forward_switch.cpp \
 	'return std::max(newestStep(_ranks) + _marginSteps, _intent.boundary + 1);' 'return newestStep(_ranks) + _marginSteps;'
 mutant gateway-takes-proofs-of-another-row "group_a_gateway_that_the_store_turns_away_goes_by_what_others_have" src/gateway/watch.cpp \
-	'_proof.rowVersion == this->configurationRow' 'true'
+	'covers(this->state.operators, proof.changedAt)' 'true'
 mutant gateway-trusts-old-news "group_gateways_ask_the_store_themselves_while_nobody_tells" src/gateway/watch.cpp \
 	'constexpr Millis kToldMaxAgeMs = 700;' 'constexpr Millis kToldMaxAgeMs = 700'"'"'000;' \
-	'constexpr Millis kNewsMaxAgeMs = 1'"'"'250;' 'constexpr Millis kNewsMaxAgeMs = 700'"'"'000;'
+	'constexpr double kNewsShareOfChange = 0.6;' 'constexpr double kNewsShareOfChange = 600.0;'
 mutant sidecar-takes-over-from-a-living-coordinator "group_ranks_that_start_together_agree_on_one_coordinator" src/group/sidecar.cpp \
 	'if (!this->coordinatorIsGone())
 					{
@@ -102,7 +102,11 @@
 						co_return; // it was heard while the row was read'
 mutant planner-ignores-paces "mappolicy_a_slow_rank_is_given_less" src/decide/map_policy.cpp \
 	'input.paces = _paces;' ''
+mutant gateway-sends-to-evacuated-zones "gatewayevacuation_an_evacuated_zone_gets_nothing_until_it_is_taken_back" src/gateway/board.cpp \
+	'isServing(_upstream) && !_upstream.evacuated' 'isServing(_upstream)'
+mutant gateway-floods-cold-upstreams "gateway_a_cold_upstream_gets_its_share_of_a_flood_and_the_rest_is_refused_at_once" src/gateway/board_cold.cpp \
+	'(!isLimitedCold(_upstream, _now) || maySendCold(_upstream.cold, *_upstream.coldSends, _now))' 'true'
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
-	'_upstream.record.service == _service && !_upstream.leavingSince' '_upstream.record.service == _service'
+	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
 exit $missed
