An upstream that asks to be sent nothing is sent nothing for so long

Cause: the head of an upstream's answer was read for what it proves of the request, and what it says of the upstream itself was dropped (Retry-After of a 503). So a refusal was one failure like any other; three in a row suspend an upstream, for 0.5 s and more of the gateway's own guess. The log lines of the sight before settle it: 127 sends of 127 were chosen after the ask, while others could have had them.

Change: the board keeps for each upstream until when it wants nothing (decide/back_off), and gives it to no request until then, also as a last resort. It is looked up again when the connection is there, just before bytes leave: of a burst that waits for connections nothing is sent any more; what is withheld costs no try and no resend. The time outlasts the upstream's row, its group and a new run under its name. Room in a group is measured by the upstreams that are left. Where all of a service asked for time, callers hear back_off at once, and when the first one is back.

Why it holds: every send of a gateway goes through Board::choose and tryUpstream; both ask. What is left: a 503 that comes to a connection which the gateway has given up (caller gone, deadline) is never read.

--- a/include/archdyke/come_back.h
+++ b/include/archdyke/come_back.h
@@ -17,6 +17,7 @@
 		NoUpstream,      ///< No upstream takes work.
 		Overloaded,      ///< All upstreams have what they can do in time.
 		ColdUpstreams,   ///< The upstreams that are left are cold and have what they bear.
+		BackOff,         ///< All upstreams that are left asked to be sent nothing for some time.
 		Evacuated,       ///< The zones of all upstreams are evacuated.
 		GroupDown,       ///< The group of engine ranks stands still or forms.
 		Leaving,         ///< This gateway is stopping.
--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -32,6 +32,8 @@
 			case RefusalCause::Evacuated:     // callers' repeats find upstreams of another zone that are back
 			case RefusalCause::Overloaded:
 				return {700, 2'000}; // a stream of usual length ends in 1 to 3 s
+			case RefusalCause::BackOff:
+				return {500, 1'000}; // from the end of the first one's time; then it takes all that come
 			case RefusalCause::GroupDown:
 				return {2'000, 2'600}; // stall and forming take some 2 s, a crash or a cut of a zone 4 to 6
 			default:
@@ -54,6 +56,8 @@
 			return "overloaded";
 		case RefusalCause::ColdUpstreams:
 			return "cold_upstreams";
+		case RefusalCause::BackOff:
+			return "back_off";
 		case RefusalCause::Evacuated:
 			return "evacuated";
 		case RefusalCause::GroupDown:
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -195,9 +195,10 @@
 			{
 				co_return refuseNotRun(_context, RefusalCause::GroupDown);
 			}
-			if (onlyColdAreLeft(options.groups, nowMs()))
+			const std::optional<RefusalCause> limited = whyNoneMayGet(options.groups, nowMs());
+			if (limited)
 			{
-				co_return refuseNotRun(_context, RefusalCause::ColdUpstreams);
+				co_return refuseNotRun(_context, *limited);
 			}
 			if (!needsRoom)
 			{
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -49,15 +49,18 @@
 
 	double meanLoad(const UpstreamGroup& _group, Millis _now)
 	{
-		if (0 < _group.evacuated)
+		if (0 < _group.evacuated || _now < _group.backOffUntil)
 		{
-			// What still runs in an evacuated zone takes no place of those that are left.
-			double left = 0.0;
+			// What runs where nothing more is sent takes no place of those that are left, and gives them none.
+			double load = 0.0;
+			std::uint32_t left = 0;
 			for (const UpstreamRef& upstream : _group.members)
 			{
-				left += takesWork(*upstream) ? loadOf(*upstream, _now) : 0.0;
+				const bool takes = takesWork(*upstream) && !isBackingOff(*upstream, _now);
+				load += takes ? loadOf(*upstream, _now) : 0.0;
+				left += takes ? 1 : 0;
 			}
-			return left / double(std::max<std::uint32_t>(1, _group.working));
+			return load / double(std::max<std::uint32_t>(1, left));
 		}
 		const double own = double(_group.inFlight);
 		const double total = isKnown(_group, _now) ? std::max(own, double(_group.reported) + own - double(_group.ownThen)) : own;
@@ -278,6 +281,7 @@
 		_group->members.push_back(_upstream);
 		_group->inFlight += _upstream->inFlight;
 		_group->coldUntil = std::max(_group->coldUntil, _upstream->cold.until);
+		_group->backOffUntil = std::max(_group->backOffUntil, _upstream->backOff.until);
 		this->count(*_group);
 	}
 
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -11,6 +11,7 @@
 
 #include "archdyke/back_off.h"
 #include "archdyke/cold_share.h"
+#include "archdyke/come_back.h"
 #include "archdyke/silence.h"
 #include "archdyke/upstream_choice.h"
 
@@ -76,6 +77,7 @@
 		std::uint32_t ownThen = 0;       ///< Of these, how many were this gateway's then.
 		Millis heardAt = 0;              ///< When anything last came from a member.
 		Millis coldUntil = 0;            ///< Until then members may be cold.
+		Millis backOffUntil = 0;         ///< Until then members may want nothing from this gateway.
 	};
 
 	/// What a coordinator tells of its group.
@@ -110,25 +112,25 @@
 	/// @returns Whether an upstream is cold, and how much it gets is limited for it.
 	bool isLimitedCold(const Upstream& _upstream, Millis _now);
 
+	/// @returns Whether an upstream asked this gateway to be sent nothing now.
+	bool isBackingOff(const Upstream& _upstream, Millis _now);
+
 	/// @returns Whether this gateway may send to an upstream now.
 	bool mayGet(const Upstream& _upstream, Millis _now);
 
 	/// @returns Members of a group that this gateway may send to now.
 	std::uint32_t membersThatMayGet(const UpstreamGroup& _group, Millis _now);
 
-	/// @returns Whether a group has members that take work, but all are cold and have what they bear of
-	/// this gateway.
-	bool coldSharesAreSpent(const UpstreamGroup& _group, Millis _now);
-
-	/// @returns Whether of some groups those that aren't down have nothing left for this gateway but cold
-	/// upstreams that have what they bear.
-	bool onlyColdAreLeft(const std::vector<GroupRef>& _groups, Millis _now);
+	/// @returns Why of some groups those that aren't down have upstreams that take work, but none that this
+	/// gateway may send to now: all have what they bear while they are cold, or asked to be sent nothing. None
+	/// when it may send to one, or when no upstream takes work at all.
+	std::optional<RefusalCause> whyNoneMayGet(const std::vector<GroupRef>& _groups, Millis _now);
 
 	/// @returns Requests at an upstream: as reported, corrected by what this gateway sent and
 	/// finished since; without a recent report what this gateway has there.
 	double loadOf(const Upstream& _upstream, Millis _now);
 
-	/// @returns Mean load of the members of a group that take work, likewise; 0 when there are none.
+	/// @returns Mean load of the members of a group that take work from this gateway, likewise; 0 when there are none.
 	double meanLoad(const UpstreamGroup& _group, Millis _now);
 
 	/// @returns Whether a group was heard of lately.
@@ -179,6 +181,14 @@
 		/// @param[in] _coldIfNewMs How long one counts as cold that is new and doesn't say.
 		void learn(const UpstreamRecord& _record, Millis _now, Millis _coldIfNewMs = 0);
 
+		/// An upstream asked in an answer to be sent nothing for some time. That outlasts its row and its entry here:
+		/// rows go while the store is away and come back.
+		void backOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now);
+
+		/// @returns Time until the first upstream of a service wants requests again; none when none asked for
+		/// time, or one that asked for none takes work.
+		std::optional<Millis> nextBackMs(const std::string& _service, Millis _now) const;
+
 		/// An upstream is cold from now on.
 		void beginCold(const UpstreamRef& _upstream, Millis _forMs, Millis _now);
 
@@ -270,6 +280,8 @@
 		/// Takes an upstream out of its group; a group without members goes.
 		void takeOut(const UpstreamRef& _upstream);
 		void count(UpstreamGroup& _group) const;
+		/// Keeps what an upstream that goes asked for, in case its row comes back.
+		void keepBackOff(const Upstream& _upstream, Millis _now);
 		/// What a service's cold upstreams bear.
 		struct ColdLimits
 		{
@@ -280,7 +292,8 @@
 
 		std::string zone;
 		std::string gateway;
-		absl::flat_hash_map<std::string, ColdLimits> coldLimits; ///< By service.
+		absl::flat_hash_map<std::string, ColdLimits> coldLimits;  ///< By service.
+		absl::flat_hash_map<std::string, BackOff> backOffsOfGone; ///< By incarnation; of upstreams that aren't known now.
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
 		absl::flat_hash_map<std::string, UpstreamRef> aside;     ///< By incarnation; in no group, at no address.
 		absl::flat_hash_map<std::string, UpstreamRef> byAddress; ///< The last one learnt there.
--- a/src/gateway/board_cold.cpp
+++ b/src/gateway/board_cold.cpp
@@ -12,45 +12,6 @@
 		return _upstream.coldSends && 0 < warmInMs(_upstream.cold, _now);
 	}
 
-	bool mayGet(const Upstream& _upstream, Millis _now)
-	{
-		return takesWork(_upstream) && (!isLimitedCold(_upstream, _now) || maySendCold(_upstream.cold, *_upstream.coldSends, _now));
-	}
-
-	std::uint32_t membersThatMayGet(const UpstreamGroup& _group, Millis _now)
-	{
-		if (_group.coldUntil <= _now)
-		{
-			return _group.working;
-		}
-		return std::uint32_t(std::count_if(_group.members.begin(), _group.members.end(), [&](const UpstreamRef& _upstream) {
-			return mayGet(*_upstream, _now);
-		}));
-	}
-
-	bool coldSharesAreSpent(const UpstreamGroup& _group, Millis _now)
-	{
-		return 0 < _group.working && 0 == membersThatMayGet(_group, _now);
-	}
-
-	bool onlyColdAreLeft(const std::vector<GroupRef>& _groups, Millis _now)
-	{
-		bool anyCold = false;
-		for (const GroupRef& group : _groups)
-		{
-			if (isDown(*group, _now))
-			{
-				continue;
-			}
-			if (0 < membersThatMayGet(*group, _now))
-			{
-				return false;
-			}
-			anyCold = anyCold || coldSharesAreSpent(*group, _now);
-		}
-		return anyCold;
-	}
-
 	void Board::beginCold(const UpstreamRef& _upstream, Millis _forMs, Millis _now)
 	{
 		if (_forMs <= 0)
--- a/src/gateway/board_rows.cpp
+++ b/src/gateway/board_rows.cpp
@@ -54,6 +54,9 @@
 		{
 			upstream = std::make_shared<Upstream>();
 			upstream->record = _record;
+			// Also of a run that began anew under its name: it may have asked before its row told of it.
+			const auto asked = this->backOffsOfGone.find(_record.incarnation);
+			upstream->backOff = this->backOffsOfGone.end() == asked ? BackOff() : asked->second;
 			this->put(upstream, this->groupNamed(_record.service, ""));
 		}
 		return upstream;
@@ -134,6 +137,7 @@
 		}
 		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
 		upstream->leavingSince = upstream->leavingSince.value_or(_now);
+		this->keepBackOff(*upstream, _now);
 		this->unlist(upstream);
 		this->aside.erase(_incarnation);
 	}
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -37,7 +37,8 @@
 		prometheus::Counter& coldSends;
 		prometheus::Counter& coldRefusals;
 		prometheus::Counter& backOffAsks;
-		prometheus::Counter& backOffSends;
+		prometheus::Counter& backOffRefusals;
+		prometheus::Counter& withheldSends;
 		prometheus::Counter& storeCalls;
 		prometheus::Counter& storeFailures;
 		prometheus::Counter& connectionsOpened;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -22,23 +22,25 @@
 			return refuseNotRun(_context, _cause);
 		}
 
-		/// Notes that a try at an upstream begins.
-		void noteSend(RequestContext& _context, Upstream& _upstream)
+		/// Notes that an upstream was chosen for a try.
+		void noteChoice(RequestContext& _context, Upstream& _upstream)
 		{
-			GatewayState& state = _context.state;
 			if (isLimitedCold(_upstream, nowMs()))
 			{
 				noteColdSend(_upstream.cold, nowMs());
-				state.counters.coldSends.Increment();
+				_context.state.counters.coldSends.Increment();
 			}
 			_context.tried.insert(_upstream.record.incarnation);
 			_context.upstream = _upstream.record.incarnation;
-			if (0 == _context.sends)
-			{
-				noteFirstSend(state.retries[_context.service], state.settings.bounds.retryWindowMs, nowMs());
-			}
-			(0 == _context.sends ? state.counters.sends : state.counters.resends).Increment();
-			_context.sends += 1;
+		}
+
+		/// An upstream that was chosen got nothing: the next choice is made as if this one hadn't been.
+		void noteWithheld(RequestContext& _context, const Upstream& _upstream)
+		{
+			_context.state.counters.withheldSends.Increment();
+			logInfo("send_withheld", {{"request", _context.caller.id}, {"upstream", _upstream.record.incarnation}, {"back_off_ms", backOffLeftMs(_upstream.backOff, nowMs())}});
+			_context.tried.erase(_upstream.record.incarnation);
+			_context.group = nullptr;
 		}
 
 		void noteHealth(Upstream& _upstream, const TryResult& _result)
@@ -88,8 +90,7 @@
 			{
 				return RefusalCause::Evacuated;
 			}
-			const bool cold = onlyColdAreLeft(_context.state.board.groupsOf(_context.service), nowMs());
-			return cold ? RefusalCause::ColdUpstreams : RefusalCause::NoUpstream;
+			return whyNoneMayGet(_context.state.board.groupsOf(_context.service), nowMs()).value_or(RefusalCause::NoUpstream);
 		}
 
 		/// Ranks of a group stand still together: after a failure another group is tried first.
@@ -120,6 +121,18 @@
 		return {kUsedShare * bounds.retryRatio, share * bounds.retryAllowance, bounds.retryWindowMs};
 	}
 
+	void noteSend(RequestContext& _context)
+	{
+		GatewayState& state = _context.state;
+		const bool first = 0 == _context.sends;
+		if (first)
+		{
+			noteFirstSend(state.retries[_context.service], state.settings.bounds.retryWindowMs, nowMs());
+		}
+		(first ? state.counters.sends : state.counters.resends).Increment();
+		_context.sends += 1;
+	}
+
 	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context)
 	{
 		GatewayState& state = _context.state;
@@ -136,8 +149,13 @@
 				}
 				co_return refusalOf(_context, unknownBefore, cause, "no_upstream_left");
 			}
-			noteSend(_context, *upstream);
+			noteChoice(_context, *upstream);
 			TryResult result = co_await tryUpstream(_context, upstream);
+			if (result.withheld)
+			{
+				noteWithheld(_context, *upstream);
+				continue; // what it may cost of the budget was taken before
+			}
 			noteHealth(*upstream, result);
 			if (result.answered)
 			{
@@ -171,7 +189,8 @@
 				co_await handOn(_context, *result.failure);
 				co_return std::nullopt;
 			}
-			co_return refusalOf(_context, unknownBefore, RefusalCause::Overloaded, result.reason);
+			const std::optional<RefusalCause> limited = whyNoneMayGet(state.board.groupsOf(_context.service), nowMs());
+			co_return refusalOf(_context, unknownBefore, limited.value_or(RefusalCause::Overloaded), result.reason);
 		}
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,6 +1,5 @@
 #include "gateway/relay.h"
 
-#include <algorithm>
 #include <fmt/format.h>
 
 #include "aio/task.h"
@@ -60,6 +59,13 @@
 			return result;
 		}
 
+		TryResult withheld()
+		{
+			TryResult result = failed(Proof::NotRun, "withheld");
+			result.withheld = true;
+			return result;
+		}
+
 		std::string requestBytes(const RequestContext& _context, const Upstream& _upstream)
 		{
 			DispatchInfo info;
@@ -227,15 +233,10 @@
 		/// Takes in what the head of an answer says of the upstream itself, whoever the answer is for.
 		void noteOwnWord(RequestContext& _context, const AnswerInfo& _info)
 		{
-			Upstream& upstream = *_context.sentTo;
-			if (!_info.backOffMs)
+			if (_info.backOffMs)
 			{
-				return;
-			}
-			_context.state.counters.backOffAsks.Increment();
-			if (noteBackOff(upstream.backOff, *_info.backOffMs, nowMs()))
-			{
-				logInfo("upstream_asks_back_off", {{"upstream", upstream.record.incarnation}, {"service", upstream.record.service}, {"asked_ms", *_info.backOffMs}});
+				_context.state.counters.backOffAsks.Increment();
+				_context.state.board.backOff(_context.sentTo, *_info.backOffMs, nowMs());
 			}
 		}
 
@@ -347,23 +348,6 @@
 			}
 		}
 
-		/// Tells of a send to an upstream that wants nothing now: whether it was chosen before that was known, and
-		/// whether others could have had it.
-		void noteSendInBackOff(const RequestContext& _context, const Upstream& _upstream, Millis _chosenAt)
-		{
-			const Millis now = nowMs();
-			if (0 == backOffLeftMs(_upstream.backOff, now))
-			{
-				return;
-			}
-			const std::vector<UpstreamRef>& members = _upstream.group->members;
-			const auto others = std::count_if(members.begin(), members.end(), [&](const UpstreamRef& _other) {
-				return &_upstream != _other.get() && mayGet(*_other, now) && !isSuspended(_other->health, now);
-			});
-			_context.state.counters.backOffSends.Increment();
-			logWarning("sent_in_back_off", {{"request", _context.caller.id}, {"upstream", _upstream.record.incarnation}, {"left_ms", backOffLeftMs(_upstream.backOff, now)}, {"asked_ago_ms", now - _upstream.backOff.askedAt}, {"chosen_ago_ms", now - _chosenAt}, {"suspended", isSuspended(_upstream.health, now)}, {"other_upstreams", others}});
-		}
-
 		/// @returns A connection to an upstream; without one when it can't be reached.
 		/// @param[out] _error Why not.
 		aio::Task<http::Lease> connectTo(RequestContext& _context, const Upstream& _upstream, std::string& _error)
@@ -393,8 +377,7 @@
 
 	aio::Task<TryResult> tryUpstream(RequestContext& _context, UpstreamRef _upstream)
 	{
-		const Millis chosenAt = nowMs();
-		const InFlight inFlight(_upstream, chosenAt);
+		const InFlight inFlight(_upstream, nowMs());
 		_context.sentTo = _upstream;
 		_context.writing = false;
 		_context.heardAt = nowMs();
@@ -402,9 +385,15 @@
 		http::Lease lease = co_await connectTo(_context, *_upstream, connectError);
 		if (nullptr == lease.connection)
 		{
+			noteSend(_context);
 			co_return failed(Proof::NotRun, "connect_failed: " + connectError);
 		}
-		noteSendInBackOff(_context, *_upstream, chosenAt);
+		if (isBackingOff(*_upstream, nowMs()))
+		{
+			// It asked while this request waited, for 400 ms at most: of a burst all that wait would still go there.
+			co_return withheld();
+		}
+		noteSend(_context);
 		const bool mayHaveRunBefore = _context.maybeRunning;
 		_context.maybeRunning = true;
 		bool written = false;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -10,6 +10,7 @@
 	struct TryResult
 	{
 		bool answered = false;        ///< The caller has the whole answer.
+		bool withheld = false;        ///< Nothing was sent: the upstream takes no more now.
 		Proof proof = Proof::Unknown; ///< If not answered.
 		RefusalReason refusal = RefusalReason::None;
 		std::optional<http::WholeAnswer> failure; ///< A failure of the upstream's own that may be handed on.
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -194,6 +194,11 @@
 		{
 			opening = expectedOpeningMs(_context.state.outages[_context.service], now);
 		}
+		if (RefusalCause::BackOff == _cause)
+		{
+			opening = _context.state.board.nextBackMs(_context.service, now);
+			_context.state.counters.backOffRefusals.Increment();
+		}
 		if (RefusalCause::ColdUpstreams == _cause)
 		{
 			opening = _context.state.board.nextWarmMs(_context.service, now);
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -91,6 +91,9 @@
 	/// @returns Bounds of this gateway's resends now.
 	RetryBounds retryBounds(const GatewayState& _state);
 
+	/// Notes that a try of a request begins at the upstream that was chosen for it.
+	void noteSend(RequestContext& _context);
+
 	/// Sends a request to upstreams until it is answered or no further try is allowed.
 	/// @returns A refusal of the gateway's own; none when an upstream's answer was delivered.
 	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context);
--- a/tests/test_board.cpp
+++ b/tests/test_board.cpp
@@ -207,16 +207,16 @@
 	board.limitCold(kService, kTwoSends);
 	board.learn(recordOf("a", "1"), 0);
 	const GroupRef group = groupNamed(board, "");
-	cr_assert(1 == membersThatMayGet(*group, 0) && !coldSharesAreSpent(*group, 0));
+	cr_assert(1 == membersThatMayGet(*group, 0) && !whyNoneMayGet(board.groupsOf(kService), 0));
 	UpstreamRecord cold = recordOf("a", "1");
 	cold.coldForMs = 3'000;
 	board.learn(cold, 10'000);
 	cr_assert(3'000 == board.nextWarmMs(kService, 10'000));
 	cr_assert(2 == sendsNow(board, random, 10'000));
-	cr_assert(coldSharesAreSpent(*group, 11'000) && 0 == sendsNow(board, random, 11'000));
+	cr_assert(RefusalCause::ColdUpstreams == whyNoneMayGet(board.groupsOf(kService), 11'000) && 0 == sendsNow(board, random, 11'000));
 	cr_assert(2 == sendsNow(board, random, 11'500));
 	board.endCold(13'000);
-	cr_assert(!coldSharesAreSpent(*group, 13'000) && !board.nextWarmMs(kService, 13'000));
+	cr_assert(!whyNoneMayGet(board.groupsOf(kService), 13'000) && !board.nextWarmMs(kService, 13'000));
 }
 
 Test(board, a_warm_upstream_gets_what_a_cold_one_cannot_take)
@@ -280,7 +280,7 @@
 	board.learn(cold, 0);
 	cr_assert(1 == membersThatMayGet(*groupNamed(board, ""), 100));
 	board.limitCold(kService, ColdTerms{20.0, 30.0, 2'048});
-	cr_assert(coldSharesAreSpent(*groupNamed(board, ""), 100));
+	cr_assert(RefusalCause::ColdUpstreams == whyNoneMayGet(board.groupsOf(kService), 100));
 	board.limitCold(kService, std::nullopt);
 	cr_assert(1 == membersThatMayGet(*groupNamed(board, ""), 100));
 }
@@ -385,9 +385,9 @@
 	board.learn(cold, 0);
 	board.report(reportOf("g", {"1"}, 0), 10);
 	board.report(reportOf("h", {"2"}, 0), 10);
-	cr_assert(!onlyColdAreLeft(board.groupsOf(kService), 10));
+	cr_assert(!whyNoneMayGet(board.groupsOf(kService), 10));
 	board.evacuate("here");
-	cr_assert(onlyColdAreLeft(board.groupsOf(kService), 10));
+	cr_assert(RefusalCause::ColdUpstreams == whyNoneMayGet(board.groupsOf(kService), 10));
 }
 
 Test(board, a_row_without_a_start_is_of_the_run_that_is_known)
