A test of an upstream that says in its answers that it leaves, red

Symptom: an upstream that is about to end says so in each answer; as long as its row calls it ready, it goes on getting requests like any other. Found by looking for the cause of the incident elsewhere: the header is decoded and steers nothing. The file of tests is named for what upstreams say of themselves.

--- a/tests/test_gateway_back_off.cpp
+++ b/tests/test_gateway_own_word.cpp
@@ -1,4 +1,5 @@
-/// Upstreams that turn a request away and say for how long they want nothing, before the gateway as a process.
+/// Upstreams that say something of themselves in their answers, before the gateway as a process: for how long they want
+/// nothing, or that they are about to end.
 #include <thread>
 #include <vector>
 
@@ -100,3 +101,25 @@
 	lab::pauseMs(std::max<Millis>(0, askedAt + kAskedMs - nowMs()));
 	cr_assert(200 == rig.call("/once/x?do=ok", GatewayRig::headersFor("back")).status);
 }
+
+/// An upstream that was about to end said so in its answers, while its row in the store still called it ready. It went on
+/// getting as many requests as any other.
+Test(gateway, an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_new)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	std::string told;
+	for (int call = 0; call < 100 && told.empty(); ++call)
+	{
+		const std::string request = fmt::format("tell-{}", call);
+		cr_assert(200 == rig.call("/once/x?do=ok&leaving=1&only=a", GatewayRig::headersFor(request)).status);
+		told = rig.workers[0].recordOf(request).is_object() ? request : "";
+	}
+	cr_assert(!told.empty());
+	const Calls calls = callFor(rig, "/once/x?do=ok", nowMs() + 1'000);
+	cr_assert(20 < calls.requests.size() && 0 == calls.unanswered);
+	cr_assert(0 == cameTo(rig.workers[0], calls.requests), "%d of %zu came", cameTo(rig.workers[0], calls.requests), calls.requests.size());
+	rig.announce(rig.workers[0], "ready"); // a write that was late
+	const Calls later = callFor(rig, "/once/x?do=ok", nowMs() + 500);
+	cr_assert(0 == cameTo(rig.workers[0], later.requests));
+}
