Soak: upstreams ask for time and say that they leave; series that overlap; connections kept until they break

The soak knew upstreams that leave by their row alone, none that ask to be sent nothing, and faults drawn one by one. The judge counts what comes to an upstream from a gateway that it asked for time (more than two after half a second) and after a gateway has handed on its word that it leaves.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -28,12 +28,13 @@
 		return violations.byKind.end() == found ? 0 : found->second;
 	}
 
-	void playSeed(std::uint64_t _seed, std::uint32_t _faults)
+	void playSeed(std::uint64_t _seed, std::uint32_t _faults, std::uint32_t _series = 0)
 	{
 		ChaosOptions options;
 		options.scene = Scene::Platform;
 		options.seed = _seed;
 		options.faults = _faults;
+		options.series = _series;
 		const SoakResult result = runSoak(options);
 		std::string lines;
 		for (const std::string& line : result.violations.lines)
@@ -110,6 +111,42 @@
 	cr_assert(1 == violationsOf(record, "ran_unasked"));
 }
 
+Test(soakjudge, more_than_what_is_under_way_in_a_time_that_was_asked_for_is_noticed)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.refusals = {{"r1", "w0", kSentAt, 3'000}};
+	for (const char* id : {"r2", "r3", "r4"})
+	{
+		record.calls.push_back({id, SoakKind::Safe, "key", "gateway-0", kSentAt + 600, kSentAt + 650, 200, true});
+		record.runs.push_back({id, "w0", kSentAt + 620});
+	}
+	cr_assert(1 == violationsOf(record, "work_in_back_off"));
+	record.spans = {{"gateway-0", FaultKind::KillGateway, kSentAt + 100, kSentAt + 200}};
+	cr_assert(0 == violationsOf(record, "work_in_back_off"), "another process, which was told nothing");
+	record.spans = {{"gateway-1", FaultKind::KillGateway, kSentAt + 100, kSentAt + 200}};
+	cr_assert(1 == violationsOf(record, "work_in_back_off"));
+	record.runs.back().at = kSentAt + 400;
+	cr_assert(0 == violationsOf(record, "work_in_back_off"), "two, and one that was under way");
+	record.runs.back().at = kSentAt + 620;
+	record.calls.back().gateway = "gateway-1";
+	cr_assert(0 == violationsOf(record, "work_in_back_off"), "it asked one gateway");
+}
+
+Test(soakjudge, work_after_an_upstreams_own_word_that_it_leaves_is_noticed)
+{
+	SoakRecord record = calm(SoakKind::Safe);
+	record.runs.front().saidLeaving = true; // told at kSentAt + 50
+	record.calls.push_back({"r2", SoakKind::Safe, "key", "gateway-0", kSentAt + 2'050, kSentAt + 2'100, 200, true});
+	record.runs.push_back({"r2", "w0", kSentAt + 2'060});
+	cr_assert(0 == violationsOf(record, "work_after_own_word"));
+	record.calls.back().sentAt = kSentAt + 2'051;
+	cr_assert(1 == violationsOf(record, "work_after_own_word"));
+	record.spans = {{"store", FaultKind::StoreSilent, kSentAt, kSentAt + 3'000}};
+	cr_assert(1 == violationsOf(record, "work_after_own_word"), "nobody needs the store for that");
+	record.spans = {{"gateway-0", FaultKind::FreezeGateway, kSentAt + 100, kSentAt + 200}};
+	cr_assert(0 == violationsOf(record, "work_after_own_word"));
+}
+
 Test(soak, a_short_seed_keeps_all_promises)
 {
 	playSeed(5, 10);
@@ -121,3 +158,10 @@
 {
 	playSeed(218, 14);
 }
+
+/// Upstreams ask for time and say that they leave, gateways are hung up on, stopped and killed in series, the
+/// configuration changes meanwhile.
+Test(soak, series_of_words_signals_restarts_and_changes_keep_all_promises)
+{
+	playSeed(7, 8, 6);
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -48,6 +48,10 @@
 		ChangeConfiguration,
 		LateOrders,
 		FormAnew,
+		// Of series only, see planSeries().
+		AskBackOff, ///< An upstream turns requests away and says for how long.
+		SayLeaving, ///< An upstream says in its answers that it leaves; its row doesn't.
+		HangUpGateway,
 		Count
 	};
 
@@ -79,6 +83,8 @@
 		std::string file;
 		std::uint64_t seed = 1;
 		std::uint32_t faults = 12;
+		std::uint32_t series = 0; ///< Of one kind in a row each, beside the faults.
+		bool large = false;       ///< As many processes as a machine bears beside others.
 		double perSecond = 80.0;
 		Millis everyMs = 700; ///< Mean time between the starts of faults.
 	};
@@ -101,8 +107,12 @@
 		int violations() const;
 	};
 
-	/// @returns The faults of a seed.
+	/// @returns The faults of a seed, in the order of their starts.
 	std::vector<PlannedFault> planFaults(const ChaosOptions& _options);
 
+	/// @returns Series of signals, restarts, changes and words of upstreams. They overlap each other and the
+	/// faults of the seed, whose schedule stays as it is without them.
+	std::vector<PlannedFault> planSeries(const ChaosOptions& _options);
+
 	ChaosResult runChaos(const ChaosOptions& _options);
 } // namespace archdyke::lab
--- a/tools/chaos_main.cpp
+++ b/tools/chaos_main.cpp
@@ -52,7 +52,7 @@
 		int run(int _argc, char** _argv)
 		{
 			cxxopts::Options options("archdyke-chaos", "Runs an office under load and seeded faults, and judges it.");
-			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "How many seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls a second", cxxopts::value<double>()->default_value("80"))("platform", "The programs for the users' platform, in place of an office")("h,help", "Print this help");
+			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "How many seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls a second", cxxopts::value<double>()->default_value("80"))("series", "Series of signals, restarts, changes and words of upstreams beside the faults, with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("large", "Some hundred processes, with --platform")("platform", "The programs for the users' platform, in place of an office")("h,help", "Print this help");
 			const cxxopts::ParseResult parsed = options.parse(_argc, _argv);
 			if (0 < parsed.count("help"))
 			{
@@ -67,6 +67,8 @@
 				chaos.file = parsed["file"].as<std::string>();
 				chaos.seed = seed;
 				chaos.faults = parsed["faults"].as<std::uint32_t>();
+				chaos.series = parsed["series"].as<std::uint32_t>();
+				chaos.large = 0 < parsed.count("large");
 				chaos.perSecond = parsed["rate"].as<double>();
 				if (0 < parsed.count("platform"))
 				{
--- a/tools/chaos_plan.cpp
+++ b/tools/chaos_plan.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+
 #include "archdyke/random.h"
 #include "chaos.h"
 
@@ -5,7 +8,7 @@
 {
 	std::string_view toString(FaultKind _kind)
 	{
-		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew"};
+		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway"};
 		return kNames[std::size_t(_kind)];
 	}
 
@@ -18,7 +21,7 @@
 	{
 		const bool office = Scene::Office == _options.scene;
 		const std::uint64_t first = office ? 0 : std::uint64_t(FaultKind::KillGateway);
-		const std::uint64_t end = std::uint64_t(office ? FaultKind::KillGateway : FaultKind::Count);
+		const std::uint64_t end = std::uint64_t(office ? FaultKind::KillGateway : FaultKind::AskBackOff);
 		Random random(_options.seed);
 		std::vector<PlannedFault> plan;
 		Millis startMs = 500;
@@ -35,4 +38,33 @@
 		}
 		return plan;
 	}
+
+	std::vector<PlannedFault> planSeries(const ChaosOptions& _options)
+	{
+		constexpr FaultKind kKinds[] = {FaultKind::AskBackOff, FaultKind::SayLeaving, FaultKind::HangUpGateway, FaultKind::StopGateway, FaultKind::KillGateway, FaultKind::ChangeConfiguration, FaultKind::RevokeKey, FaultKind::KillSidecar};
+		constexpr std::uint64_t kLeast = 2;
+		constexpr std::uint64_t kMore = 3;
+		constexpr std::uint64_t kMostApartMs = 400; // less than a restart takes, so that one meets the next
+		constexpr std::uint64_t kOtherSeeds = 1'000'003;
+		Random random(_options.seed + kOtherSeeds);
+		std::vector<PlannedFault> plan;
+		for (std::uint32_t series = 0; series < _options.series; ++series)
+		{
+			PlannedFault fault;
+			fault.kind = kKinds[randomBelow(random, std::size(kKinds))];
+			fault.startMs = 500 + Millis(randomBelow(random, std::uint64_t(_options.everyMs) * std::max<std::uint32_t>(1, _options.faults)));
+			const std::uint64_t length = kLeast + randomBelow(random, kMore);
+			for (std::uint64_t index = 0; index < length; ++index)
+			{
+				fault.lastMs = 400 + Millis(randomBelow(random, 2'600));
+				fault.dice = random();
+				plan.push_back(fault);
+				fault.startMs += Millis(randomBelow(random, kMostApartMs));
+			}
+		}
+		std::stable_sort(plan.begin(), plan.end(), [](const PlannedFault& _a, const PlannedFault& _b) {
+			return _a.startMs < _b.startMs;
+		});
+		return plan;
+	}
 } // namespace archdyke::lab
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -42,7 +42,7 @@
 
 		Soak::Soak(const ChaosOptions& _options)
 		    : options(_options)
-		    , deployment(_options.seed)
+		    , deployment(_options.seed, _options.large)
 		{
 		}
 
@@ -144,7 +144,7 @@
 			});
 		}
 
-		/// Reads from the upstreams' output which requests they began.
+		/// Reads from the upstreams' output which requests they began and which they turned away.
 		void Soak::readRuns()
 		{
 			for (const SoakWorker& worker : this->deployment.workers)
@@ -154,7 +154,12 @@
 				{
 					if (line.starts_with("run "))
 					{
-						this->deployment.record.runs.push_back({fieldOf(line, "request"), worker.id, std::stoll(fieldOf(line, "at"))});
+						this->deployment.record.runs.push_back({fieldOf(line, "request"), worker.id, std::stoll(fieldOf(line, "at")), "1" == fieldOf(line, "leaving")});
+					}
+					if (line.starts_with("turned_away "))
+					{
+						const std::string rest = fieldOf(line, "rest");
+						this->deployment.record.refusals.push_back({fieldOf(line, "request"), worker.id, std::stoll(fieldOf(line, "at")), rest.empty() ? 0 : Millis(1'000.0 * std::stod(rest))});
 					}
 				}
 			}
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -38,6 +38,16 @@
 		std::string request;
 		std::string upstream; ///< Incarnation.
 		Millis at = 0;
+		bool saidLeaving = false; ///< Its answer says that the upstream leaves.
+	};
+
+	/// That an upstream turned a request away.
+	struct SoakRefusal
+	{
+		std::string request;
+		std::string upstream; ///< Incarnation.
+		Millis at = 0;
+		Millis askedMs = 0; ///< For so long it wants nothing from the gateway; 0: it didn't say.
 	};
 
 	/// Something that happened to a part of the deployment.
@@ -57,6 +67,7 @@
 	{
 		std::vector<SoakCall> calls;
 		std::vector<SoakRun> runs;
+		std::vector<SoakRefusal> refusals;
 		std::vector<SoakSpan> spans;
 		std::map<std::string, Millis> withdrawnAt; ///< By key: when the store confirmed it.
 		std::map<std::string, Millis> leavingAt;   ///< By upstream: the same.
@@ -70,6 +81,8 @@
 		Millis drainMs = 2'000;      ///< An upstream that leaves gets no new work.
 		Millis contactMs = 3'000;    ///< After trouble this long, a gateway is bound again.
 		Millis graceMs = 8'000;      ///< From the stop signal to the kill.
+		Millis backOffSlackMs = 500; ///< What is under way when an upstream asks for nothing may still come.
+		std::size_t backOffMost = 2; ///< As many may come later.
 		Millis lossSlackMs = 200;    ///< A request that was cut sooner may not have been read.
 	};
 
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -7,10 +7,11 @@
 	namespace
 	{
 		constexpr std::size_t kCallers = 8;
-		constexpr int kEvents = 12;             ///< Of a stream of the stand-in.
-		constexpr int kCallsOfAConnection = 25; ///< Then a caller goes to another gateway.
-		constexpr Millis kPatienceMs = 1'500;   ///< Deadline of a request.
-		constexpr Millis kReadSlackMs = 500;    ///< A caller waits so much longer than its deadline.
+		constexpr int kEvents = 12; ///< Of a stream of the stand-in.
+		/// Then a caller goes to another gateway; every other one keeps its connection until it breaks.
+		constexpr int kCallsOfAConnection = 25;
+		constexpr Millis kPatienceMs = 1'500; ///< Deadline of a request.
+		constexpr Millis kReadSlackMs = 500;  ///< A caller waits so much longer than its deadline.
 		constexpr int kConnectWaitS = 1;
 		constexpr Millis kBrokenPauseMs = 25; ///< After a request without a whole answer.
 		constexpr Millis kMostPauseMs = 30;   ///< Between two requests, less than this.
@@ -101,7 +102,8 @@
 			const SoakDoor door = this->deployment.door(random);
 			httplib::Client client = connectionTo(door.address);
 			bool broken = false;
-			for (int calls = 0; calls < kCallsOfAConnection && !broken && !this->over; ++calls)
+			const bool keeps = 0 != _index % 2;
+			for (int calls = 0; (keeps || calls < kCallsOfAConnection) && !broken && !this->over; ++calls)
 			{
 				SoakCall call;
 				call.id = fmt::format("c{}-{}", _index, made++);
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -13,10 +13,9 @@
 {
 	namespace
 	{
-		constexpr std::size_t kGateways = 3;
-		constexpr std::size_t kWorkers = 4;
-		/// Ranks of each group.
-		constexpr std::size_t kGroupSizes[] = {4, 3};
+		const SoakSize kUsualSize{3, 4, {4, 3}};
+		/// Some hundred processes: a machine plays other runs beside it.
+		const SoakSize kLargeSize{16, 40, {24, 12, 8}};
 		/// How long a gateway may take to say what it has, ms: a frozen one doesn't answer.
 		constexpr Millis kDumpWaitMs = 200;
 		constexpr Millis kMsPerS = 1'000;
@@ -39,8 +38,9 @@
 		}
 	} // namespace
 
-	SoakDeployment::SoakDeployment(std::uint64_t _seed)
+	SoakDeployment::SoakDeployment(std::uint64_t _seed, bool _large)
 	    : directory(makeDirectory(_seed))
+	    , size(_large ? kLargeSize : kUsualSize)
 	    , store(this->directory + "/store.log")
 	    , proxy(this->directory + "/proxy.log")
 	{
@@ -61,11 +61,11 @@
 
 	void SoakDeployment::start()
 	{
-		for (const std::size_t size : kGroupSizes)
+		for (const std::size_t ranks : this->size.groups)
 		{
-			this->startRanks(fmt::format("g-{}", this->groups.size()), size);
+			this->startRanks(fmt::format("g-{}", this->groups.size()), ranks);
 		}
-		for (std::size_t index = 0; index < kWorkers; ++index)
+		for (std::size_t index = 0; index < this->size.workers; ++index)
 		{
 			this->addWorker();
 		}
@@ -79,7 +79,7 @@
 				this->startSidecar(sidecar);
 			}
 		}
-		for (std::size_t index = 0; index < kGateways; ++index)
+		for (std::size_t index = 0; index < this->size.gateways; ++index)
 		{
 			this->gateways.emplace_back().name = fmt::format("gateway-{}", index);
 			this->startGateway(this->gateways.back());
@@ -208,7 +208,7 @@
 				this->startSidecar(rank);
 			}
 		}
-		while (this->livingWorkers() < kWorkers)
+		while (this->livingWorkers() < this->size.workers)
 		{
 			this->addWorker();
 		}
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -42,6 +42,14 @@
 		std::vector<std::string> engines; ///< IP:port of each rank.
 	};
 
+	/// How many of each a deployment has.
+	struct SoakSize
+	{
+		std::size_t gateways = 0;
+		std::size_t workers = 0;
+		std::vector<std::size_t> groups; ///< Ranks of each.
+	};
+
 	/// A gateway as a caller knows it.
 	struct SoakDoor
 	{
@@ -53,7 +61,8 @@
 	class SoakDeployment
 	{
 	public:
-		explicit SoakDeployment(std::uint64_t _seed);
+		/// @param[in] _large As many processes as a machine bears beside others.
+		SoakDeployment(std::uint64_t _seed, bool _large);
 
 		/// Starts all parts, without waiting until they are ready.
 		void start();
@@ -92,6 +101,7 @@
 
 		const std::string directory; ///< Of settings and logs.
 		const SoakBounds bounds;
+		const SoakSize size;
 		StoreStub store;
 		ProxyStub proxy;
 		std::vector<SoakGroup> groups;   ///< Of unlike sizes.
--- a/tools/soak_faults.cpp
+++ b/tools/soak_faults.cpp
@@ -1,5 +1,6 @@
 #include "soak_faults.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace archdyke::lab
@@ -10,6 +11,7 @@
 		constexpr Millis kDelayMs = 150;       ///< Of each piece on a delayed link.
 		constexpr Millis kSlowStoreMs = 250;   ///< Of each answer of a slow store.
 		constexpr double kLateShare = 0.35;    ///< Of orders that ranks carry out late.
+		constexpr Millis kOrderWaitMs = 200;   ///< A frozen stand-in takes no order.
 
 		std::size_t strikePart(SoakDeployment& _deployment, SoakPart& _part, FaultKind _kind)
 		{
@@ -23,6 +25,10 @@
 				_part.process->signal(SIGTERM);
 				_part.stoppedAt = nowMs();
 			}
+			else if (FaultKind::HangUpGateway == _kind)
+			{
+				_part.process->signal(SIGHUP);
+			}
 			else
 			{
 				_part.process->signal(SIGSTOP);
@@ -30,15 +36,33 @@
 			return span;
 		}
 
-		std::size_t strikeWorker(SoakDeployment& _deployment, SoakWorker& _worker, FaultKind _kind)
+		/// Tells an upstream's stand-in what to say of itself; one that was killed says nothing.
+		void controlWorker(const SoakWorker& _worker, const Json& _order)
+		{
+			httplib::Client client = clientOf(_worker.process->listening("http"));
+			client.set_read_timeout(std::chrono::milliseconds(kOrderWaitMs));
+			client.Post("/control", _order.dump(), "application/json");
+		}
+
+		std::size_t strikeWorker(SoakDeployment& _deployment, SoakWorker& _worker, const PlannedFault& _fault)
 		{
-			const std::size_t span = _deployment.beginSpan(_worker.id, _kind);
-			if (FaultKind::KillWorker == _kind)
+			const FaultKind kind = _fault.kind;
+			const std::size_t span = _deployment.beginSpan(_worker.id, kind);
+			if (FaultKind::AskBackOff == kind)
+			{
+				controlWorker(_worker, {{"restS", double(_fault.lastMs) / 1'000.0}});
+			}
+			else if (FaultKind::SayLeaving == kind)
+			{
+				_worker.leaves = true; // another one comes for it
+				controlWorker(_worker, {{"leaving", true}});
+			}
+			else if (FaultKind::KillWorker == kind)
 			{
 				_worker.process->kill();
 				_worker.removeAt = nowMs() + kRowLapsesMs;
 			}
-			else if (FaultKind::FreezeWorker == _kind)
+			else if (FaultKind::FreezeWorker == kind)
 			{
 				_worker.process->signal(SIGSTOP);
 			}
@@ -142,29 +166,36 @@
 
 		/// @param[in,out] _target A draw; then the index of what was struck.
 		/// @returns Index of its span.
-		std::size_t beginFault(SoakDeployment& _deployment, FaultKind _kind, std::size_t& _target)
+		std::size_t beginFault(SoakDeployment& _deployment, const PlannedFault& _fault, std::size_t& _target)
 		{
-			switch (_kind)
+			const FaultKind kind = _fault.kind;
+			switch (kind)
 			{
 			case FaultKind::KillGateway:
 			case FaultKind::FreezeGateway:
 			case FaultKind::StopGateway:
+			case FaultKind::HangUpGateway:
 				_target %= _deployment.gateways.size();
-				return strikePart(_deployment, _deployment.gateways[_target], _kind);
+				return strikePart(_deployment, _deployment.gateways[_target], kind);
 			case FaultKind::KillSidecar:
 			case FaultKind::FreezeSidecar:
 				_target %= _deployment.sidecars.size();
-				return strikePart(_deployment, _deployment.sidecars[_target], _kind);
+				return strikePart(_deployment, _deployment.sidecars[_target], kind);
 			case FaultKind::KillWorker:
 			case FaultKind::FreezeWorker:
 			case FaultKind::DrainWorker:
 				_target %= _deployment.workers.size();
-				return strikeWorker(_deployment, _deployment.workers[_target], _kind);
+				return strikeWorker(_deployment, _deployment.workers[_target], _fault);
+			case FaultKind::AskBackOff:
+			case FaultKind::SayLeaving:
+				// One that came lately: those before may have been killed.
+				_target = _deployment.workers.size() - 1 - _target % std::min(_deployment.workers.size(), _deployment.size.workers);
+				return strikeWorker(_deployment, _deployment.workers[_target], _fault);
 			case FaultKind::CutStoreOneWay:
 				_target %= _deployment.gateways.size();
-				return strikeWayToStore(_deployment, _deployment.gateways[_target], _kind);
+				return strikeWayToStore(_deployment, _deployment.gateways[_target], kind);
 			default:
-				return strikeShared(_deployment, _kind, _target);
+				return strikeShared(_deployment, kind, _target);
 			}
 		}
 
@@ -208,13 +239,18 @@
 	    , plan(planFaults(_options))
 	    , begunAt(nowMs())
 	{
+		const std::vector<PlannedFault> series = planSeries(_options);
+		this->plan.insert(this->plan.end(), series.begin(), series.end());
+		std::stable_sort(this->plan.begin(), this->plan.end(), [](const PlannedFault& _a, const PlannedFault& _b) {
+			return _a.startMs < _b.startMs;
+		});
 	}
 
 	void SoakFaults::begin(const PlannedFault& _fault)
 	{
 		this->counts[std::string(toString(_fault.kind))] += 1;
 		ActiveFault item{_fault, std::size_t(_fault.dice), 0};
-		item.span = beginFault(this->deployment, _fault.kind, item.target);
+		item.span = beginFault(this->deployment, _fault, item.target);
 		this->active.push_back(item);
 	}
 
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <fmt/format.h>
 
 #include "soak.h"
@@ -35,7 +36,7 @@
 			{
 				const bool itsStop = FaultKind::StopGateway == span.kind && span.part == _call.gateway;
 				const bool othersStop = FaultKind::StopGateway == span.kind && span.part != _call.gateway;
-				const bool harmless = FaultKind::KillSidecar == span.kind || FaultKind::FreezeSidecar == span.kind || FaultKind::LateOrders == span.kind || FaultKind::FormAnew == span.kind;
+				const bool harmless = FaultKind::KillSidecar == span.kind || FaultKind::FreezeSidecar == span.kind || FaultKind::LateOrders == span.kind || FaultKind::FormAnew == span.kind || FaultKind::AskBackOff == span.kind || FaultKind::SayLeaving == span.kind || FaultKind::HangUpGateway == span.kind;
 				if (!itsStop && !othersStop && !harmless && overlaps(span, _call.sentAt - _bounds.contactMs, _call.endedAt))
 				{
 					return false;
@@ -84,6 +85,99 @@
 				_violations.add("work_after_leaving", fmt::format("request {} by {} ran at {} of {}, which left at {}", _call.id, _call.gateway, _run.at, _run.upstream, leaving->second));
 			}
 		}
+
+		using CallsById = std::map<std::string, const SoakCall*>;
+
+		/// Whether a gateway was restarted or frozen, or an upstream so that it read late what had come.
+		bool isDisturbed(const SoakRecord& _record, const std::string& _gateway, const std::string& _upstream, Millis _from, Millis _until)
+		{
+			return std::any_of(_record.spans.begin(), _record.spans.end(), [&](const SoakSpan& _span) {
+				const bool its = _span.part == _gateway && FaultKind::CutStoreOneWay != _span.kind;
+				const bool upstreams = _span.part == _upstream && FaultKind::FreezeWorker == _span.kind;
+				return (its || upstreams) && overlaps(_span, _from, _until);
+			});
+		}
+
+		/// What came to one upstream through one gateway: when, and when its caller had sent it.
+		struct Arrival
+		{
+			Millis at = 0;
+			Millis sentAt = 0;
+			std::string request;
+		};
+
+		/// By upstream and gateway.
+		using Arrivals = std::map<std::pair<std::string, std::string>, std::vector<Arrival>>;
+
+		Arrivals arrivalsOf(const SoakRecord& _record, const CallsById& _calls)
+		{
+			Arrivals arrivals;
+			const auto add = [&](const std::string& _request, const std::string& _upstream, Millis _at) {
+				const auto call = _calls.find(_request);
+				if (_calls.end() != call)
+				{
+					arrivals[{_upstream, call->second->gateway}].push_back({_at, call->second->sentAt, _request});
+				}
+			};
+			for (const SoakRun& run : _record.runs)
+			{
+				add(run.request, run.upstream, run.at);
+			}
+			for (const SoakRefusal& refusal : _record.refusals)
+			{
+				add(refusal.request, refusal.upstream, refusal.at);
+			}
+			return arrivals;
+		}
+
+		/// An upstream that asks a gateway for some time gets no more than what is under way.
+		void judgeBackOffs(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, const Arrivals& _arrivals, SoakViolations& _violations)
+		{
+			for (const SoakRefusal& refusal : _record.refusals)
+			{
+				const auto call = _calls.find(refusal.request);
+				if (0 == refusal.askedMs || _calls.end() == call)
+				{
+					continue;
+				}
+				const std::string& gateway = call->second->gateway;
+				const Millis until = refusal.at + refusal.askedMs;
+				const std::vector<Arrival>& arrivals = _arrivals.at({refusal.upstream, gateway});
+				const auto came = std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& _arrival) {
+					return refusal.at + _bounds.backOffSlackMs < _arrival.at && _arrival.at < until;
+				});
+				if (std::size_t(came) > _bounds.backOffMost && !isDisturbed(_record, gateway, refusal.upstream, refusal.at, until))
+				{
+					_violations.add("work_in_back_off", fmt::format("{} requests by {} came to {} from {} to {}", came, gateway, refusal.upstream, refusal.at, until));
+				}
+			}
+		}
+
+		/// A gateway that has handed on an upstream's word that it leaves sends it nothing that is sent later.
+		void judgeLeaves(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, const Arrivals& _arrivals, SoakViolations& _violations)
+		{
+			std::map<std::pair<std::string, std::string>, Millis> toldAt;
+			for (const SoakRun& run : _record.runs)
+			{
+				const auto call = _calls.find(run.request);
+				if (run.saidLeaving && _calls.end() != call && 200 == call->second->status)
+				{
+					const Millis endedAt = call->second->endedAt;
+					Millis& told = toldAt.try_emplace({run.upstream, call->second->gateway}, endedAt).first->second;
+					told = std::min(told, endedAt);
+				}
+			}
+			for (const auto& [way, told] : toldAt)
+			{
+				for (const Arrival& arrival : _arrivals.at(way))
+				{
+					if (told + _bounds.drainMs < arrival.sentAt && !isDisturbed(_record, way.second, "", told, arrival.at))
+					{
+						_violations.add("work_after_own_word", fmt::format("request {} sent at {} by {} came at {} to {}, which had told it at {} that it leaves", arrival.request, arrival.sentAt, way.second, arrival.at, way.first, told));
+					}
+				}
+			}
+		}
 	} // namespace
 
 	bool overlaps(const SoakSpan& _span, Millis _from, Millis _until)
@@ -120,6 +214,14 @@
 				judgeRun(_record, _bounds, call, *run, violations);
 			}
 		}
+		CallsById calls;
+		for (const SoakCall& call : _record.calls)
+		{
+			calls[call.id] = &call;
+		}
+		const Arrivals arrivals = arrivalsOf(_record, calls);
+		judgeBackOffs(_record, _bounds, calls, arrivals, violations);
+		judgeLeaves(_record, _bounds, calls, arrivals, violations);
 		for (const auto& [request, ran] : runs)
 		{
 			if (!ran.empty() && !sent.contains(request))
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -7,7 +7,9 @@
 /// same, all events in one piece). "restS=N": what is shed is told to send nothing for N s.
 /// "leaving=1": the answer says that the upstream is about to end. "only=ID":
 /// just the upstream of that id does so, the others answer as usual. GET /record tells, by request
-/// id, how often each ran, how often its caller left, how often it was turned away and when it last came. POST /control {"mode": "up" | "refuse"}.
+/// id, how often each ran, how often its caller left, how often it was turned away and when it last came. POST /control {"mode": "up" | "refuse"},
+/// {"restS": N}: for N s all are turned away and told to send nothing for what is left; {"leaving": true}: each
+/// answer says from now on that the upstream is about to end.
 #include <fmt/format.h>
 #include <map>
 
@@ -112,7 +114,7 @@
 				http::ResponseHead head{_status, {}, true};
 				head.headers.add("X-Archdyke-Request-Id", this->headerOf(_call, "X-Archdyke-Request-Id"));
 				head.headers.add("X-Archdyke-Server-Stamp", "stamp-" + this->id);
-				if ("1" == queryField(_call.head.target, "leaving") && this->isMeant(_call))
+				if (this->leaving || ("1" == queryField(_call.head.target, "leaving") && this->isMeant(_call)))
 				{
 					head.headers.add("Server-Leaving", "1");
 				}
@@ -128,10 +130,38 @@
 			/// A line a run, so that runs are known also when this process is killed.
 			void printRun(const Call& _call) const
 			{
-				fmt::print("run request={} at={} organisation={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->headerOf(_call, "X-Archdyke-Tenant"));
+				fmt::print("run request={} at={} leaving={} organisation={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->leaving ? 1 : 0, this->headerOf(_call, "X-Archdyke-Tenant"));
 				std::fflush(stdout);
 			}
 
+			/// Turns a request away, with the time in seconds for which nothing is wanted, if any.
+			http::ResponseHead turnAway(const Call& _call, const std::string& _restS) const
+			{
+				http::ResponseHead head = this->headFor(_call, 503);
+				head.headers.add("X-Archdyke-Not-Executed", "1");
+				if (!_restS.empty())
+				{
+					head.headers.add("Retry-After", _restS);
+				}
+				fmt::print("turned_away request={} at={} rest={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), _restS);
+				std::fflush(stdout);
+				return head;
+			}
+
+			/// @returns What a call that is turned away is told of the time for which nothing is wanted.
+			std::string restTold(const Call& _call) const
+			{
+				const Millis left = this->restUntil - nowMs();
+				return 0 < left ? fmt::format("{:.3f}", double(left) / 1'000.0) : queryField(_call.head.target, "restS");
+			}
+
+			void control(const nlohmann::json& _order)
+			{
+				this->refuses = "refuse" == _order.value("mode", this->refuses ? "refuse" : "up");
+				this->restUntil = _order.contains("restS") ? nowMs() + Millis(1'000.0 * _order["restS"].get<double>()) : this->restUntil;
+				this->leaving = _order.value("leaving", this->leaving);
+			}
+
 			std::string recordText() const
 			{
 				nlohmann::json records = nlohmann::json::object();
@@ -154,7 +184,7 @@
 				}
 				if ("/control" == _call.head.target)
 				{
-					this->refuses = "refuse" == nlohmann::json::parse(_call.body).value("mode", "up");
+					this->control(nlohmann::json::parse(_call.body));
 					bytes = http::serialize(http::ResponseHead{200, {}, true}, "");
 					co_await _connection.write(std::move(bytes));
 					co_return true;
@@ -170,17 +200,10 @@
 				}
 				Record& record = this->records[this->headerOf(_call, "X-Archdyke-Request-Id")];
 				record.cameAt = nowMs();
-				if (this->refuses || "shed" == what)
+				if (this->refuses || "shed" == what || nowMs() < this->restUntil)
 				{
 					record.turnedAway += 1;
-					http::ResponseHead head = this->headFor(_call, 503);
-					head.headers.add("X-Archdyke-Not-Executed", "1");
-					const std::string rest = queryField(_call.head.target, "restS");
-					if (!rest.empty())
-					{
-						head.headers.add("Retry-After", rest);
-					}
-					bytes = http::serialize(head, "");
+					bytes = http::serialize(this->turnAway(_call, this->restTold(_call)), "");
 					co_await _connection.write(std::move(bytes));
 					co_return true;
 				}
@@ -291,6 +314,8 @@
 			std::string id;
 			std::map<std::string, Record> records;
 			bool refuses = false;
+			bool leaving = false;
+			Millis restUntil = 0;
 		};
 	} // namespace
 
