--- a/include/archdyke/back_off.h
+++ b/include/archdyke/back_off.h
@@ -4,6 +4,9 @@
 /// told by itself, so each keeps what it was told; nothing passes between gateways.
 #pragma once
 
+#include <optional>
+#include <string_view>
+
 #include "archdyke/types.h"
 
 namespace archdyke
@@ -17,6 +20,10 @@
 		bool operator==(const BackOff&) const = default;
 	};
 
+	/// @param[in] _seconds Value of a Retry-After header (RFC 9110, 10.2.3): "3", "1.5".
+	/// @returns The time in ms, a year at most; none when it is no time. A date, which HTTP allows there, isn't read.
+	std::optional<Millis> parseBackOff(std::string_view _seconds);
+
 	/// Takes in that an upstream asked for some time. A shorter one that is asked for later ends nothing.
 	/// @returns Whether none was under way.
 	bool noteBackOff(BackOff& _backOff, Millis _askedMs, Millis _now);
--- a/tests/test_back_off.cpp
+++ b/tests/test_back_off.cpp
@@ -50,3 +50,11 @@
 	cr_assert(2'000 <= first && last <= 2'500 && 300 < last - first, "%lld to %lld ms", (long long)first, (long long)last);
 	cr_assert(500 == comeBackAfter(RefusalCause::BackOff, 2'000, 1'500, random), "callers keep to no more than a third of what they have left");
 }
+
+Test(backoff, a_time_that_cant_be_read_is_none)
+{
+	cr_assert(3'000 == parseBackOff("3") && 250 == parseBackOff("0.25") && 0 == parseBackOff("0"));
+	cr_assert(!parseBackOff("soon") && !parseBackOff("-1") && !parseBackOff("nan") && !parseBackOff(""));
+	cr_assert(!parseBackOff("Thu, 03 Dec 2026 05:00:00 GMT"));
+	cr_assert(31'536'000'000 == parseBackOff("1e300") && 31'536'000'000 == parseBackOff("inf"));
+}
