--- a/tools/stub_service.cpp
+++ b/tools/stub_service.cpp
@@ -1,7 +1,8 @@
 /// Stand-in for a plain service: echoes its call and counts how often each request ran,
 /// by the field "token" of its body or else by its request id.
 ///
-/// Options: {"address"?, "delayMs"?}. Routes: any call; GET /record; POST /control {"delayMs"}.
+/// Options: {"address"?, "delayMs"?}. Routes: any call; GET /record; POST /control {"delayMs", "restS"}: for restS
+/// seconds calls get 503 and the time that is left in Retry-After, and count as turned away, not as runs.
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 #include <atomic>
@@ -31,6 +32,8 @@
 		using Json = nlohmann::json;
 		std::mutex mutex;
 		std::map<std::string, int> runs;
+		int turnedAway = 0;
+		std::atomic<Millis> restUntil{0};
 		std::atomic<Millis> delayMs{_options.value("delayMs", Millis(0))};
 		HttpServer server;
 		server.routes().Get("/health", [](const httplib::Request&, httplib::Response& _response) {
@@ -38,14 +41,24 @@
 		});
 		server.routes().Get("/record", [&](const httplib::Request&, httplib::Response& _response) {
 			const std::lock_guard lock(mutex);
-			_response.set_content(Json{{"runs", runs}}.dump(), "application/json");
+			_response.set_content(Json{{"runs", runs}, {"turnedAway", turnedAway}}.dump(), "application/json");
 		});
 		server.routes().Post("/control", [&](const httplib::Request& _request, httplib::Response&) {
-			delayMs = Json::parse(_request.body).value("delayMs", Millis(0));
+			const Json order = Json::parse(_request.body);
+			delayMs = order.value("delayMs", Millis(0));
+			restUntil = nowMs() + Millis(1'000.0 * order.value("restS", 0.0));
 		});
 		const auto echo = [&](const httplib::Request& _request, httplib::Response& _response) {
 			{
 				const std::lock_guard lock(mutex);
+				const Millis left = restUntil - nowMs();
+				if (0 < left)
+				{
+					turnedAway += 1;
+					_response.status = 503;
+					_response.set_header("Retry-After", std::to_string(double(left) / 1'000.0));
+					return;
+				}
 				runs[tokenOf(_request)] += 1;
 			}
 			if (0 < delayMs)
