An agent sends a service that asks to be sent nothing nothing for so long

What callers saw: in the office with entries and agents, 503s of one service's VM as the answers of half of their calls (100 of 200 in a second), though the same service in the other zone took work.

Cause, the same as of the incident: of a service's answer the agent kept status, type and body; the time in Retry-After was dropped. Change: the agent refuses new and queued runs as not run until the time is over and tells its entries that it has no slots, so that they go elsewhere; what was told is handed to the caller who comes back.

--- a/src/agent/agent_runs.cpp
+++ b/src/agent/agent_runs.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent_runs.h"
 
 #include "base/config.h"
+#include "base/log.h"
 #include "base/process.h"
 
 namespace archdyke
@@ -46,14 +47,25 @@
 		return _session.agent == this->ledger.incarnation && openSession(this->ledger, _session, nowMs());
 	}
 
+	std::optional<Millis> AgentRuns::closedForMs(Millis _now) const
+	{
+		if (!this->upstreamUp)
+		{
+			return kUpstreamDownRetryMs;
+		}
+		const Millis left = backOffLeftMs(this->backOff, _now);
+		return 0 < left ? std::optional(left) : std::nullopt;
+	}
+
 	VerdictEvent AgentRuns::offerLocked(const RunSpec& _run, const Session& _session, std::vector<Refused>& _evicted)
 	{
 		const Millis now = nowMs();
-		if (!this->upstreamUp)
+		const std::optional<Millis> closedMs = this->closedForMs(now);
+		if (closedMs)
 		{
 			// Raised all the same, so that a revoke on this session finds the floor.
 			openSession(this->ledger, _session, now);
-			return {false, RefusalReason::Overloaded, kUpstreamDownRetryMs};
+			return {false, RefusalReason::Overloaded, *closedMs};
 		}
 		const RefusalReason reason = offerRun(this->ledger, _run.key, _session, _run.repeatable, now);
 		if (RefusalReason::None != reason)
@@ -162,7 +174,7 @@
 		LoadReport report;
 		report.running = this->admission.running;
 		report.queued = std::uint32_t(this->admission.queued);
-		report.slots = this->upstreamUp ? this->admission.slots : 0;
+		report.slots = this->closedForMs(nowMs()) ? 0 : this->admission.slots;
 		report.leaving = this->ledger.leaving;
 		report.meanRunMs = std::uint32_t(this->admission.meanRunMs);
 		report.incarnation = this->ledger.incarnation;
@@ -207,6 +219,16 @@
 		{
 			return std::nullopt;
 		}
+		const Millis backOffMs = backOffLeftMs(this->backOff, now);
+		if (0 < backOffMs)
+		{
+			// The entry tries another agent: here its caller would get the upstream's refusal as an answer.
+			archdyke::endRun(this->admission, Millis(this->admission.meanRunMs));
+			dropRun(this->ledger, result.next->key, now);
+			this->runs.erase(result.next->key);
+			_expired.push_back({result.next->key, {false, RefusalReason::Overloaded, backOffMs}});
+			return std::nullopt;
+		}
 		if (!startRun(this->ledger, result.next->key))
 		{
 			archdyke::endRun(this->admission, Millis(this->admission.meanRunMs));
@@ -257,7 +279,12 @@
 		{
 			this->failed.Increment();
 		}
+		const Millis askedMs = _run.answer->backOffMs;
 		absl::MutexLock lock(&this->mutex);
+		if (0 < askedMs && noteBackOff(this->backOff, askedMs, now))
+		{
+			logInfo("upstream_asks_back_off", {{"asked_ms", askedMs}, {"queued", this->admission.queued}});
+		}
 		archdyke::endRun(this->admission, now - _startedAt);
 		if (_reached)
 		{
--- a/src/agent/agent_runs.h
+++ b/src/agent/agent_runs.h
@@ -10,6 +10,7 @@
 
 #include "agent/answer_buffer.h"
 #include "archdyke/admission.h"
+#include "archdyke/back_off.h"
 #include "archdyke/ledger.h"
 #include "base/metrics.h"
 #include "base/settings.h"
@@ -83,6 +84,8 @@
 		};
 
 		void work();
+		/// @returns When to come back while the upstream takes nothing; none while it does.
+		std::optional<Millis> closedForMs(Millis _now) const ABSL_SHARED_LOCKS_REQUIRED(mutex);
 		bool workLeft() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
 		VerdictEvent offerLocked(const RunSpec& _run, const Session& _session, std::vector<Refused>& _evicted) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		std::optional<ActiveRun> takeLocked(std::vector<Refused>& _expired) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -102,6 +105,7 @@
 		Admission admission ABSL_GUARDED_BY(mutex);
 		absl::flat_hash_map<RunKey, ActiveRun> runs ABSL_GUARDED_BY(mutex);
 		bool upstreamUp ABSL_GUARDED_BY(mutex) = true;
+		BackOff backOff ABSL_GUARDED_BY(mutex);
 		bool stopping ABSL_GUARDED_BY(mutex) = false;
 		std::vector<std::thread> threads;
 	};
--- a/src/agent/answer_buffer.h
+++ b/src/agent/answer_buffer.h
@@ -37,6 +37,9 @@
 		/// @returns The frame that starts at _offset: all bytes there are.
 		AnswerFrame frameAt(std::uint64_t _offset) const;
 
+		/// For how long the upstream asked to be sent nothing, ms; 0: it didn't.
+		std::atomic<Millis> backOffMs{0};
+
 		/// Set once nobody wants the answer any more.
 		std::atomic<bool> cancelled{false};
 
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include "archdyke/back_off.h"
 #include "base/config.h"
 #include "base/http_server.h"
 
@@ -31,12 +32,20 @@
 			return request;
 		}
 
+		/// @returns For how long an answer asks that its upstream be sent nothing, ms; 0 when it doesn't.
+		Millis backOffOf(const httplib::Response& _response)
+		{
+			constexpr int kUnavailable = 503;
+			return kUnavailable == _response.status ? parseBackOff(_response.get_header_value("Retry-After")).value_or(0) : 0;
+		}
+
 		void readAnswer(httplib::Request& _request, AnswerBuffer& _answer, const std::function<void(const RunKey&)>& _onBytes)
 		{
 			// What isn't a stream of events is handed on once, when it is whole.
 			const auto streams = std::make_shared<bool>(false);
 			_request.response_handler = [&_answer, streams](const httplib::Response& _response) {
 				*streams = _response.get_header_value("Content-Type").starts_with("text/event-stream");
+				_answer.backOffMs = backOffOf(_response);
 				_answer.begin(_response.status, _response.get_header_value("Content-Type"));
 				return !_answer.cancelled;
 			};
--- a/tests/test_back_off_agent.cpp
+++ b/tests/test_back_off_agent.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 /// A service turned calls away with 503 and asked for three seconds without them. Its agent went on sending it all that
-/// came, and handed each 503 on as the service's answer, though the same service in the other zone took work.
+/// came, and handed each 503 on as the service's answer, though the same service in the other zone took work: of a
+/// service's answer it kept status and body, and 100 of 200 calls were turned away in a second.
 Test(backoffagent, a_service_that_asks_to_be_sent_nothing_gets_no_more_than_what_is_under_way)
 {
 	lab::Office office(smallOffice());
