--- a/include/archdyke/back_off.h
+++ b/include/archdyke/back_off.h
@@ -1,7 +1,7 @@
-/// How long an upstream wants nothing from this gateway, by its own word.
+/// How long an upstream wants nothing from the process that calls it, a gateway or its agent, by its own word.
 ///
-/// Answers the load of an upstream that turns requests away and says for how long. Each gateway is
-/// told by itself, so each keeps what it was told; nothing passes between gateways.
+/// Answers the load of an upstream that turns requests away and says for how long. Each caller is told by
+/// itself, so each keeps what it was told; nothing passes between gateways.
 #pragma once
 
 #include <optional>
@@ -11,11 +11,10 @@
 
 namespace archdyke
 {
-	/// What an upstream asked of this gateway.
+	/// What an upstream asked of this process.
 	struct BackOff
 	{
-		Millis askedAt = 0; ///< Own clock, when it asked last.
-		Millis until = 0;   ///< Own clock; 0: it never asked.
+		Millis until = 0; ///< Own clock; 0: it never asked.
 
 		bool operator==(const BackOff&) const = default;
 	};
--- a/src/decide/back_off.cpp
+++ b/src/decide/back_off.cpp
@@ -30,7 +30,6 @@
 	bool noteBackOff(BackOff& _backOff, Millis _askedMs, Millis _now)
 	{
 		const bool begins = _backOff.until <= _now;
-		_backOff.askedAt = _now;
 		_backOff.until = std::max(_backOff.until, _now + std::clamp<Millis>(_askedMs, 0, kLongestMs));
 		return begins;
 	}
