What an upstream says of itself is called a self-report; the relay's streams in a file of their own

Names that needed explaining: own word, takeLeave, isBackingOff of an upstream that backs nobody off. whyNoneMayGet asks two plain questions instead of one that depends on the cause found so far. What a failed try tells is taken in apart from the loop that goes on to the next. relay.cpp (424 lines) in two, moved without change.

--- a/include/archdyke/back_off.h
+++ b/include/archdyke/back_off.h
@@ -1,4 +1,4 @@
-/// How long an upstream wants nothing from the process that calls it, a gateway or its agent, by its own word.
+/// How long an upstream wants nothing from the process that calls it, a gateway or its agent, as it said itself.
 ///
 /// Answers the load of an upstream that turns requests away and says for how long. Each caller is told by
 /// itself, so each keeps what it was told; nothing passes between gateways.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -107,7 +107,7 @@
 mutant gateway-floods-cold-upstreams "gateway_a_cold_upstream_gets_its_share_of_a_flood_and_the_rest_is_refused_at_once" src/gateway/board_limits.cpp \
 	'(!isLimitedCold(_upstream, _now) || maySendCold(_upstream.cold, *_upstream.coldSends, _now))' 'true'
 mutant gateway-ignores-back-off "gateway_an_upstream_that_asks_to_be_sent_nothing_gets_nothing_for_so_long" src/gateway/board_limits.cpp \
-	'takesWork(_upstream) && !isBackingOff(_upstream, _now);' 'takesWork(_upstream);'
+	'takesWork(_upstream) && !isBackedOff(_upstream, _now);' 'takesWork(_upstream);'
 mutant gateway-ignores-own-leave "gateway_an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_new" src/gateway/relay.cpp \
 	'if (_info.leaving && !_info.wrongIncarnation)' 'if (false)'
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -281,7 +281,7 @@
 		_group->members.push_back(_upstream);
 		_group->inFlight += _upstream->inFlight;
 		_group->coldUntil = std::max(_group->coldUntil, _upstream->cold.until);
-		_group->backOffUntil = std::max(_group->backOffUntil, _upstream->ownWord.backOff.until);
+		_group->backOffUntil = std::max(_group->backOffUntil, _upstream->selfReport.backOff.until);
 		this->count(*_group);
 	}
 
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -29,12 +29,12 @@
 	};
 
 	/// What an upstream said of itself in its answers to this gateway.
-	struct OwnWord
+	struct SelfReport
 	{
 		BackOff backOff;
 		bool leaving = false; ///< It is about to end.
 
-		bool operator==(const OwnWord&) const = default;
+		bool operator==(const SelfReport&) const = default;
 	};
 
 	struct UpstreamGroup;
@@ -51,7 +51,7 @@
 		std::optional<Millis> leavingSince; ///< Own clock; stays for this incarnation.
 		bool superseded = false;            ///< Another incarnation was listed at its address later.
 		bool evacuated = false;             ///< Its zone is to get nothing.
-		OwnWord ownWord;
+		SelfReport selfReport;
 		ColdState cold;
 		std::optional<std::uint32_t> coldSends; ///< Of this gateway in a window while it is cold; none: as many as to any.
 		GroupRef group;                         ///< Never null on a board.
@@ -122,7 +122,7 @@
 	bool isLimitedCold(const Upstream& _upstream, Millis _now);
 
 	/// @returns Whether an upstream asked this gateway to be sent nothing now.
-	bool isBackingOff(const Upstream& _upstream, Millis _now);
+	bool isBackedOff(const Upstream& _upstream, Millis _now);
 
 	/// @returns Whether an upstream takes work from this gateway now, as much as it bears.
 	bool wantsRequests(const Upstream& _upstream, Millis _now);
@@ -195,12 +195,12 @@
 
 		/// An upstream asked in an answer to be sent nothing for some time, or said that it leaves. Both outlast its
 		/// row and its entry here: rows go while the store is away and come back.
-		void backOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now);
-		void takeLeave(const UpstreamRef& _upstream, Millis _now);
+		void takeBackOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now);
+		void takeLeaving(const UpstreamRef& _upstream, Millis _now);
 
 		/// @returns Time until the first upstream of a service wants requests again; none when none asked for
 		/// time, or one that asked for none takes work.
-		std::optional<Millis> nextBackMs(const std::string& _service, Millis _now) const;
+		std::optional<Millis> backOffEndsInMs(const std::string& _service, Millis _now) const;
 
 		/// An upstream is cold from now on.
 		void beginCold(const UpstreamRef& _upstream, Millis _forMs, Millis _now);
@@ -294,18 +294,18 @@
 		void takeOut(const UpstreamRef& _upstream);
 		void count(UpstreamGroup& _group) const;
 		/// What was said by an upstream that isn't known now.
-		struct KeptWord
+		struct KeptReport
 		{
-			OwnWord word;
+			SelfReport report;
 			Millis startedAt = 0; ///< Of its run; 0: unknown.
 			Millis until = 0;
 		};
 		/// Keeps what an upstream that goes has said, in case its row comes back.
-		void keepWord(const Upstream& _upstream, Millis _now);
+		void keepSelfReport(const Upstream& _upstream, Millis _now);
 		/// @returns What the upstream of a record that is new here has said before.
-		OwnWord wordOf(const UpstreamRecord& _record, Millis _now) const;
-		/// Takes a new word of an upstream to what is known under its name by now.
-		void spreadWord(const UpstreamRef& _upstream, Millis _now);
+		SelfReport selfReportOf(const UpstreamRecord& _record, Millis _now) const;
+		/// Lets what an upstream said count for what is known under its name by now.
+		void applySelfReport(const UpstreamRef& _upstream, Millis _now);
 		/// What a service's cold upstreams bear.
 		struct ColdLimits
 		{
@@ -316,8 +316,8 @@
 
 		std::string zone;
 		std::string gateway;
-		absl::flat_hash_map<std::string, ColdLimits> coldLimits; ///< By service.
-		absl::flat_hash_map<std::string, KeptWord> wordsOfGone;  ///< By incarnation.
+		absl::flat_hash_map<std::string, ColdLimits> coldLimits;    ///< By service.
+		absl::flat_hash_map<std::string, KeptReport> reportsOfGone; ///< By incarnation.
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
 		absl::flat_hash_map<std::string, UpstreamRef> aside;     ///< By incarnation; in no group, at no address.
 		absl::flat_hash_map<std::string, UpstreamRef> byAddress; ///< The last one learnt there.
--- a/src/gateway/board_limits.cpp
+++ b/src/gateway/board_limits.cpp
@@ -7,16 +7,16 @@
 
 namespace archdyke::gateway
 {
-	bool isBackingOff(const Upstream& _upstream, Millis _now)
+	bool isBackedOff(const Upstream& _upstream, Millis _now)
 	{
-		return 0 < backOffLeftMs(_upstream.ownWord.backOff, _now);
+		return 0 < backOffLeftMs(_upstream.selfReport.backOff, _now);
 	}
 
 	bool wantsRequests(const Upstream& _upstream, Millis _now)
 	{
 		// An upstream that turns requests away says when it wants them again: what is sent before only costs its
 		// callers a try. In one time of 3 s a gateway sent four, and refused two of their callers, while others took work.
-		return takesWork(_upstream) && !isBackingOff(_upstream, _now);
+		return takesWork(_upstream) && !isBackedOff(_upstream, _now);
 	}
 
 	bool mayGet(const Upstream& _upstream, Millis _now)
@@ -37,7 +37,8 @@
 
 	std::optional<RefusalCause> whyNoneMayGet(const std::vector<GroupRef>& _groups, Millis _now)
 	{
-		std::optional<RefusalCause> cause;
+		bool anyBackedOff = false;
+		bool anyCold = false;
 		for (const GroupRef& group : _groups)
 		{
 			if (isDown(*group, _now))
@@ -50,92 +51,91 @@
 			}
 			for (const UpstreamRef& upstream : group->members)
 			{
-				if (!takesWork(*upstream))
-				{
-					continue;
-				}
-				// Cold ones take some each second, so their callers may come back the soonest.
-				const bool cold = !isBackingOff(*upstream, _now) || RefusalCause::ColdUpstreams == cause;
-				cause = cold ? RefusalCause::ColdUpstreams : RefusalCause::BackOff;
+				anyBackedOff = anyBackedOff || (takesWork(*upstream) && isBackedOff(*upstream, _now));
+				anyCold = anyCold || wantsRequests(*upstream, _now); // and may get none: it has its share
 			}
 		}
-		return cause;
+		if (anyCold)
+		{
+			return RefusalCause::ColdUpstreams; // they take some each second: callers may come back the soonest
+		}
+		return anyBackedOff ? std::optional(RefusalCause::BackOff) : std::nullopt;
 	}
 
-	void Board::backOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now)
+	void Board::takeBackOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now)
 	{
-		if (noteBackOff(_upstream->ownWord.backOff, _askedMs, _now))
+		if (noteBackOff(_upstream->selfReport.backOff, _askedMs, _now))
 		{
 			logInfo("upstream_asks_back_off", {{"upstream", _upstream->record.incarnation}, {"service", _upstream->record.service}, {"asked_ms", _askedMs}});
 		}
-		this->spreadWord(_upstream, _now);
+		this->applySelfReport(_upstream, _now);
 	}
 
-	void Board::takeLeave(const UpstreamRef& _upstream, Millis _now)
+	void Board::takeLeaving(const UpstreamRef& _upstream, Millis _now)
 	{
-		if (_upstream->ownWord.leaving)
+		if (_upstream->selfReport.leaving)
 		{
 			return;
 		}
 		logInfo("upstream_says_it_leaves", {{"upstream", _upstream->record.incarnation}, {"service", _upstream->record.service}, {"row_said_so", _upstream->leavingSince.has_value()}});
 		// Its row says so later, and some rows only go: until then it would get as many requests as any.
-		_upstream->ownWord.leaving = true;
-		this->spreadWord(_upstream, _now);
+		_upstream->selfReport.leaving = true;
+		this->applySelfReport(_upstream, _now);
 	}
 
-	void Board::spreadWord(const UpstreamRef& _upstream, Millis _now)
+	void Board::applySelfReport(const UpstreamRef& _upstream, Millis _now)
 	{
 		UpstreamRef upstream = this->known(_upstream->record.incarnation);
 		if (nullptr == upstream)
 		{
-			this->keepWord(*_upstream, _now);
+			this->keepSelfReport(*_upstream, _now);
 			upstream = _upstream;
 		}
 		else if (upstream != _upstream)
 		{
 			// Its row went and came back while the request was there.
-			noteBackOff(upstream->ownWord.backOff, backOffLeftMs(_upstream->ownWord.backOff, _now), _now);
+			noteBackOff(upstream->selfReport.backOff, backOffLeftMs(_upstream->selfReport.backOff, _now), _now);
 			const bool sameRun = upstream->record.startedAt <= _upstream->record.startedAt;
-			upstream->ownWord.leaving = upstream->ownWord.leaving || (sameRun && _upstream->ownWord.leaving);
+			upstream->selfReport.leaving = upstream->selfReport.leaving || (sameRun && _upstream->selfReport.leaving);
 		}
 		UpstreamGroup& group = *upstream->group;
-		group.backOffUntil = std::max(group.backOffUntil, upstream->ownWord.backOff.until);
-		if (upstream->ownWord.leaving && !upstream->leavingSince)
+		group.backOffUntil = std::max(group.backOffUntil, upstream->selfReport.backOff.until);
+		if (upstream->selfReport.leaving && !upstream->leavingSince)
 		{
 			upstream->leavingSince = _now;
 			this->count(group);
 		}
 	}
 
-	void Board::keepWord(const Upstream& _upstream, Millis _now)
+	void Board::keepSelfReport(const Upstream& _upstream, Millis _now)
 	{
 		/// How long it is kept that an upstream leaves, ms: those that leave go on serving for some ten seconds.
 		constexpr Millis kLeavingKeptMs = 120'000;
-		absl::erase_if(this->wordsOfGone, [_now](const auto& _entry) {
+		absl::erase_if(this->reportsOfGone, [_now](const auto& _entry) {
 			return _entry.second.until <= _now;
 		});
-		const OwnWord& word = _upstream.ownWord;
-		const Millis until = std::max(word.backOff.until, word.leaving ? _now + kLeavingKeptMs : 0);
+		const SelfReport& said = _upstream.selfReport;
+		const Millis until = std::max(said.backOff.until, said.leaving ? _now + kLeavingKeptMs : 0);
 		if (_now < until)
 		{
-			this->wordsOfGone[_upstream.record.incarnation] = {word, _upstream.record.startedAt, until};
+			this->reportsOfGone[_upstream.record.incarnation] = {said, _upstream.record.startedAt, until};
 		}
 	}
 
-	OwnWord Board::wordOf(const UpstreamRecord& _record, Millis _now) const
+	SelfReport Board::selfReportOf(const UpstreamRecord& _record, Millis _now) const
 	{
-		const auto kept = this->wordsOfGone.find(_record.incarnation);
-		if (this->wordsOfGone.end() == kept || kept->second.until <= _now)
+		const auto kept = this->reportsOfGone.find(_record.incarnation);
+		if (this->reportsOfGone.end() == kept || kept->second.until <= _now)
 		{
 			return {};
 		}
-		OwnWord word = kept->second.word;
+		SelfReport said = kept->second.report;
 		// A new run under the name doesn't leave. But the time that was asked for may be its own: it is told of late.
-		word.leaving = word.leaving && _record.startedAt <= kept->second.startedAt;
-		return word;
+		said.leaving = said.leaving && _record.startedAt <= kept->second.startedAt;
+		return said;
 	}
 
-	std::optional<Millis> Board::nextBackMs(const std::string& _service, Millis _now) const
+	std::optional<Millis> Board::backOffEndsInMs(const std::string& _service, Millis _now) const
 	{
 		std::optional<Millis> least;
 		for (const GroupRef& group : this->groupsOf(_service))
@@ -144,7 +144,7 @@
 			{
 				if (takesWork(*upstream))
 				{
-					const Millis left = backOffLeftMs(upstream->ownWord.backOff, _now);
+					const Millis left = backOffLeftMs(upstream->selfReport.backOff, _now);
 					least = std::min(least.value_or(left), left);
 				}
 			}
--- a/src/gateway/board_rows.cpp
+++ b/src/gateway/board_rows.cpp
@@ -54,7 +54,7 @@
 		{
 			upstream = std::make_shared<Upstream>();
 			upstream->record = _record;
-			upstream->ownWord = this->wordOf(_record, _now);
+			upstream->selfReport = this->selfReportOf(_record, _now);
 			this->put(upstream, this->groupNamed(_record.service, ""));
 		}
 		return upstream;
@@ -106,7 +106,7 @@
 		const bool isNew = nullptr == this->known(_record.incarnation);
 		const bool wasListed = this->byIncarnation.contains(_record.incarnation);
 		const UpstreamRef upstream = this->listed(_record, _now);
-		const bool leaves = (_record.leaving || upstream->ownWord.leaving) && !upstream->leavingSince;
+		const bool leaves = (_record.leaving || upstream->selfReport.leaving) && !upstream->leavingSince;
 		const bool changed = !wasListed || leaves || !saysTheSame(upstream->record, _record);
 		const bool tellsCold = changed || upstream->record.coldForMs != _record.coldForMs;
 		const bool started = isNew || upstream->record.startedAt < _record.startedAt;
@@ -135,7 +135,7 @@
 		}
 		logInfo("upstream_gone", {{"incarnation", _incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"in_flight", upstream->inFlight}});
 		upstream->leavingSince = upstream->leavingSince.value_or(_now);
-		this->keepWord(*upstream, _now);
+		this->keepSelfReport(*upstream, _now);
 		this->unlist(upstream);
 		this->aside.erase(_incarnation);
 	}
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -38,7 +38,7 @@
 		void noteWithheld(RequestContext& _context, const Upstream& _upstream)
 		{
 			_context.state.counters.withheldSends.Increment();
-			logInfo("send_withheld", {{"request", _context.caller.id}, {"upstream", _upstream.record.incarnation}, {"back_off_ms", backOffLeftMs(_upstream.ownWord.backOff, nowMs())}, {"leaving", _upstream.leavingSince.has_value()}});
+			logInfo("send_withheld", {{"request", _context.caller.id}, {"upstream", _upstream.record.incarnation}, {"back_off_ms", backOffLeftMs(_upstream.selfReport.backOff, nowMs())}, {"leaving", _upstream.leavingSince.has_value()}});
 			_context.tried.erase(_upstream.record.incarnation);
 			_context.group = nullptr;
 		}
@@ -109,6 +109,28 @@
 		{
 			logInfo("try_failed", {{"request", _context.caller.id}, {"send", _context.sends}, {"upstream", _upstream.record.incarnation}, {"group", _upstream.group->name.empty() ? "-" : _upstream.group->name}, {"address", _upstream.record.address}, {"not_run_proved", Proof::NotRun == _result.proof}, {"reason", _result.reason}, {"group_fault", _result.groupFault}, {"left_ms", _context.deadlineAt - nowMs()}, {"catalog", _context.catalog->catalog.version}});
 		}
+
+		/// Takes in what a try that failed tells of its upstream and of its group.
+		void noteFailure(RequestContext& _context, const Upstream& _upstream, const TryResult& _result)
+		{
+			logTry(_context, _upstream, _result);
+			addReason(_context, _result.reason);
+			if (RefusalReason::WrongIncarnation == _result.refusal)
+			{
+				// Another process has its address: this incarnation is gone, whatever the list says.
+				_context.state.board.forget(_upstream.record.incarnation, nowMs());
+			}
+			if (_result.groupFault)
+			{
+				noteGroupFault(*_upstream.group, nowMs());
+			}
+		}
+
+		/// @returns Why a request whose last try failed is refused.
+		RefusalCause whyGivenUp(const RequestContext& _context)
+		{
+			return whyNoneMayGet(_context.state.board.groupsOf(_context.service), nowMs()).value_or(RefusalCause::Overloaded);
+		}
 	} // namespace
 
 	RetryBounds retryBounds(const GatewayState& _state)
@@ -135,7 +157,6 @@
 
 	aio::Task<std::optional<Refusal>> dispatch(RequestContext& _context)
 	{
-		GatewayState& state = _context.state;
 		bool unknownBefore = false;
 		while (true)
 		{
@@ -162,18 +183,8 @@
 				_context.ending = Ending::Answered;
 				co_return std::nullopt;
 			}
-			logTry(_context, *upstream, result);
-			addReason(_context, result.reason);
+			noteFailure(_context, *upstream, result);
 			unknownBefore = unknownBefore || Proof::NotRun != result.proof;
-			if (RefusalReason::WrongIncarnation == result.refusal)
-			{
-				// Another process has its address: this incarnation is gone, whatever the list says.
-				state.board.forget(upstream->record.incarnation, nowMs());
-			}
-			if (result.groupFault)
-			{
-				noteGroupFault(*upstream->group, nowMs());
-			}
 			const RefusalCause cause = noteFailedGroup(_context, *upstream, result);
 			if (RefusalCause::GroupDown == cause)
 			{
@@ -189,8 +200,7 @@
 				co_await handOn(_context, *result.failure);
 				co_return std::nullopt;
 			}
-			const std::optional<RefusalCause> limited = whyNoneMayGet(state.board.groupsOf(_context.service), nowMs());
-			co_return refusalOf(_context, unknownBefore, limited.value_or(RefusalCause::Overloaded), result.reason);
+			co_return refusalOf(_context, unknownBefore, whyGivenUp(_context), result.reason);
 		}
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,4 +1,4 @@
-#include "gateway/relay.h"
+#include "gateway/relay_p.h"
 
 #include <fmt/format.h>
 
@@ -43,22 +43,6 @@
 			return 408 == _status || 421 == _status || 429 == _status || 503 == _status;
 		}
 
-		TryResult failed(Proof _proof, std::string _reason, RefusalReason _refusal = RefusalReason::None)
-		{
-			TryResult result;
-			result.proof = _proof;
-			result.refusal = _refusal;
-			result.reason = std::move(_reason);
-			return result;
-		}
-
-		TryResult answered()
-		{
-			TryResult result;
-			result.answered = true;
-			return result;
-		}
-
 		TryResult withheld()
 		{
 			TryResult result = failed(Proof::NotRun, "withheld");
@@ -76,122 +60,6 @@
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
 
-		/// Waits for the next part of an answer.
-		aio::Task<Part> nextPart(RequestContext& _context, http::HttpConnection& _upstream)
-		{
-			Part part = co_await _upstream.next();
-			if (PartKind::Head == part.kind || PartKind::Body == part.kind || PartKind::End == part.kind)
-			{
-				_context.heardAt = nowMs();
-				noteHeard(*_context.sentTo, _context.heardAt);
-			}
-			co_return part;
-		}
-
-		/// @returns The head that the caller gets; notes that it is on its way.
-		http::ResponseHead beginAnswer(RequestContext& _context, const http::ResponseHead& _answer)
-		{
-			http::ResponseHead head = _context.state.codec.encodeAnswer(_answer);
-			head.keepAlive = _context.keepAlive && !_context.state.leaving;
-			_context.keepAlive = head.keepAlive;
-			_context.headSent = true;
-			_context.status = head.status;
-			return head;
-		}
-
-		/// Sends bytes of a stream's body, and its head before the first ones.
-		aio::Task<void> sendOfStream(RequestContext& _context, const http::ResponseHead& _answer, std::string _bytes)
-		{
-			_context.writing = true;
-			if (!_context.headSent)
-			{
-				std::string head = http::serializeChunkedHead(beginAnswer(_context, _answer));
-				co_await _context.connection.write(std::move(head));
-			}
-			co_await _context.connection.write(std::move(_bytes));
-			_context.writing = false;
-			_context.heardAt = nowMs(); // nobody listened to the upstream meanwhile
-		}
-
-		void noteEvent(RequestContext& _context)
-		{
-			const Millis now = nowMs();
-			if (!_context.firstEventAt)
-			{
-				_context.firstEventAt = now;
-				_context.state.counters.firstSeconds.Observe(double(now - _context.received.arrivedAt) / 1'000.0);
-			}
-			else
-			{
-				_context.longestGapMs = std::max(_context.longestGapMs, now - _context.lastEventAt);
-			}
-			_context.lastEventAt = now;
-		}
-
-		/// What a piece of a stream brought.
-		struct TakenEvents
-		{
-			std::string bytes;    ///< For the caller: whole events, in order.
-			bool missing = false; ///< Events are missing after them.
-		};
-
-		/// Takes in a piece of a stream.
-		TakenEvents takeEvents(RequestContext& _context, std::string_view _piece)
-		{
-			TakenEvents taken;
-			for (const StreamEvent& event : splitEvents(_context.splitter, _piece))
-			{
-				const std::optional<std::uint64_t> last = _context.delivered ? _context.delivered : _context.caller.resumeAfter;
-				const EventVerdict verdict = judgeEvent(event, last);
-				if (EventVerdict::Break == verdict)
-				{
-					taken.missing = true;
-					return taken;
-				}
-				if (EventVerdict::Deliver == verdict)
-				{
-					taken.bytes += event.bytes;
-					_context.delivered = event.id ? event.id : _context.delivered;
-					noteEvent(_context);
-				}
-			}
-			return taken;
-		}
-
-		/// Relays the events of a stream. Only whole events go out, each once and in order.
-		aio::Task<TryResult> relayStream(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _answer)
-		{
-			_context.splitter = {};
-			while (true)
-			{
-				Part part = co_await nextPart(_context, _upstream);
-				if (PartKind::End == part.kind)
-				{
-					if (!_context.splitter.rest.empty())
-					{
-						co_return failed(Proof::Ran, "stream_ended_within_an_event");
-					}
-					std::string last(http::kLastChunk);
-					co_await sendOfStream(_context, _answer, std::move(last));
-					co_return answered();
-				}
-				if (PartKind::Body != part.kind)
-				{
-					co_return failed(Proof::Ran, "stream_broke_off");
-				}
-				const TakenEvents taken = takeEvents(_context, part.body);
-				if (!taken.bytes.empty())
-				{
-					std::string chunk = http::serializeChunk(taken.bytes);
-					co_await sendOfStream(_context, _answer, std::move(chunk));
-				}
-				if (taken.missing)
-				{
-					co_return failed(Proof::Ran, "stream_events_missing");
-				}
-			}
-		}
-
 		/// @returns The rest of an answer; none when it isn't whole.
 		aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream)
 		{
@@ -231,16 +99,16 @@
 		}
 
 		/// Takes in what the head of an answer says of the upstream itself, whoever the answer is for.
-		void noteOwnWord(RequestContext& _context, const AnswerInfo& _info)
+		void noteSelfReport(RequestContext& _context, const AnswerInfo& _info)
 		{
 			if (_info.leaving && !_info.wrongIncarnation)
 			{
-				_context.state.board.takeLeave(_context.sentTo, nowMs());
+				_context.state.board.takeLeaving(_context.sentTo, nowMs());
 			}
 			if (_info.backOffMs)
 			{
 				_context.state.counters.backOffAsks.Increment();
-				_context.state.board.backOff(_context.sentTo, *_info.backOffMs, nowMs());
+				_context.state.board.takeBackOff(_context.sentTo, *_info.backOffMs, nowMs());
 			}
 		}
 
@@ -255,7 +123,7 @@
 					co_return std::nullopt;
 				}
 				const AnswerInfo info = _context.state.codec.decodeAnswer(part.response);
-				noteOwnWord(_context, info);
+				noteSelfReport(_context, info);
 				if (info.requestId == _context.caller.id)
 				{
 					co_return part.response;
@@ -373,6 +241,43 @@
 		}
 	} // namespace
 
+	TryResult failed(Proof _proof, std::string _reason, RefusalReason _refusal)
+	{
+		TryResult result;
+		result.proof = _proof;
+		result.refusal = _refusal;
+		result.reason = std::move(_reason);
+		return result;
+	}
+
+	TryResult answered()
+	{
+		TryResult result;
+		result.answered = true;
+		return result;
+	}
+
+	aio::Task<http::Part> nextPart(RequestContext& _context, http::HttpConnection& _upstream)
+	{
+		http::Part part = co_await _upstream.next();
+		if (http::PartKind::Head == part.kind || http::PartKind::Body == part.kind || http::PartKind::End == part.kind)
+		{
+			_context.heardAt = nowMs();
+			noteHeard(*_context.sentTo, _context.heardAt);
+		}
+		co_return part;
+	}
+
+	http::ResponseHead beginAnswer(RequestContext& _context, const http::ResponseHead& _answer)
+	{
+		http::ResponseHead head = _context.state.codec.encodeAnswer(_answer);
+		head.keepAlive = _context.keepAlive && !_context.state.leaving;
+		_context.keepAlive = head.keepAlive;
+		_context.headSent = true;
+		_context.status = head.status;
+		return head;
+	}
+
 	aio::Task<void> handOn(RequestContext& _context, const http::WholeAnswer& _answer)
 	{
 		const http::ResponseHead head = beginAnswer(_context, _answer.head);
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -196,7 +196,7 @@
 		}
 		if (RefusalCause::BackOff == _cause)
 		{
-			opening = _context.state.board.nextBackMs(_context.service, now);
+			opening = _context.state.board.backOffEndsInMs(_context.service, now);
 			_context.state.counters.backOffRefusals.Increment();
 		}
 		if (RefusalCause::ColdUpstreams == _cause)
--- a/tests/test_back_off.cpp
+++ b/tests/test_back_off.cpp
@@ -1,4 +1,4 @@
-/// How long an upstream wants nothing, by its own word.
+/// How long an upstream wants nothing, as it said itself.
 #include "archdyke/back_off.h"
 #include "archdyke/come_back.h"
 
--- a/tests/test_board_limits.cpp
+++ b/tests/test_board_limits.cpp
@@ -28,10 +28,10 @@
 	Board board("here");
 	board.learn(recordOf("a", "1"), 0);
 	board.learn(recordOf("b", "2"), 0);
-	board.backOff(upstreamNamed(board, "a"), 3'000, 100);
+	board.takeBackOff(upstreamNamed(board, "a"), 3'000, 100);
 	cr_assert(100 == choices(board, 101)["b"]);
 	cr_assert(1 == membersThatMayGet(*upstreamNamed(board, "a")->group, 101) && !whyNoneMayGet(board.groupsOf(kService), 101));
-	cr_assert(!board.nextBackMs(kService, 101), "another takes work");
+	cr_assert(!board.backOffEndsInMs(kService, 101), "another takes work");
 	cr_assert(0 < choices(board, 3'100)["a"] && 2 == membersThatMayGet(*upstreamNamed(board, "a")->group, 3'100));
 }
 
@@ -41,7 +41,7 @@
 	Board board("here");
 	board.learn(recordOf("a", "1"), 0);
 	board.learn(recordOf("b", "2"), 0);
-	board.backOff(upstreamNamed(board, "a"), 3'000, 100);
+	board.takeBackOff(upstreamNamed(board, "a"), 3'000, 100);
 	Random random(3);
 	cr_assert(nullptr == board.choose(*upstreamNamed(board, "a")->group, {"b"}, random, 101));
 	for (int failure = 0; failure < 5; ++failure)
@@ -56,10 +56,10 @@
 	Board board("here");
 	board.learn(recordOf("a", "1"), 0);
 	board.learn(recordOf("b", "2"), 0);
-	board.backOff(upstreamNamed(board, "a"), 3'000, 0);
-	board.backOff(upstreamNamed(board, "b"), 2'000, 500);
+	board.takeBackOff(upstreamNamed(board, "a"), 3'000, 0);
+	board.takeBackOff(upstreamNamed(board, "b"), 2'000, 500);
 	cr_assert(RefusalCause::BackOff == whyNoneMayGet(board.groupsOf(kService), 1'000));
-	cr_assert(1'500 == board.nextBackMs(kService, 1'000) && 100 == choices(board, 1'000)[""]);
+	cr_assert(1'500 == board.backOffEndsInMs(kService, 1'000) && 100 == choices(board, 1'000)[""]);
 	cr_assert(!whyNoneMayGet(board.groupsOf(kService), 2'500));
 }
 
@@ -69,9 +69,9 @@
 	board.limitCold(kService, ColdTerms{20.0, 30.0, 2'048}); // nobody has a send
 	board.learn(recordOf("a", "1"), 0);
 	board.learn(recordOf("b", "2"), 0, 5'000);
-	board.backOff(upstreamNamed(board, "a"), 3'000, 0);
+	board.takeBackOff(upstreamNamed(board, "a"), 3'000, 0);
 	cr_assert(RefusalCause::ColdUpstreams == whyNoneMayGet(board.groupsOf(kService), 100));
-	board.backOff(upstreamNamed(board, "b"), 3'000, 0);
+	board.takeBackOff(upstreamNamed(board, "b"), 3'000, 0);
 	cr_assert(RefusalCause::BackOff == whyNoneMayGet(board.groupsOf(kService), 100));
 }
 
@@ -80,10 +80,10 @@
 {
 	Board board("here");
 	board.learn(recordOf("a", "1"), 0);
-	board.backOff(upstreamNamed(board, "a"), 3'000, 100);
+	board.takeBackOff(upstreamNamed(board, "a"), 3'000, 100);
 	board.forget("a", 200);
 	board.learn(recordOf("a", "1"), 300);
-	cr_assert(2'700 == backOffLeftMs(upstreamNamed(board, "a")->ownWord.backOff, 400));
+	cr_assert(2'700 == backOffLeftMs(upstreamNamed(board, "a")->selfReport.backOff, 400));
 	cr_assert(0 == membersThatMayGet(*upstreamNamed(board, "a")->group, 400));
 	board.report(reportOf("g", {"1"}, 0), 500);
 	cr_assert(0 == membersThatMayGet(*upstreamNamed(board, "a")->group, 500));
@@ -99,14 +99,14 @@
 	board.learn(recordOf("a", "1"), 0);
 	const UpstreamRef sentTo = upstreamNamed(board, "a");
 	board.forget("a", 100);
-	board.backOff(sentTo, 3'000, 200);
+	board.takeBackOff(sentTo, 3'000, 200);
 	board.learn(recordOf("a", "1"), 300);
-	cr_assert(isBackingOff(*upstreamNamed(board, "a"), 400));
-	board.backOff(sentTo, 5'000, 500);
-	cr_assert(5'000 == backOffLeftMs(upstreamNamed(board, "a")->ownWord.backOff, 500));
+	cr_assert(isBackedOff(*upstreamNamed(board, "a"), 400));
+	board.takeBackOff(sentTo, 5'000, 500);
+	cr_assert(5'000 == backOffLeftMs(upstreamNamed(board, "a")->selfReport.backOff, 500));
 	board.forget("a", 6'000);
 	board.learn(recordOf("a", "1"), 6'100);
-	cr_assert(!isBackingOff(*upstreamNamed(board, "a"), 6'200));
+	cr_assert(!isBackedOff(*upstreamNamed(board, "a"), 6'200));
 }
 
 /// A process that began anew under its name may have asked before its row told of it.
@@ -114,9 +114,9 @@
 {
 	Board board("here");
 	board.learn(recordOf("a", "1", "here", 1'000), 0);
-	board.backOff(upstreamNamed(board, "a"), 3'000, 100);
+	board.takeBackOff(upstreamNamed(board, "a"), 3'000, 100);
 	board.learn(recordOf("a", "1", "here", 2'000), 200);
-	cr_assert(isBackingOff(*upstreamNamed(board, "a"), 300) && !isBackingOff(*upstreamNamed(board, "a"), 3'100));
+	cr_assert(isBackedOff(*upstreamNamed(board, "a"), 300) && !isBackedOff(*upstreamNamed(board, "a"), 3'100));
 }
 
 /// Load pattern: most ranks of a group are full and ask for nothing, few are left. Room is measured by those that are left, or
@@ -134,8 +134,8 @@
 	board.report(report, 1);
 	const UpstreamGroup& group = *upstreamNamed(board, "a")->group;
 	cr_assert(5.0 == meanLoad(group, 10));
-	board.backOff(upstreamNamed(board, "a"), 800, 10);
-	board.backOff(upstreamNamed(board, "c"), 800, 10);
+	board.takeBackOff(upstreamNamed(board, "a"), 800, 10);
+	board.takeBackOff(upstreamNamed(board, "c"), 800, 10);
 	cr_assert(6.0 == meanLoad(group, 20));
 	cr_assert(5.0 == meanLoad(group, 810));
 }
@@ -145,7 +145,7 @@
 	Board board("here");
 	board.learn(recordOf("a", "1"), 0);
 	board.learn(recordOf("b", "2"), 0);
-	board.takeLeave(upstreamNamed(board, "a"), 100);
+	board.takeLeaving(upstreamNamed(board, "a"), 100);
 	cr_assert(100 == choices(board, 101)["b"] && 1 == upstreamNamed(board, "a")->group->working);
 	board.learn(recordOf("a", "1"), 200);
 	cr_assert(100 == choices(board, 201)["b"]);
@@ -162,10 +162,10 @@
 	Board board("here");
 	board.learn(recordOf("a", "1", "here", 1'000), 0);
 	const UpstreamRef before = upstreamNamed(board, "a");
-	board.takeLeave(before, 100);
+	board.takeLeaving(before, 100);
 	board.learn(recordOf("a", "1", "here", 2'000), 200);
 	cr_assert(1 == upstreamNamed(board, "a")->group->working);
-	board.takeLeave(before, 300); // said once more by the run before
+	board.takeLeaving(before, 300); // said once more by the run before
 	cr_assert(1 == upstreamNamed(board, "a")->group->working);
 }
 
@@ -176,6 +176,6 @@
 	const UpstreamRef sentTo = upstreamNamed(board, "a");
 	board.forget("a", 100);
 	board.learn(recordOf("a", "1"), 200);
-	board.takeLeave(sentTo, 300);
+	board.takeLeaving(sentTo, 300);
 	cr_assert(0 == upstreamNamed(board, "a")->group->working);
 }
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -135,13 +135,13 @@
 	record.runs.front().saidLeaving = true; // told at kSentAt + 50
 	record.calls.push_back({"r2", SoakKind::Safe, "key", "gateway-0", kSentAt + 2'050, kSentAt + 2'100, 200, true});
 	record.runs.push_back({"r2", "w0", kSentAt + 2'060});
-	cr_assert(0 == violationsOf(record, "work_after_own_word"));
+	cr_assert(0 == violationsOf(record, "work_after_self_report"));
 	record.calls.back().sentAt = kSentAt + 2'051;
-	cr_assert(1 == violationsOf(record, "work_after_own_word"));
+	cr_assert(1 == violationsOf(record, "work_after_self_report"));
 	record.spans = {{"store", FaultKind::StoreSilent, kSentAt, kSentAt + 3'000}};
-	cr_assert(1 == violationsOf(record, "work_after_own_word"), "nobody needs the store for that");
+	cr_assert(1 == violationsOf(record, "work_after_self_report"), "nobody needs the store for that");
 	record.spans = {{"gateway-0", FaultKind::FreezeGateway, kSentAt + 100, kSentAt + 200}};
-	cr_assert(0 == violationsOf(record, "work_after_own_word"));
+	cr_assert(0 == violationsOf(record, "work_after_self_report"));
 }
 
 Test(soak, a_short_seed_keeps_all_promises)
--- a/tests/test_tries.cpp
+++ b/tests/test_tries.cpp
@@ -122,7 +122,7 @@
 {
 	TryRig rig;
 	kj::Promise<TryResult> result = tryUpstream(rig.context, rig.named("first")).take();
-	rig.state.board.backOff(rig.named("first"), 3'000, nowMs());
+	rig.state.board.takeBackOff(rig.named("first"), 3'000, nowMs());
 	const TryResult ended = result.wait(rig.io.waitScope);
 	cr_assert(ended.withheld && !ended.answered && Proof::NotRun == ended.proof);
 	cr_assert(0 == rig.context.sends && !rig.context.maybeRunning && 0 == rig.first.arrivals);
@@ -135,7 +135,7 @@
 	kj::Promise<std::optional<Refusal>> refusal = dispatch(rig.context).take();
 	const std::string chosen = rig.context.upstream;
 	const std::string other = "first" == chosen ? "second" : "first";
-	rig.state.board.backOff(rig.named(chosen), 3'000, nowMs());
+	rig.state.board.takeBackOff(rig.named(chosen), 3'000, nowMs());
 	cr_assert(!refusal.wait(rig.io.waitScope));
 	cr_assert(Ending::Answered == rig.context.ending && 200 == rig.context.status);
 	cr_assert(0 == rig.upstream(chosen).arrivals && 1 == rig.upstream(other).arrivals);
@@ -146,8 +146,8 @@
 {
 	TryRig rig;
 	kj::Promise<std::optional<Refusal>> result = dispatch(rig.context).take();
-	rig.state.board.backOff(rig.named("first"), 3'000, nowMs());
-	rig.state.board.backOff(rig.named("second"), 3'000, nowMs());
+	rig.state.board.takeBackOff(rig.named("first"), 3'000, nowMs());
+	rig.state.board.takeBackOff(rig.named("second"), 3'000, nowMs());
 	const std::optional<Refusal> refusal = result.wait(rig.io.waitScope);
 	cr_assert(refusal && 503 == refusal->status && "back_off" == refusal->reason && refusal->comeBackMs);
 	cr_assert(0 == rig.first.arrivals + rig.second.arrivals && 0 == rig.context.sends);
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -110,7 +110,7 @@
 	/// @returns The faults of a seed, in the order of their starts.
 	std::vector<PlannedFault> planFaults(const ChaosOptions& _options);
 
-	/// @returns Series of signals, restarts, changes and words of upstreams. They overlap each other and the
+	/// @returns Series of signals, restarts, changes and self-reports of upstreams. They overlap each other and the
 	/// faults of the seed, whose schedule stays as it is without them.
 	std::vector<PlannedFault> planSeries(const ChaosOptions& _options);
 
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -155,7 +155,7 @@
 			}
 		}
 
-		/// A gateway that has handed on an upstream's word that it leaves sends it nothing that is sent later.
+		/// A gateway that has handed on an upstream's answer that it leaves sends it nothing that is sent later.
 		void judgeLeaves(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, const Arrivals& _arrivals, SoakViolations& _violations)
 		{
 			std::map<std::pair<std::string, std::string>, Millis> toldAt;
@@ -175,7 +175,7 @@
 				{
 					if (told + _bounds.drainMs < arrival.sentAt && !isDisturbed(_record, way.second, "", told, arrival.at))
 					{
-						_violations.add("work_after_own_word", fmt::format("request {} sent at {} by {} came at {} to {}, which had told it at {} that it leaves", arrival.request, arrival.sentAt, way.second, arrival.at, way.first, told));
+						_violations.add("work_after_self_report", fmt::format("request {} sent at {} by {} came at {} to {}, which had told it at {} that it leaves", arrival.request, arrival.sentAt, way.second, arrival.at, way.first, told));
 					}
 				}
 			}
