The test of a silent upstream waits for what its gateway has not heard, not for a time

It slept 400 to 1,200 ms and hoped that the gateway had been without news of the upstream for as long. It waits now, with a bound, until the gateway says so (quietMs in its dump).

--- a/tests/test_gateway_streams.cpp
+++ b/tests/test_gateway_streams.cpp
@@ -64,6 +64,20 @@
 	cr_assert_str_eq(answer.body.c_str(), "id: 10\ndata: piece 10\n\nid: 11\ndata: piece 11\n\nid: 12\ndata: piece 12\n\n");
 }
 
+namespace
+{
+	/// Waits until a gateway has not heard an upstream with requests for some time.
+	bool waitQuiet(const GatewayRig& _rig, const std::string& _upstream, Millis _quietMs)
+	{
+		return lab::waitUntil(kRigWaitMs, [&] {
+			const Json dump = _rig.dump();
+			return dump.is_object() && std::any_of(dump["upstreams"].begin(), dump["upstreams"].end(), [&](const Json& _entry) {
+				       return _upstream == _entry["incarnation"] && _quietMs <= _entry["quietMs"].get<Millis>();
+			       });
+		});
+	}
+} // namespace
+
 /// A stream whose upstream paused was taken away from it and cut, as no resend was left to go on with.
 Test(gateway, a_stream_stays_at_a_silent_upstream_while_no_resend_is_left)
 {
@@ -85,16 +99,16 @@
 	}));
 	paused->process->signal(SIGSTOP);
 	std::vector<std::thread> others;
-	// Paces the load: answers of others count from 300 ms after the upstream fell silent on (kOthersAnswerMs).
+	// Others answer while it is quiet: from 300 ms on that counts against it (kOthersAnswerMs).
 	for (const Millis at : {400, 600, 800})
 	{
+		cr_assert(waitQuiet(rig, paused->id, at));
 		others.emplace_back([&rig, at] {
-			std::this_thread::sleep_for(std::chrono::milliseconds(at));
 			rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("other-{}", at)));
 		});
 	}
-	// The pause itself: longer than the 900 ms after which a request would leave, with a resend (kLeaveShare).
-	std::this_thread::sleep_for(std::chrono::milliseconds(1'200));
+	// Longer than the 900 ms after which a request would leave, with a resend (kLeaveShare).
+	cr_assert(waitQuiet(rig, paused->id, 1'200));
 	paused->process->signal(SIGCONT);
 	caller.join();
 	for (std::thread& other : others)
