--- a/tools/chaos.cpp
+++ b/tools/chaos.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "archdyke/random.h"
+#include "chaos_versions.h"
 #include "lab.h"
 
 namespace archdyke::lab
@@ -14,7 +15,6 @@
 	{
 		using Json = nlohmann::json;
 
-		constexpr Millis kInForceMs = 4'000;
 		constexpr Millis kLeaveMs = 3'000;
 		constexpr Millis kTickMs = 50;
 		constexpr Millis kSampleMs = 250;
@@ -32,12 +32,6 @@
 			std::vector<std::unique_ptr<ChildProcess>> commands;
 		};
 
-		struct Acceptance
-		{
-			std::uint64_t version = 0;
-			Millis atMs = 0;
-		};
-
 		struct Leaving
 		{
 			std::string upstream;
@@ -127,7 +121,7 @@
 					if (kSampleMs <= this->since() - sampledAt)
 					{
 						sampledAt = this->since();
-						this->sampleConfig();
+						this->versions.look();
 					}
 					pauseMs(kTickMs);
 				}
@@ -313,7 +307,7 @@
 					const Json json = Json::parse(command->output(), nullptr, false);
 					accepted += 1;
 					versions.insert(json.value("version", std::uint64_t(0)));
-					this->acceptances.push_back({json.value("version", std::uint64_t(0)), nowMs()});
+					this->versions.accepted(json.value("version", std::uint64_t(0)), nowMs());
 				}
 				if (versions.size() != std::size_t(accepted))
 				{
@@ -323,43 +317,6 @@
 				this->result.applies += accepted;
 			}
 
-			/// Every entry that serves has what was accepted 4 s ago, and never goes back.
-			void sampleConfig()
-			{
-				for (const std::unique_ptr<Daemon>& entry : this->office.entries())
-				{
-					const Millis askedAt = nowMs();
-					const Json dump = this->office.dump(*entry);
-					if (!dump.is_object())
-					{
-						continue;
-					}
-					const std::string incarnation = dump["incarnation"];
-					const std::uint64_t version = dump["config"]["version"];
-					if (version < this->seen[incarnation])
-					{
-						this->result.configReverts += 1;
-						this->result.notes.push_back(entry->name + " went back to version " + std::to_string(version));
-					}
-					this->seen[incarnation] = version;
-					this->checkAge(*entry, dump, version, askedAt);
-				}
-			}
-
-			void checkAge(const Daemon& _entry, const Json& _dump, std::uint64_t _version, Millis _askedAt)
-			{
-				const bool late = std::any_of(this->acceptances.begin(), this->acceptances.end(), [&](const Acceptance& _acceptance) {
-					return _version < _acceptance.version && kInForceMs < _askedAt - _acceptance.atMs;
-				});
-				if (!late || !_dump["ready"].get<bool>())
-				{
-					return;
-				}
-				const bool inDoubt = 0 < _dump["config"]["inDoubtMs"].get<Millis>();
-				(inDoubt ? this->result.configInDoubt : this->result.configLate) += 1;
-				this->result.notes.push_back(_entry.name + " serves version " + std::to_string(_version) + (inDoubt ? ", in doubt" : ""));
-			}
-
 			void heal()
 			{
 				this->office.platformFaults({{"outage", false}, {"delayMs", 0}, {"loseAnswers", 0}});
@@ -414,9 +371,8 @@
 			Random random;
 			Millis begunAt = 0;
 			ChaosResult result;
-			std::vector<Acceptance> acceptances;
+			VersionWatch versions{office, result};
 			std::vector<Leaving> leaving;
-			std::map<std::string, std::uint64_t> seen; ///< Version by incarnation.
 		};
 	} // namespace
 
