Soak: a hang-up of a gateway excuses nothing

It reads its bounds again and goes on with what it was told, so it is neither a restart nor trouble of its ways.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -122,6 +122,8 @@
 	cr_assert(0 == violationsOf(record, "work_in_back_off"), "another process, which was told nothing");
 	record.spans = {{"gateway-1", FaultKind::KillGateway, kSentAt + 100, kSentAt + 200}};
 	cr_assert(1 == violationsOf(record, "work_in_back_off"));
+	record.spans = {{"gateway-0", FaultKind::HangUpGateway, kSentAt + 100, kSentAt + 200}};
+	cr_assert(1 == violationsOf(record, "work_in_back_off"), "it goes on with what it was told");
 	record.runs.back().at = kSentAt + 400;
 	cr_assert(0 == violationsOf(record, "work_in_back_off"), "it was under way");
 	record.runs.back().at = kSentAt + 620;
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -20,7 +20,7 @@
 		{
 			for (const SoakSpan& span : _record.spans)
 			{
-				const bool its = span.part == _gateway || "store" == span.part || "links" == span.part;
+				const bool its = (span.part == _gateway && FaultKind::HangUpGateway != span.kind) || "store" == span.part || "links" == span.part;
 				if (its && overlaps(span, _from, _until))
 				{
 					return false;
@@ -93,7 +93,8 @@
 		bool isDisturbed(const SoakRecord& _record, const std::string& _gateway, const std::string& _upstream, Millis _from, Millis _until)
 		{
 			return std::any_of(_record.spans.begin(), _record.spans.end(), [&](const SoakSpan& _span) {
-				const bool its = _span.part == _gateway && FaultKind::CutStoreOneWay != _span.kind;
+				const bool harmless = FaultKind::CutStoreOneWay == _span.kind || FaultKind::HangUpGateway == _span.kind;
+				const bool its = _span.part == _gateway && !harmless;
 				const bool upstreams = _span.part == _upstream && FaultKind::FreezeWorker == _span.kind;
 				const bool resets = FaultKind::ResetWorkerLinks == _span.kind;
 				return (its || upstreams || resets) && overlaps(_span, _from, _until);
