--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -5,6 +5,20 @@
 
 using namespace archdyke;
 
+namespace
+{
+	/// A switch to version 5 at pass 10.
+	SwitchIntent switchingIntent()
+	{
+		SwitchIntent intent;
+		intent.phase = SwitchPhase::Switching;
+		intent.epoch = 1;
+		intent.version = 5;
+		intent.boundary = 10;
+		return intent;
+	}
+} // namespace
+
 Test(forward, a_row_is_read_as_it_was_written)
 {
 	SwitchIntent intent;
@@ -41,11 +55,7 @@
 
 Test(forward, a_hold_that_comes_late_moves_the_boundary)
 {
-	SwitchIntent intent;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
+	SwitchIntent intent = switchingIntent();
 	const RankView past{true, 1, true, 10, 0, 5, {}, {}};
 	const SwitchStep step = decideSwitch(intent, {past, past}, {3, false});
 	cr_assert(step.next && step.store && 13 == step.next->boundary && SwitchPhase::Switching == step.next->phase);
@@ -77,11 +87,7 @@
 /// row that says nothing of them.
 Test(forward, a_switch_that_was_given_up_gives_no_arms)
 {
-	SwitchIntent intent;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
+	SwitchIntent intent = switchingIntent();
 	const RankView holding{true, 1, true, 9, 0, 5, {}, 10};
 	const SwitchPatience out{3, true, false, {}};
 	const SwitchStep gives = decideSwitch(intent, {holding, RankView()}, withHistory(out, intent, {}));
@@ -97,11 +103,7 @@
 /// armed too. Before that the hold can be given up.
 Test(forward, a_hold_with_a_rank_out_of_reach_is_given_up_before_any_rank_is_armed)
 {
-	SwitchIntent intent;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
+	SwitchIntent intent = switchingIntent();
 	const std::vector<RankView> ranks{{true, 1, true, 9, 0, 5, {}, 10}, RankView()};
 	const SwitchStep waits = decideSwitch(intent, ranks, withHistory({3, false, false, {}}, intent, {}));
 	cr_assert(!waits.next && waits.orders.empty());
@@ -114,12 +116,8 @@
 /// it is back; the others void the switch instead, as no arm of the last rank can have come first.
 Test(forward, a_switch_whose_last_rank_is_out_of_reach_is_voided)
 {
-	SwitchIntent intent;
+	SwitchIntent intent = switchingIntent();
 	intent.term = 2;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
 	intent.last = 2;
 	const std::uint64_t voids = voidingVersion(intent);
 	RankView holding{true, 1, true, 9, 0, 5, {}, 10};
@@ -147,12 +145,8 @@
 /// group stand until that rank is back.
 Test(forward, a_coordinator_that_takes_over_gives_no_first_arm_while_a_rank_is_out_of_reach)
 {
-	SwitchIntent intent;
+	SwitchIntent intent = switchingIntent();
 	intent.term = 2;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
 	intent.last = 2;
 	const RankView holding{true, 1, true, 9, 0, 5, {}, 10};
 	RankView copied{true, 1, true, 9, 0, 5, {}, {}};
@@ -167,11 +161,7 @@
 
 Test(forward, a_switch_with_an_armed_rank_is_not_voided_behind_it)
 {
-	SwitchIntent intent;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
+	SwitchIntent intent = switchingIntent();
 	intent.last = 1;
 	const RankView armed{true, 1, true, 9, 0, 5, 5, 10};
 	const SwitchPatience out = withHistory({3, true, false, {}}, intent, historyOf(intent));
@@ -180,11 +170,7 @@
 
 Test(forward, the_last_rank_is_armed_once_all_others_are_seen_to_be)
 {
-	SwitchIntent intent;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
+	SwitchIntent intent = switchingIntent();
 	intent.last = 0;
 	const RankView holding{true, 1, true, 9, 0, 5, {}, 10};
 	RankView armed{true, 1, true, 9, 0, 5, 5, {}};
@@ -197,11 +183,7 @@
 
 Test(forward, a_rank_that_is_unseen_stops_the_release)
 {
-	SwitchIntent intent;
-	intent.phase = SwitchPhase::Switching;
-	intent.epoch = 1;
-	intent.version = 5;
-	intent.boundary = 10;
+	SwitchIntent intent = switchingIntent();
 	const RankView holding{true, 1, true, 9, 0, 5, 5, 10};
 	const SwitchStep step = decideSwitch(intent, {holding, RankView()}, {3, false});
 	cr_assert(!step.next && step.orders.empty());
