--- a/src/gateway/board_limits.cpp
+++ b/src/gateway/board_limits.cpp
@@ -15,7 +15,8 @@
 	bool wantsRequests(const Upstream& _upstream, Millis _now)
 	{
 		// An upstream that turns requests away says when it wants them again: what is sent before only costs its
-		// callers a try. In one time of 3 s a gateway sent four, and refused two of their callers, while others took work.
+		// callers a try. In one time of 3 s a gateway sent three more, and refused two of their callers, while others
+		// took work.
 		return takesWork(_upstream) && !isBackedOff(_upstream, _now);
 	}
 
--- a/tests/test_gateway_self_report.cpp
+++ b/tests/test_gateway_self_report.cpp
@@ -65,7 +65,7 @@
 /// more of them in that time, though two others of its service took work, and the callers of some were refused for it.
 /// The gateway had dropped the time that it was asked for where it reads answers: a refusal counted as one failure, and
 /// only three failures in a row kept it away, for half a second of its own choice. What settled it were these lines, of
-/// which there were 127 in three runs, each chosen after the upstream had asked and while others could have had it:
+/// which there were 80 in three runs, each chosen after the upstream had asked and while others could have had it:
 ///   event=upstream_asks_back_off upstream=a service=svc asked_ms=3000
 ///   event=sent_in_back_off upstream=a left_ms=2979 asked_ago_ms=21 chosen_ago_ms=0 suspended=false other_upstreams=2
 Test(gateway, an_upstream_that_asks_to_be_sent_nothing_gets_nothing_for_so_long)
