Sight: logs and a counter tell of upstreams that end under requests, and which requests those have in common

A broken connection was logged as one more failure: neither whether its upstream had ended nor whether the same request had ended another one before could be told. A gateway now asks the upstream's port when a connection breaks: a dead port refuses within a round trip. The line upstream_crashed names the request's fingerprint (target, organisation, body) and how many upstreams ended under it here. No decision reads it.

--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -39,6 +39,7 @@
 		prometheus::Counter& backOffAsks;
 		prometheus::Counter& backOffRefusals;
 		prometheus::Counter& withheldSends;
+		prometheus::Counter& upstreamCrashes;
 		prometheus::Counter& storeCalls;
 		prometheus::Counter& storeFailures;
 		prometheus::Counter& connectionsOpened;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -178,6 +178,10 @@
 				continue; // what it may cost of the budget was taken before
 			}
 			noteHealth(*upstream, result);
+			if (result.brokeOff)
+			{
+				co_await noteBrokenTry(_context, upstream);
+			}
 			if (result.answered)
 			{
 				_context.ending = Ending::Answered;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -320,10 +320,12 @@
 		{
 			_context.state.pool.giveBack(std::move(lease), *result.restMs);
 		}
-		if (Proof::NotRun == result.proof && !result.answered)
+		const bool notRun = Proof::NotRun == result.proof && !result.answered;
+		if (notRun)
 		{
 			_context.maybeRunning = mayHaveRunBefore;
 		}
+		result.brokeOff = !wholeExchange && !notRun && nullptr != lease.connection && lease.connection->isGone();
 		co_return result;
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -16,6 +16,7 @@
 		std::optional<http::WholeAnswer> failure; ///< A failure of the upstream's own that may be handed on.
 		std::optional<Millis> restMs;             ///< How long the connection may be kept; none to close it.
 		bool groupFault = false;                  ///< Another member of its group made it fail.
+		bool brokeOff = false;                    ///< The connection ended while the upstream had the request.
 		std::string reason;                       ///< For the log.
 	};
 
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -52,6 +52,7 @@
 		bool maybeRunning = false; ///< A try was sent whose end isn't proved.
 		bool headSent = false;     ///< relay: bytes of an answer went to the caller.
 		bool keepAlive = true;
+		std::string fingerprint; ///< Empty until somebody asks for it.
 		EventSplitter splitter;
 		std::optional<std::uint64_t> delivered; ///< Last event that went to the caller.
 		std::optional<Millis> firstEventAt;
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -13,6 +13,7 @@
 #include "archdyke/retry_window.h"
 #include "gateway/board.h"
 #include "gateway/codec.h"
+#include "gateway/crashes.h"
 #include "gateway/counters.h"
 #include "gateway/settings.h"
 #include "http/connection_pool.h"
@@ -41,6 +42,7 @@
 		absl::flat_hash_map<std::string, RetryWindow> retries; ///< By service.
 		absl::flat_hash_map<std::string, Outage> outages;      ///< By service.
 		ResendShare resendShare;                               ///< Of the allowance, for each service; and how many gateways there are.
+		CrashRecord crashes;
 		bool leaving = false;                                  ///< The stop signal came.
 		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
 
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -83,6 +83,11 @@
 				co_return lease;
 			}
 		}
+		co_return co_await this->connect(std::move(_address), _options);
+	}
+
+	aio::Task<Lease> ConnectionPool::connect(std::string _address, ConnectOptions _options)
+	{
 		sockaddr_in target = socketAddress(_address);
 		kj::Own<kj::NetworkAddress> destination = this->loop.network.getSockaddr(&target, sizeof(target));
 		kj::Own<kj::AsyncIoStream> stream = co_await this->loop.timer.timeoutAfter(_options.connectTimeoutMs * kj::MILLISECONDS, destination->connect());
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -46,6 +46,10 @@
 		/// @throws kj::Exception When nobody answers there in time.
 		aio::Task<Lease> take(std::string _address, ConnectOptions _options);
 
+		/// @returns A new connection, whatever is kept.
+		/// @throws kj::Exception When nobody answers there in time; of type DISCONNECTED when it is refused.
+		aio::Task<Lease> connect(std::string _address, ConnectOptions _options);
+
 		/// Keeps a connection whose exchange is over. One that has unread bytes is closed.
 		/// @param[in] _restLimitMs How long the other side keeps it.
 		void giveBack(Lease _lease, Millis _restLimitMs);
