--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -60,6 +60,36 @@
 		}
 	};
 
+	/// One gateway.
+	struct RigGateway
+	{
+		std::unique_ptr<lab::ChildProcess> process;
+		std::string callers;
+		std::string readiness;
+		std::string metrics;
+
+		Json dump() const
+		{
+			const httplib::Result result = clientOf(this->metrics).Get("/dump");
+			return result ? Json::parse(result->body) : Json();
+		}
+
+		bool isReady() const
+		{
+			const httplib::Result result = clientOf(this->readiness).Get("/readyz");
+			return result && 200 == result->status;
+		}
+
+		/// Waits until it is ready and knows so many upstreams.
+		void waitReady(std::size_t _upstreams) const
+		{
+			cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+				const Json dump = this->dump();
+				return this->isReady() && dump.is_object() && _upstreams == dump["upstreams"].size();
+			}));
+		}
+	};
+
 	/// What a caller got.
 	struct RigAnswer
 	{
@@ -110,12 +140,24 @@
 
 		void startGateway()
 		{
-			const std::string path = this->directory.path + "/gateway.json";
-			std::ofstream(path) << Json{{"name", "gateway-1"}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", this->store.address}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
-			this->gateway = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, this->directory.path + "/gateway.log");
-			this->callers = this->gateway->listening("http");
-			this->readiness = this->gateway->listening("readiness");
-			this->metrics = this->gateway->listening("metrics");
+			RigGateway started = this->startGatewayNamed("gateway-1");
+			this->gateway = std::move(started.process);
+			this->callers = started.callers;
+			this->readiness = started.readiness;
+			this->metrics = started.metrics;
+		}
+
+		/// @param[in] _store Where it reaches the store; empty: at the store itself.
+		RigGateway startGatewayNamed(const std::string& _name, const std::string& _store = "") const
+		{
+			const std::string path = this->directory.path + "/" + _name + ".json";
+			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", _store.empty() ? this->store.address : _store}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
+			RigGateway started;
+			started.process = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, this->directory.path + "/" + _name + ".log");
+			started.callers = started.process->listening("http");
+			started.readiness = started.process->listening("readiness");
+			started.metrics = started.process->listening("metrics");
+			return started;
 		}
 
 		/// Waits until the gateway is ready and knows all upstreams.
@@ -147,7 +189,12 @@
 
 		RigAnswer call(const std::string& _target, const httplib::Headers& _headers) const
 		{
-			httplib::Client client = clientOf(this->callers);
+			return callAt(this->callers, _target, _headers);
+		}
+
+		static RigAnswer callAt(const std::string& _callers, const std::string& _target, const httplib::Headers& _headers)
+		{
+			httplib::Client client = clientOf(_callers);
 			const httplib::Result result = client.Get(_target, _headers);
 			return result ? RigAnswer{result->status, result->body, result->headers} : RigAnswer();
 		}
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -314,7 +314,7 @@
 {
 	GatewayRig rig({"a"});
 	rig.waitReady();
-	const std::string path = rig.directory.path + "/gateway.json";
+	const std::string path = rig.directory.path + "/gateway-1.json";
 	std::ofstream(path) << "{ no settings";
 	rig.gateway->signal(SIGHUP);
 	cr_assert(lab::waitUntil(2'000, [&] {
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -3,13 +3,15 @@
 ///
 /// Options: {"address"?, "id"}. A request's query says what to do, "do=...": ok, shed, fail, hang,
 /// cut, garbage, foreign, unsigned, encoded, unframed, stream, break (a stream that stops within
-/// its 4th event unless it is resumed), skip (a stream that leaves out its 3rd event), jump (the
+/// its 4th event unless it is resumed), crash (the process ends as it begins to run it, a stream after
+/// two events), skip (a stream that leaves out its 3rd event), jump (the
 /// same, all events in one piece). "restS=N": what is shed is told to send nothing for N s.
 /// "leaving=1": the answer says that the upstream is about to end. "only=ID":
 /// just the upstream of that id does so, the others answer as usual. GET /record tells, by request
 /// id, how often each ran, how often its caller left, how often it was turned away and when it last came. POST /control {"mode": "up" | "refuse"},
 /// {"restS": N}: for N s all are turned away and told to send nothing for what is left; {"leaving": true}: each
 /// answer says from now on that the upstream is about to end.
+#include <cstdlib>
 #include <fmt/format.h>
 #include <map>
 
@@ -29,6 +31,9 @@
 		constexpr std::uint64_t kEvents = 12;
 		constexpr Millis kEventMs = 15;
 		constexpr Millis kHangMs = 30'000;
+		constexpr Millis kCrashMs = 20; ///< From the begin of a run that ends the process.
+		constexpr int kCrashed = 70;    ///< Exit code then.
+		constexpr std::uint64_t kEventsBeforeCrash = 2;
 
 		struct Call
 		{
@@ -211,7 +216,13 @@
 				this->printRun(_call);
 				record.organisation = this->headerOf(_call, "X-Archdyke-Tenant");
 				record.resumedAfter = this->headerOf(_call, "Last-Event-Id");
-				if ("stream" == what || "break" == what || "skip" == what || "jump" == what)
+				const bool crashes = "crash" == what;
+				if (crashes && !_call.head.target.starts_with("/stream/"))
+				{
+					co_await this->loop.timer.afterDelay(kCrashMs * kj::MILLISECONDS);
+					std::_Exit(kCrashed);
+				}
+				if ("stream" == what || "break" == what || "skip" == what || "jump" == what || crashes)
 				{
 					co_return co_await this->stream(_connection, _call, what, record);
 				}
@@ -292,6 +303,10 @@
 						_record.left += 1;
 						co_return false;
 					}
+					if ("crash" == _what && kEventsBeforeCrash < event)
+					{
+						std::_Exit(kCrashed);
+					}
 					if ("skip" == _what && 3 == event)
 					{
 						continue;
