A request under which three upstreams have ended is refused by all gateways

Callers of a group of ranks were refused or cut for most of a minute and a half: a request that ends each upstream which begins to run it came again and again, through all gateways, and each sent it on to upstreams that were sound. Cause: nothing that is learnt of a request outlives it. A broken connection counted against the upstream, never against the request.

Now a crash is held against each request that ran there: by fingerprint, for ten minutes, in a row of the store for each request and upstream, which all gateways follow. From the third upstream on a gateway sends it no more and tells its caller at once. A run that comes to an end clears its request, so bystanders aren't refused, and one that many callers ask for isn't blamed at all.

Measured: in the test twelve more upstreams ended after the first four, none now.

Why it holds: it doesn't matter who sees a crash or how long gateways live, since rows outlive both; what is seen while the store is away is refused where it was seen and told when it is back. Tests with processes: three gateways, restarts, a silent store, bystanders.

--- a/include/archdyke/come_back.h
+++ b/include/archdyke/come_back.h
@@ -12,15 +12,16 @@
 	/// Why a request is refused without having run.
 	enum class RefusalCause
 	{
-		NoConfiguration, ///< None is known yet.
-		StaleProof,      ///< Whether its key still holds can't be told.
-		NoUpstream,      ///< No upstream takes work.
-		Overloaded,      ///< All upstreams have what they can do in time.
-		ColdUpstreams,   ///< The upstreams that are left are cold and have what they bear.
-		BackOff,         ///< All upstreams that are left asked to be sent nothing for some time.
-		Evacuated,       ///< The zones of all upstreams are evacuated.
-		GroupDown,       ///< The group of engine ranks stands still or forms.
-		Leaving,         ///< This gateway is stopping.
+		NoConfiguration,  ///< None is known yet.
+		StaleProof,       ///< Whether its key still holds can't be told.
+		NoUpstream,       ///< No upstream takes work.
+		Overloaded,       ///< All upstreams have what they can do in time.
+		ColdUpstreams,    ///< The upstreams that are left are cold and have what they bear.
+		BackOff,          ///< All upstreams that are left asked to be sent nothing for some time.
+		Evacuated,        ///< The zones of all upstreams are evacuated.
+		GroupDown,        ///< The group of engine ranks stands still or forms.
+		CrashesUpstreams, ///< Several upstreams ended under it.
+		Leaving,          ///< This gateway is stopping.
 		Count
 	};
 
--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -62,6 +62,8 @@
 			return "evacuated";
 		case RefusalCause::GroupDown:
 			return "group_down";
+		case RefusalCause::CrashesUpstreams:
+			return "crashes_upstreams";
 		default:
 			return "leaving";
 		}
@@ -69,6 +71,10 @@
 
 	Millis comeBackAfter(RefusalCause _cause, std::optional<Millis> _reopenMs, Millis _patienceMs, Random& _random)
 	{
+		if (RefusalCause::CrashesUpstreams == _cause && _reopenMs)
+		{
+			return std::max(kLeastMs, *_reopenMs); // beyond its patience: to come back before is in vain
+		}
 		Span span = usualSpan(_cause);
 		if (_reopenMs)
 		{
--- a/src/decide/crash_blame.cpp
+++ b/src/decide/crash_blame.cpp
@@ -1,6 +1,7 @@
 #include "archdyke/crash_blame.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace archdyke
 {
@@ -17,6 +18,42 @@
 		return _table.crashes[_crash.request].emplace(_crash.incarnation, _at).second;
 	}
 
+	void dropCrash(CrashTable& _table, const Crash& _crash)
+	{
+		const auto found = _table.crashes.find(_crash.request);
+		if (_table.crashes.end() == found)
+		{
+			return;
+		}
+		found->second.erase(_crash.incarnation);
+		if (found->second.empty())
+		{
+			_table.crashes.erase(found);
+		}
+	}
+
+	bool holds(const CrashTable& _table, const Crash& _crash)
+	{
+		const auto found = _table.crashes.find(_crash.request);
+		return _table.crashes.end() != found && found->second.contains(_crash.incarnation);
+	}
+
+	std::vector<Crash> clearRequest(CrashTable& _table, const std::string& _request)
+	{
+		std::vector<Crash> cleared;
+		const auto found = _table.crashes.find(_request);
+		if (_table.crashes.end() == found)
+		{
+			return cleared;
+		}
+		for (const auto& [incarnation, at] : found->second)
+		{
+			cleared.push_back({_request, incarnation});
+		}
+		_table.crashes.erase(found);
+		return cleared;
+	}
+
 	std::size_t crashesOf(const CrashTable& _table, const std::string& _request, Millis _now)
 	{
 		const auto found = _table.crashes.find(_request);
@@ -28,4 +65,64 @@
 			return counts(_crash.second, _now);
 		}));
 	}
+
+	std::optional<Millis> refusedForMs(const CrashTable& _table, const std::string& _request, Millis _now)
+	{
+		const auto found = _table.crashes.find(_request);
+		if (_table.crashes.end() == found || found->second.size() < kCrashesToRefuse)
+		{
+			return std::nullopt;
+		}
+		std::vector<Millis> times;
+		for (const auto& [incarnation, at] : found->second)
+		{
+			times.push_back(at);
+		}
+		// The newest ones decide: it may run again once fewer than that many count.
+		const auto last = times.begin() + (kCrashesToRefuse - 1);
+		std::nth_element(times.begin(), last, times.end(), std::greater<>());
+		const Millis left = *last + kBlameMs - _now;
+		return 0 < left ? std::optional(left) : std::nullopt;
+	}
+
+	std::vector<Crash> forgetCrashes(CrashTable& _table, Millis _now)
+	{
+		std::vector<Crash> forgotten;
+		for (const auto& [request, crashes] : _table.crashes)
+		{
+			for (const auto& [incarnation, at] : crashes)
+			{
+				if (!counts(at, _now))
+				{
+					forgotten.push_back({request, incarnation});
+				}
+			}
+		}
+		for (const Crash& crash : forgotten)
+		{
+			dropCrash(_table, crash);
+		}
+		return forgotten;
+	}
+
+	void noteRun(RecentRuns& _runs, std::size_t _request, Millis _now)
+	{
+		if (kGenerationMs <= _now - _runs.newerSince)
+		{
+			const bool adjacent = _now - _runs.newerSince < 2 * kGenerationMs;
+			_runs.older = adjacent ? std::move(_runs.newer) : absl::flat_hash_set<std::size_t>();
+			_runs.newer.clear();
+			_runs.newerSince = _now;
+		}
+		if (_runs.newer.size() < kMostRuns)
+		{
+			_runs.newer.insert(_request);
+		}
+	}
+
+	bool ranLately(const RecentRuns& _runs, std::size_t _request, Millis _now)
+	{
+		const Millis age = _now - _runs.newerSince;
+		return (age < 2 * kGenerationMs && _runs.newer.contains(_request)) || (age < kGenerationMs && _runs.older.contains(_request));
+	}
 } // namespace archdyke
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -40,6 +40,7 @@
 		prometheus::Counter& backOffRefusals;
 		prometheus::Counter& withheldSends;
 		prometheus::Counter& upstreamCrashes;
+		prometheus::Counter& crashRefusals;
 		prometheus::Counter& storeCalls;
 		prometheus::Counter& storeFailures;
 		prometheus::Counter& connectionsOpened;
--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -1,5 +1,7 @@
 #include "gateway/crashes.h"
 
+#include <absl/hash/hash.h>
+
 #include "base/log.h"
 #include "base/process.h"
 #include "gateway/request.h"
@@ -17,6 +19,8 @@
 		constexpr Millis kCheckHoldsMs = 500;
 		/// How long the connection of a check may rest, ms.
 		constexpr Millis kCheckRestMs = 1'000;
+		/// Crashes that wait to be told, at most: beyond that the store is away, and they are told by none.
+		constexpr std::size_t kMostUntold = 1'000;
 
 		aio::Task<bool> hasEnded(GatewayState& _state, std::string _address)
 		{
@@ -48,18 +52,37 @@
 			}
 			return found->second.ended.addBranch();
 		}
-	} // namespace
 
-	const std::string& fingerprintOf(RequestContext& _context)
-	{
-		if (_context.fingerprint.empty())
+		std::string callerOf(const RequestContext& _context)
 		{
-			const std::string organisation = nullptr == _context.organisation ? "" : _context.organisation->name;
-			const http::RequestHead& head = _context.received.head;
-			_context.fingerprint = sha256Hex(head.target + "\n" + organisation + "\n" + _context.received.body).substr(0, kFingerprintDigits);
+			return nullptr == _context.organisation ? "" : _context.organisation->name;
 		}
-		return _context.fingerprint;
-	}
+
+		/// @returns What a request has in common with its caller's repeats, through whichever gateway: target,
+		/// organisation and body.
+		const std::string& fingerprintOf(RequestContext& _context)
+		{
+			if (_context.fingerprint.empty())
+			{
+				_context.fingerprint = sha256Hex(_context.received.head.target + "\n" + callerOf(_context) + "\n" + _context.received.body).substr(0, kFingerprintDigits);
+			}
+			return _context.fingerprint;
+		}
+
+		/// @returns The same for this process alone, at a fraction of the cost.
+		std::size_t hashOf(const RequestContext& _context)
+		{
+			return absl::HashOf(_context.received.head.target, callerOf(_context), _context.received.body);
+		}
+
+		void logIfRefused(const CrashTable& _table, const std::string& _request, Millis _now)
+		{
+			if (kCrashesToRefuse == crashesOf(_table, _request, _now))
+			{
+				logError("request_refused_for_crashes", {{"fingerprint", _request}, {"crashes", kCrashesToRefuse}, {"for_ms", refusedForMs(_table, _request, _now).value_or(0)}, {"remedy", "look at the upstreams' logs; remove its rows from the table archdyke_crashes to let it run again"}});
+			}
+		}
+	} // namespace
 
 	aio::Task<void> noteBrokenTry(RequestContext& _context, UpstreamRef _upstream)
 	{
@@ -69,12 +92,49 @@
 		{
 			co_return;
 		}
+		const Millis now = nowMs();
+		if (ranLately(state.crashes.runs, hashOf(_context), now))
+		{
+			logInfo("upstream_crashed_by_others", {{"request", _context.caller.id}, {"upstream", _upstream->record.incarnation}, {"service", _context.service}});
+			co_return;
+		}
 		const Crash crash{fingerprintOf(_context), _upstream->record.incarnation};
-		if (!noteCrash(state.crashes.table, crash, nowMs()))
+		if (!noteCrash(state.crashes.table, crash, now))
 		{
 			co_return;
 		}
+		if (state.crashes.untold.size() < kMostUntold)
+		{
+			state.crashes.untold.push_back(crash);
+		}
 		state.counters.upstreamCrashes.Increment();
-		logWarning("upstream_crashed", {{"request", _context.caller.id}, {"fingerprint", crash.request}, {"upstream", crash.incarnation}, {"service", _context.service}, {"address", _upstream->record.address}, {"at_once", _upstream->inFlight}, {"crashes_of_request", crashesOf(state.crashes.table, crash.request, nowMs())}});
+		logWarning("upstream_crashed", {{"request", _context.caller.id}, {"fingerprint", crash.request}, {"upstream", crash.incarnation}, {"service", _context.service}, {"address", _upstream->record.address}, {"at_once", _upstream->inFlight}, {"crashes_of_request", crashesOf(state.crashes.table, crash.request, now)}});
+		logIfRefused(state.crashes.table, crash.request, now);
+	}
+
+	void noteWholeRun(RequestContext& _context)
+	{
+		CrashRecord& record = _context.state.crashes;
+		noteRun(record.runs, hashOf(_context), nowMs());
+		if (record.table.crashes.empty())
+		{
+			return;
+		}
+		const std::vector<Crash> cleared = clearRequest(record.table, fingerprintOf(_context));
+		record.cleared.insert(record.cleared.end(), cleared.begin(), cleared.end());
+	}
+
+	std::optional<Millis> crashRefusalMs(RequestContext& _context)
+	{
+		const CrashTable& table = _context.state.crashes.table;
+		return table.crashes.empty() ? std::nullopt : refusedForMs(table, fingerprintOf(_context), nowMs());
+	}
+
+	void takeCrash(CrashRecord& _record, const Crash& _crash, Millis _at)
+	{
+		if (noteCrash(_record.table, _crash, _at))
+		{
+			logIfRefused(_record.table, _crash.request, nowMs());
+		}
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -1,9 +1,12 @@
-/// Upstreams that crash while they run requests, as one gateway sees it.
+/// Upstreams that crash while they run requests, and requests that are refused for it, as one gateway knows it
+/// from its own runs and from the other gateways, through the store.
 #pragma once
 
 #include <kj/async.h>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "aio/task.h"
 #include "archdyke/crash_blame.h"
@@ -20,18 +23,26 @@
 		Millis begunAt = 0;
 	};
 
-	/// What a gateway knows of crashes.
+	/// What a gateway knows of crashes, and what it has still to tell.
 	struct CrashRecord
 	{
 		CrashTable table;
+		RecentRuns runs;
 		std::map<std::string, CrashCheck> checks; ///< By incarnation.
+		std::vector<Crash> untold;                ///< Seen here, not in the store yet.
+		std::vector<Crash> cleared;               ///< In the store, to be removed there.
 	};
 
-	/// @returns What a request has in common with its caller's repeats, through whichever gateway: target,
-	/// organisation and body; 32 hex digits.
-	const std::string& fingerprintOf(RequestContext& _context);
-
 	/// A connection broke while its upstream had a request. Finds out whether the upstream has ended, and holds it
 	/// against the request if so.
 	aio::Task<void> noteBrokenTry(RequestContext& _context, UpstreamRef _upstream);
+
+	/// A run of a request came to an end that its upstream made: the request crashes nobody.
+	void noteWholeRun(RequestContext& _context);
+
+	/// @returns How much longer a request is refused since several upstreams ended under it, ms; none when it may run.
+	std::optional<Millis> crashRefusalMs(RequestContext& _context);
+
+	/// Takes in a crash that another gateway saw, or this one in an earlier life.
+	void takeCrash(CrashRecord& _record, const Crash& _crash, Millis _at);
 } // namespace archdyke::gateway
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -160,6 +160,12 @@
 		bool unknownBefore = false;
 		while (true)
 		{
+			// Each further try would end one more upstream, and all that runs there: whether the crashes were seen
+			// here or told by other gateways doesn't matter.
+			if (crashRefusalMs(_context))
+			{
+				co_return refusalOf(_context, unknownBefore, RefusalCause::CrashesUpstreams, "crashes_upstreams");
+			}
 			const UpstreamRef upstream = nextUpstream(_context);
 			if (nullptr == upstream)
 			{
@@ -184,6 +190,7 @@
 			}
 			if (result.answered)
 			{
+				noteWholeRun(_context);
 				_context.ending = Ending::Answered;
 				co_return std::nullopt;
 			}
@@ -200,6 +207,7 @@
 			}
 			if (result.failure)
 			{
+				noteWholeRun(_context);
 				_context.ending = Ending::Answered;
 				co_await handOn(_context, *result.failure);
 				co_return std::nullopt;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -129,6 +129,17 @@
 				return groups;
 			}
 
+			/// @returns Upstreams that ended under each request that they are held against, by its fingerprint.
+			nlohmann::json dumpCrashes() const
+			{
+				nlohmann::json crashes = nlohmann::json::object();
+				for (const auto& [request, upstreams] : this->state.crashes.table.crashes)
+				{
+					crashes[request] = crashesOf(this->state.crashes.table, request, nowMs());
+				}
+				return crashes;
+			}
+
 			nlohmann::json dump() const
 			{
 				nlohmann::json upstreams = nlohmann::json::array();
@@ -137,7 +148,7 @@
 				{
 					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"evacuated", upstream->evacuated}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}, {"quietMs", 0 == upstream->inFlight ? 0 : now - upstream->quietSince}, {"backOffMs", backOffLeftMs(upstream->selfReport.backOff, now)}, {"warmInMs", warmInMs(upstream->cold, now)}, {"coldSends", upstream->coldSends ? int(*upstream->coldSends) : -1}});
 				}
-				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"evacuatedZones", evacuatedZones(this->state.operators)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"evacuatedZones", evacuatedZones(this->state.operators)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"crashes", this->dumpCrashes()}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
 			}
 
 			/// Takes new bounds from the settings file on SIGHUP. Addresses stay.
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -87,6 +87,10 @@
 			{
 				co_return refusal;
 			}
+			if (crashRefusalMs(_context))
+			{
+				co_return refuseNotRun(_context, RefusalCause::CrashesUpstreams);
+			}
 			refusal = co_await admit(_context);
 			if (refusal)
 			{
@@ -204,6 +208,11 @@
 			opening = _context.state.board.nextWarmMs(_context.service, now);
 			_context.state.counters.coldRefusals.Increment();
 		}
+		if (RefusalCause::CrashesUpstreams == _cause)
+		{
+			opening = crashRefusalMs(_context);
+			_context.state.counters.crashRefusals.Increment();
+		}
 		return {kUnavailable, comeBackAfter(_cause, opening, left, _context.state.random), std::string(toString(_cause))};
 	}
 
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -13,8 +13,8 @@
 #include "archdyke/retry_window.h"
 #include "gateway/board.h"
 #include "gateway/codec.h"
-#include "gateway/crashes.h"
 #include "gateway/counters.h"
+#include "gateway/crashes.h"
 #include "gateway/settings.h"
 #include "http/connection_pool.h"
 
@@ -43,8 +43,8 @@
 		absl::flat_hash_map<std::string, Outage> outages;      ///< By service.
 		ResendShare resendShare;                               ///< Of the allowance, for each service; and how many gateways there are.
 		CrashRecord crashes;
-		bool leaving = false;                                  ///< The stop signal came.
-		std::uint32_t inFlight = 0;                            ///< Requests of callers under way.
+		bool leaving = false;       ///< The stop signal came.
+		std::uint32_t inFlight = 0; ///< Requests of callers under way.
 
 		GatewayState(GatewaySettings _settings, Codec _codec, http::LoopParts _loop, GatewayCounters& _counters, std::uint64_t _seed)
 		    : settings(std::move(_settings))
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -51,9 +51,12 @@
 		/// From this share of the bound on withdrawn keys on, a store that nobody had an answer of
 		/// was away: upstreams' rows lapse after some longer time.
 		constexpr double kAwayShareOfRevocation = 0.6;
-		/// Names of the two tables in the log.
+		/// Pause after an answer that brought crashes, ms: those of one upstream come together.
+		constexpr Millis kCrashesPauseMs = 100;
+		/// Names of the tables in the log.
 		constexpr std::string_view kConfiguration = "configuration";
 		constexpr std::string_view kUpstreams = "upstreams";
+		constexpr std::string_view kCrashes = "crashes";
 	} // namespace
 
 	StoreWatch::StoreWatch(GatewayState& _state, store::TableStore& _store, store::TableNames _names, DocumentDecoders _decoders)
@@ -67,8 +70,10 @@
 		};
 		const Feed configurationFeed{kConfiguration, &StoreWatch::nextConfiguration, &StoreWatch::takeOperators, kConfigurationPauseMs, &this->operatorsSince, &this->configurationAnswered, &StoreWatch::configurationIsTold};
 		const Feed upstreamsFeed{kUpstreams, &StoreWatch::nextUpstreams, &StoreWatch::takeUpstreams, this->shareOfChange(kPauseShareOfChange), &this->upstreamsSince, &this->upstreamsAnswered, &StoreWatch::upstreamsAreTold};
+		const Feed crashesFeed{kCrashes, &StoreWatch::nextCrashes, &StoreWatch::takeCrashes, kCrashesPauseMs, &this->crashesSince, &this->crashesAnswered, &StoreWatch::crashesNeedNoCall};
 		this->followingConfiguration = this->follow(configurationFeed).take().eagerlyEvaluate(fatal);
 		this->followingUpstreams = this->follow(upstreamsFeed).take().eagerlyEvaluate(fatal);
+		this->followingCrashes = this->follow(crashesFeed).take().eagerlyEvaluate(fatal);
 		this->followingTime = this->followTime().take().eagerlyEvaluate(fatal);
 	}
 
@@ -85,9 +90,9 @@
 		{
 			this->upstreamsBackAt = nowMs();
 		}
-		if (!_answered && kConfiguration == _feed.name && nullptr != this->upstreamsInterrupt.get())
+		if (!_answered && kConfiguration == _feed.name)
 		{
-			this->upstreamsInterrupt->reject(KJ_EXCEPTION(DISCONNECTED, "the call for the configuration failed"));
+			this->interruptLongCalls();
 		}
 		if (before != _answered)
 		{
@@ -95,6 +100,17 @@
 		}
 	}
 
+	void StoreWatch::interruptLongCalls()
+	{
+		for (kj::PromiseFulfiller<store::Rows>* interrupt : {this->upstreamsInterrupt.get(), this->crashesInterrupt.get()})
+		{
+			if (nullptr != interrupt)
+			{
+				interrupt->reject(KJ_EXCEPTION(DISCONNECTED, "another call to the store failed"));
+			}
+		}
+	}
+
 	Millis StoreWatch::shareOfRevocation(double _share) const
 	{
 		return Millis(_share * double(this->state.settings.bounds.revocationMs));
@@ -243,6 +259,10 @@
 		{
 			logWarning("store_was_away", {{"silent_ms", silent}});
 			this->upstreamsBackAt = nowMs();
+			if (nullptr != this->crashesInterrupt.get())
+			{
+				this->crashesInterrupt->reject(KJ_EXCEPTION(DISCONNECTED, "the store was away"));
+			}
 		}
 		this->answeredAt = std::max(this->answeredAt, _answeredAt);
 	}
@@ -262,9 +282,14 @@
 		{
 			return store::readWhole(this->store, this->names.upstreams);
 		}
+		return this->followLong(this->names.upstreams, *_since, kUpstreamsWaitMs, this->upstreamsInterrupt);
+	}
+
+	aio::Task<store::Rows> StoreWatch::followLong(std::string _table, std::uint64_t _since, Millis _waitMs, kj::Own<kj::PromiseFulfiller<store::Rows>>& _interrupt)
+	{
 		auto interrupt = kj::newPromiseAndFulfiller<store::Rows>();
-		this->upstreamsInterrupt = kj::mv(interrupt.fulfiller);
-		kj::Promise<store::Rows> changes = this->store.follow(this->names.upstreams, *_since, kUpstreamsWaitMs).take();
+		_interrupt = kj::mv(interrupt.fulfiller);
+		kj::Promise<store::Rows> changes = this->store.follow(std::move(_table), _since, _waitMs).take();
 		return changes.exclusiveJoin(kj::mv(interrupt.promise));
 	}
 
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -1,5 +1,6 @@
 /// Follows what operators ask for, the configuration and zones to evacuate, and the list of upstreams:
-/// by what a group's coordinator tells of the store, and by calls of its own while nobody tells enough.
+/// by what a group's coordinator tells of the store, and by calls of its own while nobody tells enough. Tells
+/// other gateways of crashes, and learns theirs, through a table of the store.
 #pragma once
 
 #include <map>
@@ -72,8 +73,14 @@
 		Millis takeAnswer(const Feed& _feed, const store::Rows& _rows, bool _whole);
 		aio::Task<store::Rows> nextConfiguration(std::optional<std::uint64_t> _since);
 		aio::Task<store::Rows> nextUpstreams(std::optional<std::uint64_t> _since);
+		aio::Task<store::Rows> nextCrashes(std::optional<std::uint64_t> _since);
+		/// A call for changes that hangs long, and can be ended before.
+		aio::Task<store::Rows> followLong(std::string _table, std::uint64_t _since, Millis _waitMs, kj::Own<kj::PromiseFulfiller<store::Rows>>& _interrupt);
 		bool configurationIsTold() const;
 		bool upstreamsAreTold() const;
+		bool crashesNeedNoCall() const;
+		/// @returns How long a call for crashes hangs, ms.
+		Millis crashesWait() const;
 		/// @returns How long a call for the configuration hangs, ms.
 		Millis configurationWait() const;
 		/// Takes in an answer for the operators' table.
@@ -98,6 +105,10 @@
 		/// Takes a whole list: upstreams that it doesn't name are gone.
 		void loseUnnamed(const store::Rows& _rows);
 		void loseUpstream(const std::string& _incarnation);
+		void takeCrashes(const store::Rows& _rows, bool _whole);
+		/// Begins to tell the store what this gateway saw of crashes, if there is anything to tell.
+		void tellCrashes();
+		aio::Task<void> writeCrashes(std::vector<Crash> _seen, std::vector<Crash> _cleared);
 		/// What changes by time alone: upstreams that are in doubt or cold.
 		aio::Task<void> followTime();
 		/// Notes when the store last answered anybody, and whether it was away before.
@@ -107,6 +118,8 @@
 		Millis retryAfter(Millis _retryMs);
 		/// Waits, but no longer than until a newer proof is told.
 		aio::Task<void> waitUnlessTold(Millis _pauseMs);
+		/// Ends calls that hang: the store may have lost them.
+		void interruptLongCalls();
 		/// Takes in which coordinators want this gateway to read.
 		void noteReader(const CoordinatorNews& _news);
 		/// Accounts for a call to the store. A failed one for the configuration also ends the
@@ -130,6 +143,11 @@
 		bool upstreamsListed = false; ///< A whole list was read.
 		bool configurationAnswered = true;
 		bool upstreamsAnswered = true;
+		std::optional<std::uint64_t> crashesSince;
+		bool crashesAnswered = true;
+		Millis crashesToldAgainAt = 0; ///< When to write again after a failure.
+		Millis crashesForgottenAt = 0; ///< When old ones were last looked for.
+		bool tellingCrashes = false;   ///< A write is under way.
 
 		bool isReader = false;                   ///< This gateway asks for the configuration, for others too.
 		std::map<std::string, Millis> readerFor; ///< Coordinators that want it to, and when they last said so.
@@ -144,8 +162,11 @@
 		std::map<std::string, Listing> unplaced;                       ///< Upstreams whose service no configuration names.
 		std::map<std::string, Millis> doubtful;                        ///< Upstreams whose row went with the store; when to forget them.
 		kj::Own<kj::PromiseFulfiller<store::Rows>> upstreamsInterrupt; ///< Ends the call for the upstreams.
+		kj::Own<kj::PromiseFulfiller<store::Rows>> crashesInterrupt;   ///< Ends the call for crashes.
 		kj::Promise<void> followingConfiguration = nullptr;
 		kj::Promise<void> followingUpstreams = nullptr;
+		kj::Promise<void> followingCrashes = nullptr;
 		kj::Promise<void> followingTime = nullptr;
+		kj::Promise<void> telling = nullptr; ///< The last write of crashes.
 	};
 } // namespace archdyke::gateway
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -250,6 +250,7 @@
 			const Millis now = nowMs();
 			refreshColdLimits(this->state, now);
 			this->state.board.endCold(now);
+			this->tellCrashes();
 			for (auto it = this->doubtful.begin(); this->doubtful.end() != it;)
 			{
 				if (now < it->second)
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -64,6 +64,18 @@
 		bool operator==(const WriteResult&) const = default;
 	};
 
+	/// Rows of one part that are written or removed together, whatever their versions.
+	struct RowChanges
+	{
+		std::vector<Row> put;
+		std::vector<RowKey> remove;
+
+		bool operator==(const RowChanges&) const = default;
+	};
+
+	/// Rows of one such change, at most.
+	constexpr std::size_t kMostChanges = 100;
+
 	/// All calls throw kj::Exception when there is no answer; a write may be done then.
 	class TableStore
 	{
@@ -73,6 +85,7 @@
 		virtual aio::Task<Rows> read(std::string _table, std::string _part, std::string _from) = 0;
 		virtual aio::Task<Rows> follow(std::string _table, std::uint64_t _since, Millis _waitMs) = 0;
 		virtual aio::Task<WriteResult> write(ConditionalWrite _write) = 0;
+		virtual aio::Task<void> change(RowChanges _changes) = 0;
 	};
 
 	/// Tables that operators and upstreams keep, by what they hold. The adapter names them.
--- a/tests/test_gateway_crashes.cpp
+++ b/tests/test_gateway_crashes.cpp
@@ -15,6 +15,13 @@
 	constexpr Millis kToldMs = 2'000;
 	constexpr Millis kCheckedMs = 300; ///< In which a gateway learns that an upstream has ended.
 
+	constexpr const char* kReason = "crashes_upstreams\n";
+
+	bool isRefusedForCrashes(const RigAnswer& _answer)
+	{
+		return 503 == _answer.status && kReason == _answer.body;
+	}
+
 	/// Upstreams that are started again, under a new name at the old address, when they end.
 	class CrashRig
 	{
@@ -117,8 +124,12 @@
 	};
 } // namespace
 
-/// A request ended each upstream that began to run it, and its caller sent it again and again through all gateways. Each
-/// gateway sent it on every time: after three upstreams had ended, more followed.
+/// A request ended each upstream that began to run it, and its caller sent it again and again through all gateways. Nothing
+/// that was learnt of a request outlived it: a broken connection counted against the upstream alone, so each try and each repeat
+/// went to an upstream that was sound, and the group of ranks that it belonged to stood still each time. Here twelve more
+/// upstreams ended after the first four, at three gateways of which each saw some of it:
+///   event=upstream_crashed fingerprint=F upstream=w4 crashes_of_request=2
+///   event=upstream_crashed fingerprint=F upstream=w0+ crashes_of_request=6
 Test(gateway, a_request_that_ended_three_upstreams_reaches_no_more)
 {
 	CrashRig rig(6, 3);
@@ -137,3 +148,100 @@
 	const RigAnswer other = GatewayRig::callAt(rig.gateways[0].callers, "/safe/y?do=ok", GatewayRig::headersFor("other"));
 	cr_assert(200 == other.status, "others are served");
 }
+
+/// Its caller hears it at once, and when it makes sense to come back: not within any caller's patience.
+Test(gateway, a_request_that_is_refused_for_crashes_hears_it_at_once)
+{
+	constexpr Millis kAtOnceMs = 200;
+	constexpr double kLongS = 60.0;
+	CrashRig rig(6, 2);
+	const std::string target = "/stream/x?do=crash"; // ends them within its third event
+	rig.crashSome(target, kCrashes);
+	lab::pauseMs(kToldMs);
+	for (const RigGateway& gateway : rig.gateways)
+	{
+		const Millis begun = nowMs();
+		const RigAnswer answer = GatewayRig::callAt(gateway.callers, target, GatewayRig::headersFor("at-once"));
+		cr_assert(isRefusedForCrashes(answer), "%d %s", answer.status, answer.body.c_str());
+		cr_assert(nowMs() - begun < kAtOnceMs);
+		cr_assert(kLongS < std::stod(answer.headers.find("Retry-After")->second));
+	}
+}
+
+/// What a gateway knew of crashes is there for one that starts later, and for itself after a kill.
+Test(gateway, a_gateway_that_starts_after_the_crashes_refuses_the_request_too)
+{
+	CrashRig rig(6, 1);
+	const std::string target = "/safe/x?do=crash";
+	rig.crashSome(target, kCrashes);
+	lab::pauseMs(kToldMs);
+	const std::size_t before = rig.crashed;
+	rig.gateways.push_back(rig.rig.startGatewayNamed("gateway-of-later"));
+	rig.gateways[0].process->kill();
+	rig.gateways[0] = rig.rig.startGatewayNamed("gateway-of-again");
+	for (const RigGateway& gateway : rig.gateways)
+	{
+		gateway.waitReady(rig.rig.workers.size());
+	}
+	lab::pauseMs(kToldMs);
+	cr_assert(isRefusedForCrashes(rig.crash(0, target)));
+	cr_assert(isRefusedForCrashes(rig.crash(1, target)));
+	cr_assert(before == rig.crashed);
+}
+
+/// A gateway that can't reach the store refuses what it saw itself, and tells the others once the store is back.
+Test(gateway, crashes_seen_while_the_store_is_away_are_told_when_it_is_back)
+{
+	CrashRig rig(6, 2);
+	const std::string target = "/open/x?do=crash"; // public: it needs no proof of a key
+	rig.rig.store.control({{"mode", "silent"}});
+	RigAnswer answer;
+	for (int call = 0; call < 3; ++call) // two tries each, so the third one is refused
+	{
+		answer = GatewayRig::callAt(rig.gateways[0].callers, target, GatewayRig::headersFor("away-" + std::to_string(call)));
+		lab::pauseMs(kCheckedMs);
+	}
+	cr_assert(isRefusedForCrashes(answer), "%d %s", answer.status, answer.body.c_str());
+	rig.rig.store.control({{"mode", "up"}});
+	lab::pauseMs(kToldMs + 1'500); // and the time limit of a call that the store has lost
+	cr_assert(kCrashes == rig.revive());
+	cr_assert(isRefusedForCrashes(rig.crash(1, target)));
+	cr_assert(kCrashes == rig.crashed);
+}
+
+/// Requests that ran at an upstream that ended under another one are bystanders: each is served elsewhere, and what was held
+/// against it goes from the store. Many callers ask for the same here, so it is at each upstream that ends.
+Test(gateway, bystanders_of_crashes_are_served_and_cleared)
+{
+	constexpr int kStreams = 8;
+	constexpr std::size_t kRounds = 5;
+	CrashRig rig(4, 1);
+	for (std::size_t round = 0; round < kRounds; ++round)
+	{
+		std::vector<std::thread> callers;
+		std::vector<RigAnswer> answers(kStreams);
+		for (int stream = 0; stream < kStreams; ++stream)
+		{
+			callers.emplace_back([&, stream] {
+				answers[std::size_t(stream)] = GatewayRig::callAt(rig.gateways[0].callers, "/stream/same?do=stream", GatewayRig::headersFor(fmt::format("by-{}-{}", round, stream)));
+			});
+		}
+		lab::pauseMs(60);
+		// One that may not be repeated, and another one each time: none ends three.
+		GatewayRig::callAt(rig.gateways[0].callers, fmt::format("/once/{}?do=crash", round), GatewayRig::headersFor(fmt::format("ends-{}", round)));
+		for (std::thread& caller : callers)
+		{
+			caller.join();
+		}
+		for (const RigAnswer& answer : answers)
+		{
+			cr_assert(200 == answer.status && allEvents() == answer.body, "%d %s", answer.status, answer.body.c_str());
+		}
+		rig.revive();
+	}
+	cr_assert(kRounds == rig.crashed);
+	lab::pauseMs(kToldMs);
+	const httplib::Result rows = clientOf(rig.rig.store.address).Get("/rows-get?table=archdyke_crashes&part=&limit=500");
+	cr_assert(kRounds == Json::parse(rows->body)["rows"].size(), "%s", rows->body.c_str());
+	cr_assert(kRounds == rig.gateways[0].dump()["crashes"].size(), "what ended them is remembered");
+}
