Crashes are told to the store together, and at once only where others ended under the same request

Each row that is written wakes all gateways: where a hundred streams run at an upstream that ends, each gateway wrote at once and again when its own were cleared. A first crash now waits 0.8 s, in which most bystanders are cleared by their next run and never written; removals wait 4 s; an answer that brought crashes is followed by 0.5 s of pause. A third crash is known everywhere within 1.5 s all the same.

--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -105,7 +105,7 @@
 		}
 		if (state.crashes.untold.size() < kMostUntold)
 		{
-			state.crashes.untold.push_back(crash);
+			state.crashes.untold.push_back({crash, now, 1 < crashesOf(state.crashes.table, crash.request, now)});
 		}
 		state.counters.upstreamCrashes.Increment();
 		logWarning("upstream_crashed", {{"request", _context.caller.id}, {"fingerprint", crash.request}, {"upstream", crash.incarnation}, {"service", _context.service}, {"address", _upstream->record.address}, {"at_once", _upstream->inFlight}, {"crashes_of_request", crashesOf(state.crashes.table, crash.request, now)}});
@@ -120,8 +120,18 @@
 		{
 			return;
 		}
-		const std::vector<Crash> cleared = clearRequest(record.table, fingerprintOf(_context));
-		record.cleared.insert(record.cleared.end(), cleared.begin(), cleared.end());
+		removeFromStore(record, clearRequest(record.table, fingerprintOf(_context)), nowMs());
+	}
+
+	void removeFromStore(CrashRecord& _record, std::vector<Crash> _crashes, Millis _now)
+	{
+		std::erase_if(_crashes, [&](const Crash& _crash) {
+			return 0 < std::erase_if(_record.untold, [&](const UntoldCrash& _untold) {
+				       return _untold.crash == _crash;
+			       });
+		});
+		_record.clearedSince = _record.cleared.empty() ? _now : _record.clearedSince;
+		_record.cleared.insert(_record.cleared.end(), _crashes.begin(), _crashes.end());
 	}
 
 	std::optional<Millis> crashRefusalMs(RequestContext& _context)
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -23,14 +23,23 @@
 		Millis begunAt = 0;
 	};
 
+	/// A crash that the store is to be told of.
+	struct UntoldCrash
+	{
+		Crash crash;
+		Millis seenAt = 0;
+		bool urgent = false; ///< Others ended under the same request before.
+	};
+
 	/// What a gateway knows of crashes, and what it has still to tell.
 	struct CrashRecord
 	{
 		CrashTable table;
 		RecentRuns runs;
 		std::map<std::string, CrashCheck> checks; ///< By incarnation.
-		std::vector<Crash> untold;                ///< Seen here, not in the store yet.
+		std::vector<UntoldCrash> untold;          ///< Seen here, not in the store yet; the oldest first.
 		std::vector<Crash> cleared;               ///< In the store, to be removed there.
+		Millis clearedSince = 0;                  ///< When the first of these was cleared.
 	};
 
 	/// A connection broke while its upstream had a request. Finds out whether the upstream has ended, and holds it
@@ -43,6 +52,9 @@
 	/// @returns How much longer a request is refused since several upstreams ended under it, ms; none when it may run.
 	std::optional<Millis> crashRefusalMs(RequestContext& _context);
 
+	/// Crashes aren't held against anybody any longer: the store is to be told, unless it doesn't know them yet.
+	void removeFromStore(CrashRecord& _record, std::vector<Crash> _crashes, Millis _now);
+
 	/// Takes in a crash that another gateway saw, or this one in an earlier life.
 	void takeCrash(CrashRecord& _record, const Crash& _crash, Millis _at);
 } // namespace archdyke::gateway
--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -51,8 +51,8 @@
 		/// From this share of the bound on withdrawn keys on, a store that nobody had an answer of
 		/// was away: upstreams' rows lapse after some longer time.
 		constexpr double kAwayShareOfRevocation = 0.6;
-		/// Pause after an answer that brought crashes, ms: those of one upstream come together.
-		constexpr Millis kCrashesPauseMs = 100;
+		/// Pause after an answer that brought crashes, ms: those of one upstream are told by several gateways.
+		constexpr Millis kCrashesPauseMs = 500;
 		/// Names of the tables in the log.
 		constexpr std::string_view kConfiguration = "configuration";
 		constexpr std::string_view kUpstreams = "upstreams";
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -108,7 +108,7 @@
 		void takeCrashes(const store::Rows& _rows, bool _whole);
 		/// Begins to tell the store what this gateway saw of crashes, if there is anything to tell.
 		void tellCrashes();
-		aio::Task<void> writeCrashes(std::vector<Crash> _seen, std::vector<Crash> _cleared);
+		aio::Task<void> writeCrashes(std::vector<UntoldCrash> _seen, std::vector<Crash> _cleared);
 		/// What changes by time alone: upstreams that are in doubt or cold.
 		aio::Task<void> followTime();
 		/// Notes when the store last answered anybody, and whether it was away before.
--- a/src/gateway/watch_crashes.cpp
+++ b/src/gateway/watch_crashes.cpp
@@ -20,6 +20,11 @@
 		constexpr Millis kWaitMsPerGateway = 300;
 		constexpr Millis kLeastWaitMs = 3'000;
 		constexpr Millis kMostWaitMs = 10'000;
+		/// A crash that is the first one of its request waits so long before it is told, ms: most are those of
+		/// bystanders, whose next run clears them. Each row that is written wakes all gateways.
+		constexpr Millis kTellAfterMs = 800;
+		/// Rows that were cleared wait so long before they are removed, ms, unless others are written.
+		constexpr Millis kRemoveAfterMs = 4'000;
 		/// After a write that failed, ms.
 		constexpr Millis kWriteAgainMs = 200;
 		/// Between two looks for crashes that are too old, ms; spread so that one gateway removes a row for all.
@@ -42,14 +47,25 @@
 			return Crash{key.substr(0, at), key.substr(at + 1)};
 		}
 
-		/// Takes up to a number of crashes off a queue.
-		std::vector<Crash> takeSome(std::vector<Crash>& _queue, std::size_t _most)
+		/// Takes up to a number of items off a queue.
+		template <typename Item>
+		std::vector<Item> takeSome(std::vector<Item>& _queue, std::size_t _most)
 		{
 			const auto end = _queue.begin() + std::ptrdiff_t(std::min(_most, _queue.size()));
-			std::vector<Crash> taken(_queue.begin(), end);
+			std::vector<Item> taken(_queue.begin(), end);
 			_queue.erase(_queue.begin(), end);
 			return taken;
 		}
+
+		/// @returns Whether it is time to write to the store.
+		bool isDue(const CrashRecord& _record, Millis _now)
+		{
+			const bool anyUrgent = std::any_of(_record.untold.begin(), _record.untold.end(), [](const UntoldCrash& _untold) {
+				return _untold.urgent;
+			});
+			const bool toTell = anyUrgent || (!_record.untold.empty() && _record.untold.front().seenAt + kTellAfterMs <= _now);
+			return toTell || (!_record.cleared.empty() && _record.clearedSince + kRemoveAfterMs <= _now);
+		}
 	} // namespace
 
 	bool StoreWatch::crashesNeedNoCall() const
@@ -77,9 +93,9 @@
 		if (_whole)
 		{
 			record.table = {};
-			for (const Crash& crash : record.untold)
+			for (const UntoldCrash& untold : record.untold)
 			{
-				noteCrash(record.table, crash, nowMs());
+				noteCrash(record.table, untold.crash, untold.seenAt);
 			}
 		}
 		for (const store::Row& row : _rows.rows)
@@ -107,32 +123,27 @@
 		const Millis now = nowMs();
 		if (this->crashesForgottenAt <= now)
 		{
-			const std::vector<Crash> old = forgetCrashes(record.table, now);
-			record.cleared.insert(record.cleared.end(), old.begin(), old.end());
+			removeFromStore(record, forgetCrashes(record.table, now), now);
 			this->crashesForgottenAt = now + kForgetMs + Millis(randomBelow(this->state.random, kForgetMs));
 		}
-		const bool idle = record.untold.empty() && record.cleared.empty();
-		if (idle || this->tellingCrashes || now < this->crashesToldAgainAt)
+		if (!isDue(record, now) || this->tellingCrashes || now < this->crashesToldAgainAt)
 		{
 			return;
 		}
 		this->tellingCrashes = true;
-		std::vector<Crash> seen = takeSome(record.untold, store::kMostChanges);
+		std::vector<UntoldCrash> seen = takeSome(record.untold, store::kMostChanges);
 		std::vector<Crash> cleared = takeSome(record.cleared, store::kMostChanges - seen.size());
 		this->telling = this->writeCrashes(std::move(seen), std::move(cleared)).take().eagerlyEvaluate(nullptr);
 	}
 
-	aio::Task<void> StoreWatch::writeCrashes(std::vector<Crash> _seen, std::vector<Crash> _cleared)
+	aio::Task<void> StoreWatch::writeCrashes(std::vector<UntoldCrash> _seen, std::vector<Crash> _cleared)
 	{
 		CrashRecord& record = this->state.crashes;
 		store::RowChanges changes;
-		const std::string storeTime = std::to_string(nowMs() - this->state.freshness.offset.value_or(0));
-		for (const Crash& crash : _seen)
+		for (const UntoldCrash& untold : _seen)
 		{
-			if (holds(record.table, crash)) // else it was cleared before it was told
-			{
-				changes.put.push_back({rowKey(crash), storeTime, 0, false});
-			}
+			const Millis storeTime = untold.seenAt - this->state.freshness.offset.value_or(0);
+			changes.put.push_back({rowKey(untold.crash), std::to_string(storeTime), 0, false});
 		}
 		for (const Crash& crash : _cleared)
 		{
@@ -153,6 +164,9 @@
 		{
 			logWarning("crashes_untold", {{"crashes", _seen.size()}, {"cleared", _cleared.size()}, {"reason", failure}});
 			this->state.counters.storeFailures.Increment();
+			std::erase_if(_seen, [&](const UntoldCrash& _untold) {
+				return !holds(record.table, _untold.crash); // cleared meanwhile
+			});
 			record.untold.insert(record.untold.begin(), _seen.begin(), _seen.end());
 			record.cleared.insert(record.cleared.begin(), _cleared.begin(), _cleared.end());
 			this->crashesToldAgainAt = nowMs() + this->retryAfter(kWriteAgainMs);
