A crash is found also where the port outlives the connections, and no resend waits for it but the decisive one

A connection that was taken is now watched for 50 ms and the port asked again if it breaks. Where something that stands before an upstream takes connections for it, its row or its successor's tells within 5 s. A resend waits only if the answer decides whether it may be sent.

--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -245,6 +245,11 @@
 		return result;
 	}
 
+	bool Board::isListed(const std::string& _incarnation) const
+	{
+		return nullptr != this->known(_incarnation);
+	}
+
 	std::vector<std::string> Board::incarnations() const
 	{
 		std::vector<std::string> result;
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -256,6 +256,9 @@
 		/// @returns All upstreams, those that leave too, in no order.
 		std::vector<UpstreamRef> all() const;
 
+		/// @returns Whether an upstream is on the list, set aside or not.
+		bool isListed(const std::string& _incarnation) const;
+
 		/// @returns The incarnations that have a row, those set aside too, in no order.
 		std::vector<std::string> incarnations() const;
 
--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -14,43 +14,69 @@
 		constexpr std::size_t kFingerprintDigits = 32;
 		/// How long a dead port or a living upstream may take to say so, ms: the way across zones and back.
 		/// Longer silence is a cut link or a dead VM, and proves nothing.
-		constexpr Millis kCheckMs = 100;
+		constexpr Millis kCheckMs = 400;
+		/// An upstream that is gone so soon after a break ended then, ms: its row lapses or its successor's comes. Something
+		/// that stands before it may go on taking connections.
+		constexpr Millis kDoubtMs = 5'000;
+		/// A process that ends may close its port after its connections: one that was taken then breaks so soon, ms.
+		constexpr Millis kEndingMs = 50;
 		/// How long a check holds for others whose connections broke with it, ms: those of a group break together.
 		constexpr Millis kCheckHoldsMs = 500;
 		/// How long the connection of a check may rest, ms.
 		constexpr Millis kCheckRestMs = 1'000;
 		/// Crashes that wait to be told, at most: beyond that the store is away, and they are told by none.
 		constexpr std::size_t kMostUntold = 1'000;
+		constexpr std::size_t kMostBroken = 1'000;
 
-		aio::Task<bool> hasEnded(GatewayState& _state, std::string _address)
+		/// @returns Whether an upstream's port is dead.
+		aio::Task<bool> refuses(GatewayState& _state, std::string _address)
 		{
 			http::ConnectOptions options;
 			options.connectTimeoutMs = kCheckMs;
 			try
 			{
 				http::Lease lease = co_await _state.pool.connect(std::move(_address), options);
+				co_await lease.connection->whenGone().exclusiveJoin(_state.loop.timer.afterDelay(kEndingMs * kj::MILLISECONDS));
+				const bool gone = lease.connection->isGone();
 				_state.pool.giveBack(std::move(lease), kCheckRestMs);
+				co_return gone;
 			}
 			catch (const kj::Exception& error)
 			{
 				co_return kj::Exception::Type::DISCONNECTED == error.getType();
 			}
-			co_return false;
 		}
 
-		kj::Promise<bool> check(GatewayState& _state, const UpstreamRecord& _upstream)
+		aio::Task<void> look(GatewayState& _state, UpstreamRecord _upstream)
+		{
+			std::string address = _upstream.address;
+			const bool first = co_await refuses(_state, std::move(address));
+			bool ended = false;
+			if (first)
+			{
+				// A living upstream that has its most connections resets one more, too, but doesn't refuse the next.
+				std::string again = _upstream.address;
+				ended = co_await refuses(_state, std::move(again));
+			}
+			_state.crashes.checks.at(_upstream.incarnation).ended = ended;
+		}
+
+		/// @returns The look at an upstream that broke a try; one that is under way or was just made serves all.
+		CrashCheck& checkOf(GatewayState& _state, const UpstreamRecord& _upstream)
 		{
 			std::map<std::string, CrashCheck>& checks = _state.crashes.checks;
 			const Millis now = nowMs();
 			std::erase_if(checks, [now](const auto& _check) {
-				return kCheckHoldsMs < now - _check.second.begunAt;
+				return _check.second.ended && kCheckHoldsMs < now - _check.second.begunAt;
 			});
-			auto found = checks.find(_upstream.incarnation);
-			if (checks.end() == found)
+			const auto found = checks.find(_upstream.incarnation);
+			if (checks.end() != found)
 			{
-				found = checks.emplace(_upstream.incarnation, CrashCheck{hasEnded(_state, _upstream.address).take().fork(), now}).first;
+				return found->second;
 			}
-			return found->second.ended.addBranch();
+			CrashCheck& check = checks.emplace(_upstream.incarnation, CrashCheck{now, std::nullopt, nullptr}).first->second;
+			check.looking = look(_state, _upstream).take().fork();
+			return check;
 		}
 
 		std::string callerOf(const RequestContext& _context)
@@ -82,34 +108,64 @@
 				logError("request_refused_for_crashes", {{"fingerprint", _request}, {"crashes", kCrashesToRefuse}, {"for_ms", refusedForMs(_table, _request, _now).value_or(0)}, {"remedy", "look at the upstreams' logs; remove its rows from the table archdyke_crashes to let it run again"}});
 			}
 		}
+
+		/// An upstream has ended under a request.
+		void hold(GatewayState& _state, const Crash& _crash, const Upstream& _upstream)
+		{
+			CrashRecord& record = _state.crashes;
+			const Millis now = nowMs();
+			if (!noteCrash(record.table, _crash, now))
+			{
+				return;
+			}
+			const std::size_t crashes = crashesOf(record.table, _crash.request, now);
+			if (record.untold.size() < kMostUntold)
+			{
+				record.untold.push_back({_crash, now, 1 < crashes});
+			}
+			_state.counters.upstreamCrashes.Increment();
+			logWarning("upstream_crashed", {{"fingerprint", _crash.request}, {"upstream", _crash.incarnation}, {"service", _upstream.record.service}, {"address", _upstream.record.address}, {"crashes_of_request", crashes}});
+			logIfRefused(record.table, _crash.request, now);
+		}
 	} // namespace
 
 	aio::Task<void> noteBrokenTry(RequestContext& _context, UpstreamRef _upstream)
 	{
 		GatewayState& state = _context.state;
-		const bool ended = co_await check(state, _upstream->record);
-		if (!ended)
-		{
-			co_return;
-		}
 		const Millis now = nowMs();
-		if (ranLately(state.crashes.runs, hashOf(_context), now))
+		const std::size_t run = hashOf(_context);
+		if (ranLately(state.crashes.runs, run, now))
 		{
-			logInfo("upstream_crashed_by_others", {{"request", _context.caller.id}, {"upstream", _upstream->record.incarnation}, {"service", _context.service}});
-			co_return;
+			co_return; // if the upstream has ended, it was under another request
 		}
-		const Crash crash{fingerprintOf(_context), _upstream->record.incarnation};
-		if (!noteCrash(state.crashes.table, crash, now))
+		const std::string& fingerprint = fingerprintOf(_context);
+		if (state.crashes.broken.size() < kMostBroken)
 		{
-			co_return;
+			state.crashes.broken.push_back({{fingerprint, _upstream->record.incarnation}, run, _upstream, now});
 		}
-		if (state.crashes.untold.size() < kMostUntold)
+		kj::Promise<void> looked = checkOf(state, _upstream->record).looking.addBranch();
+		if (kCrashesToRefuse <= 1 + crashesOf(state.crashes.table, fingerprint, now))
 		{
-			state.crashes.untold.push_back({crash, now, 1 < crashesOf(state.crashes.table, crash.request, now)});
+			co_await kj::mv(looked);
+			settleBrokenTries(state, nowMs());
 		}
-		state.counters.upstreamCrashes.Increment();
-		logWarning("upstream_crashed", {{"request", _context.caller.id}, {"fingerprint", crash.request}, {"upstream", crash.incarnation}, {"service", _context.service}, {"address", _upstream->record.address}, {"at_once", _upstream->inFlight}, {"crashes_of_request", crashesOf(state.crashes.table, crash.request, now)}});
-		logIfRefused(state.crashes.table, crash.request, now);
+	}
+
+	void settleBrokenTries(GatewayState& _state, Millis _now)
+	{
+		CrashRecord& record = _state.crashes;
+		std::erase_if(record.broken, [&](const BrokenTry& _broken) {
+			const auto check = record.checks.find(_broken.crash.incarnation);
+			const bool ended = record.checks.end() != check && check->second.ended.value_or(false);
+			const bool gone = _broken.upstream->superseded || !_state.board.isListed(_broken.crash.incarnation);
+			const bool crashed = ended || (gone && !_broken.upstream->leavingSince);
+			// A request that ran well meanwhile was a bystander.
+			if (crashed && !ranLately(record.runs, _broken.run, _now))
+			{
+				hold(_state, _broken.crash, *_broken.upstream);
+			}
+			return crashed || kDoubtMs < _now - _broken.at;
+		});
 	}
 
 	void noteWholeRun(RequestContext& _context)
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -14,13 +14,24 @@
 
 namespace archdyke::gateway
 {
+	struct GatewayState;
 	struct RequestContext;
 
 	/// A look whether an upstream's process is there.
 	struct CrashCheck
 	{
-		kj::ForkedPromise<bool> ended; ///< Whether it has ended.
 		Millis begunAt = 0;
+		std::optional<bool> ended;       ///< Whether the process has ended; none: the look goes on.
+		kj::ForkedPromise<void> looking; ///< Until it is known.
+	};
+
+	/// A connection that broke while its upstream had a request.
+	struct BrokenTry
+	{
+		Crash crash;         ///< If the upstream has ended.
+		std::size_t run = 0; ///< Of RecentRuns.
+		UpstreamRef upstream;
+		Millis at = 0;
 	};
 
 	/// A crash that the store is to be told of.
@@ -37,15 +48,20 @@
 		CrashTable table;
 		RecentRuns runs;
 		std::map<std::string, CrashCheck> checks; ///< By incarnation.
+		std::vector<BrokenTry> broken;            ///< Whose upstreams may have ended.
 		std::vector<UntoldCrash> untold;          ///< Seen here, not in the store yet; the oldest first.
 		std::vector<Crash> cleared;               ///< In the store, to be removed there.
 		Millis clearedSince = 0;                  ///< When the first of these was cleared.
 	};
 
-	/// A connection broke while its upstream had a request. Finds out whether the upstream has ended, and holds it
-	/// against the request if so.
+	/// A connection broke while its upstream had a request: if the upstream has ended, that is held against the
+	/// request. Waits for that only where it decides whether the request may be sent again.
 	aio::Task<void> noteBrokenTry(RequestContext& _context, UpstreamRef _upstream);
 
+	/// Holds broken tries against their requests whose upstreams have ended, or are gone soon after without having
+	/// said that they leave.
+	void settleBrokenTries(GatewayState& _state, Millis _now);
+
 	/// A run of a request came to an end that its upstream made: the request crashes nobody.
 	void noteWholeRun(RequestContext& _context);
 
--- a/src/gateway/watch_crashes.cpp
+++ b/src/gateway/watch_crashes.cpp
@@ -121,6 +121,7 @@
 	{
 		CrashRecord& record = this->state.crashes;
 		const Millis now = nowMs();
+		settleBrokenTries(this->state, now);
 		if (this->crashesForgottenAt <= now)
 		{
 			removeFromStore(record, forgetCrashes(record.table, now), now);
--- a/tests/test_gateway_crashes.cpp
+++ b/tests/test_gateway_crashes.cpp
@@ -201,7 +201,7 @@
 		answer = GatewayRig::callAt(rig.gateways[0].callers, target, GatewayRig::headersFor("away-" + std::to_string(call)));
 		lab::pauseMs(kCheckedMs);
 	}
-	cr_assert(isRefusedForCrashes(answer), "%d %s", answer.status, answer.body.c_str());
+	cr_assert(isRefusedForCrashes(answer), "%d %s\n%s", answer.status, answer.body.c_str(), rig.gateways[0].process->output().c_str());
 	rig.rig.store.control({{"mode", "up"}});
 	lab::pauseMs(kToldMs + 1'500); // and the time limit of a call that the store has lost
 	cr_assert(kCrashes == rig.revive());
