Soak: a request that ends upstreams comes again and again through all gateways

In runs with series one more caller sends it, ten times each, with the same target and key; the upstreams that ended are counted by the judge as by the rule: after three and the time of contact no more than a few by gateways in touch. An upstream that ends by itself loses its row after three heartbeats, and another one comes.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -146,6 +146,25 @@
 	cr_assert(0 == violationsOf(record, "work_after_self_report"));
 }
 
+Test(soakjudge, upstreams_that_end_after_three_are_noticed)
+{
+	SoakRecord record;
+	record.heldKeys = {"key"};
+	for (int call = 0; call < 7; ++call)
+	{
+		const std::string id = "x" + std::to_string(call);
+		const Millis at = kSentAt + (call < 3 ? 0 : 3'001);
+		record.calls.push_back({id, SoakKind::Crash, "key", "gateway-0", at, at + 50, 502, false, "/open/0?do=crash"});
+		record.runs.push_back({id, "w" + std::to_string(call), at});
+	}
+	cr_assert(1 == violationsOf(record, "work_after_crashes"));
+	record.spans = {{"gateway-0", FaultKind::FreezeGateway, kSentAt + 100, kSentAt + 200}};
+	cr_assert(0 == violationsOf(record, "work_after_crashes"));
+	record.spans.clear();
+	record.runs.back().at -= 1;
+	cr_assert(0 == violationsOf(record, "work_after_crashes"), "three are few");
+}
+
 Test(soak, a_short_seed_keeps_all_promises)
 {
 	playSeed(5, 10);
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -53,7 +53,7 @@
 			{
 				throw std::runtime_error("the deployment did not get ready; logs in " + this->deployment.directory);
 			}
-			SoakCallers callers(this->deployment, this->options.seed);
+			SoakCallers callers(this->deployment, this->options.seed, 0 < this->options.series);
 			SoakFaults faults(this->options, this->deployment);
 			while (!faults.areOver())
 			{
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -16,6 +16,7 @@
 		Safe,   ///< May run more than once.
 		Once,   ///< May run at most once.
 		Stream, ///< Twelve events; may be resumed.
+		Crash,  ///< Ends each upstream that begins to run it; may run more than once.
 		Count
 	};
 
@@ -30,6 +31,7 @@
 		Millis endedAt = 0;
 		int status = 0;     ///< 0: no whole answer.
 		bool whole = false; ///< The body is the one that an upstream gives this request.
+		std::string target; ///< Path and query.
 	};
 
 	/// That an upstream began a request.
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -7,6 +7,12 @@
 	namespace
 	{
 		constexpr std::size_t kCallers = 8;
+		/// Kinds that a caller draws from.
+		constexpr std::uint64_t kUsualKinds = std::uint64_t(SoakKind::Crash);
+		/// How often a request that crashes upstreams comes again, and the least and most time between, ms.
+		constexpr std::uint64_t kRepeatsOfCrash = 10;
+		constexpr Millis kLeastCrashPauseMs = 200;
+		constexpr std::uint64_t kMoreCrashPauseMs = 700;
 		constexpr int kEvents = 12; ///< Of a stream of the stand-in.
 		/// Then a caller goes to another gateway; every other one keeps its connection until it breaks.
 		constexpr int kCallsOfAConnection = 25;
@@ -59,9 +65,9 @@
 		SoakCall send(httplib::Client& _client, SoakCall _call)
 		{
 			const httplib::Headers headers{{"Host", "office.example"}, {"X-Archdyke-Request-Id", _call.id}, {"X-Archdyke-Deadline-Ms", std::to_string(kPatienceMs)}, {"X-Api-Key", _call.key}};
-			const std::string path = pathOf(_call.kind);
+			_call.target = SoakKind::Crash == _call.kind ? _call.target : pathOf(_call.kind);
 			_call.sentAt = nowMs();
-			const httplib::Result got = _client.Get(path, headers);
+			const httplib::Result got = _client.Get(_call.target, headers);
 			_call.endedAt = nowMs();
 			_call.status = got ? got->status : 0;
 			_call.whole = got && expectedBody(_call.kind) == got->body;
@@ -69,10 +75,16 @@
 		}
 	} // namespace
 
-	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed)
+	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes)
 	    : deployment(_deployment)
 	    , seed(_seed)
 	{
+		if (_crashes)
+		{
+			this->threads.emplace_back([this] {
+				this->crash();
+			});
+		}
 		for (std::size_t index = 0; index < kCallers; ++index)
 		{
 			this->threads.emplace_back([this, index] {
@@ -107,7 +119,7 @@
 			{
 				SoakCall call;
 				call.id = fmt::format("c{}-{}", _index, made++);
-				call.kind = SoakKind(randomBelow(random, std::uint64_t(SoakKind::Count)));
+				call.kind = SoakKind(randomBelow(random, kUsualKinds));
 				call.key = this->deployment.drawKey(random);
 				call.gateway = door.gateway;
 				call = send(client, std::move(call));
@@ -118,6 +130,25 @@
 		}
 	}
 
+	void SoakCallers::crash()
+	{
+		constexpr std::uint64_t kOtherSeeds = 7'000'003;
+		Random random(this->seed + kOtherSeeds);
+		for (std::uint64_t made = 0; !this->over; ++made)
+		{
+			const SoakDoor door = this->deployment.door(random);
+			httplib::Client client = connectionTo(door.address);
+			SoakCall call;
+			call.id = fmt::format("x{}", made);
+			call.kind = SoakKind::Crash;
+			call.target = fmt::format("/safe/{}?do=crash", made / kRepeatsOfCrash);
+			call.key = SoakDeployment::steadyKey();
+			call.gateway = door.gateway;
+			this->add(send(client, std::move(call)));
+			pauseMs(kLeastCrashPauseMs + Millis(randomBelow(random, kMoreCrashPauseMs)));
+		}
+	}
+
 	void SoakCallers::add(SoakCall _call)
 	{
 		absl::MutexLock lock(&this->mutex);
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -12,7 +12,8 @@
 	public:
 		/// Starts them.
 		/// @param[in] _deployment Outlives the callers.
-		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed);
+		/// @param[in] _crashes One more sends requests that end upstreams, each again and again through all gateways.
+		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes);
 
 		/// Ends them, which must be done once.
 		/// @returns What all their requests came to.
@@ -20,6 +21,7 @@
 
 	private:
 		void call(std::size_t _index);
+		void crash();
 		void add(SoakCall _call);
 
 		SoakDeployment& deployment;
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -13,6 +13,8 @@
 {
 	namespace
 	{
+		constexpr Millis kCrashSeenMs = 500;    ///< Between two looks at the least, with a margin.
+		constexpr Millis kCrashedRowMs = 1'500; ///< Until the row of an upstream that crashed lapses.
 		const SoakSize kUsualSize{3, 4, {4, 3}};
 		/// Some hundred processes: a machine plays other runs beside it.
 		const SoakSize kLargeSize{16, 40, {24, 12, 8}};
@@ -230,6 +232,18 @@
 				this->store.remove("servers", worker.id);
 				worker.removeAt = std::numeric_limits<Millis>::max();
 			}
+			else if (0 == worker.removeAt && !worker.process->running())
+			{
+				// It ended by itself, at some time since the last look.
+				const std::size_t span = this->beginSpan(worker.id, FaultKind::KillWorker);
+				this->record.spans[span].until = nowMs();
+				this->record.spans[span].from -= kCrashSeenMs;
+				worker.removeAt = nowMs() + kCrashedRowMs;
+			}
+		}
+		while (this->livingWorkers() + 1 < this->size.workers)
+		{
+			this->addWorker(); // one may be gone until a fault is over
 		}
 		for (SoakPart& gateway : this->gateways)
 		{
@@ -282,6 +296,11 @@
 		return {gateway.name, gateway.callers};
 	}
 
+	std::string SoakDeployment::steadyKey()
+	{
+		return kSteadyKey;
+	}
+
 	std::string SoakDeployment::drawKey(Random& _random) const
 	{
 		constexpr std::uint64_t kOneIn = 20;
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -96,6 +96,9 @@
 		/// @returns A gateway to call. For any thread.
 		SoakDoor door(Random& _random);
 
+		/// @returns A key that is held throughout.
+		static std::string steadyKey();
+
 		/// @returns Mostly a key that is held, else one that was withdrawn or nobody's. For any thread.
 		std::string drawKey(Random& _random) const;
 
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -181,6 +181,39 @@
 				}
 			}
 		}
+		/// A request under which three upstreams ended reaches others by gateways in touch no more than a few times.
+		void judgeCrashes(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, SoakViolations& _violations)
+		{
+			constexpr std::size_t kCrashes = 3;
+			constexpr int kFew = 3;
+			std::map<std::string, std::vector<Arrival>> runs; // by target; each ended its upstream
+			for (const SoakRun& run : _record.runs)
+			{
+				const auto call = _calls.find(run.request);
+				if (_calls.end() != call && SoakKind::Crash == call->second->kind)
+				{
+					runs[call->second->target].push_back({run.at, call->second->sentAt, run.request});
+				}
+			}
+			for (auto& [target, arrivals] : runs)
+			{
+				std::sort(arrivals.begin(), arrivals.end(), [](const Arrival& _a, const Arrival& _b) {
+					return _a.at < _b.at;
+				});
+				if (arrivals.size() < kCrashes)
+				{
+					continue;
+				}
+				const Millis boundFrom = arrivals[kCrashes - 1].at + _bounds.contactMs;
+				const auto more = std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& _arrival) {
+					return boundFrom < _arrival.at && isInTouch(_record, _calls.at(_arrival.request)->gateway, _arrival.at - _bounds.contactMs, _arrival.at);
+				});
+				if (kFew < more)
+				{
+					_violations.add("work_after_crashes", fmt::format("{} reached {} more upstreams after {}", target, more, boundFrom));
+				}
+			}
+		}
 	} // namespace
 
 	bool overlaps(const SoakSpan& _span, Millis _from, Millis _until)
@@ -225,6 +258,7 @@
 		const Arrivals arrivals = arrivalsOf(_record, calls);
 		judgeBackOffs(_record, _bounds, calls, arrivals, violations);
 		judgeLeaves(_record, _bounds, calls, arrivals, violations);
+		judgeCrashes(_record, _bounds, calls, violations);
 		for (const auto& [request, ran] : runs)
 		{
 			if (!ran.empty() && !sent.contains(request))
