A test of a call that ends services of the embedded office, red

The same cause as with requests that crash upstreams, in the other pipeline: an entry sends a call that may be repeated to the next agent, and so does every other entry.

--- a/tools/lab.cpp
+++ b/tools/lab.cpp
@@ -197,6 +197,22 @@
 		}
 	}
 
+	std::size_t Office::reviveStubs()
+	{
+		std::size_t revived = 0;
+		for (const UpstreamStub& stub : this->upstreamStubs)
+		{
+			const auto process = this->stubProcesses.find(stub.name);
+			if (this->stubProcesses.end() != process && !process->second->running())
+			{
+				process->second = this->startProgram("stub-service", nlohmann::json{{"address", stub.address}}.dump(), "service-" + stub.name);
+				process->second->listening("http");
+				revived += 1;
+			}
+		}
+		return revived;
+	}
+
 	std::string Office::link(const std::string& _name, const std::string& _target)
 	{
 		return sendJson(this->proxyAddress, "POST", "/links", {{"name", _name}, {"target", _target}}).at("address");
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -91,6 +91,10 @@
 		/// Kills the stand-in of a plain upstream.
 		void killStub(const std::string& _upstream);
 
+		/// Starts stand-ins of plain upstreams that have ended again, at their addresses.
+		/// @returns How many had ended.
+		std::size_t reviveStubs();
+
 		/// Announces a daemon to the platform's list.
 		void announce(const Daemon& _daemon, const std::string& _state = "live");
 
--- a/tools/stub_service.cpp
+++ b/tools/stub_service.cpp
@@ -2,10 +2,12 @@
 /// by the field "token" of its body or else by its request id.
 ///
 /// Options: {"address"?, "delayMs"?}. Routes: any call; GET /record; POST /control {"delayMs", "restS"}: for restS
-/// seconds calls get 503 and the time that is left in Retry-After, and count as turned away, not as runs.
+/// seconds calls get 503 and the time that is left in Retry-After, and count as turned away, not as runs. A call whose token
+/// begins with "crash" ends the process as it begins to run.
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 #include <atomic>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 
@@ -18,6 +20,8 @@
 {
 	namespace
 	{
+		constexpr int kCrashed = 70; ///< Exit code of a process that a call has ended.
+
 		/// What names a call: its body's token, or the request id.
 		std::string tokenOf(const httplib::Request& _request)
 		{
@@ -60,6 +64,10 @@
 					return;
 				}
 				runs[tokenOf(_request)] += 1;
+				if (tokenOf(_request).starts_with("crash"))
+				{
+					std::_Exit(kCrashed);
+				}
 			}
 			if (0 < delayMs)
 			{
