--- a/tests/test_gateway_crashes.cpp
+++ b/tests/test_gateway_crashes.cpp
@@ -168,6 +168,24 @@
 	}
 }
 
+/// Each of many gateways, most of which saw none of the crashes, and of which the store forgot the history meanwhile.
+Test(gateway, all_of_many_gateways_refuse_a_request_soon_after_its_third_crash)
+{
+	CrashRig rig(6, 10);
+	const std::string target = "/safe/x?do=crash";
+	rig.crash(0, target);
+	rig.rig.store.control({{"forget", true}});
+	rig.crashSome(target, kCrashes);
+	lab::pauseMs(kToldMs);
+	const std::size_t before = rig.crashed;
+	for (const RigGateway& gateway : rig.gateways)
+	{
+		cr_assert(isRefusedForCrashes(GatewayRig::callAt(gateway.callers, target, GatewayRig::headersFor("many"))));
+	}
+	rig.revive();
+	cr_assert(before == rig.crashed);
+}
+
 /// What a gateway knew of crashes is there for one that starts later, and for itself after a kill.
 Test(gateway, a_gateway_that_starts_after_the_crashes_refuses_the_request_too)
 {
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -93,13 +93,24 @@
 		}
 	}
 
-	std::vector<SoakCall> SoakCallers::stop()
+	SoakCallers::~SoakCallers()
+	{
+		this->join(); // a run that fails at something else ends with its reason
+	}
+
+	void SoakCallers::join()
 	{
 		this->over = true;
 		for (std::thread& thread : this->threads)
 		{
 			thread.join();
 		}
+		this->threads.clear();
+	}
+
+	std::vector<SoakCall> SoakCallers::stop()
+	{
+		this->join();
 		absl::MutexLock lock(&this->mutex);
 		return std::move(this->calls);
 	}
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -14,8 +14,11 @@
 		/// @param[in] _deployment Outlives the callers.
 		/// @param[in] _crashes One more sends requests that end upstreams, each again and again through all gateways.
 		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes);
+		~SoakCallers();
+		SoakCallers(const SoakCallers&) = delete;
+		SoakCallers& operator=(const SoakCallers&) = delete;
 
-		/// Ends them, which must be done once.
+		/// Ends them.
 		/// @returns What all their requests came to.
 		std::vector<SoakCall> stop();
 
@@ -23,6 +26,7 @@
 		void call(std::size_t _index);
 		void crash();
 		void add(SoakCall _call);
+		void join();
 
 		SoakDeployment& deployment;
 		const std::uint64_t seed;
