--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -316,16 +316,16 @@
 		kj::Promise<TryResult> leaving = whenToLeave(_context).take();
 		TryResult result = co_await answer.exclusiveJoin(kj::mv(leaving));
 		const bool wholeExchange = result.answered || result.failure || RefusalReason::None != result.refusal;
-		if (wholeExchange && written && result.restMs)
-		{
-			_context.state.pool.giveBack(std::move(lease), *result.restMs);
-		}
 		const bool notRun = Proof::NotRun == result.proof && !result.answered;
 		if (notRun)
 		{
 			_context.maybeRunning = mayHaveRunBefore;
 		}
-		result.brokeOff = !wholeExchange && !notRun && nullptr != lease.connection && lease.connection->isGone();
+		result.brokeOff = !wholeExchange && !notRun && lease.connection->isGone();
+		if (wholeExchange && written && result.restMs)
+		{
+			_context.state.pool.giveBack(std::move(lease), *result.restMs);
+		}
 		co_return result;
 	}
 } // namespace archdyke::gateway
