Mutants of the refusal of crashing requests, of deadlines and of the clock

Four more mechanisms that scripts/mutants.sh takes out, each with the test that is to notice. Not run yet by the script; taken out by hand, three of them were noticed by these or neighbouring tests before they were moved into files of their own.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -110,6 +110,14 @@
 	'takesWork(_upstream) && !isBackedOff(_upstream, _now);' 'takesWork(_upstream);'
 mutant gateway-ignores-own-leave "gateway_an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_new" src/gateway/relay.cpp \
 	'if (_info.leaving && !_info.wrongIncarnation)' 'if (false)'
+mutant gateway-tells-nobody-of-crashes "gateway_all_of_many_gateways_refuse_a_request_soon_after_its_third_crash" src/gateway/crash_teller.cpp \
+	'if (!isDue(record, now) ||' 'if (true ||'
+mutant gateway-clears-nobody-of-crashes "gateway_bystanders_of_crashes_are_served_and_cleared" src/gateway/crashes.cpp \
+	'noteRun(record.runs, hashOf(_context), nowMs());' 'return;'
+mutant deadline-by-one-timer "suspend_a_request_whose_deadline_passes_in_a_sleep_ends_when_the_machine_wakes" src/gateway/request.cpp \
+	'std::clamp<Millis>(_moment - nowMs(), 1, kLookMs)' 'std::max<Millis>(_moment - nowMs(), 1)'
+mutant clock-that-sleeps "suspend_keys_hold_no_longer_after_a_sleep" src/base/process.cpp \
+	'CLOCK_BOOTTIME' 'CLOCK_MONOTONIC'
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
