--- a/tests/test_gateway_crashes.cpp
+++ b/tests/test_gateway_crashes.cpp
@@ -136,9 +136,11 @@
 /// A request ended each upstream that began to run it, and its caller sent it again and again through all gateways. Nothing
 /// that was learnt of a request outlived it: a broken connection counted against the upstream alone, so each try and each repeat
 /// went to an upstream that was sound, and the group of ranks that it belonged to stood still each time. Here twelve more
-/// upstreams ended after the first four, at three gateways of which each saw some of it:
-///   event=upstream_crashed fingerprint=F upstream=w4 crashes_of_request=2
-///   event=upstream_crashed fingerprint=F upstream=w0+ crashes_of_request=6
+/// upstreams ended after the first four. What settled it: each of the three gateways saw four or five of them end under the same
+/// fingerprint, and sent the request on.
+///   process=gateway-of-0 event=upstream_crashed fingerprint=8f2639458cca7b6a44bd2216ea7ce693 upstream=w2+ crashes_of_request=5
+///   process=gateway-of-1 event=upstream_crashed fingerprint=8f2639458cca7b6a44bd2216ea7ce693 upstream=w5 crashes_of_request=5
+///   process=gateway-of-2 event=upstream_crashed fingerprint=8f2639458cca7b6a44bd2216ea7ce693 upstream=w5+ crashes_of_request=4
 Test(gateway, a_request_that_ended_three_upstreams_reaches_no_more)
 {
 	CrashRig rig(6, 3);
