--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -60,6 +60,14 @@
 		}
 	};
 
+	/// What a caller got.
+	struct RigAnswer
+	{
+		int status = 0; ///< 0: no whole answer.
+		std::string body;
+		httplib::Headers headers;
+	};
+
 	/// One gateway.
 	struct RigGateway
 	{
@@ -80,6 +88,13 @@
 			return result && 200 == result->status;
 		}
 
+		RigAnswer call(const std::string& _target, const httplib::Headers& _headers) const
+		{
+			httplib::Client client = clientOf(this->callers);
+			const httplib::Result result = client.Get(_target, _headers);
+			return result ? RigAnswer{result->status, result->body, result->headers} : RigAnswer();
+		}
+
 		/// Waits until it is ready and knows so many upstreams.
 		void waitReady(std::size_t _upstreams) const
 		{
@@ -90,14 +105,6 @@
 		}
 	};
 
-	/// What a caller got.
-	struct RigAnswer
-	{
-		int status = 0; ///< 0: no whole answer.
-		std::string body;
-		httplib::Headers headers;
-	};
-
 	/// Store, upstreams and one gateway.
 	class GatewayRig
 	{
@@ -140,18 +147,13 @@
 
 		void startGateway()
 		{
-			RigGateway started = this->startGatewayNamed("gateway-1");
-			this->gateway = std::move(started.process);
-			this->callers = started.callers;
-			this->readiness = started.readiness;
-			this->metrics = started.metrics;
+			this->gateway = this->startGatewayNamed("gateway-1");
 		}
 
-		/// @param[in] _store Where it reaches the store; empty: at the store itself.
-		RigGateway startGatewayNamed(const std::string& _name, const std::string& _store = "") const
+		RigGateway startGatewayNamed(const std::string& _name) const
 		{
 			const std::string path = this->directory.path + "/" + _name + ".json";
-			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", _store.empty() ? this->store.address : _store}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
+			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", this->store.address}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
 			RigGateway started;
 			started.process = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, this->directory.path + "/" + _name + ".log");
 			started.callers = started.process->listening("http");
@@ -161,25 +163,19 @@
 		}
 
 		/// Waits until the gateway is ready and knows all upstreams.
-		void waitReady()
+		void waitReady() const
 		{
-			const std::size_t expected = this->workers.size();
-			cr_assert(lab::waitUntil(kRigWaitMs, [&] {
-				const Json dump = this->dump();
-				return this->isReady() && dump.is_object() && expected == dump["upstreams"].size();
-			}));
+			this->gateway.waitReady(this->workers.size());
 		}
 
 		bool isReady() const
 		{
-			const httplib::Result result = clientOf(this->readiness).Get("/readyz");
-			return result && 200 == result->status;
+			return this->gateway.isReady();
 		}
 
 		Json dump() const
 		{
-			const httplib::Result result = clientOf(this->metrics).Get("/dump");
-			return result ? Json::parse(result->body) : Json();
+			return this->gateway.dump();
 		}
 
 		static httplib::Headers headersFor(const std::string& _request, Millis _patienceMs = 1'500, const std::string& _key = "key-one")
@@ -189,23 +185,13 @@
 
 		RigAnswer call(const std::string& _target, const httplib::Headers& _headers) const
 		{
-			return callAt(this->callers, _target, _headers);
-		}
-
-		static RigAnswer callAt(const std::string& _callers, const std::string& _target, const httplib::Headers& _headers)
-		{
-			httplib::Client client = clientOf(_callers);
-			const httplib::Result result = client.Get(_target, _headers);
-			return result ? RigAnswer{result->status, result->body, result->headers} : RigAnswer();
+			return this->gateway.call(_target, _headers);
 		}
 
 		ScratchDirectory directory;
 		RigStore store;
 		std::vector<RigWorker> workers;
-		std::unique_ptr<lab::ChildProcess> gateway;
-		std::string callers;
-		std::string readiness;
-		std::string metrics;
+		RigGateway gateway;
 		Millis revocationMs = 2'000;
 		double retryAllowance = 163'840.0; ///< One gateway that nobody tells their number, of 2,048, gets 80 resends a window.
 	};
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -117,7 +117,7 @@
 	GatewayRig rig({"a"});
 	rig.waitReady();
 	{
-		httplib::Client client = clientOf(rig.callers);
+		httplib::Client client = clientOf(rig.gateway.callers);
 		client.set_read_timeout(0, 200'000);
 		cr_assert(!client.Get("/once/x?do=hang", GatewayRig::headersFor("r1")));
 	}
@@ -273,13 +273,13 @@
 	cr_assert(lab::waitUntil(2'000, [&] {
 		return 0 < rig.dump()["inFlight"].get<int>();
 	}));
-	rig.gateway->signal(SIGTERM);
+	rig.gateway.process->signal(SIGTERM);
 	cr_assert(lab::waitUntil(1'000, [&] {
 		return !rig.isReady();
 	}));
 	const RigAnswer answer = stream.get();
 	cr_assert(200 == answer.status && answer.body == allEvents());
-	cr_assert(rig.gateway->waitForExit(6'000) == 0);
+	cr_assert(rig.gateway.process->waitForExit(6'000) == 0);
 }
 
 Test(gateway, an_unreadable_request_is_rejected_and_the_connection_closed)
@@ -289,7 +289,7 @@
 	httplib::Headers tooLong = GatewayRig::headersFor("r1");
 	tooLong.emplace("X-Long", std::string(8'000, 'x'));
 	cr_assert(431 == rig.call("/safe/x", tooLong).status);
-	httplib::Client client = clientOf(rig.callers);
+	httplib::Client client = clientOf(rig.gateway.callers);
 	const httplib::Result large = client.Post("/safe/x", GatewayRig::headersFor("r2"), std::string(100'000, 'x'), "text/plain");
 	cr_assert(!large || 413 == large->status);
 	cr_assert(0 == runsOf(rig, "r2"));
@@ -316,9 +316,9 @@
 	rig.waitReady();
 	const std::string path = rig.directory.path + "/gateway-1.json";
 	std::ofstream(path) << "{ no settings";
-	rig.gateway->signal(SIGHUP);
+	rig.gateway.process->signal(SIGHUP);
 	cr_assert(lab::waitUntil(2'000, [&] {
-		return std::string::npos != rig.gateway->log().find("event=reload_failed");
+		return std::string::npos != rig.gateway.process->log().find("event=reload_failed");
 	}));
 	cr_assert(200 == rig.call("/safe/x", GatewayRig::headersFor("r1")).status);
 }
--- a/tests/test_gateway_cold.cpp
+++ b/tests/test_gateway_cold.cpp
@@ -113,6 +113,6 @@
 		cr_assert(200 == rig.call("/safe/x?do=ok", GatewayRig::headersFor(fmt::format("warm-{}", call))).status);
 	}
 	cr_assert(lab::waitUntil(1'000, [&] {
-		return std::string::npos != rig.gateway->log().find("event=upstream_warm");
+		return std::string::npos != rig.gateway.process->log().find("event=upstream_warm");
 	}));
 }
--- a/tests/test_gateway_crashes.cpp
+++ b/tests/test_gateway_crashes.cpp
@@ -72,7 +72,7 @@
 		RigAnswer crash(std::size_t _gateway, const std::string& _target, Millis _patienceMs = 1'500)
 		{
 			this->calls += 1;
-			const RigAnswer answer = GatewayRig::callAt(this->gateways[_gateway].callers, _target, GatewayRig::headersFor("crash-" + std::to_string(this->calls), _patienceMs));
+			const RigAnswer answer = this->gateways[_gateway].call(_target, GatewayRig::headersFor("crash-" + std::to_string(this->calls), _patienceMs));
 			lab::pauseMs(kCheckedMs);
 			this->revive();
 			return answer;
@@ -154,7 +154,7 @@
 	}
 	cr_assert(before == rig.crashed, "%zu more upstreams ended after the first %zu", rig.crashed - before, before);
 	cr_assert(2 * rig.gateways.size() == refused);
-	const RigAnswer other = GatewayRig::callAt(rig.gateways[0].callers, "/safe/y?do=ok", GatewayRig::headersFor("other"));
+	const RigAnswer other = rig.gateways[0].call("/safe/y?do=ok", GatewayRig::headersFor("other"));
 	cr_assert(200 == other.status, "others are served");
 }
 
@@ -169,7 +169,7 @@
 	for (const RigGateway& gateway : rig.gateways)
 	{
 		const Millis begun = nowMs();
-		const RigAnswer answer = GatewayRig::callAt(gateway.callers, target, GatewayRig::headersFor("at-once"));
+		const RigAnswer answer = gateway.call(target, GatewayRig::headersFor("at-once"));
 		cr_assert(isRefusedForCrashes(answer), "%d %s", answer.status, answer.body.c_str());
 		cr_assert(nowMs() - begun < kAtOnceMs);
 		cr_assert(kLongS < std::stod(answer.headers.find("Retry-After")->second));
@@ -186,7 +186,7 @@
 	const std::size_t before = rig.letCrash(target);
 	for (const RigGateway& gateway : rig.gateways)
 	{
-		cr_assert(isRefusedForCrashes(GatewayRig::callAt(gateway.callers, target, GatewayRig::headersFor("many"))));
+		cr_assert(isRefusedForCrashes(gateway.call(target, GatewayRig::headersFor("many"))));
 	}
 	rig.revive();
 	cr_assert(before == rig.crashed);
@@ -220,7 +220,7 @@
 	RigAnswer answer;
 	for (int call = 0; call < 3; ++call) // two tries each, so the third one is refused
 	{
-		answer = GatewayRig::callAt(rig.gateways[0].callers, target, GatewayRig::headersFor("away-" + std::to_string(call)));
+		answer = rig.gateways[0].call(target, GatewayRig::headersFor("away-" + std::to_string(call)));
 		lab::pauseMs(kCheckedMs);
 	}
 	cr_assert(isRefusedForCrashes(answer), "%d %s\n%s", answer.status, answer.body.c_str(), rig.gateways[0].process->output().c_str());
@@ -245,12 +245,12 @@
 		for (int stream = 0; stream < kStreams; ++stream)
 		{
 			callers.emplace_back([&, stream] {
-				answers[std::size_t(stream)] = GatewayRig::callAt(rig.gateways[0].callers, "/stream/same?do=stream", GatewayRig::headersFor(fmt::format("by-{}-{}", round, stream)));
+				answers[std::size_t(stream)] = rig.gateways[0].call("/stream/same?do=stream", GatewayRig::headersFor(fmt::format("by-{}-{}", round, stream)));
 			});
 		}
 		lab::pauseMs(60);
 		// One that may not be repeated, and another one each time: none ends three.
-		GatewayRig::callAt(rig.gateways[0].callers, fmt::format("/once/{}?do=crash", round), GatewayRig::headersFor(fmt::format("ends-{}", round)));
+		rig.gateways[0].call(fmt::format("/once/{}?do=crash", round), GatewayRig::headersFor(fmt::format("ends-{}", round)));
 		for (std::thread& caller : callers)
 		{
 			caller.join();
--- a/tests/test_suspend.cpp
+++ b/tests/test_suspend.cpp
@@ -29,7 +29,7 @@
 
 		RigAnswer call(const std::string& _request, const std::string& _target = "/safe/x?do=ok") const
 		{
-			return GatewayRig::callAt(this->gateway.callers, _target, GatewayRig::headersFor(_request));
+			return this->gateway.call(_target, GatewayRig::headersFor(_request));
 		}
 
 		GatewayRig rig;
