A coordinator closes its links to daemons of other groups; a first start waits for neighbours

Cause: a coordinator asks the daemons of all groups while it looks for its ranks, and kept those links for 5 s, and one to each engine that was asked past its daemon: as many as there are upstreams. Change: a link goes as soon as its daemon has said that it is elsewhere. When the system starts for the first time (a setting that the deployment fills in) gateways wait for what daemons tell, since nothing is served.

--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -55,8 +55,12 @@
 		constexpr Millis kIntroductionLookMs = 10;
 		/// So many that have no news have just started as well.
 		constexpr std::uint32_t kUntoldToCall = 2;
-		/// When a whole system starts for the first time, nothing is to be served before daemons can tell, ms.
-		constexpr Millis kFirstStartMs = 1'500;
+		/// When a whole system starts for the first time, engines start and register for some seconds, ms, and nothing is
+		/// served before. Then a gateway asks for longer, and waits for what daemons have begun to tell.
+		constexpr Millis kFirstStartMs = 5'000;
+		constexpr Millis kFirstSpreadMs = 1'000;
+		constexpr Millis kFirstUntoldMs = 1'000;
+		constexpr Millis kFirstIntroductionMs = 4'000;
 	} // namespace
 
 	StoreWatch::StoreWatch(GatewayState& _state, store::TableStore& _store, store::TableNames _names, DocumentDecoders _decoders)
@@ -421,18 +425,20 @@
 
 	aio::Task<void> StoreWatch::begin()
 	{
-		if (this->state.settings.firstStart)
+		const bool first = this->state.settings.firstStart;
+		if (first)
 		{
-			const Millis pauseMs = kFirstStartMs + Millis(randomBelow(this->state.random, std::uint64_t(kFirstStartMs)));
+			const Millis pauseMs = kFirstStartMs + Millis(randomBelow(this->state.random, std::uint64_t(kFirstSpreadMs)));
 			co_await this->state.loop.timer.afterDelay(pauseMs * kj::MILLISECONDS);
 		}
-		const Millis until = nowMs() + kIntroductionMs;
+		const Millis begunAt = nowMs();
+		const Millis until = begunAt + (first ? kFirstIntroductionMs : kIntroductionMs);
 		co_await this->learnSomeUpstreams().take().exclusiveJoin(this->state.loop.timer.afterDelay(kIntroductionMs * kj::MILLISECONDS));
 		const auto isIntroduced = [this] {
 			return 0 != this->tables.operators.version && 0 != this->tables.upstreams.version;
 		};
-		const auto mayBeTold = [this] {
-			return 0 != this->toldAt || this->untold < kUntoldToCall;
+		const auto mayBeTold = [&] {
+			return 0 != this->toldAt || this->untold < kUntoldToCall || (first && nowMs() - begunAt < kFirstUntoldMs);
 		};
 		while (nowMs() < until && mayBeTold() && !isIntroduced() && !this->state.board.all().empty())
 		{
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -210,6 +210,8 @@
 		/// Asks other upstreams of the service while not all ranks of the group are known.
 		void searchGroup();
 		aio::Task<void> lookAtStrangers(BranchQuestion _question);
+		/// Closes the links to those that are in other groups: of all upstreams of a service they are the most.
+		void leaveStrangers();
 		/// Asks the engine itself when its daemon is silent and it is time.
 		void askDirectly(const std::string& _engine, Rank& _rank, Millis _everyMs);
 		bool daemonIsSilent(const Rank& _rank) const;
--- a/src/group/coordinator_search.cpp
+++ b/src/group/coordinator_search.cpp
@@ -143,5 +143,18 @@
 			engines.push_back(engine);
 		}
 		this->takeChildren(this->parts.fanOut.sights(engines), nowMs());
+		this->leaveStrangers();
+	}
+
+	void Coordinator::leaveStrangers()
+	{
+		for (auto& [engine, rank] : this->strangers)
+		{
+			if (0 != rank.search.elsewhereAt)
+			{
+				this->parts.fanOut.forget(engine);
+				rank.direct = rank.askingDirectly ? std::move(rank.direct) : nullptr;
+			}
+		}
 	}
 } // namespace archdyke::group
--- a/src/group/fan_out.cpp
+++ b/src/group/fan_out.cpp
@@ -102,6 +102,15 @@
 		});
 	}
 
+	void FanOut::forget(const std::string& _engine)
+	{
+		const auto child = this->children.find(_engine);
+		if (this->children.end() != child && !child->second.asking)
+		{
+			this->children.erase(child);
+		}
+	}
+
 	void FanOut::release(Awaited& _awaited)
 	{
 		_awaited.left -= 1;
@@ -208,10 +217,10 @@
 		const Millis now = nowMs();
 		for (const std::string& engine : _engines)
 		{
-			const Child& child = this->children.at(engine);
-			if (now - child.heardAt <= kViewMaxAgeMs)
+			const auto child = this->children.find(engine);
+			if (this->children.end() != child && now - child->second.heardAt <= kViewMaxAgeMs)
 			{
-				result = merged(result, child.gateways);
+				result = merged(result, child->second.gateways);
 			}
 		}
 		return result;
@@ -222,7 +231,8 @@
 		Coordination newest = _question.coordination;
 		for (const std::string& engine : _question.engines)
 		{
-			const Coordination& heard = this->children.at(engine).newest;
+			const auto child = this->children.find(engine);
+			const Coordination heard = this->children.end() == child ? Coordination() : child->second.newest;
 			newest = heard.group == newest.group && heard.term > newest.term ? heard : newest;
 		}
 		return newest;
@@ -233,7 +243,8 @@
 		ChoiceSum sum;
 		for (const std::string& engine : _engines)
 		{
-			ChoiceSum choices = std::exchange(this->children.at(engine).choices, {});
+			const auto child = this->children.find(engine);
+			ChoiceSum choices = this->children.end() == child ? ChoiceSum() : std::exchange(child->second.choices, {});
 			if (choices.choices.empty())
 			{
 				continue;
--- a/src/group/fan_out.h
+++ b/src/group/fan_out.h
@@ -28,6 +28,9 @@
 		/// Asks each daemon that has no question to answer, and waits for them.
 		aio::Task<BranchSight> look(BranchQuestion _question);
 
+		/// Closes the link to an engine's daemon, unless it has a question to answer.
+		void forget(const std::string& _engine);
+
 		/// @returns What was heard of engines lately, also by answers that came after a look had ended.
 		std::vector<ChildSight> sights(const std::vector<std::string>& _engines) const;
 
@@ -87,7 +90,7 @@
 		double listBytesLeft = 0.0; ///< That lists may take now; below 0 after one that was longer.
 		Millis listBytesAt = 0;
 		const GroupKnowledge& knowledge;
-		std::map<std::string, Child> children; ///< By engine; never erased while a question is under way.
+		std::map<std::string, Child> children; ///< By engine; never erased while its daemon has a question to answer.
 		kj::Own<kj::TaskSet::ErrorHandler> errors;
 		kj::TaskSet tasks;
 	};
--- a/tests/test_groups.cpp
+++ b/tests/test_groups.cpp
@@ -24,7 +24,18 @@
 		return counts;
 	}
 
-	/// Two groups that a gateway knows.
+	std::size_t openSockets(pid_t _process)
+	{
+		std::size_t sockets = 0;
+		for (const auto& entry : std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", _process)))
+		{
+			std::error_code gone;
+			sockets += std::filesystem::read_symlink(entry.path(), gone).string().starts_with("socket:") ? 1 : 0;
+		}
+		return sockets;
+	}
+
+	/// Groups that a gateway knows.
 	void startKnown(GroupRig& _rig)
 	{
 		_rig.startGateway(kGateway);
@@ -181,3 +192,24 @@
 	}));
 	rig.groups[0].signal(SIGCONT);
 }
+
+/// A coordinator asked the daemons of all groups while it looked for its ranks, and kept the links to all of them. At 516
+/// daemons the busiest had 1,000 of 2,048 descriptors open.
+Test(groups, a_coordinator_keeps_no_links_to_other_groups)
+{
+	constexpr std::size_t kMostSockets = 14; // of its own group, its engine, the store, who asks it
+	GroupRig rig(std::vector<std::size_t>(8, 2));
+	startKnown(rig);
+	for (const RigGroup& group : rig.groups)
+	{
+		const std::size_t rank = rig.coordinator(group);
+		cr_assert(rank < kRanks);
+		const pid_t process = group.sidecars[rank]->id();
+		std::size_t sockets = 0;
+		const bool few = lab::waitUntil(1'000, [&] {
+			sockets = openSockets(process);
+			return sockets <= kMostSockets;
+		});
+		cr_assert(few, "%zu of the coordinator of %s", sockets, group.name.c_str());
+	}
+}
