--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -58,10 +58,10 @@
 			/// Takes in rows: a whole table, or what changed.
 			/// @param[in] _known Version up to which the table was known before.
 			void (StoreWatch::*take)(const store::Rows& _rows, std::uint64_t _known, bool _whole) = nullptr;
-			Millis pauseMs = 0;      ///< After an answer that brought rows.
-			bool answered = true;    ///< Whether the last call for it was answered.
-			bool needsWhole = false; ///< Its changes can't be had.
-			Millis toldFrom = 0;     ///< When the store had nothing newer than what was told; own clock, conservatively.
+			Millis pauseMs = 0;                                   ///< After an answer that brought rows.
+			bool answered = true;                                 ///< Whether the last call for it was answered.
+			bool needsWhole = false;                              ///< Its changes can't be had.
+			Millis toldFrom = 0;                                  ///< When the store had nothing newer than what was told; own clock, conservatively.
 			kj::Own<kj::PromiseFulfiller<store::Rows>> interrupt; ///< Ends the call that hangs.
 			kj::Promise<void> following = nullptr;
 		};
