Log and count the limits that upstreams name

Callers saw an upstream slow down that had named a limit of requests per second and got several times as many. No log line or metric said whether a gateway had received the limit, so that a gateway which doesn't read it couldn't be told from gateways that each keep it for themselves.

No decision uses it yet. Test: platform_a_response_states_the_limit_that_its_upstream_names.

--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -31,7 +31,8 @@
 	struct SelfReport
 	{
 		BackOff backOff;
-		bool leaving = false; ///< It is shutting down.
+		bool leaving = false;            ///< It is shutting down.
+		std::optional<double> limitPerS; ///< Requests per second that it takes from all gateways together; none: no limit.
 
 		bool operator==(const SelfReport&) const = default;
 	};
@@ -199,6 +200,9 @@
 		void applyBackOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now);
 		void recordLeaving(const UpstreamRef& _upstream, Millis _now);
 
+		/// Records the limit that a response of an upstream names; none: it names none.
+		void recordLimit(const UpstreamRef& _upstream, std::optional<double> _perSecond);
+
 		/// @returns Time until the first back-off of a service's upstreams ends, ms; none when one of them accepts requests
 		/// without a back-off, or when none accepts requests.
 		std::optional<Millis> backOffEndsInMs(const std::string& _service, Millis _now) const;
--- a/src/gateway/board_limits.cpp
+++ b/src/gateway/board_limits.cpp
@@ -85,6 +85,16 @@
 		this->applySelfReport(_upstream, _now);
 	}
 
+	void UpstreamRegistry::recordLimit(const UpstreamRef& _upstream, std::optional<double> _perSecond)
+	{
+		if (_upstream->selfReport.limitPerS == _perSecond)
+		{
+			return;
+		}
+		logInfo(_perSecond ? "upstream_names_limit" : "upstream_limit_ended", {{"upstream", _upstream->record.incarnation}, {"service", _upstream->record.service}, {"per_s", _perSecond.value_or(0.0)}, {"before_per_s", _upstream->selfReport.limitPerS.value_or(-1.0)}, {"in_flight", _upstream->inFlight}});
+		_upstream->selfReport.limitPerS = _perSecond;
+	}
+
 	void UpstreamRegistry::applySelfReport(const UpstreamRef& _upstream, Millis _now)
 	{
 		UpstreamRef upstream = this->findUpstream(_upstream->record.incarnation);
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -61,6 +61,7 @@
 		std::string faultyMember;          ///< The group member that caused the failure; may be empty.
 		bool leaving = false;              ///< The upstream states that it is shutting down.
 		std::optional<Millis> backOffMs;   ///< How long the upstream asks this gateway to send it nothing.
+		std::optional<double> limitPerS;   ///< Requests per second that the upstream takes from all gateways together.
 
 		bool operator==(const ResponseInfo&) const = default;
 	};
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -38,6 +38,7 @@
 		prometheus::Counter& coldRefusals;
 		prometheus::Counter& backOffAsks;
 		prometheus::Counter& backOffRefusals;
+		prometheus::Counter& namedLimits;
 		prometheus::Counter& withheldSends;
 		prometheus::Counter& upstreamCrashes;
 		prometheus::Counter& crashRefusals;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -112,6 +112,20 @@
 			}
 		}
 
+		/// Records the limit that a response names. A response without the upstream's signature may come from elsewhere, so
+		/// it ends no limit.
+		void recordNamedLimit(RequestContext& _context, const ResponseInfo& _info)
+		{
+			if (_info.limitPerS)
+			{
+				_context.state.counters.namedLimits.Increment();
+			}
+			if (!_info.wrongIncarnation && (_info.limitPerS || _info.signedByUpstream))
+			{
+				_context.state.registry.recordLimit(_context.currentUpstream, _info.limitPerS);
+			}
+		}
+
 		/// @returns The head of the response to this request; responses to other requests are skipped.
 		aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream)
 		{
@@ -124,6 +138,7 @@
 				}
 				const ResponseInfo info = _context.state.codec.decodeResponse(part.response);
 				recordSelfReport(_context, info);
+				recordNamedLimit(_context, info);
 				if (info.requestId == _context.caller.id)
 				{
 					co_return part.response;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -130,6 +130,19 @@
 	cr_assert(codec.decodeResponse(head).leaving);
 }
 
+Test(platform, a_response_states_the_limit_that_its_upstream_names)
+{
+	const gateway::Codec codec = platform::makeCodec();
+	const auto namedLimit = [&](const char* _text) {
+		http::ResponseHead head{200, {}, true};
+		head.headers.add("Server-Limit", _text);
+		return codec.decodeResponse(head).limitPerS;
+	};
+	cr_assert(1.0 == namedLimit("1") && 0.25 == namedLimit("0.25") && 0.0 == namedLimit("0"));
+	cr_assert(!namedLimit("") && !namedLimit("few") && !namedLimit("-1") && !namedLimit("nan") && !namedLimit("inf"));
+	cr_assert(!codec.decodeResponse({200, {}, true}).limitPerS);
+}
+
 Test(platform, a_refusal_states_the_retry_delay)
 {
 	const gateway::Codec codec = platform::makeCodec();
