--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -12,7 +12,7 @@
 /// and the time of the last arrival.
 /// POST /control {"mode": "up" | "refuse"}; {"restS": N}: rejects all requests for N s and asks for a
 /// back-off of the remaining time; {"leaving": true}: all further responses say that the upstream is
-/// about to stop.
+/// about to stop; {"limitPerS": N}: all further responses name a limit of N requests per second, 0 ends it.
 #include <cstdlib>
 #include <fmt/format.h>
 #include <map>
@@ -125,6 +125,10 @@
 				{
 					head.headers.add("Server-Leaving", "1");
 				}
+				if (0.0 < this->limitPerS)
+				{
+					head.headers.add("Server-Limit", fmt::format("{}", this->limitPerS));
+				}
 				return head;
 			}
 
@@ -167,6 +171,7 @@
 				this->rejectsAll = "refuse" == _settings.value("mode", this->rejectsAll ? "refuse" : "up");
 				this->backOffUntil = _settings.contains("restS") ? nowMs() + Millis(1'000.0 * _settings["restS"].get<double>()) : this->backOffUntil;
 				this->leaving = _settings.value("leaving", this->leaving);
+				this->limitPerS = _settings.value("limitPerS", this->limitPerS);
 			}
 
 			std::string recordText() const
@@ -333,6 +338,7 @@
 			bool rejectsAll = false;
 			bool leaving = false;
 			Millis backOffUntil = 0;
+			double limitPerS = 0.0; ///< Named in all responses; 0: none.
 		};
 	} // namespace
 
