Keep within the limits that upstreams name, summed over all gateways

Cause: no gateway read the limit; what a response says of its upstream was taken in for back-off and leaving only. Evidence: the upstream's rate was the same before and after it named the limit, at all six gateways; the reproduction sent it as many requests as the upstreams without a limit (213 in 4 s of 11 allowed).

Each gateway now keeps the limit with the upstream, beyond rows and groups, and divides it by the number of gateways that coordinators report: a fixed number of sends per span, and one more in a turn that comes at regular intervals from a random start and lapses unused. A bucket in each gateway would hold one request at least, which sums up to the number of gateways; turns are as rare as the number of gateways demands. A process that has just started is quiet for one span, since the one before it may have used the share. A send that waited for its connection counts from the time at which it leaves; one that was chosen before the limit was named is withheld. What no upstream can take is refused at once.

The bound on excess selections moves to a file of its own, as limits and cold upstreams share it.

--- a/include/archdyke/come_back.h
+++ b/include/archdyke/come_back.h
@@ -17,6 +17,7 @@
 		NoUpstream,       ///< No upstream accepts requests.
 		Overloaded,       ///< All upstreams have as many requests as they can serve in time.
 		ColdUpstreams,    ///< The remaining upstreams are cold and at their limit.
+		UpstreamLimits,   ///< The remaining upstreams name a limit, and this gateway has used its share.
 		BackOff,          ///< All remaining upstreams requested a back-off.
 		Evacuated,        ///< The zones of all upstreams are evacuated.
 		GroupDown,        ///< The group of engine ranks is stalled or forming.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -109,6 +109,12 @@
 	'(!isColdLimited(_upstream, _now) || maySendCold(_upstream.cold, *_upstream.coldSends, _now))' 'true'
 mutant gateway-ignores-back-off "gateway_an_upstream_that_asks_to_be_sent_nothing_gets_nothing_for_so_long" src/gateway/board_limits.cpp \
 	'acceptsRequests(_upstream) && !isBackedOff(_upstream, _now);' 'acceptsRequests(_upstream);'
+mutant gateway-ignores-named-limits "gateway_an_upstream_that_names_a_limit_gets_no_more_from_all_gateways_together" src/gateway/board_limits.cpp \
+	'!isAtNamedLimit(_upstream, _now) && ' ''
+mutant gateway-keeps-a-named-limit-alone "upstreamlimit_.*|gateway_an_upstream_that_names_a_limit_gets_no_more_from_all_gateways_together" src/decide/upstream_limit.cpp \
+	'std::max<double>(1.0, _terms.gateways)' '1.0'
+mutant turns-start-anew "upstreamlimit_.*" src/decide/upstream_limit.cpp \
+	'_limit.phase = phase - std::floor(phase);' '_limit.phase = 0.0;'
 mutant gateway-ignores-own-leave "gateway_an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_new" src/gateway/relay.cpp \
 	'if (_info.leaving && !_info.wrongIncarnation)' 'if (false)'
 mutant gateway-tells-nobody-of-crashes "gateway_all_of_many_gateways_refuse_a_request_soon_after_its_third_crash" src/gateway/crash_teller.cpp \
--- a/src/decide/cold_share.cpp
+++ b/src/decide/cold_share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "archdyke/excess_probability.h"
 #include "archdyke/route.h"
 
 namespace archdyke
@@ -12,11 +13,6 @@
 		/// Length of a window: the second in which an upstream's arrivals are counted, plus the maximum
 		/// connect time, by which a send may arrive later than the next one.
 		constexpr Millis kWindowMs = 1'400;
-		/// Logarithm of the accepted probability that more gateways get an extra send to an upstream than
-		/// it survives: one in a million, which with a hundred restarts a day occurs once in decades.
-		constexpr double kLogMaxExcessProbability = -13.8;
-		/// Steps of the bisection for a probability: a precision of one in a million.
-		constexpr int kBisectionSteps = 20;
 
 		/// How long the reported gateway count must not have grown before it is used: after a restart of all
 		/// gateways, coordinators discover them one by one, and a gateway that uses half the count sends
@@ -27,40 +23,6 @@
 		constexpr std::uint32_t kGatewaysPerUpstream = 2;
 		/// Minimum of the estimate: a few upstreams say little about the number of gateways.
 		constexpr std::uint32_t kMinGateways = 128;
-
-		/// @returns Upper bound of the logarithm of the probability that more than _max of _count gateways
-		/// are selected, each with probability _probability. H. Chernoff, Ann. Math. Statist. 23(4), 1952.
-		double logExcessProbability(double _count, double _probability, double _max)
-		{
-			const double fraction = (_max + 1.0) / _count;
-			if (1.0 < fraction || _probability <= 0.0)
-			{
-				return -HUGE_VAL;
-			}
-			if (fraction <= _probability)
-			{
-				return 0.0;
-			}
-			const double complement = 1.0 == fraction ? 0.0 : (1.0 - fraction) * std::log((1.0 - fraction) / (1.0 - _probability));
-			return -_count * (fraction * std::log(fraction / _probability) + complement);
-		}
-
-		/// @returns The largest probability up to _wanted with which the excess stays within kLogMaxExcessProbability.
-		double limitProbability(double _count, double _wanted, double _max)
-		{
-			if (logExcessProbability(_count, _wanted, _max) <= kLogMaxExcessProbability)
-			{
-				return _wanted;
-			}
-			double low = 0.0;
-			double high = _wanted;
-			for (int step = 0; step < kBisectionSteps; ++step)
-			{
-				const double middle = (low + high) / 2.0;
-				(logExcessProbability(_count, middle, _max) <= kLogMaxExcessProbability ? low : high) = middle;
-			}
-			return low;
-		}
 	} // namespace
 
 	std::uint32_t estimateGatewayCount(const ResendShare& _told, std::size_t _upstreams, Millis _windowMs, Millis _now)
@@ -80,7 +42,7 @@
 		const double peak = std::floor(_terms.peakPerS);
 		const double wanted = std::min(peak, _terms.sustainedPerS * double(kWindowMs) / 1'000.0) / count;
 		const double fixedSends = std::floor(wanted);
-		return {std::uint32_t(fixedSends), limitProbability(count, wanted - fixedSends, peak - count * fixedSends)};
+		return {std::uint32_t(fixedSends), limitSelectionProbability(count, wanted - fixedSends, peak - count * fixedSends)};
 	}
 
 	std::uint32_t coldSendsPerWindow(const ColdShare& _share, std::string_view _gateway, std::string_view _incarnation)
--- a/src/decide/come_back.cpp
+++ b/src/decide/come_back.cpp
@@ -27,8 +27,9 @@
 			case RefusalCause::StaleProof: // the retry reaches another gateway
 			case RefusalCause::NoUpstream:
 				return {500, 1'500};
-			case RefusalCause::ColdUpstreams: // their limit is renewed every second
-			case RefusalCause::Evacuated:     // the retry finds recovered upstreams in another zone
+			case RefusalCause::ColdUpstreams:  // their limit is renewed every second
+			case RefusalCause::UpstreamLimits: // the retry reaches another gateway, which has a share of its own
+			case RefusalCause::Evacuated:      // the retry finds recovered upstreams in another zone
 			case RefusalCause::Overloaded:
 				return {700, 2'000}; // a stream of usual length ends within 1 to 3 s
 			case RefusalCause::BackOff:
@@ -55,6 +56,8 @@
 			return "overloaded";
 		case RefusalCause::ColdUpstreams:
 			return "cold_upstreams";
+		case RefusalCause::UpstreamLimits:
+			return "upstream_limits";
 		case RefusalCause::BackOff:
 			return "back_off";
 		case RefusalCause::Evacuated:
--- a/src/gateway/board.cpp
+++ b/src/gateway/board.cpp
@@ -49,14 +49,14 @@
 
 	double meanLoad(const UpstreamGroup& _group, Millis _now)
 	{
-		if (0 < _group.evacuated || _now < _group.backOffUntil)
+		if (0 < _group.evacuated || 0 < _group.limited || _now < _group.backOffUntil)
 		{
 			// Only members that still get requests count: load and capacity of the others mean nothing for new requests.
 			double load = 0.0;
 			std::uint32_t accepting = 0;
 			for (const UpstreamRef& upstream : _group.members)
 			{
-				const bool accepts = acceptsRequestsNow(*upstream, _now);
+				const bool accepts = acceptsRequestsNow(*upstream, _now) && !isAtNamedLimit(*upstream, _now);
 				load += accepts ? loadOf(*upstream, _now) : 0.0;
 				accepting += accepts ? 1 : 0;
 			}
@@ -109,9 +109,10 @@
 		this->upstream->group->inFlight -= 1;
 	}
 
-	UpstreamRegistry::UpstreamRegistry(std::string _zone, std::string _gateway)
+	UpstreamRegistry::UpstreamRegistry(std::string _zone, std::string _gateway, Millis _startedAt)
 	    : zone(std::move(_zone))
 	    , gateway(std::move(_gateway))
+	    , startedAt(_startedAt)
 	{
 	}
 
@@ -313,11 +314,13 @@
 		_group.availableMembers = 0;
 		_group.availableInZone = 0;
 		_group.evacuated = 0;
+		_group.limited = 0;
 		for (const UpstreamRef& upstream : _group.members)
 		{
 			const bool works = acceptsRequests(*upstream);
 			_group.availableMembers += works ? 1 : 0;
 			_group.evacuated += upstream->evacuated ? 1 : 0;
+			_group.limited += upstream->selfReport.limit ? 1 : 0;
 			_group.availableInZone += works && upstream->record.zone == this->zone ? 1 : 0;
 		}
 	}
--- a/src/gateway/board.h
+++ b/src/gateway/board.h
@@ -13,6 +13,7 @@
 #include "archdyke/come_back.h"
 #include "archdyke/silence.h"
 #include "archdyke/upstream_choice.h"
+#include "archdyke/upstream_limit.h"
 
 namespace archdyke::gateway
 {
@@ -31,8 +32,8 @@
 	struct SelfReport
 	{
 		BackOff backOff;
-		bool leaving = false;            ///< It is shutting down.
-		std::optional<double> limitPerS; ///< Requests per second that it takes from all gateways together; none: no limit.
+		bool leaving = false;               ///< It is shutting down.
+		std::optional<UpstreamLimit> limit; ///< Limit on the requests of all gateways together; none: it names none.
 
 		bool operator==(const SelfReport&) const = default;
 	};
@@ -87,6 +88,7 @@
 		Millis lastActiveAt = 0;            ///< When data last arrived from any member.
 		Millis coldUntil = 0;               ///< No member is cold after this time.
 		Millis backOffUntil = 0;            ///< No member asks this gateway to back off after this time.
+		std::uint32_t limited = 0;          ///< Members that name a limit.
 	};
 
 	/// Report of a coordinator about its group.
@@ -124,10 +126,13 @@
 	/// @returns Whether an upstream has asked this gateway to back off and that time isn't over.
 	bool isBackedOff(const Upstream& _upstream, Millis _now);
 
-	/// @returns Whether an upstream accepts requests and hasn't asked this gateway to back off. Ignores limits for
-	/// cold upstreams.
+	/// @returns Whether an upstream accepts requests and hasn't asked this gateway to back off. Ignores limits that it names
+	/// and limits for cold upstreams.
 	bool acceptsRequestsNow(const Upstream& _upstream, Millis _now);
 
+	/// @returns Whether an upstream names a limit of which this gateway has used its share.
+	bool isAtNamedLimit(const Upstream& _upstream, Millis _now);
+
 	/// @returns Whether this gateway may send a request to an upstream now.
 	bool maySendTo(const Upstream& _upstream, Millis _now);
 
@@ -135,8 +140,8 @@
 	std::uint32_t countSendableMembers(const UpstreamGroup& _group, Millis _now);
 
 	/// @returns Why this gateway may send to no upstream of the groups that aren't down, although some accept
-	/// requests: the limits of cold upstreams are reached, or all upstreams asked it to back off. None when it may
-	/// send to one, or when no upstream accepts requests at all.
+	/// requests: the limits of cold upstreams or the limits that upstreams name are reached, or all upstreams asked it to
+	/// back off. None when it may send to one, or when no upstream accepts requests at all.
 	std::optional<RefusalCause> refusalCauseOf(const std::vector<GroupRef>& _groups, Millis _now);
 
 	/// @returns Requests at an upstream: the reported number, corrected by what this gateway has sent and finished
@@ -183,7 +188,8 @@
 	public:
 		/// @param[in] _zone Zone of this gateway.
 		/// @param[in] _gateway Name of this gateway.
-		explicit UpstreamRegistry(std::string _zone, std::string _gateway = "");
+		/// @param[in] _startedAt Start of this process, local clock.
+		explicit UpstreamRegistry(std::string _zone, std::string _gateway = "", Millis _startedAt = 0);
 		~UpstreamRegistry();
 		UpstreamRegistry(const UpstreamRegistry&) = delete;
 		UpstreamRegistry& operator=(const UpstreamRegistry&) = delete;
@@ -200,8 +206,14 @@
 		void applyBackOff(const UpstreamRef& _upstream, Millis _askedMs, Millis _now);
 		void recordLeaving(const UpstreamRef& _upstream, Millis _now);
 
-		/// Records the limit that a response of an upstream names; none: it names none.
-		void recordLimit(const UpstreamRef& _upstream, std::optional<double> _perSecond);
+		/// Records the limit that a response of an upstream names. Remains valid without its row, too.
+		void recordLimit(const UpstreamRef& _upstream, double _perSecond, Random& _random, Millis _now);
+
+		/// Records a response that names no limit. Ends a limit that was last named before the request was sent.
+		void recordNoLimit(const UpstreamRef& _upstream, Millis _sentAt);
+
+		/// Sets how strictly limits that upstreams name must be kept, and the number of gateways that share them.
+		void setLimitTerms(const LimitTerms& _terms, Millis _now);
 
 		/// @returns Time until the first back-off of a service's upstreams ends, ms; none when one of them accepts requests
 		/// without a back-off, or when none accepts requests.
@@ -313,6 +325,8 @@
 		void retainSelfReport(const Upstream& _upstream, Millis _now);
 		/// @returns The retained self-report for the upstream of a new record; empty when there is none.
 		SelfReport retainedSelfReport(const UpstreamRecord& _record, Millis _now) const;
+		/// @returns The upstream that its incarnation names now if that is the same run, else the given one.
+		UpstreamRef sameRunOf(const UpstreamRef& _upstream) const;
 		/// Applies an upstream's self-report to the upstream that its incarnation names now.
 		void applySelfReport(const UpstreamRef& _upstream, Millis _now);
 		/// Limits for a service's cold upstreams.
@@ -325,6 +339,8 @@
 
 		std::string zone;
 		std::string gateway;
+		Millis startedAt = 0;
+		LimitTerms limitTerms;
 		absl::flat_hash_map<std::string, ColdLimits> coldLimits;          ///< By service.
 		absl::flat_hash_map<std::string, RetainedReport> retainedReports; ///< By incarnation.
 		absl::flat_hash_map<std::string, UpstreamRef> byIncarnation;
--- a/src/gateway/board_limits.cpp
+++ b/src/gateway/board_limits.cpp
@@ -20,14 +20,19 @@
 		return acceptsRequests(_upstream) && !isBackedOff(_upstream, _now);
 	}
 
+	bool isAtNamedLimit(const Upstream& _upstream, Millis _now)
+	{
+		return _upstream.selfReport.limit && !maySendWithin(*_upstream.selfReport.limit, _now);
+	}
+
 	bool maySendTo(const Upstream& _upstream, Millis _now)
 	{
-		return acceptsRequestsNow(_upstream, _now) && (!isColdLimited(_upstream, _now) || maySendCold(_upstream.cold, *_upstream.coldSends, _now));
+		return acceptsRequestsNow(_upstream, _now) && !isAtNamedLimit(_upstream, _now) && (!isColdLimited(_upstream, _now) || maySendCold(_upstream.cold, *_upstream.coldSends, _now));
 	}
 
 	std::uint32_t countSendableMembers(const UpstreamGroup& _group, Millis _now)
 	{
-		if (_group.coldUntil <= _now && _group.backOffUntil <= _now)
+		if (_group.coldUntil <= _now && _group.backOffUntil <= _now && 0 == _group.limited)
 		{
 			return _group.availableMembers;
 		}
@@ -39,6 +44,7 @@
 	std::optional<RefusalCause> refusalCauseOf(const std::vector<GroupRef>& _groups, Millis _now)
 	{
 		bool anyBackedOff = false;
+		bool anyAtLimit = false;
 		bool anyCold = false;
 		for (const GroupRef& group : _groups)
 		{
@@ -53,13 +59,19 @@
 			for (const UpstreamRef& upstream : group->members)
 			{
 				anyBackedOff = anyBackedOff || (acceptsRequests(*upstream) && isBackedOff(*upstream, _now));
-				anyCold = anyCold || acceptsRequestsNow(*upstream, _now); // not sendable, so its limit for cold upstreams is reached
+				const bool atLimit = acceptsRequestsNow(*upstream, _now) && isAtNamedLimit(*upstream, _now);
+				anyAtLimit = anyAtLimit || atLimit;
+				anyCold = anyCold || (!atLimit && acceptsRequestsNow(*upstream, _now)); // not sendable, so its limit for cold upstreams is reached
 			}
 		}
 		if (anyCold)
 		{
 			return RefusalCause::ColdUpstreams; // takes precedence: they accept some each second, so callers may retry soonest
 		}
+		if (anyAtLimit)
+		{
+			return RefusalCause::UpstreamLimits;
+		}
 		return anyBackedOff ? std::optional(RefusalCause::BackOff) : std::nullopt;
 	}
 
@@ -85,14 +97,77 @@
 		this->applySelfReport(_upstream, _now);
 	}
 
-	void UpstreamRegistry::recordLimit(const UpstreamRef& _upstream, std::optional<double> _perSecond)
+	UpstreamRef UpstreamRegistry::sameRunOf(const UpstreamRef& _upstream) const
+	{
+		const UpstreamRef known = this->findUpstream(_upstream->record.incarnation);
+		const bool sameRun = nullptr != known && known->record.startedAt <= _upstream->record.startedAt;
+		return sameRun ? known : _upstream;
+	}
+
+	void UpstreamRegistry::recordLimit(const UpstreamRef& _upstream, double _perSecond, Random& _random, Millis _now)
+	{
+		const UpstreamRef upstream = this->sameRunOf(_upstream);
+		std::optional<UpstreamLimit>& limit = upstream->selfReport.limit;
+		const double beforePerS = limit ? limit->perSecond : -1.0;
+		if (!limit)
+		{
+			constexpr std::uint64_t kPhases = 1'000'000;
+			limit = beginLimit(_perSecond, this->limitTerms, this->startedAt, double(randomBelow(_random, kPhases)) / double(kPhases), _now);
+			this->updateCounts(*upstream->group);
+		}
+		else if (_perSecond != beforePerS)
+		{
+			adaptLimit(*limit, _perSecond, this->limitTerms, _now);
+		}
+		limit->namedAt = _now;
+		if (_perSecond != beforePerS)
+		{
+			logInfo("upstream_names_limit", {{"upstream", upstream->record.incarnation}, {"service", upstream->record.service}, {"per_s", _perSecond}, {"before_per_s", beforePerS}, {"in_flight", upstream->inFlight}, {"gateways", this->limitTerms.gateways}, {"sends", limit->share.sends}, {"cycle_ms", limit->share.cycleMs}});
+		}
+		if (nullptr == this->findUpstream(upstream->record.incarnation))
+		{
+			this->retainSelfReport(*upstream, _now);
+		}
+	}
+
+	void UpstreamRegistry::recordNoLimit(const UpstreamRef& _upstream, Millis _sentAt)
+	{
+		const UpstreamRef upstream = this->sameRunOf(_upstream);
+		std::optional<UpstreamLimit>& limit = upstream->selfReport.limit;
+		// A response to an earlier request may have been under way when the limit was named.
+		if (limit && limit->namedAt < _sentAt)
+		{
+			logInfo("upstream_limit_ended", {{"upstream", upstream->record.incarnation}, {"service", upstream->record.service}, {"per_s", limit->perSecond}});
+			limit.reset();
+			this->updateCounts(*upstream->group);
+		}
+	}
+
+	void UpstreamRegistry::setLimitTerms(const LimitTerms& _terms, Millis _now)
 	{
-		if (_upstream->selfReport.limitPerS == _perSecond)
+		if (this->limitTerms == _terms)
 		{
 			return;
 		}
-		logInfo(_perSecond ? "upstream_names_limit" : "upstream_limit_ended", {{"upstream", _upstream->record.incarnation}, {"service", _upstream->record.service}, {"per_s", _perSecond.value_or(0.0)}, {"before_per_s", _upstream->selfReport.limitPerS.value_or(-1.0)}, {"in_flight", _upstream->inFlight}});
-		_upstream->selfReport.limitPerS = _perSecond;
+		this->limitTerms = _terms;
+		const auto adapt = [&](std::optional<UpstreamLimit>& _limit) {
+			if (_limit)
+			{
+				adaptLimit(*_limit, _limit->perSecond, _terms, _now);
+			}
+		};
+		for (const auto& [incarnation, upstream] : this->byIncarnation)
+		{
+			adapt(upstream->selfReport.limit);
+		}
+		for (const auto& [incarnation, upstream] : this->inactive)
+		{
+			adapt(upstream->selfReport.limit);
+		}
+		for (auto& [incarnation, retained] : this->retainedReports)
+		{
+			adapt(retained.report.limit);
+		}
 	}
 
 	void UpstreamRegistry::applySelfReport(const UpstreamRef& _upstream, Millis _now)
@@ -121,13 +196,14 @@
 
 	void UpstreamRegistry::retainSelfReport(const Upstream& _upstream, Millis _now)
 	{
-		/// Time for which an upstream's leaving state is retained, ms: leaving upstreams go on serving for some ten seconds.
-		constexpr Millis kLeavingRetentionMs = 120'000;
+		/// Time for which an upstream's leaving state and limit are retained, ms: leaving upstreams go on serving for some ten
+		/// seconds, and rows that expired while the store was unreachable are back seconds after its return.
+		constexpr Millis kStateRetentionMs = 120'000;
 		absl::erase_if(this->retainedReports, [_now](const auto& _entry) {
 			return _entry.second.until <= _now;
 		});
 		const SelfReport& report = _upstream.selfReport;
-		const Millis until = std::max(report.backOff.until, report.leaving ? _now + kLeavingRetentionMs : 0);
+		const Millis until = std::max(report.backOff.until, report.leaving || report.limit ? _now + kStateRetentionMs : 0);
 		if (_now < until)
 		{
 			this->retainedReports[_upstream.record.incarnation] = {report, _upstream.record.startedAt, until};
@@ -142,9 +218,11 @@
 			return {};
 		}
 		SelfReport report = kept->second.report;
-		// A new run of the incarnation isn't leaving. Its back-off is kept, since it may be of the new run, whose row
-		// arrives late.
-		report.leaving = report.leaving && _record.startedAt <= kept->second.startedAt;
+		// A new run of the incarnation isn't leaving and has named no limit. Its back-off is kept, since it may be of the new
+		// run, whose row arrives late.
+		const bool sameRun = _record.startedAt <= kept->second.startedAt;
+		report.leaving = report.leaving && sameRun;
+		report.limit = sameRun ? report.limit : std::nullopt;
 		return report;
 	}
 
--- a/src/gateway/counters.cpp
+++ b/src/gateway/counters.cpp
@@ -31,6 +31,8 @@
 	    , backOffAsks(_metrics.counter("archdyke_gateway_back_off_asks_total", "Responses in which an upstream asked to be sent nothing for some time"))
 	    , backOffRefusals(_metrics.counter("archdyke_gateway_back_off_refusals_total", "Requests refused because all remaining upstreams had asked to be sent nothing for some time"))
 	    , namedLimits(_metrics.counter("archdyke_gateway_named_limits_total", "Responses in which an upstream named the requests per second that it takes from all gateways together"))
+	    , limitedSends(_metrics.counter("archdyke_gateway_limited_sends_total", "Requests sent to an upstream that names a limit, first sends and resends"))
+	    , limitRefusals(_metrics.counter("archdyke_gateway_limit_refusals_total", "Requests refused because all remaining upstreams name a limit and this gateway had used its share"))
 	    , withheldSends(_metrics.counter("archdyke_gateway_withheld_sends_total", "Requests not sent because the chosen upstream became unavailable while they waited for a connection"))
 	    , upstreamCrashes(_metrics.counter("archdyke_gateway_upstream_crashes_total", "Upstream crashes attributed to a request, once for each request and upstream"))
 	    , crashRefusals(_metrics.counter("archdyke_gateway_crash_refusals_total", "Requests refused because several upstreams had crashed under them"))
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -39,6 +39,8 @@
 		prometheus::Counter& backOffAsks;
 		prometheus::Counter& backOffRefusals;
 		prometheus::Counter& namedLimits;
+		prometheus::Counter& limitedSends;
+		prometheus::Counter& limitRefusals;
 		prometheus::Counter& withheldSends;
 		prometheus::Counter& upstreamCrashes;
 		prometheus::Counter& crashRefusals;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -30,6 +30,13 @@
 				recordColdSend(_upstream.cold, nowMs());
 				_context.state.counters.coldSends.Increment();
 			}
+			_context.limitedSendAt.reset();
+			if (_upstream.selfReport.limit)
+			{
+				_context.limitedSendAt = nowMs();
+				recordLimitedSend(*_upstream.selfReport.limit, *_context.limitedSendAt);
+				_context.state.counters.limitedSends.Increment();
+			}
 			_context.tried.insert(_upstream.record.incarnation);
 			_context.upstream = _upstream.record.incarnation;
 		}
@@ -38,7 +45,7 @@
 		void recordWithheld(RequestContext& _context, const Upstream& _upstream)
 		{
 			_context.state.counters.withheldSends.Increment();
-			logInfo("send_withheld", {{"request", _context.caller.id}, {"upstream", _upstream.record.incarnation}, {"back_off_ms", remainingBackOffMs(_upstream.selfReport.backOff, nowMs())}, {"leaving", _upstream.leavingSince.has_value()}});
+			logInfo("send_withheld", {{"request", _context.caller.id}, {"upstream", _upstream.record.incarnation}, {"back_off_ms", remainingBackOffMs(_upstream.selfReport.backOff, nowMs())}, {"limit_per_s", _upstream.selfReport.limit ? _upstream.selfReport.limit->perSecond : -1.0}, {"leaving", _upstream.leavingSince.has_value()}});
 			_context.tried.erase(_upstream.record.incarnation);
 			_context.group = nullptr;
 		}
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -120,9 +120,14 @@
 			{
 				_context.state.counters.namedLimits.Increment();
 			}
-			if (!_info.wrongIncarnation && (_info.limitPerS || _info.signedByUpstream))
+			UpstreamRegistry& registry = _context.state.registry;
+			if (_info.limitPerS && !_info.wrongIncarnation)
 			{
-				_context.state.registry.recordLimit(_context.currentUpstream, _info.limitPerS);
+				registry.recordLimit(_context.currentUpstream, *_info.limitPerS, _context.state.random, nowMs());
+			}
+			else if (_info.signedByUpstream && !_info.wrongIncarnation)
+			{
+				registry.recordNoLimit(_context.currentUpstream, _context.sentAt);
 			}
 		}
 
@@ -196,6 +201,27 @@
 			co_return result;
 		}
 
+		/// Counts a send to an upstream that names a limit at the time at which it takes place.
+		/// @returns false if the limit was named after the upstream was chosen, and this gateway has used its share.
+		bool claimLimitedSend(RequestContext& _context, Upstream& _upstream)
+		{
+			std::optional<UpstreamLimit>& limit = _upstream.selfReport.limit;
+			const Millis now = nowMs();
+			if (limit && _context.limitedSendAt)
+			{
+				moveLimitedSend(*limit, *_context.limitedSendAt, now);
+			}
+			else if (limit && !maySendWithin(*limit, now))
+			{
+				return false;
+			}
+			else if (limit)
+			{
+				recordLimitedSend(*limit, now);
+			}
+			return true;
+		}
+
 		bool hasResendBudget(RequestContext& _context)
 		{
 			const GatewayState& state = _context.state;
@@ -312,12 +338,13 @@
 			recordSend(_context);
 			co_return failed(ExecutionProof::NotRun, "connect_failed: " + connectError);
 		}
-		if (!acceptsRequestsNow(*_upstream, nowMs()))
+		if (!acceptsRequestsNow(*_upstream, nowMs()) || !claimLimitedSend(_context, *_upstream))
 		{
-			// The upstream asked for no more requests while this one waited for its connection, for up to 400 ms.
-			// Without this check all waiting requests of a burst would still be sent there.
+			// The upstream asked for no more requests, or named a limit, while this one waited for its connection, for up to
+			// 400 ms. Without this check all waiting requests of a burst would still be sent there.
 			co_return withheld();
 		}
+		_context.sentAt = nowMs();
 		recordSend(_context);
 		const bool mayHaveRunBefore = _context.maybeRunning;
 		_context.maybeRunning = true;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -217,6 +217,10 @@
 			retryInMs = _context.state.registry.nextWarmMs(_context.service, now);
 			_context.state.counters.coldRefusals.Increment();
 		}
+		if (RefusalCause::UpstreamLimits == _cause)
+		{
+			_context.state.counters.limitRefusals.Increment();
+		}
 		if (RefusalCause::CrashesUpstreams == _cause)
 		{
 			retryInMs = crashRefusalMs(_context);
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -59,11 +59,13 @@
 		Millis lastEventAt = 0;
 		Millis longestGapMs = 0;
 		int status = 0;
-		UpstreamRef currentUpstream;  ///< relay: upstream of the current attempt.
-		Millis lastHeardAt = 0;       ///< relay: when this attempt last received something, or started.
-		bool writingToCaller = false; ///< relay: a write to the caller, who may be slow, is in progress.
-		std::string upstream;         ///< Incarnation of the last attempt.
-		std::string reason;           ///< Reasons for the ending, for the log.
+		UpstreamRef currentUpstream;         ///< relay: upstream of the current attempt.
+		std::optional<Millis> limitedSendAt; ///< dispatch: when this attempt was counted against the limit that its upstream names.
+		Millis sentAt = 0;                   ///< relay: when this attempt was sent.
+		Millis lastHeardAt = 0;              ///< relay: when this attempt last received something, or started.
+		bool writingToCaller = false;        ///< relay: a write to the caller, who may be slow, is in progress.
+		std::string upstream;                ///< Incarnation of the last attempt.
+		std::string reason;                  ///< Reasons for the ending, for the log.
 		std::optional<Millis> comeBackMs;
 		Ending ending = Ending::Failed;
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -42,6 +42,9 @@
 			bounds.changeMs = std::min(bounds.changeMs, bounds.evacuationMs); // both are confirmed by the same proofs
 			bounds.coldOvershoot = _reader.numberOr("coldOvershoot", 1.0, 100.0, usual.coldOvershoot);
 			bounds.coldAllowance = _reader.numberOr("coldAllowance", 0.0, kMaxRetries, usual.coldAllowance);
+			bounds.limitWindowMs = _reader.integerOr("limitWindowMs", 100, kMaxBoundMs, usual.limitWindowMs);
+			bounds.limitOvershoot = _reader.numberOr("limitOvershoot", 1.0, 100.0, usual.limitOvershoot);
+			bounds.limitAllowance = _reader.numberOr("limitAllowance", 0.0, kMaxRetries, usual.limitAllowance);
 			return bounds;
 		}
 	} // namespace
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -23,6 +23,9 @@
 		Millis evacuationMs = 5'000;   ///< Maximum time until an evacuated zone gets no more requests.
 		double coldOvershoot = 1.0;    ///< Peak arrivals that a cold upstream survives, relative to its sustained rate.
 		double coldAllowance = 0.0;    ///< Further arrivals in a second that it survives.
+		Millis limitWindowMs = 4'000;  ///< Span in which the arrivals at an upstream that names a limit are counted.
+		double limitOvershoot = 1.5;   ///< Peak arrivals that it survives in this span, relative to its limit.
+		double limitAllowance = 5.0;   ///< Further arrivals in this span that it survives.
 
 		bool operator==(const Bounds&) const = default;
 	};
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -11,6 +11,7 @@
 #include "archdyke/outage.h"
 #include "archdyke/resend_share.h"
 #include "archdyke/retry_window.h"
+#include "base/process.h"
 #include "gateway/board.h"
 #include "gateway/codec.h"
 #include "gateway/counters.h"
@@ -51,7 +52,7 @@
 		    , codec(_codec)
 		    , loop(_loop)
 		    , counters(_counters)
-		    , registry(this->settings.place.zone, this->settings.place.name)
+		    , registry(this->settings.place.zone, this->settings.place.name, nowMs())
 		    , pool(_loop)
 		    , random(_seed)
 		{
--- a/src/gateway/cold_limits.cpp
+++ b/src/gateway/upstream_limits.cpp
@@ -1,4 +1,4 @@
-#include "gateway/cold_limits.h"
+#include "gateway/upstream_limits.h"
 
 namespace archdyke::gateway
 {
@@ -37,6 +37,16 @@
 		}
 	}
 
+	void refreshNamedLimits(GatewayState& _state, Millis _now)
+	{
+		/// Windows of which the maximum reported gateway count is used: gateways that are partitioned or restart go on
+		/// sending, but aren't counted.
+		constexpr Millis kCountWindows = 6;
+		const Bounds& bounds = _state.settings.bounds;
+		const std::uint32_t gateways = estimateGatewayCount(_state.resendShare, _state.registry.addresses(), kCountWindows * bounds.retryWindowMs, _now);
+		_state.registry.setLimitTerms({bounds.limitWindowMs, bounds.limitOvershoot, bounds.limitAllowance, gateways}, _now);
+	}
+
 	Millis coldAfterStartMs(const GatewayState& _state, const std::string& _service)
 	{
 		const CatalogService* service = nullptr == _state.catalog ? nullptr : findService(*_state.catalog, _service);
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -7,7 +7,7 @@
 #include "archdyke/errors.h"
 #include "base/log.h"
 #include "base/process.h"
-#include "gateway/cold_limits.h"
+#include "gateway/upstream_limits.h"
 #include "gateway/watch.h"
 
 namespace archdyke::gateway
@@ -250,6 +250,7 @@
 			co_await this->state.loop.timer.afterDelay(kExpiryCheckIntervalMs * kj::MILLISECONDS);
 			const Millis now = nowMs();
 			refreshColdLimits(this->state, now);
+			refreshNamedLimits(this->state, now);
 			this->state.registry.expireCold(now);
 			resolveBrokenAttempts(this->state, now);
 			this->crashPublisher.step();
--- a/tests/test_board_limits.cpp
+++ b/tests/test_board_limits.cpp
@@ -180,3 +180,58 @@
 	registry.recordLeaving(sentTo, 300);
 	cr_assert(0 == upstreamNamed(registry, "a")->group->availableMembers);
 }
+
+Test(board, an_upstream_that_names_a_limit_gets_the_share_of_this_gateway)
+{
+	UpstreamRegistry registry("here", "", -60'000);
+	registry.setLimitTerms({4'000, 1.5, 5.0, 4}, 0);
+	registry.learn(recordOf("a", "1"), 0);
+	registry.learn(recordOf("b", "2"), 0);
+	Random random(3);
+	registry.recordLimit(upstreamNamed(registry, "a"), 4.0, random, 0); // 4 sends in 4.4 s, of which some may be used
+	int sends = 0;
+	for (Millis now = 10'000; now < 14'000; now += 10)
+	{
+		const UpstreamRef chosen = registry.choose(*registry.groupsOf(kService).front(), {}, random, now);
+		if ("a" == chosen->record.incarnation)
+		{
+			recordLimitedSend(*chosen->selfReport.limit, now);
+			sends += 1;
+		}
+	}
+	cr_assert(4 <= sends && sends <= 5, "%d sends", sends);
+	cr_assert(1 == countSendableMembers(*upstreamNamed(registry, "a")->group, 14'000));
+	registry.forget("b", 14'000);
+	cr_assert(RefusalCause::UpstreamLimits == refusalCauseOf(registry.groupsOf(kService), 14'000));
+}
+
+Test(board, a_limit_outlasts_the_row_and_ends_with_a_later_response_that_names_none)
+{
+	UpstreamRegistry registry("here", "", -60'000);
+	registry.setLimitTerms({4'000, 1.5, 5.0, 500}, 0);
+	registry.learn(recordOf("a", "1"), 0);
+	Random random(3);
+	const UpstreamRef before = upstreamNamed(registry, "a");
+	registry.recordLimit(before, 1.0, random, 1'000);
+	registry.forget("a", 1'100);
+	registry.learn(recordOf("a", "1"), 1'200);
+	cr_assert(upstreamNamed(registry, "a")->selfReport.limit && 1 == upstreamNamed(registry, "a")->group->limited);
+	registry.recordNoLimit(before, 900);
+	cr_assert(upstreamNamed(registry, "a")->selfReport.limit, "the request was sent before the limit was named");
+	registry.recordNoLimit(before, 1'300);
+	cr_assert(!upstreamNamed(registry, "a")->selfReport.limit && 0 == upstreamNamed(registry, "a")->group->limited);
+	cr_assert(1 == countSendableMembers(*upstreamNamed(registry, "a")->group, 1'300));
+}
+
+Test(board, a_new_run_has_named_no_limit)
+{
+	UpstreamRegistry registry("here", "", -60'000);
+	registry.learn(recordOf("a", "1", "here", 1'000), 0);
+	Random random(3);
+	const UpstreamRef before = upstreamNamed(registry, "a");
+	registry.recordLimit(before, 1.0, random, 100);
+	registry.learn(recordOf("a", "1", "here", 2'000), 200);
+	cr_assert(!upstreamNamed(registry, "a")->selfReport.limit);
+	registry.recordLimit(before, 1.0, random, 300); // repeated in a response of the previous run
+	cr_assert(!upstreamNamed(registry, "a")->selfReport.limit);
+}
--- a/tests/test_gateway_limits.cpp
+++ b/tests/test_gateway_limits.cpp
@@ -148,3 +148,41 @@
 	cr_assert(most <= allowed, "%zu requests in %lld ms, allowed %zu, of %d calls", most, static_cast<long long>(kWindowMs), allowed, calls);
 	cr_assert(0 == unanswered, "%d of %d calls not served though two upstreams name no limit", unanswered, calls);
 }
+
+/// A limit that is reached at all upstreams refuses callers at once; one that isn't named any more is forgotten.
+Test(gateway, callers_beyond_the_limits_of_all_upstreams_are_refused_at_once_until_the_limits_end)
+{
+	constexpr Millis kMaxRefusalMs = 250;
+	constexpr double kPerSecond = 60.0; // a gateway that knows no others counts on 128: two requests in 4.4 s
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	clientOf(rig.workers.front().address).Post("/control", Json{{"limitPerS", kPerSecond}}.dump(), "application/json");
+	int refused = 0;
+	const auto call = [&](int _number) {
+		const Millis sentAt = nowMs();
+		const RigResponse response = rig.call("/safe/x", GatewayRig::headersFor(fmt::format("call-{}", _number)));
+		if (200 != response.status)
+		{
+			refused += 1;
+			cr_assert(503 == response.status && "upstream_limits\n" == response.body && response.headers.contains("Retry-After"), "status %d", response.status);
+			cr_assert(nowMs() - sentAt < kMaxRefusalMs, "refused after %lld ms", static_cast<long long>(nowMs() - sentAt));
+		}
+		return response.status;
+	};
+	for (int number = 0; number < 100; ++number)
+	{
+		call(number);
+		lab::pauseMs(10);
+	}
+	cr_assert(50 < refused, "%d of 100 refused", refused);
+	cr_assert(kPerSecond == rig.dump()["upstreams"][0]["limitPerS"].get<double>());
+	clientOf(rig.workers.front().address).Post("/control", Json{{"limitPerS", 0.0}}.dump(), "application/json");
+	int number = 100;
+	cr_assert(lab::waitUntil(10'000, [&] {
+		return 200 == call(number++) && rig.dump()["upstreams"][0]["limitPerS"].get<double>() < 0.0;
+	}));
+	for (int repeat = 0; repeat < 20; ++repeat)
+	{
+		cr_assert(200 == call(number++));
+	}
+}
