Soak: upstreams name limits of requests per second

No soak run, test or stub had an upstream that names a limit, so nothing showed that gateways ignore it. Runs can now have limits of 1, 4 and 16 per second in addition to the other faults, with a schedule of their own, so that the schedules of earlier seeds stay as they are; the judge counts the arrivals from gateways that had received the limit and weren't disturbed since.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -28,20 +28,17 @@
 		return violations.byKind.end() == found ? 0 : found->second;
 	}
 
-	void runSeed(std::uint64_t _seed, std::uint32_t _faults, std::uint32_t _series = 0)
+	/// @param[in] _options Seed, faults and series of faults.
+	void runSeed(ChaosOptions _options)
 	{
-		ChaosOptions options;
-		options.target = ChaosTarget::Platform;
-		options.seed = _seed;
-		options.faults = _faults;
-		options.series = _series;
-		const SoakResult result = runSoak(options);
+		_options.target = ChaosTarget::Platform;
+		const SoakResult result = runSoak(_options);
 		std::string lines;
 		for (const std::string& line : result.violations.lines)
 		{
 			lines += line + "\n";
 		}
-		cr_assert(lines.empty(), "seed %llu:\n%s", static_cast<unsigned long long>(_seed), lines.c_str());
+		cr_assert(lines.empty(), "seed %llu:\n%s", static_cast<unsigned long long>(_options.seed), lines.c_str());
 		cr_assert(0 < result.statuses.at(200));
 	}
 } // namespace
@@ -131,6 +128,33 @@
 	cr_assert(0 == violationsOf(record, "work_in_back_off"), "the back-off applies to one gateway");
 }
 
+Test(soakjudge, work_beyond_a_named_limit_is_noticed)
+{
+	SoakRecord record;
+	record.knownKeys = {"key"};
+	record.limits = {{"w0", 1.0, kSentAtMs - 4'000, kSentAtMs + 10'000}};
+	const auto addRun = [&](Millis _at, const std::string& _gateway) {
+		const std::string id = "r" + std::to_string(record.runs.size());
+		record.calls.push_back({id, SoakKind::Safe, "key", _gateway, _at - 5, _at + 5, 200, true});
+		record.runs.push_back({id, "w0", _at, false, 1.0});
+	};
+	addRun(kSentAtMs - 2'000, "gateway-0");
+	addRun(kSentAtMs - 2'000, "gateway-1");
+	for (int run = 0; run < 12; ++run)
+	{
+		addRun(kSentAtMs + 300 * run, 0 == run % 2 ? "gateway-0" : "gateway-1");
+	}
+	cr_assert(1 == violationsOf(record, "work_beyond_limit"));
+	record.spans = {{"gateway-1", FaultKind::KillGateway, kSentAtMs, kSentAtMs + 100}};
+	cr_assert(0 == violationsOf(record, "work_beyond_limit"), "the restarted gateway has not received the limit");
+	record.spans.clear();
+	record.runs.back().at = kSentAtMs + 4'000;
+	cr_assert(0 == violationsOf(record, "work_beyond_limit"), "11 requests in 4 s are allowed");
+	record.runs.back().at = kSentAtMs + 3'999;
+	record.limits.front().from = kSentAtMs - 2'999;
+	cr_assert(0 == violationsOf(record, "work_beyond_limit"), "the limit does not apply yet to the first of them");
+}
+
 Test(soakjudge, work_after_an_upstreams_self_report_of_leaving_is_noticed)
 {
 	SoakRecord record = makeHealthyRecord(SoakKind::Safe);
@@ -167,19 +191,25 @@
 
 Test(soak, a_short_seed_has_no_violations)
 {
-	runSeed(5, 10);
+	runSeed({.seed = 5, .faults = 10});
 }
 
 /// Seeds 111, 114 and 218 once failed: they reset all links to upstreams, and the recorded span of this fault
 /// started only after the resets, so that streams broken in between seemed to break without a fault.
 Test(soak, a_seed_with_resets_has_no_violations)
 {
-	runSeed(218, 14);
+	runSeed({.seed = 218, .faults = 14});
 }
 
 /// Upstreams ask for back-off and say that they are leaving; gateways get SIGHUP, are stopped and killed in series;
 /// the configuration changes meanwhile.
 Test(soak, series_of_self_reports_signals_restarts_and_changes_have_no_violations)
 {
-	runSeed(7, 8, 6);
+	runSeed({.seed = 7, .faults = 8, .series = 6});
+}
+
+/// Upstreams name limits of requests per second while gateways are restarted, frozen and cut off.
+Test(soak, limits_that_upstreams_name_have_no_violations)
+{
+	runSeed({.seed = 31, .faults = 12, .limits = 4});
 }
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -52,6 +52,8 @@
 		AskBackOff,    ///< An upstream rejects requests and asks to be sent none for some time.
 		SayLeaving,    ///< An upstream's responses say that it is leaving, but its row does not.
 		HangUpGateway, ///< A gateway receives SIGHUP.
+		// Faults with schedules of their own.
+		NameLimit, ///< An upstream names a limit of requests per second from all gateways together, see planLimits().
 		Count
 	};
 
@@ -84,6 +86,7 @@
 		std::uint64_t seed = 1;
 		std::uint32_t faults = 12;
 		std::uint32_t series = 0; ///< Number of series in addition to the faults; each repeats one kind of fault.
+		std::uint32_t limits = 0; ///< Number of limits that upstreams name, in addition to the faults.
 		bool large = false;       ///< About a hundred processes: as many as fit on a machine beside other runs.
 		double perSecond = 80.0;
 		Millis meanIntervalMs = 700; ///< Mean time between the starts of faults.
@@ -114,5 +117,8 @@
 	/// They overlap each other and the result of planFaults(), which does not depend on them.
 	std::vector<PlannedFault> planSeries(const ChaosOptions& _options);
 
+	/// @returns Limits that upstreams name, ordered by start. They overlap the other faults, which do not depend on them.
+	std::vector<PlannedFault> planLimits(const ChaosOptions& _options);
+
 	ChaosResult runChaos(const ChaosOptions& _options);
 } // namespace archdyke::lab
--- a/tools/chaos_plan.cpp
+++ b/tools/chaos_plan.cpp
@@ -8,7 +8,7 @@
 {
 	std::string_view toString(FaultKind _kind)
 	{
-		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway"};
+		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway", "name-limit"};
 		return kNames[std::size_t(_kind)];
 	}
 
@@ -67,4 +67,25 @@
 		});
 		return plan;
 	}
+
+	std::vector<PlannedFault> planLimits(const ChaosOptions& _options)
+	{
+		constexpr std::uint64_t kSeedOffset = 2'000'003;
+		constexpr Millis kMinDurationMs = 5'000; // limits apply some seconds after they were first named
+		Random random(_options.seed + kSeedOffset);
+		std::vector<PlannedFault> plan;
+		for (std::uint32_t index = 0; index < _options.limits; ++index)
+		{
+			PlannedFault fault;
+			fault.kind = FaultKind::NameLimit;
+			fault.startMs = 500 + Millis(randomBelow(random, std::uint64_t(_options.meanIntervalMs) * std::max<std::uint32_t>(1, _options.faults)));
+			fault.durationMs = kMinDurationMs + Millis(randomBelow(random, 6'000));
+			fault.randomValue = random();
+			plan.push_back(fault);
+		}
+		std::stable_sort(plan.begin(), plan.end(), [](const PlannedFault& _a, const PlannedFault& _b) {
+			return _a.startMs < _b.startMs;
+		});
+		return plan;
+	}
 } // namespace archdyke::lab
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -154,7 +154,7 @@
 				{
 					if (line.starts_with("run "))
 					{
-						this->deployment.record.runs.push_back({fieldOf(line, "request"), worker.id, std::stoll(fieldOf(line, "at")), "1" == fieldOf(line, "leaving")});
+						this->deployment.record.runs.push_back({fieldOf(line, "request"), worker.id, std::stoll(fieldOf(line, "at")), "1" == fieldOf(line, "leaving"), std::stod(fieldOf(line, "limit"))});
 					}
 					if (line.starts_with("turned_away "))
 					{
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -42,6 +42,7 @@
 		std::string upstream; ///< Incarnation.
 		Millis at = 0;
 		bool saidLeaving = false; ///< The response says that the upstream is leaving.
+		double limitPerS = 0.0;   ///< Limit that the response names, requests per second; 0: none.
 	};
 
 	/// An upstream rejected a request.
@@ -53,6 +54,15 @@
 		Millis backOffMs = 0; ///< Requested back-off of the gateway; 0: none.
 	};
 
+	/// An upstream named a limit of requests per second from all gateways together.
+	struct SoakLimit
+	{
+		std::string upstream; ///< Incarnation.
+		double perSecond = 0.0;
+		Millis from = 0;
+		Millis until = 0;
+	};
+
 	/// The time in which a fault affected a part of the deployment.
 	struct FaultSpan
 	{
@@ -71,6 +81,7 @@
 		std::vector<SoakCall> calls;
 		std::vector<SoakRun> runs;
 		std::vector<SoakRejection> rejections;
+		std::vector<SoakLimit> limits;
 		std::vector<FaultSpan> spans;
 		std::map<std::string, Millis> revokedAt; ///< By key: when the store confirmed the revocation.
 		std::map<std::string, Millis> leavingAt; ///< By upstream: when the store confirmed its draining state.
@@ -80,12 +91,16 @@
 	/// Time limits of the checks, ms.
 	struct SoakBounds
 	{
-		Millis revocationMs = 4'000; ///< Until a revoked key is rejected.
-		Millis drainMs = 2'000;      ///< Until a leaving upstream gets no new requests.
-		Millis contactMs = 3'000;    ///< After a fault, the time limits apply to a gateway again after this time.
-		Millis graceMs = 8'000;      ///< Time between the stop signal and the kill.
-		Millis backOffSlackMs = 500; ///< Requests in flight when an upstream asks for back-off may still arrive.
-		Millis lossSlackMs = 200;    ///< A request that was cut off sooner may not have been read by the gateway.
+		Millis revocationMs = 4'000;  ///< Until a revoked key is rejected.
+		Millis drainMs = 2'000;       ///< Until a leaving upstream gets no new requests.
+		Millis contactMs = 3'000;     ///< After a fault, the time limits apply to a gateway again after this time.
+		Millis graceMs = 8'000;       ///< Time between the stop signal and the kill.
+		Millis backOffSlackMs = 500;  ///< Requests in flight when an upstream asks for back-off may still arrive.
+		Millis limitWindowMs = 4'000; ///< Span in which the arrivals at an upstream that names a limit are counted.
+		double limitOvershoot = 1.5;  ///< Allowed arrivals in it relative to the limit.
+		double limitAllowance = 5.0;  ///< Further allowed arrivals.
+		Millis limitHeardMs = 500;    ///< A limit applies to a gateway from this time after it forwarded a response that names it.
+		Millis lossSlackMs = 200;     ///< A request that was cut off sooner may not have been read by the gateway.
 	};
 
 	/// Violated guarantees, each with a line of details.
--- a/tools/soak_faults.cpp
+++ b/tools/soak_faults.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 
 namespace archdyke::lab
 {
@@ -59,11 +60,38 @@
 			}
 		}
 
+		/// @returns The limit that an upstream names now; null for none.
+		SoakLimit* findLimit(SoakDeployment& _deployment, const std::string& _upstream)
+		{
+			std::vector<SoakLimit>& limits = _deployment.record.limits;
+			const auto found = std::find_if(limits.begin(), limits.end(), [&](const SoakLimit& _limit) {
+				return _limit.upstream == _upstream && nowMs() < _limit.until;
+			});
+			return limits.end() == found ? nullptr : &*found;
+		}
+
+		/// Makes an upstream name a limit of requests per second.
+		void nameLimit(SoakDeployment& _deployment, const SoakWorker& _worker, const PlannedFault& _fault)
+		{
+			if (nullptr != findLimit(_deployment, _worker.id))
+			{
+				return; // one at a time, so that the end of one does not end another
+			}
+			constexpr double kLimitsPerS[] = {1.0, 4.0, 16.0};
+			const double perSecond = kLimitsPerS[_fault.randomValue % std::size(kLimitsPerS)];
+			_deployment.record.limits.push_back({_worker.id, perSecond, nowMs(), nowMs() + _fault.durationMs});
+			controlWorker(_worker, {{"limitPerS", perSecond}});
+		}
+
 		std::size_t injectWorkerFault(SoakDeployment& _deployment, SoakWorker& _worker, const PlannedFault& _fault)
 		{
 			const FaultKind kind = _fault.kind;
 			const std::size_t span = _deployment.beginSpan(_worker.id, kind);
-			if (FaultKind::AskBackOff == kind)
+			if (FaultKind::NameLimit == kind)
+			{
+				nameLimit(_deployment, _worker, _fault);
+			}
+			else if (FaultKind::AskBackOff == kind)
 			{
 				askBackOff(_deployment, _worker, _fault);
 			}
@@ -204,6 +232,7 @@
 				return injectWorkerFault(_deployment, _deployment.workers[_target], _fault);
 			case FaultKind::AskBackOff:
 			case FaultKind::SayLeaving:
+			case FaultKind::NameLimit:
 				// Chooses one of the most recent upstreams, as earlier ones may have been killed.
 				_target = _deployment.workers.size() - 1 - _target % std::min(_deployment.workers.size(), _deployment.size.workers);
 				return injectWorkerFault(_deployment, _deployment.workers[_target], _fault);
@@ -231,6 +260,12 @@
 			case FaultKind::CutStoreOneWay:
 				cutStore(_deployment, _deployment.gateways[_target], false);
 				break;
+			case FaultKind::NameLimit:
+				if (nullptr == findLimit(_deployment, _deployment.workers[_target].id))
+				{
+					controlWorker(_deployment.workers[_target], {{"limitPerS", 0.0}});
+				}
+				break;
 			case FaultKind::DelayLinks:
 				faultWorkerLinks(_deployment, {{"delayMs", 0}});
 				break;
@@ -255,8 +290,10 @@
 	    , plan(planFaults(_options))
 	    , begunAt(nowMs())
 	{
-		const std::vector<PlannedFault> series = planSeries(_options);
-		this->plan.insert(this->plan.end(), series.begin(), series.end());
+		for (const std::vector<PlannedFault>& more : {planSeries(_options), planLimits(_options)})
+		{
+			this->plan.insert(this->plan.end(), more.begin(), more.end());
+		}
 		std::stable_sort(this->plan.begin(), this->plan.end(), [](const PlannedFault& _a, const PlannedFault& _b) {
 			return _a.startMs < _b.startMs;
 		});
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -36,7 +36,7 @@
 			{
 				const bool isOwnStop = FaultKind::StopGateway == span.kind && span.part == _call.gateway;
 				const bool isOtherStop = FaultKind::StopGateway == span.kind && span.part != _call.gateway;
-				const bool harmless = FaultKind::KillSidecar == span.kind || FaultKind::FreezeSidecar == span.kind || FaultKind::LateOrders == span.kind || FaultKind::FormAnew == span.kind || FaultKind::AskBackOff == span.kind || FaultKind::SayLeaving == span.kind || FaultKind::HangUpGateway == span.kind;
+				const bool harmless = FaultKind::KillSidecar == span.kind || FaultKind::FreezeSidecar == span.kind || FaultKind::LateOrders == span.kind || FaultKind::FormAnew == span.kind || FaultKind::AskBackOff == span.kind || FaultKind::SayLeaving == span.kind || FaultKind::NameLimit == span.kind || FaultKind::HangUpGateway == span.kind;
 				if (!isOwnStop && !isOtherStop && !harmless && overlaps(span, _call.sentAt - _bounds.contactMs, _call.endedAt))
 				{
 					return false;
@@ -183,6 +183,60 @@
 			}
 		}
 
+		/// @returns The arrivals at an upstream while a limit applied to the gateway that sent them.
+		std::vector<Millis> limitedArrivals(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, const Arrivals& _arrivals, const SoakLimit& _limit)
+		{
+			std::map<std::string, Millis> heardAt; // by gateway
+			for (const SoakRun& run : _record.runs)
+			{
+				const auto call = _calls.find(run.request);
+				const bool named = run.upstream == _limit.upstream && run.limitPerS == _limit.perSecond && _limit.from <= run.at && run.at <= _limit.until;
+				if (named && _calls.end() != call && 200 == call->second->status)
+				{
+					Millis& first = heardAt.try_emplace(call->second->gateway, call->second->endedAt).first->second;
+					first = std::min(first, call->second->endedAt);
+				}
+			}
+			std::vector<Millis> times;
+			for (const auto& [gateway, heard] : heardAt)
+			{
+				const auto arrivals = _arrivals.find({_limit.upstream, gateway});
+				for (const Arrival& arrival : _arrivals.end() == arrivals ? std::vector<Arrival>() : arrivals->second)
+				{
+					const Millis from = std::max(heard + _bounds.limitHeardMs, _limit.from + _bounds.contactMs);
+					if (from <= arrival.at && arrival.at <= _limit.until && !isAffected(_record, gateway, _limit.upstream, heard, arrival.at))
+					{
+						times.push_back(arrival.at);
+					}
+				}
+			}
+			std::sort(times.begin(), times.end());
+			return times;
+		}
+
+		/// Checks that an upstream that names a limit gets no more from all gateways that have received it.
+		void checkLimits(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, const Arrivals& _arrivals, SoakViolations& _violations)
+		{
+			for (const SoakLimit& limit : _record.limits)
+			{
+				const std::vector<Millis> times = limitedArrivals(_record, _bounds, _calls, _arrivals, limit);
+				const double allowed = _bounds.limitOvershoot * limit.perSecond * double(_bounds.limitWindowMs) / 1'000.0 + _bounds.limitAllowance;
+				std::size_t most = 0;
+				for (std::size_t first = 0, last = 0; last < times.size(); ++last)
+				{
+					while (times[last] - times[first] >= _bounds.limitWindowMs)
+					{
+						++first;
+					}
+					most = std::max(most, last - first + 1);
+				}
+				if (allowed < double(most))
+				{
+					_violations.add("work_beyond_limit", fmt::format("{} requests in {} ms came to {}, which named a limit of {} per second from {} to {}", most, _bounds.limitWindowMs, limit.upstream, limit.perSecond, limit.from, limit.until));
+				}
+			}
+		}
+
 		/// Checks that a request that has crashed three upstreams reaches at most three others through gateways to
 		/// which the time limits apply.
 		void checkCrashes(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, SoakViolations& _violations)
@@ -261,6 +315,7 @@
 		const Arrivals arrivals = arrivalsOf(_record, calls);
 		checkBackOffs(_record, _bounds, calls, arrivals, violations);
 		checkLeaving(_record, _bounds, calls, arrivals, violations);
+		checkLimits(_record, _bounds, calls, arrivals, violations);
 		checkCrashes(_record, _bounds, calls, violations);
 		for (const auto& [request, itsRuns] : runs)
 		{
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -141,7 +141,7 @@
 			/// Prints one line per run, so that runs are known even when this process is killed.
 			void printRun(const Call& _call) const
 			{
-				fmt::print("run request={} at={} leaving={} organisation={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->leaving ? 1 : 0, this->headerOf(_call, "X-Archdyke-Tenant"));
+				fmt::print("run request={} at={} leaving={} limit={} organisation={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->leaving ? 1 : 0, this->limitPerS, this->headerOf(_call, "X-Archdyke-Tenant"));
 				std::fflush(stdout);
 			}
 
