Log the store's era and the responses that are dropped

After the store had been away, gateways had neither the changes that it confirmed nor a log line that says why: whether the reads of whole tables failed, returned nothing new or were dropped for their version couldn't be told apart.

No decision uses the era yet.

--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -189,6 +189,10 @@
 			recordStoreClock(this->state.freshness, _rows.sentAt, *_rows.storeTime);
 		}
 		this->recordStoreResponse(_rows.storeTime ? toLocalTime(this->state.freshness, *_rows.storeTime).value_or(_rows.sentAt) : _rows.sentAt);
+		if (_rows.version < known)
+		{
+			logWarning("store_response_dropped", {{"table", _feed.name}, {"whole_read", _whole}, {"version", _rows.version}, {"known", known}, {"rows", _rows.rows.size()}, {"era", _rows.era}});
+		}
 		store::mergeRows(table, _rows, _whole);
 		_feed.needsWhole = false;
 		this->applyChanges(_feed, known);
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -240,6 +240,10 @@
 	{
 		store::FollowedTable& table = this->dependencies.groupState.tables.*_feed.table;
 		const std::uint64_t known = table.version;
+		if (_rows.version < known)
+		{
+			logWarning("store_response_dropped", {{"group", this->group}, {"table", _feed.name}, {"whole_read", _whole}, {"version", _rows.version}, {"known", known}, {"rows", _rows.rows.size()}, {"era", _rows.era}});
+		}
 		store::mergeRows(table, _rows, _whole);
 		if (table.version != known)
 		{
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -36,6 +36,7 @@
 	{
 		std::vector<Row> rows;
 		std::uint64_t version = 0;       ///< Newest version in the store.
+		std::uint64_t era = 0;           ///< Rises each time the store comes back from an earlier copy.
 		std::optional<Millis> storeTime; ///< The store's steady clock at the time of the response.
 		Millis sentAt = 0;               ///< Local clock when the call was sent.
 		bool more = false;               ///< For reads: there are more rows after these.
