--- a/tools/platform_lab.cpp
+++ b/tools/platform_lab.cpp
@@ -90,7 +90,31 @@
 		clientOf(this->address).Post("/control", _control.dump(), "application/json");
 	}
 
+	void StoreStub::restore(Millis _copyAt)
+	{
+		this->copyAt = _copyAt;
+		this->restoredAt = nowMs();
+		this->control({{"restoreMs", nowMs() - _copyAt}});
+	}
+
+	void StoreStub::rewriteLost()
+	{
+		for (const Write& write : this->writes)
+		{
+			if (this->copyAt < write.at && write.at < this->restoredAt)
+			{
+				this->send(write.body);
+			}
+		}
+	}
+
 	void StoreStub::transact(const Json& _body)
+	{
+		this->send(_body);
+		this->writes.push_back({nowMs(), _body});
+	}
+
+	void StoreStub::send(const Json& _body)
 	{
 		// With this header the stand-in serves the operator and the upstreams even while it rejects daemons.
 		const httplib::Result result = clientOf(this->address).Post("/rows-tx", {{"X-Stub-Operator", "1"}}, _body.dump(), "application/json");
--- a/tools/platform_lab.h
+++ b/tools/platform_lab.h
@@ -47,11 +47,30 @@
 		void removeIn(const std::string& _table, const std::string& _part, const std::string& _key);
 		void control(const Json& _control);
 
+		/// Brings the store back from a copy.
+		/// @param[in] _copyAt Time of the copy, local clock.
+		void restore(Millis _copyAt);
+
+		/// Writes again, as the operator and the upstreams do, what was written through this object since the last copy
+		/// that the store came back from.
+		void rewriteLost();
+
 		std::unique_ptr<ChildProcess> process;
 		std::string address;
 
 	private:
+		struct Write
+		{
+			Millis at = 0;
+			Json body;
+		};
+
 		void transact(const Json& _body);
+		void send(const Json& _body);
+
+		std::vector<Write> writes; ///< Oldest first.
+		Millis copyAt = 0;         ///< Time of the last copy that the store came back from.
+		Millis restoredAt = 0;
 	};
 
 	/// The fault proxy.
--- a/tools/stub_store.cpp
+++ b/tools/stub_store.cpp
@@ -3,10 +3,12 @@
 ///
 /// Options: {"address"?}. POST /control {"mode": "up" | "busy" | "silent" | "lose", "delayMs"?,
 /// "forget"?}: "busy" returns 503, "silent" sends no response, "lose" applies writes without sending a
-/// response, "forget" drops the change history once. Writes with the header X-Stub-Operator are served
+/// response, "forget" drops the change history once; "restoreMs": N: the store is back from the copy of N ms ago: what was
+/// written since is gone, versions are given out again, and its era, which all responses name, rises by one. Writes with the header X-Stub-Operator are served
 /// at once in all modes.
 #include <absl/strings/escaping.h>
 #include <absl/synchronization/mutex.h>
+#include <deque>
 #include <map>
 
 #include "base/http_server.h"
@@ -39,6 +41,17 @@
 			bool deleted = false;
 		};
 
+		/// The rows after one write.
+		struct Copy
+		{
+			Millis at = 0;
+			std::map<RowName, StoredRow> rows;
+			std::uint64_t newestVersion = 0;
+		};
+
+		/// How long copies are kept, ms.
+		constexpr Millis kCopyRetentionMs = 30'000;
+
 		struct Faults
 		{
 			std::string mode = "up";
@@ -119,6 +132,29 @@
 				absl::MutexLock lock(&this->mutex);
 				this->faults = {_json.value("mode", this->faults.mode), _json.value("delayMs", Millis(0))};
 				this->historyStart = _json.value("forget", false) ? this->newestVersion : this->historyStart;
+				if (_json.contains("restoreMs"))
+				{
+					this->restore(nowMs() - _json["restoreMs"].get<Millis>());
+				}
+			}
+
+			/// Goes back to the rows as they were at a time.
+			void restore(Millis _at) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+			{
+				while (!this->copies.empty() && this->copies.back().at > _at)
+				{
+					this->copies.pop_back();
+				}
+				this->rows = this->copies.empty() ? std::map<RowName, StoredRow>() : this->copies.back().rows;
+				this->newestVersion = this->copies.empty() ? 1 : this->copies.back().newestVersion;
+				this->historyStart = std::min(this->historyStart, this->newestVersion);
+				this->era += 1;
+				logInfo("restored", {{"era", this->era}, {"version", this->newestVersion}});
+			}
+
+			void setEra(httplib::Response& _response) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+			{
+				_response.set_header("Store-Era", std::to_string(this->era));
 			}
 
 			Json emptyResponse() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -148,6 +184,7 @@
 			void transact(const Json& _body, httplib::Response& _response)
 			{
 				absl::MutexLock lock(&this->mutex);
+				this->setEra(_response);
 				Json result = this->emptyResponse();
 				bool conditionsMet = true;
 				for (const Json& expected : _body.value("expectedRev", Json::array()))
@@ -175,12 +212,18 @@
 				{
 					this->rows[nameOf(removed)] = {"", this->newestVersion, true};
 				}
+				this->copies.push_back({nowMs(), this->rows, this->newestVersion});
+				while (this->copies.size() > 1 && this->copies[1].at < nowMs() - kCopyRetentionMs)
+				{
+					this->copies.pop_front();
+				}
 				_response.set_content(Json{{"ver", this->newestVersion}, {"now_ms", nowMs()}}.dump(), "application/json");
 			}
 
 			void serveRead(const httplib::Request& _request, httplib::Response& _response)
 			{
 				absl::MutexLock lock(&this->mutex);
+				this->setEra(_response);
 				Json result = this->emptyResponse();
 				for (const auto& [name, row] : this->rows)
 				{
@@ -206,16 +249,21 @@
 				const std::uint64_t since = std::stoull(_request.get_param_value("sinceRev"));
 				const Millis waitMs = std::stoll(_request.get_param_value("waitMs"));
 				absl::MutexLock lock(&this->mutex);
-				if (since < this->historyStart)
+				const std::uint64_t eraBefore = this->era;
+				const auto ready = [&] {
+					this->mutex.AssertHeld();
+					return this->hasChanges(table, since) || "up" != this->faults.mode || eraBefore != this->era;
+				};
+				if (this->historyStart <= since && since <= this->newestVersion)
+				{
+					this->mutex.AwaitWithTimeout(absl::Condition(&ready), absl::Milliseconds(waitMs));
+				}
+				this->setEra(_response);
+				if (since < this->historyStart || this->newestVersion < since)
 				{
 					_response.status = 410;
 					return;
 				}
-				const auto ready = [&] {
-					this->mutex.AssertHeld();
-					return this->hasChanges(table, since) || "up" != this->faults.mode;
-				};
-				this->mutex.AwaitWithTimeout(absl::Condition(&ready), absl::Milliseconds(waitMs));
 				if ("busy" == this->faults.mode)
 				{
 					_response.status = 503;
@@ -236,6 +284,8 @@
 			std::map<RowName, StoredRow> rows ABSL_GUARDED_BY(mutex);
 			std::uint64_t newestVersion ABSL_GUARDED_BY(mutex) = 1;
 			std::uint64_t historyStart ABSL_GUARDED_BY(mutex) = 0;
+			std::uint64_t era ABSL_GUARDED_BY(mutex) = 1;
+			std::deque<Copy> copies ABSL_GUARDED_BY(mutex); ///< Oldest first.
 			Faults faults ABSL_GUARDED_BY(mutex);
 		};
 	} // namespace
