Order the store's versions by era

Changes that the store confirmed after it had come back from an older copy weren't in force in time: requests on new routes got 404, a withdrawn key worked on, requests reached leaving upstreams more than 2 s later, and for 4 s no gateway was ready.

Cause: the restored store gives out versions again. Followers compared them as numbers with those of before and dropped whole tables as outdated; asked for the changes since a number that now means another content, the store waits or returns a part.

A follower whose version is of an earlier era reads the whole table. The first response of a new era ends the pending calls for the other tables, and the first call after a failed one doesn't wait for a change. A conditional write never expects a number of an earlier era.

--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -87,13 +87,25 @@
 		}
 	}
 
+	void StoreWatch::recordEra(std::uint64_t _era, const Feed& _feed)
+	{
+		const std::uint64_t before = this->era.value_or(_era);
+		this->era = std::max(before, _era);
+		if (before < _era)
+		{
+			logWarning("store_restored", {{"table", _feed.name}, {"era", _era}, {"before", before}, {"catalog", versionOf(this->state.catalog)}});
+			this->upstreamsReadableSince = nowMs();
+			this->interruptCalls(_feed);
+		}
+	}
+
 	void StoreWatch::interruptCalls(const Feed& _but)
 	{
 		for (Feed* feed : {&this->operators, &this->upstreams, &this->crashes})
 		{
 			if (feed != &_but && nullptr != feed->interrupt.get())
 			{
-				feed->interrupt->reject(KJ_EXCEPTION(DISCONNECTED, "another call to the store failed"));
+				feed->interrupt->reject(KJ_EXCEPTION(DISCONNECTED, "another call to the store failed, or showed that it is back from an earlier copy"));
 			}
 		}
 	}
@@ -124,6 +136,10 @@
 		{
 			return kFirstWaitMs;
 		}
+		if (!this->operators.lastCallSucceeded)
+		{
+			return 0; // the response shows at once whether the store came back from an earlier copy
+		}
 		if (0 != this->behindSince)
 		{
 			return 0; // the change, or a full read that covers it, is available now; the response says up to which version
@@ -191,7 +207,7 @@
 		this->recordStoreResponse(_rows.storeTime ? toLocalTime(this->state.freshness, *_rows.storeTime).value_or(_rows.sentAt) : _rows.sentAt);
 		if (_rows.version < known)
 		{
-			logWarning("store_response_dropped", {{"table", _feed.name}, {"whole_read", _whole}, {"version", _rows.version}, {"known", known}, {"rows", _rows.rows.size()}, {"era", _rows.era}});
+			logWarning("store_response_dropped", {{"table", _feed.name}, {"whole_read", _whole}, {"version", store::versionText(_rows.version)}, {"known", store::versionText(known)}, {"rows", _rows.rows.size()}});
 		}
 		store::mergeRows(table, _rows, _whole);
 		_feed.needsWhole = false;
@@ -220,10 +236,11 @@
 			{
 				const store::Rows rows = co_await this->call(_feed, whole);
 				this->recordCall(_feed, true, "");
+				this->recordEra(rows.era, _feed);
 				retryMs = kRetryMs;
 				if (rows.historyTruncated)
 				{
-					logWarning("store_history_gone", {{"table", _feed.name}, {"since", (this->tables.*_feed.table).version}});
+					logWarning("store_history_gone", {{"table", _feed.name}, {"since", store::versionText((this->tables.*_feed.table).version)}});
 					_feed.needsWhole = true;
 					continue;
 				}
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -137,6 +137,9 @@
 		aio::Task<void> waitForNewProof(Millis _pauseMs);
 		/// Ends the pending calls of all other feeds: the store may have lost them.
 		void interruptCalls(const Feed& _but);
+		/// Records the era of the store. When it has risen, the store came back from an earlier copy: rows may be missing until
+		/// they are written again, and pending calls wait for changes since versions that it lacks.
+		void recordEra(std::uint64_t _era, const Feed& _feed);
 		/// Records the result of a call to the store. A failed call for the operators' table also ends the pending calls for
 		/// the other tables.
 		void recordCall(Feed& _feed, bool _succeeded, const std::string& _reason);
@@ -165,6 +168,7 @@
 		Millis behindSince = 0;                 ///< Since when a relayed proof covers a change that isn't known here; 0: none does.
 		std::uint32_t coordinatorGateways = 1;  ///< Number of gateways that the last coordinator sends updates to.
 		Millis startupGraceUntil = 0;           ///< Until then no calls are made, so that daemons that relay updates can be found.
+		std::optional<std::uint64_t> era;       ///< Of the store; none before its first response.
 		Millis lastStoreResponseAt = 0;         ///< Last response of the store to this gateway or a coordinator; local clock, conservative.
 
 		Millis upstreamsReadableSince = 0;             ///< When the list of upstreams became readable again.
--- a/src/gateway/watch_news.cpp
+++ b/src/gateway/watch_news.cpp
@@ -126,7 +126,7 @@
 		const std::uint64_t known = table.version;
 		if (!store::mergeNews(table, _news))
 		{
-			logWarning("news_unusable", {{"table", _feed.name}, {"version", _news.version}, {"known", known}, {"remedy", "none: the whole table is requested"}});
+			logWarning("news_unusable", {{"table", _feed.name}, {"version", store::versionText(_news.version)}, {"known", store::versionText(known)}, {"remedy", "none: the whole table is requested"}});
 			return;
 		}
 		const std::optional<Millis> from = _news.storeTime ? toLocalTime(this->state.freshness, *_news.storeTime) : std::nullopt;
@@ -134,6 +134,7 @@
 		{
 			return;
 		}
+		this->recordEra(store::eraOf(_news.version), _feed);
 		this->recordStoreResponse(*from);
 		_feed.currentAsOf = std::max(_feed.currentAsOf, *from);
 		_feed.needsWhole = false;
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -35,7 +35,7 @@
 			{
 				return false;
 			}
-			logInfo("configuration_in_force", {{"version", catalog.version}, {"before", held}, {"routes", catalog.routes.size()}, {"organisations", catalog.organisations.size()}, {"row_version", _row.version}});
+			logInfo("configuration_in_force", {{"version", catalog.version}, {"before", held}, {"routes", catalog.routes.size()}, {"organisations", catalog.organisations.size()}, {"row_version", store::versionText(_row.version)}});
 			this->state.counters.configurationVersion.Set(double(catalog.version));
 			this->startupGraceUntil = 0 == held ? nowMs() + kStartupGraceMs : this->startupGraceUntil;
 			this->state.catalog = std::make_shared<const CatalogIndex>(makeIndex(std::move(catalog)));
@@ -44,7 +44,7 @@
 		}
 		catch (const InvalidInputError& error)
 		{
-			logError("configuration_unreadable", {{"row_version", _row.version}, {"reason", error.what()}, {"held", versionOf(this->state.catalog)}});
+			logError("configuration_unreadable", {{"row_version", store::versionText(_row.version)}, {"reason", error.what()}, {"held", versionOf(this->state.catalog)}});
 			this->unreadableRow = std::max(this->unreadableRow, _row.version);
 			return false;
 		}
@@ -63,7 +63,7 @@
 		}
 		for (const ZoneChange& change : applyEvacuationRows(this->state.operators, rows, _rows.version, _whole))
 		{
-			logInfo(change.evacuated ? "zone_evacuated" : "zone_taken_back", {{"zone", change.zone}, {"row_version", change.version}, {"whole_read", _whole}});
+			logInfo(change.evacuated ? "zone_evacuated" : "zone_taken_back", {{"zone", change.zone}, {"row_version", store::versionText(change.version)}, {"whole_read", _whole}});
 			if (change.evacuated)
 			{
 				this->state.registry.evacuate(change.zone);
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -67,7 +67,7 @@
 		}
 		catch (const InvalidInputError& error)
 		{
-			logError("group_row_unreadable", {{"group", this->group}, {"row_version", _row.version}, {"reason", error.what()}});
+			logError("group_row_unreadable", {{"group", this->group}, {"row_version", store::versionText(_row.version)}, {"reason", error.what()}});
 			return;
 		}
 		if (current.term != this->intent.term)
@@ -98,7 +98,7 @@
 		}
 		const Millis took = nowMs() - begunAt;
 		this->writeMs += kWriteTimeWeight * (double(took) - this->writeMs);
-		logInfo("group_row", {{"group", this->group}, {"term", _row.term}, {"phase", toString(_row.phase)}, {"epoch", _row.epoch}, {"version", _row.version}, {"boundary", _row.boundary}, {"reason", _reason}, {"written", result.written}, {"expected", this->rowVersion}, {"took_ms", took}, {"failure", failure.empty() ? "-" : failure}});
+		logInfo("group_row", {{"group", this->group}, {"term", _row.term}, {"phase", toString(_row.phase)}, {"epoch", _row.epoch}, {"version", _row.version}, {"boundary", _row.boundary}, {"reason", _reason}, {"written", result.written}, {"expected", store::versionText(this->rowVersion)}, {"took_ms", took}, {"failure", failure.empty() ? "-" : failure}});
 		// Without a response the write may have been done or may still be done; the next read of the row shows it.
 		this->storeLost = !failure.empty();
 		if (result.written)
@@ -187,7 +187,7 @@
 			}
 			catch (const InvalidInputError& error)
 			{
-				logWarning("configuration_unreadable", {{"group", this->group}, {"row_version", row.version}, {"reason", error.what()}});
+				logWarning("configuration_unreadable", {{"group", this->group}, {"row_version", store::versionText(row.version)}, {"reason", error.what()}});
 			}
 		}
 	}
@@ -242,7 +242,7 @@
 		const std::uint64_t known = table.version;
 		if (_rows.version < known)
 		{
-			logWarning("store_response_dropped", {{"group", this->group}, {"table", _feed.name}, {"whole_read", _whole}, {"version", _rows.version}, {"known", known}, {"rows", _rows.rows.size()}, {"era", _rows.era}});
+			logWarning("store_response_dropped", {{"group", this->group}, {"table", _feed.name}, {"whole_read", _whole}, {"version", store::versionText(_rows.version)}, {"known", store::versionText(known)}, {"rows", _rows.rows.size()}});
 		}
 		store::mergeRows(table, _rows, _whole);
 		if (table.version != known)
@@ -267,7 +267,7 @@
 				needsWhole = rows.historyTruncated;
 				if (rows.historyTruncated)
 				{
-					logWarning("store_history_gone", {{"group", this->group}, {"table", _feed.name}, {"since", table.version}});
+					logWarning("store_history_gone", {{"group", this->group}, {"table", _feed.name}, {"since", store::versionText(table.version)}});
 					continue;
 				}
 				pauseMs = this->applyResponse(_feed, rows, whole);
--- a/src/store/counted_store.cpp
+++ b/src/store/counted_store.cpp
@@ -27,7 +27,7 @@
 		return _rows.then([this](Rows&& _response) {
 			if (this->era != _response.era)
 			{
-				logWarning("store_era", {{"era", _response.era}, {"before", this->era ? std::to_string(*this->era) : "-"}, {"version", _response.version}});
+				logWarning("store_era", {{"era", _response.era}, {"before", this->era ? std::to_string(*this->era) : "-"}, {"version", versionText(_response.version)}});
 				this->metrics.gauge("archdyke_store_era", "Era of the metadata store; rises each time it comes back from an earlier copy").Set(double(_response.era));
 				this->era = _response.era;
 			}
--- a/src/store/read_whole.cpp
+++ b/src/store/read_whole.cpp
@@ -10,6 +10,10 @@
 		{
 			const std::string after = all.rows.back().key.key + '\0';
 			Rows next = co_await _store.read(_table, none, after);
+			if (next.era != all.era)
+			{
+				kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "the store came back from an earlier copy between two parts of a table"));
+			}
 			all.rows.insert(all.rows.end(), next.rows.begin(), next.rows.end());
 			all.more = next.more;
 		}
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -11,6 +11,32 @@
 
 namespace archdyke::store
 {
+	/// A version of a row or table: the store's era in the high bits, its counter in the low ones. When the store comes back
+	/// from an earlier copy, its counter goes back and gives out the same numbers again, and its era rises. With the
+	/// era first, versions are ordered as they were given out, and no two contents share one.
+	constexpr unsigned kCounterBits = 40;
+
+	constexpr std::uint64_t makeVersion(std::uint64_t _era, std::uint64_t _counter)
+	{
+		return (_era << kCounterBits) | (_counter & ((std::uint64_t(1) << kCounterBits) - 1));
+	}
+
+	constexpr std::uint64_t eraOf(std::uint64_t _version)
+	{
+		return _version >> kCounterBits;
+	}
+
+	constexpr std::uint64_t counterOf(std::uint64_t _version)
+	{
+		return makeVersion(0, _version);
+	}
+
+	/// @returns "ERA.COUNTER", for logs.
+	inline std::string versionText(std::uint64_t _version)
+	{
+		return std::to_string(eraOf(_version)) + "." + std::to_string(counterOf(_version));
+	}
+
 	/// Identifies one row.
 	struct RowKey
 	{
@@ -25,8 +51,8 @@
 	{
 		RowKey key;
 		std::string value;
-		std::uint64_t version = 0;
-		bool gone = false; ///< In a change feed: the row was removed.
+		std::uint64_t version = 0; ///< See makeVersion().
+		bool gone = false;         ///< In a change feed: the row was removed.
 
 		bool operator==(const Row&) const = default;
 	};
@@ -35,12 +61,12 @@
 	struct Rows
 	{
 		std::vector<Row> rows;
-		std::uint64_t version = 0;       ///< Newest version in the store.
+		std::uint64_t version = 0;       ///< Newest version in the store, see makeVersion().
 		std::uint64_t era = 0;           ///< Rises each time the store comes back from an earlier copy.
 		std::optional<Millis> storeTime; ///< The store's steady clock at the time of the response.
 		Millis sentAt = 0;               ///< Local clock when the call was sent.
 		bool more = false;               ///< For reads: there are more rows after these.
-		bool historyTruncated = false;   ///< For change feeds: the history is truncated and the table must be read again.
+		bool historyTruncated = false;   ///< For change feeds: the store lacks the changes since that version, and the table must be read again.
 
 		bool operator==(const Rows&) const = default;
 	};
@@ -77,7 +103,8 @@
 	/// Maximum number of rows in one RowChanges.
 	constexpr std::size_t kMaxRowChanges = 100;
 
-	/// All calls throw kj::Exception when there is no response; a write may have been done nevertheless.
+	/// All calls throw kj::Exception when there is no response; a write may have been done nevertheless. A write whose
+	/// expected version is of an earlier era than the store throws, too: its number may mean another content by now.
 	class TableStore
 	{
 	public:
--- a/tests/test_store_news.cpp
+++ b/tests/test_store_news.cpp
@@ -156,3 +156,36 @@
 	const std::vector<Row> ordered = sortedByVersion({row("a", "A", 9), row("b", "B", 3), row("c", "C", 5)});
 	cr_assert("b" == ordered[0].key.key && "c" == ordered[1].key.key && "a" == ordered[2].key.key);
 }
+
+Test(storenews, versions_of_a_later_era_are_newer_whatever_their_counter)
+{
+	cr_assert(makeVersion(1, 900) < makeVersion(2, 3) && 2 == eraOf(makeVersion(2, 3)) && 3 == counterOf(makeVersion(2, 3)));
+	cr_assert("2.3" == versionText(makeVersion(2, 3)) && 7 == makeVersion(0, 7));
+}
+
+/// Guards against a follower that drops what a restored store returns until its counter passes the known one.
+Test(storenews, a_full_read_of_a_later_era_replaces_the_table)
+{
+	FollowedTable table;
+	mergeRows(table, rows({row("a", "A", makeVersion(1, 40)), row("b", "B", makeVersion(1, 41))}, makeVersion(1, 41), 100), true);
+	const std::uint64_t before = table.version;
+	mergeRows(table, rows({row("a", "older A", makeVersion(2, 12))}, makeVersion(2, 30), 200), true);
+	cr_assert(makeVersion(2, 30) == table.version && "older A" == table.rows.at("a").value && !table.rows.contains("b"));
+	mergeRows(table, rows({row("c", "C", makeVersion(1, 45))}, makeVersion(1, 45), 150), false);
+	cr_assert(makeVersion(2, 30) == table.version && !table.rows.contains("c"), "a late response of the earlier era");
+	const TableNews news = newsSince(table, before);
+	FollowedTable other;
+	mergeRows(other, rows({row("a", "A", makeVersion(1, 40)), row("b", "B", makeVersion(1, 41))}, makeVersion(1, 41), 100), true);
+	cr_assert(news.whole && mergeNews(other, news) && other.version == table.version && !other.rows.contains("b") && "older A" == other.rows.at("a").value);
+}
+
+/// A relay that still holds the earlier era must not bring it back.
+Test(storenews, news_and_proofs_of_an_earlier_era_change_nothing)
+{
+	FollowedTable early;
+	mergeRows(early, rows({row("a", "A", makeVersion(1, 40))}, makeVersion(1, 41), 100), true);
+	FollowedTable late;
+	mergeRows(late, rows({row("a", "newer A", makeVersion(2, 12))}, makeVersion(2, 12), 200), true);
+	cr_assert(mergeNews(late, newsSince(early, 0)) && makeVersion(2, 12) == late.version && "newer A" == late.rows.at("a").value);
+	cr_assert(proofOf(early) < proofOf(late) && makeVersion(2, 12) == proofOf(late).changedAt);
+}
