Keep left upstreams and evacuated zones as they are while a restored store lacks what was written

Cause: the first rows after a restoration are older than what is known, and counted as changes. For 5 s, in which operators and upstreams write again what was lost and rows without heartbeats expire, rows of upstreams that were removed before are in doubt, and zones stay as they are; whatever is written after the copy applies at once, and what stays applies then.

--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -98,6 +98,11 @@
 		/// @returns Whether the configuration in force has changed.
 		bool applyCatalog(const store::Row& _row);
 		void applyZones(const store::Rows& _rows, bool _whole);
+		/// @returns Whether rows are the first ones read after the store came back from an earlier copy. They may be older than
+		/// what is known until their writers write again.
+		static bool isFromCopy(const store::Rows& _rows, std::uint64_t _known);
+		/// Applies what was read from a copy and not written again in time.
+		void applyDoubtedRows(Millis _now);
 		void applyUpstreams(const store::Rows& _rows, std::uint64_t _known, bool _whole);
 		/// Applies a row. An unreadable row deactivates its upstream.
 		/// @param[in] _afterFirstList Whether the row came after the first list, so that a new upstream has just started.
@@ -174,6 +179,15 @@
 		Millis upstreamsReadableSince = 0;             ///< When the list of upstreams became readable again.
 		std::map<std::string, Listing> withoutService; ///< Upstreams whose service the configuration doesn't name.
 		std::map<std::string, Listing> learnedEarly;   ///< Upstreams that were learned before the first configuration.
+		/// A row of an upstream that was removed before, read from a copy.
+		struct DoubtedRow
+		{
+			store::Row row;
+			Millis until = 0;
+		};
+		std::map<std::string, Millis> removedAt;       ///< Upstreams whose rows were removed lately.
+		std::map<std::string, DoubtedRow> doubtedRows; ///< By incarnation.
+		Millis zonesDoubtedUntil = 0;                  ///< When to apply the rows of zones that were read from a copy; 0: never.
 		std::map<std::string, Millis> pendingRemoval;  ///< Upstreams whose rows expired while the store was unreachable, and when to remove them.
 		kj::Promise<void> startup = nullptr;
 		kj::Promise<void> periodicChecks = nullptr;
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -19,6 +19,11 @@
 		/// Rows of live upstreams that expired while the store was unreachable are back within 2 s of its return; upstreams
 		/// whose rows are still missing then are removed. Reduced by the time until the return is noticed.
 		constexpr Millis kRowRecoveryMs = 1'900;
+		/// Time after a restoration of the store from a copy within which lost rows are written again and rows of ended
+		/// upstreams, which send no heartbeats, expire, ms.
+		constexpr Millis kRewriteMs = 5'000;
+		/// How long the removal of an upstream's row is remembered, ms: longer than copies are old.
+		constexpr Millis kRemovalRetentionMs = 120'000;
 		/// Interval between checks of everything that depends on time alone, ms.
 		constexpr Millis kExpiryCheckIntervalMs = 100;
 	} // namespace
@@ -76,9 +81,23 @@
 		this->state.counters.evacuatedZones.Set(double(evacuatedZones(this->state.operators).size()));
 	}
 
-	void StoreWatch::applyOperators(const store::Rows& _rows, std::uint64_t /*_known*/, bool _whole)
+	bool StoreWatch::isFromCopy(const store::Rows& _rows, std::uint64_t _known)
 	{
-		this->applyZones(_rows, _whole); // before the configuration: the first one starts the admission of requests
+		return 0 != _known && store::eraOf(_known) < store::eraOf(_rows.version);
+	}
+
+	void StoreWatch::applyOperators(const store::Rows& _rows, std::uint64_t _known, bool _whole)
+	{
+		if (isFromCopy(_rows, _known))
+		{
+			// Zones stay as they are until the operator has repeated what the copy lacks; changes after the copy apply at once.
+			this->zonesDoubtedUntil = nowMs() + kRewriteMs;
+			applyEvacuationRows(this->state.operators, {}, _rows.version, false);
+		}
+		else
+		{
+			this->applyZones(_rows, _whole); // before the configuration: the first one starts the admission of requests
+		}
 		bool changed = false;
 		for (const store::Row& row : _rows.rows)
 		{
@@ -105,6 +124,7 @@
 			}
 			return;
 		}
+		this->removedAt[_incarnation] = now;
 		this->state.registry.forget(_incarnation, now);
 	}
 
@@ -122,9 +142,11 @@
 				this->removeUpstream(incarnation);
 			}
 		}
-		std::erase_if(this->withoutService, [&](const auto& _entry) {
+		const auto isUnlisted = [&](const auto& _entry) {
 			return !named.contains(_entry.first);
-		});
+		};
+		std::erase_if(this->withoutService, isUnlisted);
+		std::erase_if(this->doubtedRows, isUnlisted);
 	}
 
 	bool StoreWatch::hasConfiguredService(const UpstreamRecord& _record) const
@@ -168,6 +190,8 @@
 	{
 		const std::string& incarnation = _row.key.key;
 		this->pendingRemoval.erase(incarnation);
+		this->doubtedRows.erase(incarnation);
+		this->removedAt.erase(incarnation);
 		try
 		{
 			const Listing listing = this->listingOf(this->decoders.upstream(incarnation, _row.value), _afterFirstList);
@@ -228,6 +252,7 @@
 		}
 		const bool afterFirstList = this->upstreamsListed; // upstreams of the first list may have run for long
 		this->upstreamsListed = true;
+		const bool fromCopy = isFromCopy(_rows, _known);
 		for (const store::Row& row : store::sortedByVersion(_rows.rows))
 		{
 			if (row.version <= _known)
@@ -236,13 +261,44 @@
 			}
 			if (row.gone)
 			{
+				this->doubtedRows.erase(row.key.key);
 				this->removeUpstream(row.key.key);
 				continue;
 			}
+			if (fromCopy && this->removedAt.contains(row.key.key))
+			{
+				logInfo("upstream_in_doubt", {{"incarnation", row.key.key}, {"reason", "its row was removed before the store came back from a copy"}, {"until_ms", kRewriteMs}});
+				this->doubtedRows[row.key.key] = {row, nowMs() + kRewriteMs};
+				continue;
+			}
 			this->applyUpstreamRow(row, afterFirstList);
 		}
 	}
 
+	void StoreWatch::applyDoubtedRows(Millis _now)
+	{
+		if (0 != this->zonesDoubtedUntil && this->zonesDoubtedUntil <= _now)
+		{
+			this->zonesDoubtedUntil = 0;
+			this->applyZones(store::rowsSince(this->tables.operators, 0), true);
+		}
+		std::vector<store::Row> due;
+		for (const auto& [incarnation, doubted] : this->doubtedRows)
+		{
+			if (doubted.until <= _now)
+			{
+				due.push_back(doubted.row);
+			}
+		}
+		for (const store::Row& row : due)
+		{
+			this->applyUpstreamRow(row, true);
+		}
+		std::erase_if(this->removedAt, [&](const auto& _entry) {
+			return _now - _entry.second > kRemovalRetentionMs;
+		});
+	}
+
 	aio::Task<void> StoreWatch::runPeriodicChecks()
 	{
 		while (true)
@@ -254,6 +310,7 @@
 			this->state.registry.expireCold(now);
 			resolveBrokenAttempts(this->state, now);
 			this->crashPublisher.step();
+			this->applyDoubtedRows(now);
 			for (auto it = this->pendingRemoval.begin(); this->pendingRemoval.end() != it;)
 			{
 				if (now < it->second)
@@ -261,6 +318,7 @@
 					++it;
 					continue;
 				}
+				this->removedAt[it->first] = now;
 				this->state.registry.forget(it->first, now);
 				it = this->pendingRemoval.erase(it);
 			}
--- a/tests/test_restored_store.cpp
+++ b/tests/test_restored_store.cpp
@@ -147,6 +147,56 @@
 	cr_assert(0 == requestsAt(rig.workers[0], "after-"), "%d requests", requestsAt(rig.workers[0], "after-"));
 }
 
+/// Rows that are still there after that time belong to upstreams that live.
+Test(restored, an_upstream_whose_row_stays_gets_requests_again)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	const Millis copyAt = nowMs();
+	lab::pauseMs(kOldCopyMs);
+	rig.store.remove("servers", "a");
+	cr_assert(lab::waitUntil(2 * kChangeMs, [&] {
+		return 1 == rig.dump()["upstreams"].size();
+	}));
+	rig.store.restore(copyAt);
+	cr_assert(lab::waitUntil(8'000, [&] {
+		return 2 == rig.dump()["upstreams"].size();
+	}));
+	rig.store.restore(copyAt);
+	rig.announce(rig.workers[0], "ready");
+	cr_assert(lab::waitUntil(kChangeMs, [&] {
+		          return 2 == rig.dump()["upstreams"].size();
+	          }),
+	          "a row that was written again counts at once");
+}
+
+/// Guards against a zone that gets requests again while the operator has not repeated its evacuation.
+Test(restored, an_evacuated_zone_stays_evacuated_until_the_operator_can_have_repeated_it)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const Millis copyAt = nowMs();
+	lab::pauseMs(kOldCopyMs);
+	rig.store.put("op", "evacuate/here", Json::object());
+	const auto isEvacuated = [&] {
+		return 1 == rig.dump()["evacuatedZones"].size();
+	};
+	cr_assert(lab::waitUntil(kChangeMs, isEvacuated));
+	rig.store.restore(copyAt);
+	for (const Millis until = nowMs() + 3'500; nowMs() < until;)
+	{
+		cr_assert(isEvacuated());
+		lab::pauseMs(50);
+	}
+	rig.store.rewriteLost();
+	lab::pauseMs(3'000);
+	cr_assert(isEvacuated());
+	rig.store.remove("op", "evacuate/here");
+	cr_assert(lab::waitUntil(kChangeMs, [&] {
+		return !isEvacuated();
+	}));
+}
+
 /// Gateways that get the tables from a coordinator, and one that is cut off from the store: all get what is written after the
 /// restoration, and the group goes on switching maps.
 Test(restored, coordinators_and_the_gateways_that_follow_them_get_what_is_written_after_a_restoration)
