Publish crashes again that a restored store lacks

After the store had come back from an older copy, requests that had crashed three upstreams ran again, at gateways that knew them as well as at new ones.

Cause: a full read of the table of crashes replaces what a gateway knows, and rows that the copy lacks counted as removed; what gateways write is written again by nobody else. A gateway now keeps its crashes when the first rows after a restoration arrive, and publishes those that the store lacks after a random delay that grows with the number of gateways, unless another one has done so by then.

gateway_crashes_that_a_restored_store_lacks_are_published_again failed before: a gateway had forgotten them.

--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -1,6 +1,8 @@
 #include "gateway/crashes.h"
 
 #include <absl/hash/hash.h>
+#include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 #include "base/process.h"
@@ -149,8 +151,38 @@
 		}
 	}
 
+	void recordLostCrashes(CrashRecord& _record, const std::set<Crash>& _read)
+	{
+		for (const auto& [request, upstreams] : _record.table.byRequest)
+		{
+			for (const auto& [incarnation, at] : upstreams)
+			{
+				const Crash crash{request, incarnation};
+				if (!_read.contains(crash))
+				{
+					_record.lost.insert(crash);
+				}
+			}
+		}
+	}
+
+	void publishLostCrashes(CrashRecord& _record)
+	{
+		for (const Crash& crash : std::exchange(_record.lost, {}))
+		{
+			const bool queued = std::any_of(_record.unpublished.begin(), _record.unpublished.end(), [&](const UnpublishedCrash& _unpublished) {
+				return _unpublished.crash == crash;
+			});
+			if (!queued && isHeld(_record.table, crash) && _record.unpublished.size() < kMaxUnpublished)
+			{
+				_record.unpublished.push_back({crash, _record.table.byRequest.at(crash.request).at(crash.incarnation), false});
+			}
+		}
+	}
+
 	void recordRemoteCrash(CrashRecord& _record, const Crash& _crash, Millis _at)
 	{
+		_record.lost.erase(_crash);
 		if (recordCrash(_record.table, _crash, _at))
 		{
 			logIfRefused(_record.table, _crash.request, nowMs());
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
 		std::vector<BrokenAttempt> brokenAttempts; ///< Attempts whose upstreams may have ended.
 		std::vector<UnpublishedCrash> unpublished; ///< Seen here and not in the store yet; oldest first.
 		std::vector<UnpublishedCrash> publishing;  ///< Being written to the store; reads may not contain them yet.
+		std::set<Crash> lost;                      ///< Known here, but not in the copy from which the store came back.
 		std::vector<Crash> cleared;                ///< In the store and to be removed there.
 		Millis clearedSince = 0;                   ///< When the first of these was cleared.
 	};
@@ -68,6 +70,13 @@
 	/// full read are applied.
 	void dropPublished(CrashRecord& _record);
 
+	/// Records which crashes the store lacks after it came back from a copy.
+	/// @param[in] _read The crashes in the copy.
+	void recordLostCrashes(CrashRecord& _record, const std::set<Crash>& _read);
+
+	/// Queues the crashes that the store still lacks to be published again.
+	void publishLostCrashes(CrashRecord& _record);
+
 	/// Records a crash that another gateway, or an earlier run of this one, has published.
 	void recordRemoteCrash(CrashRecord& _record, const Crash& _crash, Millis _at);
 } // namespace archdyke::gateway
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -101,7 +101,7 @@
 		/// @returns Whether rows are the first ones read after the store came back from an earlier copy. They may be older than
 		/// what is known until their writers write again.
 		static bool isFromCopy(const store::Rows& _rows, std::uint64_t _known);
-		/// Applies what was read from a copy and not written again in time.
+		/// Applies what was read from a copy and not written again in time, and publishes what the copy lacks.
 		void applyDoubtedRows(Millis _now);
 		void applyUpstreams(const store::Rows& _rows, std::uint64_t _known, bool _whole);
 		/// Applies a row. An unreadable row deactivates its upstream.
@@ -126,6 +126,8 @@
 		/// Removes the upstreams that a full snapshot doesn't contain.
 		void removeUnlisted(const store::Rows& _rows);
 		void removeUpstream(const std::string& _incarnation);
+		/// Records which crashes a copy lacks, and when to publish them again.
+		void recordLost(const store::Rows& _rows);
 		void applyCrashes(const store::Rows& _rows, std::uint64_t _known, bool _whole);
 		/// Handles everything that depends on time alone: pending removals, cold upstreams, broken attempts and crashes.
 		aio::Task<void> runPeriodicChecks();
@@ -187,6 +189,7 @@
 		};
 		std::map<std::string, Millis> removedAt;       ///< Upstreams whose rows were removed lately.
 		std::map<std::string, DoubtedRow> doubtedRows; ///< By incarnation.
+		Millis lostCrashesDueAt = 0;                   ///< When to publish the crashes that a copy lacks; 0: never.
 		Millis zonesDoubtedUntil = 0;                  ///< When to apply the rows of zones that were read from a copy; 0: never.
 		std::map<std::string, Millis> pendingRemoval;  ///< Upstreams whose rows expired while the store was unreachable, and when to remove them.
 		kj::Promise<void> startup = nullptr;
--- a/src/gateway/watch_crashes.cpp
+++ b/src/gateway/watch_crashes.cpp
@@ -5,10 +5,30 @@
 
 namespace archdyke::gateway
 {
-	void StoreWatch::applyCrashes(const store::Rows& _rows, std::uint64_t /*_known*/, bool _whole)
+	void StoreWatch::recordLost(const store::Rows& _rows)
+	{
+		std::set<Crash> read;
+		for (const store::Row& row : _rows.rows)
+		{
+			const std::optional<CrashRow> crash = row.gone ? std::nullopt : readCrashRow(row);
+			if (crash)
+			{
+				read.insert(crash->crash);
+			}
+		}
+		recordLostCrashes(this->state.crashes, read);
+		// One gateway publishes them for all: the others see its rows during their delay.
+		this->lostCrashesDueAt = nowMs() + this->sharedRetryDelayMs();
+	}
+
+	void StoreWatch::applyCrashes(const store::Rows& _rows, std::uint64_t _known, bool _whole)
 	{
 		CrashRecord& record = this->state.crashes;
-		if (_whole)
+		if (isFromCopy(_rows, _known))
+		{
+			this->recordLost(_rows);
+		}
+		else if (_whole)
 		{
 			dropPublished(record);
 		}
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -282,6 +282,11 @@
 			this->zonesDoubtedUntil = 0;
 			this->applyZones(store::rowsSince(this->tables.operators, 0), true);
 		}
+		if (0 != this->lostCrashesDueAt && this->lostCrashesDueAt <= _now)
+		{
+			this->lostCrashesDueAt = 0;
+			publishLostCrashes(this->state.crashes);
+		}
 		std::vector<store::Row> due;
 		for (const auto& [incarnation, doubted] : this->doubtedRows)
 		{
@@ -309,8 +314,8 @@
 			refreshNamedLimits(this->state, now);
 			this->state.registry.expireCold(now);
 			resolveBrokenAttempts(this->state, now);
-			this->crashPublisher.step();
 			this->applyDoubtedRows(now);
+			this->crashPublisher.step();
 			for (auto it = this->pendingRemoval.begin(); this->pendingRemoval.end() != it;)
 			{
 				if (now < it->second)
--- a/tests/test_gateway_crashes.cpp
+++ b/tests/test_gateway_crashes.cpp
@@ -268,3 +268,27 @@
 	cr_assert(kRounds == Json::parse(rows->body)["rows"].size(), "%s", rows->body.c_str());
 	cr_assert(kRounds == rig.gateways[0].dump()["crashes"].size(), "the requests that crashed them stay recorded");
 }
+
+/// The store comes back from a copy that lacks the crashes: gateways publish them again, for those that start later.
+Test(gateway, crashes_that_a_restored_store_lacks_are_published_again)
+{
+	CrashRig rig(5, 2);
+	const Millis copyAt = nowMs();
+	lab::pauseMs(300);
+	rig.crashUntilRefused("/safe/x?do=crash");
+	rig.rig.store.restore(copyAt);
+	rig.rig.store.rewriteLost();
+	lab::pauseMs(2 * kPropagationMs);
+	for (const RigGateway& gateway : rig.gateways)
+	{
+		cr_assert(isRefusedForCrashes(gateway.call("/safe/x?do=crash", GatewayRig::headersFor("known"))), "a gateway has forgotten it");
+	}
+	const RigGateway late = rig.rig.startGatewayNamed("gateway-late");
+	late.waitReady(5);
+	cr_assert(lab::waitUntil(kPropagationMs, [&] {
+		          const Json crashes = late.dump()["crashes"];
+		          return 1 == crashes.size() && kCrashes <= crashes.front().get<std::size_t>();
+	          }),
+	          "crashes %s", late.dump()["crashes"].dump().c_str());
+	cr_assert(isRefusedForCrashes(late.call("/safe/x?do=crash", GatewayRig::headersFor("late"))));
+}
