Keep a group's coordination when the store comes back from an older copy

After a restoration a group of engine ranks never changed its expert map again, and passes stayed as slow as the map of that moment left them.

Cause: the coordinator compared the row's version with its own as numbers, took an older row over its own knowledge, and then knew no content of the map in use (no_map_planned why=map_unknown). A take-over could give out a term a second time, with which daemons reject it and map versions of two coordinators coincide; an open switch that the older row doesn't show made its hold look stray, and releasing it while some ranks are armed splits the group.

A coordinator that lives writes its row again, with a term above all that the copy can lack; the row names the era in which it was known to be the newest. One that takes over from an older row takes the content of the map in use from its own daemon, and, until all ranks have prepared a map of its own, releases no hold while a rank may be armed alone: when all are armed it completes the switch, else it disarms and releases after 15 s, when no order can take effect any more.

--- a/include/archdyke/forward_switch.h
+++ b/include/archdyke/forward_switch.h
@@ -22,6 +22,10 @@
 ///    version while unarmed: that rank was never armed, so neither was the last one.
 /// 6. The switch ends once all ranks are observed on the new map, or once the group has formed anew, which
 ///    voids all orders of the old epoch.
+/// 7. When the store comes back from an earlier copy, the row may be older than what was done. A coordinator that
+///    lives writes its row again. One that takes over uses a term above all that may have been lost. Until all
+///    ranks have prepared a map of its own, which voids arm orders of others, it releases no hold of a switch that
+///    the row doesn't show while a rank may still be armed for it.
 #pragma once
 
 #include <cstdint>
@@ -51,6 +55,7 @@
 	struct SwitchIntent
 	{
 		std::uint64_t term = 0;  ///< Incremented by each coordinator that takes over.
+		std::uint64_t era = 0;   ///< Era of the store in which the row was known to be the newest.
 		std::string coordinator; ///< IP:port of the coordinator's process.
 		SwitchPhase phase = SwitchPhase::Idle;
 		std::uint64_t epoch = 0;          ///< Of the group that the switch applies to.
@@ -168,6 +173,11 @@
 	/// @param[in] _intent The row, read after the ranks were observed.
 	std::vector<RankOrderPlan> releaseStrayHolds(const SwitchIntent& _intent, const std::vector<RankView>& _ranks);
 
+	/// Ends a switch that a row doesn't show because the store came back from an earlier copy. Completes it if all ranks
+	/// are armed; otherwise disarms them and releases the hold, once no order of its coordinator can take effect any more.
+	/// @param[in] _quietMs Time since its coordinator was last heard.
+	std::vector<RankOrderPlan> endLostSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, Millis _quietMs);
+
 	/// Map versions available to one coordinator in its term.
 	constexpr std::uint64_t kVersionsPerTerm = 100'000;
 
@@ -180,7 +190,12 @@
 	std::uint64_t voidingVersion(const SwitchIntent& _intent);
 
 	/// @returns The row as a new coordinator writes it when it takes over; the open switch is unchanged.
-	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator);
+	/// @param[in] _era Era of the store. If the row is of an earlier one, the term rises by more than the copy that the store
+	/// came back from can lack.
+	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator, std::uint64_t _era = 0);
+
+	/// @returns The row as its living coordinator writes it again in a later era of the store.
+	SwitchIntent rewrittenRow(const SwitchIntent& _intent, std::uint64_t _eraBefore, std::uint64_t _era);
 
 	/// @returns The encoded row; switch_row.cpp describes the format.
 	std::string encodeIntent(const SwitchIntent& _intent);
--- a/include/archdyke/map_window.h
+++ b/include/archdyke/map_window.h
@@ -44,4 +44,7 @@
 
 	/// @returns The experts by set and rank.
 	std::vector<std::vector<std::vector<std::uint32_t>>> expertsByRank(const ExpertHosts& _hosts, std::uint32_t _ranks);
+
+	/// @returns The hosts of each expert in a map given by rank; the inverse of expertsByRank().
+	ExpertHosts hostsOf(const std::vector<std::vector<std::vector<std::uint32_t>>>& _experts, std::uint32_t _expertsPerSet);
 } // namespace archdyke
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -85,6 +85,16 @@
 	'allInReach || anyArmed ?' 'allInReach || !anyArmed || anyArmed ?'
 mutant group-uses-a-boundary-again "forward_.*" src/decide/forward_switch.cpp \
 	'return std::max(newestStep(_ranks) + _marginSteps, _intent.boundary + 1);' 'return newestStep(_ranks) + _marginSteps;'
+mutant versions-without-an-era "storenews_.*|restored_changes_.*" src/store/table_store.h \
+	'return (_era << kCounterBits) |' 'return (0 * _era << kCounterBits) |'
+mutant gateway-takes-rows-of-a-copy-for-new "restored_an_upstream_that_left_gets_nothing_though_its_row_is_back" src/gateway/watch_rows.cpp \
+	'if (fromCopy && this->removedAt.contains(row.key.key))' 'if (false)'
+mutant coordinator-takes-the-row-of-a-copy "restored_coordinators_.*" src/group/coordinator_row.cpp \
+	'if (store::eraOf(this->rowVersion) < _rows.era)' 'if (false)'
+mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*" src/decide/switch_history.cpp \
+	'return _eraBefore < _era ?' 'return false && _eraBefore < _era ?'
+mutant lost-holds-are-released-at-once "forward_a_hold_of_a_lost_switch_.*" src/decide/forward_switch.cpp \
+	'if (_quietMs < kMaxOrderDelayMs)' 'if (false)'
 mutant gateway-takes-proofs-of-another-row "evacuation_.*" src/decide/evacuation.cpp \
 	'return _table.knownVersion < _changedAt;' 'return false;'
 mutant gateway-trusts-old-news "group_gateways_read_the_store_themselves_without_a_coordinator" src/gateway/watch_news.cpp \
--- a/src/decide/map_window.cpp
+++ b/src/decide/map_window.cpp
@@ -83,4 +83,23 @@
 		}
 		return result;
 	}
+
+	ExpertHosts hostsOf(const std::vector<std::vector<std::vector<std::uint32_t>>>& _experts, std::uint32_t _expertsPerSet)
+	{
+		ExpertHosts hosts(_experts.size(), std::vector<std::vector<std::uint32_t>>(_expertsPerSet));
+		for (std::size_t set = 0; set < _experts.size(); ++set)
+		{
+			for (std::uint32_t rank = 0; rank < _experts[set].size(); ++rank)
+			{
+				for (const std::uint32_t expert : _experts[set][rank])
+				{
+					if (expert < _expertsPerSet)
+					{
+						hosts[set][expert].push_back(rank);
+					}
+				}
+			}
+		}
+		return hosts;
+	}
 } // namespace archdyke
--- a/src/decide/switch_history.cpp
+++ b/src/decide/switch_history.cpp
@@ -13,6 +13,17 @@
 		}
 	} // namespace
 
+	namespace
+	{
+		/// More terms than a copy of the store can lack: a take-over takes a second, a copy is seconds old.
+		constexpr std::uint64_t kTermsPerEra = 1'000;
+
+		std::uint64_t lostTerms(std::uint64_t _eraBefore, std::uint64_t _era)
+		{
+			return _eraBefore < _era ? kTermsPerEra * (_era - _eraBefore) : 0;
+		}
+	} // namespace
+
 	SwitchHistory initialHistory(const SwitchIntent& _row)
 	{
 		SwitchHistory history;
@@ -64,11 +75,19 @@
 		return std::max(_intent.version, _intent.term * kVersionsPerTerm) + 1;
 	}
 
-	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator)
+	SwitchIntent takeOver(const SwitchIntent& _row, std::string _coordinator, std::uint64_t _era)
 	{
 		SwitchIntent row = _row;
-		row.term += 1;
+		row.term += 1 + lostTerms(_row.era, _era);
 		row.coordinator = std::move(_coordinator);
 		return row;
 	}
+
+	SwitchIntent rewrittenRow(const SwitchIntent& _intent, std::uint64_t _eraBefore, std::uint64_t _era)
+	{
+		SwitchIntent row = _intent;
+		row.term += lostTerms(_eraBefore, _era);
+		row.era = _intent.era < _eraBefore ? _intent.era : _era; // a row that wasn't known to be the newest still isn't
+		return row;
+	}
 } // namespace archdyke
--- a/src/decide/switch_row.cpp
+++ b/src/decide/switch_row.cpp
@@ -167,7 +167,7 @@
 
 	std::string encodeIntent(const SwitchIntent& _intent)
 	{
-		Json header{{"term", _intent.term}, {"coordinator", _intent.coordinator}, {"phase", std::string(toString(_intent.phase))}, {"epoch", _intent.epoch}, {"version", _intent.version}, {"boundary", _intent.boundary}, {"inForceVersion", _intent.inForceVersion}};
+		Json header{{"term", _intent.term}, {"era", _intent.era}, {"coordinator", _intent.coordinator}, {"phase", std::string(toString(_intent.phase))}, {"epoch", _intent.epoch}, {"version", _intent.version}, {"boundary", _intent.boundary}, {"inForceVersion", _intent.inForceVersion}};
 		if (_intent.last)
 		{
 			header["last"] = *_intent.last;
@@ -186,6 +186,7 @@
 			const Json json = Json::parse(_text.substr(0, end));
 			SwitchIntent intent;
 			intent.term = json.at("term").get<std::uint64_t>();
+			intent.era = json.value("era", std::uint64_t(0));
 			intent.coordinator = json.at("coordinator").get<std::string>();
 			for (const SwitchPhase phase : {SwitchPhase::Idle, SwitchPhase::Holding, SwitchPhase::Switching})
 			{
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -66,6 +66,7 @@
 	    , intent(std::move(_row))
 	    , history(initialHistory(this->intent))
 	    , rowVersion(_rowVersion)
+	    , startedAt(nowMs())
 	    , rowReadAt(nowMs())
 	    , phaseSince(nowMs())
 	    , mapCounters(this->dependencies.metrics)
@@ -246,8 +247,39 @@
 		return refused || since > kPreparePhaseTimeoutMs;
 	}
 
+	bool Coordinator::rowMayBeOld() const
+	{
+		return this->intent.era < store::eraOf(this->rowVersion);
+	}
+
+	void Coordinator::recoverMap(const std::vector<RankView>& _ranks)
+	{
+		const std::uint64_t map = _ranks.empty() ? 0 : _ranks.front().map;
+		const auto known = this->dependencies.groupState.maps.find(map);
+		const bool sameMap = std::all_of(_ranks.begin(), _ranks.end(), [&](const RankView& _rank) {
+			return _rank.seen && _rank.map == map;
+		});
+		if (0 == map || map == this->intent.inForceVersion || this->switchIsOpen() || !sameMap || !this->model || this->dependencies.groupState.maps.end() == known)
+		{
+			return;
+		}
+		logWarning("map_recovered", {{"group", this->group}, {"version", map}, {"row_has", this->intent.inForceVersion}, {"epoch", _ranks.front().epoch}});
+		SwitchIntent intent = this->intent;
+		intent.inForceVersion = map;
+		intent.inForce = hostsOf(known->second, this->model->experts);
+		this->adopt(std::move(intent));
+	}
+
 	aio::Task<void> Coordinator::advance()
 	{
+		if (this->copiedRowVersion)
+		{
+			co_await this->rewriteRow();
+		}
+		if (this->rowMayBeOld())
+		{
+			this->recoverMap(this->views(kViewMaxAgeMs));
+		}
 		if (!this->switchIsOpen())
 		{
 			std::optional<SwitchIntent> begun = this->plan();
@@ -266,6 +298,10 @@
 			this->sendOrders(step.orders);
 			co_return;
 		}
+		if (SwitchPhase::Preparing == this->intent.phase && SwitchPhase::Switching == step.next->phase)
+		{
+			step.next->era = store::eraOf(this->rowVersion); // all ranks have prepared this map, which voids older arm orders
+		}
 		const bool done = "in_force" == step.reason;
 		this->switches += done ? 1 : 0;
 		if (step.store)
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -165,6 +165,13 @@
 		aio::Task<void> checkRow();
 		aio::Task<void> waitForRowPoll();
 		void adoptNewerRow(const store::Rows& _rows);
+		/// @returns Whether the row may be older than what was done: the store came back from a copy, and nobody who knew the
+		/// row has written it since.
+		bool rowMayBeOld() const;
+		/// Writes the row again after the store came back from a copy.
+		aio::Task<void> rewriteRow();
+		/// Takes the map in use from this daemon if the row doesn't have it.
+		void recoverMap(const std::vector<RankView>& _ranks);
 		/// Releases holds that don't belong to an open switch.
 		/// @param[in] _observedBefore All ranks, as seen before the row was read.
 		void releaseStrays(const std::vector<RankView>& _observedBefore);
@@ -273,6 +280,8 @@
 		SwitchIntent intent;   ///< The group's row, with changes that are only in memory.
 		SwitchHistory history; ///< Switches of this term.
 		std::uint64_t rowVersion;
+		std::optional<std::uint64_t> copiedRowVersion; ///< Of the row in the copy from which the store came back, until it is written again; a counter of 0: there is none.
+		const Millis startedAt;
 		Millis rowReadAt;
 		Millis phaseSince;
 		bool storeLost = false;
--- a/src/group/group_news.h
+++ b/src/group/group_news.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "group/coordination.h"
+#include "group/engine_codec.h"
 #include "store/table_news.h"
 
 namespace archdyke::group
@@ -97,6 +98,7 @@
 		Roster roster;
 		store::FollowedTables tables;
 		std::map<std::string, Gateway> gateways;
+		std::map<std::uint64_t, RankExperts> maps; ///< The newest maps that were prepared through this daemon, by version.
 	};
 
 	/// Applies those parts of the news that are newer than the state.
--- a/src/group/rank_server.cpp
+++ b/src/group/rank_server.cpp
@@ -204,19 +204,19 @@
 		{
 			base = expertsByRank(roundRobinMap(_difference.sets, _difference.experts, _difference.ranks), _difference.ranks);
 		}
-		else if (this->maps.contains(_difference.base))
+		else if (this->state.groupState.maps.contains(_difference.base))
 		{
-			base = this->maps.at(_difference.base);
+			base = this->state.groupState.maps.at(_difference.base);
 		}
 		else
 		{
 			return false;
 		}
 		_order.expertsByRank = applyDifference(std::move(base), _difference);
-		this->maps[_order.version] = _order.expertsByRank;
-		while (kMaxCachedMaps < this->maps.size())
+		this->state.groupState.maps[_order.version] = _order.expertsByRank;
+		while (kMaxCachedMaps < this->state.groupState.maps.size())
 		{
-			this->maps.erase(this->maps.begin());
+			this->state.groupState.maps.erase(this->state.groupState.maps.begin());
 		}
 		return true;
 	}
--- a/src/group/rank_server.h
+++ b/src/group/rank_server.h
@@ -66,6 +66,5 @@
 		std::string service;
 		std::uint64_t lastSample = randomId() >> 1; ///< Starts at random, so that samples of another run don't match.
 		EngineCounts lastCounts;
-		std::map<std::uint64_t, RankExperts> maps; ///< The newest maps, by version.
 	};
 } // namespace archdyke::group
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -253,8 +253,12 @@
 				try
 				{
 					const store::Rows rows = co_await this->tableStore->read(key.table, key.part, key.key);
-					const GroupRow found = groupRowIn(rows, key);
+					GroupRow found = groupRowIn(rows, key);
 					version = found.version;
+					if (0 == version && 0 == this->state.newest.term)
+					{
+						found.intent.era = rows.era; // the group has had no coordinator yet
+					}
 					if (found.intent.term > this->state.newest.term)
 					{
 						// Another daemon has taken over; asks it whether it is alive.
@@ -269,7 +273,7 @@
 					{
 						co_return; // a coordinator was heard while the row was read
 					}
-					row = archdyke::takeOver(found.intent, this->address);
+					row = archdyke::takeOver(found.intent, this->address, rows.era);
 					store::ConditionalWrite write{key, encodeIntent(*row), version};
 					const store::WriteResult result = co_await this->tableStore->write(std::move(write));
 					version = result.version;
--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -188,3 +188,48 @@
 	const SwitchDecision step = decideSwitch(intent, {holding, RankView()}, {3, false});
 	cr_assert(!step.next && step.orders.empty());
 }
+
+/// Guards against a term that is given out twice because the row that showed its first use is lost.
+Test(forward, a_take_over_after_a_restoration_has_a_term_above_all_that_may_be_lost)
+{
+	SwitchIntent row;
+	row.term = 7;
+	row.era = 2;
+	cr_assert(8 == takeOver(row, "a", 2).term && 8 == takeOver(row, "a", 1).term);
+	const SwitchIntent later = takeOver(row, "a", 4);
+	cr_assert(2'008 == later.term && 2 == later.era, "it may still be older than what was done");
+	cr_assert(decodeIntent(encodeIntent(later)) == later);
+	const SwitchIntent rewritten = rewrittenRow(row, 2, 3);
+	cr_assert(1'007 == rewritten.term && 3 == rewritten.era && rewritten.term < takeOver(row, "b", 3).term);
+	cr_assert(2 == rewrittenRow(later, 4, 5).era);
+}
+
+Test(forward, a_hold_of_a_lost_switch_is_released_only_when_no_rank_can_be_armed_alone)
+{
+	constexpr Millis kExpiredMs = 15'000;
+	const SwitchIntent idle;
+	std::vector<RankView> ranks(3);
+	for (RankView& rank : ranks)
+	{
+		rank = {true, 1, true, 9, 5, 6, std::nullopt, std::nullopt};
+	}
+	cr_assert(endLostSwitch(idle, ranks, kExpiredMs).empty(), "nothing is held or armed");
+	ranks[1].held = 10;
+	cr_assert(endLostSwitch(idle, ranks, kExpiredMs - 1).empty(), "an arm order may be under way");
+	const RankOrderPlan release{1, RankOrderKind::Release, 1, 0, 10};
+	cr_assert(std::vector{release} == endLostSwitch(idle, ranks, kExpiredMs));
+	ranks[0].armed = 6;
+	cr_assert(endLostSwitch(idle, ranks, 0).empty());
+	cr_assert((std::vector{RankOrderPlan{0, RankOrderKind::Disarm, 1, 6, 0}} == endLostSwitch(idle, ranks, kExpiredMs)));
+	ranks[2].seen = false;
+	cr_assert(endLostSwitch(idle, ranks, kExpiredMs).empty(), "the rank that isn't seen may be armed");
+	ranks[2].seen = true;
+	ranks[1].armed = 6;
+	ranks[2].armed = 6;
+	cr_assert(std::vector{release} == endLostSwitch(idle, ranks, 0), "all are armed for one map");
+	SwitchIntent own;
+	own.phase = SwitchPhase::Switching;
+	own.boundary = 10;
+	own.version = 6;
+	cr_assert(endLostSwitch(own, ranks, kExpiredMs).empty(), "the hold belongs to the row's own switch");
+}
--- a/tests/test_map_window.cpp
+++ b/tests/test_map_window.cpp
@@ -28,3 +28,9 @@
 {
 	cr_assert(!between({5'120, 88, 940}, {3, 90, 1'000}));
 }
+
+Test(mapwindow, hosts_by_expert_are_the_inverse_of_experts_by_rank)
+{
+	const ExpertHosts hosts{{{0, 2}, {1}, {0}, {2}}, {{1}, {1}, {2}, {0, 1}}};
+	cr_assert(hosts == hostsOf(expertsByRank(hosts, 3), 4));
+}
--- a/tests/test_restored_store.cpp
+++ b/tests/test_restored_store.cpp
@@ -243,3 +243,28 @@
 	rig.start(rig.groups.front(), coordinator);
 	rig.groups.front().expectNoSplit();
 }
+
+/// A coordinator ends while it holds the group for a switch, and the row that shows the switch is lost: the next one can't tell
+/// which ranks are armed, and must not release the hold before it can.
+Test(restored, a_hold_whose_row_is_lost_splits_no_group)
+{
+	constexpr Millis kCleanUpMs = 25'000; // orders may take effect up to 15 s late
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	const Millis copyAt = nowMs();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	const std::size_t coordinator = rig.coordinator();
+	cr_assert(coordinator < kRanks);
+	std::uint32_t expert = 0;
+	cr_assert(lab::waitUntil(kSwitchMs, [&] {
+		expert += 1;
+		group.control({{"hot", Json::array({expert / 400 % 8, (3 + expert / 400) % 8})}});
+		return group.isHeld();
+	}));
+	group.sidecars[coordinator]->kill();
+	rig.store.restore(copyAt);
+	cr_assert(group.switchesAgain(1, kCleanUpMs + kSwitchMs), "the group no longer switches maps");
+	cr_assert(!group.isHeld() || group.switchesAgain(1, kSwitchMs));
+	group.expectNoSplit();
+}
--- a/tools/platform_lab.cpp
+++ b/tools/platform_lab.cpp
@@ -101,7 +101,7 @@
 	{
 		for (const Write& write : this->writes)
 		{
-			if (this->copyAt < write.at && write.at < this->restoredAt)
+			if (this->copyAt < write.at && write.at <= this->restoredAt)
 			{
 				this->send(write.body);
 			}
