Soak: the store comes back from a copy; a drain without faults at the end

No soak run had a store that comes back from an older copy. Runs can now have restorations in addition to the other faults: the store turns daemons away for up to 0.9 s, comes back from a copy up to 2 s old, and up to 0.4 s later the operator and the upstreams have written again what it lacks.

A mutant that sends to leaving upstreams passed every soak run: faults follow each other so closely that each late request was excused by one in the 5 s before it, or the run ended first. Each run now ends with 3.2 s of calm, a drain, and 3.5 s in which requests to the drained upstream count.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -79,7 +79,7 @@
 	'if (info.requestId == _context.caller.id)' 'if (true)'
 mutant gateway-takes-older-configurations "gateway_an_older_configuration_is_never_taken" src/gateway/watch_rows.cpp \
 	'if (catalog.version <= held)' 'if (false)'
-mutant gateway-sends-to-leaving-upstreams "gateway_a_leaving_upstream_gets_nothing_new" src/gateway/board.cpp \
+mutant gateway-sends-to-leaving-upstreams "gateway_a_leaving_upstream_gets_nothing_new|soak_a_short_seed_has_no_violations" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 mutant group-goes-on-without-a-rank "forward_a_coordinator_that_takes_over_gives_no_first_arm_while_a_rank_is_out_of_reach" src/decide/forward_switch.cpp \
 	'allInReach || anyArmed ?' 'allInReach || !anyArmed || anyArmed ?'
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -213,3 +213,9 @@
 {
 	runSeed({.seed = 31, .faults = 12, .limits = 4});
 }
+
+/// The store comes back from copies some seconds old while the configuration changes, keys are revoked and upstreams leave.
+Test(soak, restorations_of_the_store_have_no_violations)
+{
+	runSeed({.seed = 52, .faults = 12, .series = 3, .restores = 3});
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -53,7 +53,8 @@
 		SayLeaving,    ///< An upstream's responses say that it is leaving, but its row does not.
 		HangUpGateway, ///< A gateway receives SIGHUP.
 		// Faults with schedules of their own.
-		NameLimit, ///< An upstream names a limit of requests per second from all gateways together, see planLimits().
+		NameLimit,    ///< An upstream names a limit of requests per second from all gateways together, see planLimits().
+		RestoreStore, ///< The store is away for a moment and comes back from a copy some seconds old, see planRestores().
 		Count
 	};
 
@@ -85,9 +86,10 @@
 		std::string file;
 		std::uint64_t seed = 1;
 		std::uint32_t faults = 12;
-		std::uint32_t series = 0; ///< Number of series in addition to the faults; each repeats one kind of fault.
-		std::uint32_t limits = 0; ///< Number of limits that upstreams name, in addition to the faults.
-		bool large = false;       ///< About a hundred processes: as many as fit on a machine beside other runs.
+		std::uint32_t series = 0;   ///< Number of series in addition to the faults; each repeats one kind of fault.
+		std::uint32_t limits = 0;   ///< Number of limits that upstreams name, in addition to the faults.
+		std::uint32_t restores = 0; ///< Number of times that the store comes back from a copy, in addition to the faults.
+		bool large = false;         ///< About a hundred processes: as many as fit on a machine beside other runs.
 		double perSecond = 80.0;
 		Millis meanIntervalMs = 700; ///< Mean time between the starts of faults.
 	};
@@ -120,5 +122,8 @@
 	/// @returns Limits that upstreams name, ordered by start. They overlap the other faults, which do not depend on them.
 	std::vector<PlannedFault> planLimits(const ChaosOptions& _options);
 
+	/// @returns Restorations of the store, ordered by start. They overlap the other faults, which do not depend on them.
+	std::vector<PlannedFault> planRestores(const ChaosOptions& _options);
+
 	ChaosResult runChaos(const ChaosOptions& _options);
 } // namespace archdyke::lab
--- a/tools/chaos_plan.cpp
+++ b/tools/chaos_plan.cpp
@@ -6,9 +6,32 @@
 
 namespace archdyke::lab
 {
+	namespace
+	{
+		/// @returns Faults of one kind at random times of a run, ordered by start.
+		std::vector<PlannedFault> planOneKind(FaultKind _kind, std::uint32_t _count, Millis _minMs, Millis _maxMs, const ChaosOptions& _options, std::uint64_t _seed)
+		{
+			Random random(_seed);
+			std::vector<PlannedFault> plan;
+			for (std::uint32_t index = 0; index < _count; ++index)
+			{
+				PlannedFault fault;
+				fault.kind = _kind;
+				fault.startMs = 500 + Millis(randomBelow(random, std::uint64_t(_options.meanIntervalMs) * std::max<std::uint32_t>(1, _options.faults)));
+				fault.durationMs = _minMs + Millis(randomBelow(random, std::uint64_t(_maxMs - _minMs)));
+				fault.randomValue = random();
+				plan.push_back(fault);
+			}
+			std::stable_sort(plan.begin(), plan.end(), [](const PlannedFault& _a, const PlannedFault& _b) {
+				return _a.startMs < _b.startMs;
+			});
+			return plan;
+		}
+	} // namespace
+
 	std::string_view toString(FaultKind _kind)
 	{
-		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway", "name-limit"};
+		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway", "name-limit", "restore-store"};
 		return kNames[std::size_t(_kind)];
 	}
 
@@ -72,20 +95,15 @@
 	{
 		constexpr std::uint64_t kSeedOffset = 2'000'003;
 		constexpr Millis kMinDurationMs = 5'000; // limits apply some seconds after they were first named
-		Random random(_options.seed + kSeedOffset);
-		std::vector<PlannedFault> plan;
-		for (std::uint32_t index = 0; index < _options.limits; ++index)
-		{
-			PlannedFault fault;
-			fault.kind = FaultKind::NameLimit;
-			fault.startMs = 500 + Millis(randomBelow(random, std::uint64_t(_options.meanIntervalMs) * std::max<std::uint32_t>(1, _options.faults)));
-			fault.durationMs = kMinDurationMs + Millis(randomBelow(random, 6'000));
-			fault.randomValue = random();
-			plan.push_back(fault);
-		}
-		std::stable_sort(plan.begin(), plan.end(), [](const PlannedFault& _a, const PlannedFault& _b) {
-			return _a.startMs < _b.startMs;
-		});
-		return plan;
+		constexpr Millis kMaxDurationMs = 11'000;
+		return planOneKind(FaultKind::NameLimit, _options.limits, kMinDurationMs, kMaxDurationMs, _options, _options.seed + kSeedOffset);
+	}
+
+	std::vector<PlannedFault> planRestores(const ChaosOptions& _options)
+	{
+		constexpr std::uint64_t kSeedOffset = 3'000'017;
+		constexpr Millis kMinAwayMs = 100;
+		constexpr Millis kMaxAwayMs = 900;
+		return planOneKind(FaultKind::RestoreStore, _options.restores, kMinAwayMs, kMaxAwayMs, _options, _options.seed + kSeedOffset);
 	}
 } // namespace archdyke::lab
--- a/tools/platform_lab.cpp
+++ b/tools/platform_lab.cpp
@@ -1,5 +1,7 @@
 #include "platform_lab.h"
 
+#include <algorithm>
+
 #include <absl/strings/escaping.h>
 #include <stdexcept>
 
@@ -99,9 +101,23 @@
 
 	void StoreStub::rewriteLost()
 	{
+		std::map<std::string, const Write*> last; // by table, part and key
+		for (const Write& write : this->writes)
+		{
+			for (const char* kind : {"put", "remove"})
+			{
+				for (const Json& row : write.body.value(kind, Json::array()))
+				{
+					last[row.value("table", "") + "/" + row.value("part", "") + "/" + row.value("key", "")] = &write;
+				}
+			}
+		}
 		for (const Write& write : this->writes)
 		{
-			if (this->copyAt < write.at && write.at <= this->restoredAt)
+			const bool isLast = std::any_of(last.begin(), last.end(), [&](const auto& _entry) {
+				return _entry.second == &write;
+			});
+			if (isLast && this->copyAt < write.at && write.at <= this->restoredAt)
 			{
 				this->send(write.body);
 			}
--- a/tools/platform_lab.h
+++ b/tools/platform_lab.h
@@ -51,8 +51,8 @@
 		/// @param[in] _copyAt Time of the copy, local clock.
 		void restore(Millis _copyAt);
 
-		/// Writes again, as the operator and the upstreams do, what was written through this object since the last copy
-		/// that the store came back from.
+		/// Writes again, as the operator and the upstreams do, the last state of each row that was written through this object
+		/// since the last copy that the store came back from, and not after its return.
 		void rewriteLost();
 
 		std::unique_ptr<ChildProcess> process;
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -16,6 +16,8 @@
 		constexpr Millis kTickMs = 25;             ///< Interval between checks of the schedule.
 		constexpr Millis kPollIntervalMs = 250;    ///< Interval between reads of the gateways' state.
 		constexpr Millis kReadyTimeoutMs = 15'000; ///< Until all parts are ready, at the start and after the faults.
+		constexpr Millis kCalmMarginMs = 200;      ///< Added to time limits in the calm time at the end.
+		constexpr Millis kLastDrainMs = 1'500;     ///< For how long requests are checked after the last drain's limit.
 		constexpr Millis kInForceMs = 2'000;       ///< Until a gateway without faults must have a new configuration.
 
 		class Soak
@@ -28,6 +30,9 @@
 			void pollGateways();
 			void checkVersion(SoakPart& _gateway);
 			bool isFaultFree(const std::string& _gateway, Millis _from, Millis _until) const;
+			/// Drains an upstream at the end, when no fault excuses a request that still goes there.
+			void drainInCalm();
+			void keepRunning(Millis _forMs);
 			/// Waits until all gateways are ready and have the newest configuration.
 			bool waitUntilSettled();
 			void readRuns();
@@ -64,6 +69,7 @@
 			this->result.faults = faults.startedCounts();
 			this->deployment.recover();
 			const bool settled = this->waitUntilSettled();
+			this->drainInCalm();
 			this->deployment.record.calls = callers.stop();
 			this->readRuns();
 			this->judge();
@@ -83,6 +89,22 @@
 			return std::move(this->result);
 		}
 
+		void Soak::keepRunning(Millis _forMs)
+		{
+			for (const Millis until = nowMs() + _forMs; nowMs() < until;)
+			{
+				this->pollGateways();
+				pauseMs(kTickMs);
+			}
+		}
+
+		void Soak::drainInCalm()
+		{
+			this->keepRunning(this->deployment.bounds.contactMs + kCalmMarginMs);
+			this->deployment.drainWorker(this->deployment.newestActiveWorker());
+			this->keepRunning(this->deployment.bounds.drainMs + kLastDrainMs);
+		}
+
 		void Soak::pollGateways()
 		{
 			this->deployment.emulatePlatform();
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -223,6 +223,25 @@
 		}));
 	}
 
+	void SoakDeployment::drainWorker(SoakWorker& _worker)
+	{
+		_worker.isLeaving = true;
+		this->store.put("servers", _worker.id, upstreamJson("svc", _worker.address, "draining"));
+		this->record.leavingAt[_worker.id] = nowMs();
+	}
+
+	SoakWorker& SoakDeployment::newestActiveWorker()
+	{
+		const auto found = std::find_if(this->workers.rbegin(), this->workers.rend(), [](const SoakWorker& _worker) {
+			return !_worker.isLeaving && 0 == _worker.removeAt && _worker.process->running();
+		});
+		if (this->workers.rend() == found)
+		{
+			throw std::runtime_error("no upstream runs; see the logs in " + this->directory);
+		}
+		return *found;
+	}
+
 	void SoakDeployment::emulatePlatform()
 	{
 		for (SoakWorker& worker : this->workers)
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -81,6 +81,12 @@
 		/// that is still stopping.
 		void restartExitedParts();
 
+		/// Marks an upstream as draining in the store and records when the store confirmed it.
+		void drainWorker(SoakWorker& _worker);
+
+		/// @returns The newest upstream that runs and is not leaving.
+		SoakWorker& newestActiveWorker();
+
 		/// Emulates the platform: removes expired rows, replaces lost upstreams, and kills gateways that did not stop
 		/// in time.
 		void emulatePlatform();
--- a/tools/soak_faults.cpp
+++ b/tools/soak_faults.cpp
@@ -111,9 +111,7 @@
 			}
 			else if (!_worker.isLeaving)
 			{
-				_worker.isLeaving = true;
-				_deployment.store.put("servers", _worker.id, upstreamJson("svc", _worker.address, "draining"));
-				_deployment.record.leavingAt[_worker.id] = nowMs();
+				_deployment.drainWorker(_worker);
 			}
 			return span;
 		}
@@ -152,6 +150,8 @@
 				return {{"mode", "lose"}};
 			case FaultKind::StoreSlow:
 				return {{"delayMs", kSlowStoreDelayMs}};
+			case FaultKind::RestoreStore:
+				return {{"mode", "busy"}};
 			default:
 				return {{"forget", true}};
 			}
@@ -244,10 +244,24 @@
 			}
 		}
 
-		void endFault(SoakDeployment& _deployment, FaultKind _kind, std::size_t _target)
+		/// Brings the store back from a copy, and has the operator and the upstreams write again what it lacks.
+		void restoreStore(SoakDeployment& _deployment, const PlannedFault& _fault)
 		{
-			switch (_kind)
+			constexpr std::uint64_t kMaxCopyAgeMs = 2'000;
+			constexpr std::uint64_t kMaxRewriteDelayMs = 400;
+			_deployment.store.restore(nowMs() - Millis(_fault.randomValue % kMaxCopyAgeMs));
+			_deployment.store.control({{"mode", "up"}, {"delayMs", 0}});
+			pauseMs(Millis(_fault.randomValue / kMaxCopyAgeMs % kMaxRewriteDelayMs));
+			_deployment.store.rewriteLost();
+		}
+
+		void endFault(SoakDeployment& _deployment, const PlannedFault& _fault, std::size_t _target)
+		{
+			switch (_fault.kind)
 			{
+			case FaultKind::RestoreStore:
+				restoreStore(_deployment, _fault);
+				break;
 			case FaultKind::FreezeGateway:
 				_deployment.gateways[_target].process->signal(SIGCONT);
 				break;
@@ -290,7 +304,7 @@
 	    , plan(planFaults(_options))
 	    , begunAt(nowMs())
 	{
-		for (const std::vector<PlannedFault>& more : {planSeries(_options), planLimits(_options)})
+		for (const std::vector<PlannedFault>& more : {planSeries(_options), planLimits(_options), planRestores(_options)})
 		{
 			this->plan.insert(this->plan.end(), more.begin(), more.end());
 		}
@@ -320,7 +334,7 @@
 			const bool ended = it->fault.startMs + it->fault.durationMs <= since;
 			if (ended)
 			{
-				endFault(this->deployment, it->fault.kind, it->target);
+				endFault(this->deployment, it->fault, it->target);
 				this->deployment.record.spans[it->span].until = nowMs();
 			}
 			it = ended ? this->active.erase(it) : it + 1;
