--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -93,7 +93,7 @@
 	'if (store::eraOf(this->rowVersion) < _rows.era)' 'if (false)'
 mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*" src/decide/switch_history.cpp \
 	'return _eraBefore < _era ?' 'return false && _eraBefore < _era ?'
-mutant lost-holds-are-released-at-once "forward_a_hold_of_a_lost_switch_.*" src/decide/forward_switch.cpp \
+mutant lost-holds-are-released-at-once "forward_a_hold_of_a_lost_switch_.*" src/decide/switch_history.cpp \
 	'if (_quietMs < kMaxOrderDelayMs)' 'if (false)'
 mutant gateway-takes-proofs-of-another-row "evacuation_.*" src/decide/evacuation.cpp \
 	'return _table.knownVersion < _changedAt;' 'return false;'
--- a/src/decide/switch_history.cpp
+++ b/src/decide/switch_history.cpp
@@ -90,4 +90,39 @@
 		row.era = _intent.era < _eraBefore ? _intent.era : _era; // a row that wasn't known to be the newest still isn't
 		return row;
 	}
+
+	std::vector<RankOrderPlan> endLostSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, Millis _quietMs)
+	{
+		/// Time after which no order of a coordinator takes effect any more, ms: engines carry out orders up to 12 s late.
+		constexpr Millis kMaxOrderDelayMs = 15'000;
+		const std::vector<RankOrderPlan> releases = releaseStrayHolds(_intent, _ranks);
+		std::vector<RankOrderPlan> disarms;
+		for (std::uint32_t rank = 0; rank < _ranks.size(); ++rank)
+		{
+			if (_ranks[rank].seen && _ranks[rank].armed)
+			{
+				disarms.push_back({rank, RankOrderKind::Disarm, _ranks[rank].epoch, *_ranks[rank].armed, 0});
+			}
+		}
+		const bool isLost = !releases.empty() || (SwitchPhase::Idle == _intent.phase && !disarms.empty());
+		const bool allSeen = std::all_of(_ranks.begin(), _ranks.end(), [](const RankView& _rank) {
+			return _rank.seen;
+		});
+		if (!isLost || !allSeen)
+		{
+			return {};
+		}
+		const bool allArmed = std::all_of(_ranks.begin(), _ranks.end(), [&](const RankView& _rank) {
+			return _rank.armed && _rank.armed == _ranks.front().armed;
+		});
+		if (allArmed)
+		{
+			return releases;
+		}
+		if (_quietMs < kMaxOrderDelayMs)
+		{
+			return {};
+		}
+		return disarms.empty() ? releases : disarms;
+	}
 } // namespace archdyke
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -247,29 +247,6 @@
 		return refused || since > kPreparePhaseTimeoutMs;
 	}
 
-	bool Coordinator::rowMayBeOld() const
-	{
-		return this->intent.era < store::eraOf(this->rowVersion);
-	}
-
-	void Coordinator::recoverMap(const std::vector<RankView>& _ranks)
-	{
-		const std::uint64_t map = _ranks.empty() ? 0 : _ranks.front().map;
-		const auto known = this->dependencies.groupState.maps.find(map);
-		const bool sameMap = std::all_of(_ranks.begin(), _ranks.end(), [&](const RankView& _rank) {
-			return _rank.seen && _rank.map == map;
-		});
-		if (0 == map || map == this->intent.inForceVersion || this->switchIsOpen() || !sameMap || !this->model || this->dependencies.groupState.maps.end() == known)
-		{
-			return;
-		}
-		logWarning("map_recovered", {{"group", this->group}, {"version", map}, {"row_has", this->intent.inForceVersion}, {"epoch", _ranks.front().epoch}});
-		SwitchIntent intent = this->intent;
-		intent.inForceVersion = map;
-		intent.inForce = hostsOf(known->second, this->model->experts);
-		this->adopt(std::move(intent));
-	}
-
 	aio::Task<void> Coordinator::advance()
 	{
 		if (this->copiedRowVersion)
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -168,6 +168,8 @@
 		/// @returns Whether the row may be older than what was done: the store came back from a copy, and nobody who knew the
 		/// row has written it since.
 		bool rowMayBeOld() const;
+		/// Records the row of the copy from which the store came back, to be written again.
+		void recordCopiedRow(const store::Rows& _rows);
 		/// Writes the row again after the store came back from a copy.
 		aio::Task<void> rewriteRow();
 		/// Takes the map in use from this daemon if the row doesn't have it.
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -1,7 +1,6 @@
 /// The part of the coordinator that reads and writes the store: the group's row, the upstreams, the
 /// configuration.
 #include <algorithm>
-#include <utility>
 
 #include "archdyke/errors.h"
 #include "base/log.h"
@@ -31,20 +30,6 @@
 		/// Delay after changes, ms, so that changes in quick succession arrive in one call.
 		constexpr Millis kChangeBatchDelayMs = 100;
 
-		/// @returns The term of a group's row; 0 when it can't be read.
-		std::uint64_t termIn(const store::Row& _row)
-		{
-			try
-			{
-				return decodeIntent(_row.value).term;
-			}
-			catch (const InvalidInputError& error)
-			{
-				logError("group_row_unreadable", {{"row_version", store::versionText(_row.version)}, {"reason", error.what()}});
-				return 0;
-			}
-		}
-
 		/// @returns The smallest gap objective of a service's routes; 0 if there is none.
 		Millis smallestGapObjective(const Catalog& _catalog, const std::string& _service)
 		{
@@ -323,17 +308,7 @@
 		const store::RowKey key = groupRowKey(this->dependencies.settings.service, this->group);
 		if (store::eraOf(this->rowVersion) < _rows.era)
 		{
-			// The row of the copy is older than this coordinator's, unless another one has taken over since.
-			this->copiedRowVersion = store::makeVersion(_rows.era, 0);
-			for (const store::Row& found : _rows.rows)
-			{
-				this->copiedRowVersion = found.key == key ? found.version : *this->copiedRowVersion;
-				if (found.key == key && termIn(found) > this->intent.term)
-				{
-					this->copiedRowVersion.reset();
-					this->adoptRow(found);
-				}
-			}
+			this->recordCopiedRow(_rows);
 			return;
 		}
 		for (const store::Row& found : _rows.rows)
@@ -345,25 +320,6 @@
 		}
 	}
 
-	aio::Task<void> Coordinator::rewriteRow()
-	{
-		const std::uint64_t before = this->rowVersion;
-		const std::uint64_t termBefore = this->intent.term;
-		const std::uint64_t copied = *std::exchange(this->copiedRowVersion, std::nullopt);
-		SwitchIntent row = rewrittenRow(this->intent, store::eraOf(before), store::eraOf(copied));
-		if (SwitchPhase::Preparing == row.phase)
-		{
-			row.phase = SwitchPhase::Idle; // never stored; the next plan prepares anew
-			row.map.clear();
-		}
-		this->rowVersion = 0 == store::counterOf(copied) ? 0 : copied;
-		co_await this->writeRow(std::move(row), "store_restored");
-		if (termBefore == this->intent.term)
-		{
-			this->rowVersion = before; // not written: the next read of the row finds it again
-		}
-	}
-
 	void Coordinator::releaseStrays(const std::vector<RankView>& _observedBefore)
 	{
 		const bool mayBeOld = this->rowMayBeOld() || this->copiedRowVersion;
