--- a/tools/platform_lab.cpp
+++ b/tools/platform_lab.cpp
@@ -112,6 +112,7 @@
 				}
 			}
 		}
+		std::vector<Json> lost;
 		for (const Write& write : this->writes)
 		{
 			const bool isLast = std::any_of(last.begin(), last.end(), [&](const auto& _entry) {
@@ -119,9 +120,13 @@
 			});
 			if (isLast && this->copyAt < write.at && write.at <= this->restoredAt)
 			{
-				this->send(write.body);
+				lost.push_back(write.body);
 			}
 		}
+		for (const Json& body : lost)
+		{
+			this->transact(body); // recorded, since the next copy may lack it again
+		}
 	}
 
 	void StoreStub::transact(const Json& _body)
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -17,6 +17,7 @@
 		constexpr Millis kPollIntervalMs = 250;    ///< Interval between reads of the gateways' state.
 		constexpr Millis kReadyTimeoutMs = 15'000; ///< Until all parts are ready, at the start and after the faults.
 		constexpr Millis kCalmMarginMs = 200;      ///< Added to time limits in the calm time at the end.
+		constexpr Millis kLastCallsMs = 2'200;     ///< Until the last requests have ended: their deadline and a margin.
 		constexpr Millis kLastDrainMs = 1'500;     ///< For how long requests are checked after the last drain's limit.
 		constexpr Millis kInForceMs = 2'000;       ///< Until a gateway without faults must have a new configuration.
 
@@ -70,6 +71,8 @@
 			this->deployment.recover();
 			const bool settled = this->waitUntilSettled();
 			this->drainInCalm();
+			callers.beginStop();
+			this->keepRunning(kLastCallsMs); // upstreams that crash under the last requests are recorded
 			this->deployment.record.calls = callers.stop();
 			this->readRuns();
 			this->judge();
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -110,6 +110,11 @@
 		this->threads.clear();
 	}
 
+	void SoakCallers::beginStop()
+	{
+		this->isStopping = true;
+	}
+
 	std::vector<SoakCall> SoakCallers::stop()
 	{
 		this->join();
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -18,6 +18,9 @@
 		SoakCallers(const SoakCallers&) = delete;
 		SoakCallers& operator=(const SoakCallers&) = delete;
 
+		/// Lets the callers end after their present requests. Does not wait for them.
+		void beginStop();
+
 		/// Stops the callers.
 		/// @returns The results of all their requests.
 		std::vector<SoakCall> stop();
