Decide about eras outside the platform's adapter

No caller saw a difference. The adapter refused writes that expect a number of an earlier era and answered calls for changes without asking the store, though it may only translate. It now puts the era into versions and takes it out; EraStore, a decorator beside CountedStore, decides which calls make sense after a restoration and logs the era.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -91,9 +91,18 @@
 	'if (fromCopy && this->removedAt.contains(row.key.key))' 'if (false)'
 mutant coordinator-takes-the-row-of-a-copy "restored_coordinators_.*" src/group/coordinator_row.cpp \
 	'if (store::eraOf(this->rowVersion) < _rows.era)' 'if (false)'
-mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*" src/decide/switch_history.cpp \
+mutant follower-asks-for-changes-of-another-era "erastore_.*|restored_changes_under_.*" src/store/era_store.cpp \
+	'if (hasBase && eraOf(_since) < this->era.value_or(0))' 'if (false)' \
+	'rows.historyTruncated || (hasBase && eraOf(_since) != rows.era)' 'rows.historyTruncated'
+mutant zones-go-back-with-the-store "restored_an_evacuated_zone_stays_evacuated_until_the_operator_can_have_repeated_it" src/gateway/watch_rows.cpp \
+	'		if (isFromCopy(_rows, _known))' '		if (false && isFromCopy(_rows, _known))'
+mutant lost-crashes-stay-lost "gateway_crashes_that_a_restored_store_lacks_are_published_again" src/gateway/watch_rows.cpp \
+	'publishLostCrashes(this->state.crashes);' ''
+mutant map-in-use-stays-unknown "restored_a_group_whose_coordinator_is_killed_after_a_restoration_goes_on_without_a_split" src/group/coordinator.cpp \
+	'this->recoverMap(this->views(kViewMaxAgeMs));' ''
+mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*|restored_a_group_.*" src/decide/switch_history.cpp \
 	'return _eraBefore < _era ?' 'return false && _eraBefore < _era ?'
-mutant lost-holds-are-released-at-once "forward_a_hold_of_a_lost_switch_.*" src/decide/switch_history.cpp \
+mutant lost-holds-are-released-at-once "forward_a_hold_of_a_lost_switch_.*|restored_a_hold_.*" src/decide/switch_history.cpp \
 	'if (_quietMs < kMaxOrderDelayMs)' 'if (false)'
 mutant gateway-takes-proofs-of-another-row "evacuation_.*" src/decide/evacuation.cpp \
 	'return _table.knownVersion < _changedAt;' 'return false;'
--- a/src/decide/switch_history.cpp
+++ b/src/decide/switch_history.cpp
@@ -93,7 +93,8 @@
 
 	std::vector<RankOrderPlan> endLostSwitch(const SwitchIntent& _intent, const std::vector<RankView>& _ranks, Millis _quietMs)
 	{
-		/// Time after which no order of a coordinator takes effect any more, ms: engines carry out orders up to 12 s late.
+		/// Time after which no order of a coordinator takes effect any more, ms; engines may carry out
+		/// an order some seconds after it was given up.
 		constexpr Millis kMaxOrderDelayMs = 15'000;
 		const std::vector<RankOrderPlan> releases = releaseStrayHolds(_intent, _ranks);
 		std::vector<RankOrderPlan> disarms;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -13,6 +13,7 @@
 #include "gateway/load_link.h"
 #include "http/http_listener.h"
 #include "store/counted_store.h"
+#include "store/era_store.h"
 
 namespace archdyke::gateway
 {
@@ -42,7 +43,7 @@
 			    , loop{_io.provider->getNetwork(), _io.provider->getTimer()}
 			    , counters(this->metrics)
 			    , state(std::move(_settings), _deployment.codec, this->loop, this->counters, randomId())
-			    , tableStore(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->state.settings.place.store), this->metrics))
+			    , tableStore(std::make_unique<store::EraStore>(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->state.settings.place.store), this->metrics), this->metrics))
 			    , watch(this->state, *this->tableStore, _deployment.tables, _deployment.decoders)
 			    , loads(this->state, this->watch)
 			    , callers(this->state, this->state.settings.callers)
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -10,6 +10,7 @@
 #include "http/http_listener.h"
 #include "http/socket_address.h"
 #include "store/counted_store.h"
+#include "store/era_store.h"
 
 namespace archdyke::group
 {
@@ -60,7 +61,7 @@
 			    , path(std::move(_path))
 			    , io(_io)
 			    , loop{_io.provider->getNetwork(), _io.provider->getTimer()}
-			    , tableStore(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->settings.place.store), this->metrics))
+			    , tableStore(std::make_unique<store::EraStore>(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->settings.place.store), this->metrics), this->metrics))
 			    , engine(this->loop, _deployment.codec, this->settings.upstream)
 			    , fanOut(this->loop, this->settings.place.peerPort, this->settings.place.linkMbps, this->state.groupState)
 			    , server(kj::heap<RankServer>(this->state, this->engine, this->fanOut, this->settings.service))
--- a/src/store/counted_store.cpp
+++ b/src/store/counted_store.cpp
@@ -1,7 +1,5 @@
 #include "store/counted_store.h"
 
-#include "base/log.h"
-
 namespace archdyke::store
 {
 	CountedStore::CountedStore(std::unique_ptr<TableStore> _store, Metrics& _metrics)
@@ -22,29 +20,16 @@
 		});
 	}
 
-	kj::Promise<Rows> CountedStore::watchEra(kj::Promise<Rows> _rows)
-	{
-		return _rows.then([this](Rows&& _response) {
-			if (this->era != _response.era)
-			{
-				logWarning("store_era", {{"era", _response.era}, {"before", this->era ? std::to_string(*this->era) : "-"}, {"version", versionText(_response.version)}});
-				this->metrics.gauge("archdyke_store_era", "Era of the metadata store; rises each time it comes back from an earlier copy").Set(double(_response.era));
-				this->era = _response.era;
-			}
-			return kj::mv(_response);
-		});
-	}
-
 	aio::Task<Rows> CountedStore::read(std::string _table, std::string _part, std::string _from)
 	{
 		std::string table = _table;
-		return this->watchEra(this->counted("read", table, this->store->read(std::move(_table), std::move(_part), std::move(_from))));
+		return this->counted("read", table, this->store->read(std::move(_table), std::move(_part), std::move(_from)));
 	}
 
 	aio::Task<Rows> CountedStore::follow(std::string _table, std::uint64_t _since, Millis _waitMs)
 	{
 		std::string table = _table;
-		return this->watchEra(this->counted("follow", table, this->store->follow(std::move(_table), _since, _waitMs)));
+		return this->counted("follow", table, this->store->follow(std::move(_table), _since, _waitMs));
 	}
 
 	aio::Task<WriteResult> CountedStore::write(ConditionalWrite _write)
--- a/src/store/counted_store.h
+++ b/src/store/counted_store.h
@@ -24,11 +24,7 @@
 		template <typename T>
 		kj::Promise<T> counted(const char* _call, const std::string& _table, aio::Task<T> _response);
 
-		/// Logs a change of the store's era and publishes it as a metric.
-		kj::Promise<Rows> watchEra(kj::Promise<Rows> _rows);
-
 		std::unique_ptr<TableStore> store;
 		Metrics& metrics;
-		std::optional<std::uint64_t> era; ///< Of the last response.
 	};
 } // namespace archdyke::store
--- a/src/store/table_store.h
+++ b/src/store/table_store.h
@@ -103,8 +103,8 @@
 	/// Maximum number of rows in one RowChanges.
 	constexpr std::size_t kMaxRowChanges = 100;
 
-	/// All calls throw kj::Exception when there is no response; a write may have been done nevertheless. A write whose
-	/// expected version is of an earlier era than the store throws, too: its number may mean another content by now.
+	/// All calls throw kj::Exception when there is no response; a write may have been done nevertheless. With an
+	/// EraStore around it, a write that expects a version of an earlier era throws, too.
 	class TableStore
 	{
 	public:
--- a/tests/test_restored_store.cpp
+++ b/tests/test_restored_store.cpp
@@ -34,6 +34,21 @@
 		return count;
 	}
 
+	/// Removes the row of the first upstream, then brings the store back from a copy that has it.
+	/// @returns Time of the copy.
+	Millis removeUpstreamAndRestore(GatewayRig& _rig)
+	{
+		_rig.waitReady();
+		const Millis copyAt = nowMs();
+		lab::pauseMs(kOldCopyMs);
+		_rig.store.remove("servers", _rig.workers.front().id);
+		cr_assert(lab::waitUntil(2 * kChangeMs, [&] {
+			return _rig.workers.size() - 1 == _rig.dump()["upstreams"].size();
+		}));
+		_rig.store.restore(copyAt);
+		return copyAt;
+	}
+
 	bool isLeaving(const Json& _dump, const std::string& _incarnation)
 	{
 		const Json& upstreams = _dump["upstreams"];
@@ -130,14 +145,7 @@
 Test(restored, an_upstream_that_left_gets_nothing_though_its_row_is_back)
 {
 	GatewayRig rig({"a", "b"});
-	rig.waitReady();
-	const Millis copyAt = nowMs();
-	lab::pauseMs(kOldCopyMs);
-	rig.store.remove("servers", "a");
-	cr_assert(lab::waitUntil(2 * kChangeMs, [&] {
-		return 1 == rig.dump()["upstreams"].size();
-	}));
-	rig.store.restore(copyAt);
+	removeUpstreamAndRestore(rig);
 	const Millis until = nowMs() + 3'500; // its row expires after three heartbeats
 	for (int call = 0; nowMs() < until; ++call)
 	{
@@ -151,14 +159,7 @@
 Test(restored, an_upstream_whose_row_stays_gets_requests_again)
 {
 	GatewayRig rig({"a", "b"});
-	rig.waitReady();
-	const Millis copyAt = nowMs();
-	lab::pauseMs(kOldCopyMs);
-	rig.store.remove("servers", "a");
-	cr_assert(lab::waitUntil(2 * kChangeMs, [&] {
-		return 1 == rig.dump()["upstreams"].size();
-	}));
-	rig.store.restore(copyAt);
+	const Millis copyAt = removeUpstreamAndRestore(rig);
 	cr_assert(lab::waitUntil(8'000, [&] {
 		return 2 == rig.dump()["upstreams"].size();
 	}));
