Recover from a restoration before a coordinator's next decision, in a function of its own

Coordinator::advance had grown beyond what is read at once, and went on for one decision after the row showed a newer term.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -98,7 +98,7 @@
 	'		if (isFromCopy(_rows, _known))' '		if (false && isFromCopy(_rows, _known))'
 mutant lost-crashes-stay-lost "gateway_crashes_that_a_restored_store_lacks_are_published_again" src/gateway/watch_rows.cpp \
 	'publishLostCrashes(this->state.crashes);' ''
-mutant map-in-use-stays-unknown "restored_a_group_whose_coordinator_is_killed_after_a_restoration_goes_on_without_a_split" src/group/coordinator.cpp \
+mutant map-in-use-stays-unknown "restored_a_group_whose_coordinator_is_killed_after_a_restoration_goes_on_without_a_split" src/group/coordinator_restored.cpp \
 	'this->recoverMap(this->views(kViewMaxAgeMs));' ''
 mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*|restored_a_group_.*" src/decide/switch_history.cpp \
 	'return _eraBefore < _era ?' 'return false && _eraBefore < _era ?'
--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -249,14 +249,6 @@
 
 	aio::Task<void> Coordinator::advance()
 	{
-		if (this->copiedRowVersion)
-		{
-			co_await this->rewriteRow();
-		}
-		if (this->rowMayBeOld())
-		{
-			this->recoverMap(this->views(kViewMaxAgeMs));
-		}
 		if (!this->switchIsOpen())
 		{
 			std::optional<SwitchIntent> begun = this->plan();
@@ -315,6 +307,10 @@
 			// Responses to orders arrive between polls, and each may allow the next step of the switch.
 			co_await this->dependencies.loop.timer.afterDelay(kDecisionIntervalMs * kj::MILLISECONDS);
 			if (!this->ended) // may have ended during the delay
+			{
+				co_await this->recoverFromRestoration();
+			}
+			if (!this->ended) // the row may name a newer term
 			{
 				co_await this->advance();
 			}
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -168,6 +168,8 @@
 		/// @returns Whether the row may be older than what was done: the store came back from a copy, and nobody who knew the
 		/// row has written it since.
 		bool rowMayBeOld() const;
+		/// Restores what this coordinator and its row lack after the store came back from a copy.
+		aio::Task<void> recoverFromRestoration();
 		/// Records the row of the copy from which the store came back, to be written again.
 		void recordCopiedRow(const store::Rows& _rows);
 		/// Writes the row again after the store came back from a copy.
--- a/src/group/coordinator_restored.cpp
+++ b/src/group/coordinator_restored.cpp
@@ -50,6 +50,18 @@
 		this->adopt(std::move(intent));
 	}
 
+	aio::Task<void> Coordinator::recoverFromRestoration()
+	{
+		if (this->copiedRowVersion)
+		{
+			co_await this->rewriteRow();
+		}
+		if (this->rowMayBeOld())
+		{
+			this->recoverMap(this->views(kViewMaxAgeMs));
+		}
+	}
+
 	void Coordinator::recordCopiedRow(const store::Rows& _rows)
 	{
 		const store::RowKey key = groupRowKey(this->dependencies.settings.service, this->group);
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -38,10 +38,12 @@
 			std::uint64_t version = 0; ///< 0: there is none yet.
 		};
 
+		/// @param[in] _newestTerm Of the coordinators that were heard; 0: none.
 		/// @throws InvalidInputError When the row can't be read.
-		GroupRow groupRowIn(const store::Rows& _rows, const store::RowKey& _key)
+		GroupRow groupRowIn(const store::Rows& _rows, const store::RowKey& _key, std::uint64_t _newestTerm)
 		{
 			GroupRow found;
+			found.intent.era = 0 == _newestTerm ? _rows.era : 0; // without a row and a coordinator the group is new
 			for (const store::Row& row : _rows.rows)
 			{
 				if (row.key == _key)
@@ -254,12 +256,8 @@
 				try
 				{
 					const store::Rows rows = co_await this->tableStore->read(key.table, key.part, key.key);
-					GroupRow found = groupRowIn(rows, key);
+					const GroupRow found = groupRowIn(rows, key, this->state.newest.term);
 					version = found.version;
-					if (0 == version && 0 == this->state.newest.term)
-					{
-						found.intent.era = rows.era; // the group has had no coordinator yet
-					}
 					if (found.intent.term > this->state.newest.term)
 					{
 						// Another daemon has taken over; asks it whether it is alive.
