Log, count and report upstreams that end during a run of an agent

An agent saw that a response broke off, but not why: its log had no line for an upstream whose process ended, nothing that tells a call from its repeats, and a broken connection looked the same whether the upstream lived on or not. So the logs could not distinguish whether a call crashes one service after another because entries forget crashes, because they don't hear of each other's, or because runs were already under way.

After a response broke off, the agent probes the upstream's port; if it refuses connections, the process has ended. The end is attributed to the request, named by a fingerprint of target, organisation and body that entries send with each run (gateways use the same function). The agent logs upstream_crashed with the number of the process, counts archdyke_agent_upstream_crashes_total, names the process in the failed frame, and reports recent crashes with each hello and heartbeat. A run that its agent completed recently isn't blamed. Agents refuse requests that heartbeats name; entries don't name any yet.

--- a/include/archdyke/crash_blame.h
+++ b/include/archdyke/crash_blame.h
@@ -59,6 +59,18 @@
 	/// @returns How much longer a request is refused, ms; none if it may run.
 	std::optional<Millis> remainingRefusalMs(const CrashTable& _table, const std::string& _request, Millis _now);
 
+	/// A request that is refused because several upstreams crashed under it.
+	struct RefusedRequest
+	{
+		std::string request; ///< Fingerprint.
+		Millis remainingMs = 0;
+
+		auto operator<=>(const RefusedRequest&) const = default;
+	};
+
+	/// @returns All requests that are refused now.
+	std::vector<RefusedRequest> refusedRequests(const CrashTable& _table, Millis _now);
+
 	/// Removes expired crashes.
 	/// @returns The removed crashes.
 	std::vector<Crash> removeExpiredCrashes(CrashTable& _table, Millis _now);
--- a/include/archdyke/types.h
+++ b/include/archdyke/types.h
@@ -73,6 +73,7 @@
 		Duplicate,
 		Revoked,
 		Deadline,
+		CrashesUpstreams, ///< Several upstreams crashed while they ran the request.
 		Count
 	};
 
--- a/src/agent/agent_runs.cpp
+++ b/src/agent/agent_runs.cpp
@@ -20,11 +20,13 @@
 	    , started(_metrics.counter("archdyke_agent_runs_started_total", "Runs sent to the upstream."))
 	    , refused(_metrics.counter("archdyke_agent_runs_refused_total", "Runs refused as not run."))
 	    , failed(_metrics.counter("archdyke_agent_runs_failed_total", "Runs whose response is incomplete."))
+	    , crashes(_metrics.counter("archdyke_agent_upstream_crashes_total", "Runs during which the upstream's process ended and to which the end is attributed."))
 	    , runSeconds(_metrics.seconds("archdyke_agent_run_seconds", "Time of a run at the upstream."))
 	{
 		{
 			absl::MutexLock lock(&this->mutex);
 			this->ledger.incarnation = _incarnation;
+			this->ends.agent = toHex(_incarnation);
 			this->admission.slots = _settings.slots;
 			this->admission.capacity = kMaxQueuedRuns;
 		}
@@ -67,6 +69,12 @@
 			openSession(this->ledger, _session, now);
 			return {false, RefusalReason::Overloaded, *retryAfterMs};
 		}
+		const std::optional<Millis> refusalMs = remainingRefusalMs(this->ends, _run.fingerprint, now);
+		if (refusalMs)
+		{
+			openSession(this->ledger, _session, now);
+			return {false, RefusalReason::CrashesUpstreams, *refusalMs};
+		}
 		const RefusalReason reason = offerRun(this->ledger, _run.key, _session, _run.repeatable, now);
 		if (RefusalReason::None != reason)
 		{
@@ -181,6 +189,44 @@
 		return report;
 	}
 
+	std::vector<Crash> AgentRuns::crashesToReport()
+	{
+		absl::MutexLock lock(&this->mutex);
+		return archdyke::crashesToReport(this->ends, nowMs());
+	}
+
+	void AgentRuns::dropQueued(const std::string& _request, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped)
+	{
+		const Millis now = nowMs();
+		absl::erase_if(this->runs, [&](const auto& _run) {
+			const bool dropped = _request == _run.second.spec.fingerprint && dropRun(this->ledger, _run.first, now);
+			if (dropped)
+			{
+				removeRun(this->admission, _run.first);
+				_dropped.push_back({_run.first, _verdict});
+			}
+			return dropped;
+		});
+	}
+
+	void AgentRuns::refuse(const std::vector<RefusedRequest>& _refused)
+	{
+		if (_refused.empty())
+		{
+			return;
+		}
+		std::vector<RefusedRun> dropped;
+		{
+			absl::MutexLock lock(&this->mutex);
+			recordRefusedRequests(this->ends, _refused, nowMs());
+			for (const RefusedRequest& refused : _refused)
+			{
+				this->dropQueued(refused.request, {false, RefusalReason::CrashesUpstreams, refused.remainingMs}, dropped);
+			}
+		}
+		this->notifyRefused(dropped);
+	}
+
 	std::size_t AgentRuns::active()
 	{
 		absl::MutexLock lock(&this->mutex);
@@ -234,7 +280,9 @@
 			archdyke::endRun(this->admission, Millis(this->admission.meanRunMs));
 			return std::nullopt;
 		}
-		return this->runs[result.next->key];
+		ActiveRun& run = this->runs[result.next->key];
+		run.process = this->ends.process;
+		return run;
 	}
 
 	void AgentRuns::runWorker()
@@ -266,27 +314,69 @@
 		const Millis startedAt = nowMs();
 		this->started.Increment();
 		this->observer.onVerdict(_run.spec.key, {true, RefusalReason::None, 0});
-		const bool reachedUpstream = _call(_run.spec, *_run.response);
-		this->finish(_run, reachedUpstream, startedAt);
+		const CallResult result = _call(_run.spec, *_run.response);
+		this->finish(_run, result, startedAt);
 		this->observer.onResponseData(_run.spec.key);
 	}
 
-	void AgentRuns::finish(const ActiveRun& _run, bool _reachedUpstream, Millis _startedAt)
+	std::string AgentRuns::recordEnd(const ActiveRun& _run, CallResult _result, Millis _now)
+	{
+		if (CallResult::Completed == _result)
+		{
+			recordCompletedRun(this->ends, _run.spec.fingerprint, _now);
+		}
+		if (CallResult::UpstreamEnded != _result)
+		{
+			return "";
+		}
+		const std::optional<Crash> crash = recordUpstreamEnd(this->ends, _run.spec.fingerprint, _run.process, _now);
+		logWarning("upstream_crashed", {{"fingerprint", _run.spec.fingerprint}, {"request", _run.spec.key.requestId}, {"attempt", _run.spec.key.attempt}, {"process", _run.process}, {"attributed", crash.has_value()}});
+		if (!crash)
+		{
+			return "";
+		}
+		this->crashes.Increment();
+		return crash->incarnation;
+	}
+
+	void AgentRuns::finish(const ActiveRun& _run, CallResult _result, Millis _startedAt)
 	{
 		const Millis now = nowMs();
 		this->runSeconds.Observe(double(now - _startedAt) / 1000.0);
-		if (_run.response->frameAt(_run.response->size()).head.failed)
+		if (CallResult::Completed != _result)
 		{
 			this->failed.Increment();
 		}
+		std::vector<RefusedRun> dropped;
+		this->recordResult(_run, _result, _startedAt, dropped);
+		this->notifyRefused(dropped);
+	}
+
+	void AgentRuns::recordResult(const ActiveRun& _run, CallResult _result, Millis _startedAt, std::vector<RefusedRun>& _dropped)
+	{
+		const Millis now = nowMs();
 		const Millis requestedMs = _run.response->backOffMs;
 		absl::MutexLock lock(&this->mutex);
+		const std::string crashed = this->recordEnd(_run, _result, now);
+		if (!crashed.empty())
+		{
+			// They would crash the upstream again as soon as it is back.
+			this->dropQueued(_run.spec.fingerprint, {false, RefusalReason::Overloaded, kUpstreamDownRetryMs}, _dropped);
+		}
+		if (CallResult::Completed == _result)
+		{
+			_run.response->complete();
+		}
+		else
+		{
+			_run.response->fail(CallResult::NotReached == _result, crashed);
+		}
 		if (0 < requestedMs && recordBackOff(this->backOff, requestedMs, now))
 		{
 			logInfo("upstream_asks_back_off", {{"asked_ms", requestedMs}, {"queued", this->admission.queued}});
 		}
 		archdyke::endRun(this->admission, now - _startedAt);
-		if (_reachedUpstream)
+		if (CallResult::NotReached != _result)
 		{
 			finishRun(this->ledger, _run.spec.key, now);
 		}
--- a/src/agent/agent_runs.h
+++ b/src/agent/agent_runs.h
@@ -12,15 +12,25 @@
 #include "archdyke/admission.h"
 #include "archdyke/back_off.h"
 #include "archdyke/ledger.h"
+#include "archdyke/upstream_end.h"
 #include "base/metrics.h"
 #include "base/settings.h"
 #include "rpc/run.h"
 
 namespace archdyke
 {
-	/// Sends one run to the upstream and writes the response into the buffer.
-	/// @returns Whether any part of the run may have reached the upstream.
-	using UpstreamCall = std::function<bool(const RunSpec&, ResponseBuffer&)>;
+	/// How the call of a run to the upstream ended.
+	enum class CallResult
+	{
+		Completed,
+		NotReached,    ///< No part of the run reached the upstream.
+		Broken,        ///< The response is incomplete.
+		UpstreamEnded, ///< The response is incomplete since the upstream's process ended.
+		Count
+	};
+
+	/// Sends one run to the upstream and writes the bytes of the response into the buffer.
+	using UpstreamCall = std::function<CallResult(const RunSpec&, ResponseBuffer&)>;
 
 	/// Notifications to the agent's loop. Called from any thread, without a lock held.
 	struct RunObserver
@@ -63,6 +73,12 @@
 
 		LoadReport load();
 
+		/// @returns Recent crashes of the upstream, for entries.
+		std::vector<Crash> crashesToReport();
+
+		/// Refuses requests that an entry refuses, and removes queued runs of them.
+		void refuse(const std::vector<RefusedRequest>& _refused);
+
 		/// @returns Number of runs that are queued or started.
 		std::size_t active();
 
@@ -75,6 +91,7 @@
 			RunSpec spec;
 			std::shared_ptr<ResponseBuffer> response;
 			Millis endedAt = 0;
+			std::uint64_t process = 0; ///< Number of the upstream's process to which it was sent.
 		};
 
 		struct RefusedRun
@@ -89,15 +106,22 @@
 		bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
 		VerdictEvent offerLocked(const RunSpec& _run, const Session& _session, std::vector<RefusedRun>& _evicted) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		std::optional<ActiveRun> dequeueLocked(std::vector<RefusedRun>& _expired) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+		/// Removes the queued runs of a request.
+		void dropQueued(const std::string& _request, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		void notifyRefused(const std::vector<RefusedRun>& _refused);
 		void execute(const ActiveRun& _run, const UpstreamCall& _call);
-		void finish(const ActiveRun& _run, bool _reachedUpstream, Millis _startedAt);
+		void finish(const ActiveRun& _run, CallResult _result, Millis _startedAt);
+		void recordResult(const ActiveRun& _run, CallResult _result, Millis _startedAt, std::vector<RefusedRun>& _dropped);
+		/// Records how the upstream's process and a run ended.
+		/// @returns Incarnation of the upstream if its end is attributed to the request; else empty.
+		std::string recordEnd(const ActiveRun& _run, CallResult _result, Millis _now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
 		const RunObserver observer;
 		const std::function<UpstreamCall()> makeCall;
 		prometheus::Counter& started;
 		prometheus::Counter& refused;
 		prometheus::Counter& failed;
+		prometheus::Counter& crashes;
 		prometheus::Histogram& runSeconds;
 
 		absl::Mutex mutex;
@@ -106,6 +130,7 @@
 		absl::flat_hash_map<RunKey, ActiveRun> runs ABSL_GUARDED_BY(mutex);
 		bool upstreamReachable ABSL_GUARDED_BY(mutex) = true;
 		BackOff backOff ABSL_GUARDED_BY(mutex);
+		UpstreamEnds ends ABSL_GUARDED_BY(mutex);
 		bool stopping ABSL_GUARDED_BY(mutex) = false;
 		std::vector<std::thread> threads;
 	};
--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -53,11 +53,16 @@
 		this->runs->open(session);
 		_context.getResults().setIncarnation(this->incarnation);
 		writeLoad(_context.getResults().initLoad(), this->runs->load());
+		const std::vector<Crash> crashes = this->runs->crashesToReport();
+		writeCrashes(_context.getResults().initCrashes(unsigned(crashes.size())), crashes);
 		return kj::READY_NOW;
 	}
 
 	kj::Promise<void> AgentServer::heartbeat(HeartbeatContext _context)
 	{
+		this->runs->refuse(readRefusals(_context.getParams().getRefused()));
+		const std::vector<Crash> crashes = this->runs->crashesToReport();
+		writeCrashes(_context.getResults().initCrashes(unsigned(crashes.size())), crashes);
 		writeLoad(_context.getResults().initLoad(), this->runs->load());
 		return kj::READY_NOW;
 	}
--- a/src/agent/answer_buffer.cpp
+++ b/src/agent/answer_buffer.cpp
@@ -38,11 +38,12 @@
 		this->completed = true;
 	}
 
-	void ResponseBuffer::fail(bool _notRun)
+	void ResponseBuffer::fail(bool _notRun, std::string _crashed)
 	{
 		absl::MutexLock lock(&this->mutex);
 		this->failed = true;
 		this->notRun = _notRun;
+		this->crashed = std::move(_crashed);
 	}
 
 	bool ResponseBuffer::ended() const
@@ -65,6 +66,7 @@
 		frame.status = this->status;
 		frame.contentType = this->contentType;
 		frame.notRun = this->notRun;
+		frame.crashed = this->crashed;
 		const bool end = this->completed || this->failed;
 		frame.head = {this->run, _offset, frame.bytes.size(), end, this->bytes.size(), this->failed};
 		return frame;
--- a/src/agent/answer_buffer.h
+++ b/src/agent/answer_buffer.h
@@ -29,7 +29,8 @@
 
 		/// Marks the response as incomplete; no more bytes follow.
 		/// @param[in] _notRun Whether it is proved that nothing reached the upstream.
-		void fail(bool _notRun);
+		/// @param[in] _crashed Incarnation of the upstream if its process ended during the run; else empty.
+		void fail(bool _notRun, std::string _crashed);
 
 		bool ended() const;
 		std::size_t size() const;
@@ -52,5 +53,6 @@
 		bool completed ABSL_GUARDED_BY(mutex) = false;
 		bool failed ABSL_GUARDED_BY(mutex) = false;
 		bool notRun ABSL_GUARDED_BY(mutex) = false;
+		std::string crashed ABSL_GUARDED_BY(mutex);
 	};
 } // namespace archdyke
--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -1,5 +1,7 @@
 #include "agent/upstream_call.h"
 
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
 #include <httplib.h>
 
 #include "archdyke/back_off.h"
@@ -12,6 +14,13 @@
 	{
 		constexpr int kConnectTimeoutSeconds = 1;
 		constexpr const char* kRequestIdHeader = "X-Request-Id";
+		constexpr const char* kHealthPath = "/health";
+		/// Number of probes that find out whether a process has ended, and the pause between two of them, ms: a process that
+		/// ends may close its port after its connections.
+		constexpr int kEndProbes = 3;
+		constexpr Millis kEndProbePauseMs = 50;
+		/// Time limit for the response to such a probe, microseconds. A process that accepts connections has not ended.
+		constexpr int kEndProbeTimeoutUs = 100'000;
 
 		std::string requestIdOf(const RunKey& _key)
 		{
@@ -72,12 +81,32 @@
 			client->set_decompress(false);
 			return client;
 		}
+		/// @returns Whether the upstream's port refuses connections after the connection of a run broke.
+		bool hasEnded(const UpstreamSettings& _settings)
+		{
+			for (int probe = 0; probe < kEndProbes; ++probe)
+			{
+				if (0 < probe)
+				{
+					absl::Notification never;
+					never.WaitForNotificationWithTimeout(absl::Milliseconds(kEndProbePauseMs));
+				}
+				const std::unique_ptr<httplib::Client> client = makeClient(_settings);
+				client->set_read_timeout(0, kEndProbeTimeoutUs);
+				const httplib::Result result = client->Get(kHealthPath);
+				if (result || httplib::Error::Connection == result.error())
+				{
+					return !result;
+				}
+			}
+			return false;
+		}
 	} // namespace
 
 	UpstreamCall makeUpstreamCall(const UpstreamSettings& _settings, std::function<void(const RunKey&)> _onBytes)
 	{
 		std::shared_ptr<httplib::Client> client = makeClient(_settings);
-		return [client, onBytes = std::move(_onBytes)](const RunSpec& _run, ResponseBuffer& _buffer) {
+		return [client, settings = _settings, onBytes = std::move(_onBytes)](const RunSpec& _run, ResponseBuffer& _buffer) {
 			httplib::Request request = makeRequest(_run);
 			setResponseHandlers(request, _buffer, onBytes);
 			client->set_read_timeout(_run.budgetMs / 1000 + 1);
@@ -85,12 +114,13 @@
 			httplib::Error error = httplib::Error::Success;
 			if (client->send(request, response, error))
 			{
-				_buffer.complete();
-				return true;
+				return CallResult::Completed;
+			}
+			if (httplib::Error::Connection == error || httplib::Error::ConnectionTimeout == error)
+			{
+				return CallResult::NotReached;
 			}
-			const bool reached = httplib::Error::Connection != error && httplib::Error::ConnectionTimeout != error;
-			_buffer.fail(!reached);
-			return reached;
+			return httplib::Error::Canceled != error && hasEnded(settings) ? CallResult::UpstreamEnded : CallResult::Broken;
 		};
 	}
 
@@ -98,6 +128,6 @@
 	{
 		const std::unique_ptr<httplib::Client> client = makeClient(_settings);
 		client->set_read_timeout(kConnectTimeoutSeconds);
-		return bool(client->Get("/health"));
+		return bool(client->Get(kHealthPath));
 	}
 } // namespace archdyke
--- a/src/base/process.cpp
+++ b/src/base/process.cpp
@@ -50,6 +50,12 @@
 		return hex;
 	}
 
+	std::string requestFingerprint(std::string_view _target, std::string_view _organisation, std::string_view _body)
+	{
+		constexpr std::size_t kDigits = 32; // 128 bits
+		return sha256Hex(fmt::format("{}\n{}\n{}", _target, _organisation, _body)).substr(0, kDigits);
+	}
+
 	namespace
 	{
 		sigset_t stopSignals()
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -21,6 +21,9 @@
 	/// @returns SHA-256, 64 hex digits.
 	std::string sha256Hex(std::string_view _bytes);
 
+	/// @returns Fingerprint of a request, 32 hex digits: the same for all repeats of it, in every process.
+	std::string requestFingerprint(std::string_view _target, std::string_view _organisation, std::string_view _body);
+
 	/// Blocks SIGTERM and SIGINT for the whole process and ignores SIGPIPE. Must be called before any thread starts.
 	void blockStopSignals();
 
--- a/src/decide/crash_blame.cpp
+++ b/src/decide/crash_blame.cpp
@@ -85,6 +85,20 @@
 		return 0 < remainingMs ? std::optional(remainingMs) : std::nullopt;
 	}
 
+	std::vector<RefusedRequest> refusedRequests(const CrashTable& _table, Millis _now)
+	{
+		std::vector<RefusedRequest> refused;
+		for (const auto& [request, crashes] : _table.byRequest)
+		{
+			const std::optional<Millis> remainingMs = remainingRefusalMs(_table, request, _now);
+			if (remainingMs)
+			{
+				refused.push_back({request, *remainingMs});
+			}
+		}
+		return refused;
+	}
+
 	std::vector<Crash> removeExpiredCrashes(CrashTable& _table, Millis _now)
 	{
 		std::vector<Crash> forgotten;
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -44,6 +44,10 @@
 		{
 			return finalAnswer(_try);
 		}
+		if (RefusalReason::CrashesUpstreams == _try.refusal)
+		{
+			return finalAnswer(_try);
+		}
 		// Trying all other agents would not meet the deadline: each computes the same estimate again
 		// while the caller waits.
 		if (RefusalReason::Deadline == _try.refusal && 0 < _try.attempt)
--- a/src/decide/types.cpp
+++ b/src/decide/types.cpp
@@ -35,6 +35,8 @@
 			return "revoked";
 		case RefusalReason::Deadline:
 			return "deadline";
+		case RefusalReason::CrashesUpstreams:
+			return "crashes_upstreams";
 		default:
 			return "invalid";
 		}
--- /dev/null
+++ b/src/decide/upstream_end.cpp
@@ -0,0 +1,74 @@
+#include "archdyke/upstream_end.h"
+
+#include <absl/hash/hash.h>
+#include <algorithm>
+
+namespace archdyke
+{
+	std::optional<Crash> recordUpstreamEnd(UpstreamEnds& _ends, const std::string& _request, std::uint64_t _process, Millis _now)
+	{
+		if (_process == _ends.process)
+		{
+			_ends.process += 1; // further runs are sent to its successor
+		}
+		if (_request.empty() || completedRecently(_ends.completions, absl::HashOf(_request), _now))
+		{
+			return std::nullopt;
+		}
+		const Crash crash{_request, _ends.agent + "." + std::to_string(_process)};
+		const bool known = std::any_of(_ends.reported.begin(), _ends.reported.end(), [&](const ReportedCrash& _reported) {
+			return crash == _reported.crash;
+		});
+		if (!known)
+		{
+			_ends.reported.push_back({crash, _now});
+		}
+		if (kMaxCrashReports < _ends.reported.size())
+		{
+			_ends.reported.pop_front();
+		}
+		return crash;
+	}
+
+	void recordCompletedRun(UpstreamEnds& _ends, const std::string& _request, Millis _now)
+	{
+		recordCompletion(_ends.completions, absl::HashOf(_request), _now);
+		std::erase_if(_ends.reported, [&](const ReportedCrash& _reported) {
+			return _request == _reported.crash.request;
+		});
+	}
+
+	std::vector<Crash> crashesToReport(UpstreamEnds& _ends, Millis _now)
+	{
+		std::erase_if(_ends.reported, [&](const ReportedCrash& _reported) {
+			return _reported.at + kCrashReportMs <= _now;
+		});
+		std::vector<Crash> crashes;
+		for (const ReportedCrash& reported : _ends.reported)
+		{
+			crashes.push_back(reported.crash);
+		}
+		return crashes;
+	}
+
+	void recordRefusedRequests(UpstreamEnds& _ends, const std::vector<RefusedRequest>& _refused, Millis _now)
+	{
+		absl::erase_if(_ends.refusedUntil, [&](const auto& _entry) {
+			return _entry.second <= _now;
+		});
+		for (const RefusedRequest& refused : _refused)
+		{
+			if (_ends.refusedUntil.size() < kMaxCrashReports || _ends.refusedUntil.contains(refused.request))
+			{
+				_ends.refusedUntil[refused.request] = _now + std::min(kRefusalNoticeMs, refused.remainingMs);
+			}
+		}
+	}
+
+	std::optional<Millis> remainingRefusalMs(const UpstreamEnds& _ends, const std::string& _request, Millis _now)
+	{
+		const auto found = _ends.refusedUntil.find(_request);
+		const bool refused = _ends.refusedUntil.end() != found && _now < found->second;
+		return refused ? std::optional(found->second - _now) : std::nullopt;
+	}
+} // namespace archdyke
--- a/src/entry/filters.cpp
+++ b/src/entry/filters.cpp
@@ -120,6 +120,7 @@
 	{
 		ResolvedRequest resolved;
 		resolved.id = std::move(_id);
+		resolved.fingerprint = requestFingerprint(_request.target, _organisation.name, _request.body);
 		resolved.organisation = _organisation;
 		if (_request.path.starts_with(kModelPathPrefix))
 		{
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -31,6 +31,7 @@
 	struct ResolvedRequest
 	{
 		std::string id;
+		std::string fingerprint; ///< The same for all repeats of the request, through any entry.
 		Organisation organisation;
 		Service service;
 		std::string upstreamPath;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -120,6 +120,7 @@
 		run.path = this->request.upstreamPath;
 		run.contentType = this->caller.contentType;
 		run.body = this->caller.body;
+		run.fingerprint = this->request.fingerprint;
 		_link->dispatch(this->current.call, std::move(run));
 	}
 
--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -12,8 +12,6 @@
 {
 	namespace
 	{
-		/// Hex digits of a fingerprint: 128 bits.
-		constexpr std::size_t kFingerprintDigits = 32;
 		/// An upstream that is removed within this time after its connection broke has ended then, ms: its row expires, or its
 		/// successor's row arrives. A proxy before it may go on accepting connections.
 		constexpr Millis kRemovalWindowMs = 5'000;
@@ -33,7 +31,7 @@
 		{
 			if (_context.fingerprint.empty())
 			{
-				_context.fingerprint = sha256Hex(_context.received.head.target + "\n" + callerOf(_context) + "\n" + _context.received.body).substr(0, kFingerprintDigits);
+				_context.fingerprint = requestFingerprint(_context.received.head.target, callerOf(_context), _context.received.body);
 			}
 			return _context.fingerprint;
 		}
--- a/src/rpc.capnp
+++ b/src/rpc.capnp
@@ -37,6 +37,21 @@
 	contentType @8 :Text;
 	body @9 :Data;
 	costTokens @10 :UInt32;  # estimated work
+	fingerprint @11 :Text;   # the same for all repeats of a request, through any entry
+}
+
+# An upstream that ended while it ran a request.
+struct UpstreamCrash
+{
+	request @0 :Text;        # fingerprint
+	incarnation @1 :Text;    # of the upstream's process
+}
+
+# A request that entries refuse because several upstreams crashed under it.
+struct RefusedRequest
+{
+	request @0 :Text;        # fingerprint
+	forMs @1 :UInt32;        # time left
 }
 
 enum RefusalReason
@@ -49,6 +64,7 @@
 	duplicate @5;
 	revoked @6;
 	deadline @7;
+	crashesUpstreams @8;
 }
 
 # Load of an agent, sent with responses and heartbeats.
@@ -83,6 +99,7 @@
 	failed @7 :Bool;         # the upstream aborted the response; the body is incomplete
 	load @8 :LoadReport;     # valid in the last frame
 	notRun @9 :Bool;         # with failed: it is proved that nothing reached the upstream
+	crashed @10 :Text;       # with failed: incarnation of the upstream that ended during the run
 }
 
 enum RevokeState
@@ -100,8 +117,10 @@
 interface Agent
 {
 	# Opens a session and closes all older sessions of the same entry.
-	hello @0 (session :Session) -> (incarnation :UInt64, load :LoadReport);
-	heartbeat @1 () -> (load :LoadReport);
+	# Returns the recent crashes of the agent's upstream, as a heartbeat does.
+	hello @0 (session :Session) -> (incarnation :UInt64, load :LoadReport, crashes :List(UpstreamCrash));
+	# The agent refuses the named requests until their time is over.
+	heartbeat @1 (refused :List(RefusedRequest)) -> (load :LoadReport, crashes :List(UpstreamCrash));
 	dispatch @2 (run :RunSpec, sink :Sink) -> (verdict :Verdict);
 	revoke @3 (key :RunKey, session :Session) -> (state :RevokeState);
 	# Sends the frames of a run again, starting at offset.
--- a/src/rpc/rpc_convert.cpp
+++ b/src/rpc/rpc_convert.cpp
@@ -63,6 +63,7 @@
 		_to.setPath(_from.path);
 		_to.setContentType(_from.contentType);
 		_to.setBody(toData(_from.body));
+		_to.setFingerprint(_from.fingerprint);
 	}
 
 	RunSpec readRun(rpc::RunSpec::Reader _from)
@@ -77,6 +78,7 @@
 		run.path = fromText(_from.getPath());
 		run.contentType = fromText(_from.getContentType());
 		run.body = fromData(_from.getBody());
+		run.fingerprint = fromText(_from.getFingerprint());
 		return run;
 	}
 
@@ -119,6 +121,7 @@
 		_to.setContentType(_from.contentType);
 		_to.setFailed(_from.head.failed);
 		_to.setNotRun(_from.notRun);
+		_to.setCrashed(_from.crashed);
 		if (_from.head.end)
 		{
 			writeLoad(_to.initLoad(), _load);
@@ -133,6 +136,7 @@
 		frame.status = _from.getStatus();
 		frame.contentType = fromText(_from.getContentType());
 		frame.notRun = _from.getNotRun();
+		frame.crashed = fromText(_from.getCrashed());
 		return frame;
 	}
 
@@ -162,6 +166,44 @@
 		}
 	}
 
+	void writeCrashes(capnp::List<rpc::UpstreamCrash>::Builder _to, const std::vector<Crash>& _from)
+	{
+		for (unsigned index = 0; index < _to.size(); ++index)
+		{
+			_to[index].setRequest(_from[index].request);
+			_to[index].setIncarnation(_from[index].incarnation);
+		}
+	}
+
+	std::vector<Crash> readCrashes(capnp::List<rpc::UpstreamCrash>::Reader _from)
+	{
+		std::vector<Crash> crashes;
+		for (const auto crash : _from)
+		{
+			crashes.push_back({fromText(crash.getRequest()), fromText(crash.getIncarnation())});
+		}
+		return crashes;
+	}
+
+	void writeRefusals(capnp::List<rpc::RefusedRequest>::Builder _to, const std::vector<RefusedRequest>& _from)
+	{
+		for (unsigned index = 0; index < _to.size(); ++index)
+		{
+			_to[index].setRequest(_from[index].request);
+			_to[index].setForMs(static_cast<std::uint32_t>(_from[index].remainingMs));
+		}
+	}
+
+	std::vector<RefusedRequest> readRefusals(capnp::List<rpc::RefusedRequest>::Reader _from)
+	{
+		std::vector<RefusedRequest> refusals;
+		for (const auto refusal : _from)
+		{
+			refusals.push_back({fromText(refusal.getRequest()), Millis(refusal.getForMs())});
+		}
+		return refusals;
+	}
+
 	void writeMark(rpc::ConfigMark::Builder _to, const ConfigMark& _from)
 	{
 		_to.setVersion(_from.version);
--- a/src/rpc/rpc_convert.h
+++ b/src/rpc/rpc_convert.h
@@ -1,7 +1,10 @@
 /// Converts between RPC messages and the program's structs.
 #pragma once
 
+#include <vector>
+
 #include "archdyke/acceptance.h"
+#include "archdyke/crash_blame.h"
 #include "generated/rpc.capnp.h"
 #include "rpc/run.h"
 
@@ -28,6 +31,12 @@
 	rpc::RevokeState toRpc(RevokeState _state);
 	RevokeState fromRpc(rpc::RevokeState _state);
 
+	/// The lists must have as many elements as the vectors.
+	void writeCrashes(capnp::List<rpc::UpstreamCrash>::Builder _to, const std::vector<Crash>& _from);
+	std::vector<Crash> readCrashes(capnp::List<rpc::UpstreamCrash>::Reader _from);
+	void writeRefusals(capnp::List<rpc::RefusedRequest>::Builder _to, const std::vector<RefusedRequest>& _from);
+	std::vector<RefusedRequest> readRefusals(capnp::List<rpc::RefusedRequest>::Reader _from);
+
 	void writeMark(rpc::ConfigMark::Builder _to, const ConfigMark& _from);
 	ConfigMark readMark(rpc::ConfigMark::Reader _from);
 } // namespace archdyke
--- a/src/rpc/run.h
+++ b/src/rpc/run.h
@@ -22,6 +22,7 @@
 		std::string path;
 		std::string contentType;
 		std::string body;
+		std::string fingerprint; ///< The same for all repeats of the request; empty: unknown.
 
 		bool operator==(const RunSpec&) const = default;
 	};
@@ -34,6 +35,7 @@
 		int status = 0; ///< HTTP status of the upstream.
 		std::string contentType;
 		bool notRun = false; ///< In a failed frame: nothing reached the upstream.
+		std::string crashed; ///< In a failed frame: incarnation of the upstream that ended during the run.
 
 		bool operator==(const ResponseFrame&) const = default;
 	};
