Refuse calls under which three services crashed, at all entries and agents

Callers saw one service after another go: a call that crashes each service which runs it ended six services under its first three attempts, and eight more under the next four, until no upstream was left for anybody.

Cause: an entry forgot a crash with the attempt.

Entries now count crashes by the gateways' rule (crash_blame.h). Only the agent can tell an ended process from a lost link, so crashes come from agents alone: in the failed frame to the entry that sent the run, and with hello and heartbeat to all entries that are linked to it, which outlives that entry and needs neither the platform nor other entries. Each crash is a row of the platform's table, for other zones and restarted entries; a row that changes with every crash is read with the configuration, so that nothing is called while nothing crashes. Before a resend an entry publishes its crash and then reads the request's rows: of two entries that do so at once, at least one sees both. Refused requests are named to agents, which drop queued runs of them. A completed run clears its request everywhere; one that completed recently isn't blamed.

The caller hears 503 crashes_upstreams at once, not-run, or 502 and ran when an attempt of the call was running as the service ended. Counted by archdyke_entry_crash_refusals_total, logged as request_refused_for_crashes.

--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -12,10 +12,11 @@
 		constexpr std::int64_t kTickMs = 100;
 	} // namespace
 
-	AgentLink::AgentLink(RpcLoop& _loop, AgentIdentity _identity, std::uint64_t _entryIncarnation)
+	AgentLink::AgentLink(RpcLoop& _loop, AgentIdentity _identity, std::uint64_t _entryIncarnation, CrashRecord& _crashes)
 	    : loop(_loop)
 	    , agentIdentity(std::move(_identity))
 	    , entryIncarnation(_entryIncarnation)
+	    , crashes(_crashes)
 	    , heartbeatMs(kMinHeartbeatIntervalMs)
 	{
 	}
@@ -195,6 +196,7 @@
 			_connection.lastReceivedAt = nowMs();
 			_connection.lastRequestAt = nowMs();
 			this->applyLoad(readLoad(_response.getLoad()));
+			this->crashes.recordReported(readCrashes(_response.getCrashes()));
 			{
 				absl::MutexLock lock(&this->mutex);
 				applyLinkState(this->member, true);
@@ -211,10 +213,14 @@
 		}
 		_connection.heartbeatPending = true;
 		_connection.lastRequestAt = nowMs();
-		_connection.tasks.add(_connection.agent->heartbeatRequest().send().then([this, &_connection](capnp::Response<rpc::Agent::HeartbeatResults>&& _response) {
+		auto request = _connection.agent->heartbeatRequest();
+		const std::vector<RefusedRequest> refused = this->crashes.refused();
+		writeRefusals(request.initRefused(unsigned(refused.size())), refused);
+		_connection.tasks.add(request.send().then([this, &_connection](capnp::Response<rpc::Agent::HeartbeatResults>&& _response) {
 			_connection.heartbeatPending = false;
 			_connection.lastReceivedAt = nowMs();
 			this->applyLoad(readLoad(_response.getLoad()));
+			this->crashes.recordReported(readCrashes(_response.getCrashes()));
 		}));
 	}
 
--- a/src/entry/agent_link.h
+++ b/src/entry/agent_link.h
@@ -12,6 +12,7 @@
 #include "archdyke/membership.h"
 #include "archdyke/route.h"
 #include "entry/call.h"
+#include "entry/crash_record.h"
 #include "rpc/rpc_loop.h"
 #include "rpc/run.h"
 
@@ -43,7 +44,7 @@
 	class AgentLink : public std::enable_shared_from_this<AgentLink>
 	{
 	public:
-		AgentLink(RpcLoop& _loop, AgentIdentity _identity, std::uint64_t _entryIncarnation);
+		AgentLink(RpcLoop& _loop, AgentIdentity _identity, std::uint64_t _entryIncarnation, CrashRecord& _crashes);
 		~AgentLink();
 
 		/// Starts to connect. Call it once.
@@ -102,6 +103,7 @@
 		RpcLoop& loop;
 		const AgentIdentity agentIdentity;
 		const std::uint64_t entryIncarnation;
+		CrashRecord& crashes;
 
 		std::atomic<Millis> heartbeatMs;
 
--- a/src/entry/directory.cpp
+++ b/src/entry/directory.cpp
@@ -26,11 +26,12 @@
 		}
 	} // namespace
 
-	Directory::Directory(std::vector<RpcLoop*> _loops, std::string _name, std::string _zone, std::uint64_t _incarnation)
+	Directory::Directory(std::vector<RpcLoop*> _loops, std::string _name, std::string _zone, std::uint64_t _incarnation, CrashRecord& _crashes)
 	    : loops(std::move(_loops))
 	    , name(std::move(_name))
 	    , zone(std::move(_zone))
 	    , incarnation(_incarnation)
+	    , crashes(_crashes)
 	{
 	}
 
@@ -102,7 +103,7 @@
 	std::shared_ptr<AgentLink> Directory::openLink(const Upstream& _upstream)
 	{
 		RpcLoop& loop = *this->loops[stableHash(_upstream.name) % this->loops.size()];
-		auto link = std::make_shared<AgentLink>(loop, AgentIdentity{_upstream.name, _upstream.zone, _upstream.service}, this->incarnation);
+		auto link = std::make_shared<AgentLink>(loop, AgentIdentity{_upstream.name, _upstream.zone, _upstream.service}, this->incarnation, this->crashes);
 		const Vm& vm = this->vms.at(_upstream.name);
 		link->applyListState(vm.rpc, vm.state);
 		link->open();
--- a/src/entry/directory.h
+++ b/src/entry/directory.h
@@ -28,7 +28,7 @@
 	class Directory
 	{
 	public:
-		Directory(std::vector<RpcLoop*> _loops, std::string _name, std::string _zone, std::uint64_t _incarnation);
+		Directory(std::vector<RpcLoop*> _loops, std::string _name, std::string _zone, std::uint64_t _incarnation, CrashRecord& _crashes);
 
 		/// Applies changes of the VM list.
 		void applyVmChanges(const VmChanges& _changes);
@@ -68,6 +68,7 @@
 		const std::string name;
 		const std::string zone;
 		const std::uint64_t incarnation;
+		CrashRecord& crashes;
 
 		mutable absl::Mutex mutex;
 		std::uint64_t vmRevision ABSL_GUARDED_BY(mutex) = 0;
--- a/src/entry/entry_http.cpp
+++ b/src/entry/entry_http.cpp
@@ -185,6 +185,16 @@
 		_exchange.request = resolve(*config, organisation, _exchange.caller, _exchange.request.id);
 	}
 
+	void EntryHttp::refuseCrashing(const ResolvedRequest& _request)
+	{
+		const std::optional<Millis> refusalMs = this->parts.crashes.refusalMs(_request.fingerprint);
+		if (refusalMs)
+		{
+			this->parts.crashes.countRefusal();
+			throw crashRejection(Outcome::NotRun, _request.repeatable, *refusalMs);
+		}
+	}
+
 	void EntryHttp::claimKey(Exchange& _exchange)
 	{
 		if (_exchange.request.repeatable || _exchange.caller.idempotencyKey.empty())
@@ -253,8 +263,9 @@
 		try
 		{
 			this->admit(_request, *exchange);
+			this->refuseCrashing(exchange->request);
 			this->claimKey(*exchange);
-			const RunContext context{this->parts.directory, this->retries, this->parts.counters.retried, this->parts.counters.resumed, this->parts.counters.droppedFrames};
+			const RunContext context{this->parts.directory, this->retries, this->parts.crashes, this->parts.counters.retried, this->parts.counters.resumed, this->parts.counters.droppedFrames};
 			exchange->run = std::make_unique<RequestRun>(context, exchange->request, exchange->caller);
 			const ResponseStart start = exchange->run->begin();
 			this->parts.counters.firstByteSeconds.Observe(double(nowMs() - exchange->caller.receivedAt) / 1000.0);
--- a/src/entry/entry_http.h
+++ b/src/entry/entry_http.h
@@ -40,6 +40,7 @@
 		Directory& directory;
 		PauseGuard& guard;
 		Claims& claims;
+		CrashRecord& crashes;
 		EntryCounters& counters;
 	};
 
@@ -65,6 +66,8 @@
 
 		void handle(const httplib::Request& _request, httplib::Response& _response);
 		void admit(const httplib::Request& _request, Exchange& _exchange);
+		/// @throws RejectedError When several upstreams crashed under the request.
+		void refuseCrashing(const ResolvedRequest& _request);
 		void claimKey(Exchange& _exchange);
 		void sendWholeResponse(const std::shared_ptr<Exchange>& _exchange, httplib::Response& _response);
 		bool relay(const std::shared_ptr<Exchange>& _exchange, httplib::DataSink& _sink);
--- a/src/entry/entry_main.cpp
+++ b/src/entry/entry_main.cpp
@@ -6,6 +6,7 @@
 #include "base/config.h"
 #include "base/daemon_main.h"
 #include "base/settings.h"
+#include "entry/crash_publisher.h"
 #include "entry/entry_http.h"
 #include "entry/planner.h"
 #include "entry/watcher.h"
@@ -27,10 +28,12 @@
 			    : settings(std::move(_settings))
 			    , incarnation(randomId())
 			    , counters(this->metrics)
-			    , directory({&this->loops[0], &this->loops[1]}, this->settings.name, this->settings.zone, this->incarnation)
+			    , crashes(this->metrics)
+			    , directory({&this->loops[0], &this->loops[1]}, this->settings.name, this->settings.zone, this->incarnation, this->crashes)
 			    , claims(this->settings.platform, this->settings.zone, this->metrics)
-			    , http({this->keeper, this->directory, this->guard, this->claims, this->counters}, this->incarnation)
-			    , watcher(std::make_unique<Watcher>(this->settings, this->incarnation, this->loops[0], this->keeper, this->directory, this->guard, this->metrics))
+			    , crashPublisher(this->settings.platform, this->settings.zone, this->crashes)
+			    , http({this->keeper, this->directory, this->guard, this->claims, this->crashes, this->counters}, this->incarnation)
+			    , watcher(std::make_unique<Watcher>(this->settings, this->incarnation, this->loops[0], this->keeper, this->directory, this->crashes, this->guard, this->metrics))
 			{
 				this->listener = std::make_unique<RpcListener>(this->loops[0], parseAddress(this->settings.rpc), [this] {
 					return makePeerServer({[this](const PeerState& _peer) {
@@ -131,7 +134,12 @@
 				{
 					groups.push_back({{"group", view.group}, {"epoch", view.epoch}, {"skew", view.skew}, {"proposals", view.proposals}, {"last", view.lastEvent}});
 				}
-				return {{"name", this->settings.name}, {"role", "entry"}, {"planner", this->planner->acting()}, {"groups", groups}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"ready", this->http.isReady()}, {"inFlight", this->http.inFlight()}, {"platformUp", this->watcher->platformUp()}, {"config", {{"version", held.head.version}, {"digest", held.head.digest}, {"inForceSinceMs", this->keeper.inForceSinceMs()}, {"staged", held.staged.version}, {"inDoubtMs", this->watcher->inDoubtMs()}}}, {"agents", agents}};
+				nlohmann::json crashing = nlohmann::json::array();
+				for (const CrashView& view : this->crashes.views())
+				{
+					crashing.push_back({{"fingerprint", view.request}, {"crashes", view.crashes}, {"refusedForMs", view.refusedForMs}});
+				}
+				return {{"crashes", crashing}, {"name", this->settings.name}, {"role", "entry"}, {"planner", this->planner->acting()}, {"groups", groups}, {"zone", this->settings.zone}, {"version", kVersion}, {"incarnation", toHex(this->incarnation)}, {"ready", this->http.isReady()}, {"inFlight", this->http.inFlight()}, {"platformUp", this->watcher->platformUp()}, {"config", {{"version", held.head.version}, {"digest", held.head.digest}, {"inForceSinceMs", this->keeper.inForceSinceMs()}, {"staged", held.staged.version}, {"inDoubtMs", this->watcher->inDoubtMs()}}}, {"agents", agents}};
 			}
 
 			const EntrySettings settings;
@@ -141,8 +149,10 @@
 			std::array<RpcLoop, 2> loops;
 			PauseGuard guard;
 			ConfigKeeper keeper;
+			CrashRecord crashes;
 			Directory directory;
 			Claims claims;
+			CrashPublisher crashPublisher;
 			EntryHttp http;
 			std::unique_ptr<Watcher> watcher;
 			std::unique_ptr<Planner> planner;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -12,6 +12,9 @@
 		constexpr int kUnavailable = 503;
 		constexpr int kBadGateway = 502;
 		constexpr int kTimeout = 504;
+		/// Maximum wait before a resend for the crashes that other entries have published, ms. Without the platform the entry
+		/// goes by the crashes that it knows.
+		constexpr Millis kCrashPublishTimeoutMs = 500;
 		/// Time limit for revoking a run whose deadline has passed, ms.
 		constexpr Millis kDeadlineRevokeTimeoutMs = 300;
 
@@ -40,6 +43,13 @@
 		return spendRetry(this->budget, _now);
 	}
 
+	RejectedError crashRejection(Outcome _outcome, bool _repeatable, Millis _refusalMs)
+	{
+		const bool mayRetry = _repeatable || Outcome::NotRun == _outcome;
+		const std::string ran = Outcome::NotRun == _outcome ? "it was not run" : "an attempt of it was running when an upstream crashed";
+		return RejectedError({Outcome::NotRun == _outcome ? kUnavailable : kBadGateway, _outcome, mayRetry ? std::max<Millis>(1, _refusalMs) : 0, std::string(toString(RefusalReason::CrashesUpstreams)), "several upstreams crashed while they ran this request, so it is refused for now; " + ran + "; change the request or report it to the service's operators"});
+	}
+
 	RequestRun::RequestRun(RunContext _context, const ResolvedRequest& _request, const CallerRequest& _caller)
 	    : context(_context)
 	    , request(_request)
@@ -77,6 +87,20 @@
 		}
 	}
 
+	void RequestRun::refuseIfCrashing()
+	{
+		if (this->crashed)
+		{
+			this->context.crashes.waitUntilPublished(this->request.fingerprint, std::min(this->request.deadline, nowMs() + kCrashPublishTimeoutMs));
+		}
+		const std::optional<Millis> refusalMs = this->context.crashes.refusalMs(this->request.fingerprint);
+		if (refusalMs)
+		{
+			this->context.crashes.countRefusal();
+			throw crashRejection(this->outcome(), this->request.repeatable, *refusalMs);
+		}
+	}
+
 	std::shared_ptr<AgentLink> RequestRun::chooseLink()
 	{
 		const std::shared_ptr<const RouteTargets> targets = this->context.directory.targets(this->request.service.name);
@@ -157,6 +181,11 @@
 		case FrameAction::Gap:
 			return this->reconnect(nowMs() + kResumeTimeoutMs);
 		case FrameAction::Broken:
+			if (!_frame.crashed.empty())
+			{
+				this->crashed = true;
+				this->context.crashes.recordOwn({this->request.fingerprint, _frame.crashed});
+			}
 			return AttemptFailure{_frame.notRun ? ExecutionProof::NotRun : ExecutionProof::Ran, RefusalReason::None, kDefaultRetryDelayMs, _frame.notRun ? "upstream_unreachable" : "upstream_broke_off", "the upstream " + this->current.link->identity().name + (_frame.notRun ? " can't be reached; retry after the time in Retry-After" : " did not complete its response; check with it before you send the request again")};
 		default:
 			this->context.droppedFrames.Increment();
@@ -242,6 +271,7 @@
 	{
 		while (true)
 		{
+			this->refuseIfCrashing();
 			const std::shared_ptr<AgentLink> link = this->chooseLink();
 			if (nullptr == link)
 			{
@@ -283,6 +313,7 @@
 		{
 			this->closeAttempt();
 			this->context.retries.earn();
+			this->context.crashes.recordCompletion(this->request.fingerprint);
 			return std::nullopt;
 		}
 		this->delivered = this->request.streamed;
--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -9,6 +9,7 @@
 #include "archdyke/retry.h"
 #include "base/metrics.h"
 #include "entry/call.h"
+#include "entry/crash_record.h"
 #include "entry/directory.h"
 #include "entry/request.h"
 
@@ -31,6 +32,7 @@
 	{
 		Directory& directory;
 		SharedRetryBudget& retries;
+		CrashRecord& crashes;
 		prometheus::Counter& retried;
 		prometheus::Counter& resumed;
 		prometheus::Counter& droppedFrames;
@@ -46,6 +48,10 @@
 		bool operator==(const ResponseStart&) const = default;
 	};
 
+	/// @returns The rejection of a request under which several upstreams crashed.
+	/// @param[in] _outcome What is proved for the attempts so far.
+	RejectedError crashRejection(Outcome _outcome, bool _repeatable, Millis _refusalMs);
+
 	/// Runs one request. Used by one thread.
 	class RequestRun
 	{
@@ -118,6 +124,8 @@
 		RejectedError makeRejection(const AttemptFailure& _failure) const;
 		void recordProof(ExecutionProof _proof);
 		NextStep decideNextStep(const AttemptFailure& _failure);
+		/// @throws RejectedError When the request may no longer run because several upstreams crashed under it.
+		void refuseIfCrashing();
 
 		RunContext context;
 		const ResolvedRequest& request;
@@ -129,5 +137,6 @@
 		std::optional<ResponseStart> start;
 		std::string undelivered; ///< Bytes of the response not yet forwarded.
 		bool delivered = false;
+		bool crashed = false; ///< An upstream crashed during an attempt.
 	};
 } // namespace archdyke
--- a/src/entry/watcher.cpp
+++ b/src/entry/watcher.cpp
@@ -5,8 +5,10 @@
 
 #include "archdyke/route.h"
 #include "base/config.h"
+#include "base/crash_rows.h"
 #include "base/log.h"
 #include "base/process.h"
+#include "entry/crash_publisher.h"
 
 namespace archdyke
 {
@@ -24,11 +26,12 @@
 		constexpr Millis kMinPollIntervalMs = 20;
 	} // namespace
 
-	Watcher::Watcher(const EntrySettings& _settings, std::uint64_t _incarnation, RpcLoop& _loop, ConfigKeeper& _keeper, Directory& _directory, PauseGuard& _guard, Metrics& _metrics)
+	Watcher::Watcher(const EntrySettings& _settings, std::uint64_t _incarnation, RpcLoop& _loop, ConfigKeeper& _keeper, Directory& _directory, CrashRecord& _crashes, PauseGuard& _guard, Metrics& _metrics)
 	    : settings(_settings)
 	    , incarnation(_incarnation)
 	    , keeper(_keeper)
 	    , directory(_directory)
+	    , crashes(_crashes)
 	    , guard(_guard)
 	    , platformErrors(_metrics.counter("archdyke_entry_platform_errors_total", "Failed polls of the platform."))
 	    , peers(_loop)
@@ -159,10 +162,20 @@
 		}
 	}
 
+	void Watcher::pollCrashes(std::uint64_t _mark)
+	{
+		const Millis now = nowMs();
+		if (this->crashes.needsRows(_mark, now))
+		{
+			this->crashes.applyRows(readCrashRows(this->platform.scan(kCrashPrefix)), _mark, now);
+		}
+	}
+
 	void Watcher::pollTable()
 	{
 		const std::string confirmationKey = confirmKey(this->settings.zone);
-		const TableResult result = this->platform.transact({{kHeadKey, kStageKey, confirmationKey}, {}, {}});
+		const TableResult result = this->platform.transact({{kHeadKey, kStageKey, confirmationKey, kCrashMarkKey}, {}, {}});
+		this->pollCrashes(rowOf(result, kCrashMarkKey).version);
 		const std::optional<HeadRow> head = decodeHead(rowOf(result, kHeadKey));
 		this->stage = decodeStage(rowOf(result, kStageKey));
 		const TableRow confirmationRow = rowOf(result, confirmationKey);
--- a/src/entry/watcher.h
+++ b/src/entry/watcher.h
@@ -19,7 +19,7 @@
 	class Watcher
 	{
 	public:
-		Watcher(const EntrySettings& _settings, std::uint64_t _incarnation, RpcLoop& _loop, ConfigKeeper& _keeper, Directory& _directory, PauseGuard& _guard, Metrics& _metrics);
+		Watcher(const EntrySettings& _settings, std::uint64_t _incarnation, RpcLoop& _loop, ConfigKeeper& _keeper, Directory& _directory, CrashRecord& _crashes, PauseGuard& _guard, Metrics& _metrics);
 		~Watcher();
 		Watcher(const Watcher&) = delete;
 		Watcher& operator=(const Watcher&) = delete;
@@ -45,6 +45,7 @@
 		void poll();
 		bool pollPlatform();
 		void pollTable();
+		void pollCrashes(std::uint64_t _mark);
 		void pollPeers();
 		void fetch(const ConfigMark& _mark, bool _accepted, const std::vector<std::string>& _addresses);
 		std::optional<std::string> fetchBytes(const ConfigMark& _mark, const std::vector<std::string>& _addresses);
@@ -56,6 +57,7 @@
 		const std::uint64_t incarnation;
 		ConfigKeeper& keeper;
 		Directory& directory;
+		CrashRecord& crashes;
 		PauseGuard& guard;
 		prometheus::Counter& platformErrors;
 		PeerCalls peers;
