Show which daemons and engines a coordinator is connected to

A coordinator of a test had more sockets than its own group, engine, store and callers account for, and nothing said to whom: connections to daemons of other groups, connections to their engines, and connections of processes that poll it look the same from outside. The coordinator's dump now names the engines to whose daemons a connection is open (links) and counts the engines of other groups to which it keeps an HTTP client (directNonMembers).

--- a/src/group/coordinator.cpp
+++ b/src/group/coordinator.cpp
@@ -354,6 +354,9 @@
 		{
 			seen.push_back({{"engine", engine}, {"rank", rank.report.rank}, {"ageMs", 0 == rank.observedAt ? -1 : nowMs() - rank.observedAt}, {"step", rank.report.view.step}, {"map", rank.report.view.map}, {"queued", rank.report.queued}, {"active", rank.report.active}, {"pace", rank.report.pace}});
 		}
-		return nlohmann::json{{"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"maps", this->describeMaps()}, {"branches", this->branches.size()}, {"gateways", this->dependencies.groupState.news.gateways}, {"ranks", seen}}.dump();
+		const auto direct = std::count_if(this->nonMembers.begin(), this->nonMembers.end(), [](const auto& _entry) {
+			return nullptr != _entry.second.direct;
+		});
+		return nlohmann::json{{"links", this->dependencies.fanOut.connectedEngines()}, {"directNonMembers", direct}, {"group", this->group}, {"term", this->intent.term}, {"phase", std::string(toString(this->intent.phase))}, {"version", this->intent.version}, {"boundary", this->intent.boundary}, {"storeLost", this->storeLost}, {"passMs", this->passMs}, {"skew", this->lastSkew}, {"switches", this->switches}, {"maps", this->describeMaps()}, {"branches", this->branches.size()}, {"gateways", this->dependencies.groupState.news.gateways}, {"ranks", seen}}.dump();
 	}
 } // namespace archdyke::group
--- a/src/group/fan_out.cpp
+++ b/src/group/fan_out.cpp
@@ -111,6 +111,19 @@
 		}
 	}
 
+	std::vector<std::string> FanOut::connectedEngines() const
+	{
+		std::vector<std::string> engines;
+		for (const auto& [engine, child] : this->children)
+		{
+			if (child.link->isConnected())
+			{
+				engines.push_back(engine);
+			}
+		}
+		return engines;
+	}
+
 	void FanOut::completeOne(PendingResponses& _pendingResponses)
 	{
 		_pendingResponses.remaining -= 1;
--- a/src/group/fan_out.h
+++ b/src/group/fan_out.h
@@ -31,6 +31,9 @@
 		/// Closes the connection to an engine's daemon unless a poll is in flight.
 		void disconnect(const std::string& _engine);
 
+		/// @returns Engines to whose daemons a connection is open.
+		std::vector<std::string> connectedEngines() const;
+
 		/// @returns Recent reports of engines, including those that arrived after a poll had ended.
 		std::vector<ChildSnapshot> snapshots(const std::vector<std::string>& _engines) const;
 
--- a/src/group/rank_link.cpp
+++ b/src/group/rank_link.cpp
@@ -24,6 +24,11 @@
 		return this->daemonAddress;
 	}
 
+	bool RankLink::isConnected() const
+	{
+		return nullptr != this->connection;
+	}
+
 	aio::Task<std::shared_ptr<RankLink::Connection>> RankLink::connect(Millis _timeoutMs)
 	{
 		if (nullptr != this->connection)
--- a/src/group/rank_link.h
+++ b/src/group/rank_link.h
@@ -65,6 +65,8 @@
 
 		const std::string& address() const;
 
+		bool isConnected() const;
+
 	private:
 		struct Connection
 		{
