Close links to daemons of other groups when their responses arrive

Nobody but operators saw it: a coordinator had 18 sockets where 14 are allowed; with hundreds of daemons one that keeps what it opens in a search runs out of descriptors, and its group gets no new maps.

Cause: a search waits 30 ms for responses, a poll of a daemon 250 ms. Links were closed by a look at the responses when the search's wait ended. A response after that found nobody looking, since the group was complete, and its link stayed open for 5 s.

The link is now closed where the response is handled, whenever it arrives, so nothing depends on a later look. Calls in flight keep their connection until they end. The same fault by reading, not shown by a run: an engine of another group that was polled directly kept its idle HTTP connection; it is closed with its response, too.

--- a/src/group/coordinator_ranks.cpp
+++ b/src/group/coordinator_ranks.cpp
@@ -102,6 +102,10 @@
 			failure = error.getDescription().cStr();
 		}
 		rank.directPollInFlight = false;
+		if (0 != rank.search.otherGroupAt)
+		{
+			rank.direct->closeIdle(); // the search may have ended before this response
+		}
 		if (!failure.empty())
 		{
 			logWarning("engine_unseen", {{"engine", _engine}, {"reason", failure}});
--- a/src/group/engine.cpp
+++ b/src/group/engine.cpp
@@ -27,6 +27,11 @@
 		return this->engineAddress;
 	}
 
+	void Engine::closeIdle()
+	{
+		this->pool.closeIdle();
+	}
+
 	aio::Task<std::string> Engine::get(std::string _target)
 	{
 		http::RequestHead head{"GET", std::move(_target), {}, true};
--- a/src/group/engine.h
+++ b/src/group/engine.h
@@ -33,6 +33,9 @@
 
 		const std::string& address() const;
 
+		/// Closes connections that no call uses.
+		void closeIdle();
+
 	private:
 		aio::Task<std::string> get(std::string _target);
 
--- a/src/group/fan_out.cpp
+++ b/src/group/fan_out.cpp
@@ -23,6 +23,12 @@
 		/// A child that wasn't used for this long now belongs to another relay, ms.
 		constexpr Millis kUnusedTimeoutMs = 5'000;
 
+		/// @returns Whether an engine belongs to another group. One that is in no group may join any at any time.
+		bool isElsewhere(const EngineReport& _report, const std::string& _group)
+		{
+			return !_report.group.empty() && _group != _report.group;
+		}
+
 		class FanOutErrorHandler final : public kj::TaskSet::ErrorHandler
 		{
 		public:
@@ -190,6 +196,7 @@
 	{
 		Child& child = this->children.at(_engine);
 		const Millis askedAt = nowMs();
+		const std::string group = _coordination.group;
 		std::string failure;
 		try
 		{
@@ -198,6 +205,10 @@
 			child.lastNewsSent = newest;
 			const Observation observation = co_await child.link->observe(std::move(_coordination), _counts, child.sample, std::move(bundle), kObserveTimeoutMs);
 			this->recordObservation(child, askedAt, observation);
+			if (isElsewhere(observation.report.engine, group))
+			{
+				child.link->disconnect(); // the response may come after the poll has ended, and nobody looks at it then
+			}
 		}
 		catch (const kj::Exception& error)
 		{
--- a/src/group/rank_link.cpp
+++ b/src/group/rank_link.cpp
@@ -29,6 +29,11 @@
 		return nullptr != this->connection;
 	}
 
+	void RankLink::disconnect()
+	{
+		this->connection = nullptr;
+	}
+
 	aio::Task<std::shared_ptr<RankLink::Connection>> RankLink::connect(Millis _timeoutMs)
 	{
 		if (nullptr != this->connection)
--- a/src/group/rank_link.h
+++ b/src/group/rank_link.h
@@ -67,6 +67,9 @@
 
 		bool isConnected() const;
 
+		/// Closes the connection once the calls on it have ended. The next call connects again.
+		void disconnect();
+
 	private:
 		struct Connection
 		{
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -111,6 +111,11 @@
 		idleConnections.push_back({std::move(_lease.connection), now, now + _idleLimitMs});
 	}
 
+	void ConnectionPool::closeIdle()
+	{
+		this->idle.clear();
+	}
+
 	std::uint64_t ConnectionPool::opened() const
 	{
 		return this->openedCount;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -54,6 +54,9 @@
 		/// @param[in] _idleLimitMs How long the other side keeps the idle connection open.
 		void returnToPool(Lease _lease, Millis _idleLimitMs);
 
+		/// Closes all idle connections.
+		void closeIdle();
+
 		/// @returns Number of connections opened since the start.
 		std::uint64_t opened() const;
 
--- a/tests/test_groups.cpp
+++ b/tests/test_groups.cpp
@@ -194,6 +194,59 @@
 	rig.groups[0].signal(SIGCONT);
 }
 
+/// Guards against connections that stay open since a daemon of another group responds after the search has ended.
+Test(groups, late_responses_to_a_search_leave_no_links)
+{
+	constexpr std::size_t kMaxSockets = 14;  // as in a_coordinator_keeps_no_links_to_other_groups
+	constexpr Millis kResponseDelayMs = 120; // a search waits for 30 ms, a poll for 250
+	constexpr int kTries = 10;
+	GroupRig rig(std::vector<std::size_t>(8, 2));
+	startGatewayThatKnowsAllGroups(rig);
+	RigGroup& searching = rig.groups.front();
+	const auto signalOthers = [&](int _signal) {
+		for (std::size_t group = 1; group < rig.groups.size(); ++group)
+		{
+			for (const std::unique_ptr<lab::ChildProcess>& sidecar : rig.groups[group].sidecars)
+			{
+				sidecar->signal(_signal);
+			}
+		}
+	};
+	const auto linksOf = [&](std::size_t _rank) {
+		const httplib::Result result = clientOf(rig.ipOf(searching, _rank) + ":7341").Get("/dump");
+		const Json dump = result ? Json::parse(result->body) : Json::object();
+		return dump.contains("links") ? dump["links"].size() : 0;
+	};
+	bool late = false; // whether daemons responded late
+	for (int attempt = 0; attempt < kTries && !late; ++attempt)
+	{
+		for (std::size_t rank = 0; rank < searching.sidecars.size(); ++rank)
+		{
+			searching.sidecars[rank]->kill();
+		}
+		signalOthers(SIGSTOP);
+		for (std::size_t rank = 0; rank < searching.sidecars.size(); ++rank)
+		{
+			rig.start(searching, rank);
+		}
+		std::size_t coordinator = kRanks;
+		lab::waitUntil(kSwitchMs, [&] {
+			coordinator = rig.coordinator(searching);
+			return coordinator < kRanks;
+		});
+		lab::pauseMs(kResponseDelayMs);
+		late = coordinator < kRanks && searching.sidecars.size() < linksOf(coordinator);
+		signalOthers(SIGCONT);
+		std::size_t sockets = 0;
+		const bool few = coordinator == kRanks || lab::waitUntil(1'000, [&] {
+			                 sockets = openSockets(searching.sidecars[coordinator]->id());
+			                 return sockets <= kMaxSockets;
+		                 });
+		cr_assert(few, "%zu sockets, %zu links", sockets, linksOf(coordinator));
+	}
+	cr_assert(late, "no daemon responded late in %d tries", kTries);
+}
+
 /// Guards against coordinators that keep their connections to the daemons of other groups after polling them in the
 /// search for their own ranks. With 516 daemons, the busiest coordinator had 1,000 of 2,048 descriptors open.
 Test(groups, a_coordinator_keeps_no_links_to_other_groups)
