Log what a gateway knows of its retry budget when it refuses a resend

retry_budget_spent said the same of a gateway that has spent its share and of one that doesn't know it yet. resend_refused names what is left, the requests and resends of the window, the share of the allowance, the rounding offset, the reported number of gateways and for how long it has been reported.

--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -61,6 +61,14 @@
 			}
 		}
 
+		void logRefusedResend(const RequestContext& _context, RetryWindow& _window, const RetryLimits& _limits)
+		{
+			const ResendShare& share = _context.state.resendShare;
+			const Millis now = nowMs();
+			const std::optional<std::uint32_t> gateways = reportedGatewayCount(share, _limits.windowMs, 0, now);
+			logInfo("resend_refused", {{"request", _context.caller.id}, {"remaining", remainingResends(_window, _limits, now)}, {"first_sends", _window.firstSends.size()}, {"resends", _window.resends.size()}, {"allowance", _limits.allowance}, {"rounding", _limits.rounding}, {"gateways", gateways ? std::int64_t(*gateways) : -1}, {"counted_for_ms", gateways ? now - share.steadySince : -1}});
+		}
+
 		bool mayRetry(RequestContext& _context, const AttemptResult& _result)
 		{
 			const bool resumable = _context.route->stream && _context.route->resumable;
@@ -71,8 +79,11 @@
 			{
 				return false;
 			}
-			if (!takeResend(_context.state.retries[_context.service], retryBounds(_context.state), nowMs()))
+			RetryWindow& window = _context.state.retries[_context.service];
+			const RetryLimits limits = retryBounds(_context.state);
+			if (!takeResend(window, limits, nowMs()))
 			{
+				logRefusedResend(_context, window, limits);
 				_context.reason += ",retry_budget_spent";
 				return false;
 			}
