Log when a gateway follows a table itself, and responses of the store that are late

A gateway follows coordinators' updates and calls the store only without them. Its log didn't say when it began to call, since which version, how long the store was asked to wait, or that a call took longer than that, so a late configuration could be a call that wasn't made, one that was lost, or one that waited too long. store_followed and store_response_late say so.

--- a/src/gateway/watch.cpp
+++ b/src/gateway/watch.cpp
@@ -1,6 +1,7 @@
 #include "gateway/watch.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "aio/task.h"
 #include "base/log.h"
@@ -32,6 +33,8 @@
 		constexpr Millis kFirstWaitMs = 10'000;
 		/// Pause after a response with upstreams, as a share of the maximum time until a change takes effect.
 		constexpr double kPauseShareOfChange = 0.15;
+		/// Time beyond the requested wait after which a response is logged as late, ms.
+		constexpr Millis kLateResponseMs = 500;
 		/// A store that responded to nobody for this share of the maximum time until a key is revoked counts as having been
 		/// unreachable. Upstreams' rows expire after a longer time.
 		constexpr double kAwayShareOfRevocation = 0.6;
@@ -87,6 +90,20 @@
 		}
 	}
 
+	void StoreWatch::logCalling(const Feed& _feed) const
+	{
+		const Millis now = nowMs();
+		logInfo("store_followed", {{"table", _feed.name}, {"since", store::versionText((this->tables.*_feed.table).version)}, {"wait_ms", (this->*_feed.waitMs)()}, {"update_age_ms", now - this->lastUpdateAt}, {"proof_age_ms", proofAge(this->state.freshness, now).value_or(-1)}, {"behind", 0 != this->behindSince}});
+	}
+
+	void StoreWatch::logLateResponse(const Feed& _feed, Millis _waitMs, Millis _tookMs)
+	{
+		if (_waitMs + kLateResponseMs < _tookMs)
+		{
+			logWarning("store_response_late", {{"table", _feed.name}, {"wait_ms", _waitMs}, {"took_ms", _tookMs}});
+		}
+	}
+
 	void StoreWatch::recordEra(std::uint64_t _era, const Feed& _feed)
 	{
 		const std::uint64_t before = this->era.value_or(_era);
@@ -226,7 +243,17 @@
 		Millis retryMs = kRetryMs;
 		while (true)
 		{
+			if ((this->*_feed.isCovered)(nowMs()))
+			{
+				_feed.calling = false;
+			}
 			co_await this->waitWhileCovered(_feed);
+			if (!std::exchange(_feed.calling, true))
+			{
+				this->logCalling(_feed);
+			}
+			const Millis calledAt = nowMs();
+			const Millis waitMs = (this->*_feed.waitMs)();
 			// The operators' table is followed from version 0 instead of read: that call waits for the first configuration.
 			const bool unread = 0 == (this->tables.*_feed.table).version && &this->operators != &_feed;
 			const bool whole = _feed.needsWhole || unread;
@@ -236,6 +263,7 @@
 			{
 				const store::Rows rows = co_await this->call(_feed, whole);
 				this->recordCall(_feed, true, "");
+				logLateResponse(_feed, waitMs, nowMs() - calledAt);
 				this->recordEra(rows.era, _feed);
 				retryMs = kRetryMs;
 				if (rows.historyTruncated)
@@ -253,6 +281,7 @@
 			if (!failure.empty())
 			{
 				this->recordCall(_feed, false, failure);
+				logLateResponse(_feed, waitMs, nowMs() - calledAt);
 				const Millis retryAfterMs = this->retryDelayMs(retryMs);
 				retryMs = std::min(kMaxRetryMs, 2 * retryMs);
 				co_await this->waitForNewProof(retryAfterMs);
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -61,6 +61,7 @@
 			void (StoreWatch::*apply)(const store::Rows& _rows, std::uint64_t _known, bool _whole) = nullptr;
 			Millis pauseMs = 0;                                   ///< Pause after a response with rows.
 			bool lastCallSucceeded = true;                        ///< Whether the last call for it was answered.
+			bool calling = false;                                 ///< Whether it is followed by calls to the store, not by relayed updates.
 			bool needsWhole = false;                              ///< The store no longer has the changes; a full read is needed.
 			Millis currentAsOf = 0;                               ///< Time at which the relayed state was the newest in the store; local clock, conservative.
 			kj::Own<kj::PromiseFulfiller<store::Rows>> interrupt; ///< Ends the pending call.
@@ -147,6 +148,10 @@
 		/// Records the era of the store. When it has risen, the store came back from an earlier copy: rows may be missing until
 		/// they are written again, and pending calls wait for changes since versions that it lacks.
 		void recordEra(std::uint64_t _era, const Feed& _feed);
+		/// Logs that a table is now followed by calls to the store.
+		void logCalling(const Feed& _feed) const;
+		/// Logs a response that took longer than the store was asked to wait.
+		static void logLateResponse(const Feed& _feed, Millis _waitMs, Millis _tookMs);
 		/// Records the result of a call to the store. A failed call for the operators' table also ends the pending calls for
 		/// the other tables.
 		void recordCall(Feed& _feed, bool _succeeded, const std::string& _reason);
