Let a gateway that just started wait for its share of resends

Cause: until the number of gateways has been reported for 0.6 s a gateway uses 1/2,048 of the allowance.

But the share is known within 0.6 s. A request that another group can run waits for that if its share will then allow the resend and its deadline leaves time; else it is refused at once, as before. Shares and budget are unchanged.

groups_a_gateway_that_just_started_*: 5 of 5 failed before, 12 of 12 pass, four at a time.

--- a/include/archdyke/resend_share.h
+++ b/include/archdyke/resend_share.h
@@ -54,6 +54,10 @@
 	/// @returns Maximum count reported in a window; none if the reports weren't stable for that long.
 	std::optional<std::uint32_t> reportedGatewayCount(const ResendShare& _share, Millis _windowMs, Millis _steadyMs, Millis _now);
 
+	/// @returns Time until the reported count counts as stable if it doesn't grow, ms; none if no count is reported now, or if
+	/// it is stable already.
+	std::optional<Millis> untilCountIsSteadyMs(const ResendShare& _share, Millis _windowMs, Millis _now);
+
 	/// @returns Share of the allowance that this gateway may spend in a window, 0 to 1.
 	double allowanceShare(const ResendShare& _share, Millis _windowMs, Millis _now);
 
--- a/src/decide/resend_share.cpp
+++ b/src/decide/resend_share.cpp
@@ -66,6 +66,13 @@
 		return steady ? std::optional(std::max<std::uint32_t>(1, maxReported(_share, _now - _windowMs))) : std::nullopt;
 	}
 
+	std::optional<Millis> untilCountIsSteadyMs(const ResendShare& _share, Millis _windowMs, Millis _now)
+	{
+		const bool isReported = reportedGatewayCount(_share, _windowMs, 0, _now).has_value();
+		const Millis remainingMs = _share.steadySince + kMinSteadyMs - _now;
+		return isReported && 0 < remainingMs ? std::optional(remainingMs) : std::nullopt;
+	}
+
 	double allowanceShare(const ResendShare& _share, Millis _windowMs, Millis _now)
 	{
 		const bool steady = reportedGatewayCount(_share, _windowMs, kMinSteadyMs, _now).has_value();
--- a/src/gateway/counters.cpp
+++ b/src/gateway/counters.cpp
@@ -26,6 +26,7 @@
 	    , firstEventSeconds(_metrics.seconds("archdyke_gateway_first_event_seconds", "Time from the request's head to the first event of a stream"))
 	    , sends(_metrics.counter("archdyke_gateway_sends_total", "Requests sent to an upstream for the first time"))
 	    , resends(_metrics.counter("archdyke_gateway_resends_total", "Requests sent again, to another upstream"))
+	    , resendsAwaited(_metrics.counter("archdyke_gateway_resends_awaited_total", "Waits of failed requests until the number of gateways that share the retry budget is known"))
 	    , coldSends(_metrics.counter("archdyke_gateway_cold_sends_total", "Requests sent to a cold upstream, first sends and resends"))
 	    , coldRefusals(_metrics.counter("archdyke_gateway_cold_refusals_total", "Requests refused because all remaining upstreams were cold and at their limit"))
 	    , backOffAsks(_metrics.counter("archdyke_gateway_back_off_asks_total", "Responses in which an upstream asked to be sent nothing for some time"))
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -34,6 +34,7 @@
 		prometheus::Histogram& firstEventSeconds;
 		prometheus::Counter& sends;
 		prometheus::Counter& resends;
+		prometheus::Counter& resendsAwaited;
 		prometheus::Counter& coldSends;
 		prometheus::Counter& coldRefusals;
 		prometheus::Counter& backOffAsks;
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -11,6 +11,9 @@
 {
 	namespace
 	{
+		/// Minimum time that a resend needs until the caller's deadline, ms.
+		constexpr Millis kMinResendTimeMs = 100;
+
 		/// @param[in] _mayHaveRun Whether an attempt may have run; the refusal then doesn't state that the request has not run.
 		/// @param[in] _reason Reason reported if it may have run; otherwise the cause is reported.
 		Refusal makeRefusal(RequestContext& _context, bool _mayHaveRun, RefusalCause _cause, const std::string& _reason)
@@ -69,13 +72,51 @@
 			logInfo("resend_refused", {{"request", _context.caller.id}, {"remaining", remainingResends(_window, _limits, now)}, {"first_sends", _window.firstSends.size()}, {"resends", _window.resends.size()}, {"allowance", _limits.allowance}, {"rounding", _limits.rounding}, {"gateways", gateways ? std::int64_t(*gateways) : -1}, {"counted_for_ms", gateways ? now - share.steadySince : -1}});
 		}
 
-		bool mayRetry(RequestContext& _context, const AttemptResult& _result)
+		/// @returns Whether a failed attempt should be followed by another one if the retry budget allows it.
+		bool wantsRetry(const RequestContext& _context, const AttemptResult& _result)
 		{
 			const bool resumable = _context.route->stream && _context.route->resumable;
 			const FailedAttempt failedTry{_result.proof, _result.refusal, _context.sends - 1, mayRepeat(*_context.route), _context.headSent && !resumable, _context.deadlineAt - nowMs()};
 			const NextStep next = decideNext(failedTry);
 			const bool wanted = NextStep::Retry == next || NextStep::RetryOnBudget == next;
-			if (!wanted || _context.sends >= _context.route->maxAttempts)
+			return wanted && _context.sends < _context.route->maxAttempts;
+		}
+
+		/// @returns How long to wait for a resend, ms: until this gateway knows how many others share the budget, if its share
+		/// then allows the resend and the deadline leaves time for it.
+		std::optional<Millis> waitForBudgetMs(RequestContext& _context)
+		{
+			GatewayState& state = _context.state;
+			const Millis now = nowMs();
+			const Millis windowMs = state.settings.bounds.retryWindowMs;
+			const std::optional<Millis> waitMs = untilCountIsSteadyMs(state.resendShare, windowMs, now);
+			RetryWindow& window = state.retries[_context.service];
+			if (!waitMs || 1.0 <= remainingResends(window, retryBounds(state), now))
+			{
+				return std::nullopt;
+			}
+			const bool inTime = now + *waitMs + kMinResendTimeMs <= _context.deadlineAt;
+			return inTime && 1.0 <= remainingResends(window, retryBounds(state, now + *waitMs), now) ? waitMs : std::nullopt;
+		}
+
+		/// Waits until the retry budget allows a resend, if that is about to happen and another group can run the request.
+		aio::Task<void> awaitBudget(RequestContext& _context, const AttemptResult& _result)
+		{
+			while (wantsRetry(_context, _result) && nullptr != chooseGroupForRetry(_context))
+			{
+				const std::optional<Millis> waitMs = waitForBudgetMs(_context);
+				if (!waitMs)
+				{
+					co_return;
+				}
+				_context.state.counters.resendsAwaited.Increment();
+				co_await _context.state.loop.timer.afterDelay(*waitMs * kj::MILLISECONDS);
+			}
+		}
+
+		bool mayRetry(RequestContext& _context, const AttemptResult& _result)
+		{
+			if (!wantsRetry(_context, _result))
 			{
 				return false;
 			}
@@ -152,12 +193,17 @@
 	} // namespace
 
 	RetryLimits retryBounds(const GatewayState& _state)
+	{
+		return retryBounds(_state, nowMs());
+	}
+
+	RetryLimits retryBounds(const GatewayState& _state, Millis _now)
 	{
 		/// Share of the budget that is used: the sliding windows of several gateways aren't aligned,
 		/// and their sum must stay within the budget.
 		constexpr double kUsedBudgetShare = 0.8;
 		const Bounds& bounds = _state.settings.bounds;
-		const double share = allowanceShare(_state.resendShare, bounds.retryWindowMs, nowMs());
+		const double share = allowanceShare(_state.resendShare, bounds.retryWindowMs, _now);
 		return {kUsedBudgetShare * bounds.retryRatio, share * bounds.retryAllowance, bounds.retryWindowMs, _state.resendShare.rounding};
 	}
 
@@ -219,6 +265,7 @@
 			{
 				co_return makeRefusal(_context, mayHaveRun, cause, result.reason);
 			}
+			co_await awaitBudget(_context, result);
 			if (mayRetry(_context, result))
 			{
 				continue;
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -94,6 +94,9 @@
 	/// @returns The present bounds of this gateway's resends.
 	RetryLimits retryBounds(const GatewayState& _state);
 
+	/// @returns The limits as they will be at a later time if the reported number of gateways stays the same.
+	RetryLimits retryBounds(const GatewayState& _state, Millis _now);
+
 	/// Counts an attempt that starts at the chosen upstream.
 	void recordSend(RequestContext& _context);
 
--- a/tests/group_rig.h
+++ b/tests/group_rig.h
@@ -148,7 +148,7 @@
 			}
 			const std::string storeAddress = this->proxy->link(_name, this->store.address);
 			const std::string path = fmt::format("{}/{}.json", this->directory.path, _name);
-			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 7340}, {"metrics", "127.0.0.1:0"}, {"store", storeAddress}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", kRevocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", 6'400.0}}.dump();
+			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 7340}, {"metrics", "127.0.0.1:0"}, {"store", storeAddress}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", kRevocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
 			this->gateways[_name] = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, fmt::format("{}/{}.log", this->directory.path, _name));
 			this->gatewayMetrics[_name] = this->gateways[_name]->listening("metrics");
 			this->gatewayCallers[_name] = this->gateways[_name]->listening("http");
@@ -236,6 +236,7 @@
 		ScratchDirectory directory;
 		RigStore store;
 		std::vector<RigGroup> groups;
+		double retryAllowance = 6'400.0; ///< Of gateways that are started from now on.
 		std::unique_ptr<lab::ProxyStub> proxy;
 		std::map<std::string, std::unique_ptr<lab::ChildProcess>> gateways;
 		std::map<std::string, std::string> gatewayMetrics;
--- a/tests/test_groups.cpp
+++ b/tests/test_groups.cpp
@@ -80,6 +80,24 @@
 	cr_assert(0 < open.at("g-0") && !open.contains(""));
 }
 
+/// Guards against refusing the first requests of a gateway whose share of the retry budget isn't known yet, though another
+/// group is open and the share is known before their deadline.
+Test(groups, a_gateway_that_just_started_resends_once_it_knows_its_share)
+{
+	constexpr int kStarts = 5;
+	GroupRig rig(std::vector<std::size_t>{4, 3});
+	rig.retryAllowance = 40.0; // 10 for one gateway, 0.005 while their number is unknown
+	startGatewayThatKnowsAllGroups(rig);
+	for (int start = 0; start < kStarts; ++start)
+	{
+		rig.groups[0].control({{"broken", false}});
+		startGatewayThatKnowsAllGroups(rig);
+		rig.groups[0].control({{"broken", true}});
+		const std::map<std::string, int> calls = callsByGroup(rig, fmt::format("young-{}", start), 4);
+		cr_assert(!calls.contains(""), "start %d: %s", start, Json(calls).dump().c_str());
+	}
+}
+
 Test(groups, a_request_is_refused_at_once_while_all_groups_are_down)
 {
 	GroupRig rig(std::vector<std::size_t>{2, 2});
--- a/tests/test_resend_share.cpp
+++ b/tests/test_resend_share.cpp
@@ -215,3 +215,18 @@
 	recordGatewayCount(share, 1, kWindowMs, 1'000);
 	cr_assert(0.001 > allowanceShare(share, kWindowMs, 1'000));
 }
+
+Test(resendshare, the_wait_for_a_steady_count_ends_with_the_share_of_a_known_count)
+{
+	ResendShare share;
+	cr_assert(!untilCountIsSteadyMs(share, kWindowMs, 0), "no count is reported");
+	recordGatewayCount(share, 3, kWindowMs, 1'000);
+	const std::optional<Millis> waitMs = untilCountIsSteadyMs(share, kWindowMs, 1'100);
+	cr_assert(waitMs && 0 < *waitMs);
+	cr_assert(allowanceShare(share, kWindowMs, 1'100) < allowanceShare(share, kWindowMs, 1'100 + *waitMs));
+	recordGatewayCount(share, 30, kWindowMs, 1'200);
+	cr_assert(*untilCountIsSteadyMs(share, kWindowMs, 1'200) > *waitMs - 100, "a count that grows starts the wait anew");
+	recordGatewayCount(share, 30, kWindowMs, 2'500);
+	cr_assert(!untilCountIsSteadyMs(share, kWindowMs, 2'500), "it is steady");
+	cr_assert(!untilCountIsSteadyMs(share, kWindowMs, 10'000), "reports have ended");
+}
