End a gateway's wait for its coordinator once the coordinator has gone

Cause: a gateway whose relayed proof is too old leaves the store to the coordinator for a random time that grows with the number of gateways, 2.5 to 7.4 s for 70, so that they don't all call at once. It waited that long also when the coordinator went silent meanwhile.

The wait now ends when the updates do. That is what bounds the delay, since the tables that lose their updates first never waited. Pauses after failed calls end with it, too, and go on with the gateway's own shorter ones.

watch_a_change_is_in_force_in_time_after_the_coordinator_has_gone: 5 of 5 failed before, 5 of 5 pass.

--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -141,7 +141,9 @@
 		/// @returns A random delay, ms, long enough that all gateways of a coordinator together make a bounded number of calls
 		/// per second.
 		Millis sharedRetryDelayMs();
-		/// Waits until a later proof is relayed or the time is over.
+		/// @returns Whether a coordinator sends updates now.
+		bool hasRecentUpdate() const;
+		/// Waits until a later proof is relayed, the time is over, or updates of coordinators begin or end.
 		aio::Task<void> waitForNewProof(Millis _pauseMs);
 		/// Ends the pending calls of all other feeds: the store may have lost them.
 		void interruptCalls(const Feed& _but);
--- a/src/gateway/watch_news.cpp
+++ b/src/gateway/watch_news.cpp
@@ -78,17 +78,23 @@
 	Millis StoreWatch::retryDelayMs(Millis _retryMs)
 	{
 		const Millis ownMs = _retryMs / 2 + Millis(randomBelow(this->state.random, std::uint64_t(_retryMs) + 1));
-		const bool relayed = nowMs() - this->lastUpdateAt <= kMaxUpdateAgeMs;
-		return relayed ? std::max(ownMs, this->sharedRetryDelayMs()) : ownMs;
+		return this->hasRecentUpdate() ? std::max(ownMs, this->sharedRetryDelayMs()) : ownMs;
+	}
+
+	bool StoreWatch::hasRecentUpdate() const
+	{
+		return nowMs() - this->lastUpdateAt <= kMaxUpdateAgeMs;
 	}
 
 	aio::Task<void> StoreWatch::waitForNewProof(Millis _pauseMs)
 	{
+		// A coordinator that has gone sends no proof, and the pause may be longer than a change may take.
+		const bool coordinated = this->hasRecentUpdate();
 		// A proof from another process means that the store is back, and perhaps that there is a newer configuration: a
 		// gateway that finished its pause first was 4 s late with it.
 		const store::ConfigurationProof before = this->relayedProof;
 		const Millis until = nowMs() + _pauseMs;
-		while (nowMs() < until && this->relayedProof == before)
+		while (nowMs() < until && this->relayedProof == before && coordinated == this->hasRecentUpdate())
 		{
 			co_await this->state.loop.timer.afterDelay(std::min(kCoverageCheckIntervalMs, _pauseMs) * kj::MILLISECONDS);
 		}
@@ -102,7 +108,7 @@
 			{
 				co_await this->state.loop.timer.afterDelay(kCoverageCheckIntervalMs * kj::MILLISECONDS);
 			}
-			const bool updatedRecently = 0 != (this->tables.*_feed.table).version && 0 == this->behindSince && nowMs() - this->lastUpdateAt <= kMaxUpdateAgeMs;
+			const bool updatedRecently = 0 != (this->tables.*_feed.table).version && 0 == this->behindSince && this->hasRecentUpdate();
 			if (!updatedRecently)
 			{
 				co_return;
