Bound the shortest delay before a gateway calls the store for a coordinator

A change could be late at all gateways of a coordinator that has lost the store but lives on.

The delay now begins at 0.15 of that limit, or at half of the mean if that is less, and is spread so that the mean stays as it is, and with it the rate of calls of all gateways. The first that has the change lets the coordinator relay its proof to the others.

--- a/src/gateway/watch_news.cpp
+++ b/src/gateway/watch_news.cpp
@@ -24,6 +24,9 @@
 		/// A change that a relayed proof covers is read from the store when its rows don't arrive within this share of the
 		/// maximum time until a change takes effect.
 		constexpr double kRowDelayShareOfChange = 0.25;
+		/// Upper limit of the shortest delay of a gateway's call while the coordinator is heard, as a share of the maximum time until
+		/// a change takes effect. The coordinator's own next call comes first.
+		constexpr double kMinSharedDelayShareOfChange = 0.15;
 		/// Interval between checks whether relayed updates suffice, ms.
 		constexpr Millis kCoverageCheckIntervalMs = 50;
 	} // namespace
@@ -72,7 +75,9 @@
 	Millis StoreWatch::sharedRetryDelayMs()
 	{
 		const Millis allMs = std::max<Millis>(1, Millis(kCallIntervalMsPerGateway * double(this->coordinatorGateways)));
-		return allMs / 2 + Millis(randomBelow(this->state.random, std::uint64_t(allMs) + 1));
+		// The earliest of all delays must leave time for a change, however many gateways there are; their mean is allMs.
+		const Millis minMs = std::min(allMs / 2, this->shareOfChange(kMinSharedDelayShareOfChange));
+		return minMs + Millis(randomBelow(this->state.random, std::uint64_t(2 * (allMs - minMs)) + 1));
 	}
 
 	Millis StoreWatch::retryDelayMs(Millis _retryMs)
--- a/tests/test_watch.cpp
+++ b/tests/test_watch.cpp
@@ -3,6 +3,7 @@
 #include "base/process.h"
 #include "gateway/watch.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <kj/async-io.h>
 
@@ -92,18 +93,39 @@
 		}
 	};
 
-	struct WatchRig
+	GatewaySettings makeSettings()
 	{
-		WatchRig()
+		GatewaySettings settings;
+		settings.bounds.changeMs = kChangeMs;
+		return settings;
+	}
+
+	struct WatchingGateway
+	{
+		WatchingGateway(http::LoopContext _loop, GatewayCounters& _counters, store::TableStore& _store, std::uint64_t _seed)
+		    : state(makeSettings(), {}, _loop, _counters, _seed)
+		    , watch(this->state, _store, store::TableNames{kOperators, kKey, kUpstreams, "evacuate/"}, DocumentDecoders{decodeCatalog, decodeUpstream})
+		{
+		}
+
+		std::uint64_t version() const
 		{
-			this->watch.emplace(this->state, this->store, store::TableNames{kOperators, kKey, kUpstreams, "evacuate/"}, DocumentDecoders{decodeCatalog, decodeUpstream});
+			return versionOf(this->state.catalog);
 		}
 
-		static GatewaySettings makeSettings()
+		GatewayState state;
+		StoreWatch watch;
+	};
+
+	/// Gateways of one coordinator.
+	struct WatchRig
+	{
+		explicit WatchRig(std::uint32_t _gateways)
 		{
-			GatewaySettings settings;
-			settings.bounds.changeMs = kChangeMs;
-			return settings;
+			for (std::uint32_t seed = 1; seed <= _gateways; ++seed)
+			{
+				this->gateways.push_back(std::make_unique<WatchingGateway>(http::LoopContext{this->io.provider->getNetwork(), this->io.provider->getTimer()}, this->counters, this->store, seed));
+			}
 		}
 
 		/// Runs the loop for a time while a coordinator sends updates.
@@ -113,11 +135,14 @@
 			while (nowMs() < _untilMs)
 			{
 				const Millis provenAt = std::min(nowMs(), _storeLostAt);
-				store::TablesNews tables;
-				tables.operators = {provenAt, 1, false, {}, {}};
-				tables.upstreams = {provenAt, 1, false, {}, {}};
-				tables.crashes = {provenAt, 1, false, {}, {}};
-				this->watch->applyUpdate({{provenAt, 1}, std::move(tables), kGateways});
+				for (const std::unique_ptr<WatchingGateway>& gateway : this->gateways)
+				{
+					store::TablesNews tables;
+					tables.operators = {provenAt, 1, false, {}, {}};
+					tables.upstreams = {provenAt, 1, false, {}, {}};
+					tables.crashes = {provenAt, 1, false, {}, {}};
+					gateway->watch.applyUpdate({{provenAt, 1}, std::move(tables), kGateways});
+				}
 				this->run(20);
 			}
 		}
@@ -127,17 +152,19 @@
 			this->io.provider->getTimer().afterDelay(_ms * kj::MILLISECONDS).wait(this->io.waitScope);
 		}
 
-		std::uint64_t version() const
+		/// @returns Number of gateways that have a version of the configuration.
+		std::ptrdiff_t countWith(std::uint64_t _version) const
 		{
-			return versionOf(this->state.catalog);
+			return std::count_if(this->gateways.begin(), this->gateways.end(), [&](const auto& _gateway) {
+				return _version == _gateway->version();
+			});
 		}
 
 		kj::AsyncIoContext io = kj::setupAsyncIo();
 		Metrics metrics;
 		GatewayCounters counters{this->metrics};
-		GatewayState state{makeSettings(), {}, {this->io.provider->getNetwork(), this->io.provider->getTimer()}, this->counters, 1};
 		OneRowStore store{this->io.provider->getTimer()};
-		std::optional<StoreWatch> watch;
+		std::vector<std::unique_ptr<WatchingGateway>> gateways;
 	};
 } // namespace
 
@@ -145,15 +172,29 @@
 /// grows with their number, 2.5 to 7.4 s for 70 of them, while a configuration was to be in force within 3 s.
 Test(watch, a_change_is_in_force_in_time_after_the_coordinator_has_gone)
 {
-	WatchRig rig;
+	WatchRig rig(1);
 	const Millis storeLostAt = nowMs() + 5'000; // all calls of the start have ended
 	rig.runWithUpdates(storeLostAt + 1'500, storeLostAt);
-	cr_assert(1 == rig.version());
+	cr_assert(1 == rig.countWith(1));
 	rig.store.version = 2; // no update tells of it any more
 	const Millis changedAt = nowMs();
-	while (nowMs() < changedAt + kChangeMs && 2 != rig.version())
+	while (nowMs() < changedAt + kChangeMs && 0 == rig.countWith(2))
 	{
 		rig.run(20);
 	}
-	cr_assert(2 == rig.version(), "not in force after %ld ms", long(nowMs() - changedAt));
+	cr_assert(1 == rig.countWith(2), "not in force after %ld ms", long(nowMs() - changedAt));
+}
+
+/// Guards against gateways that all leave the store to a coordinator that has lost it: the first of 70 called after 2.5 s. One that
+/// has the change is enough, since the coordinator relays its proof to the others.
+Test(watch, a_gateway_has_a_change_in_time_when_the_coordinator_has_lost_the_store)
+{
+	constexpr Millis kRelayMs = 500; // for the proof to reach the others, and for their calls
+	WatchRig rig(kGateways);
+	const Millis storeLostAt = nowMs() + 5'000;
+	rig.runWithUpdates(storeLostAt, storeLostAt);
+	cr_assert(kGateways == rig.countWith(1));
+	rig.store.version = 2;
+	rig.runWithUpdates(storeLostAt + kChangeMs - kRelayMs, storeLostAt);
+	cr_assert(0 < rig.countWith(2));
 }
