--- a/src/agent/agent_runs.cpp
+++ b/src/agent/agent_runs.cpp
@@ -197,16 +197,20 @@
 
 	void AgentRuns::dropQueued(const std::string& _request, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped)
 	{
-		const Millis now = nowMs();
-		absl::erase_if(this->runs, [&](const auto& _run) {
-			const bool dropped = _request == _run.second.spec.fingerprint && dropRun(this->ledger, _run.first, now);
-			if (dropped)
+		std::vector<RunKey> keys;
+		for (const auto& [key, run] : this->runs)
+		{
+			if (_request == run.spec.fingerprint && dropRun(this->ledger, key, nowMs()))
 			{
-				removeRun(this->admission, _run.first);
-				_dropped.push_back({_run.first, _verdict});
+				keys.push_back(key);
 			}
-			return dropped;
-		});
+		}
+		for (const RunKey& key : keys)
+		{
+			removeRun(this->admission, key);
+			this->runs.erase(key);
+			_dropped.push_back({key, _verdict});
+		}
 	}
 
 	void AgentRuns::refuse(const std::vector<RefusedRequest>& _refused)
