Tests that fail when a coordinator takes a copy's row for newer, or a term is given out twice

The mutants coordinator-takes-the-row-of-a-copy and terms-are-given-out-twice name tests now that notice them. The first went unnoticed by restored_coordinators_*: the group finds its map another way, so nothing was lost there. It loses its term only to a row of another coordinator, so the copy of the new test has the row of a predecessor. The second is noticed by a take-over after two take-overs that the copy lacks.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -89,7 +89,7 @@
 	'return (_era << kCounterBits) |' 'return (0 * _era << kCounterBits) |'
 mutant gateway-takes-rows-of-a-copy-for-new "restored_an_upstream_that_left_gets_nothing_though_its_row_is_back" src/gateway/watch_rows.cpp \
 	'if (fromCopy && this->removedAt.contains(row.key.key))' 'if (false)'
-mutant coordinator-takes-the-row-of-a-copy "restored_coordinators_.*" src/group/coordinator_row.cpp \
+mutant coordinator-takes-the-row-of-a-copy "restored_a_coordinator_goes_on_though_the_copy_has_the_row_of_its_predecessor" src/group/coordinator_row.cpp \
 	'if (store::eraOf(this->rowVersion) < _rows.era)' 'if (false)'
 mutant follower-asks-for-changes-of-another-era "erastore_.*|restored_changes_under_.*" src/store/era_store.cpp \
 	'if (hasBase && eraOf(_since) < this->era.value_or(0))' 'if (false)' \
@@ -100,7 +100,7 @@
 	'publishLostCrashes(this->state.crashes);' ''
 mutant map-in-use-stays-unknown "restored_a_group_whose_coordinator_is_killed_after_a_restoration_goes_on_without_a_split" src/group/coordinator_restored.cpp \
 	'this->recoverMap(this->views(kViewMaxAgeMs));' ''
-mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*|restored_a_group_.*" src/decide/switch_history.cpp \
+mutant terms-are-given-out-twice "forward_a_take_over_after_a_restoration_.*|restored_a_take_over_.*" src/decide/switch_history.cpp \
 	'return _eraBefore < _era ?' 'return false && _eraBefore < _era ?'
 mutant lost-holds-are-released-at-once "forward_a_hold_of_a_lost_switch_.*|restored_a_hold_.*" src/decide/switch_history.cpp \
 	'if (_quietMs < kMaxOrderDelayMs)' 'if (false)'
@@ -140,6 +140,16 @@
 	'if (!isWriteDue(record, now) ||' 'if (true ||'
 mutant gateway-clears-nobody-of-crashes "gateway_bystanders_of_crashes_are_served_and_cleared" src/gateway/crashes.cpp \
 	'recordCompletion(record.runs, hashOf(_context), nowMs());' 'return;'
+mutant entries-hear-no-crashes-from-agents "crashagent_entries_without_the_platform_refuse_a_call_that_crashed_services" src/entry/crash_record.cpp \
+	'if (!cleared && !this->cleared.contains(crash))' 'if (false)'
+mutant entries-read-no-crashes "crashrecord_.*|crashagent_restarted_entries_.*" src/entry/crash_record.cpp \
+	'for (const Crash& crash : _rows)' 'for (const Crash& crash : std::vector<Crash>())'
+mutant late-responses-keep-links "groups_late_responses_to_a_search_leave_no_links" src/group/fan_out.cpp \
+	'if (isElsewhere(observation.report.engine, group))' 'if (false)'
+mutant gateway-waits-for-a-coordinator-that-has-gone "watch_a_change_is_in_force_in_time_after_the_coordinator_has_gone" src/gateway/watch_news.cpp \
+	' && coordinated == this->hasRecentUpdate()' ''
+mutant gateway-waits-for-no-share "groups_a_gateway_that_just_started_.*" src/gateway/dispatch.cpp \
+	'co_await awaitBudget(_context, result);' ''
 mutant deadline-by-one-timer "suspend_a_request_whose_deadline_passes_in_a_suspension_ends_when_the_machine_resumes" src/gateway/request.cpp \
 	'std::clamp<Millis>(_moment - nowMs(), 1, kPollIntervalMs)' 'std::max<Millis>(_moment - nowMs(), 1)'
 mutant clock-that-sleeps "suspend_keys_expire_on_time_after_a_suspension" src/base/process.cpp \
--- a/tests/test_restored_store.cpp
+++ b/tests/test_restored_store.cpp
@@ -245,6 +245,66 @@
 	rig.groups.front().expectNoSplit();
 }
 
+/// Guards against a coordinator that takes the row of a copy over its own knowledge: the copy has the row of its predecessor.
+Test(restored, a_coordinator_goes_on_though_the_copy_has_the_row_of_its_predecessor)
+{
+	constexpr Millis kRowCheckMs = 5'000; // several reads of the row
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	const Millis copyAt = nowMs();
+	const std::size_t predecessor = rig.coordinator();
+	cr_assert(predecessor < kRanks);
+	group.sidecars[predecessor]->kill();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	rig.start(group, predecessor);
+	const std::size_t coordinator = rig.coordinator();
+	cr_assert(coordinator < kRanks && coordinator != predecessor);
+	rig.store.restore(copyAt);
+	lab::pauseMs(kRowCheckMs);
+	const std::string log = group.sidecars[coordinator]->output();
+	cr_assert(coordinator == rig.coordinator() && std::string::npos == log.find("coordinator_ends"), "it lost its term: %s", log.c_str());
+	cr_assert(std::string::npos != log.find("reason=store_restored written=true"), "its row is not written again: %s", log.c_str());
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	group.expectNoSplit();
+}
+
+/// Guards against a term that is given out twice: daemons reject it, and two coordinators use it for different maps.
+Test(restored, a_take_over_has_a_term_above_those_that_the_copy_lacks)
+{
+	GroupRig rig;
+	RigGroup& group = rig.groups.front();
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	const auto termOf = [&](std::size_t _coordinator) {
+		const httplib::Result result = clientOf(rig.ipOf(group, _coordinator) + ":7341").Get("/dump");
+		return result ? Json::parse(result->body).value("term", std::uint64_t(0)) : 0;
+	};
+	const Millis copyAt = nowMs();
+	std::uint64_t newest = 0;
+	std::size_t coordinator = rig.coordinator();
+	for (int takeOver = 0; takeOver < 2; ++takeOver)
+	{
+		cr_assert(coordinator < kRanks);
+		group.sidecars[coordinator]->kill();
+		cr_assert(group.switchesAgain(1, kSwitchMs));
+		rig.start(group, coordinator);
+		coordinator = rig.coordinator();
+		newest = termOf(coordinator);
+	}
+	cr_assert(3 <= newest);
+	rig.store.restore(copyAt);
+	group.sidecars[coordinator]->kill();
+	std::uint64_t later = 0;
+	cr_assert(lab::waitUntil(kSwitchMs, [&] {
+		const std::size_t next = rig.coordinator();
+		later = next < kRanks ? termOf(next) : 0;
+		return 0 != later;
+	}));
+	cr_assert(newest < later, "term %lu after %lu", static_cast<unsigned long>(later), static_cast<unsigned long>(newest));
+	cr_assert(group.switchesAgain(1, kSwitchMs));
+	group.expectNoSplit();
+}
+
 /// A coordinator ends while it holds the group for a switch, and the row that shows the switch is lost: the next one can't tell
 /// which ranks are armed, and must not release the hold before it can.
 Test(restored, a_hold_whose_row_is_lost_splits_no_group)
