Count requests that wait for a resend against the share they wait for

Each request that a young gateway couldn't resend yet waited if the coming share allowed one resend, so with many of them all but a few waited for nothing and were refused late. A request now waits only if the share will be enough for those that wait already, too; the others are refused at once. Found by reading the change before; no run showed it.

--- a/include/archdyke/retry_window.h
+++ b/include/archdyke/retry_window.h
@@ -25,6 +25,7 @@
 	{
 		std::deque<Millis> firstSends;
 		std::deque<Millis> resends;
+		std::size_t awaiting = 0; ///< Requests that wait until a resend is allowed.
 	};
 
 	/// Records the first send of a request and drops those older than the window.
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -96,7 +96,8 @@
 				return std::nullopt;
 			}
 			const bool inTime = now + *waitMs + kMinResendTimeMs <= _context.deadlineAt;
-			return inTime && 1.0 <= remainingResends(window, retryBounds(state, now + *waitMs), now) ? waitMs : std::nullopt;
+			const double forOthers = double(window.awaiting);
+			return inTime && 1.0 + forOthers <= remainingResends(window, retryBounds(state, now + *waitMs), now) ? waitMs : std::nullopt;
 		}
 
 		/// Waits until the retry budget allows a resend, if that is about to happen and another group can run the request.
@@ -110,6 +111,10 @@
 					co_return;
 				}
 				_context.state.counters.resendsAwaited.Increment();
+				_context.state.retries[_context.service].awaiting += 1;
+				const auto waitEnd = kj::defer([&_context] {
+					_context.state.retries[_context.service].awaiting -= 1;
+				});
 				co_await _context.state.loop.timer.afterDelay(*waitMs * kj::MILLISECONDS);
 			}
 		}
