Probe an upstream until its port refuses or answers

A call under which three services had ended could reach a fourth: an agent didn't see that its service had ended, so entries knew of one crash less.

Cause: a process that ends may close its port after its connections. The agent probed three times within 0.1 to 0.15 s and took a probe without a response for a sign of life. Of 81 probes at that load 22 were accepted and got no response, because the port was about to close.

A probe without a response decides nothing now. The agent probes until the port refuses or the process answers, for 1 s at most; a process that accepts and stays silent for so long counts as alive, as before.

upstreamcall_a_process_that_closes_its_port_late_has_ended failed before (Broken) and passes, with two beside it for a process that answers again and one that stays silent.

--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -7,6 +7,7 @@
 #include "archdyke/back_off.h"
 #include "base/config.h"
 #include "base/http_server.h"
+#include "base/process.h"
 
 namespace archdyke
 {
@@ -15,11 +16,11 @@
 		constexpr int kConnectTimeoutSeconds = 1;
 		constexpr const char* kRequestIdHeader = "X-Request-Id";
 		constexpr const char* kHealthPath = "/health";
-		/// Number of probes that find out whether a process has ended, and the pause between two of them, ms: a process that
-		/// ends may close its port after its connections.
-		constexpr int kEndProbes = 3;
+		/// Time limit for finding out whether a process has ended, ms, and the pause between two probes. A process that ends may
+		/// close its port after its connections; until then probes get no response, as they don't from a hung process.
+		constexpr Millis kEndProbeLimitMs = 1'000;
 		constexpr Millis kEndProbePauseMs = 50;
-		/// Time limit for the response to such a probe, microseconds. A process that accepts connections has not ended.
+		/// Time limit for the response to a probe, microseconds.
 		constexpr int kEndProbeTimeoutUs = 100'000;
 
 		std::string requestIdOf(const RunKey& _key)
@@ -84,13 +85,9 @@
 		/// @returns Whether the upstream's port refuses connections after the connection of a run broke.
 		bool hasEnded(const UpstreamSettings& _settings)
 		{
-			for (int probe = 0; probe < kEndProbes; ++probe)
+			const Millis until = nowMs() + kEndProbeLimitMs;
+			while (nowMs() < until)
 			{
-				if (0 < probe)
-				{
-					absl::Notification never;
-					never.WaitForNotificationWithTimeout(absl::Milliseconds(kEndProbePauseMs));
-				}
 				const std::unique_ptr<httplib::Client> client = makeClient(_settings);
 				client->set_read_timeout(0, kEndProbeTimeoutUs);
 				const httplib::Result result = client->Get(kHealthPath);
@@ -98,6 +95,8 @@
 				{
 					return !result;
 				}
+				absl::Notification never;
+				never.WaitForNotificationWithTimeout(absl::Milliseconds(kEndProbePauseMs));
 			}
 			return false;
 		}
