Mutant: an agent that takes a probe without a response for a sign of life

The fix that probes until the port refuses or answers had no mutant. It disables just that; whether upstreamcall_* notices it is reported with the run of the mutants.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -144,6 +144,9 @@
 	'if (!cleared && !this->cleared.contains(crash))' 'if (false)'
 mutant entries-read-no-crashes "crashrecord_.*|crashagent_restarted_entries_.*" src/entry/crash_record.cpp \
 	'for (const Crash& crash : _rows)' 'for (const Crash& crash : std::vector<Crash>())'
+mutant agent-takes-silence-for-life "upstreamcall_.*" src/agent/upstream_call.cpp \
+	'if (result || httplib::Error::Connection == result.error())' 'if (true)' \
+	'return !result;' 'return httplib::Error::Connection == result.error();'
 mutant late-responses-keep-links "groups_late_responses_to_a_search_leave_no_links" src/group/fan_out.cpp \
 	'if (isElsewhere(observation.report.engine, group))' 'if (false)'
 mutant gateway-waits-for-a-coordinator-that-has-gone "watch_a_change_is_in_force_in_time_after_the_coordinator_has_gone" src/gateway/watch_news.cpp \
