Log the prompt of requests under which upstreams crash, and what clears crashes

Gateways counted one crash for each of many requests, and their lines didn't say what these requests had in common. upstream_crashed names the parts of the prompt now, crashes_cleared the run that took blame back.

--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -1,6 +1,8 @@
 #include "gateway/crashes.h"
 
 #include <absl/hash/hash.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <utility>
 
@@ -50,23 +52,33 @@
 			}
 		}
 
+		/// @returns The parts of a request's prompt, in hex and in order, as callers name them.
+		std::string promptText(const CallerRequest& _caller)
+		{
+			return absl::StrJoin(_caller.prompt, ",", [](std::string* _text, const PromptPart& _part) {
+				absl::StrAppend(_text, absl::Hex(_part.id));
+			});
+		}
+
 		/// Records that an upstream ended while it ran a request.
-		void recordUpstreamCrash(GatewayState& _state, const Crash& _crash, const Upstream& _upstream)
+		void recordUpstreamCrash(GatewayState& _state, const BrokenAttempt& _attempt)
 		{
+			const Crash& crash = _attempt.crash;
+			const Upstream& upstream = *_attempt.upstream;
 			CrashRecord& record = _state.crashes;
 			const Millis now = nowMs();
-			if (!recordCrash(record.table, _crash, now))
+			if (!recordCrash(record.table, crash, now))
 			{
 				return;
 			}
-			const std::size_t crashes = countCrashes(record.table, _crash.request, now);
+			const std::size_t crashes = countCrashes(record.table, crash.request, now);
 			if (record.unpublished.size() < kMaxUnpublished)
 			{
-				record.unpublished.push_back({_crash, now, 1 < crashes});
+				record.unpublished.push_back({crash, now, 1 < crashes});
 			}
 			_state.counters.upstreamCrashes.Increment();
-			logWarning("upstream_crashed", {{"fingerprint", _crash.request}, {"upstream", _crash.incarnation}, {"service", _upstream.record.service}, {"address", _upstream.record.address}, {"crashes_of_request", crashes}});
-			logIfRefused(record.table, _crash.request, now);
+			logWarning("upstream_crashed", {{"fingerprint", crash.request}, {"prompt", _attempt.prompt}, {"upstream", crash.incarnation}, {"service", upstream.record.service}, {"address", upstream.record.address}, {"crashes_of_request", crashes}});
+			logIfRefused(record.table, crash.request, now);
 		}
 	} // namespace
 
@@ -82,7 +94,7 @@
 		const std::string& fingerprint = fingerprintOf(_context);
 		if (state.crashes.brokenAttempts.size() < kMaxBrokenAttempts)
 		{
-			state.crashes.brokenAttempts.push_back({{fingerprint, _upstream->record.incarnation}, runHash, _upstream, now});
+			state.crashes.brokenAttempts.push_back({{fingerprint, _upstream->record.incarnation}, runHash, _upstream, now, promptText(_context.caller)});
 		}
 		kj::Promise<void> checked = crashCheckFor(state, _upstream->record).completion.addBranch();
 		if (kCrashesToRefuse <= 1 + countCrashes(state.crashes.table, fingerprint, now))
@@ -103,7 +115,7 @@
 			// A request that has completed meanwhile didn't cause the crash.
 			if (crashed && !completedRecently(record.runs, _attempt.runHash, _now))
 			{
-				recordUpstreamCrash(_state, _attempt.crash, *_attempt.upstream);
+				recordUpstreamCrash(_state, _attempt);
 			}
 			return crashed || kRemovalWindowMs < _now - _attempt.at;
 		});
@@ -117,7 +129,12 @@
 		{
 			return;
 		}
-		removeFromStore(record, clearRequest(record.table, fingerprintOf(_context)), nowMs());
+		std::vector<Crash> cleared = clearRequest(record.table, fingerprintOf(_context));
+		if (!cleared.empty())
+		{
+			logInfo("crashes_cleared", {{"fingerprint", fingerprintOf(_context)}, {"request", _context.caller.id}, {"status", _context.status}, {"ending", toString(_context.ending)}, {"crashes", cleared.size()}});
+		}
+		removeFromStore(record, std::move(cleared), nowMs());
 	}
 
 	void removeFromStore(CrashRecord& _record, std::vector<Crash> _crashes, Millis _now)
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -24,6 +24,7 @@
 		std::size_t runHash = 0; ///< Hash of the request in RecentCompletions.
 		UpstreamRef upstream;
 		Millis at = 0;
+		std::string prompt; ///< Parts of the request's prompt, for the log.
 	};
 
 	/// A crash that isn't in the store yet.
