--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -1,8 +1,10 @@
 /// Stub of one upstream of the platform: a plain service and a streaming engine, with injected faults.
 ///
-/// Options: {"address"?, "id"}. The query of a request selects its behaviour:
+/// Options: {"address"?, "id", "crashParts"?}. A request whose prompt contains one of the parts in crashParts, except as its
+/// last part, crashes the process as do=crash does. The query of a request selects its behaviour otherwise:
 ///   do=...     ok, shed, fail, hang, cut, garbage, foreign, unsigned, encoded, unframed, stream,
-///              break (a stream that stops within its 4th event unless it is resumed), crash (the
+///              break (a stream that stops within its 4th event unless it is resumed), tear (likewise, without
+///              chunks and without a reset, as unframed streams end), crash (the
 ///              process ends when the request starts to run, a stream after two events), skip (a
 ///              stream without its 3rd event), jump (likewise, all events in one chunk)
 ///   restS=N    the response to a shed request asks for a back-off of N s
@@ -12,7 +14,8 @@
 /// and the time of the last arrival.
 /// POST /control {"mode": "up" | "refuse"}; {"restS": N}: rejects all requests for N s and asks for a
 /// back-off of the remaining time; {"leaving": true}: all further responses say that the upstream is
-/// about to stop; {"limitPerS": N}: all further responses name a limit of N requests per second, 0 ends it.
+/// about to stop; {"crashParts": [ID]}: as the option; {"limitPerS": N}: all further responses name a limit of N requests per second, 0 ends it.
+#include <algorithm>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <map>
@@ -68,9 +71,10 @@
 		class Worker
 		{
 		public:
-			Worker(kj::AsyncIoContext& _io, std::string _id)
+			Worker(kj::AsyncIoContext& _io, std::string _id, std::vector<std::string> _crashParts)
 			    : loop{_io.provider->getNetwork(), _io.provider->getTimer()}
 			    , id(std::move(_id))
+			    , crashParts(std::move(_crashParts))
 			{
 			}
 
@@ -172,6 +176,17 @@
 				this->backOffUntil = _settings.contains("restS") ? nowMs() + Millis(1'000.0 * _settings["restS"].get<double>()) : this->backOffUntil;
 				this->leaving = _settings.value("leaving", this->leaving);
 				this->limitPerS = _settings.value("limitPerS", this->limitPerS);
+				this->crashParts = _settings.value("crashParts", this->crashParts);
+			}
+
+			/// @returns Whether a prompt contains a part that crashes this process. The last part never does.
+			bool containsCrashPart(const Call& _call) const
+			{
+				const std::string prompt = this->headerOf(_call, "X-Archdyke-Prompt-Prefix");
+				return std::any_of(this->crashParts.begin(), this->crashParts.end(), [&](const std::string& _part) {
+					const std::size_t at = ("," + prompt).find("," + _part + ":");
+					return std::string::npos != at && std::string::npos != prompt.find(',', at);
+				});
 			}
 
 			std::string recordText() const
@@ -203,7 +218,7 @@
 				}
 				const std::string expected = this->headerOf(_call, "X-Archdyke-Expect-Instance");
 				const std::string requested = queryField(_call.head.target, "do");
-				const std::string behaviour = this->isAddressee(_call) ? requested : ("break" == requested || "skip" == requested || "jump" == requested || "stream" == requested ? "stream" : "ok");
+				const std::string behaviour = this->isAddressee(_call) ? requested : ("break" == requested || "tear" == requested || "skip" == requested || "jump" == requested || "stream" == requested ? "stream" : "ok");
 				if (!expected.empty() && expected != this->id)
 				{
 					bytes = http::serialize(this->headFor(_call, 421), "");
@@ -223,15 +238,16 @@
 				this->printRun(_call);
 				record.organisation = this->headerOf(_call, "X-Archdyke-Tenant");
 				record.resumedAfter = this->headerOf(_call, "Last-Event-Id");
-				const bool shouldCrash = "crash" == behaviour;
+				const bool shouldCrash = "crash" == behaviour || this->containsCrashPart(_call);
 				if (shouldCrash && !_call.head.target.starts_with("/stream/"))
 				{
 					co_await this->loop.timer.afterDelay(kCrashDelayMs * kj::MILLISECONDS);
 					std::_Exit(kCrashExitCode);
 				}
-				if ("stream" == behaviour || "break" == behaviour || "skip" == behaviour || "jump" == behaviour || shouldCrash)
+				const bool streams = _call.head.target.starts_with("/stream/") || _call.head.target.starts_with("/flow/");
+				if ("stream" == behaviour || "tear" == behaviour || (streams && "unframed" == behaviour) || "break" == behaviour || "skip" == behaviour || "jump" == behaviour || shouldCrash)
 				{
-					co_return co_await this->respondStream(_connection, _call, behaviour, record);
+					co_return co_await this->respondStream(_connection, _call, behaviour, shouldCrash, record);
 				}
 				co_return co_await this->respondPlain(_connection, _call, behaviour, record);
 			}
@@ -289,11 +305,16 @@
 				co_return keepOpen;
 			}
 
-			aio::Task<bool> respondStream(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, Record& _record)
+			aio::Task<bool> respondStream(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, bool _crashes, Record& _record)
 			{
 				http::ResponseHead head = this->headFor(_call, 200);
 				head.headers.add("Content-Type", "text/event-stream");
+				const bool unframed = "unframed" == _behaviour || "tear" == _behaviour;
 				std::string bytes = http::serializeChunkedHead(head);
+				if (unframed)
+				{
+					bytes.replace(bytes.find("Transfer-Encoding: chunked"), std::string_view("Transfer-Encoding: chunked").size(), "Connection: close");
+				}
 				co_await _connection.write(std::move(bytes));
 				if ("jump" == _behaviour)
 				{
@@ -310,7 +331,7 @@
 						_record.disconnects += 1;
 						co_return false;
 					}
-					if ("crash" == _behaviour && kEventsBeforeCrash < event)
+					if (_crashes && kEventsBeforeCrash < event)
 					{
 						std::_Exit(kCrashExitCode);
 					}
@@ -319,21 +340,26 @@
 						continue;
 					}
 					std::string text = fmt::format("id: {}\ndata: piece {}\n\n", event, event);
-					const bool breaks = "break" == _behaviour && !after && 4 == event;
+					const bool breaks = ("break" == _behaviour || "tear" == _behaviour) && !after && 4 == event;
 					text.resize(breaks ? text.size() / 2 : text.size());
-					std::string chunk = http::serializeChunk(text);
+					std::string chunk = unframed ? text : http::serializeChunk(text);
 					co_await _connection.write(std::move(chunk));
 					if (breaks)
 					{
 						co_return false;
 					}
 				}
+				if (unframed)
+				{
+					co_return false;
+				}
 				std::string last(http::kLastChunk);
 				co_await _connection.write(std::move(last));
 				co_return true;
 			}
 
 			std::string id;
+			std::vector<std::string> crashParts; ///< Parts of prompts, in hex.
 			std::map<std::string, Record> records;
 			bool rejectsAll = false;
 			bool leaving = false;
@@ -345,7 +371,7 @@
 	void runStub(const nlohmann::json& _options)
 	{
 		kj::AsyncIoContext io = kj::setupAsyncIo();
-		Worker worker(io, _options.value("id", "worker"));
+		Worker worker(io, _options.value("id", "worker"), _options.value("crashParts", std::vector<std::string>()));
 		const std::string address = _options.value("address", "127.0.0.1:0");
 		http::Listener listener(worker.loop, address, [&worker](std::unique_ptr<http::HttpConnection> _connection) {
 			return worker.serve(std::move(_connection));
