Tests: streams that end with their connection, and one that ends inside an event

Both hold on this code: a stream without chunks arrives whole, and one whose connection ends in order inside an event is resumed, or cut where it may not be.

--- a/tests/test_gateway_streams.cpp
+++ b/tests/test_gateway_streams.cpp
@@ -29,6 +29,33 @@
 	}
 }
 
+/// Guards against a stream without chunks, which ends with its connection, being cut or losing events.
+Test(gateway, a_stream_that_ends_with_its_connection_is_whole)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const RigResponse answer = rig.call("/stream/x?do=unframed", GatewayRig::headersFor("r1"));
+	cr_assert(200 == answer.status);
+	cr_assert(answer.body == allEvents());
+}
+
+/// Guards against a stream that ends inside an event being taken for complete because its connection ended in order.
+Test(gateway, a_stream_that_ends_inside_an_event_is_resumed_or_cut)
+{
+	GatewayRig rig({"a", "b"});
+	rig.configure(2, "key-one", Json::array({GatewayRig::route("/flow/", "streaming")}));
+	rig.waitReady();
+	for (int call = 0; call < 4; ++call)
+	{
+		const RigResponse answer = rig.call("/stream/x?do=tear", GatewayRig::headersFor(fmt::format("r{}", call)));
+		cr_assert(200 == answer.status && answer.body == allEvents(), "%d %s", answer.status, answer.body.c_str());
+	}
+	cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+		return 404 != rig.call("/flow/x?do=stream", GatewayRig::headersFor("there")).status;
+	}));
+	cr_assert(0 == rig.call("/flow/x?do=tear", GatewayRig::headersFor("cut")).status, "a stream that may not be resumed must not look complete");
+}
+
 Test(gateway, a_stream_with_a_missing_event_is_resumed_or_cut)
 {
 	GatewayRig rig({"a", "b"});
