Blame crashes on parts of prompts, not only on whole requests

Callers of a group of ranks were cut or refused for half a minute: requests of which no two were alike crashed one upstream after the other.

Cause: crashes counted by a fingerprint of the whole request. What several requests shared was forgotten with each of them.

A crash is now attributed to the request and to each part of its prompt but the last, by one rule: what crashed three upstreams in runs that weren't under way together is blamed, a completed run clears its request and its parts, and what completed just now isn't blamed. A request is refused for a blamed suspect unless others that it doesn't contain account for the same crashes; such runs go through one at a time in each gateway, since their end tells which one it is. Requests are checked again just before they are sent.

--- a/src/base/crash_rows.cpp
+++ b/src/base/crash_rows.cpp
@@ -14,7 +14,7 @@
 
 	std::string crashKey(const Crash& _crash)
 	{
-		return crashPrefixOf(_crash.request) + _crash.incarnation;
+		return crashPrefixOf(_crash.suspect) + _crash.incarnation;
 	}
 
 	std::optional<Crash> readCrashKey(std::string_view _key)
--- a/src/decide/upstream_end.cpp
+++ b/src/decide/upstream_end.cpp
@@ -34,7 +34,7 @@
 	{
 		recordCompletion(_ends.completions, absl::HashOf(_request), _now);
 		std::erase_if(_ends.reported, [&](const ReportedCrash& _reported) {
-			return _request == _reported.crash.request;
+			return _request == _reported.crash.suspect;
 		});
 	}
 
--- a/src/entry/crash_publisher.cpp
+++ b/src/entry/crash_publisher.cpp
@@ -60,7 +60,7 @@
 		for (const Crash& crash : _changes.put)
 		{
 			transaction.writes.push_back({crashKey(crash), "", kCrashLifetimeMs / kMsPerSecond});
-			requests.insert(crash.request);
+			requests.insert(crash.suspect);
 		}
 		for (const Crash& crash : _changes.remove)
 		{
--- a/src/entry/crash_record.cpp
+++ b/src/entry/crash_record.cpp
@@ -52,11 +52,11 @@
 			return false;
 		}
 		this->known[_crash] = {_publication, _now};
-		recordCrash(this->table, _crash, _now);
-		this->requests = this->table.byRequest.size();
-		if (kCrashesToRefuse == countCrashes(this->table, _crash.request, _now))
+		recordCrash(this->table, _crash, {_now, _now});
+		this->requests = this->table.bySuspect.size();
+		if (kCrashesToRefuse == countCrashes(this->table, _crash.suspect, _now))
 		{
-			logError("request_refused_for_crashes", {{"fingerprint", _crash.request}, {"crashes", kCrashesToRefuse}, {"for_ms", remainingRefusalMs(this->table, _crash.request, _now).value_or(0)}, {"remedy", "check the upstreams' logs; remove the request's rows from the table to allow it again"}});
+			logError("request_refused_for_crashes", {{"fingerprint", _crash.suspect}, {"crashes", kCrashesToRefuse}, {"for_ms", remainingRefusalMs(this->table, {_crash.suspect}, _now).value_or(0)}, {"remedy", "check the upstreams' logs; remove the request's rows from the table to allow it again"}});
 		}
 		return true;
 	}
@@ -65,7 +65,7 @@
 	{
 		removeCrash(this->table, _crash);
 		this->known.erase(_crash);
-		this->requests = this->table.byRequest.size();
+		this->requests = this->table.bySuspect.size();
 	}
 
 	void CrashRecord::removeExpired(Millis _now)
@@ -74,7 +74,7 @@
 		{
 			this->known.erase(crash);
 		}
-		this->requests = this->table.byRequest.size();
+		this->requests = this->table.bySuspect.size();
 		std::erase_if(this->cleared, [&](const auto& _entry) {
 			return _entry.second + kCrashReportMs <= _now;
 		});
@@ -87,7 +87,7 @@
 			return std::nullopt;
 		}
 		absl::MutexLock lock(&this->mutex);
-		return remainingRefusalMs(this->table, _request, nowMs());
+		return remainingRefusalMs(this->table, {_request}, nowMs());
 	}
 
 	void CrashRecord::countRefusal()
@@ -109,19 +109,19 @@
 			return;
 		}
 		absl::MutexLock lock(&this->mutex);
-		for (const Crash& crash : clearRequest(this->table, _request))
+		for (const Crash& crash : clearSuspect(this->table, _request))
 		{
 			this->known.erase(crash);
 			this->cleared[crash] = now;
 			this->toRemove.push_back(crash);
 		}
-		this->requests = this->table.byRequest.size();
+		this->requests = this->table.bySuspect.size();
 	}
 
 	void CrashRecord::recordOwn(const Crash& _crash)
 	{
 		const Millis now = nowMs();
-		if (this->completedRecently(_crash.request, now))
+		if (this->completedRecently(_crash.suspect, now))
 		{
 			return; // another request caused the crash
 		}
@@ -135,7 +135,7 @@
 		if (this->add(_crash, Publication::Due, now))
 		{
 			this->crashes.Increment();
-			logWarning("upstream_crashed", {{"fingerprint", _crash.request}, {"upstream", _crash.incarnation}, {"crashes_of_request", countCrashes(this->table, _crash.request, now)}});
+			logWarning("upstream_crashed", {{"fingerprint", _crash.suspect}, {"upstream", _crash.incarnation}, {"crashes_of_request", countCrashes(this->table, _crash.suspect, now)}});
 		}
 	}
 
@@ -144,7 +144,7 @@
 		const Millis now = nowMs();
 		for (const Crash& crash : _crashes)
 		{
-			const bool cleared = this->completedRecently(crash.request, now);
+			const bool cleared = this->completedRecently(crash.suspect, now);
 			absl::MutexLock lock(&this->mutex);
 			if (!cleared && !this->cleared.contains(crash))
 			{
@@ -157,7 +157,7 @@
 	{
 		const auto isPublished = [&]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) {
 			return std::none_of(this->known.lower_bound({_request, ""}), this->known.end(), [&](const auto& _entry) {
-				return _request == _entry.first.request && Publication::Due == _entry.second.publication;
+				return _request == _entry.first.suspect && Publication::Due == _entry.second.publication;
 			});
 		};
 		absl::MutexLock lock(&this->mutex);
@@ -281,9 +281,9 @@
 		absl::MutexLock lock(&this->mutex);
 		const Millis now = nowMs();
 		std::vector<CrashView> result;
-		for (const auto& [request, crashesOf] : this->table.byRequest)
+		for (const auto& [request, crashesOf] : this->table.bySuspect)
 		{
-			result.push_back({request, countCrashes(this->table, request, now), remainingRefusalMs(this->table, request, now).value_or(0)});
+			result.push_back({request, countCrashes(this->table, request, now), remainingRefusalMs(this->table, {request}, now).value_or(0)});
 		}
 		return result;
 	}
--- a/src/gateway/crash_teller.cpp
+++ b/src/gateway/crash_teller.cpp
@@ -13,13 +13,11 @@
 {
 	namespace
 	{
-		/// Separates fingerprint and incarnation in a row's key.
+		/// Separates suspect and incarnation in a row's key, and the time of the crash and the run's length in its value.
 		constexpr char kSeparator = '/';
 		/// Delay before the first crash of a request is written, ms. Most such requests were just running beside the one
 		/// that caused the crash, and their next run clears them; each row that is written wakes all gateways.
 		constexpr Millis kPublishDelayMs = 800;
-		/// Maximum delay before cleared rows are removed, ms; a write for other rows removes them earlier.
-		constexpr Millis kRemovalDelayMs = 4'000;
 		/// Delay after a failed write, ms, plus a random jitter of up to the same length.
 		constexpr Millis kWriteRetryMs = 150;
 		/// Minimum interval between checks for expired crashes, ms. Random jitter is added, so that one gateway removes a
@@ -28,7 +26,7 @@
 
 		store::RowKey rowKey(const Crash& _crash)
 		{
-			return {store::kCrashTable, "", _crash.request + kSeparator + _crash.incarnation};
+			return {store::kCrashTable, "", _crash.suspect + kSeparator + _crash.incarnation};
 		}
 
 		/// Removes up to a number of items from the front of a queue and returns them.
@@ -47,8 +45,8 @@
 			const bool anyUrgent = std::any_of(_record.unpublished.begin(), _record.unpublished.end(), [](const UnpublishedCrash& _unpublished) {
 				return _unpublished.urgent;
 			});
-			const bool isPublishDue = anyUrgent || (!_record.unpublished.empty() && _record.unpublished.front().seenAt + kPublishDelayMs <= _now);
-			return isPublishDue || (!_record.cleared.empty() && _record.clearedSince + kRemovalDelayMs <= _now);
+			const bool isPublishDue = anyUrgent || (!_record.unpublished.empty() && _record.unpublished.front().run.at + kPublishDelayMs <= _now);
+			return isPublishDue || (!_record.cleared.empty() && _record.removalDueAt <= _now);
 		}
 	} // namespace
 
@@ -57,7 +55,9 @@
 		const std::string& key = _row.key.key;
 		const std::size_t at = key.find(kSeparator);
 		CrashRow row;
-		const bool readable = 0 != at && std::string::npos != at && key.size() != at + 1 && (_row.gone || absl::SimpleAtoi(asAbsl(_row.value), &row.storeTime));
+		const std::vector<std::string_view> times = splitText(_row.value, kSeparator);
+		const bool timed = 2 == times.size() && absl::SimpleAtoi(asAbsl(times[0]), &row.storeTime) && absl::SimpleAtoi(asAbsl(times[1]), &row.runMs) && 0 <= row.runMs;
+		const bool readable = 0 != at && std::string::npos != at && key.size() != at + 1 && (_row.gone || timed || absl::SimpleAtoi(asAbsl(_row.value), &row.storeTime));
 		if (!readable)
 		{
 			return std::nullopt;
@@ -78,7 +78,7 @@
 		const Millis now = nowMs();
 		if (this->nextExpiryAt <= now)
 		{
-			removeFromStore(record, removeExpiredCrashes(record.table, now), now);
+			removeFromStore(this->state, removeExpiredCrashes(record.table, now), now);
 			this->nextExpiryAt = now + kExpiryIntervalMs + Millis(randomBelow(this->state.random, kExpiryIntervalMs));
 		}
 		if (!isWriteDue(record, now) || this->isWriting || now < this->retryWriteAt)
@@ -97,8 +97,9 @@
 		store::RowChanges changes;
 		for (const UnpublishedCrash& unpublished : record.publishing)
 		{
-			const Millis storeTime = unpublished.seenAt - this->state.freshness.offset.value_or(0);
-			changes.put.push_back({rowKey(unpublished.crash), std::to_string(storeTime), 0, false});
+			const Millis storeTime = unpublished.run.at - this->state.freshness.offset.value_or(0);
+			const Millis runMs = unpublished.run.at - unpublished.run.startedAt;
+			changes.put.push_back({rowKey(unpublished.crash), std::to_string(storeTime) + kSeparator + std::to_string(runMs), 0, false});
 		}
 		for (const Crash& crash : _cleared)
 		{
--- a/src/gateway/crash_teller.h
+++ b/src/gateway/crash_teller.h
@@ -1,5 +1,5 @@
 /// Publishes the crashes that one gateway sees through the store, where the other gateways read them: one row for each
-/// request and upstream.
+/// suspect and upstream.
 #pragma once
 
 #include "gateway/state.h"
@@ -12,6 +12,7 @@
 	{
 		Crash crash;
 		Millis storeTime = 0; ///< Time of the crash by the store's clock; 0 when the row is gone.
+		Millis runMs = 0;     ///< How long before it the run was sent.
 	};
 
 	/// @returns The row's crash; none when the row can't be read.
--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -20,35 +20,60 @@
 		/// Maximum number of crashes that wait to be published. More mean that the store is unreachable; the excess is
 		/// never published.
 		constexpr std::size_t kMaxUnpublished = 1'000;
-		/// Maximum number of broken attempts under observation. More mean a network failure.
-		constexpr std::size_t kMaxBrokenAttempts = 1'000;
+		/// Maximum number of attempts under observation. More mean a network failure.
+		constexpr std::size_t kMaxDoubtfulAttempts = 1'000;
+		/// Delay before cleared rows are removed, ms; a write for other rows removes them earlier. Many gateways may complete
+		/// the same part at once: the larger the fleet, the longer most of them wait to see the removal by one of the others.
+		constexpr Millis kRemovalDelayMs = 4'000;
+		constexpr Millis kRemovalSpreadMsPerGateway = 50;
 
 		std::string callerOf(const RequestContext& _context)
 		{
 			return nullptr == _context.organisation ? "" : _context.organisation->name;
 		}
 
-		/// @returns Hash of target, organisation and body: the same for all repeats of a request, through any gateway.
-		const std::string& fingerprintOf(RequestContext& _context)
+		/// @returns The parts of a prompt that other requests may share. The last one belongs to the request or its session.
+		std::vector<std::uint64_t> sharedParts(const CallerRequest& _caller)
 		{
-			if (_context.fingerprint.empty())
+			std::vector<std::uint64_t> parts;
+			for (std::size_t index = 0; index + 1 < _caller.prompt.size(); ++index)
 			{
-				_context.fingerprint = requestFingerprint(_context.received.head.target, callerOf(_context), _context.received.body);
+				parts.push_back(_caller.prompt[index].id);
 			}
-			return _context.fingerprint;
+			return parts;
 		}
 
-		/// @returns A cheaper hash of the same fields that is valid in this process only.
-		std::size_t hashOf(const RequestContext& _context)
+		/// @returns Hashes of a request and of the shared parts of its prompt, which are valid in this process only.
+		std::vector<std::size_t> hashesOf(const RequestContext& _context)
 		{
-			return absl::HashOf(_context.received.head.target, callerOf(_context), _context.received.body);
+			std::vector<std::size_t> hashes{absl::HashOf(_context.received.head.target, callerOf(_context), _context.received.body)};
+			for (const std::uint64_t part : sharedParts(_context.caller))
+			{
+				hashes.push_back(absl::HashOf(part));
+			}
+			return hashes;
+		}
+
+		/// @returns What may crash upstreams: the hash of target, organisation and body, which is the same for all repeats of the
+		/// request, and the shared parts of the prompt. The same through any gateway, in the order of hashesOf.
+		const std::vector<std::string>& suspectsOf(RequestContext& _context)
+		{
+			if (_context.suspects.empty())
+			{
+				_context.suspects.push_back(requestFingerprint(_context.received.head.target, callerOf(_context), _context.received.body));
+				for (const std::uint64_t part : sharedParts(_context.caller))
+				{
+					_context.suspects.push_back(partSuspect(part));
+				}
+			}
+			return _context.suspects;
 		}
 
-		void logIfRefused(const CrashTable& _table, const std::string& _request, Millis _now)
+		void logIfRefused(const CrashTable& _table, const std::string& _suspect, Millis _now)
 		{
-			if (kCrashesToRefuse == countCrashes(_table, _request, _now))
+			if (kCrashesToRefuse == countCrashes(_table, _suspect, _now))
 			{
-				logError("request_refused_for_crashes", {{"fingerprint", _request}, {"crashes", kCrashesToRefuse}, {"for_ms", remainingRefusalMs(_table, _request, _now).value_or(0)}, {"remedy", "check the upstreams' logs; remove the request's rows from the store to allow it again"}});
+				logError("request_refused_for_crashes", {{"fingerprint", _suspect}, {"crashes", kCrashesToRefuse}, {"for_ms", remainingRefusalMs(_table, {_suspect}, _now).value_or(0)}, {"remedy", "check the upstreams' logs; remove the rows of this request or part from the store to allow it again"}});
 			}
 		}
 
@@ -61,97 +86,182 @@
 		}
 
 		/// Records that an upstream ended while it ran a request.
-		void recordUpstreamCrash(GatewayState& _state, const BrokenAttempt& _attempt)
+		void recordUpstreamCrash(GatewayState& _state, const DoubtfulAttempt& _attempt, Millis _now)
 		{
-			const Crash& crash = _attempt.crash;
-			const Upstream& upstream = *_attempt.upstream;
 			CrashRecord& record = _state.crashes;
+			const Upstream& upstream = *_attempt.upstream;
+			for (const Suspect& suspect : _attempt.suspects)
+			{
+				const Crash crash{suspect.name, _attempt.incarnation};
+				// What has completed meanwhile didn't cause the crash.
+				if (completedRecently(record.runs, suspect.hash, _now) || !recordCrash(record.table, crash, _attempt.run))
+				{
+					continue;
+				}
+				const bool urgent = 1 < record.table.bySuspect.at(suspect.name).size();
+				if (record.unpublished.size() < kMaxUnpublished)
+				{
+					record.unpublished.push_back({crash, _attempt.run, urgent});
+				}
+				_state.counters.upstreamCrashes.Increment();
+				logWarning("upstream_crashed", {{"fingerprint", suspect.name}, {"prompt", _attempt.prompt}, {"upstream", crash.incarnation}, {"service", upstream.record.service}, {"address", upstream.record.address}, {"run_ms", _attempt.run.at - _attempt.run.startedAt}, {"crashes_of_request", countCrashes(record.table, suspect.name, _now)}});
+				logIfRefused(record.table, suspect.name, _now);
+			}
+		}
+
+		/// Puts an attempt under observation until it is known whether its upstream has ended.
+		/// @returns Its suspects, if it is under observation.
+		std::vector<Suspect> observeAttempt(RequestContext& _context, const UpstreamRef& _upstream, bool _answered)
+		{
+			CrashRecord& record = _context.state.crashes;
 			const Millis now = nowMs();
-			if (!recordCrash(record.table, crash, now))
+			const std::vector<std::size_t> hashes = hashesOf(_context);
+			std::vector<Suspect> suspects;
+			for (std::size_t index = 0; index < hashes.size(); ++index)
 			{
-				return;
+				// If the upstream has ended, something else caused it.
+				if (!completedRecently(record.runs, hashes[index], now))
+				{
+					suspects.push_back({suspectsOf(_context)[index], hashes[index]});
+				}
 			}
-			const std::size_t crashes = countCrashes(record.table, crash.request, now);
-			if (record.unpublished.size() < kMaxUnpublished)
+			if (suspects.empty() || kMaxDoubtfulAttempts <= record.doubtfulAttempts.size())
 			{
-				record.unpublished.push_back({crash, now, 1 < crashes});
+				return {};
+			}
+			record.doubtfulAttempts.push_back({_upstream->record.incarnation, suspects, _upstream, {_context.sentAt, now}, _answered, promptText(_context.caller)});
+			return suspects;
+		}
+
+		/// Clears the crashes of suspects that an upstream completed a run of.
+		void clearSuspects(GatewayState& _state, const std::vector<std::string>& _suspects, Millis _now)
+		{
+			CrashRecord& record = _state.crashes;
+			for (const std::string& suspect : _suspects)
+			{
+				std::vector<Crash> cleared = clearSuspect(record.table, suspect);
+				if (!cleared.empty())
+				{
+					logInfo("crashes_cleared", {{"fingerprint", suspect}, {"crashes", cleared.size()}});
+					removeFromStore(_state, std::move(cleared), _now);
+				}
 			}
-			_state.counters.upstreamCrashes.Increment();
-			logWarning("upstream_crashed", {{"fingerprint", crash.request}, {"prompt", _attempt.prompt}, {"upstream", crash.incarnation}, {"service", upstream.record.service}, {"address", upstream.record.address}, {"crashes_of_request", crashes}});
-			logIfRefused(record.table, crash.request, now);
 		}
 	} // namespace
 
 	aio::Task<void> recordBrokenAttempt(RequestContext& _context, UpstreamRef _upstream)
 	{
 		GatewayState& state = _context.state;
-		const Millis now = nowMs();
-		const std::size_t runHash = hashOf(_context);
-		if (completedRecently(state.crashes.runs, runHash, now))
+		const std::vector<Suspect> suspects = observeAttempt(_context, _upstream, false);
+		if (suspects.empty())
 		{
-			co_return; // if the upstream has ended, another request caused it
-		}
-		const std::string& fingerprint = fingerprintOf(_context);
-		if (state.crashes.brokenAttempts.size() < kMaxBrokenAttempts)
-		{
-			state.crashes.brokenAttempts.push_back({{fingerprint, _upstream->record.incarnation}, runHash, _upstream, now, promptText(_context.caller)});
+			co_return;
 		}
 		kj::Promise<void> checked = crashCheckFor(state, _upstream->record).completion.addBranch();
-		if (kCrashesToRefuse <= 1 + countCrashes(state.crashes.table, fingerprint, now))
+		const bool decides = std::any_of(suspects.begin(), suspects.end(), [&](const Suspect& _suspect) {
+			return kCrashesToRefuse <= 1 + countCrashes(state.crashes.table, _suspect.name, nowMs());
+		});
+		if (decides)
 		{
 			co_await kj::mv(checked);
-			resolveBrokenAttempts(state, nowMs());
+			resolveDoubtfulAttempts(state, nowMs());
 		}
 	}
 
-	void resolveBrokenAttempts(GatewayState& _state, Millis _now)
+	void resolveDoubtfulAttempts(GatewayState& _state, Millis _now)
 	{
 		CrashRecord& record = _state.crashes;
-		std::erase_if(record.brokenAttempts, [&](const BrokenAttempt& _attempt) {
-			const auto check = record.checks.find(_attempt.crash.incarnation);
+		std::vector<DoubtfulAttempt> completed;
+		std::erase_if(record.doubtfulAttempts, [&](const DoubtfulAttempt& _attempt) {
+			const auto check = record.checks.find(_attempt.incarnation);
 			const bool ended = record.checks.end() != check && check->second.ended.value_or(false);
-			const bool gone = _attempt.upstream->superseded || !_state.registry.isListed(_attempt.crash.incarnation);
+			const bool gone = _attempt.upstream->superseded || !_state.registry.isListed(_attempt.incarnation);
 			const bool crashed = ended || (gone && !_attempt.upstream->leavingSince);
-			// A request that has completed meanwhile didn't cause the crash.
-			if (crashed && !completedRecently(record.runs, _attempt.runHash, _now))
+			const bool over = kRemovalWindowMs < _now - _attempt.run.at;
+			if (crashed)
+			{
+				recordUpstreamCrash(_state, _attempt, _now);
+			}
+			else if (over && _attempt.answered)
 			{
-				recordUpstreamCrash(_state, _attempt);
+				completed.push_back(_attempt);
 			}
-			return crashed || kRemovalWindowMs < _now - _attempt.at;
+			return crashed || over;
 		});
+		for (const DoubtfulAttempt& attempt : completed)
+		{
+			std::vector<std::string> names;
+			for (const Suspect& suspect : attempt.suspects)
+			{
+				recordCompletion(record.runs, suspect.hash, _now);
+				names.push_back(suspect.name);
+			}
+			clearSuspects(_state, names, _now);
+		}
 	}
 
 	void recordCompletedRun(RequestContext& _context)
 	{
 		CrashRecord& record = _context.state.crashes;
-		recordCompletion(record.runs, hashOf(_context), nowMs());
-		if (record.table.byRequest.empty())
+		const Millis now = nowMs();
+		for (const std::size_t hash : hashesOf(_context))
 		{
-			return;
+			recordCompletion(record.runs, hash, now);
 		}
-		std::vector<Crash> cleared = clearRequest(record.table, fingerprintOf(_context));
-		if (!cleared.empty())
+		if (!record.table.bySuspect.empty())
 		{
-			logInfo("crashes_cleared", {{"fingerprint", fingerprintOf(_context)}, {"request", _context.caller.id}, {"status", _context.status}, {"ending", toString(_context.ending)}, {"crashes", cleared.size()}});
+			clearSuspects(_context.state, suspectsOf(_context), now);
 		}
-		removeFromStore(record, std::move(cleared), nowMs());
 	}
 
-	void removeFromStore(CrashRecord& _record, std::vector<Crash> _crashes, Millis _now)
+	void recordUnframedResponse(RequestContext& _context, UpstreamRef _upstream)
+	{
+		observeAttempt(_context, _upstream, true);
+	}
+
+	void removeFromStore(GatewayState& _state, std::vector<Crash> _crashes, Millis _now)
 	{
+		CrashRecord& record = _state.crashes;
 		std::erase_if(_crashes, [&](const Crash& _crash) {
-			return 0 < std::erase_if(_record.unpublished, [&](const UnpublishedCrash& _unpublished) {
+			return 0 < std::erase_if(record.unpublished, [&](const UnpublishedCrash& _unpublished) {
 				       return _unpublished.crash == _crash;
 			       });
 		});
-		_record.clearedSince = _record.cleared.empty() ? _now : _record.clearedSince;
-		_record.cleared.insert(_record.cleared.end(), _crashes.begin(), _crashes.end());
+		if (record.cleared.empty())
+		{
+			const std::uint32_t gateways = reportedGatewayCount(_state.resendShare, _state.settings.bounds.retryWindowMs, 0, _now).value_or(1);
+			record.removalDueAt = _now + kRemovalDelayMs + Millis(randomBelow(_state.random, std::uint64_t(kRemovalSpreadMsPerGateway) * gateways));
+		}
+		record.cleared.insert(record.cleared.end(), _crashes.begin(), _crashes.end());
 	}
 
 	std::optional<Millis> crashRefusalMs(RequestContext& _context)
 	{
-		const CrashTable& table = _context.state.crashes.table;
-		return table.byRequest.empty() ? std::nullopt : remainingRefusalMs(table, fingerprintOf(_context), nowMs());
+		const CrashRecord& record = _context.state.crashes;
+		if (record.table.blamed.empty())
+		{
+			return std::nullopt;
+		}
+		const Millis now = nowMs();
+		const std::vector<std::string>& suspects = suspectsOf(_context);
+		const std::optional<Millis> refusedMs = remainingRefusalMs(record.table, suspects, now);
+		return refusedMs ? refusedMs : remainingTrialMs(record.trials, doubtfulSuspects(record.table, suspects, now), now);
+	}
+
+	void beginTrial(RequestContext& _context)
+	{
+		CrashRecord& record = _context.state.crashes;
+		if (!record.table.blamed.empty())
+		{
+			_context.trial = doubtfulSuspects(record.table, suspectsOf(_context), nowMs());
+			archdyke::beginTrial(record.trials, _context.trial, nowMs());
+		}
+	}
+
+	void endTrial(RequestContext& _context)
+	{
+		archdyke::endTrial(_context.state.crashes.trials, _context.trial);
+		_context.trial.clear();
 	}
 
 	void dropPublished(CrashRecord& _record)
@@ -161,18 +271,18 @@
 		{
 			for (const UnpublishedCrash& unpublished : *kept)
 			{
-				recordCrash(_record.table, unpublished.crash, unpublished.seenAt);
+				recordCrash(_record.table, unpublished.crash, unpublished.run);
 			}
 		}
 	}
 
 	void recordLostCrashes(CrashRecord& _record, const std::set<Crash>& _read)
 	{
-		for (const auto& [request, upstreams] : _record.table.byRequest)
+		for (const auto& [suspect, runs] : _record.table.bySuspect)
 		{
-			for (const auto& [incarnation, at] : upstreams)
+			for (const auto& [incarnation, run] : runs)
 			{
-				const Crash crash{request, incarnation};
+				const Crash crash{suspect, incarnation};
 				if (!_read.contains(crash))
 				{
 					_record.lost.insert(crash);
@@ -190,17 +300,23 @@
 			});
 			if (!queued && isHeld(_record.table, crash) && _record.unpublished.size() < kMaxUnpublished)
 			{
-				_record.unpublished.push_back({crash, _record.table.byRequest.at(crash.request).at(crash.incarnation), false});
+				_record.unpublished.push_back({crash, _record.table.bySuspect.at(crash.suspect).at(crash.incarnation), false});
 			}
 		}
 	}
 
-	void recordRemoteCrash(CrashRecord& _record, const Crash& _crash, Millis _at)
+	void recordRemoteCrash(CrashRecord& _record, const Crash& _crash, const CrashedRun& _run)
 	{
 		_record.lost.erase(_crash);
-		if (recordCrash(_record.table, _crash, _at))
+		if (recordCrash(_record.table, _crash, _run))
 		{
-			logIfRefused(_record.table, _crash.request, nowMs());
+			logIfRefused(_record.table, _crash.suspect, nowMs());
 		}
 	}
+
+	void recordRemovedCrash(CrashRecord& _record, const Crash& _crash)
+	{
+		removeCrash(_record.table, _crash);
+		std::erase(_record.cleared, _crash);
+	}
 } // namespace archdyke::gateway
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -257,6 +257,7 @@
 			{
 				co_await recordBrokenAttempt(_context, upstream);
 			}
+			endTrial(_context);
 			if (result.answered)
 			{
 				recordCompletedRun(_context);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -132,13 +132,13 @@
 				return groups;
 			}
 
-			/// @returns The upstreams that crashed while running a request, by the request's fingerprint.
+			/// @returns How many upstreams crashed independently, by the request's fingerprint or the part of its prompt.
 			nlohmann::json dumpCrashes() const
 			{
 				nlohmann::json crashes = nlohmann::json::object();
-				for (const auto& [request, upstreams] : this->state.crashes.table.byRequest)
+				for (const auto& [suspect, runs] : this->state.crashes.table.bySuspect)
 				{
-					crashes[request] = countCrashes(this->state.crashes.table, request, nowMs());
+					crashes[suspect] = countCrashes(this->state.crashes.table, suspect, nowMs());
 				}
 				return crashes;
 			}
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -338,14 +338,16 @@
 			recordSend(_context);
 			co_return failed(ExecutionProof::NotRun, "connect_failed: " + connectError);
 		}
-		if (!acceptsRequestsNow(*_upstream, nowMs()) || !claimLimitedSend(_context, *_upstream))
+		if (crashRefusalMs(_context) || !acceptsRequestsNow(*_upstream, nowMs()) || !claimLimitedSend(_context, *_upstream))
 		{
-			// The upstream asked for no more requests, or named a limit, while this one waited for its connection, for up to
-			// 400 ms. Without this check all waiting requests of a burst would still be sent there.
+			// While this request waited for its connection, for up to 400 ms, upstreams crashed under others like it, or the
+			// upstream asked for no more requests or named a limit. Without this check all waiting requests of a burst would
+			// still be sent there.
 			co_return withheld();
 		}
 		_context.sentAt = nowMs();
 		recordSend(_context);
+		beginTrial(_context);
 		const bool mayHaveRunBefore = _context.maybeRunning;
 		_context.maybeRunning = true;
 		bool written = false;
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -52,7 +52,8 @@
 		bool maybeRunning = false; ///< An attempt was sent and isn't proved not to have run.
 		bool headSent = false;     ///< relay: bytes of a response were sent to the caller.
 		bool keepAlive = true;
-		std::string fingerprint; ///< Computed on first use.
+		std::vector<std::string> suspects; ///< What may crash upstreams, for CrashTable; computed on first use.
+		std::vector<std::string> trial;    ///< dispatch: doubtful suspects that the current attempt tries.
 		EventSplitter splitter;
 		std::optional<std::uint64_t> lastDeliveredId; ///< relay: id of the last event sent to the caller.
 		std::optional<Millis> firstEventAt;
--- a/src/gateway/watch_crashes.cpp
+++ b/src/gateway/watch_crashes.cpp
@@ -41,11 +41,12 @@
 			}
 			else if (row.gone)
 			{
-				removeCrash(record.table, read->crash);
+				recordRemovedCrash(record, read->crash);
 			}
 			else
 			{
-				recordRemoteCrash(record, read->crash, toLocalTime(this->state.freshness, read->storeTime).value_or(nowMs()));
+				const Millis at = toLocalTime(this->state.freshness, read->storeTime).value_or(nowMs());
+				recordRemoteCrash(record, read->crash, {at - read->runMs, at});
 			}
 		}
 	}
--- a/src/gateway/watch_rows.cpp
+++ b/src/gateway/watch_rows.cpp
@@ -313,7 +313,7 @@
 			refreshColdLimits(this->state, now);
 			refreshNamedLimits(this->state, now);
 			this->state.registry.expireCold(now);
-			resolveBrokenAttempts(this->state, now);
+			resolveDoubtfulAttempts(this->state, now);
 			this->applyDoubtedRows(now);
 			this->crashPublisher.step();
 			for (auto it = this->pendingRemoval.begin(); this->pendingRemoval.end() != it;)
--- a/src/rpc/rpc_convert.cpp
+++ b/src/rpc/rpc_convert.cpp
@@ -170,7 +170,7 @@
 	{
 		for (unsigned index = 0; index < _to.size(); ++index)
 		{
-			_to[index].setRequest(_from[index].request);
+			_to[index].setRequest(_from[index].suspect);
 			_to[index].setIncarnation(_from[index].incarnation);
 		}
 	}
--- a/tests/test_upstream_end.cpp
+++ b/tests/test_upstream_end.cpp
@@ -75,5 +75,5 @@
 		recordRefusedRequests(ends, {{"r" + std::to_string(count), 600'000}}, kNow);
 	}
 	cr_assert(kMaxCrashReports == crashesToReport(ends, kNow).size() && kMaxCrashReports == ends.refusedUntil.size());
-	cr_assert(("r" + std::to_string(2 * kMaxCrashReports - 1)) == ends.reported.back().crash.request, "the newest are kept");
+	cr_assert(("r" + std::to_string(2 * kMaxCrashReports - 1)) == ends.reported.back().crash.suspect, "the newest are kept");
 }
