Take no response that ends with its connection, and no failure, for a completed run

A part that crashed its upstreams between two events of streams without chunks was never refused: such a stream looks complete, and its end cleared the part each time. A failure status cleared it likewise, though an upstream that fails requests by itself, or at the time limit, hasn't run them.

A response without a length or chunks counts as a completed run only once a probe of its upstream's port found it alive, and as a crash if it has ended. Failures count as neither.

Before: the new test failed, four more upstreams ended after the first five. It passes with the change.

--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -174,15 +174,16 @@
 		std::vector<DoubtfulAttempt> completed;
 		std::erase_if(record.doubtfulAttempts, [&](const DoubtfulAttempt& _attempt) {
 			const auto check = record.checks.find(_attempt.incarnation);
-			const bool ended = record.checks.end() != check && check->second.ended.value_or(false);
+			const std::optional<bool> ended = record.checks.end() == check ? std::nullopt : check->second.ended;
 			const bool gone = _attempt.upstream->superseded || !_state.registry.isListed(_attempt.incarnation);
-			const bool crashed = ended || (gone && !_attempt.upstream->leavingSince);
-			const bool over = kRemovalWindowMs < _now - _attempt.run.at;
+			const bool crashed = ended.value_or(false) || (gone && !_attempt.answered && !_attempt.upstream->leavingSince);
+			const bool outlived = _attempt.answered && ended && !*ended;
+			const bool over = outlived || kRemovalWindowMs < _now - _attempt.run.at;
 			if (crashed)
 			{
 				recordUpstreamCrash(_state, _attempt, _now);
 			}
-			else if (over && _attempt.answered)
+			else if (outlived)
 			{
 				completed.push_back(_attempt);
 			}
@@ -216,7 +217,10 @@
 
 	void recordUnframedResponse(RequestContext& _context, UpstreamRef _upstream)
 	{
-		observeAttempt(_context, _upstream, true);
+		if (!observeAttempt(_context, _upstream, true).empty())
+		{
+			crashCheckFor(_context.state, _upstream->record);
+		}
 	}
 
 	void removeFromStore(GatewayState& _state, std::vector<Crash> _crashes, Millis _now)
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -64,7 +64,7 @@
 	aio::Task<void> recordBrokenAttempt(RequestContext& _context, UpstreamRef _upstream);
 
 	/// Decides about doubtful attempts: attributes the crash if the upstream has ended, or was removed soon after without
-	/// having announced that it leaves; otherwise an answered attempt counts as completed after a while.
+	/// having announced that it leaves. An answered attempt counts as completed if the upstream has outlived it.
 	void resolveDoubtfulAttempts(GatewayState& _state, Millis _now);
 
 	/// Records that an upstream completed a request, and clears the crashes that were attributed to it and to the parts of its
@@ -72,7 +72,7 @@
 	void recordCompletedRun(RequestContext& _context);
 
 	/// Records a response that seems complete because its connection ended in order. An upstream that crashes may end it so,
-	/// too, so this counts as a completed run once the upstream has outlived it.
+	/// too, so this counts as a completed run only if the upstream has outlived it.
 	void recordUnframedResponse(RequestContext& _context, UpstreamRef _upstream);
 
 	/// @returns How much longer a request is refused because several upstreams crashed under it or a part of its prompt, or
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -260,7 +260,7 @@
 			endTrial(_context);
 			if (result.answered)
 			{
-				recordCompletedRun(_context);
+				result.endedByConnection ? recordUnframedResponse(_context, upstream) : recordCompletedRun(_context);
 				_context.ending = Ending::Answered;
 				co_return std::nullopt;
 			}
@@ -278,7 +278,6 @@
 			}
 			if (result.failure)
 			{
-				recordCompletedRun(_context);
 				_context.ending = Ending::Answered;
 				co_await forwardResponse(_context, *result.failure);
 				co_return std::nullopt;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -60,6 +60,12 @@
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
 
+		/// @returns Whether a response states where its body ends.
+		bool hasFraming(const http::ResponseHead& _head)
+		{
+			return _head.headers.find("Content-Length") || _head.headers.find("Transfer-Encoding");
+		}
+
 		/// @returns The body of a response; none when it is incomplete or too large.
 		aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream)
 		{
@@ -194,6 +200,7 @@
 			}
 			const ResponseInfo info = _context.state.codec.decodeResponse(*head);
 			AttemptResult result = co_await relayBody(_context, upstream, *head, info);
+			result.endedByConnection = result.answered && !hasFraming(*head);
 			if (head->keepAlive)
 			{
 				result.keepIdleMs = info.keepAliveMs.value_or(kDefaultIdleMs) - kIdleMarginMs;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -16,6 +16,7 @@
 		std::optional<http::FullResponse> failure; ///< Error response of the upstream that may be forwarded.
 		std::optional<Millis> keepIdleMs;          ///< How long the connection may be kept idle; none to close it.
 		bool groupFault = false;                   ///< The attempt failed because of another member of the group.
+		bool endedByConnection = false;            ///< The response has neither a length nor chunks: only the end of its connection shows that it is complete.
 		bool connectionLost = false;               ///< The connection ended while the upstream had the request.
 		std::string reason;                        ///< For the log.
 	};
--- a/tests/test_gateway_prompt_crashes.cpp
+++ b/tests/test_gateway_prompt_crashes.cpp
@@ -31,7 +31,7 @@
 		}
 
 		/// Sends a request that differs from all others, with the given shared parts of its prompt.
-		RigResponse send(std::size_t _gateway, const std::vector<std::string>& _parts, const std::string& _route = "/safe/")
+		RigResponse send(std::size_t _gateway, const std::vector<std::string>& _parts, const std::string& _route = "/safe/", const std::string& _behaviour = "ok")
 		{
 			this->sent += 1;
 			std::string prompt;
@@ -42,39 +42,39 @@
 			httplib::Headers headers = GatewayRig::headersFor("sent-" + std::to_string(this->sent));
 			headers.emplace("X-Archdyke-Token-Count", "200,20");
 			headers.emplace("X-Archdyke-Prompt-Prefix", fmt::format("{}{:x}:60", prompt, 0x9000 + this->sent));
-			return this->gateways[_gateway].call(fmt::format("{}{}?do={}", _route, this->sent, "/stream/" == _route ? "stream" : "ok"), headers);
+			return this->gateways[_gateway].call(fmt::format("{}{}?do={}", _route, this->sent, _behaviour), headers);
 		}
 
 		/// Sends a request that crashes an upstream, with the bad part at a place and beside other parts that differ each time,
 		/// and restarts what has ended.
-		RigResponse sendBad(std::size_t _gateway, const std::string& _bad = kBadPart, const std::string& _route = "/safe/")
+		RigResponse sendBad(std::size_t _gateway, const std::string& _bad = kBadPart, const std::string& _route = "/safe/", const std::string& _behaviour = "ok")
 		{
 			const std::string other = fmt::format("b{:x}", this->sent % 5);
 			const std::vector<std::vector<std::string>> places = {{kFirstPart, _bad}, {_bad, other}, {kFirstPart, other, _bad}, {other, _bad, "d1"}};
-			const RigResponse answer = this->send(_gateway, places[this->sent % places.size()], _route);
+			const RigResponse answer = this->send(_gateway, places[this->sent % places.size()], _route, _behaviour);
 			lab::pauseMs(kCrashCheckMs);
 			this->restartEnded();
 			return answer;
 		}
 
 		/// Sends bad requests through the gateways in turn until the given number of upstreams has ended or they are refused.
-		void crashWith(const std::string& _bad, std::size_t _upstreams, const std::string& _route = "/safe/")
+		void crashWith(const std::string& _bad, std::size_t _upstreams, const std::string& _route = "/safe/", const std::string& _behaviour = "ok")
 		{
 			const std::size_t until = this->crashed + _upstreams;
 			for (std::size_t call = 0; this->crashed < until && call < 2 * _upstreams; ++call)
 			{
-				this->sendBad(call % this->gateways.size(), _bad, _route);
+				this->sendBad(call % this->gateways.size(), _bad, _route, _behaviour);
 			}
 		}
 
 		/// Sends bad requests through all gateways, twice each.
 		/// @returns How many more upstreams have ended.
-		std::size_t crashesOfFurther(const std::string& _bad = kBadPart, const std::string& _route = "/safe/")
+		std::size_t crashesOfFurther(const std::string& _bad = kBadPart, const std::string& _route = "/safe/", const std::string& _behaviour = "ok")
 		{
 			const std::size_t before = this->crashed;
 			for (std::size_t call = 0; call < 2 * this->gateways.size(); ++call)
 			{
-				this->sendBad(call % this->gateways.size(), _bad, _route);
+				this->sendBad(call % this->gateways.size(), _bad, _route, _behaviour);
 			}
 			return this->crashed - before;
 		}
@@ -97,9 +97,20 @@
 Test(gateway, a_part_that_ended_five_upstreams_reaches_no_more_in_streams)
 {
 	PartRig rig(3, {kBadPart});
-	rig.crashWith(kBadPart, kCrashes, "/stream/");
+	rig.crashWith(kBadPart, kCrashes, "/stream/", "stream");
 	lab::pauseMs(kPropagationMs);
-	const std::size_t further = rig.crashesOfFurther(kBadPart, "/stream/");
+	const std::size_t further = rig.crashesOfFurther(kBadPart, "/stream/", "stream");
+	cr_assert(further <= kMaxLateArrivals, "%zu more upstreams ended", further);
+}
+
+/// Guards against an upstream that crashes between two events of a stream without chunks: the stream looks complete and took
+/// the blame back each time.
+Test(gateway, a_part_that_ends_streams_with_their_connection_is_refused)
+{
+	PartRig rig(2, {kBadPart});
+	rig.crashWith(kBadPart, kCrashes, "/stream/", "unframed");
+	lab::pauseMs(kPropagationMs);
+	const std::size_t further = rig.crashesOfFurther(kBadPart, "/stream/", "unframed");
 	cr_assert(further <= kMaxLateArrivals, "%zu more upstreams ended", further);
 }
 
