Go on accepting after file descriptors ran out, and keep some for requests

Callers that met a gateway while it had most new connections of a zone hung, and so did all later ones, and its readiness with them: a failed accept ended the listener for good (accept_stopped), although connections closed again.

A listener now waits 50 ms after a failed accept and goes on. A gateway serves callers' connections up to half of its descriptors, one for the caller and one for the upstream, and closes further ones unread at once, so that callers go to other gateways while readiness and open connections are served.

--- a/src/base/process.cpp
+++ b/src/base/process.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <openssl/evp.h>
 #include <random>
+#include <sys/resource.h>
 
 #include "archdyke/errors.h"
 
@@ -85,6 +86,13 @@
 		return signal;
 	}
 
+	std::size_t descriptorLimit()
+	{
+		rlimit limit{};
+		getrlimit(RLIMIT_NOFILE, &limit); // can't fail with these arguments
+		return std::size_t(limit.rlim_cur);
+	}
+
 	std::string readFile(const std::string& _path)
 	{
 		std::ifstream file(_path, std::ios::binary);
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -1,6 +1,7 @@
 /// Functions that each process needs: clock, random IDs, digests, signals.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -31,6 +32,9 @@
 	/// @returns The signal's number.
 	int waitForStopSignal();
 
+	/// @returns How many file descriptors this process may have open.
+	std::size_t descriptorLimit();
+
 	/// @returns The bytes of a file.
 	/// @throws InvalidInputError If the file can't be read.
 	std::string readFile(const std::string& _path);
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -14,6 +14,9 @@
 		/// Interval between timeout checks while a message is read, ms.
 		constexpr Millis kPollIntervalMs = 250;
 
+		/// File descriptors of this process for each connection of a caller: its own, and one to an upstream.
+		constexpr std::size_t kDescriptorsPerCaller = 2;
+
 		/// Result of reading a request.
 		struct ReadResult
 		{
@@ -151,9 +154,11 @@
 	CallerServer::CallerServer(GatewayState& _state, const std::string& _address)
 	    : state(_state)
 	    , idleClosed(nullptr)
-	    , listener(_state.loop, _address, [this](std::unique_ptr<http::HttpConnection> _connection) {
-		    return this->serve(std::move(_connection));
-	    })
+	    , listener(
+	          _state.loop, _address, [this](std::unique_ptr<http::HttpConnection> _connection) {
+		          return this->serve(std::move(_connection));
+	          },
+	          descriptorLimit() / kDescriptorsPerCaller)
 	{
 		auto paf = kj::newPromiseAndFulfiller<void>();
 		this->idleCloser = kj::mv(paf.fulfiller);
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -2,12 +2,17 @@
 
 #include "aio/task.h"
 #include "base/log.h"
+#include "base/process.h"
 #include "http/socket_address.h"
 
 namespace archdyke::http
 {
 	namespace
 	{
+		/// Delay after a failed accept, ms: without free file descriptors each further one fails, too.
+		constexpr Millis kAcceptRetryMs = 50;
+		constexpr Millis kUnservedLogIntervalMs = 1'000;
+
 		kj::Own<kj::ConnectionReceiver> bind(LoopContext _loop, const std::string& _address)
 		{
 			sockaddr_in target = parseSocketAddress(_address);
@@ -43,13 +48,15 @@
 		}
 	} // namespace
 
-	Listener::Listener(LoopContext _loop, const std::string& _address, ConnectionHandler _handler)
-	    : handler(std::move(_handler))
+	Listener::Listener(LoopContext _loop, const std::string& _address, ConnectionHandler _handler, std::size_t _maxConnections)
+	    : loop(_loop)
+	    , handler(std::move(_handler))
+	    , maxConnections(_maxConnections)
 	    , receiver(bind(_loop, _address))
 	    , connections(*this)
 	{
 		this->accepting = this->accept().take().eagerlyEvaluate([](kj::Exception&& _error) {
-			logError("accept_stopped", {{"reason", _error.getDescription().cStr()}, {"remedy", "raise the limit of file descriptors"}});
+			logError("accept_stopped", {{"reason", _error.getDescription().cStr()}, {"remedy", "restart the process and report this"}});
 		});
 	}
 
@@ -57,9 +64,44 @@
 	{
 		while (true)
 		{
-			kj::Own<kj::AsyncIoStream> stream = co_await this->receiver->accept();
+			kj::Own<kj::AsyncIoStream> stream;
+			std::string failure;
+			try
+			{
+				stream = co_await this->receiver->accept();
+			}
+			catch (const kj::Exception& error)
+			{
+				failure = error.getDescription().cStr();
+			}
+			if (failure.empty() && 0 < this->maxConnections && this->maxConnections <= this->openConnections)
+			{
+				this->recordUnserved("too many connections; closed unread");
+				continue;
+			}
+			if (!failure.empty())
+			{
+				this->recordUnserved(failure);
+				co_await this->loop.timer.afterDelay(kAcceptRetryMs * kj::MILLISECONDS);
+				continue;
+			}
+			this->openConnections += 1;
 			auto connection = std::make_unique<HttpConnection>(kj::mv(stream), Side::Server, MessageLimits());
-			this->connections.add(this->handler(std::move(connection)).take());
+			this->connections.add(this->handler(std::move(connection)).take().attach(kj::defer([this] {
+				this->openConnections -= 1;
+			})));
+		}
+	}
+
+	void Listener::recordUnserved(const std::string& _reason)
+	{
+		const Millis now = nowMs();
+		this->unserved += 1;
+		if (this->unservedLoggedAt + kUnservedLogIntervalMs <= now)
+		{
+			logWarning("connections_not_served", {{"count", this->unserved}, {"reason", _reason}, {"open", this->openConnections}, {"remedy", "raise the limit of file descriptors, or add gateways"}});
+			this->unserved = 0;
+			this->unservedLoggedAt = now;
 		}
 	}
 
