--- a/include/archdyke/upstream_end.h
+++ b/include/archdyke/upstream_end.h
@@ -32,7 +32,7 @@
 		std::uint64_t process = 0; ///< Number of the upstream's current process: ends seen so far.
 		std::deque<ReportedCrash> reported;
 		RecentCompletions completions;
-		absl::flat_hash_map<std::string, Millis> refusedUntil; ///< By fingerprint.
+		absl::flat_hash_map<std::string, Millis> refusedUntil; ///< By suspect.
 	};
 
 	/// How long a crash is reported to entries, ms: longer than several heartbeats of an entry with many links.
@@ -44,11 +44,12 @@
 
 	/// Records that the upstream's process ended during a run.
 	/// @param[in] _process Number of the process when the run started.
-	/// @returns The crash that is attributed to the request; none if another run of the request completed recently.
-	std::optional<Crash> recordUpstreamEnd(UpstreamEnds& _ends, const std::string& _request, std::uint64_t _process, Millis _now);
+	/// @param[in] _suspects The request's fingerprint and the parts of its prompt.
+	/// @returns The crashes that are attributed to suspects; none to those of which another run completed recently.
+	std::vector<Crash> recordUpstreamEnd(UpstreamEnds& _ends, const std::vector<std::string>& _suspects, std::uint64_t _process, Millis _now);
 
 	/// Records that the upstream completed a run.
-	void recordCompletedRun(UpstreamEnds& _ends, const std::string& _request, Millis _now);
+	void recordCompletedRun(UpstreamEnds& _ends, const std::vector<std::string>& _suspects, Millis _now);
 
 	/// @returns The crashes to report to entries.
 	std::vector<Crash> crashesToReport(UpstreamEnds& _ends, Millis _now);
@@ -57,5 +58,5 @@
 	void recordRefusedRequests(UpstreamEnds& _ends, const std::vector<RefusedRequest>& _refused, Millis _now);
 
 	/// @returns How much longer a request is refused, ms; none when it may run.
-	std::optional<Millis> remainingRefusalMs(const UpstreamEnds& _ends, const std::string& _request, Millis _now);
+	std::optional<Millis> remainingRefusalMs(const UpstreamEnds& _ends, const std::vector<std::string>& _suspects, Millis _now);
 } // namespace archdyke
--- a/src/agent/agent_runs.cpp
+++ b/src/agent/agent_runs.cpp
@@ -1,5 +1,7 @@
 #include "agent/agent_runs.h"
 
+#include <algorithm>
+
 #include "base/config.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -69,7 +71,7 @@
 			openSession(this->ledger, _session, now);
 			return {false, RefusalReason::Overloaded, *retryAfterMs};
 		}
-		const std::optional<Millis> refusalMs = remainingRefusalMs(this->ends, _run.fingerprint, now);
+		const std::optional<Millis> refusalMs = remainingRefusalMs(this->ends, suspectsOf(_run), now);
 		if (refusalMs)
 		{
 			openSession(this->ledger, _session, now);
@@ -195,12 +197,13 @@
 		return archdyke::crashesToReport(this->ends, nowMs());
 	}
 
-	void AgentRuns::dropQueued(const std::string& _request, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped)
+	void AgentRuns::dropQueued(const std::string& _suspect, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped)
 	{
 		std::vector<RunKey> keys;
 		for (const auto& [key, run] : this->runs)
 		{
-			if (_request == run.spec.fingerprint && dropRun(this->ledger, key, nowMs()))
+			const std::vector<std::string> suspects = suspectsOf(run.spec);
+			if (suspects.end() != std::find(suspects.begin(), suspects.end(), _suspect) && dropRun(this->ledger, key, nowMs()))
 			{
 				keys.push_back(key);
 			}
@@ -327,20 +330,20 @@
 	{
 		if (CallResult::Completed == _result)
 		{
-			recordCompletedRun(this->ends, _run.spec.fingerprint, _now);
+			recordCompletedRun(this->ends, suspectsOf(_run.spec), _now);
 		}
 		if (CallResult::UpstreamEnded != _result)
 		{
 			return "";
 		}
-		const std::optional<Crash> crash = recordUpstreamEnd(this->ends, _run.spec.fingerprint, _run.process, _now);
-		logWarning("upstream_crashed", {{"fingerprint", _run.spec.fingerprint}, {"request", _run.spec.key.requestId}, {"attempt", _run.spec.key.attempt}, {"process", _run.process}, {"attributed", crash.has_value()}});
-		if (!crash)
+		const std::vector<Crash> crashes = recordUpstreamEnd(this->ends, suspectsOf(_run.spec), _run.process, _now);
+		logWarning("upstream_crashed", {{"fingerprint", _run.spec.fingerprint}, {"request", _run.spec.key.requestId}, {"attempt", _run.spec.key.attempt}, {"process", _run.process}, {"attributed", crashes.size()}});
+		if (crashes.empty())
 		{
 			return "";
 		}
 		this->crashes.Increment();
-		return crash->incarnation;
+		return crashes.front().incarnation;
 	}
 
 	void AgentRuns::finish(const ActiveRun& _run, CallResult _result, Millis _startedAt)
--- a/src/agent/agent_runs.h
+++ b/src/agent/agent_runs.h
@@ -106,8 +106,8 @@
 		bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
 		VerdictEvent offerLocked(const RunSpec& _run, const Session& _session, std::vector<RefusedRun>& _evicted) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		std::optional<ActiveRun> dequeueLocked(std::vector<RefusedRun>& _expired) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-		/// Removes the queued runs of a request.
-		void dropQueued(const std::string& _request, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+		/// Removes the queued runs of a request, or of all requests with a part.
+		void dropQueued(const std::string& _suspect, const VerdictEvent& _verdict, std::vector<RefusedRun>& _dropped) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		void notifyRefused(const std::vector<RefusedRun>& _refused);
 		void execute(const ActiveRun& _run, const UpstreamCall& _call);
 		void finish(const ActiveRun& _run, CallResult _result, Millis _startedAt);
--- a/src/decide/upstream_end.cpp
+++ b/src/decide/upstream_end.cpp
@@ -5,36 +5,44 @@
 
 namespace archdyke
 {
-	std::optional<Crash> recordUpstreamEnd(UpstreamEnds& _ends, const std::string& _request, std::uint64_t _process, Millis _now)
+	std::vector<Crash> recordUpstreamEnd(UpstreamEnds& _ends, const std::vector<std::string>& _suspects, std::uint64_t _process, Millis _now)
 	{
 		if (_process == _ends.process)
 		{
 			_ends.process += 1; // further runs are sent to its successor
 		}
-		if (_request.empty() || completedRecently(_ends.completions, absl::HashOf(_request), _now))
-		{
-			return std::nullopt;
-		}
-		const Crash crash{_request, _ends.agent + "." + std::to_string(_process)};
-		const bool known = std::any_of(_ends.reported.begin(), _ends.reported.end(), [&](const ReportedCrash& _reported) {
-			return crash == _reported.crash;
-		});
-		if (!known)
+		std::vector<Crash> crashes;
+		for (const std::string& suspect : _suspects)
 		{
-			_ends.reported.push_back({crash, _now});
+			if (suspect.empty() || completedRecently(_ends.completions, absl::HashOf(suspect), _now))
+			{
+				continue;
+			}
+			const Crash crash{suspect, _ends.agent + "." + std::to_string(_process)};
+			const bool known = std::any_of(_ends.reported.begin(), _ends.reported.end(), [&](const ReportedCrash& _reported) {
+				return crash == _reported.crash;
+			});
+			if (!known)
+			{
+				_ends.reported.push_back({crash, _now});
+			}
+			crashes.push_back(crash);
 		}
-		if (kMaxCrashReports < _ends.reported.size())
+		while (kMaxCrashReports < _ends.reported.size())
 		{
 			_ends.reported.pop_front();
 		}
-		return crash;
+		return crashes;
 	}
 
-	void recordCompletedRun(UpstreamEnds& _ends, const std::string& _request, Millis _now)
+	void recordCompletedRun(UpstreamEnds& _ends, const std::vector<std::string>& _suspects, Millis _now)
 	{
-		recordCompletion(_ends.completions, absl::HashOf(_request), _now);
+		for (const std::string& suspect : _suspects)
+		{
+			recordCompletion(_ends.completions, absl::HashOf(suspect), _now);
+		}
 		std::erase_if(_ends.reported, [&](const ReportedCrash& _reported) {
-			return _request == _reported.crash.suspect;
+			return _suspects.end() != std::find(_suspects.begin(), _suspects.end(), _reported.crash.suspect);
 		});
 	}
 
@@ -65,10 +73,17 @@
 		}
 	}
 
-	std::optional<Millis> remainingRefusalMs(const UpstreamEnds& _ends, const std::string& _request, Millis _now)
+	std::optional<Millis> remainingRefusalMs(const UpstreamEnds& _ends, const std::vector<std::string>& _suspects, Millis _now)
 	{
-		const auto found = _ends.refusedUntil.find(_request);
-		const bool refused = _ends.refusedUntil.end() != found && _now < found->second;
-		return refused ? std::optional(found->second - _now) : std::nullopt;
+		std::optional<Millis> longest;
+		for (const std::string& suspect : _suspects)
+		{
+			const auto found = _ends.refusedUntil.find(suspect);
+			if (_ends.refusedUntil.end() != found && _now < found->second)
+			{
+				longest = std::max(longest.value_or(0), found->second - _now);
+			}
+		}
+		return longest;
 	}
 } // namespace archdyke
--- a/src/entry/crash_publisher.cpp
+++ b/src/entry/crash_publisher.cpp
@@ -56,11 +56,11 @@
 	bool CrashPublisher::write(PlatformClient& _client, const CrashChanges& _changes)
 	{
 		TableTransaction transaction;
-		std::set<std::string> requests;
+		std::set<std::string> suspects;
 		for (const Crash& crash : _changes.put)
 		{
 			transaction.writes.push_back({crashKey(crash), "", kCrashLifetimeMs / kMsPerSecond});
-			requests.insert(crash.suspect);
+			suspects.insert(crash.suspect);
 		}
 		for (const Crash& crash : _changes.remove)
 		{
@@ -71,12 +71,9 @@
 		{
 			_client.transact(transaction);
 			// Read after the write: of two entries that write at once, at least one sees both crashes.
-			std::vector<Crash> known;
-			for (const std::string& request : requests)
-			{
-				const std::vector<Crash> rows = readCrashRows(_client.scan(crashPrefixOf(request)));
-				known.insert(known.end(), rows.begin(), rows.end());
-			}
+			// One call, whatever the number of suspects.
+			const std::string prefix = 1 == suspects.size() ? crashPrefixOf(*suspects.begin()) : std::string(kCrashPrefix);
+			const std::vector<Crash> known = suspects.empty() ? std::vector<Crash>() : readCrashRows(_client.scan(prefix));
 			this->record.recordWritten(_changes, known);
 			return true;
 		}
--- a/src/entry/crash_record.cpp
+++ b/src/entry/crash_record.cpp
@@ -37,9 +37,9 @@
 		return this->shards[_hash % this->shards.size()];
 	}
 
-	bool CrashRecord::completedRecently(const std::string& _request, Millis _now)
+	bool CrashRecord::completedRecently(const std::string& _suspect, Millis _now)
 	{
-		const std::size_t hash = absl::HashOf(_request);
+		const std::size_t hash = absl::HashOf(_suspect);
 		Shard& shard = this->shardOf(hash);
 		absl::MutexLock lock(&shard.mutex);
 		return archdyke::completedRecently(shard.completions, hash, _now);
@@ -80,14 +80,14 @@
 		});
 	}
 
-	std::optional<Millis> CrashRecord::refusalMs(const std::string& _request)
+	std::optional<Millis> CrashRecord::refusalMs(const std::vector<std::string>& _suspects)
 	{
 		if (0 == this->requests)
 		{
 			return std::nullopt;
 		}
 		absl::MutexLock lock(&this->mutex);
-		return remainingRefusalMs(this->table, {_request}, nowMs());
+		return remainingRefusalMs(this->table, _suspects, nowMs());
 	}
 
 	void CrashRecord::countRefusal()
@@ -95,11 +95,12 @@
 		this->refusals.Increment();
 	}
 
-	void CrashRecord::recordCompletion(const std::string& _request)
+	void CrashRecord::recordCompletion(const std::vector<std::string>& _suspects)
 	{
 		const Millis now = nowMs();
+		for (const std::string& suspect : _suspects)
 		{
-			const std::size_t hash = absl::HashOf(_request);
+			const std::size_t hash = absl::HashOf(suspect);
 			Shard& shard = this->shardOf(hash);
 			absl::MutexLock lock(&shard.mutex);
 			archdyke::recordCompletion(shard.completions, hash, now);
@@ -109,11 +110,14 @@
 			return;
 		}
 		absl::MutexLock lock(&this->mutex);
-		for (const Crash& crash : clearSuspect(this->table, _request))
+		for (const std::string& suspect : _suspects)
 		{
-			this->known.erase(crash);
-			this->cleared[crash] = now;
-			this->toRemove.push_back(crash);
+			for (const Crash& crash : clearSuspect(this->table, suspect))
+			{
+				this->known.erase(crash);
+				this->cleared[crash] = now;
+				this->toRemove.push_back(crash);
+			}
 		}
 		this->requests = this->table.bySuspect.size();
 	}
@@ -153,11 +157,11 @@
 		}
 	}
 
-	bool CrashRecord::waitUntilPublished(const std::string& _request, Millis _until)
+	bool CrashRecord::waitUntilPublished(const std::vector<std::string>& _suspects, Millis _until)
 	{
 		const auto isPublished = [&]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) {
-			return std::none_of(this->known.lower_bound({_request, ""}), this->known.end(), [&](const auto& _entry) {
-				return _request == _entry.first.suspect && Publication::Due == _entry.second.publication;
+			return std::none_of(this->known.begin(), this->known.end(), [&](const auto& _entry) {
+				return Publication::Due == _entry.second.publication && _suspects.end() != std::find(_suspects.begin(), _suspects.end(), _entry.first.suspect);
 			});
 		};
 		absl::MutexLock lock(&this->mutex);
--- a/src/entry/crash_record.h
+++ b/src/entry/crash_record.h
@@ -42,13 +42,14 @@
 		explicit CrashRecord(Metrics& _metrics);
 
 		/// @returns How much longer a request is refused, ms; none when it may run.
-		std::optional<Millis> refusalMs(const std::string& _request);
+		/// @param[in] _suspects The request's fingerprint and the parts of its prompt.
+		std::optional<Millis> refusalMs(const std::vector<std::string>& _suspects);
 
 		/// Counts a request that was refused.
 		void countRefusal();
 
 		/// Records that an upstream completed a run, and clears the crashes that were attributed to the request.
-		void recordCompletion(const std::string& _request);
+		void recordCompletion(const std::vector<std::string>& _suspects);
 
 		/// Records a crash during a run of this entry, which is to be published at once.
 		void recordOwn(const Crash& _crash);
@@ -58,7 +59,7 @@
 
 		/// Waits until all own crashes of a request are published and the crashes that other entries published are known.
 		/// @returns false if that didn't happen in time.
-		bool waitUntilPublished(const std::string& _request, Millis _until);
+		bool waitUntilPublished(const std::vector<std::string>& _suspects, Millis _until);
 
 		/// @returns The requests that are refused now, to be named to agents.
 		std::vector<RefusedRequest> refused();
@@ -107,7 +108,7 @@
 		};
 
 		Shard& shardOf(std::size_t _hash);
-		bool completedRecently(const std::string& _request, Millis _now);
+		bool completedRecently(const std::string& _suspect, Millis _now);
 		/// @returns Whether the crash was unknown.
 		bool add(const Crash& _crash, Publication _publication, Millis _now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 		void remove(const Crash& _crash) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
--- a/src/entry/entry_http.cpp
+++ b/src/entry/entry_http.cpp
@@ -187,7 +187,7 @@
 
 	void EntryHttp::refuseCrashing(const ResolvedRequest& _request)
 	{
-		const std::optional<Millis> refusalMs = this->parts.crashes.refusalMs(_request.fingerprint);
+		const std::optional<Millis> refusalMs = this->parts.crashes.refusalMs(suspectsOf(_request));
 		if (refusalMs)
 		{
 			this->parts.crashes.countRefusal();
--- a/src/entry/filters.cpp
+++ b/src/entry/filters.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "archdyke/crash_blame.h"
 #include "archdyke/route.h"
 #include "base/process.h"
 
@@ -17,6 +18,8 @@
 		constexpr int kTooManyRequests = 429;
 		/// Bytes of the prompt that are hashed as its prefix.
 		constexpr std::size_t kPrefixBytes = 512;
+		/// Maximum number of messages of a conversation that crashes are attributed to, from its first one on.
+		constexpr std::size_t kMaxParts = 64;
 		constexpr std::string_view kModelPathPrefix = "/v1/";
 
 		RejectedError rejected(int _status, const std::string& _reason, const std::string& _message, Millis _retryAfterMs = 0)
@@ -44,6 +47,22 @@
 			return stableHash(messages.dump(-1, ' ', false, Json::error_handler_t::replace).substr(0, kPrefixBytes), stableHash(_organisation));
 		}
 
+		/// @returns Names of a conversation's messages, but for the last one, which other calls may share.
+		std::vector<std::string> partsOf(const Json& _body)
+		{
+			std::vector<std::string> parts;
+			if (!_body.contains("messages") || !_body["messages"].is_array())
+			{
+				return parts;
+			}
+			const Json& messages = _body["messages"];
+			for (std::size_t index = 0; index + 1 < messages.size() && index < kMaxParts; ++index)
+			{
+				parts.push_back(partSuspect(stableHash(messages[index].dump(-1, ' ', false, Json::error_handler_t::replace))));
+			}
+			return parts;
+		}
+
 		const Service& findServiceOfKind(const ActiveConfig& _config, const std::string& _name, ServiceKind _kind)
 		{
 			const Service* service = findService(_config.document, _name);
@@ -61,6 +80,7 @@
 			_resolved.upstreamPath = _request.path;
 			_resolved.streamed = body.contains("stream") && body["stream"].is_boolean() && body["stream"].get<bool>();
 			_resolved.prefix = prefixOf(body, _resolved.organisation.name);
+			_resolved.parts = partsOf(body);
 		}
 
 		/// Rejects paths that an upstream may normalise to a path other than the one that the rules matched.
@@ -89,6 +109,13 @@
 		}
 	} // namespace
 
+	std::vector<std::string> suspectsOf(const ResolvedRequest& _request)
+	{
+		std::vector<std::string> suspects{_request.fingerprint};
+		suspects.insert(suspects.end(), _request.parts.begin(), _request.parts.end());
+		return suspects;
+	}
+
 	std::optional<Millis> OrganisationLimits::take(const std::string& _organisation, const RateLimit& _share, Millis _now)
 	{
 		Shard& shard = this->shards[stableHash(_organisation) % kShards];
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -31,7 +31,8 @@
 	struct ResolvedRequest
 	{
 		std::string id;
-		std::string fingerprint; ///< The same for all repeats of the request, through any entry.
+		std::string fingerprint;        ///< The same for all repeats of the request, through any entry.
+		std::vector<std::string> parts; ///< Names of the parts of its prompt that other requests may share.
 		Organisation organisation;
 		Service service;
 		std::string upstreamPath;
@@ -43,6 +44,9 @@
 		bool operator==(const ResolvedRequest&) const = default;
 	};
 
+	/// @returns What may crash upstreams under a request: the request itself, and the parts of its prompt.
+	std::vector<std::string> suspectsOf(const ResolvedRequest& _request);
+
 	/// A final response that the entry itself produces.
 	struct FinalResponse
 	{
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -91,9 +91,9 @@
 	{
 		if (this->crashed)
 		{
-			this->context.crashes.waitUntilPublished(this->request.fingerprint, std::min(this->request.deadline, nowMs() + kCrashPublishTimeoutMs));
+			this->context.crashes.waitUntilPublished(suspectsOf(this->request), std::min(this->request.deadline, nowMs() + kCrashPublishTimeoutMs));
 		}
-		const std::optional<Millis> refusalMs = this->context.crashes.refusalMs(this->request.fingerprint);
+		const std::optional<Millis> refusalMs = this->context.crashes.refusalMs(suspectsOf(this->request));
 		if (refusalMs)
 		{
 			this->context.crashes.countRefusal();
@@ -145,6 +145,7 @@
 		run.contentType = this->caller.contentType;
 		run.body = this->caller.body;
 		run.fingerprint = this->request.fingerprint;
+		run.parts = this->request.parts;
 		_link->dispatch(this->current.call, std::move(run));
 	}
 
@@ -184,7 +185,10 @@
 			if (!_frame.crashed.empty())
 			{
 				this->crashed = true;
-				this->context.crashes.recordOwn({this->request.fingerprint, _frame.crashed});
+				for (const std::string& suspect : suspectsOf(this->request))
+				{
+					this->context.crashes.recordOwn({suspect, _frame.crashed});
+				}
 			}
 			return AttemptFailure{_frame.notRun ? ExecutionProof::NotRun : ExecutionProof::Ran, RefusalReason::None, kDefaultRetryDelayMs, _frame.notRun ? "upstream_unreachable" : "upstream_broke_off", "the upstream " + this->current.link->identity().name + (_frame.notRun ? " can't be reached; retry after the time in Retry-After" : " did not complete its response; check with it before you send the request again")};
 		default:
@@ -313,7 +317,7 @@
 		{
 			this->closeAttempt();
 			this->context.retries.earn();
-			this->context.crashes.recordCompletion(this->request.fingerprint);
+			this->context.crashes.recordCompletion(suspectsOf(this->request));
 			return std::nullopt;
 		}
 		this->delivered = this->request.streamed;
--- a/src/rpc.capnp
+++ b/src/rpc.capnp
@@ -38,19 +38,20 @@
 	body @9 :Data;
 	costTokens @10 :UInt32;  # estimated work
 	fingerprint @11 :Text;   # the same for all repeats of a request, through any entry
+	parts @12 :List(Text);   # names of the parts of its prompt that other requests may share
 }
 
 # An upstream that ended while it ran a request.
 struct UpstreamCrash
 {
-	request @0 :Text;        # fingerprint
+	request @0 :Text;        # fingerprint, or name of a part
 	incarnation @1 :Text;    # of the upstream's process
 }
 
 # A request that entries refuse because several upstreams crashed under it.
 struct RefusedRequest
 {
-	request @0 :Text;        # fingerprint
+	request @0 :Text;        # fingerprint, or name of a part
 	forMs @1 :UInt32;        # time left
 }
 
--- a/src/rpc/rpc_convert.cpp
+++ b/src/rpc/rpc_convert.cpp
@@ -51,6 +51,13 @@
 		return {_from.getEntry(), _from.getAgent(), _from.getNumber()};
 	}
 
+	std::vector<std::string> suspectsOf(const RunSpec& _run)
+	{
+		std::vector<std::string> suspects{_run.fingerprint};
+		suspects.insert(suspects.end(), _run.parts.begin(), _run.parts.end());
+		return suspects;
+	}
+
 	void writeRun(rpc::RunSpec::Builder _to, const RunSpec& _from, const Session& _session)
 	{
 		writeKey(_to.initKey(), _from.key);
@@ -64,6 +71,11 @@
 		_to.setContentType(_from.contentType);
 		_to.setBody(toData(_from.body));
 		_to.setFingerprint(_from.fingerprint);
+		auto parts = _to.initParts(unsigned(_from.parts.size()));
+		for (unsigned index = 0; index < parts.size(); ++index)
+		{
+			parts.set(index, _from.parts[index].c_str());
+		}
 	}
 
 	RunSpec readRun(rpc::RunSpec::Reader _from)
@@ -79,6 +91,10 @@
 		run.contentType = fromText(_from.getContentType());
 		run.body = fromData(_from.getBody());
 		run.fingerprint = fromText(_from.getFingerprint());
+		for (const auto part : _from.getParts())
+		{
+			run.parts.push_back(fromText(part));
+		}
 		return run;
 	}
 
--- a/src/rpc/run.h
+++ b/src/rpc/run.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "archdyke/relay.h"
 #include "archdyke/types.h"
@@ -22,11 +23,15 @@
 		std::string path;
 		std::string contentType;
 		std::string body;
-		std::string fingerprint; ///< The same for all repeats of the request; empty: unknown.
+		std::string fingerprint;        ///< The same for all repeats of the request; empty: unknown.
+		std::vector<std::string> parts; ///< Names of the parts of its prompt that other requests may share.
 
 		bool operator==(const RunSpec&) const = default;
 	};
 
+	/// @returns What may crash upstreams under a run: its request, and the parts of its prompt.
+	std::vector<std::string> suspectsOf(const RunSpec& _run);
+
 	/// A chunk of a response.
 	struct ResponseFrame
 	{
--- a/tests/test_crash_record.cpp
+++ b/tests/test_crash_record.cpp
@@ -26,9 +26,9 @@
 	Entry entry;
 	entry.record.recordOwn(kFirst);
 	entry.record.recordReported({kSecond, kSecond, kFirst});
-	cr_assert(!entry.record.refusalMs("r") && entry.record.refused().empty());
+	cr_assert(!entry.record.refusalMs({"r"}) && entry.record.refused().empty());
 	entry.record.applyRows({kThird}, 1, nowMs());
-	cr_assert(entry.record.refusalMs("r").has_value() && !entry.record.refusalMs("s"));
+	cr_assert(entry.record.refusalMs({"r"}).has_value() && !entry.record.refusalMs({"s"}));
 	cr_assert(1 == entry.record.refused().size() && "r" == entry.record.refused().front().request);
 }
 
@@ -36,15 +36,15 @@
 {
 	Entry entry;
 	entry.record.recordOwn(kFirst);
-	cr_assert(!entry.record.waitUntilPublished("r", nowMs() + 10), "nobody has written it");
-	cr_assert(entry.record.waitUntilPublished("s", nowMs() + 10));
+	cr_assert(!entry.record.waitUntilPublished({"r"}, nowMs() + 10), "nobody has written it");
+	cr_assert(entry.record.waitUntilPublished({"s"}, nowMs() + 10));
 	const CrashChanges changes = entry.record.takeChanges();
 	cr_assert(std::vector<Crash>{kFirst} == changes.put && changes.remove.empty());
 	entry.record.returnChanges(changes);
 	cr_assert(std::vector<Crash>{kFirst} == entry.record.takeChanges().put, "a failed write is repeated");
 	entry.record.recordWritten(changes, {kFirst, kSecond, kThird});
-	cr_assert(entry.record.waitUntilPublished("r", nowMs() + 10));
-	cr_assert(entry.record.refusalMs("r").has_value(), "the write shows what other entries have written");
+	cr_assert(entry.record.waitUntilPublished({"r"}, nowMs() + 10));
+	cr_assert(entry.record.refusalMs({"r"}).has_value(), "the write shows what other entries have written");
 	cr_assert(entry.record.takeChanges().put.empty());
 }
 
@@ -52,7 +52,7 @@
 {
 	Entry entry;
 	entry.record.applyRows({kFirst, kSecond}, 1, nowMs());
-	entry.record.recordCompletion("r");
+	entry.record.recordCompletion({"r"});
 	cr_assert(entry.record.views().empty());
 	cr_assert((std::vector<Crash>{kFirst, kSecond} == entry.record.takeChanges().remove));
 	entry.record.recordReported({kFirst});
@@ -69,7 +69,7 @@
 	entry.record.recordReported({{"s", "a.0"}});
 	cr_assert(entry.record.needsRows(2, nowMs()) && !entry.record.needsRows(1, nowMs()));
 	entry.record.applyRows({kFirst}, 2, nowMs() + 1);
-	cr_assert(!entry.record.refusalMs("r"));
+	cr_assert(!entry.record.refusalMs({"r"}));
 	cr_assert(2 == entry.record.views().size(), "what an agent reports may not be in the table yet");
 }
 
@@ -101,3 +101,18 @@
 		cr_assert(!readCrashKey(key), "%s", key);
 	}
 }
+
+/// Guards against a message that crashes upstreams in calls of which no two are alike.
+Test(crashrecord, calls_that_share_a_message_under_which_upstreams_ended_are_refused)
+{
+	Entry entry;
+	for (int call = 0; call < 3; ++call)
+	{
+		entry.record.recordOwn({"call" + std::to_string(call), "a." + std::to_string(call)});
+		entry.record.recordOwn({"bad", "a." + std::to_string(call)});
+	}
+	cr_assert(entry.record.refusalMs({"another", "bad"}).has_value() && !entry.record.refusalMs({"another", "good"}));
+	cr_assert((std::vector<RefusedRequest>{{"bad", entry.record.refused().front().remainingMs}} == entry.record.refused()));
+	entry.record.recordCompletion({"another", "bad"});
+	cr_assert(!entry.record.refusalMs({"another", "bad"}));
+}
