Soak: parts that crash upstreams in requests no two alike, and times when all connect to one gateway

Every other crashing request of the soak differs from the one before and shares a part of its prompt with it; all prompts share two sound parts. For 2 s of 6 all callers connect to the same gateway.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -189,6 +189,22 @@
 	cr_assert(0 == violationsOf(record, "work_after_crashes"), "three further runs are allowed");
 }
 
+Test(soakjudge, further_runs_with_a_part_after_five_crashes_are_noticed)
+{
+	SoakRecord record;
+	record.knownKeys = {"key"};
+	for (int call = 0; call < 9; ++call)
+	{
+		const std::string id = "x" + std::to_string(call);
+		const Millis at = kSentAtMs + (call < 5 ? 0 : 3'001);
+		record.calls.push_back({id, SoakKind::Crash, "key", "gateway-0", at, at + 50, 502, false, "/safe/" + id + "?do=crash", "bad1"});
+		record.runs.push_back({id, "w" + std::to_string(call), at});
+	}
+	cr_assert(1 == violationsOf(record, "work_after_crashes"));
+	record.calls.back().badPart = "bad2";
+	cr_assert(0 == violationsOf(record, "work_after_crashes"), "three further runs are allowed");
+}
+
 Test(soak, a_short_seed_has_no_violations)
 {
 	runSeed({.seed = 5, .faults = 10});
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -17,7 +17,7 @@
 		Safe,   ///< May run more than once.
 		Once,   ///< May run at most once.
 		Stream, ///< A stream of twelve events; may be resumed.
-		Crash,  ///< Crashes each upstream that starts to run it; may run more than once.
+		Crash,  ///< Crashes each upstream that starts to run it, or any other request with the same part; may run more than once.
 		Count
 	};
 
@@ -30,9 +30,10 @@
 		std::string gateway;
 		Millis sentAt = 0;
 		Millis endedAt = 0;
-		int status = 0;     ///< HTTP status; 0: no complete response.
-		bool whole = false; ///< The body is the one that an upstream returns for this request.
-		std::string target; ///< Path and query.
+		int status = 0;      ///< HTTP status; 0: no complete response.
+		bool whole = false;  ///< The body is the one that an upstream returns for this request.
+		std::string target;  ///< Path and query.
+		std::string badPart; ///< Part of its prompt that crashes upstreams; empty: none.
 	};
 
 	/// An upstream started to run a request.
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "archdyke/route.h"
+
 namespace archdyke::lab
 {
 	namespace
@@ -14,6 +16,11 @@
 		constexpr std::uint64_t kCrashRepeats = 10;
 		constexpr Millis kMinCrashPauseMs = 200;
 		constexpr std::uint64_t kCrashPauseRangeMs = 700;
+		/// Parts of all prompts, also of those that crash upstreams.
+		constexpr const char* kSoundParts = "a1:100,a2:50,";
+		/// Of this many spans, one in which all callers connect to the same gateway.
+		constexpr Millis kCrowdSpanMs = 2'000;
+		constexpr Millis kCrowdSpans = 3;
 		constexpr int kStreamEvents = 12; ///< Events of a stream of the stand-in.
 		/// Requests after which a caller connects to another gateway. Callers with odd indexes keep their connection
 		/// until it breaks.
@@ -66,7 +73,9 @@
 		/// @returns The call with its result.
 		SoakCall send(httplib::Client& _client, SoakCall _call)
 		{
-			const httplib::Headers headers{{"Host", "office.example"}, {"X-Archdyke-Request-Id", _call.id}, {"X-Archdyke-Deadline-Ms", std::to_string(kDeadlineMs)}, {"X-Api-Key", _call.key}};
+			httplib::Headers headers{{"Host", "office.example"}, {"X-Archdyke-Request-Id", _call.id}, {"X-Archdyke-Deadline-Ms", std::to_string(kDeadlineMs)}, {"X-Api-Key", _call.key}};
+			const std::string parts = _call.badPart.empty() ? kSoundParts : _call.badPart + ":40," + kSoundParts;
+			headers.emplace("X-Archdyke-Prompt-Prefix", fmt::format("{}{:x}:20", parts, stableHash(_call.id)));
 			_call.target = SoakKind::Crash == _call.kind ? _call.target : pathOf(_call.kind);
 			_call.sentAt = nowMs();
 			const httplib::Result got = _client.Get(_call.target, headers);
@@ -129,7 +138,7 @@
 		std::uint64_t made = 0;
 		while (!this->isStopping)
 		{
-			const SoakGatewayAddress gateway = this->deployment.pickGateway(random);
+			const SoakGatewayAddress gateway = this->pickGateway(random);
 			httplib::Client client = connectionTo(gateway.address);
 			bool broken = false;
 			const bool keepsConnection = 0 != _index % 2;
@@ -148,6 +157,13 @@
 		}
 	}
 
+	SoakGatewayAddress SoakCallers::pickGateway(Random& _random)
+	{
+		const Millis span = nowMs() / kCrowdSpanMs;
+		Random ofSpan(this->seed + std::uint64_t(span)); // the same for all callers
+		return this->deployment.pickGateway(0 == span % kCrowdSpans ? ofSpan : _random);
+	}
+
 	void SoakCallers::runCrashCaller()
 	{
 		constexpr std::uint64_t kSeedOffset = 7'000'003;
@@ -159,7 +175,16 @@
 			SoakCall call;
 			call.id = fmt::format("x{}", made);
 			call.kind = SoakKind::Crash;
-			call.target = fmt::format("/safe/{}?do=crash", made / kCrashRepeats);
+			const std::uint64_t cause = made / kCrashRepeats;
+			if (0 == cause % 2)
+			{
+				call.target = fmt::format("/safe/{}?do=crash", cause);
+			}
+			else
+			{
+				call.target = fmt::format("/safe/{}-{}?do=crash", cause, made);
+				call.badPart = fmt::format("bad{:x}", cause);
+			}
 			call.key = SoakDeployment::permanentKey();
 			call.gateway = gateway.name;
 			this->add(send(client, std::move(call)));
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -28,6 +28,8 @@
 	private:
 		void runCaller(std::size_t _index);
 		void runCrashCaller();
+		/// @returns A random gateway; at times the same one for all callers.
+		SoakGatewayAddress pickGateway(Random& _random);
 		void add(SoakCall _call);
 		void join();
 
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -237,37 +237,43 @@
 			}
 		}
 
-		/// Checks that a request that has crashed three upstreams reaches at most three others through gateways to
-		/// which the time limits apply.
+		/// Checks that a request that has crashed three upstreams, or requests with a part that has crashed five, reach at most
+		/// three others through gateways to which the time limits apply.
 		void checkCrashes(const SoakRecord& _record, const SoakBounds& _bounds, const CallsById& _calls, SoakViolations& _violations)
 		{
-			constexpr std::size_t kCrashThreshold = 3;
+			constexpr std::size_t kRequestThreshold = 3;
+			constexpr std::size_t kPartThreshold = 5;
 			constexpr int kMaxFurtherRuns = 3;
-			std::map<std::string, std::vector<Arrival>> runs; // by target; each run crashed its upstream
+			std::map<std::string, std::vector<Arrival>> runs; // by target or part; each run crashed its upstream
+			std::map<std::string, std::size_t> thresholds;
 			for (const SoakRun& run : _record.runs)
 			{
 				const auto call = _calls.find(run.request);
 				if (_calls.end() != call && SoakKind::Crash == call->second->kind)
 				{
-					runs[call->second->target].push_back({run.at, call->second->sentAt, run.request});
+					const std::string& part = call->second->badPart;
+					const std::string& cause = part.empty() ? call->second->target : part;
+					runs[cause].push_back({run.at, call->second->sentAt, run.request});
+					thresholds[cause] = part.empty() ? kRequestThreshold : kPartThreshold;
 				}
 			}
-			for (auto& [target, arrivals] : runs)
+			for (auto& [cause, arrivals] : runs)
 			{
 				std::sort(arrivals.begin(), arrivals.end(), [](const Arrival& _a, const Arrival& _b) {
 					return _a.at < _b.at;
 				});
-				if (arrivals.size() < kCrashThreshold)
+				const std::size_t threshold = thresholds.at(cause);
+				if (arrivals.size() < threshold)
 				{
 					continue;
 				}
-				const Millis limitFrom = arrivals[kCrashThreshold - 1].at + _bounds.contactMs;
+				const Millis limitFrom = arrivals[threshold - 1].at + _bounds.contactMs;
 				const auto further = std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& _arrival) {
 					return limitFrom < _arrival.at && timeLimitsApply(_record, _calls.at(_arrival.request)->gateway, _arrival.at - _bounds.contactMs, _arrival.at);
 				});
 				if (kMaxFurtherRuns < further)
 				{
-					_violations.add("work_after_crashes", fmt::format("{} reached {} more upstreams after {}", target, further, limitFrom));
+					_violations.add("work_after_crashes", fmt::format("{} reached {} more upstreams after {}", cause, further, limitFrom));
 				}
 			}
 		}
