Count crashes of runs that waited at their upstreams, and those of bursts

Only crashes less than 0.25 s apart count once now. Of several runs that ended with an upstream the one that began last counts, and a trial lasts until its attempt ends, 10 s at most.

--- a/include/archdyke/crash_blame.h
+++ b/include/archdyke/crash_blame.h
@@ -47,6 +47,9 @@
 
 	/// Independent crashes after which a suspect is blamed: one or two may have been caused by others.
 	constexpr std::size_t kCrashesToRefuse = 3;
+	/// Crashes of runs that were under way together count once if they are less than this apart, ms: what ends at once is seen
+	/// to end within a round trip across regions and the error of the gateways' clocks.
+	constexpr Millis kTogetherMs = 250;
 	/// How long a crash stays attributed: callers retry for minutes, and a faulty release of the upstream is rolled back
 	/// within this time.
 	constexpr Millis kCrashLifetimeMs = 600'000;
@@ -74,8 +77,8 @@
 	/// @returns The removed crashes.
 	std::vector<Crash> clearSuspect(CrashTable& _table, const std::string& _suspect);
 
-	/// @returns Number of independent recent crashes of a suspect. Crashes of runs that were under way together count once,
-	/// since they may have one cause outside of both, as a power failure.
+	/// @returns Number of independent recent crashes of a suspect. Crashes that may have one cause outside of their runs, such as
+	/// a power failure, count once.
 	std::size_t countCrashes(const CrashTable& _table, const std::string& _suspect, Millis _now);
 
 	/// @param[in] _suspects A request's fingerprint and the parts of its prompt.
@@ -92,8 +95,8 @@
 		absl::flat_hash_map<std::string, Millis> until; ///< By suspect: when the next run may begin, if the trial hasn't ended by then.
 	};
 
-	/// How long a trial keeps others waiting, ms: what crashes an upstream does so when its response begins.
-	constexpr Millis kTrialMs = 1'500;
+	/// How long a trial keeps others waiting at most, ms. It ends with its attempt, which may wait at its upstream before it runs.
+	constexpr Millis kTrialMs = 10'000;
 
 	/// Begins a trial of suspects.
 	void beginTrial(TrialTable& _trials, const std::vector<std::string>& _suspects, Millis _now);
--- a/src/decide/crash_blame.cpp
+++ b/src/decide/crash_blame.cpp
@@ -15,7 +15,13 @@
 			return _now < _run.at + kCrashLifetimeMs;
 		}
 
-		/// @returns The runs of a largest set of independent crashes, the latest first: each began after the next one's crash.
+		/// @returns Whether one event may have ended both runs: they were under way together, and ended at nearly the same time.
+		bool mayHaveOneCause(const CrashedRun& _earlier, const CrashedRun& _later)
+		{
+			return _later.startedAt < _earlier.at && _later.at - _earlier.at < kTogetherMs;
+		}
+
+		/// @returns The runs that ended one after the other, the latest first.
 		std::vector<CrashedRun> independentRuns(const CrashedRuns& _runs, Millis _now)
 		{
 			std::vector<CrashedRun> runs;
@@ -26,12 +32,13 @@
 					runs.push_back(run);
 				}
 			}
-			// Interval scheduling from the end: of the runs that ended before the last chosen one began, the one that began last.
-			std::sort(runs.begin(), runs.end(), std::greater<>());
+			std::sort(runs.begin(), runs.end(), [](const CrashedRun& _a, const CrashedRun& _b) {
+				return _a.at != _b.at ? _b.at < _a.at : _b.startedAt < _a.startedAt;
+			});
 			std::vector<CrashedRun> chosen;
 			for (const CrashedRun& run : runs)
 			{
-				if (chosen.empty() || run.at <= chosen.back().startedAt)
+				if (chosen.empty() || !mayHaveOneCause(run, chosen.back()))
 				{
 					chosen.push_back(run);
 				}
@@ -153,13 +160,18 @@
 		{
 			return false;
 		}
-		if (!_table.bySuspect[_crash.suspect].emplace(_crash.incarnation, _run).second)
+		const auto [found, isNew] = _table.bySuspect[_crash.suspect].emplace(_crash.incarnation, _run);
+		if (isNew)
 		{
-			return false;
+			_table.suspectsOf[_crash.incarnation] += 1;
+		}
+		else
+		{
+			// Of several runs that ended there, the one that began last.
+			found->second.startedAt = std::max(found->second.startedAt, std::min(_run.startedAt, found->second.at));
 		}
-		_table.suspectsOf[_crash.incarnation] += 1;
 		updateBlame(_table, _crash.suspect);
-		return true;
+		return isNew;
 	}
 
 	void removeCrash(CrashTable& _table, const Crash& _crash)
--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -215,7 +215,7 @@
 		}
 	}
 
-	void recordUnframedResponse(RequestContext& _context, UpstreamRef _upstream)
+	void recordUnframedResponse(RequestContext& _context, const UpstreamRef& _upstream)
 	{
 		if (!observeAttempt(_context, _upstream, true).empty())
 		{
--- a/src/gateway/crashes.h
+++ b/src/gateway/crashes.h
@@ -73,7 +73,7 @@
 
 	/// Records a response that seems complete because its connection ended in order. An upstream that crashes may end it so,
 	/// too, so this counts as a completed run only if the upstream has outlived it.
-	void recordUnframedResponse(RequestContext& _context, UpstreamRef _upstream);
+	void recordUnframedResponse(RequestContext& _context, const UpstreamRef& _upstream);
 
 	/// @returns How much longer a request is refused because several upstreams crashed under it or a part of its prompt, or
 	/// because another one is tried that tells whether this one may run, ms; none when it may run.
--- a/tests/test_crash_blame.cpp
+++ b/tests/test_crash_blame.cpp
@@ -106,6 +106,26 @@
 	cr_assert(3 == countCrashes(table, "r", kNow) && remainingRefusalMs(table, {"r"}, kNow));
 }
 
+Test(crashblame, a_crash_under_which_several_runs_ended_counts_by_the_one_that_began_last)
+{
+	CrashTable table;
+	recordCrash(table, {"r", "a"}, {kNow, kNow + 100});
+	recordCrash(table, {"r", "b"}, {kNow, kNow + 300});
+	cr_assert(1 == countCrashes(table, "r", kNow));
+	cr_assert(!recordCrash(table, {"r", "b"}, {kNow + 150, kNow + 300}));
+	cr_assert(2 == countCrashes(table, "r", kNow));
+}
+
+Test(crashblame, runs_that_waited_long_at_their_upstreams_count_by_their_crashes)
+{
+	CrashTable table;
+	for (int crash = 0; crash < 3; ++crash)
+	{
+		recordCrash(table, {"r", "u" + std::to_string(crash)}, {kNow, kNow + 5'000 + crash * kTogetherMs});
+	}
+	cr_assert(3 == countCrashes(table, "r", kNow));
+}
+
 /// A request that lacks the common part, or one of the parts that always came together, is the experiment that tells them apart.
 Test(crashblame, blame_narrows_to_the_part_that_explains_the_crashes)
 {
--- a/tests/test_crash_fleet.cpp
+++ b/tests/test_crash_fleet.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 	constexpr Millis kStepMs = 20;
-	constexpr Millis kCrashDelayMs = 100;   ///< From the start of a run that crashes its upstream.
 	constexpr Millis kRestartMs = 3'000;    ///< Until a crashed upstream is back.
 	constexpr Millis kKnownAfterMs = 1'500; ///< Until all gateways know of a crash or a completion.
 	constexpr Millis kRunMs = 2'000;        ///< Length of a sound run.
@@ -31,6 +30,7 @@
 		double soundPerS = 15.0;
 		Millis soundFrom = 0; ///< When sound requests begin.
 		Millis badFrom = 20'000;
+		Millis crashDelayMs = 100;   ///< From the sending of a bad request to the crash of its upstream.
 		Millis powerFailureEach = 0; ///< Interval at which all upstreams end together; 0: never.
 		Millis lengthMs = 90'000;
 	};
@@ -156,7 +156,7 @@
 			this->outcome.late += late ? 1 : 0;
 			beginTrial(gateway.trials, run.trial, this->now);
 			run.upstream = up[randomBelow(this->random, up.size())];
-			run.endsAt = this->now + (_bad ? kCrashDelayMs : kRunMs);
+			run.endsAt = this->now + (_bad ? this->scenario.crashDelayMs : kRunMs);
 			this->runs.push_back(run);
 		}
 
@@ -329,3 +329,14 @@
 	scenario.soundFrom = 30'000;
 	checkScenario(scenario);
 }
+
+Test(crashfleet, bad_requests_that_wait_at_their_upstreams_are_refused)
+{
+	Scenario scenario;
+	scenario.crashDelayMs = 3'000;
+	for (const double perS : {0.5, 1.0, 2.0})
+	{
+		scenario.badPerS = perS;
+		checkScenario(scenario);
+	}
+}
