--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -139,7 +139,15 @@
 mutant gateway-tells-nobody-of-crashes "gateway_all_of_many_gateways_refuse_a_request_soon_after_its_third_crash" src/gateway/crash_teller.cpp \
 	'if (!isWriteDue(record, now) ||' 'if (true ||'
 mutant gateway-clears-nobody-of-crashes "gateway_bystanders_of_crashes_are_served_and_cleared" src/gateway/crashes.cpp \
-	'recordCompletion(record.runs, hashOf(_context), nowMs());' 'return;'
+	'recordCompletion(record.runs, hash, now);' 'return;'
+mutant gateway-blames-no-parts "gateway_a_part_that_ended_five_upstreams_reaches_no_more_in_other_requests" src/gateway/crashes.cpp \
+	'index + 1 < _caller.prompt.size()' 'index + 1 < 0 * _caller.prompt.size()'
+mutant gateway-takes-unframed-responses-for-whole "gateway_a_part_that_ends_streams_with_their_connection_is_refused" src/gateway/dispatch.cpp \
+	'result.endedByConnection ? recordUnframedResponse(_context, upstream) : recordCompletedRun(_context);' 'recordCompletedRun(_context);'
+mutant blame-is-never-explained "crashblame_blame_narrows_.*|gateway_sound_requests_that_share_.*" src/decide/crash_blame.cpp \
+	'while (kStrayCrashes < unexplained.size())' 'return false; while (kStrayCrashes < unexplained.size())'
+mutant power-failures-count-for-each-upstream "crashblame_runs_that_were_under_way_together_.*" src/decide/crash_blame.cpp \
+	'return _later.startedAt < _earlier.at &&' 'return false && _later.startedAt < _earlier.at &&'
 mutant entries-hear-no-crashes-from-agents "crashagent_entries_without_the_platform_refuse_a_call_that_crashed_services" src/entry/crash_record.cpp \
 	'if (!cleared && !this->cleared.contains(crash))' 'if (false)'
 mutant entries-read-no-crashes "crashrecord_.*|crashagent_restarted_entries_.*" src/entry/crash_record.cpp \
