--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -8,6 +8,7 @@
 {
 	/// `platform_down` with "nodes busy revoke": 9 s at most.
 	constexpr std::int64_t kTroubleMs = 9'000;
+	constexpr std::size_t kGateways = 4;      ///< One of them is turned away: a share of 0.25.
 	constexpr std::int64_t kRevokeMs = 5'000; ///< Bound of the small deployment.
 	constexpr std::int64_t kCalmMs = 2'000;
 	constexpr std::int64_t kCallIntervalMs = 200;
@@ -79,29 +80,44 @@
 			return Json::array({{{"name", "kitchen"}, {"apiKeys", _keys}, {"priority", 1}}, {{"name", "bakery"}, {"apiKeys", {"key-three"}}, {"priority", 1}}});
 		};
 		store.put("op", "config", configurationOf(1, routes, tenants({"key-one", "key-two"})));
-		Gateway gateway(folder.path, "edge-jackson-hall-1", store.address());
-		gateway.waitReady(3);
-		call(play, gateway.callers, "recipe-page", "before-open");
-		call(play, gateway.callers, "allergen-sheet", "before-keyed");
+		std::vector<std::unique_ptr<Gateway>> gateways;
+		for (std::size_t index = 0; index < kGateways; ++index)
+		{
+			gateways.push_back(std::make_unique<Gateway>(folder.path, "edge-" + std::to_string(index), 0 == index ? store.refusingAddress() : store.address()));
+		}
+		for (const auto& gateway : gateways)
+		{
+			gateway->waitReady(3);
+		}
+		const auto callAll = [&](const std::string& _when) {
+			for (std::size_t index = 0; index < kGateways; ++index)
+			{
+				call(play, gateways[index]->callers, "recipe-page", _when + "-open-gateway" + std::to_string(index));
+				call(play, gateways[index]->callers, "allergen-sheet", _when + "-keyed-gateway" + std::to_string(index));
+			}
+		};
+		callAll("before");
 		const std::int64_t begun = nowMs();
-		store.busy = isTroubled();
-		record.line(store.busy ? "disruption begins: the store answers the gateway with 503" : "no disruption");
+		store.refusesSome = isTroubled();
+		record.line(store.refusesSome ? "disruption begins: the store answers gateway 0 with 503, and serves the others" : "no disruption");
 		pauseMs(100);
 		store.put("op", "config", configurationOf(2, routes, tenants({"key-two"})));
 		const std::int64_t withdrawnAt = nowMs();
 		record.line("version 2 acknowledged: key-one is withdrawn");
 		for (int number = 0; nowMs() < begun + kTroubleMs - kCallIntervalMs; ++number)
 		{
-			call(play, gateway.callers, "recipe-page", "open-" + std::to_string(number));
-			call(play, gateway.callers, "allergen-sheet", "keyed-" + std::to_string(number));
+			callAll("call" + std::to_string(number));
 			pauseMs(kCallIntervalMs);
 		}
-		store.busy = false;
+		store.refusesSome = false;
 		record.line("disruption ends");
 		pauseMs(kCalmMs);
-		call(play, gateway.callers, "recipe-page", "after-open");
-		call(play, gateway.callers, "allergen-sheet", "after-keyed");
-		const bool runs = gateway.process->running();
+		callAll("after");
+		bool runs = true;
+		for (const auto& gateway : gateways)
+		{
+			runs = runs && gateway->process->running();
+		}
 		int late = 0;
 		int lateKeyed = 0;
 		for (const auto& [request, run] : play.runs)
@@ -115,8 +131,8 @@
 			}
 		}
 		record.result("runs for tenant kitchen with its withdrawn key, sent over 5 s after the withdrawal: public route " + std::to_string(late) + ", route with keys " + std::to_string(lateKeyed));
-		return !runs || !play.runs.contains("before-open") ? 2 : 0 < late + lateKeyed ? 1
-		                                                                              : 0;
+		return !runs || !play.runs.contains("before-open-gateway0") ? 2 : 0 < late + lateKeyed ? 1
+		                                                                                       : 0;
 	}
 } // namespace
 
--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -519,7 +519,16 @@
 		    : server([this](const Message& _request, Socket& _socket) {
 			    return this->serve(_request, _socket);
 		    })
+		    , refusingServer([this](const Message& _request, Socket& _socket) {
+			    return this->refusesSome ? respond(_socket, 503, Json::object()) : this->serve(_request, _socket);
+		    })
+		{
+		}
+
+		/// @returns The address of the same store for daemons that it turns away while refusesSome is set.
+		std::string refusingAddress() const
 		{
+			return this->refusingServer.address();
 		}
 
 		std::string address() const
@@ -544,8 +553,9 @@
 			this->changed.notify_all();
 		}
 
-		std::atomic<bool> busy{false};   ///< Answers all daemons with 503.
-		std::atomic<bool> silent{false}; ///< Answers no daemon.
+		std::atomic<bool> busy{false};        ///< Answers all daemons with 503.
+		std::atomic<bool> refusesSome{false}; ///< Answers those at refusingAddress() with 503.
+		std::atomic<bool> silent{false};      ///< Answers no daemon.
 
 	private:
 		struct Stored
@@ -733,6 +743,7 @@
 		std::map<Name, Stored> rows;
 		std::uint64_t newest = 0;
 		Server server;
+		Server refusingServer;
 	};
 
 	/// A child process, killed with its parent and by the destructor.
