Log bytes that belong to no exchange, and what came in the place of a head

Logs couldn't tell the hypotheses apart: bytes on an idle connection closed it without a line, bytes of an incomplete head weren't noticed, and "no_answer_head" didn't say whether the connection had ended or what had come wasn't a head.

Now: unattributed_bytes (address, number of the connection, when it was noticed, what was unread, whether within a head) with a counter archdyke_gateway_unattributed_bytes_total; no_answer_head with what came instead; foreign_answer with the connection and the time since the request was sent. No change of behaviour.

--- a/src/gateway/counters.cpp
+++ b/src/gateway/counters.cpp
@@ -38,6 +38,7 @@
 	    , upstreamCrashes(_metrics.counter("archdyke_gateway_upstream_crashes_total", "Upstream crashes attributed to a request, once for each request and upstream"))
 	    , crashRefusals(_metrics.counter("archdyke_gateway_crash_refusals_total", "Requests refused because several upstreams had crashed under them"))
 	    , connectionsOpened(_metrics.counter("archdyke_gateway_upstream_connections_total", "Connections opened to upstreams"))
+	    , unattributedBytes(_metrics.counter("archdyke_gateway_unattributed_bytes_total", "Connections to upstreams that were closed because of bytes that belong to no exchange"))
 	    , configurationVersion(_metrics.gauge("archdyke_configuration_version", "Version of the configuration in force"))
 	    , proofAgeMs(_metrics.gauge("archdyke_configuration_proof_age_ms", "Age of the proof that this version is the newest"))
 	    , evacuatedZones(_metrics.gauge("archdyke_evacuated_zones", "Zones whose upstreams get no requests because an operator evacuated them"))
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -46,6 +46,7 @@
 		prometheus::Counter& upstreamCrashes;
 		prometheus::Counter& crashRefusals;
 		prometheus::Counter& connectionsOpened;
+		prometheus::Counter& unattributedBytes;
 		prometheus::Gauge& configurationVersion;
 		prometheus::Gauge& proofAgeMs;
 		prometheus::Gauge& evacuatedZones;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -107,6 +107,8 @@
 				http::FullResponse response{{200, {}, true}, ""};
 				this->counters.connectionsOpened.Increment(double(this->state.pool.opened() - this->countedConnections));
 				this->countedConnections = this->state.pool.opened();
+				this->counters.unattributedBytes.Increment(double(this->state.pool.unattributed() - this->countedUnattributed));
+				this->countedUnattributed = this->state.pool.unattributed();
 				if ("/dump" == _head.target)
 				{
 					response.head.headers.add("Content-Type", "application/json");
@@ -184,7 +186,8 @@
 			CallerServer callers;
 			http::Listener readiness;
 			http::Listener admin;
-			std::uint64_t countedConnections = 0; ///< Opened connections already added to the counter.
+			std::uint64_t countedConnections = 0;  ///< Opened connections already added to the counter.
+			std::uint64_t countedUnattributed = 0; ///< Likewise, connections with bytes that belong to no exchange.
 			kj::Promise<void> reloading = nullptr;
 		};
 	} // namespace
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -138,13 +138,15 @@
 		}
 
 		/// @returns The head of the response to this request; responses to other requests are skipped.
-		aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream)
+		/// @param[out] _ending What came in the place of a head, for the log.
+		aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream, std::string_view& _ending)
 		{
 			while (true)
 			{
 				Part part = co_await readPart(_context, _upstream);
 				if (PartKind::Head != part.kind)
 				{
+					_ending = toString(part.kind);
 					co_return std::nullopt;
 				}
 				const ResponseInfo info = _context.state.codec.decodeResponse(part.response);
@@ -154,10 +156,11 @@
 				{
 					co_return part.response;
 				}
-				logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}});
+				logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}, {"connection", _upstream.number()}, {"sent_ago_ms", nowMs() - _context.sentAt}});
 				const std::optional<std::string> skipped = co_await readBody(_context, _upstream);
 				if (!skipped)
 				{
+					_ending = "foreign_answer_broke_off";
 					co_return std::nullopt;
 				}
 			}
@@ -193,9 +196,11 @@
 		aio::Task<AttemptResult> relayResponse(RequestContext& _context, http::Lease& _lease)
 		{
 			http::HttpConnection& upstream = *_lease.connection;
-			const std::optional<http::ResponseHead> head = co_await readHead(_context, upstream);
+			std::string_view ending;
+			const std::optional<http::ResponseHead> head = co_await readHead(_context, upstream, ending);
 			if (!head)
 			{
+				logInfo("no_answer_head", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", upstream.number()}, {"instead", ending}, {"sent_ago_ms", nowMs() - _context.sentAt}});
 				co_return failed(ExecutionProof::Unknown, "no_answer_head");
 			}
 			const ResponseInfo info = _context.state.codec.decodeResponse(*head);
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "aio/task.h"
+#include "base/log.h"
 #include "base/process.h"
 #include "http/socket_address.h"
 
@@ -20,6 +21,21 @@
 		/// Maximum number of idle connections per address: the slots that one gateway keeps busy at a loaded upstream.
 		constexpr std::size_t kMaxIdlePerAddress = 32;
 
+		/// Logs bytes that arrived while no exchange was under way. Closed connections without such bytes aren't logged.
+		/// @param[in] _when Where in the connection's life they were noticed.
+		/// @returns Whether there are any.
+		bool logUnattributed(const HttpConnection& _connection, const std::string& _address, std::string_view _when)
+		{
+			const std::optional<PartKind> unread = _connection.unreadKind();
+			const bool onlyClosed = !unread || PartKind::Closed == *unread || (PartKind::Reset == *unread && !_connection.isMidMessage());
+			if (onlyClosed && !_connection.isMidMessage())
+			{
+				return false;
+			}
+			logWarning("unattributed_bytes", {{"address", _address}, {"connection", _connection.number()}, {"when", _when}, {"unread", unread ? toString(*unread) : "none"}, {"within_head", _connection.isMidMessage()}});
+			return true;
+		}
+
 		aio::Task<FullResponse> readFullResponse(HttpConnection& _connection)
 		{
 			FullResponse fullResponse;
@@ -73,6 +89,7 @@
 		{
 			IdleConnection candidate = std::move(idleConnections.back());
 			idleConnections.pop_back();
+			this->unattributedCount += logUnattributed(*candidate.connection, _address, "idle") ? 1 : 0;
 			const bool usable = !candidate.connection->hasUnread() && !candidate.connection->isDisconnected() && now < candidate.until && now - candidate.since <= _options.maxIdleMs;
 			if (usable)
 			{
@@ -102,6 +119,7 @@
 	void ConnectionPool::returnToPool(Lease _lease, Millis _idleLimitMs)
 	{
 		std::deque<IdleConnection>& idleConnections = this->idle[_lease.address];
+		this->unattributedCount += logUnattributed(*_lease.connection, _lease.address, "behind_answer") ? 1 : 0;
 		const bool sound = !_lease.connection->hasUnread() && !_lease.connection->isDisconnected();
 		if (!sound || _idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress)
 		{
@@ -121,6 +139,11 @@
 		return this->openedCount;
 	}
 
+	std::uint64_t ConnectionPool::unattributed() const
+	{
+		return this->unattributedCount;
+	}
+
 	void ConnectionPool::closeExpired()
 	{
 		const Millis now = nowMs();
@@ -132,6 +155,7 @@
 		for (auto& [address, idleConnections] : this->idle)
 		{
 			std::erase_if(idleConnections, [&](const IdleConnection& _idle) {
+				this->unattributedCount += logUnattributed(*_idle.connection, address, "idle") ? 1 : 0;
 				return _idle.until <= now || _idle.connection->isDisconnected() || _idle.connection->hasUnread();
 			});
 		}
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -60,6 +60,9 @@
 		/// @returns Number of connections opened since the start.
 		std::uint64_t opened() const;
 
+		/// @returns How often bytes were found on a connection that belong to no exchange.
+		std::uint64_t unattributed() const;
+
 	private:
 		struct IdleConnection
 		{
@@ -74,6 +77,7 @@
 		LoopContext loop;
 		absl::flat_hash_map<std::string, std::deque<IdleConnection>> idle;
 		std::uint64_t openedCount = 0;
+		std::uint64_t unattributedCount = 0;
 		Millis lastSweepAt = 0;
 	};
 
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/http_connection.h"
 
 #include <array>
+#include <atomic>
 #include <http_parser.h>
 #include <memory>
 
@@ -13,8 +14,37 @@
 		/// Parsed bytes that may wait for the reader before reading from the connection pauses. Large enough for
 		/// several events of a stream; bounds the memory that one slow reader can use.
 		constexpr std::size_t kMaxBufferedBytes = 262'144;
+
+		std::uint64_t nextNumber()
+		{
+			static std::atomic<std::uint64_t> last{0};
+			return ++last;
+		}
 	} // namespace
 
+	std::string_view toString(PartKind _kind)
+	{
+		switch (_kind)
+		{
+		case PartKind::Head:
+			return "head";
+		case PartKind::Body:
+			return "body";
+		case PartKind::End:
+			return "end";
+		case PartKind::Closed:
+			return "closed";
+		case PartKind::Reset:
+			return "reset";
+		case PartKind::Malformed:
+			return "malformed";
+		case PartKind::HeadTooLarge:
+			return "head_too_large";
+		default:
+			return "body_too_large";
+		}
+	}
+
 	/// Parser state of one connection.
 	struct HttpConnection::Parser
 	{
@@ -170,6 +200,7 @@
 	HttpConnection::HttpConnection(kj::Own<kj::AsyncIoStream> _stream, Side _side, MessageLimits _limits)
 	    : stream(kj::mv(_stream))
 	    , parser(std::make_unique<Parser>(*this, _side, _limits))
+	    , ownNumber(nextNumber())
 	    , goneFork(nullptr)
 	{
 		auto paf = kj::newPromiseAndFulfiller<void>();
@@ -290,6 +321,16 @@
 		return this->parser->inMessage;
 	}
 
+	std::optional<PartKind> HttpConnection::unreadKind() const
+	{
+		return this->parts.empty() ? std::nullopt : std::optional(this->parts.front().kind);
+	}
+
+	std::uint64_t HttpConnection::number() const
+	{
+		return this->ownNumber;
+	}
+
 	void HttpConnection::setLimits(MessageLimits _limits)
 	{
 		this->parser->limits = _limits;
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -5,7 +5,9 @@
 #include <deque>
 #include <kj/async-io.h>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "aio/task.h"
 #include "http/http_message.h"
@@ -35,6 +37,9 @@
 		Count
 	};
 
+	/// @returns The name used in logs.
+	std::string_view toString(PartKind _kind);
+
 	/// One part of an incoming message, or the end of the connection.
 	struct Part
 	{
@@ -80,6 +85,12 @@
 		/// @returns Whether a message has been received in part.
 		bool isMidMessage() const;
 
+		/// @returns The kind of the oldest unread part; none if all parts were read.
+		std::optional<PartKind> unreadKind() const;
+
+		/// @returns Number of this connection in this process, for logs.
+		std::uint64_t number() const;
+
 		/// Sets the limits for data parsed from now on.
 		void setLimits(MessageLimits _limits);
 
@@ -93,6 +104,7 @@
 		kj::Own<kj::AsyncIoStream> stream;
 		std::unique_ptr<Parser> parser;
 		std::deque<Part> parts;
+		std::uint64_t ownNumber;
 		std::size_t bufferedBytes = 0;
 		bool gone = false;
 		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> partWaiter;
