--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -9,6 +9,8 @@
 ///              stream without its 3rd event), jump (likewise, all events in one chunk)
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
+///   behind=N   behind the whole answer, its first N bytes come again on the connection (plain answers and rejections)
+///   behindWhen=now|next  these bytes come with the answer, or when the next request has arrived on that connection
 ///   only=ID    only the upstream with this id does the above, the others respond normally
 /// GET /record returns, by request id, the number of runs, of caller disconnects and of rejections,
 /// and the time of the last arrival.
@@ -19,6 +21,7 @@
 #include <cstdlib>
 #include <fmt/format.h>
 #include <map>
+#include <utility>
 
 #include "base/address.h"
 #include "base/log.h"
@@ -44,6 +47,7 @@
 		{
 			http::RequestHead head;
 			std::string body;
+			std::string* behind = nullptr; ///< Bytes to write on the connection before the next answer.
 		};
 
 		struct Record
@@ -80,9 +84,11 @@
 
 			aio::Task<void> serve(std::unique_ptr<http::HttpConnection> _connection)
 			{
+				std::string behind;
 				while (true)
 				{
 					Call call;
+					call.behind = &behind;
 					bool complete = false;
 					while (!complete)
 					{
@@ -153,7 +159,8 @@
 			http::ResponseHead rejectedHead(const Call& _call, const std::string& _backOffS) const
 			{
 				http::ResponseHead head = this->headFor(_call, 503);
-				head.headers.add("X-Archdyke-Not-Executed", "1");
+				// First, so that a head which is cut behind it states it.
+				head.headers.lines.insert(head.headers.lines.begin(), http::Header{"X-Archdyke-Not-Executed", "1"});
 				if (!_backOffS.empty())
 				{
 					head.headers.add("Retry-After", _backOffS);
@@ -231,7 +238,7 @@
 				{
 					record.rejections += 1;
 					bytes = http::serialize(this->rejectedHead(_call, this->backOffText(_call)), "");
-					co_await _connection.write(std::move(bytes));
+					co_await this->writeAnswer(_connection, _call, std::move(bytes));
 					co_return true;
 				}
 				record.runs += 1;
@@ -301,10 +308,23 @@
 					bytes = fmt::format("HTTP/1.1 200 OK\r\nX-Archdyke-Request-Id: {}\r\nX-Archdyke-Server-Stamp: stamp-{}\r\n\r\n{}", this->headerOf(_call, "X-Archdyke-Request-Id"), this->id, body);
 					keepOpen = false;
 				}
-				co_await _connection.write(std::move(bytes));
+				co_await this->writeAnswer(_connection, _call, std::move(bytes));
 				co_return keepOpen;
 			}
 
+			/// Writes an answer, before it the bytes that are left from an earlier one, and behind it what the call asks for.
+			aio::Task<void> writeAnswer(http::HttpConnection& _connection, const Call& _call, std::string _answer)
+			{
+				std::string bytes = std::exchange(*_call.behind, "") + _answer;
+				const std::optional<std::int64_t> size = this->isAddressee(_call) ? http::parseInteger(queryField(_call.head.target, "behind")) : std::nullopt;
+				if (size)
+				{
+					const std::string again = _answer.substr(0, std::size_t(*size));
+					("next" == queryField(_call.head.target, "behindWhen") ? *_call.behind : bytes) += again;
+				}
+				co_await _connection.write(std::move(bytes));
+			}
+
 			aio::Task<bool> respondStream(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, bool _crashes, Record& _record)
 			{
 				http::ResponseHead head = this->headFor(_call, 200);
