Each byte of an upstream belongs to one exchange or ends its connection

What callers saw: a success where the upstream had answered with a failure, failures with an upstream's signature and another status, and requests that ran told as not run.

Cause: an upstream sends the first bytes of an answer again, behind it. The pool looked for whole parts only, so a connection with part of a head was used again; and bytes that come once the next request is sent can't be seen before it anyway. The parser took the next answer's status line for the rest of a reason or of a value, so that status and first lines were those of the earlier answer, and the id those of the next.

By the parser library's packaged build, which isn't strict: two bytes behind a chunk and the last byte of a head are skipped, whatever they are.

Why this works: - A connection is in an exchange from when it is leased until it is returned. Bytes outside of one end it (Unrequested), also those that the system has received and the event loop hasn't seen; a head in part counts as unread. - A client collects a head and checks it before it is parsed (response_head.h): a head that holds another status line is joined of two, and nothing of it is handed on. Every joint of a cut answer and a whole one lies within a line and puts a status line there, or breaks a line. - Data of a chunk is handed on once its end was seen. - A response to another request is skipped whole. One that has no end of its own, or whose body holds a status line, ends the attempt at once. - A body in doubt (with a status line, and bytes behind it or no length) isn't forwarded; an event that holds a response breaks the stream, which goes on at another upstream. - What a head states of the upstream counts once its id is known to be the request's. A head that names one of the platform's fields twice proves nothing. - A connection that has carried an id isn't used for it again, so a second answer to the first try can't be taken for that to the second. Without an id a request gets a connection of its own.

--- a/include/archdyke/event_stream.h
+++ b/include/archdyke/event_stream.h
@@ -1,6 +1,7 @@
 /// Splits a text/event-stream into complete events and checks the order of their ids.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,6 +19,9 @@
 		bool operator==(const StreamEvent&) const = default;
 	};
 
+	/// Maximum size of an event, bytes: above what engines send, and little enough for many streams at once.
+	constexpr std::size_t kMaxEventBytes = 262'144;
+
 	/// Buffers the bytes of an incomplete event.
 	struct EventSplitter
 	{
@@ -29,6 +33,13 @@
 	/// @returns The events completed by a chunk of the stream.
 	std::vector<StreamEvent> splitEvents(EventSplitter& _splitter, std::string_view _chunk);
 
+	/// @returns Whether the incomplete event exceeds the maximum size.
+	bool isTooLarge(const EventSplitter& _splitter);
+
+	/// @returns Whether an event holds bytes of another response: one of its lines begins as a response does. Text of a model may
+	/// hold such a line only behind a field's name.
+	bool holdsResponse(const StreamEvent& _event);
+
 	/// How to handle an event of a run.
 	enum class EventVerdict
 	{
--- /dev/null
+++ b/include/archdyke/response_head.h
@@ -0,0 +1,34 @@
+/// Tells whether the head of an HTTP/1.x response was written as one.
+///
+/// An upstream may send more bytes behind a whole response: a second copy, cut anywhere, at once or late. Whatever follows on
+/// that connection then begins within these bytes. A head that is joined of two has the second one's status line within a
+/// line of the first, where no sound upstream writes one.
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace archdyke
+{
+	enum class HeadFault
+	{
+		None,
+		NotAHead, ///< The bytes aren't a head: an invalid status line, a line without a name, a control character, a folded line.
+		Joined,   ///< It contains the status line of another response.
+		Count
+	};
+
+	/// @returns Whether a text contains the beginning of a response: "HTTP/1.1 200", then a space or the end of its line.
+	bool containsStatusLine(std::string_view _text);
+
+	/// @returns Whether a text is the beginning of a response, or may become it with more bytes.
+	bool mayStartResponse(std::string_view _text);
+
+	/// @returns Size of the first head in a text, with its empty line; 0 if it is incomplete.
+	/// @param[in] _from Bytes that are known not to contain its end.
+	std::size_t headSize(std::string_view _text, std::size_t _from);
+
+	/// @param[in] _head A head with its empty line.
+	/// @remarks Stricter than RFC 9112, 2.2 and 5.2: folded lines are rejected, since they hide where a line ends.
+	HeadFault checkResponseHead(std::string_view _head);
+} // namespace archdyke
--- a/src/decide/event_stream.cpp
+++ b/src/decide/event_stream.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <algorithm>
 
+#include "archdyke/response_head.h"
 #include "archdyke/text.h"
 
 namespace archdyke
@@ -48,6 +49,20 @@
 		return events;
 	}
 
+	bool isTooLarge(const EventSplitter& _splitter)
+	{
+		return _splitter.rest.size() > kMaxEventBytes;
+	}
+
+	bool holdsResponse(const StreamEvent& _event)
+	{
+		const std::vector<std::string_view> lines = splitText(_event.bytes, '\n');
+		return std::any_of(lines.begin(), lines.end(), [](std::string_view _line) {
+			constexpr std::size_t kStatusLineBytes = 12;
+			return kStatusLineBytes <= _line.size() && mayStartResponse(_line);
+		});
+	}
+
 	EventVerdict classifyEvent(const StreamEvent& _event, std::optional<std::uint64_t> _delivered)
 	{
 		if (!_event.id || !_delivered || *_event.id == *_delivered + 1)
--- /dev/null
+++ b/src/decide/response_head.cpp
@@ -0,0 +1,131 @@
+#include "archdyke/response_head.h"
+
+#include <algorithm>
+
+#include "archdyke/text.h"
+
+namespace archdyke
+{
+	namespace
+	{
+		constexpr std::string_view kVersion = "HTTP/1.";
+		/// Length of "HTTP/1.1 200".
+		constexpr std::size_t kStatusEnd = 12;
+		constexpr std::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
+
+		bool isDigit(char _c)
+		{
+			return '0' <= _c && _c <= '9';
+		}
+
+		/// RFC 9110, 5.6.2.
+		bool isTokenChar(char _c)
+		{
+			const char lower = char(_c | 0x20);
+			return isDigit(_c) || ('a' <= lower && lower <= 'z') || std::string_view::npos != kTokenSigns.find(_c);
+		}
+
+		bool isControl(char _c)
+		{
+			return ('\t' != _c && 0 <= _c && _c < 0x20) || 0x7f == _c;
+		}
+
+		/// @returns Whether a status line's sign at a position is one that a status line has there.
+		bool fitsStatusLine(char _c, std::size_t _at)
+		{
+			if (_at < kVersion.size())
+			{
+				return kVersion[_at] == _c;
+			}
+			const bool space = 8 == _at || kStatusEnd == _at;
+			return space ? ' ' == _c : isDigit(_c);
+		}
+
+		bool isStatusLine(std::string_view _line)
+		{
+			const bool complete = kStatusEnd <= _line.size();
+			return complete && mayStartResponse(_line.substr(0, kStatusEnd + 1));
+		}
+
+		HeadFault checkHeaderLine(std::string_view _line)
+		{
+			const std::size_t colon = _line.find(':');
+			const bool named = std::string_view::npos != colon && 0 < colon && std::all_of(_line.begin(), _line.begin() + std::ptrdiff_t(colon), isTokenChar);
+			return named ? HeadFault::None : HeadFault::NotAHead;
+		}
+	} // namespace
+
+	bool containsStatusLine(std::string_view _text)
+	{
+		for (std::size_t at = _text.find(kVersion); std::string_view::npos != at; at = _text.find(kVersion, at + 1))
+		{
+			const std::string_view rest = _text.substr(at);
+			const bool ends = kStatusEnd == rest.size() || (kStatusEnd < rest.size() && std::string_view::npos != std::string_view(" \r\n").find(rest[kStatusEnd]));
+			if (ends && mayStartResponse(rest.substr(0, kStatusEnd)))
+			{
+				return true;
+			}
+		}
+		return false;
+	}
+
+	bool mayStartResponse(std::string_view _text)
+	{
+		const std::size_t size = std::min(_text.size(), kStatusEnd + 1);
+		for (std::size_t at = 0; at < size; ++at)
+		{
+			const bool endsLine = kStatusEnd == at && ('\r' == _text[at] || '\n' == _text[at]);
+			if (!fitsStatusLine(_text[at], at) && !endsLine)
+			{
+				return false;
+			}
+		}
+		return true;
+	}
+
+	std::size_t headSize(std::string_view _text, std::size_t _from)
+	{
+		constexpr std::size_t kLongestEnd = 3; // of "\n\r\n"
+		for (std::size_t at = _text.find('\n', _from < kLongestEnd ? 0 : _from - kLongestEnd); std::string_view::npos != at; at = _text.find('\n', at + 1))
+		{
+			const std::string_view rest = _text.substr(at + 1);
+			if (rest.starts_with("\n") || rest.starts_with("\r\n"))
+			{
+				return at + 1 + rest.find('\n') + 1;
+			}
+		}
+		return 0;
+	}
+
+	HeadFault checkResponseHead(std::string_view _head)
+	{
+		bool first = true;
+		for (std::string_view line : splitText(_head, '\n'))
+		{
+			if (line.ends_with('\r'))
+			{
+				line.remove_suffix(1);
+			}
+			if (line.empty() && !first)
+			{
+				break;
+			}
+			// What follows the first status line can only be another one.
+			if (containsStatusLine(first ? line.substr(std::min(line.size(), kStatusEnd)) : line))
+			{
+				return HeadFault::Joined;
+			}
+			if (std::any_of(line.begin(), line.end(), isControl) || (first && !isStatusLine(line)))
+			{
+				return HeadFault::NotAHead;
+			}
+			const HeadFault fault = first ? HeadFault::None : checkHeaderLine(line);
+			if (HeadFault::None != fault)
+			{
+				return fault;
+			}
+			first = false;
+		}
+		return HeadFault::None;
+	}
+} // namespace archdyke
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -56,6 +56,7 @@
 		bool signedByUpstream = false;
 		bool provedNotRun = false; ///< The upstream states that it did not run the request.
 		bool wrongIncarnation = false;
+		bool ambiguous = false;            ///< The head names one of these fields twice.
 		bool encoded = false;              ///< The body has a content encoding that wasn't requested.
 		std::optional<Millis> keepAliveMs; ///< How long the upstream keeps the idle connection open.
 		std::string faultyMember;          ///< The group member that caused the failure; may be empty.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "aio/task.h"
+#include "archdyke/response_head.h"
 #include "archdyke/slow_rank.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -60,19 +61,26 @@
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
 
-		/// @returns Whether a response states where its body ends.
-		bool hasFraming(const http::ResponseHead& _head)
+		/// @returns Whether a body may hold bytes of another response. Bytes that came within it leave as many of its own behind its end;
+		/// without a length nothing shows where it ended.
+		bool isInDoubt(const http::HttpConnection& _upstream, const http::ResponseHead& _head, const std::string& _body)
 		{
-			return _head.headers.find("Content-Length") || _head.headers.find("Transfer-Encoding");
+			const bool more = _upstream.hasStrayBytes() || !hasFraming(_head);
+			return more && containsStatusLine(_body);
 		}
 
-		/// @returns The body of a response; none when it is incomplete or too large.
-		aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream)
+		/// @returns The body of a response; none when it is incomplete, too large or in doubt.
+		aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
 		{
 			std::string body;
 			while (true)
 			{
 				Part part = co_await readPart(_context, _upstream);
+				if (PartKind::End == part.kind && isInDoubt(_upstream, _head, body))
+				{
+					logWarning("body_in_doubt", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", _upstream.number()}, {"bytes", body.size()}});
+					co_return std::nullopt;
+				}
 				if (PartKind::End == part.kind)
 				{
 					co_return body;
@@ -88,7 +96,7 @@
 		/// Reads an unsuccessful response, which may prove that the request didn't run.
 		aio::Task<AttemptResult> classifyFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, ResponseInfo _info)
 		{
-			const std::optional<std::string> body = co_await readBody(_context, _upstream);
+			const std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
 			const std::string reason = fmt::format("upstream_status_{}", _head.status);
 			if (_info.provedNotRun)
 			{
@@ -104,7 +112,7 @@
 			co_return result;
 		}
 
-		/// Applies what a response head states about the upstream itself, also when the response belongs to another request.
+		/// Applies what the head of the response to a request states about the upstream itself.
 		void recordSelfReport(RequestContext& _context, const ResponseInfo& _info)
 		{
 			if (_info.leaving && !_info.wrongIncarnation)
@@ -137,6 +145,18 @@
 			}
 		}
 
+		/// Skips the rest of a response to another request.
+		/// @returns false when the response to this request can't be found behind it: it broke off, has no end, or holds another head.
+		aio::Task<bool> skipResponse(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
+		{
+			if (!hasFraming(_head))
+			{
+				co_return false;
+			}
+			const std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
+			co_return body && !containsStatusLine(*body);
+		}
+
 		/// @returns The head of the response to this request; responses to other requests are skipped.
 		/// @param[out] _ending What came in the place of a head, for the log.
 		aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream, std::string_view& _ending)
@@ -150,17 +170,22 @@
 					co_return std::nullopt;
 				}
 				const ResponseInfo info = _context.state.codec.decodeResponse(part.response);
-				recordSelfReport(_context, info);
-				recordNamedLimit(_context, info);
+				if (info.ambiguous)
+				{
+					_ending = "ambiguous_head";
+					co_return std::nullopt;
+				}
 				if (info.requestId == _context.caller.id)
 				{
+					recordSelfReport(_context, info);
+					recordNamedLimit(_context, info);
 					co_return part.response;
 				}
 				logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}, {"connection", _upstream.number()}, {"sent_ago_ms", nowMs() - _context.sentAt}});
-				const std::optional<std::string> skipped = co_await readBody(_context, _upstream);
+				const bool skipped = co_await skipResponse(_context, _upstream, part.response);
 				if (!skipped)
 				{
-					_ending = "foreign_answer_broke_off";
+					_ending = "foreign_answer_without_end";
 					co_return std::nullopt;
 				}
 			}
@@ -181,7 +206,7 @@
 			{
 				co_return co_await relayStream(_context, _upstream, _head);
 			}
-			std::optional<std::string> body = co_await readBody(_context, _upstream);
+			std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
 			if (!body)
 			{
 				co_return failed(ExecutionProof::Ran, "answer_broke_off");
@@ -206,7 +231,8 @@
 			const ResponseInfo info = _context.state.codec.decodeResponse(*head);
 			AttemptResult result = co_await relayBody(_context, upstream, *head, info);
 			result.endedByConnection = result.answered && !hasFraming(*head);
-			if (head->keepAlive)
+			// Without an id only the connection ties a response to its request, so it carries no other one.
+			if (head->keepAlive && !_context.caller.id.empty())
 			{
 				result.keepIdleMs = info.keepAliveMs.value_or(kDefaultIdleMs) - kIdleMarginMs;
 			}
@@ -281,6 +307,8 @@
 			options.connectTimeoutMs = std::min(kConnectTimeoutMs, std::max<Millis>(1, _context.deadlineAt - nowMs()));
 			options.limits.bodyBytes = _context.route->stream ? kMaxStreamBytes : kMaxResponseBytes;
 			options.maxIdleMs = mayRepeat(*_context.route) ? kMaxIdleMs : kMaxIdleNonRepeatableMs;
+			options.tag = _context.caller.id;
+			options.reuse = !options.tag.empty();
 			http::Lease lease;
 			try
 			{
@@ -294,6 +322,11 @@
 		}
 	} // namespace
 
+	bool hasFraming(const http::ResponseHead& _head)
+	{
+		return _head.headers.find("Content-Length") || _head.headers.find("Transfer-Encoding");
+	}
+
 	AttemptResult failed(ExecutionProof _proof, std::string _reason, RefusalReason _refusal)
 	{
 		AttemptResult result;
@@ -378,7 +411,7 @@
 		{
 			_context.maybeRunning = mayHaveRunBefore;
 		}
-		result.connectionLost = !completeExchange && !notRun && lease.connection->isDisconnected();
+		result.connectionLost = !completeExchange && !notRun && lease.connection->isLost();
 		if (completeExchange && written && result.keepIdleMs)
 		{
 			_context.state.pool.returnToPool(std::move(lease), *result.keepIdleMs);
--- a/src/gateway/relay_p.h
+++ b/src/gateway/relay_p.h
@@ -5,6 +5,9 @@
 
 namespace archdyke::gateway
 {
+	/// @returns Whether a response states where its body ends.
+	bool hasFraming(const http::ResponseHead& _head);
+
 	/// @returns The result of an attempt that gave the caller no complete response.
 	AttemptResult failed(ExecutionProof _proof, std::string _reason, RefusalReason _refusal = RefusalReason::None);
 
--- a/src/gateway/relay_stream.cpp
+++ b/src/gateway/relay_stream.cpp
@@ -1,4 +1,6 @@
 // Relays event streams.
+#include "archdyke/response_head.h"
+#include "base/log.h"
 #include "base/process.h"
 #include "gateway/relay_p.h"
 
@@ -41,16 +43,23 @@
 		/// The events accepted from one chunk of a stream.
 		struct AcceptedEvents
 		{
-			std::string bytes;   ///< Complete events for the caller, in order.
-			bool hasGap = false; ///< Events are missing after these.
+			std::string bytes;     ///< Complete events for the caller, in order.
+			bool hasGap = false;   ///< Events are missing after these.
+			bool isJoined = false; ///< The next event holds bytes of another response.
 		};
 
 		/// Splits a chunk of a stream into events and selects those to deliver.
-		AcceptedEvents acceptEvents(RequestContext& _context, std::string_view _chunk)
+		/// @param[in] _framed Whether the stream has chunks or a length, so that bytes of another response shift its framing.
+		AcceptedEvents acceptEvents(RequestContext& _context, std::string_view _chunk, bool _framed)
 		{
 			AcceptedEvents accepted;
 			for (const StreamEvent& event : splitEvents(_context.splitter, _chunk))
 			{
+				if (holdsResponse(event) || (!_framed && containsStatusLine(event.bytes)))
+				{
+					accepted.isJoined = true;
+					return accepted;
+				}
 				const std::optional<std::uint64_t> last = _context.lastDeliveredId ? _context.lastDeliveredId : _context.caller.resumeAfter;
 				const EventVerdict verdict = classifyEvent(event, last);
 				if (EventVerdict::Break == verdict)
@@ -72,6 +81,7 @@
 	aio::Task<AttemptResult> relayStream(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _response)
 	{
 		_context.splitter = {};
+		const bool framed = hasFraming(_response);
 		while (true)
 		{
 			Part part = co_await readPart(_context, _upstream);
@@ -89,12 +99,17 @@
 			{
 				co_return failed(ExecutionProof::Ran, "stream_broke_off");
 			}
-			const AcceptedEvents accepted = acceptEvents(_context, part.body);
+			const AcceptedEvents accepted = acceptEvents(_context, part.body, framed);
 			if (!accepted.bytes.empty())
 			{
 				std::string chunk = http::serializeChunk(accepted.bytes);
 				co_await writeStreamBytes(_context, _response, std::move(chunk));
 			}
+			if (accepted.isJoined || isTooLarge(_context.splitter))
+			{
+				logWarning("stream_in_doubt", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", _upstream.number()}, {"joined", accepted.isJoined}, {"event_bytes", _context.splitter.rest.size()}});
+				co_return failed(ExecutionProof::Ran, accepted.isJoined ? "stream_joined" : "stream_event_too_large");
+			}
 			if (accepted.hasGap)
 			{
 				co_return failed(ExecutionProof::Ran, "stream_events_missing");
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -21,18 +21,17 @@
 		/// Maximum number of idle connections per address: the slots that one gateway keeps busy at a loaded upstream.
 		constexpr std::size_t kMaxIdlePerAddress = 32;
 
-		/// Logs bytes that arrived while no exchange was under way. Closed connections without such bytes aren't logged.
+		/// Logs bytes that arrived while no exchange was under way.
 		/// @param[in] _when Where in the connection's life they were noticed.
 		/// @returns Whether there are any.
 		bool logUnattributed(const HttpConnection& _connection, const std::string& _address, std::string_view _when)
 		{
-			const std::optional<PartKind> unread = _connection.unreadKind();
-			const bool onlyClosed = !unread || PartKind::Closed == *unread || (PartKind::Reset == *unread && !_connection.isMidMessage());
-			if (onlyClosed && !_connection.isMidMessage())
+			if (!_connection.hasStrayBytes())
 			{
 				return false;
 			}
-			logWarning("unattributed_bytes", {{"address", _address}, {"connection", _connection.number()}, {"when", _when}, {"unread", unread ? toString(*unread) : "none"}, {"within_head", _connection.isMidMessage()}});
+			const std::optional<PartKind> unread = _connection.unreadKind();
+			logWarning("unattributed_bytes", {{"address", _address}, {"connection", _connection.number()}, {"when", _when}, {"unread", unread ? toString(*unread) : "bytes"}, {"within_head", _connection.isMidMessage()}});
 			return true;
 		}
 
@@ -83,24 +82,38 @@
 	aio::Task<Lease> ConnectionPool::take(std::string _address, ConnectOptions _options)
 	{
 		this->closeExpired();
+		Lease lease;
+		lease.connection = this->takeIdle(_address, _options);
+		if (nullptr == lease.connection)
+		{
+			co_return co_await this->connect(std::move(_address), _options);
+		}
+		lease.address = std::move(_address);
+		lease.connection->setLimits(_options.limits);
+		lease.connection->beginExchange(_options.tag);
+		co_return lease;
+	}
+
+	std::unique_ptr<HttpConnection> ConnectionPool::takeIdle(const std::string& _address, const ConnectOptions& _options)
+	{
 		const Millis now = nowMs();
 		std::deque<IdleConnection>& idleConnections = this->idle[_address];
-		while (!idleConnections.empty())
+		for (std::size_t at = _options.reuse ? idleConnections.size() : 0; 0 < at; --at)
 		{
-			IdleConnection candidate = std::move(idleConnections.back());
-			idleConnections.pop_back();
+			const auto position = idleConnections.begin() + std::ptrdiff_t(at - 1);
+			if (position->connection->hasCarried(_options.tag))
+			{
+				continue; // a second response to the earlier exchange couldn't be told from the one to this
+			}
+			IdleConnection candidate = std::move(*position);
+			idleConnections.erase(position);
 			this->unattributedCount += logUnattributed(*candidate.connection, _address, "idle") ? 1 : 0;
-			const bool usable = !candidate.connection->hasUnread() && !candidate.connection->isDisconnected() && now < candidate.until && now - candidate.since <= _options.maxIdleMs;
-			if (usable)
+			if (candidate.connection->isQuiet() && now < candidate.until && now - candidate.since <= _options.maxIdleMs)
 			{
-				Lease lease;
-				lease.connection = std::move(candidate.connection);
-				lease.address = _address;
-				lease.connection->setLimits(_options.limits);
-				co_return lease;
+				return std::move(candidate.connection);
 			}
 		}
-		co_return co_await this->connect(std::move(_address), _options);
+		return nullptr;
 	}
 
 	aio::Task<Lease> ConnectionPool::connect(std::string _address, ConnectOptions _options)
@@ -112,6 +125,7 @@
 		this->openedCount += 1;
 		Lease lease;
 		lease.connection = std::make_unique<HttpConnection>(kj::mv(stream), Side::Client, _options.limits);
+		lease.connection->beginExchange(_options.tag);
 		lease.address = _address;
 		co_return lease;
 	}
@@ -120,11 +134,11 @@
 	{
 		std::deque<IdleConnection>& idleConnections = this->idle[_lease.address];
 		this->unattributedCount += logUnattributed(*_lease.connection, _lease.address, "behind_answer") ? 1 : 0;
-		const bool sound = !_lease.connection->hasUnread() && !_lease.connection->isDisconnected();
-		if (!sound || _idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress)
+		if (!_lease.connection->isQuiet() || _idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress)
 		{
 			return;
 		}
+		_lease.connection->endExchange();
 		const Millis now = nowMs();
 		idleConnections.push_back({std::move(_lease.connection), now, now + _idleLimitMs});
 	}
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -33,6 +33,11 @@
 		/// Connections that were idle for longer aren't reused.
 		Millis maxIdleMs = 4'000;
 		MessageLimits limits;
+		/// Identifies the exchange in its response; empty if responses don't name it. Connections that carried the same one before
+		/// aren't used.
+		std::string tag;
+		/// Whether a connection that carried other exchanges may be used.
+		bool reuse = true;
 	};
 
 	/// Connection pool of one event loop.
@@ -71,6 +76,9 @@
 			Millis until = 0;
 		};
 
+		/// @returns A usable idle connection; null when there is none. Closes those found unusable.
+		std::unique_ptr<HttpConnection> takeIdle(const std::string& _address, const ConnectOptions& _options);
+
 		/// Closes expired and disconnected idle connections, at most once per sweep interval.
 		void closeExpired();
 
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,9 +1,16 @@
 #include "http/http_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
+#include <functional>
 #include <http_parser.h>
 #include <memory>
+#include <sys/socket.h>
+#include <utility>
+
+#include "archdyke/response_head.h"
 
 namespace archdyke::http
 {
@@ -14,6 +21,33 @@
 		/// Parsed bytes that may wait for the reader before reading from the connection pauses. Large enough for
 		/// several events of a stream; bounds the memory that one slow reader can use.
 		constexpr std::size_t kMaxBufferedBytes = 262'144;
+		/// Bytes of a chunk that are held back until its end is seen. Larger chunks are handed on in pieces.
+		constexpr std::size_t kMaxHeldChunkBytes = 65'536;
+		/// Bytes after a chunk's data.
+		constexpr std::string_view kChunkEnd = "\r\n";
+		/// Number of recent exchanges whose tags a connection remembers.
+		constexpr std::size_t kMaxCarriedTags = 16;
+
+		/// What the system has received on a connection that wasn't read yet.
+		enum class Waiting
+		{
+			Nothing,
+			Bytes,
+			End, ///< The connection was closed, or is broken.
+		};
+
+		Waiting peek(const kj::AsyncIoStream& _stream)
+		{
+			KJ_IF_MAYBE (descriptor, _stream.getFd())
+			{
+				char byte = 0;
+				const ssize_t size = recv(*descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+				const bool nothing = 0 > size && (EAGAIN == errno || EWOULDBLOCK == errno);
+				return nothing ? Waiting::Nothing : 0 < size ? Waiting::Bytes
+				                                             : Waiting::End;
+			}
+			return Waiting::Nothing;
+		}
 
 		std::uint64_t nextNumber()
 		{
@@ -38,6 +72,10 @@
 			return "reset";
 		case PartKind::Malformed:
 			return "malformed";
+		case PartKind::Unrequested:
+			return "unrequested";
+		case PartKind::JoinedHead:
+			return "joined_head";
 		case PartKind::HeadTooLarge:
 			return "head_too_large";
 		default:
@@ -62,6 +100,11 @@
 		bool inMessage = false;
 		bool interim = false;
 		PartKind failure = PartKind::Malformed;
+		std::string headText;          ///< Client: bytes of a head that isn't complete.
+		std::string heldChunk;         ///< Client: data of a chunk whose end wasn't seen.
+		std::size_t idleBytes = 0;     ///< Client: bytes of the current body since its last data.
+		std::size_t chunkEndLeft = 0;  ///< Client: bytes of kChunkEnd that must come next.
+		const char* readEnd = nullptr; ///< End of the bytes that are being parsed.
 
 		Parser(HttpConnection& _owner, Side _side, MessageLimits _limits)
 		    : owner(_owner)
@@ -89,6 +132,9 @@
 			this->callbacks.on_body = [](http_parser* _raw, const char* _at, std::size_t _size) {
 				return of(_raw).bodyData(_at, _size);
 			};
+			this->callbacks.on_chunk_complete = [](http_parser* _raw) {
+				return of(_raw).chunkComplete();
+			};
 			this->callbacks.on_message_complete = [](http_parser* _raw) {
 				return of(_raw).end();
 			};
@@ -169,10 +215,59 @@
 				this->failure = PartKind::BodyTooLarge;
 				return 1;
 			}
+			this->idleBytes = 0;
+			if (Side::Client == this->side && 0 != (this->raw.flags & F_CHUNKED))
+			{
+				return this->holdChunk(_at, _size);
+			}
+			this->takeBody({_at, _size});
+			return 0;
+		}
+
+		void takeBody(std::string _data)
+		{
 			Part part;
 			part.kind = PartKind::Body;
-			part.body.assign(_at, _size);
+			part.body = std::move(_data);
 			this->owner.take(std::move(part));
+		}
+
+		/// Holds data of a chunk back until its end is seen: bytes that don't belong to the response shift it.
+		int holdChunk(const char* _at, std::size_t _size)
+		{
+			this->heldChunk.append(_at, _size);
+			if (0 == this->raw.content_length)
+			{
+				this->chunkEndLeft = kChunkEnd.size();
+				return this->checkChunkEnd({_at + _size, std::size_t(this->readEnd - _at) - _size}) ? 0 : 1;
+			}
+			if (this->heldChunk.size() > kMaxHeldChunkBytes)
+			{
+				this->takeBody(std::exchange(this->heldChunk, ""));
+			}
+			return 0;
+		}
+
+		/// Checks what follows a chunk's data, as far as it was received. The parser library skips two bytes, whatever they are.
+		bool checkChunkEnd(std::string_view _bytes)
+		{
+			for (std::size_t at = 0; at < _bytes.size() && 0 < this->chunkEndLeft; ++at)
+			{
+				if (kChunkEnd[kChunkEnd.size() - this->chunkEndLeft] != _bytes[at])
+				{
+					return false;
+				}
+				this->chunkEndLeft -= 1;
+			}
+			return true;
+		}
+
+		int chunkComplete()
+		{
+			if (!this->heldChunk.empty())
+			{
+				this->takeBody(std::exchange(this->heldChunk, ""));
+			}
 			return 0;
 		}
 
@@ -185,15 +280,109 @@
 				part.kind = PartKind::End;
 				this->owner.take(std::move(part));
 			}
+			if (Side::Client == this->side)
+			{
+				http_parser_pause(&this->raw, 1); // the next head is checked before it is parsed
+			}
 			return 0;
 		}
 
 		/// @returns false when the bytes are malformed or exceed a limit.
-		bool feed(const char* _bytes, std::size_t _size)
+		bool feed(std::string_view _bytes)
 		{
 			this->failure = PartKind::Malformed;
-			const std::size_t parsed = http_parser_execute(&this->raw, &this->callbacks, _bytes, _size);
-			return HPE_OK == HTTP_PARSER_ERRNO(&this->raw) && parsed == _size && 0 == this->raw.upgrade;
+			return Side::Server == this->side ? _bytes.size() == this->execute(_bytes) : this->feedResponses(_bytes);
+		}
+
+		/// @returns Number of bytes parsed; after a response fewer than were given. None when they are malformed.
+		std::optional<std::size_t> execute(std::string_view _bytes)
+		{
+			this->readEnd = _bytes.data() + _bytes.size();
+			const std::size_t parsed = http_parser_execute(&this->raw, &this->callbacks, _bytes.data(), _bytes.size());
+			const bool paused = HPE_PAUSED == HTTP_PARSER_ERRNO(&this->raw);
+			if (paused)
+			{
+				http_parser_pause(&this->raw, 0);
+			}
+			const bool valid = HPE_OK == HTTP_PARSER_ERRNO(&this->raw) && 0 == this->raw.upgrade;
+			return valid ? std::optional(parsed) : std::nullopt;
+		}
+
+		bool feedResponses(std::string_view _bytes)
+		{
+			while (!_bytes.empty())
+			{
+				const std::optional<std::size_t> used = this->inMessage ? this->feedBody(_bytes) : this->feedHead(_bytes);
+				if (!used)
+				{
+					return false;
+				}
+				_bytes.remove_prefix(*used);
+			}
+			return true;
+		}
+
+		/// Collects a head and parses it once it is complete.
+		std::optional<std::size_t> feedHead(std::string_view _bytes)
+		{
+			const std::size_t before = this->headText.size();
+			this->headText += _bytes;
+			const std::size_t size = headSize(this->headText, before);
+			if (!mayStartResponse(this->headText))
+			{
+				return std::nullopt;
+			}
+			if ((0 == size ? this->headText.size() : size) > this->limits.headerBytes)
+			{
+				this->failure = PartKind::HeadTooLarge;
+				return std::nullopt;
+			}
+			if (0 == size)
+			{
+				return _bytes.size();
+			}
+			const std::string head = std::exchange(this->headText, "").substr(0, size);
+			const HeadFault fault = checkResponseHead(head);
+			if (HeadFault::None != fault)
+			{
+				this->failure = HeadFault::Joined == fault ? PartKind::JoinedHead : PartKind::Malformed;
+				return std::nullopt;
+			}
+			http_parser_init(&this->raw, HTTP_RESPONSE);
+			this->idleBytes = 0;
+			return size == this->execute(head) ? std::optional(size - before) : std::nullopt;
+		}
+
+		std::optional<std::size_t> feedBody(std::string_view _bytes)
+		{
+			if (!this->checkChunkEnd(_bytes))
+			{
+				return std::nullopt;
+			}
+			this->idleBytes += _bytes.size();
+			const std::optional<std::size_t> used = this->execute(_bytes);
+			if (used && this->inMessage && this->idleBytes > kReadBufferBytes + this->limits.headerBytes)
+			{
+				this->failure = PartKind::HeadTooLarge; // a chunk's extensions, or trailers
+				return std::nullopt;
+			}
+			return used;
+		}
+
+		/// @returns Whether the end of the connection completes a message, or lies between messages.
+		bool feedEnd()
+		{
+			if (!this->headText.empty())
+			{
+				return false;
+			}
+			return this->execute({}) && !this->inMessage;
+		}
+
+		/// @returns Whether a message has been received in part.
+		bool isWithinMessage() const
+		{
+			return this->inMessage || !this->headText.empty();
 		}
 	};
 
@@ -239,19 +428,27 @@
 			else if (0 == size)
 			{
 				// Completes a response that is delimited by the end of its connection.
-				const bool whole = this->parser->feed(nullptr, 0) && !this->parser->inMessage;
-				this->endWith(whole ? PartKind::Closed : PartKind::Reset);
+				this->endWith(this->parser->feedEnd() ? PartKind::Closed : PartKind::Reset);
 			}
-			else if (!this->parser->feed(buffer.data(), size))
+			else if (const std::optional<PartKind> ending = this->parse({buffer.data(), size}))
 			{
-				this->endWith(this->parser->failure);
+				this->endWith(*ending);
 			}
 		}
 	}
 
+	std::optional<PartKind> HttpConnection::parse(std::string_view _bytes)
+	{
+		if (!this->inExchange)
+		{
+			return PartKind::Unrequested;
+		}
+		return this->parser->feed(_bytes) ? std::nullopt : std::optional(this->parser->failure);
+	}
+
 	void HttpConnection::take(Part _part)
 	{
-		this->bufferedBytes += _part.body.size();
+		this->bufferedBytes += sizeof(Part) + _part.body.size();
 		this->parts.push_back(std::move(_part));
 		KJ_IF_MAYBE (waiter, this->partWaiter)
 		{
@@ -284,7 +481,7 @@
 		}
 		Part part = std::move(this->parts.front());
 		this->parts.pop_front();
-		this->bufferedBytes -= part.body.size();
+		this->bufferedBytes -= sizeof(Part) + part.body.size();
 		KJ_IF_MAYBE (waiter, this->spaceWaiter)
 		{
 			if (this->bufferedBytes <= kMaxBufferedBytes)
@@ -316,9 +513,48 @@
 		return this->gone;
 	}
 
+	bool HttpConnection::isLost() const
+	{
+		return this->gone && (PartKind::Closed == this->parts.back().kind || PartKind::Reset == this->parts.back().kind);
+	}
+
 	bool HttpConnection::isMidMessage() const
 	{
-		return this->parser->inMessage;
+		return this->parser->isWithinMessage();
+	}
+
+	void HttpConnection::beginExchange(std::string_view _tag)
+	{
+		this->inExchange = true;
+		if (!_tag.empty())
+		{
+			this->carried.push_back(std::hash<std::string_view>()(_tag));
+		}
+		if (this->carried.size() > kMaxCarriedTags)
+		{
+			this->carried.pop_front();
+		}
+	}
+
+	void HttpConnection::endExchange()
+	{
+		this->inExchange = false;
+	}
+
+	bool HttpConnection::hasCarried(std::string_view _tag) const
+	{
+		return !_tag.empty() && this->carried.end() != std::find(this->carried.begin(), this->carried.end(), std::hash<std::string_view>()(_tag));
+	}
+
+	bool HttpConnection::isQuiet() const
+	{
+		return !this->gone && this->parts.empty() && !this->parser->isWithinMessage() && Waiting::Nothing == peek(*this->stream);
+	}
+
+	bool HttpConnection::hasStrayBytes() const
+	{
+		const bool closed = !this->parts.empty() && (PartKind::Closed == this->parts.front().kind || PartKind::Reset == this->parts.front().kind);
+		return this->parser->isWithinMessage() || (!this->parts.empty() && !closed) || (!this->gone && Waiting::Bytes == peek(*this->stream));
 	}
 
 	std::optional<PartKind> HttpConnection::unreadKind() const
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -1,5 +1,8 @@
 /// One HTTP/1.1 connection, for servers and clients: parses incoming messages and detects at once when the
 /// other side disconnects, even while no data is expected from it.
+///
+/// On the side of the client each byte belongs to one exchange, or to none and then ends the connection: bytes that come
+/// while no exchange is under way, a head that contains another one, and chunks that don't end where they say.
 #pragma once
 
 #include <deque>
@@ -32,6 +35,8 @@
 		Closed,       ///< The other side closed the connection between messages.
 		Reset,        ///< The connection was reset, or closed within a message.
 		Malformed,    ///< The bytes aren't a valid HTTP message.
+		Unrequested,  ///< Bytes came while no exchange was under way.
+		JoinedHead,   ///< A response's head contains the status line of another response.
 		HeadTooLarge, ///< The head exceeds its limit.
 		BodyTooLarge, ///< The body exceeds its limit.
 		Count
@@ -79,12 +84,33 @@
 		/// @returns Whether there are unread parts, including the end of the connection.
 		bool hasUnread() const;
 
-		/// @returns Whether the other side has closed, or the connection broke.
+		/// @returns Whether the connection has ended, for whatever reason.
 		bool isDisconnected() const;
 
+		/// @returns Whether the other side has closed, or the connection broke, not because of what it sent.
+		bool isLost() const;
+
 		/// @returns Whether a message has been received in part.
 		bool isMidMessage() const;
 
+		/// Starts the exchange that the bytes from now on belong to. A new connection is in an exchange.
+		/// @param[in] _tag Identifies the exchange in responses; empty if they don't name it.
+		void beginExchange(std::string_view _tag);
+
+		/// Ends the exchange: bytes that come before the next one end the connection.
+		void endExchange();
+
+		/// @returns Whether an exchange with this tag was begun here, as far as recent ones are known. A second response to it may
+		/// still come.
+		bool hasCarried(std::string_view _tag) const;
+
+		/// @returns Whether the connection is usable for another exchange: the other side hasn't closed it and sent nothing
+		/// that wasn't read, not even bytes that the system has received but the event loop hasn't seen.
+		bool isQuiet() const;
+
+		/// @returns Whether bytes came that weren't read, other than the end of the connection.
+		bool hasStrayBytes() const;
+
 		/// @returns The kind of the oldest unread part; none if all parts were read.
 		std::optional<PartKind> unreadKind() const;
 
@@ -98,6 +124,8 @@
 		struct Parser;
 
 		aio::Task<void> readLoop();
+		/// @returns How the connection ends because of these bytes; none if it goes on.
+		std::optional<PartKind> parse(std::string_view _bytes);
 		void take(Part _part);
 		void endWith(PartKind _how);
 
@@ -105,6 +133,8 @@
 		std::unique_ptr<Parser> parser;
 		std::deque<Part> parts;
 		std::uint64_t ownNumber;
+		bool inExchange = true;
+		std::deque<std::size_t> carried; ///< Hashes of the tags of recent exchanges.
 		std::size_t bufferedBytes = 0;
 		bool gone = false;
 		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> partWaiter;
