What can't be attributed to a request proves nothing: tests of late answers, and bodies without a length

This commit: a body that ends with its connection and within a status line, of five bytes or more, is in doubt, too. Fewer bytes may be the end of any text and aren't noticed.

--- a/include/archdyke/response_head.h
+++ b/include/archdyke/response_head.h
@@ -24,6 +24,9 @@
 	/// @returns Whether a text is the beginning of a response, or may become it with more bytes.
 	bool mayStartResponse(std::string_view _text);
 
+	/// @returns Whether a text ends with the beginning of a response that stops within its status line, "HTTP/" or more.
+	bool endsWithinStatusLine(std::string_view _text);
+
 	/// @returns Size of the first head in a text, with its empty line; 0 if it is incomplete.
 	/// @param[in] _from Bytes that are known not to contain its end.
 	std::size_t headSize(std::string_view _text, std::size_t _from);
--- a/src/decide/response_head.cpp
+++ b/src/decide/response_head.cpp
@@ -83,6 +83,19 @@
 		return true;
 	}
 
+	bool endsWithinStatusLine(std::string_view _text)
+	{
+		constexpr std::size_t kFewest = 5; // fewer bytes may be the end of any text
+		for (std::size_t size = kFewest; size <= std::min(kStatusEnd, _text.size()); ++size)
+		{
+			if (mayStartResponse(_text.substr(_text.size() - size)))
+			{
+				return true;
+			}
+		}
+		return false;
+	}
+
 	std::size_t headSize(std::string_view _text, std::size_t _from)
 	{
 		constexpr std::size_t kLongestEnd = 3; // of "\n\r\n"
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -65,8 +65,8 @@
 		/// without a length nothing shows where it ended.
 		bool isInDoubt(const http::HttpConnection& _upstream, const http::ResponseHead& _head, const std::string& _body)
 		{
-			const bool more = _upstream.hasStrayBytes() || !hasFraming(_head);
-			return more && containsStatusLine(_body);
+			const bool framed = hasFraming(_head);
+			return (!framed && endsWithinStatusLine(_body)) || ((!framed || _upstream.hasStrayBytes()) && containsStatusLine(_body));
 		}
 
 		/// @returns The body of a response; none when it is incomplete, too large or in doubt.
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -9,6 +9,7 @@
 ///              stream without its 3rd event), jump (likewise, all events in one chunk)
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
+///   foreignLeaving=1  the answer to another request (do=foreign) says that the upstream is about to stop
 ///   behind=N   behind the whole answer, its first N bytes come again on the connection (plain answers and rejections)
 ///   behindWhen=now|next  these bytes come with the answer, or when the next request has arrived on that connection
 ///   only=ID    only the upstream with this id does the above, the others respond normally
@@ -289,6 +290,10 @@
 					http::ResponseHead foreign{200, {}, true};
 					foreign.headers.add("X-Archdyke-Request-Id", "another");
 					foreign.headers.add("X-Archdyke-Server-Stamp", "stamp-" + this->id);
+					if ("1" == queryField(_call.head.target, "foreignLeaving"))
+					{
+						foreign.headers.add("Server-Leaving", "1");
+					}
 					bytes = http::serialize(foreign, "another's answer") + bytes;
 				}
 				else if ("unsigned" == _behaviour)
@@ -335,6 +340,7 @@
 				{
 					bytes.replace(bytes.find("Transfer-Encoding: chunked"), std::string_view("Transfer-Encoding: chunked").size(), "Connection: close");
 				}
+				bytes = std::exchange(*_call.behind, "") + bytes;
 				co_await _connection.write(std::move(bytes));
 				if ("jump" == _behaviour)
 				{
