A refusal with a spoilt body proves nothing; reading of responses apart from the relay

A response whose head is the request's own and whose body holds another response, or isn't valid, was still taken as proof that the request hadn't run. It is now of unknown effect.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include "aio/task.h"
-#include "archdyke/response_head.h"
 #include "archdyke/slow_rank.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -12,9 +11,6 @@
 {
 	namespace
 	{
-		using http::Part;
-		using http::PartKind;
-
 		constexpr int kFirstSuccessStatus = 200;
 		constexpr int kLastSuccessStatus = 299;
 		/// Timeout for connecting to an upstream, ms: several times the latency across zones plus the
@@ -28,8 +24,6 @@
 		constexpr Millis kIdleMarginMs = 500;
 		/// Idle timeout assumed for an upstream that doesn't state one, ms.
 		constexpr Millis kDefaultIdleMs = 4'000;
-		/// Maximum size of a response that is buffered before it is forwarded, bytes.
-		constexpr std::size_t kMaxResponseBytes = std::size_t(8) << 20;
 		/// Maximum size of a stream, bytes. Events are forwarded as they arrive, so a long stream needs no memory.
 		constexpr std::size_t kMaxStreamBytes = std::size_t(1) << 30;
 
@@ -61,43 +55,15 @@
 			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
 		}
 
-		/// @returns Whether a body may hold bytes of another response. Bytes that came within it leave as many of its own behind its end;
-		/// without a length nothing shows where it ended.
-		bool isInDoubt(const http::HttpConnection& _upstream, const http::ResponseHead& _head, const std::string& _body)
-		{
-			const bool framed = hasFraming(_head);
-			return (!framed && endsWithinStatusLine(_body)) || ((!framed || _upstream.hasStrayBytes()) && containsStatusLine(_body));
-		}
-
-		/// @returns The body of a response; none when it is incomplete, too large or in doubt.
-		aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
-		{
-			std::string body;
-			while (true)
-			{
-				Part part = co_await readPart(_context, _upstream);
-				if (PartKind::End == part.kind && isInDoubt(_upstream, _head, body))
-				{
-					logWarning("body_in_doubt", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", _upstream.number()}, {"bytes", body.size()}});
-					co_return std::nullopt;
-				}
-				if (PartKind::End == part.kind)
-				{
-					co_return body;
-				}
-				if (PartKind::Body != part.kind || body.size() + part.body.size() > kMaxResponseBytes)
-				{
-					co_return std::nullopt;
-				}
-				body += part.body;
-			}
-		}
-
 		/// Reads an unsuccessful response, which may prove that the request didn't run.
 		aio::Task<AttemptResult> classifyFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, ResponseInfo _info)
 		{
 			const std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
 			const std::string reason = fmt::format("upstream_status_{}", _head.status);
+			if (!body && !_upstream.isLost())
+			{
+				co_return failed(ExecutionProof::Unknown, reason + "_in_doubt");
+			}
 			if (_info.provedNotRun)
 			{
 				AttemptResult refused = failed(ExecutionProof::NotRun, reason, _info.wrongIncarnation ? RefusalReason::WrongIncarnation : RefusalReason::Overloaded);
@@ -112,85 +78,6 @@
 			co_return result;
 		}
 
-		/// Applies what the head of the response to a request states about the upstream itself.
-		void recordSelfReport(RequestContext& _context, const ResponseInfo& _info)
-		{
-			if (_info.leaving && !_info.wrongIncarnation)
-			{
-				_context.state.registry.recordLeaving(_context.currentUpstream, nowMs());
-			}
-			if (_info.backOffMs)
-			{
-				_context.state.counters.backOffAsks.Increment();
-				_context.state.registry.applyBackOff(_context.currentUpstream, *_info.backOffMs, nowMs());
-			}
-		}
-
-		/// Records the limit that a response names. A response without the upstream's signature may come from elsewhere, so
-		/// it ends no limit.
-		void recordNamedLimit(RequestContext& _context, const ResponseInfo& _info)
-		{
-			if (_info.limitPerS)
-			{
-				_context.state.counters.namedLimits.Increment();
-			}
-			UpstreamRegistry& registry = _context.state.registry;
-			if (_info.limitPerS && !_info.wrongIncarnation)
-			{
-				registry.recordLimit(_context.currentUpstream, *_info.limitPerS, _context.state.random, nowMs());
-			}
-			else if (_info.signedByUpstream && !_info.wrongIncarnation)
-			{
-				registry.recordNoLimit(_context.currentUpstream, _context.sentAt);
-			}
-		}
-
-		/// Skips the rest of a response to another request.
-		/// @returns false when the response to this request can't be found behind it: it broke off, has no end, or holds another head.
-		aio::Task<bool> skipResponse(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
-		{
-			if (!hasFraming(_head))
-			{
-				co_return false;
-			}
-			const std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
-			co_return body && !containsStatusLine(*body);
-		}
-
-		/// @returns The head of the response to this request; responses to other requests are skipped.
-		/// @param[out] _ending What came in the place of a head, for the log.
-		aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream, std::string_view& _ending)
-		{
-			while (true)
-			{
-				Part part = co_await readPart(_context, _upstream);
-				if (PartKind::Head != part.kind)
-				{
-					_ending = toString(part.kind);
-					co_return std::nullopt;
-				}
-				const ResponseInfo info = _context.state.codec.decodeResponse(part.response);
-				if (info.ambiguous)
-				{
-					_ending = "ambiguous_head";
-					co_return std::nullopt;
-				}
-				if (info.requestId == _context.caller.id)
-				{
-					recordSelfReport(_context, info);
-					recordNamedLimit(_context, info);
-					co_return part.response;
-				}
-				logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}, {"connection", _upstream.number()}, {"sent_ago_ms", nowMs() - _context.sentAt}});
-				const bool skipped = co_await skipResponse(_context, _upstream, part.response);
-				if (!skipped)
-				{
-					_ending = "foreign_answer_without_end";
-					co_return std::nullopt;
-				}
-			}
-		}
-
 		aio::Task<AttemptResult> relayBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, ResponseInfo _info)
 		{
 			if (!isSuccess(_head.status))
@@ -322,11 +209,6 @@
 		}
 	} // namespace
 
-	bool hasFraming(const http::ResponseHead& _head)
-	{
-		return _head.headers.find("Content-Length") || _head.headers.find("Transfer-Encoding");
-	}
-
 	AttemptResult failed(ExecutionProof _proof, std::string _reason, RefusalReason _refusal)
 	{
 		AttemptResult result;
@@ -343,17 +225,6 @@
 		return result;
 	}
 
-	aio::Task<http::Part> readPart(RequestContext& _context, http::HttpConnection& _upstream)
-	{
-		http::Part part = co_await _upstream.next();
-		if (http::PartKind::Head == part.kind || http::PartKind::Body == part.kind || http::PartKind::End == part.kind)
-		{
-			_context.lastHeardAt = nowMs();
-			recordActivity(*_context.currentUpstream, _context.lastHeardAt);
-		}
-		co_return part;
-	}
-
 	http::ResponseHead beginResponse(RequestContext& _context, const http::ResponseHead& _response)
 	{
 		http::ResponseHead head = _context.state.codec.encodeResponse(_response);
--- a/src/gateway/relay_p.h
+++ b/src/gateway/relay_p.h
@@ -5,6 +5,9 @@
 
 namespace archdyke::gateway
 {
+	/// Maximum size of a response that is buffered before it is forwarded, bytes.
+	constexpr std::size_t kMaxResponseBytes = std::size_t(8) << 20;
+
 	/// @returns Whether a response states where its body ends.
 	bool hasFraming(const http::ResponseHead& _head);
 
@@ -17,6 +20,15 @@
 	/// Reads the next part of a response and records when the upstream was last heard.
 	aio::Task<http::Part> readPart(RequestContext& _context, http::HttpConnection& _upstream);
 
+	/// @returns The body of a response; none when it is incomplete, too large or in doubt.
+	aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head);
+
+	/// Reads the head of the response to a request and records what it states about the upstream itself. Responses to other requests
+	/// are skipped.
+	/// @param[out] _ending What came in the place of a head, for the log.
+	/// @returns None when what comes can't be attributed to the request.
+	aio::Task<std::optional<http::ResponseHead>> readHead(RequestContext& _context, http::HttpConnection& _upstream, std::string_view& _ending);
+
 	/// Records that the response head is sent.
 	/// @returns The head for the caller.
 	http::ResponseHead beginResponse(RequestContext& _context, const http::ResponseHead& _response);
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -166,10 +166,10 @@
 			return;
 		}
 		this->lastSweepAt = now;
-		for (auto& [address, idleConnections] : this->idle)
+		for (auto& entry : this->idle)
 		{
-			std::erase_if(idleConnections, [&](const IdleConnection& _idle) {
-				this->unattributedCount += logUnattributed(*_idle.connection, address, "idle") ? 1 : 0;
+			std::erase_if(entry.second, [&](const IdleConnection& _idle) {
+				this->unattributedCount += logUnattributed(*_idle.connection, entry.first, "idle") ? 1 : 0;
 				return _idle.until <= now || _idle.connection->isDisconnected() || _idle.connection->hasUnread();
 			});
 		}
