--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "check.h"
+#include "odd_rows.h"
 
 using namespace archdyke;
 
@@ -253,3 +254,56 @@
 	cr_assert(0 == coldOf({{"name", "s"}, {"coldS", -3}, {"coldPerS", 18}})->coldMs);
 	cr_assert(1e9 > coldOf({{"name", "s"}, {"coldS", 1e300}, {"coldPerS", 1e300}})->requestsPerS);
 }
+
+Test(platform, a_row_that_is_nested_deeply_or_has_too_large_a_number_is_only_rejected)
+{
+	for (const tests::OddRow& row : tests::unusableRows())
+	{
+		cr_expect(isRejected(Json(row.value)), "%s", row.name.c_str());
+	}
+}
+
+Test(platform, a_row_with_extreme_values_yields_an_upstream)
+{
+	for (const tests::OddRow& row : tests::extremeRows())
+	{
+		cr_expect(!platform::decodeUpstream("i-1", row.value).address.empty(), "%s", row.name.c_str());
+	}
+}
+
+/// Recursion over a document must not exhaust the stack, whichever part of it is nested.
+Test(platform, a_configuration_that_is_nested_deeply_ends_no_process)
+{
+	const std::string nested = tests::nestedObjects(100'000);
+	for (const char* field : {"version", "routes", "services", "tenants", "limits", "unknown"})
+	{
+		const std::string fields = std::string("version") == field ? "" : "\"version\":1,";
+		for (const std::string& value : {nested, "[" + nested + "]", tests::nestedArrays(100'000)})
+		{
+			const std::string text = "{" + fields + "\"" + field + "\":" + value + "}";
+			cr_expect_throw(platform::decodeCatalog(text), InvalidInputError, "%s", field);
+		}
+	}
+	for (const char* field : {"split", "service", "host"})
+	{
+		const std::string text = std::string(R"({"version":1,"routes":[{"pathPrefix":"/","host":"h",")") + field + "\":" + nested + "}]}";
+		cr_expect_throw(platform::decodeCatalog(text), InvalidInputError, "%s", field);
+	}
+	for (const char* field : {"engine", "coldS", "name"})
+	{
+		const std::string text = std::string(R"({"version":1,"services":[{")") + field + "\":" + nested + "}]}";
+		cr_expect_throw(platform::decodeCatalog(text), InvalidInputError, "%s", field);
+	}
+}
+
+Test(platform, an_engines_report_that_is_nested_deeply_is_only_rejected)
+{
+	const group::EngineCodec codec = platform::makeEngineCodec();
+	const std::string nested = tests::nestedObjects(100'000);
+	for (const char* field : {"map", "prepared", "armed", "held", "queued", "group"})
+	{
+		const std::string text = std::string(R"({"size":2,"group":{"name":"g","epoch":1,"rank":0},")") + field + "\":" + nested + "}";
+		cr_expect_throw(codec.decodeReport(text), InvalidInputError, "%s", field);
+	}
+	cr_expect_throw(codec.decodeCounts("{\"counts\":" + nested + "}"), InvalidInputError);
+}
