A relayed row keeps a key that contains a NUL character

What callers could see: a gateway that hears a coordinator loses a sound upstream because of another writer's row.

Cause: news carried keys by way of C strings, so that a key ended at its first NUL character. A row with the key of an upstream, a NUL character and more text took the place of the upstream's own row in the gateway's table. Its value can't be read, so the upstream was deactivated.

The fix writes and reads keys with their length.

--- a/src/group/news_rpc.cpp
+++ b/src/group/news_rpc.cpp
@@ -12,9 +12,21 @@
 			return {chars.begin(), chars.size()};
 		}
 
+		/// Reads a key with its length: it may contain NUL characters.
+		std::string readKey(capnp::Text::Reader _key)
+		{
+			return {_key.begin(), _key.size()};
+		}
+
+		/// A conversion without a length would end the key at its first NUL character.
+		kj::StringPtr asText(const std::string& _text)
+		{
+			return {_text.c_str(), _text.size()};
+		}
+
 		kj::ArrayPtr<const kj::byte> asData(const std::string& _text)
 		{
-			return kj::StringPtr(_text.c_str(), _text.size()).asBytes();
+			return asText(_text).asBytes();
 		}
 
 		store::TableNews readTable(rpc::TableNews::Reader _reader)
@@ -23,11 +35,11 @@
 			store::TableNews news{0 == storeTime ? std::nullopt : std::optional(storeTime), _reader.getVersion(), _reader.getWhole(), {}, {}};
 			for (const auto row : _reader.getRows())
 			{
-				news.rows.push_back({{"", "", row.getKey().cStr()}, readText(row.getValue()), row.getVersion(), row.getGone()});
+				news.rows.push_back({{"", "", readKey(row.getKey())}, readText(row.getValue()), row.getVersion(), row.getGone()});
 			}
 			for (const auto row : _reader.getDifferences())
 			{
-				news.differences.push_back({row.getKey().cStr(), row.getVersion(), row.getBase(), readText(row.getDifference())});
+				news.differences.push_back({readKey(row.getKey()), row.getVersion(), row.getBase(), readText(row.getDifference())});
 			}
 			return news;
 		}
@@ -41,7 +53,7 @@
 			for (unsigned index = 0; index < rows.size(); ++index)
 			{
 				const store::Row& row = _news.rows[index];
-				rows[index].setKey(row.key.key);
+				rows[index].setKey(asText(row.key.key));
 				rows[index].setVersion(row.version);
 				rows[index].setGone(row.gone);
 				rows[index].setValue(asData(row.value));
@@ -50,7 +62,7 @@
 			for (unsigned index = 0; index < differences.size(); ++index)
 			{
 				const store::RowDifference& row = _news.differences[index];
-				differences[index].setKey(row.key);
+				differences[index].setKey(asText(row.key));
 				differences[index].setVersion(row.version);
 				differences[index].setBase(row.base);
 				differences[index].setDifference(asData(row.difference));
--- a/tests/test_group_news.cpp
+++ b/tests/test_group_news.cpp
@@ -193,3 +193,19 @@
 	const NewsBundle proofAlone = fanOut.newsWithinBudget(HeldVersions());
 	cr_assert(0 == proofAlone.tables.operators.version && 5 == proofAlone.news.number, "the link's share is used up");
 }
+
+/// A key that ended at its NUL character would name the row of another upstream.
+Test(groupnews, a_relayed_row_keeps_a_key_with_a_nul_character)
+{
+	const std::string key("upstream-0\0x", 12);
+	NewsBundle sent;
+	sent.tables.upstreams.storeTime = 100;
+	sent.tables.upstreams.version = 9;
+	sent.tables.upstreams.rows = {row(key, 9)};
+	sent.tables.upstreams.differences = {{key, 9, 8, "d"}};
+	capnp::MallocMessageBuilder message;
+	writeBundle(message.initRoot<rpc::NewsBundle>(), sent);
+	const NewsBundle received = readBundle(message.getRoot<rpc::NewsBundle>().asReader());
+	cr_assert(key == received.tables.upstreams.rows.front().key.key);
+	cr_assert(key == received.tables.upstreams.differences.front().key);
+}
