A row that can't be used is logged once for each version

What callers saw: nothing; whoever reads the logs saw a line for each odd row at each read instead of one.

Cause: a coordinator decodes all rows of a table again after the store has forgotten its history, and logs each odd one again. A gateway does so with odd rows of crashes. A coordinator reads its group's row every 2 s and logged an unreadable one each time.

The fix records with each followed table which version of a row was found unusable, and the coordinator records that of its group's row. A row that is written again has another version and is logged again; what a full read no longer lists is dropped.

--- a/src/gateway/watch_crashes.cpp
+++ b/src/gateway/watch_crashes.cpp
@@ -37,7 +37,10 @@
 			const std::optional<CrashRow> read = readCrashRow(row);
 			if (!read)
 			{
-				logWarning("crash_unreadable", {{"key", row.key.key}});
+				if (store::recordUnusable(this->tables.crashes, row))
+				{
+					logWarning("crash_unreadable", {{"key", row.key.key}});
+				}
 			}
 			else if (row.gone)
 			{
--- a/src/group/coordinator.h
+++ b/src/group/coordinator.h
@@ -284,6 +284,7 @@
 		SwitchIntent intent;   ///< The group's row, with changes that are only in memory.
 		SwitchHistory history; ///< Switches of this term.
 		std::uint64_t rowVersion;
+		std::uint64_t unreadableRow = 0;               ///< Version of a row that can't be decoded; 0: none.
 		std::optional<std::uint64_t> copiedRowVersion; ///< Of the row in the copy from which the store came back, until it is written again; a counter of 0: there is none.
 		const Millis startedAt;
 		Millis rowReadAt;
--- a/src/group/coordinator_row.cpp
+++ b/src/group/coordinator_row.cpp
@@ -1,6 +1,7 @@
 /// The part of the coordinator that reads and writes the store: the group's row, the upstreams, the
 /// configuration.
 #include <algorithm>
+#include <utility>
 
 #include "archdyke/errors.h"
 #include "base/log.h"
@@ -67,7 +68,10 @@
 		}
 		catch (const InvalidInputError& error)
 		{
-			logError("group_row_unreadable", {{"group", this->group}, {"row_version", store::versionText(_row.version)}, {"reason", error.what()}});
+			if (_row.version != std::exchange(this->unreadableRow, _row.version))
+			{
+				logError("group_row_unreadable", {{"group", this->group}, {"row_version", store::versionText(_row.version)}, {"reason", error.what()}});
+			}
 			return;
 		}
 		if (current.term != this->intent.term)
@@ -140,7 +144,10 @@
 			}
 			catch (const InvalidInputError& error)
 			{
-				logWarning("upstream_unreadable", {{"group", this->group}, {"incarnation", row.key.key}, {"reason", error.what()}});
+				if (store::recordUnusable(this->dependencies.groupState.tables.upstreams, row))
+				{
+					logWarning("upstream_unreadable", {{"group", this->group}, {"incarnation", row.key.key}, {"reason", error.what()}});
+				}
 				this->markUnlisted(row.key.key); // the row names no engine; the other rows stay valid
 			}
 		}
@@ -187,7 +194,10 @@
 			}
 			catch (const InvalidInputError& error)
 			{
-				logWarning("configuration_unreadable", {{"group", this->group}, {"row_version", store::versionText(row.version)}, {"reason", error.what()}});
+				if (store::recordUnusable(this->dependencies.groupState.tables.operators, row))
+				{
+					logWarning("configuration_unreadable", {{"group", this->group}, {"row_version", store::versionText(row.version)}, {"reason", error.what()}});
+				}
 			}
 		}
 	}
--- a/src/store/table_news.cpp
+++ b/src/store/table_news.cpp
@@ -44,6 +44,9 @@
 			std::erase_if(_table.earlierValues, [&](const auto& _entry) {
 				return !_rows.contains(_entry.first);
 			});
+			std::erase_if(_table.unusable, [&](const auto& _entry) {
+				return !_rows.contains(_entry.first);
+			});
 		}
 
 		/// @returns The row as it was at a version; null when its value at that version isn't known.
@@ -146,7 +149,9 @@
 		const ResolvedRows resolved = resolveRows(_table, _news);
 		if (resolved.isInvalid)
 		{
+			std::map<std::string, std::uint64_t> unusable = std::move(_table.unusable);
 			_table = {};
+			_table.unusable = std::move(unusable);
 			return false;
 		}
 		if (resolved.baseDiffers)
@@ -229,6 +234,12 @@
 		return {_tables.operators.version, _tables.crashes.version, _tables.upstreams.version};
 	}
 
+	bool recordUnusable(FollowedTable& _table, const Row& _row)
+	{
+		std::uint64_t& recorded = _table.unusable[_row.key.key];
+		return _row.version != std::exchange(recorded, _row.version);
+	}
+
 	std::vector<Row> sortedByVersion(std::vector<Row> _rows)
 	{
 		std::sort(_rows.begin(), _rows.end(), [](const Row& _a, const Row& _b) {
--- a/src/store/table_news.h
+++ b/src/store/table_news.h
@@ -40,6 +40,7 @@
 		std::uint64_t fullReadVersion = 0;                    ///< Version of the last full read; removals before it aren't known.
 		std::uint64_t version = 0;                            ///< 0: not read yet.
 		std::optional<Millis> storeTime;                      ///< The store's clock at its last response.
+		std::map<std::string, std::uint64_t> unusable;        ///< By key: version of a row that was found unusable.
 	};
 
 	/// Proof about the operators' table that processes send to each other: at the time storeTime of the store, the
@@ -90,6 +91,10 @@
 	/// @returns The newest known version of each table.
 	TableVersions versionsOf(const FollowedTables& _tables);
 
+	/// Records that a row is unusable.
+	/// @returns Whether this version of the row wasn't recorded yet. A row is logged once, however often it is read.
+	bool recordUnusable(FollowedTable& _table, const Row& _row);
+
 	/// @returns The rows ordered by their last write. A full read is ordered by key, where the row of a killed
 	/// process may come after that of its successor.
 	std::vector<Row> sortedByVersion(std::vector<Row> _rows);
--- a/tests/test_store_news.cpp
+++ b/tests/test_store_news.cpp
@@ -189,3 +189,17 @@
 	cr_assert(mergeNews(late, newsSince(early, 0)) && makeVersion(2, 12) == late.version && "newer A" == late.rows.at("a").value);
 	cr_assert(proofOf(early) < proofOf(late) && makeVersion(2, 12) == proofOf(late).changedAt);
 }
+
+/// A row that can't be used would be logged at each full read.
+Test(storenews, each_version_of_an_unusable_row_is_reported_once)
+{
+	FollowedTable table;
+	const Row odd = row("a", "odd", 3);
+	mergeRows(table, rows({odd, row("b", "B", 5)}, 6, 100), true);
+	cr_assert(recordUnusable(table, odd) && !recordUnusable(table, odd));
+	mergeRows(table, rows({odd, row("b", "B", 5)}, 7, 200), true);
+	cr_assert(!recordUnusable(table, odd));
+	cr_assert(recordUnusable(table, row("a", "odd", 8)), "written again");
+	mergeRows(table, rows({row("b", "B", 5)}, 9, 300), true);
+	cr_assert(table.unusable.empty(), "removed");
+}
