A start in the far future doesn't hide an upstream's later rows

What callers could see: an upstream that gets no requests although its row is sound, until its row is removed.

Cause: rows with an earlier start than the known one count as late writes of an earlier run. A row of another writer with a start of up to 2^63 - 1 was accepted, so that each later row of that upstream was ignored.

Test before the fix: [FAIL] oddrows::a_row_with_a_start_in_the_far_future_does_not_hide_its_upstream waitUntil(... the upstream's own address is listed again) is false

--- a/tests/test_odd_rows.cpp
+++ b/tests/test_odd_rows.cpp
@@ -363,3 +363,19 @@
 		cr_assert(process->running());
 	}
 }
+
+/// A start in the far future would make all later rows of the upstream those of an earlier run.
+Test(oddrows, a_row_with_a_start_in_the_far_future_does_not_hide_its_upstream)
+{
+	GatewayRig rig({"a", "b"});
+	rig.waitReady();
+	rig.store.putIn("servers", "", "a", upstreamRowWith("born", "9223372036854775807"));
+	rig.addWorker("c"); // its row comes after the other one
+	cr_assert(waitForUpstreams(rig, {"b", "c"}));
+	Json row = lab::upstreamJson("svc", rig.workers[0].address, "ready");
+	row["born"] = 1'764'720'000'123;
+	rig.store.put("servers", "a", row);
+	cr_assert(lab::waitUntil(kMaxPropagationMs, [&] {
+		return std::string::npos != rig.dump()["upstreams"].dump().find(rig.workers[0].address);
+	}));
+}
