A group's row with numbers that no group has is rejected

What callers could see: a sidecar that ends by itself, or a group without a coordinator, because of one odd row among those of the groups.

Cause: the decoder of a group's row cut ranks off to 32 bits and converted negative numbers and fractions. A map that names a rank beyond those of the group made the split of the map write beyond its list; a rank of 2^32 - 1 made the encoder divide by zero when the row was written again; and a term of 2^64 - 1 started again at 0 at the next take-over.

The fix rejects ranks and numbers that no group can have, and leaves out hosts that the group lacks. A rejected row is handled as one that can't be parsed.

The ends of a process were shown with the functions alone, not with a sidecar.

--- a/include/archdyke/map_window.h
+++ b/include/archdyke/map_window.h
@@ -42,7 +42,7 @@
 	/// @returns The initial map of a group: experts assigned to the ranks round-robin.
 	ExpertHosts roundRobinMap(std::uint32_t _sets, std::uint32_t _experts, std::uint32_t _ranks);
 
-	/// @returns The experts by set and rank.
+	/// @returns The experts by set and rank. Hosts that the group doesn't have are left out.
 	std::vector<std::vector<std::vector<std::uint32_t>>> expertsByRank(const ExpertHosts& _hosts, std::uint32_t _ranks);
 
 	/// @returns The hosts of each expert in a map given by rank; the inverse of expertsByRank().
--- a/src/decide/map_window.cpp
+++ b/src/decide/map_window.cpp
@@ -77,7 +77,10 @@
 			{
 				for (const std::uint32_t rank : set[expert])
 				{
-					result.back()[rank].push_back(expert);
+					if (rank < _ranks)
+					{
+						result.back()[rank].push_back(expert);
+					}
 				}
 			}
 		}
--- a/src/decide/switch_row.cpp
+++ b/src/decide/switch_row.cpp
@@ -20,6 +20,10 @@
 		constexpr std::uint8_t kContinuationBit = 0x80;
 		/// Maximum number of experts over all sets, and of ranks. A row beyond it is invalid, and would exhaust memory.
 		constexpr std::uint64_t kMaxExperts = 1'000'000;
+		/// Maximum term. A later term has no versions left, and a coordinator could not take over.
+		constexpr std::uint64_t kMaxTerm = 1'000'000'000'000;
+		/// Maximum epoch, version and step. Larger ones could not rise any more.
+		constexpr std::uint64_t kMaxNumber = std::uint64_t(1) << 60;
 
 		InvalidInputError unreadable(const std::string& _part, const std::string& _problem)
 		{
@@ -56,6 +60,27 @@
 			throw unreadable("map", "ends within a number");
 		}
 
+		std::uint64_t readRank(std::string_view& _bytes)
+		{
+			const std::uint64_t rank = readNumber(_bytes);
+			if (kMaxExperts <= rank)
+			{
+				throw unreadable("map", "has a rank that no group has");
+			}
+			return rank;
+		}
+
+		/// Reads a number of the header without converting other kinds of numbers.
+		std::uint64_t readHeaderNumber(const Json& _header, const char* _field, std::uint64_t _max = kMaxNumber)
+		{
+			const Json& value = _header.at(_field);
+			if (!value.is_number_unsigned() || _max < value.get<std::uint64_t>())
+			{
+				throw unreadable(_field, "isn't a nonnegative integer, or is too large");
+			}
+			return value.get<std::uint64_t>();
+		}
+
 		bool haveSameSize(const ExpertHosts& _a, const ExpertHosts& _b)
 		{
 			return !_a.empty() && _a.size() == _b.size() && _a.front().size() == _b.front().size();
@@ -154,7 +179,7 @@
 				}
 				for (std::uint64_t host = 0; host < count; ++host)
 				{
-					ranks.push_back(std::uint32_t(readNumber(_bytes)));
+					ranks.push_back(std::uint32_t(readRank(_bytes)));
 				}
 			}
 			if (0 < same)
@@ -185,18 +210,18 @@
 			const std::size_t end = std::min(_text.find(kHeaderEnd), _text.size());
 			const Json json = Json::parse(_text.substr(0, end));
 			SwitchIntent intent;
-			intent.term = json.at("term").get<std::uint64_t>();
-			intent.era = json.value("era", std::uint64_t(0));
+			intent.term = readHeaderNumber(json, "term", kMaxTerm);
+			intent.era = json.contains("era") ? readHeaderNumber(json, "era") : 0;
 			intent.coordinator = json.at("coordinator").get<std::string>();
 			for (const SwitchPhase phase : {SwitchPhase::Idle, SwitchPhase::Holding, SwitchPhase::Switching})
 			{
 				intent.phase = json.at("phase").get<std::string>() == toString(phase) ? phase : intent.phase;
 			}
-			intent.epoch = json.at("epoch").get<std::uint64_t>();
-			intent.version = json.at("version").get<std::uint64_t>();
-			intent.boundary = json.at("boundary").get<std::uint64_t>();
-			intent.inForceVersion = json.at("inForceVersion").get<std::uint64_t>();
-			intent.last = json.contains("last") ? std::optional(json.at("last").get<std::uint32_t>()) : std::nullopt;
+			intent.epoch = readHeaderNumber(json, "epoch");
+			intent.version = readHeaderNumber(json, "version");
+			intent.boundary = readHeaderNumber(json, "boundary");
+			intent.inForceVersion = readHeaderNumber(json, "inForceVersion");
+			intent.last = json.contains("last") ? std::optional(std::uint32_t(readHeaderNumber(json, "last", kMaxExperts))) : std::nullopt;
 			std::string_view maps = std::string_view(_text).substr(std::min(end + 1, _text.size()));
 			const std::uint64_t ranks = readNumber(maps);
 			if (kMaxExperts < ranks)
--- a/tests/test_forward_switch.cpp
+++ b/tests/test_forward_switch.cpp
@@ -1,6 +1,7 @@
 /// Tests single decisions of the forward-only map switch.
 #include "archdyke/errors.h"
 #include "archdyke/forward_switch.h"
+#include "archdyke/map_window.h"
 #include "check.h"
 
 using namespace archdyke;
@@ -40,6 +41,50 @@
 	cr_assert_throw(decodeIntent(whole.substr(0, whole.find('\n') + 1) + "\x7f\x7f"), InvalidInputError);
 }
 
+/// A rank beyond 32 bits would be cut off, and a process that writes the row again would divide by zero.
+Test(forward, a_row_with_ranks_that_no_group_has_is_rejected)
+{
+	SwitchIntent intent;
+	intent.inForce = {{{0}, {1}}};
+	const std::string header = encodeIntent(intent).substr(0, encodeIntent(intent).find('\n') + 1);
+	const std::string noMap("\0\0", 2);
+	const auto rowWithRank = [&](const std::string& _rank) {
+		return header + std::string("\x02\x01\x01\x01", 4) + _rank + noMap;
+	};
+	cr_assert((ExpertHosts{{{5}}}) == decodeIntent(rowWithRank("\x05")).inForce);
+	for (const char* rank : {"\xff\xff\xff\xff\x0f", "\x85\x80\x80\x80\x10", "\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01"})
+	{
+		cr_expect_throw(decodeIntent(rowWithRank(rank)), InvalidInputError);
+	}
+}
+
+/// A term that is too large would start again at 0 at the next take-over.
+Test(forward, a_row_with_numbers_that_are_too_large_or_of_another_kind_is_rejected)
+{
+	const auto rowWith = [](const std::string& _field, const std::string& _number) {
+		std::string row = encodeIntent(SwitchIntent());
+		const std::string before = "\"" + _field + "\":0";
+		const std::size_t at = row.find(before);
+		cr_assert(std::string::npos != at);
+		return row.replace(at, before.size(), "\"" + _field + "\":" + _number);
+	};
+	for (const char* field : {"term", "era", "epoch", "version", "boundary", "inForceVersion"})
+	{
+		cr_expect(decodeIntent(rowWith(field, "7")) != SwitchIntent(), "%s", field);
+		for (const char* number : {"18446744073709551615", "18446744073709551616", "9223372036854775808", "-1", "1.5", "1e308", "1e999", "null", "\"7\""})
+		{
+			cr_expect_throw(decodeIntent(rowWith(field, number)), InvalidInputError, "%s %s", field, number);
+		}
+	}
+}
+
+Test(forward, a_map_with_ranks_that_a_group_lacks_is_split_over_those_that_it_has)
+{
+	const ExpertHosts hosts{{{0, 7}, {1}, {999'999}}};
+	const auto experts = expertsByRank(hosts, 2);
+	cr_assert((std::vector<std::vector<std::vector<std::uint32_t>>>{{{0}, {1}}}) == experts);
+}
+
 Test(forward, the_row_of_a_large_group_is_small)
 {
 	SwitchIntent intent;
