Return chunks only once their framing proves that they are whole

Callers got parts of a stream or of a chunked answer that held bytes of another one: an answer that was cut within a chunk, and behind it the beginning of the next one.

Cause: the parser library, as packaged, takes any byte for the LF of the line with a chunk's size. And a chunk whose end fell on the end of a line in the other answer's head was returned before what followed showed that it is no chunk.

Chunked bodies of responses are now read by a strict reader of their own. Each byte of a line between chunks is checked. Data that may end within the head of another response (a status line ended by CRLF, or not ended) is held back until the body is complete, and is refused if more bytes are behind it. Events with bare LF that quote a response are returned at once.

The parser of messages is now a class of its own. A head that comes in one read is no longer copied, and interim responses without end are limited as one head is.

Joints are drawn at every byte of every kind of answer.

What they don't tell: fewer bytes than a status line has, put into a head's line or into a chunk whose own data has a CRLF at the very place.

--- a/include/archdyke/response_head.h
+++ b/include/archdyke/response_head.h
@@ -18,9 +18,17 @@
 		Count
 	};
 
-	/// @returns Whether a text contains the beginning of a response: "HTTP/1.1 200", then a space or the end of its line.
+	/// @returns Position of the first beginning of a response in a text: "HTTP/1.1 200", then a space or the end of its line.
+	/// std::string_view::npos if there is none.
+	/// @param[in] _from Where the search starts.
+	std::size_t findStatusLine(std::string_view _text, std::size_t _from);
+
+	/// @returns Whether a text contains the beginning of a response.
 	bool containsStatusLine(std::string_view _text);
 
+	/// @returns Whether a text contains a control character other than a tab.
+	bool containsControl(std::string_view _text);
+
 	/// @returns Whether a text is the beginning of a response, or may become it with more bytes.
 	bool mayStartResponse(std::string_view _text);
 
@@ -28,6 +36,9 @@
 	/// @param[in] _from Bytes that are known not to contain its end.
 	std::size_t headSize(std::string_view _text, std::size_t _from);
 
+	/// @param[in] _line A line of a head or of trailers, without its line end.
+	HeadFault checkHeaderLine(std::string_view _line);
+
 	/// @param[in] _head A head with its empty line.
 	/// @remarks Stricter than RFC 9112, 2.2 and 5.2: folded lines are rejected, since they hide where a line ends.
 	HeadFault checkResponseHead(std::string_view _head);
--- a/src/decide/response_head.cpp
+++ b/src/decide/response_head.cpp
@@ -47,26 +47,39 @@
 			return complete && mayStartResponse(_line.substr(0, kStatusEnd + 1));
 		}
 
-		HeadFault checkHeaderLine(std::string_view _line)
+		HeadFault checkStatusLine(std::string_view _line)
 		{
-			const std::size_t colon = _line.find(':');
-			const bool named = std::string_view::npos != colon && 0 < colon && std::all_of(_line.begin(), _line.begin() + std::ptrdiff_t(colon), isTokenChar);
-			return named ? HeadFault::None : HeadFault::NotAHead;
+			// What follows a status line can only be another one.
+			if (containsStatusLine(_line.substr(std::min(_line.size(), kStatusEnd))))
+			{
+				return HeadFault::Joined;
+			}
+			return isStatusLine(_line) && !containsControl(_line) ? HeadFault::None : HeadFault::NotAHead;
 		}
 	} // namespace
 
-	bool containsStatusLine(std::string_view _text)
+	std::size_t findStatusLine(std::string_view _text, std::size_t _from)
 	{
-		for (std::size_t at = _text.find(kVersion); std::string_view::npos != at; at = _text.find(kVersion, at + 1))
+		for (std::size_t at = _text.find(kVersion, _from); std::string_view::npos != at; at = _text.find(kVersion, at + 1))
 		{
 			const std::string_view rest = _text.substr(at);
 			const bool ends = kStatusEnd == rest.size() || (kStatusEnd < rest.size() && std::string_view::npos != std::string_view(" \r\n").find(rest[kStatusEnd]));
 			if (ends && mayStartResponse(rest.substr(0, kStatusEnd)))
 			{
-				return true;
+				return at;
 			}
 		}
-		return false;
+		return std::string_view::npos;
+	}
+
+	bool containsStatusLine(std::string_view _text)
+	{
+		return std::string_view::npos != findStatusLine(_text, 0);
+	}
+
+	bool containsControl(std::string_view _text)
+	{
+		return std::any_of(_text.begin(), _text.end(), isControl);
 	}
 
 	bool mayStartResponse(std::string_view _text)
@@ -97,6 +110,17 @@
 		return 0;
 	}
 
+	HeadFault checkHeaderLine(std::string_view _line)
+	{
+		if (containsStatusLine(_line))
+		{
+			return HeadFault::Joined;
+		}
+		const std::size_t colon = _line.find(':');
+		const bool named = std::string_view::npos != colon && 0 < colon && std::all_of(_line.begin(), _line.begin() + std::ptrdiff_t(colon), isTokenChar);
+		return named && !containsControl(_line) ? HeadFault::None : HeadFault::NotAHead;
+	}
+
 	HeadFault checkResponseHead(std::string_view _head)
 	{
 		bool first = true;
@@ -110,16 +134,7 @@
 			{
 				break;
 			}
-			// What follows the first status line can only be another one.
-			if (containsStatusLine(first ? line.substr(std::min(line.size(), kStatusEnd)) : line))
-			{
-				return HeadFault::Joined;
-			}
-			if (std::any_of(line.begin(), line.end(), isControl) || (first && !isStatusLine(line)))
-			{
-				return HeadFault::NotAHead;
-			}
-			const HeadFault fault = first ? HeadFault::None : checkHeaderLine(line);
+			const HeadFault fault = first ? checkStatusLine(line) : checkHeaderLine(line);
 			if (HeadFault::None != fault)
 			{
 				return fault;
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -13,53 +13,10 @@
 #include <string_view>
 
 #include "aio/task.h"
-#include "http/http_message.h"
+#include "http/message_parser.h"
 
 namespace archdyke::http
 {
-	/// Size limits of one incoming message.
-	struct MessageLimits
-	{
-		std::size_t headerBytes = 16'384;
-		std::size_t bodyBytes = std::size_t(4) << 20;
-
-		bool operator==(const MessageLimits&) const = default;
-	};
-
-	/// Kinds of events on the incoming side of a connection.
-	enum class PartKind
-	{
-		Head,
-		Body,
-		End,          ///< The message is complete.
-		Closed,       ///< The other side closed the connection between messages.
-		Reset,        ///< The connection was reset, or closed within a message.
-		Malformed,    ///< The bytes aren't a valid HTTP message.
-		Unrequested,  ///< Bytes came while no exchange was under way.
-		JoinedHead,   ///< A response's head contains the status line of another response.
-		HeadTooLarge, ///< The head exceeds its limit.
-		BodyTooLarge, ///< The body exceeds its limit.
-		Count
-	};
-
-	/// @returns The name used in logs.
-	std::string_view toString(PartKind _kind);
-
-	/// One part of an incoming message, or the end of the connection.
-	struct Part
-	{
-		PartKind kind = PartKind::Closed;
-		RequestHead request;   ///< For a Head read by a server.
-		ResponseHead response; ///< For a Head read by a client.
-		std::string body;      ///< For a Body.
-	};
-
-	enum class Side
-	{
-		Server,
-		Client
-	};
-
 	class HttpConnection
 	{
 	public:
@@ -121,8 +78,6 @@
 		void setLimits(MessageLimits _limits);
 
 	private:
-		struct Parser;
-
 		aio::Task<void> readLoop();
 		/// @returns How the connection ends because of these bytes; none if it goes on.
 		std::optional<PartKind> parse(std::string_view _bytes);
@@ -130,7 +85,7 @@
 		void endWith(PartKind _how);
 
 		kj::Own<kj::AsyncIoStream> stream;
-		std::unique_ptr<Parser> parser;
+		MessageParser parser;
 		std::deque<Part> parts;
 		std::uint64_t ownNumber;
 		bool inExchange = true;
