Read no body behind a 204 or 304, whatever length its head names

A 304 names the length of the body that it doesn't send (RFC 9110, 8.6). The parser waited for that body: the caller's request ran into its deadline, and on a kept connection the next answer was read as the body of this one.

Such responses end with their head.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -225,7 +225,7 @@
 		part.response = {status, std::move(this->headers), 0 != http_should_keep_alive(&this->raw)};
 		this->take(std::move(part));
 		const bool bodiless = kNoContent == status || kNotModified == status;
-		if (0 != (this->raw.flags & F_CHUNKED))
+		if (0 != (this->raw.flags & F_CHUNKED) && !bodiless)
 		{
 			this->framing = Framing::Chunks;
 			this->chunks = {};
@@ -233,7 +233,7 @@
 		}
 		const bool hasLength = bodiless || (0 != (this->raw.flags & F_CONTENTLENGTH) && 0 == this->raw.uses_transfer_encoding);
 		this->framing = hasLength ? Framing::Length : Framing::UntilClose;
-		this->lengthLeft = 0 != (this->raw.flags & F_CONTENTLENGTH) ? this->raw.content_length : 0;
+		this->lengthLeft = bodiless || !hasLength ? 0 : this->raw.content_length;
 		if (hasLength && 0 == this->lengthLeft)
 		{
 			this->takeEnd();
--- a/tests/answer_kinds.h
+++ b/tests/answer_kinds.h
@@ -99,7 +99,7 @@
 		answers.push_back(withChunks(makeAnswer("empty in chunks", "", 500, " Internal Server Error", {chunked, id}), {}, "", ""));
 		answers.push_back(withBody(makeAnswer("interim", interim, 200, " OK", {id, stamp, length}), BodyFraming::Length, plain, plain));
 		answers.push_back(makeAnswer("no content", "", 204, " No Content", {id, stamp}));
-		answers.push_back(makeAnswer("not modified", "", 304, " Not Modified", {id}));
+		answers.push_back(makeAnswer("not modified", "", 304, " Not Modified", {id, length}));
 		answers.push_back(withBody(makeAnswer("until close", "", 200, " OK", {id, stamp}), BodyFraming::UntilClose, plain, plain));
 		answers.push_back(withBody(makeAnswer("events until close", "", 200, " OK", {id, events}), BodyFraming::UntilClose, pieces[0] + pieces[1], pieces[0] + pieces[1]));
 		return answers;
