Stub of an upstream that stutters, with stamps that describe the answer

The control {"stutter": ...} makes the stub disturb a share of its answers until a given time: a copy of the answer, or of a rejection, cut at a random byte, comes at once, up to 120 ms later or in front of the next answer on that connection; bytes come between chunks and events; answers stop at a random byte, also of the head; other bytes come in their place; heads and bodies have no end. Failures and rejections are mixed in, so that joints have different statuses. All writes of a connection go through one queue, so that late bytes never cut another write.

Each stamp now has the upstream, the status and a checksum of request, status and body, so that an answer alone shows whether its parts belong together.

--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -16,18 +16,24 @@
 /// and the time of the last arrival.
 /// POST /control {"mode": "up" | "refuse"}; {"restS": N}: rejects all requests for N s and asks for a
 /// back-off of the remaining time; {"leaving": true}: all further responses say that the upstream is
-/// about to stop; {"crashParts": [ID]}: as the option; {"limitPerS": N}: all further responses name a limit of N requests per second, 0 ends it.
+/// about to stop; {"crashParts": [ID]}: as the option; {"limitPerS": N}: all further responses name a limit of N requests per second, 0 ends it;
+/// {"stutter": {"until": MS, "seed": N, "share"?, "failedShare"?, "rejectedShare"?, "withinLength"?}}: until this time of the machine's
+/// steady clock a share of the responses is disturbed as StutterKind says, and others are failures and rejections.
+/// Each stamp tells whether status and body belong together and to the request, see server_stamp.h.
 #include <algorithm>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <map>
 #include <utility>
 
+#include "archdyke/random.h"
 #include "base/address.h"
 #include "base/log.h"
 #include "base/process.h"
 #include "http/http_listener.h"
+#include "server_stamp.h"
 #include "stub_main.h"
+#include "stub_stutter.h"
 
 namespace archdyke::stub
 {
@@ -47,7 +53,9 @@
 		{
 			http::RequestHead head;
 			std::string body;
-			std::string* behind = nullptr; ///< Bytes to write on the connection before the next answer.
+			OrderedWriter* writer = nullptr;
+			Stutter stutter;
+			StutterAnswer answer = StutterAnswer::Own;
 		};
 
 		struct Record
@@ -84,11 +92,11 @@
 
 			aio::Task<void> serve(std::unique_ptr<http::HttpConnection> _connection)
 			{
-				std::string behind;
+				OrderedWriter writer(*_connection, this->loop.timer);
 				while (true)
 				{
 					Call call;
-					call.behind = &behind;
+					call.writer = &writer;
 					bool complete = false;
 					while (!complete)
 					{
@@ -110,6 +118,11 @@
 							co_return;
 						}
 					}
+					const bool isPlatformCall = "/record" == call.head.target || "/control" == call.head.target;
+					if (!isPlatformCall)
+					{
+						this->disturb(call);
+					}
 					const bool keepOpen = co_await this->respond(*_connection, call);
 					if (!keepOpen)
 					{
@@ -126,11 +139,17 @@
 				return std::string(_call.head.headers.find(_name).value_or(""));
 			}
 
-			http::ResponseHead headFor(const Call& _call, int _status) const
+			std::string stampFor(const Call& _call, int _status, const std::string& _body) const
+			{
+				return makeStamp(this->id, this->headerOf(_call, "X-Archdyke-Request-Id"), _status, _body);
+			}
+
+			/// @param[in] _body The complete body, which the stamp covers.
+			http::ResponseHead headFor(const Call& _call, int _status, const std::string& _body) const
 			{
 				http::ResponseHead head{_status, {}, true};
 				head.headers.add("X-Archdyke-Request-Id", this->headerOf(_call, "X-Archdyke-Request-Id"));
-				head.headers.add("X-Archdyke-Server-Stamp", "stamp-" + this->id);
+				head.headers.add("X-Archdyke-Server-Stamp", this->stampFor(_call, _status, _body));
 				if (this->leaving || ("1" == queryField(_call.head.target, "leaving") && this->isAddressee(_call)))
 				{
 					head.headers.add("Server-Leaving", "1");
@@ -151,23 +170,27 @@
 			/// Prints one line per run, so that runs are known even when this process is killed.
 			void printRun(const Call& _call) const
 			{
-				fmt::print("run request={} at={} leaving={} limit={} organisation={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->leaving ? 1 : 0, this->limitPerS, this->headerOf(_call, "X-Archdyke-Tenant"));
+				fmt::print("run request={} at={} leaving={} limit={} organisation={} stutter={} answer={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), this->leaving ? 1 : 0, this->limitPerS, this->headerOf(_call, "X-Archdyke-Tenant"), int(_call.stutter.kind), int(_call.answer));
 				std::fflush(stdout);
 			}
 
 			/// Returns the response head of a rejected request, with the back-off to ask for in seconds, if any.
 			http::ResponseHead rejectedHead(const Call& _call, const std::string& _backOffS) const
 			{
-				http::ResponseHead head = this->headFor(_call, 503);
+				http::ResponseHead head = this->headFor(_call, 503, "");
 				// First, so that a head which is cut behind it states it.
 				head.headers.lines.insert(head.headers.lines.begin(), http::Header{"X-Archdyke-Not-Executed", "1"});
 				if (!_backOffS.empty())
 				{
 					head.headers.add("Retry-After", _backOffS);
 				}
+				return head;
+			}
+
+			void printRejection(const Call& _call, const std::string& _backOffS) const
+			{
 				fmt::print("turned_away request={} at={} rest={}\n", this->headerOf(_call, "X-Archdyke-Request-Id"), nowMs(), _backOffS);
 				std::fflush(stdout);
-				return head;
 			}
 
 			/// @returns The back-off that the response to a rejected call asks for, s; empty for none.
@@ -184,6 +207,29 @@
 				this->leaving = _settings.value("leaving", this->leaving);
 				this->limitPerS = _settings.value("limitPerS", this->limitPerS);
 				this->crashParts = _settings.value("crashParts", this->crashParts);
+				if (_settings.contains("stutter"))
+				{
+					const nlohmann::json& stutter = _settings["stutter"];
+					this->stutter = readStutter(stutter);
+					this->stutterUntil = stutter.value("until", Millis(0));
+					this->random.seed(stutter.value("seed", std::uint64_t(1)));
+				}
+			}
+
+			/// Chooses what happens to the answer to a call while this upstream stutters.
+			void disturb(Call& _call)
+			{
+				if (nowMs() < this->stutterUntil)
+				{
+					_call.answer = pickAnswer(this->random, this->stutter);
+					_call.stutter = pickStutter(this->random, this->stutter);
+				}
+			}
+
+			/// @returns Bytes of another answer to a call, which the disturbance asks for.
+			std::string otherAnswer(const Call& _call) const
+			{
+				return http::serialize(503 == _call.stutter.copyStatus ? this->rejectedHead(_call, "") : this->headFor(_call, 421, ""), "");
 			}
 
 			/// @returns Whether a prompt contains a part that crashes this process. The last part never does.
@@ -213,14 +259,14 @@
 				if ("/record" == _call.head.target)
 				{
 					bytes = http::serialize(http::ResponseHead{200, {}, true}, this->recordText());
-					co_await _connection.write(std::move(bytes));
+					co_await _call.writer->write(std::move(bytes));
 					co_return true;
 				}
 				if ("/control" == _call.head.target)
 				{
 					this->control(nlohmann::json::parse(_call.body));
 					bytes = http::serialize(http::ResponseHead{200, {}, true}, "");
-					co_await _connection.write(std::move(bytes));
+					co_await _call.writer->write(std::move(bytes));
 					co_return true;
 				}
 				const std::string expected = this->headerOf(_call, "X-Archdyke-Expect-Instance");
@@ -228,18 +274,20 @@
 				const std::string behaviour = this->isAddressee(_call) ? requested : ("break" == requested || "tear" == requested || "skip" == requested || "jump" == requested || "stream" == requested ? "stream" : "ok");
 				if (!expected.empty() && expected != this->id)
 				{
-					bytes = http::serialize(this->headFor(_call, 421), "");
-					co_await _connection.write(std::move(bytes));
+					bytes = http::serialize(this->headFor(_call, 421, ""), "");
+					co_await _call.writer->write(std::move(bytes));
 					co_return true;
 				}
 				Record& record = this->records[this->headerOf(_call, "X-Archdyke-Request-Id")];
 				record.lastArrivalAt = nowMs();
-				if (this->rejectsAll || "shed" == behaviour || nowMs() < this->backOffUntil)
+				if (this->rejectsAll || "shed" == behaviour || nowMs() < this->backOffUntil || StutterAnswer::Rejected == _call.answer)
 				{
 					record.rejections += 1;
-					bytes = http::serialize(this->rejectedHead(_call, this->backOffText(_call)), "");
-					co_await this->writeAnswer(_connection, _call, std::move(bytes));
-					co_return true;
+					const std::string backOffS = this->backOffText(_call);
+					this->printRejection(_call, backOffS);
+					http::ResponseHead rejected = this->rejectedHead(_call, backOffS);
+					std::string none;
+					co_return co_await this->writeAnswer(_call, std::move(rejected), std::move(none));
 				}
 				record.runs += 1;
 				this->printRun(_call);
@@ -251,6 +299,10 @@
 					co_await this->loop.timer.afterDelay(kCrashDelayMs * kj::MILLISECONDS);
 					std::_Exit(kCrashExitCode);
 				}
+				if (StutterAnswer::Failed == _call.answer && !shouldCrash)
+				{
+					co_return co_await this->respondPlain(_connection, _call, behaviour, record);
+				}
 				const bool streams = _call.head.target.starts_with("/stream/") || _call.head.target.starts_with("/flow/");
 				if ("stream" == behaviour || "tear" == behaviour || (streams && "unframed" == behaviour) || "break" == behaviour || "skip" == behaviour || "jump" == behaviour || shouldCrash)
 				{
@@ -261,8 +313,10 @@
 
 			aio::Task<bool> respondPlain(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, Record& _record)
 			{
-				const std::string body = _call.head.method + " " + _call.head.target + " " + _call.body;
-				std::string bytes = http::serialize(this->headFor(_call, 200), body);
+				const bool fails = "fail" == _behaviour || StutterAnswer::Failed == _call.answer;
+				const std::string body = fails ? "failed" : _call.head.method + " " + _call.head.target + " " + _call.body;
+				const http::ResponseHead head = this->headFor(_call, fails ? 500 : 200, body);
+				std::string bytes = http::serialize(head, body);
 				bool keepOpen = true;
 				if ("hang" == _behaviour)
 				{
@@ -270,64 +324,120 @@
 					_record.disconnects += _connection.isDisconnected() ? 1 : 0;
 					co_return false;
 				}
-				if ("fail" == _behaviour)
-				{
-					bytes = http::serialize(this->headFor(_call, 500), "failed");
-				}
-				else if ("cut" == _behaviour)
+				if ("cut" == _behaviour)
 				{
 					bytes.resize(bytes.size() - 3);
 					keepOpen = false;
 				}
 				else if ("garbage" == _behaviour)
 				{
-					bytes = "\x01\x02 this is no answer\r\n\r\n";
+					bytes = kNoAnswer;
 					keepOpen = false;
 				}
 				else if ("foreign" == _behaviour)
 				{
 					http::ResponseHead foreign{200, {}, true};
 					foreign.headers.add("X-Archdyke-Request-Id", "another");
-					foreign.headers.add("X-Archdyke-Server-Stamp", "stamp-" + this->id);
+					foreign.headers.add("X-Archdyke-Server-Stamp", makeStamp(this->id, "another", 200, "another's answer"));
 					bytes = http::serialize(foreign, "another's answer") + bytes;
 				}
 				else if ("unsigned" == _behaviour)
 				{
-					http::ResponseHead head{200, {}, true};
-					head.headers.add("X-Archdyke-Request-Id", this->headerOf(_call, "X-Archdyke-Request-Id"));
-					bytes = http::serialize(head, body);
+					http::ResponseHead unsignedHead{200, {}, true};
+					unsignedHead.headers.add("X-Archdyke-Request-Id", this->headerOf(_call, "X-Archdyke-Request-Id"));
+					bytes = http::serialize(unsignedHead, body);
 				}
 				else if ("encoded" == _behaviour)
 				{
-					http::ResponseHead head = this->headFor(_call, 200);
-					head.headers.add("Content-Encoding", "br");
-					bytes = http::serialize(head, body);
+					http::ResponseHead encodedHead = head;
+					encodedHead.headers.add("Content-Encoding", "br");
+					bytes = http::serialize(encodedHead, body);
 				}
 				else if ("unframed" == _behaviour)
 				{
-					bytes = fmt::format("HTTP/1.1 200 OK\r\nX-Archdyke-Request-Id: {}\r\nX-Archdyke-Server-Stamp: stamp-{}\r\n\r\n{}", this->headerOf(_call, "X-Archdyke-Request-Id"), this->id, body);
+					bytes = fmt::format("HTTP/1.1 200 OK\r\nX-Archdyke-Request-Id: {}\r\nX-Archdyke-Server-Stamp: {}\r\n\r\n{}", this->headerOf(_call, "X-Archdyke-Request-Id"), this->stampFor(_call, 200, body), body);
 					keepOpen = false;
 				}
-				co_await this->writeAnswer(_connection, _call, std::move(bytes));
+				else
+				{
+					co_return co_await this->writeAnswer(_call, head, body);
+				}
+				co_await this->writeBytes(_call, std::move(bytes));
 				co_return keepOpen;
 			}
 
-			/// Writes an answer, before it the bytes that are left from an earlier one, and behind it what the call asks for.
-			aio::Task<void> writeAnswer(http::HttpConnection& _connection, const Call& _call, std::string _answer)
+			/// Writes an answer, with what disturbs it while this upstream stutters.
+			/// @returns Whether the connection is kept open.
+			aio::Task<bool> writeAnswer(const Call& _call, http::ResponseHead _head, std::string _body)
+			{
+				if (nowMs() < this->stutterUntil)
+				{
+					std::string other = this->otherAnswer(_call);
+					co_return co_await writeDisturbed(*_call.writer, _call.stutter, std::move(_head), std::move(_body), std::move(other));
+				}
+				std::string bytes = http::serialize(_head, _body);
+				co_await this->writeBytes(_call, std::move(bytes));
+				co_return true;
+			}
+
+			/// Writes an answer, and behind it what the call asks for.
+			aio::Task<void> writeBytes(const Call& _call, std::string _bytes)
 			{
-				std::string bytes = std::exchange(*_call.behind, "") + _answer;
 				const std::optional<std::int64_t> size = this->isAddressee(_call) ? http::parseInteger(queryField(_call.head.target, "behind")) : std::nullopt;
-				if (size)
+				const std::string again = size ? _bytes.substr(0, std::size_t(*size)) : "";
+				const bool waits = "next" == queryField(_call.head.target, "behindWhen");
+				_bytes += waits ? "" : again;
+				co_await _call.writer->write(std::move(_bytes));
+				_call.writer->writeBeforeNext(waits ? again : "");
+			}
+
+			static std::string eventText(std::uint64_t _event)
+			{
+				return fmt::format("id: {}\ndata: piece {}\n\n", _event, _event);
+			}
+
+			/// @returns The body of a stream that isn't resumed.
+			static std::string streamText()
+			{
+				std::string text;
+				for (std::uint64_t event = 1; event <= kStreamEvents; ++event)
 				{
-					const std::string again = _answer.substr(0, std::size_t(*size));
-					("next" == queryField(_call.head.target, "behindWhen") ? *_call.behind : bytes) += again;
+					text += eventText(event);
+				}
+				return text;
+			}
+
+			/// Writes the disturbance of a stream that comes before one of its chunks.
+			/// @param[in] _sent What was sent of the stream.
+			/// @returns Whether the stream goes on.
+			aio::Task<bool> disturbStream(const Call& _call, std::string _sent, std::string _chunk)
+			{
+				OrderedWriter& writer = *_call.writer;
+				std::string bytes = copyOf(_call.stutter, _sent, this->otherAnswer(_call));
+				switch (_call.stutter.kind)
+				{
+				case StutterKind::Between:
+					co_await writer.write(std::move(bytes));
+					co_return true;
+				case StutterKind::Cut:
+					bytes = cutAt(_chunk, _call.stutter.cutAt / 2.0);
+					co_await writer.write(std::move(bytes));
+					co_return false;
+				case StutterKind::NoAnswer:
+					bytes = kNoAnswer;
+					co_await writer.write(std::move(bytes));
+					co_return false;
+				case StutterKind::EndlessBody:
+					co_await writeEndlessChunks(writer);
+					co_return false;
+				default:
+					co_return true;
 				}
-				co_await _connection.write(std::move(bytes));
 			}
 
 			aio::Task<bool> respondStream(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, bool _crashes, Record& _record)
 			{
-				http::ResponseHead head = this->headFor(_call, 200);
+				http::ResponseHead head = this->headFor(_call, 200, streamText());
 				head.headers.add("Content-Type", "text/event-stream");
 				const bool unframed = "unframed" == _behaviour || "tear" == _behaviour;
 				std::string bytes = http::serializeChunkedHead(head);
@@ -335,11 +445,24 @@
 				{
 					bytes.replace(bytes.find("Transfer-Encoding: chunked"), std::string_view("Transfer-Encoding: chunked").size(), "Connection: close");
 				}
-				co_await _connection.write(std::move(bytes));
+				std::string sent = bytes;
+				const bool cutsHead = StutterKind::Cut == _call.stutter.kind && 0 == _call.stutter.atEvent % (kStreamEvents + 1);
+				if (StutterKind::EndlessHead == _call.stutter.kind)
+				{
+					co_await writeEndlessHead(*_call.writer);
+					co_return false;
+				}
+				if (cutsHead)
+				{
+					std::string cut = cutAt(bytes, _call.stutter.cutAt / 2.0);
+					co_await _call.writer->write(std::move(cut));
+					co_return false;
+				}
+				co_await _call.writer->write(std::move(bytes));
 				if ("jump" == _behaviour)
 				{
 					std::string chunk = http::serializeChunk("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 4\ndata: piece 4\n\n");
-					co_await _connection.write(std::move(chunk));
+					co_await _call.writer->write(std::move(chunk));
 					co_return false;
 				}
 				const std::optional<std::int64_t> after = http::parseInteger(_record.resumedAfter);
@@ -359,11 +482,18 @@
 					{
 						continue;
 					}
-					std::string text = fmt::format("id: {}\ndata: piece {}\n\n", event, event);
+					std::string text = eventText(event);
 					const bool breaks = ("break" == _behaviour || "tear" == _behaviour) && !after && 4 == event;
 					text.resize(breaks ? text.size() / 2 : text.size());
 					std::string chunk = unframed ? text : http::serializeChunk(text);
-					co_await _connection.write(std::move(chunk));
+					const bool disturbed = event == _call.stutter.atEvent % (kStreamEvents + 1) && nowMs() < this->stutterUntil;
+					const bool goesOn = !disturbed || co_await this->disturbStream(_call, sent, chunk);
+					if (!goesOn)
+					{
+						co_return false;
+					}
+					sent += chunk;
+					co_await _call.writer->write(std::move(chunk));
 					if (breaks)
 					{
 						co_return false;
@@ -374,13 +504,19 @@
 					co_return false;
 				}
 				std::string last(http::kLastChunk);
-				co_await _connection.write(std::move(last));
+				std::string copy = copyOf(_call.stutter, sent + last, this->otherAnswer(_call));
+				last += StutterKind::CopyNow == _call.stutter.kind ? copy : "";
+				co_await _call.writer->write(std::move(last));
+				followUp(*_call.writer, _call.stutter, std::move(copy));
 				co_return true;
 			}
 
 			std::string id;
 			std::vector<std::string> crashParts; ///< Parts of prompts, in hex.
 			std::map<std::string, Record> records;
+			Random random;
+			StutterSettings stutter;
+			Millis stutterUntil = 0;
 			bool rejectsAll = false;
 			bool leaving = false;
 			Millis backOffUntil = 0;
