Soak with upstreams that stutter and with odd rows

The soak had no fault of this class, and its judge couldn't have seen a success in the place of a failure: it compared bodies of successes only.

New faults: some or all upstreams stutter for 2 to 6 s, and another writer puts an odd entry among the rows of the upstreams (nested deeply, numbers too large, ports out of range, no document), some of which stay. Six more callers of plain requests reuse the gateways' connections at once. The judge checks the stamp of each response: the status and body that the upstream gave to this request, or one of the statuses that a gateway gives by itself; a response without a run of that upstream; gateways and sidecars that end by themselves. A stutter excuses broken streams alone. What an upstream says of itself in a response that the caller didn't get doesn't count while it stutters, because the gateway may not have had it either.

The span of a gateway's restart begins before the new process listens.

Two tests of the judge give their calls stamps now, since a success without one is a violation, and drop it where the response is the gateway's own.

--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -2,6 +2,7 @@
 /// and that short seeded runs have none.
 #include <criterion/criterion.h>
 
+#include "server_stamp.h"
 #include "soak.h"
 
 using namespace archdyke;
@@ -11,6 +12,13 @@
 {
 	constexpr Millis kSentAtMs = 100'000;
 
+	/// Gives a call the response that an upstream gave to it.
+	void stampCall(SoakCall& _call, const std::string& _upstream)
+	{
+		_call.body = "body";
+		_call.stamp = stub::makeStamp(_upstream, _call.id, _call.status, _call.body);
+	}
+
 	/// Returns the record of a run with one request and its complete response.
 	SoakRecord makeHealthyRecord(SoakKind _kind)
 	{
@@ -18,6 +26,7 @@
 		record.knownKeys = {"key"};
 		record.calls = {{"r1", _kind, "key", "gateway-0", kSentAtMs, kSentAtMs + 50, 200, true}};
 		record.runs = {{"r1", "w0", kSentAtMs + 5}};
+		stampCall(record.calls[0], "w0");
 		return record;
 	}
 
@@ -55,12 +64,76 @@
 	cr_assert(1 == violationsOf(record, "answer_not_its_own"));
 }
 
+Test(soakjudge, a_status_and_a_body_of_different_responses_are_noticed)
+{
+	SoakRecord record = makeHealthyRecord(SoakKind::Safe);
+	record.calls[0].status = 500;
+	cr_assert(1 == violationsOf(record, "answer_not_its_own"), "another status");
+	record = makeHealthyRecord(SoakKind::Safe);
+	record.calls[0].body = "bod";
+	cr_assert(1 == violationsOf(record, "answer_not_its_own"), "a short body");
+	record = makeHealthyRecord(SoakKind::Safe);
+	record.calls[0].stamp.clear();
+	cr_assert(1 == violationsOf(record, "answer_not_its_own"), "a success without a stamp");
+	record = makeHealthyRecord(SoakKind::Safe);
+	record.calls[0].id = "r2";
+	cr_assert(1 == violationsOf(record, "answer_not_its_own"), "the response to another request");
+	record = makeHealthyRecord(SoakKind::Safe);
+	record.calls[0].status = 500;
+	stampCall(record.calls[0], "w0");
+	cr_assert(0 == findSoakViolations(record, SoakBounds()).total(), "a failure that the upstream gave");
+	record.calls[0].stamp.clear();
+	cr_assert(1 == violationsOf(record, "answer_not_its_own"), "a failure that neither the upstream nor the gateway gives");
+}
+
+Test(soakjudge, a_response_of_an_upstream_that_did_not_run_the_request_is_noticed)
+{
+	SoakRecord record = makeHealthyRecord(SoakKind::Safe);
+	record.runs[0].upstream = "w1";
+	cr_assert(1 == violationsOf(record, "answer_without_run"));
+}
+
+Test(soakjudge, a_process_that_ends_by_itself_is_noticed)
+{
+	SoakRecord record = makeHealthyRecord(SoakKind::Safe);
+	record.exits = {{"gateway-0", kSentAtMs, -6}};
+	cr_assert(1 == violationsOf(record, "ended_by_itself"));
+}
+
+Test(soakjudge, a_stutter_excuses_broken_streams_alone)
+{
+	for (const SoakKind kind : {SoakKind::Safe, SoakKind::Once, SoakKind::Stream})
+	{
+		SoakRecord record = makeHealthyRecord(kind);
+		record.calls[0].status = 0;
+		record.calls[0].stamp.clear();
+		record.spans = {{"w0", FaultKind::Stutter, kSentAtMs, kSentAtMs + 1'000}};
+		cr_assert((SoakKind::Stream == kind ? 0 : 1) == violationsOf(record, "cut_by_a_planned_stop_or_nothing"));
+	}
+}
+
+Test(soakjudge, a_self_report_in_a_lost_response_counts_only_where_the_upstream_stutters)
+{
+	SoakRecord record = makeHealthyRecord(SoakKind::Safe);
+	record.runs.front().saidLeaving = true;
+	record.runs.push_back({"r1", "w1", kSentAtMs + 20});
+	stampCall(record.calls[0], "w1");
+	record.calls.push_back({"r2", SoakKind::Safe, "key", "gateway-0", kSentAtMs + 3'000, kSentAtMs + 3'050, 200, true});
+	record.runs.push_back({"r2", "w0", kSentAtMs + 3'010});
+	cr_assert(1 == violationsOf(record, "work_after_self_report"));
+	record.spans = {{"w0", FaultKind::Stutter, kSentAtMs, kSentAtMs + 1'000}};
+	cr_assert(0 == violationsOf(record, "work_after_self_report"));
+	stampCall(record.calls[0], "w0");
+	cr_assert(1 == violationsOf(record, "work_after_self_report"), "the response was passed on");
+}
+
 Test(soakjudge, a_second_run_and_a_false_not_run_status_are_noticed)
 {
 	SoakRecord record = makeHealthyRecord(SoakKind::Once);
 	record.runs.push_back({"r1", "w1", kSentAtMs + 9});
 	cr_assert(1 == violationsOf(record, "ran_twice"));
 	record.calls[0].status = 503;
+	record.calls[0].stamp.clear(); // of the gateway
 	cr_assert(1 == violationsOf(record, "ran_though_told_not_run"));
 	record.calls[0].kind = SoakKind::Safe;
 	cr_assert(0 == findSoakViolations(record, SoakBounds()).total());
@@ -235,3 +308,15 @@
 {
 	runSeed({.seed = 52, .faults = 12, .series = 3, .restores = 3});
 }
+
+/// Upstreams send bytes that belong to no exchange, within, behind and in the place of answers, failures and rejections.
+Test(soak, stuttering_upstreams_have_no_violations)
+{
+	runSeed({.seed = 62, .faults = 6, .stutters = 8});
+}
+
+/// Another writer puts entries that are none among the rows of the upstreams.
+Test(soak, odd_rows_have_no_violations)
+{
+	runSeed({.seed = 63, .faults = 6, .stutters = 2, .oddRows = 8});
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -55,6 +55,8 @@
 		// Faults with schedules of their own.
 		NameLimit,    ///< An upstream names a limit of requests per second from all gateways together, see planLimits().
 		RestoreStore, ///< The store is away for a moment and comes back from a copy some seconds old, see planRestores().
+		Stutter,      ///< Upstreams send bytes that belong to no exchange, and disturb answers, see planStutters().
+		OddRow,       ///< Another writer puts an entry that is no valid one among the rows of the upstreams, see planOddRows().
 		Count
 	};
 
@@ -89,6 +91,8 @@
 		std::uint32_t series = 0;   ///< Number of series in addition to the faults; each repeats one kind of fault.
 		std::uint32_t limits = 0;   ///< Number of limits that upstreams name, in addition to the faults.
 		std::uint32_t restores = 0; ///< Number of times that the store comes back from a copy, in addition to the faults.
+		std::uint32_t stutters = 0; ///< Number of times that upstreams stutter, in addition to the faults.
+		std::uint32_t oddRows = 0;  ///< Number of odd entries among the rows of the upstreams, in addition to the faults.
 		bool large = false;         ///< About a hundred processes: as many as fit on a machine beside other runs.
 		double perSecond = 80.0;
 		Millis meanIntervalMs = 700; ///< Mean time between the starts of faults.
@@ -125,5 +129,11 @@
 	/// @returns Restorations of the store, ordered by start. They overlap the other faults, which do not depend on them.
 	std::vector<PlannedFault> planRestores(const ChaosOptions& _options);
 
+	/// @returns Times in which upstreams stutter, ordered by start. They overlap the other faults, which do not depend on them.
+	std::vector<PlannedFault> planStutters(const ChaosOptions& _options);
+
+	/// @returns Odd entries among rows, ordered by start. They overlap the other faults, which do not depend on them.
+	std::vector<PlannedFault> planOddRows(const ChaosOptions& _options);
+
 	ChaosResult runChaos(const ChaosOptions& _options);
 } // namespace archdyke::lab
--- a/tools/chaos_main.cpp
+++ b/tools/chaos_main.cpp
@@ -53,7 +53,7 @@
 		int run(int _argc, char** _argv)
 		{
 			cxxopts::Options options("archdyke-chaos", "Runs an office under load and seeded faults and prints the violations.");
-			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "Number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Number of faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls per second", cxxopts::value<double>()->default_value("80"))("series", "Number of series of signals, restarts, configuration changes and self-reports of upstreams in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("limits", "Number of limits on requests per second that upstreams name in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("restores", "Number of times that the store comes back from a copy some seconds old, in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("large", "About a hundred processes; with --platform")("platform", "Run the programs for the users' platform instead of an office")("h,help", "Print this help");
+			options.add_options()("file", "The operators' file", cxxopts::value<std::string>()->default_value(std::string(ARCHDYKE_SOURCE_DIR) + "/examples/small.json"))("seed", "First seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seeds", "Number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))("faults", "Number of faults of each run", cxxopts::value<std::uint32_t>()->default_value("20"))("rate", "Calls per second", cxxopts::value<double>()->default_value("80"))("series", "Number of series of signals, restarts, configuration changes and self-reports of upstreams in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("limits", "Number of limits on requests per second that upstreams name in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("restores", "Number of times that the store comes back from a copy some seconds old, in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("stutters", "Number of times that upstreams send bytes that belong to no exchange, in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("odd-rows", "Number of odd entries among the rows of the upstreams, in addition to the faults; with --platform", cxxopts::value<std::uint32_t>()->default_value("0"))("large", "About a hundred processes; with --platform")("platform", "Run the programs for the users' platform instead of an office")("h,help", "Print this help");
 			const cxxopts::ParseResult parsed = options.parse(_argc, _argv);
 			if (0 < parsed.count("help"))
 			{
@@ -71,6 +71,8 @@
 				chaos.series = parsed["series"].as<std::uint32_t>();
 				chaos.limits = parsed["limits"].as<std::uint32_t>();
 				chaos.restores = parsed["restores"].as<std::uint32_t>();
+				chaos.stutters = parsed["stutters"].as<std::uint32_t>();
+				chaos.oddRows = parsed["odd-rows"].as<std::uint32_t>();
 				chaos.large = 0 < parsed.count("large");
 				chaos.perSecond = parsed["rate"].as<double>();
 				if (0 < parsed.count("platform"))
--- a/tools/chaos_plan.cpp
+++ b/tools/chaos_plan.cpp
@@ -31,7 +31,7 @@
 
 	std::string_view toString(FaultKind _kind)
 	{
-		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway", "name-limit", "restore-store"};
+		constexpr std::string_view kNames[] = {"kill-agent", "kill-entry", "freeze-agent", "freeze-entry", "reset-links", "cut-zones", "cut-platform", "platform-outage", "platform-slow", "lose-answers", "race-operators", "stop-agent", "stop-entry", "drift", "kill-gateway", "freeze-gateway", "stop-gateway", "kill-worker", "freeze-worker", "drain-worker", "kill-sidecar", "freeze-sidecar", "delay-links", "reset-worker-links", "cut-store-one-way", "store-silent", "store-busy", "store-lose", "store-slow", "store-forget", "revoke-key", "change-configuration", "late-orders", "form-anew", "ask-back-off", "say-leaving", "hang-up-gateway", "name-limit", "restore-store", "stutter", "odd-row"};
 		return kNames[std::size_t(_kind)];
 	}
 
@@ -106,4 +106,20 @@
 		constexpr Millis kMaxAwayMs = 900;
 		return planOneKind(FaultKind::RestoreStore, _options.restores, kMinAwayMs, kMaxAwayMs, _options, _options.seed + kSeedOffset);
 	}
+
+	std::vector<PlannedFault> planStutters(const ChaosOptions& _options)
+	{
+		constexpr std::uint64_t kSeedOffset = 4'000'037;
+		constexpr Millis kMinDurationMs = 2'000;
+		constexpr Millis kMaxDurationMs = 6'000;
+		return planOneKind(FaultKind::Stutter, _options.stutters, kMinDurationMs, kMaxDurationMs, _options, _options.seed + kSeedOffset);
+	}
+
+	std::vector<PlannedFault> planOddRows(const ChaosOptions& _options)
+	{
+		constexpr std::uint64_t kSeedOffset = 5'000'011;
+		constexpr Millis kMinDurationMs = 1'000;
+		constexpr Millis kMaxDurationMs = 5'000;
+		return planOneKind(FaultKind::OddRow, _options.oddRows, kMinDurationMs, kMaxDurationMs, _options, _options.seed + kSeedOffset);
+	}
 } // namespace archdyke::lab
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -59,7 +59,7 @@
 			{
 				throw std::runtime_error("the deployment did not get ready; logs in " + this->deployment.directory);
 			}
-			SoakCallers callers(this->deployment, this->options.seed, 0 < this->options.series);
+			SoakCallers callers(this->deployment, this->options.seed, 0 < this->options.series, 0 < this->options.stutters);
 			SoakFaults faults(this->options, this->deployment);
 			while (!faults.isFinished())
 			{
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -34,6 +34,8 @@
 		bool whole = false;  ///< The body is the one that an upstream returns for this request.
 		std::string target;  ///< Path and query.
 		std::string badPart; ///< Part of its prompt that crashes upstreams; empty: none.
+		std::string stamp;   ///< Stamp of the response; empty: none, as in responses of the gateway itself.
+		std::string body;    ///< Body of a stamped response.
 	};
 
 	/// An upstream started to run a request.
@@ -64,6 +66,14 @@
 		Millis until = 0;
 	};
 
+	/// A gateway or sidecar exited although it was neither killed nor asked to stop.
+	struct SoakExit
+	{
+		std::string part;
+		Millis at = 0;
+		int status = 0; ///< Exit code, or the negated number of the signal that ended it.
+	};
+
 	/// The time in which a fault affected a part of the deployment.
 	struct FaultSpan
 	{
@@ -84,6 +94,7 @@
 		std::vector<SoakRejection> rejections;
 		std::vector<SoakLimit> limits;
 		std::vector<FaultSpan> spans;
+		std::vector<SoakExit> exits;
 		std::map<std::string, Millis> revokedAt; ///< By key: when the store confirmed the revocation.
 		std::map<std::string, Millis> leavingAt; ///< By upstream: when the store confirmed its draining state.
 		std::set<std::string> knownKeys;         ///< Keys of any configuration so far.
@@ -101,6 +112,7 @@
 		double limitOvershoot = 1.5;  ///< Allowed arrivals in it relative to the limit.
 		double limitAllowance = 5.0;  ///< Further allowed arrivals.
 		Millis limitHeardMs = 500;    ///< A limit applies to a gateway from this time after it forwarded a response that names it.
+		Millis stutterTailMs = 5'000; ///< Idle connections may carry bytes of a stutter for this long after its end.
 		Millis lossSlackMs = 200;     ///< A request that was cut off sooner may not have been read by the gateway.
 	};
 
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -9,6 +9,8 @@
 	namespace
 	{
 		constexpr std::size_t kCallerThreads = 8;
+		constexpr std::size_t kPlainCallerThreads = 6;
+		constexpr std::uint64_t kMaxPlainPauseMs = 5;
 		/// Number of kinds that a caller chooses from: all but crashing requests.
 		constexpr std::uint64_t kRegularKinds = std::uint64_t(SoakKind::Crash);
 		/// How often a request that crashes upstreams is sent. The pause between two is kMinCrashPauseMs plus a random
@@ -82,11 +84,13 @@
 			_call.endedAt = nowMs();
 			_call.status = got ? got->status : 0;
 			_call.whole = got && expectedBody(_call.kind) == got->body;
+			_call.stamp = got ? got->get_header_value("X-Archdyke-Server-Stamp") : "";
+			_call.body = _call.stamp.empty() ? "" : got->body;
 			return _call;
 		}
 	} // namespace
 
-	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes)
+	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes, bool _plain)
 	    : deployment(_deployment)
 	    , seed(_seed)
 	{
@@ -96,6 +100,12 @@
 				this->runCrashCaller();
 			});
 		}
+		for (std::size_t index = 0; _plain && index < kPlainCallerThreads; ++index)
+		{
+			this->threads.emplace_back([this, index] {
+				this->runPlainCaller(index);
+			});
+		}
 		for (std::size_t index = 0; index < kCallerThreads; ++index)
 		{
 			this->threads.emplace_back([this, index] {
@@ -157,6 +167,31 @@
 		}
 	}
 
+	void SoakCallers::runPlainCaller(std::size_t _index)
+	{
+		constexpr std::uint64_t kSeedOffset = 8'000'009;
+		Random random(this->seed + kSeedOffset + _index);
+		std::uint64_t made = 0;
+		while (!this->isStopping)
+		{
+			const SoakGatewayAddress gateway = this->deployment.pickGateway(random);
+			httplib::Client client = connectionTo(gateway.address);
+			bool broken = false;
+			for (int calls = 0; calls < kCallsPerConnection && !broken && !this->isStopping; ++calls)
+			{
+				SoakCall call;
+				call.id = fmt::format("p{}-{}", _index, made++);
+				call.kind = 0 == randomBelow(random, 2) ? SoakKind::Safe : SoakKind::Once;
+				call.key = SoakDeployment::permanentKey();
+				call.gateway = gateway.name;
+				call = send(client, std::move(call));
+				broken = 0 == call.status;
+				this->add(std::move(call));
+				pauseMs(broken ? kBrokenPauseMs : Millis(randomBelow(random, kMaxPlainPauseMs)));
+			}
+		}
+	}
+
 	SoakGatewayAddress SoakCallers::pickGateway(Random& _random)
 	{
 		const Millis span = nowMs() / kCrowdSpanMs;
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -13,7 +13,8 @@
 		/// Starts the callers.
 		/// @param[in] _deployment Must outlive the callers.
 		/// @param[in] _crashes Adds a caller of requests that crash upstreams, each repeated through random gateways.
-		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes);
+		/// @param[in] _plain Adds callers of plain requests with hardly a pause, so that the gateways reuse connections at once.
+		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes, bool _plain);
 		~SoakCallers();
 		SoakCallers(const SoakCallers&) = delete;
 		SoakCallers& operator=(const SoakCallers&) = delete;
@@ -27,6 +28,7 @@
 
 	private:
 		void runCaller(std::size_t _index);
+		void runPlainCaller(std::size_t _index);
 		void runCrashCaller();
 		/// @returns A random gateway; at times the same one for all callers.
 		SoakGatewayAddress pickGateway(Random& _random);
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -129,6 +129,7 @@
 	std::unique_ptr<ChildProcess> SoakDeployment::startDaemon(SoakPart& _part, const std::string& _program, Json _settings)
 	{
 		const std::string path = fmt::format("{}/{}.json", this->directory, _part.name);
+		_part.wasKilled = false;
 		_settings["name"] = _part.name;
 		_settings["zone"] = "here";
 		_settings["peerPort"] = 7340;
@@ -198,8 +199,9 @@
 		{
 			if (!gateway.process->running())
 			{
+				this->recordExit(gateway);
+				const std::size_t span = this->beginSpan(gateway.name, FaultKind::KillGateway); // no process reads requests until it listens
 				this->startGateway(gateway);
-				const std::size_t span = this->beginSpan(gateway.name, FaultKind::KillGateway);
 				this->record.spans[span].until = nowMs();
 			}
 		}
@@ -207,6 +209,7 @@
 		{
 			if (!this->sidecars[rank].process->running())
 			{
+				this->recordExit(this->sidecars[rank]);
 				this->startSidecar(rank);
 			}
 		}
@@ -216,6 +219,38 @@
 		}
 	}
 
+	void SoakDeployment::recordExit(SoakPart& _part)
+	{
+		if (!_part.wasKilled && 0 == _part.stoppedAt)
+		{
+			this->record.exits.push_back({_part.name, nowMs(), _part.process->waitForExit(0).value_or(0)});
+		}
+	}
+
+	void SoakDeployment::putOddRow(std::uint64_t _randomValue)
+	{
+		constexpr std::size_t kDeepNesting = 100'000;
+		const std::string worker = R"({"service":"svc","zone":"here","state":"ready",)";
+		const std::string values[] = {
+		    std::string(kDeepNesting, '['),
+		    worker + R"("slots":4,"address":)" + std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']') + "}",
+		    worker + R"("address":"127.0.0.1:9","slots":99999999999999999999999})",
+		    worker + R"("address":"127.0.0.1:9","slots":1e400})",
+		    worker + R"("address":"127.0.0.1:9","slots":-1,"coldLeftMs":-1e308})",
+		    worker + R"("address":"127.0.0.1:99999","slots":4})",
+		    worker + R"("address":"127.0.0.1:18446744073709551617","slots":4})",
+		    worker + R"("address":":0","slots":4})",
+		    worker + R"("address":7,"slots":"many"})",
+		    "not an entry",
+		    ""};
+		this->store.putIn("servers", "", oddRowKey(_randomValue), values[_randomValue % std::size(values)]);
+	}
+
+	std::string SoakDeployment::oddRowKey(std::uint64_t _randomValue)
+	{
+		return fmt::format("odd-{:x}", _randomValue);
+	}
+
 	std::size_t SoakDeployment::activeWorkers() const
 	{
 		return std::size_t(std::count_if(this->workers.begin(), this->workers.end(), [](const SoakWorker& _worker) {
@@ -269,6 +304,7 @@
 			const bool stopsLate = 0 != gateway.stoppedAt && nowMs() > gateway.stoppedAt + this->bounds.graceMs;
 			if (stopsLate && gateway.process->running())
 			{
+				gateway.wasKilled = true;
 				gateway.process->kill(); // it may have been frozen in the meantime
 			}
 		}
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -21,6 +21,7 @@
 		Millis stoppedAt = 0;      ///< Time of the stop signal; 0: none.
 		std::uint64_t version = 0; ///< Gateways only: last reported version of the configuration.
 		int starts = 0;            ///< Number of starts.
+		bool wasKilled = false;    ///< A fault killed it since its start.
 	};
 
 	/// A plain upstream. It is replaced by a new one when it exits or leaves.
@@ -94,6 +95,12 @@
 		/// Ends the faults that are still active and restarts what has exited.
 		void recover();
 
+		/// Writes an entry that is no valid one among the rows of the upstreams.
+		void putOddRow(std::uint64_t _randomValue);
+
+		/// @returns The key of such an entry.
+		static std::string oddRowKey(std::uint64_t _randomValue);
+
 		/// Sends a control message to all groups of ranks.
 		void controlRanks(const Json& _control);
 
@@ -133,6 +140,8 @@
 		void startGateway(SoakPart& _gateway);
 		void addWorker();
 		std::size_t activeWorkers() const;
+		/// Records that a part exited, unless a fault killed it or asked it to stop.
+		void recordExit(SoakPart& _part);
 
 		std::atomic<std::uint64_t> rotations{0};
 		absl::Mutex mutex;
--- a/tools/soak_faults.cpp
+++ b/tools/soak_faults.cpp
@@ -19,6 +19,7 @@
 			const std::size_t span = _deployment.beginSpan(_part.name, _kind);
 			if (FaultKind::KillGateway == _kind || FaultKind::KillSidecar == _kind)
 			{
+				_part.wasKilled = true;
 				_part.process->kill();
 			}
 			else if (FaultKind::StopGateway == _kind)
@@ -83,6 +84,25 @@
 			controlWorker(_worker, {{"limitPerS", perSecond}});
 		}
 
+		/// Makes an upstream stutter; with an even random value all upstreams.
+		void stutter(SoakDeployment& _deployment, const SoakWorker& _worker, const PlannedFault& _fault)
+		{
+			constexpr std::uint64_t kSeedStride = 7'919;
+			const bool all = 0 == _fault.randomValue % 2;
+			std::uint64_t seed = _fault.randomValue;
+			for (const SoakWorker& worker : _deployment.workers)
+			{
+				const bool isActive = !worker.isLeaving && 0 == worker.removeAt;
+				seed += kSeedStride;
+				if (worker.id == _worker.id || (all && isActive))
+				{
+					const Millis until = nowMs() + _fault.durationMs;
+					_deployment.record.spans[_deployment.beginSpan(worker.id, FaultKind::Stutter)].until = until;
+					controlWorker(worker, {{"stutter", {{"until", until}, {"seed", seed}}}});
+				}
+			}
+		}
+
 		std::size_t injectWorkerFault(SoakDeployment& _deployment, SoakWorker& _worker, const PlannedFault& _fault)
 		{
 			const FaultKind kind = _fault.kind;
@@ -95,6 +115,10 @@
 			{
 				askBackOff(_deployment, _worker, _fault);
 			}
+			else if (FaultKind::Stutter == kind)
+			{
+				stutter(_deployment, _worker, _fault);
+			}
 			else if (FaultKind::SayLeaving == kind)
 			{
 				_worker.isLeaving = true; // a new upstream replaces it
@@ -167,6 +191,7 @@
 				return "links";
 			case FaultKind::RevokeKey:
 			case FaultKind::ChangeConfiguration:
+			case FaultKind::OddRow:
 				return "-"; // changes by the operator excuse no violation
 			case FaultKind::LateOrders:
 			case FaultKind::FormAnew:
@@ -183,6 +208,9 @@
 			const std::size_t span = _deployment.beginSpan(sharedPart(_kind), _kind);
 			switch (_kind)
 			{
+			case FaultKind::OddRow:
+				_deployment.putOddRow(_target);
+				break;
 			case FaultKind::DelayLinks:
 				faultWorkerLinks(_deployment, {{"delayMs", kLinkDelayMs}});
 				break;
@@ -233,6 +261,7 @@
 			case FaultKind::AskBackOff:
 			case FaultKind::SayLeaving:
 			case FaultKind::NameLimit:
+			case FaultKind::Stutter:
 				// Chooses one of the most recent upstreams, as earlier ones may have been killed.
 				_target = _deployment.workers.size() - 1 - _target % std::min(_deployment.workers.size(), _deployment.size.workers);
 				return injectWorkerFault(_deployment, _deployment.workers[_target], _fault);
@@ -255,6 +284,16 @@
 			_deployment.store.rewriteLost();
 		}
 
+		/// Removes every other odd row; the others stay until the end of the run.
+		void removeOddRow(SoakDeployment& _deployment, std::uint64_t _randomValue)
+		{
+			constexpr std::uint64_t kChoices = 1'000;
+			if (0 == _randomValue / kChoices % 2)
+			{
+				_deployment.store.remove("servers", SoakDeployment::oddRowKey(_randomValue));
+			}
+		}
+
 		void endFault(SoakDeployment& _deployment, const PlannedFault& _fault, std::size_t _target)
 		{
 			switch (_fault.kind)
@@ -292,6 +331,9 @@
 			case FaultKind::LateOrders:
 				_deployment.controlRanks({{"lateShare", 0.0}});
 				break;
+			case FaultKind::OddRow:
+				removeOddRow(_deployment, _fault.randomValue);
+				break;
 			default:
 				break;
 			}
@@ -304,7 +346,7 @@
 	    , plan(planFaults(_options))
 	    , begunAt(nowMs())
 	{
-		for (const std::vector<PlannedFault>& more : {planSeries(_options), planLimits(_options), planRestores(_options)})
+		for (const std::vector<PlannedFault>& more : {planSeries(_options), planLimits(_options), planRestores(_options), planStutters(_options), planOddRows(_options)})
 		{
 			this->plan.insert(this->plan.end(), more.begin(), more.end());
 		}
--- a/tools/soak_judge.cpp
+++ b/tools/soak_judge.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 
+#include "server_stamp.h"
 #include "soak.h"
 
 namespace archdyke::lab
@@ -37,7 +38,9 @@
 				const bool isOwnStop = FaultKind::StopGateway == span.kind && span.part == _call.gateway;
 				const bool isOtherStop = FaultKind::StopGateway == span.kind && span.part != _call.gateway;
 				const bool harmless = FaultKind::KillSidecar == span.kind || FaultKind::FreezeSidecar == span.kind || FaultKind::LateOrders == span.kind || FaultKind::FormAnew == span.kind || FaultKind::AskBackOff == span.kind || FaultKind::SayLeaving == span.kind || FaultKind::NameLimit == span.kind || FaultKind::HangUpGateway == span.kind;
-				if (!isOwnStop && !isOtherStop && !harmless && overlaps(span, _call.sentAt - _bounds.contactMs, _call.endedAt))
+				// Bytes that belong to no exchange may break a stream, whose first events the caller has; any other response is withheld.
+				const bool isWithheld = FaultKind::OddRow == span.kind || (FaultKind::Stutter == span.kind && SoakKind::Stream != _call.kind);
+				if (!isOwnStop && !isOtherStop && !harmless && !isWithheld && overlaps(span, _call.sentAt - _bounds.contactMs, _call.endedAt))
 				{
 					return false;
 				}
@@ -45,13 +48,34 @@
 			return true;
 		}
 
-		void checkCall(const SoakRecord& _record, const SoakBounds& _bounds, const SoakCall& _call, const std::vector<const SoakRun*>& _runs, SoakViolations& _violations)
+		/// Whether a gateway may give a status by itself.
+		bool isOfGateway(int _status)
 		{
-			const std::string details = fmt::format("request {} at {} sent at {}, ended at {} with {}, {} runs", _call.id, _call.gateway, _call.sentAt, _call.endedAt, _call.status, _runs.size());
-			if (200 == _call.status && !_call.whole)
+			return 0 == _status || 401 == _status || 404 == _status || 502 == _status || 504 == _status || saysNotRun(_status);
+		}
+
+		/// Checks that the response is the one that an upstream gave to this request, or one of the gateway's own.
+		void checkAnswer(const SoakCall& _call, const std::vector<const SoakRun*>& _runs, const std::string& _details, SoakViolations& _violations)
+		{
+			const std::string upstream = stub::upstreamOf(_call.stamp);
+			const bool isGiven = _call.stamp.empty() ? isOfGateway(_call.status) : _call.stamp == stub::makeStamp(upstream, _call.id, _call.status, _call.body);
+			if (!isGiven || (200 == _call.status && !_call.whole))
+			{
+				_violations.add("answer_not_its_own", fmt::format("{}, stamp {}, body of {} bytes", _details, _call.stamp, _call.body.size()));
+			}
+			const bool hasRun = std::any_of(_runs.begin(), _runs.end(), [&](const SoakRun* _run) {
+				return _run->upstream == upstream;
+			});
+			if (!upstream.empty() && !hasRun)
 			{
-				_violations.add("answer_not_its_own", details);
+				_violations.add("answer_without_run", fmt::format("{}, stamp {}", _details, _call.stamp));
 			}
+		}
+
+		void checkCall(const SoakRecord& _record, const SoakBounds& _bounds, const SoakCall& _call, const std::vector<const SoakRun*>& _runs, SoakViolations& _violations)
+		{
+			const std::string details = fmt::format("request {} at {} sent at {}, ended at {} with {}, {} runs", _call.id, _call.gateway, _call.sentAt, _call.endedAt, _call.status, _runs.size());
+			checkAnswer(_call, _runs, details, _violations);
 			if (SoakKind::Once == _call.kind && 1 < _runs.size())
 			{
 				_violations.add("ran_twice", details);
@@ -101,6 +125,21 @@
 			});
 		}
 
+		/// Whether answers of an upstream may be lost because it stutters.
+		bool stutters(const SoakRecord& _record, const SoakBounds& _bounds, const std::string& _upstream, Millis _at)
+		{
+			return std::any_of(_record.spans.begin(), _record.spans.end(), [&](const FaultSpan& _span) {
+				return FaultKind::Stutter == _span.kind && _span.part == _upstream && _span.from <= _at && _at - _bounds.stutterTailMs <= _span.until;
+			});
+		}
+
+		/// Whether the gateway has read the response of a run, and with it what the upstream says of itself.
+		bool wasRead(const SoakRecord& _record, const SoakBounds& _bounds, const SoakCall& _call, const SoakRun& _run)
+		{
+			const bool isPassedOn = stub::upstreamOf(_call.stamp) == _run.upstream;
+			return 200 == _call.status && (isPassedOn || !stutters(_record, _bounds, _run.upstream, _run.at));
+		}
+
 		/// Arrival of a request at an upstream through a gateway.
 		struct Arrival
 		{
@@ -139,7 +178,7 @@
 			for (const SoakRejection& rejection : _record.rejections)
 			{
 				const auto call = _calls.find(rejection.request);
-				if (0 == rejection.backOffMs || _calls.end() == call)
+				if (0 == rejection.backOffMs || _calls.end() == call || stutters(_record, _bounds, rejection.upstream, rejection.at))
 				{
 					continue;
 				}
@@ -164,7 +203,7 @@
 			for (const SoakRun& run : _record.runs)
 			{
 				const auto call = _calls.find(run.request);
-				if (run.saidLeaving && _calls.end() != call && 200 == call->second->status)
+				if (run.saidLeaving && _calls.end() != call && wasRead(_record, _bounds, *call->second, run))
 				{
 					const Millis endedAt = call->second->endedAt;
 					Millis& reportedAt = reports.try_emplace({run.upstream, call->second->gateway}, endedAt).first->second;
@@ -191,7 +230,7 @@
 			{
 				const auto call = _calls.find(run.request);
 				const bool named = run.upstream == _limit.upstream && run.limitPerS == _limit.perSecond && _limit.from <= run.at && run.at <= _limit.until;
-				if (named && _calls.end() != call && 200 == call->second->status)
+				if (named && _calls.end() != call && wasRead(_record, _bounds, *call->second, run))
 				{
 					Millis& first = heardAt.try_emplace(call->second->gateway, call->second->endedAt).first->second;
 					first = std::min(first, call->second->endedAt);
@@ -323,6 +362,10 @@
 		checkLeaving(_record, _bounds, calls, arrivals, violations);
 		checkLimits(_record, _bounds, calls, arrivals, violations);
 		checkCrashes(_record, _bounds, calls, violations);
+		for (const SoakExit& exit : _record.exits)
+		{
+			violations.add("ended_by_itself", fmt::format("{} with {}, seen at {}", exit.part, exit.status, exit.at));
+		}
 		for (const auto& [request, itsRuns] : runs)
 		{
 			if (!itsRuns.empty() && !sentIds.contains(request))
