--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -67,6 +67,7 @@
 				this->pollGateways();
 				pauseMs(kTickMs);
 			}
+			callers.endPlain();
 			this->result.faults = faults.startedCounts();
 			this->deployment.recover();
 			const bool settled = this->waitUntilSettled();
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -129,6 +129,11 @@
 		this->threads.clear();
 	}
 
+	void SoakCallers::endPlain()
+	{
+		this->isPlainStopping = true;
+	}
+
 	void SoakCallers::beginStop()
 	{
 		this->isStopping = true;
@@ -172,12 +177,12 @@
 		constexpr std::uint64_t kSeedOffset = 8'000'009;
 		Random random(this->seed + kSeedOffset + _index);
 		std::uint64_t made = 0;
-		while (!this->isStopping)
+		while (!this->isStopping && !this->isPlainStopping)
 		{
 			const SoakGatewayAddress gateway = this->deployment.pickGateway(random);
 			httplib::Client client = connectionTo(gateway.address);
 			bool broken = false;
-			for (int calls = 0; calls < kCallsPerConnection && !broken && !this->isStopping; ++calls)
+			for (int calls = 0; calls < kCallsPerConnection && !broken && !this->isStopping && !this->isPlainStopping; ++calls)
 			{
 				SoakCall call;
 				call.id = fmt::format("p{}-{}", _index, made++);
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -19,6 +19,9 @@
 		SoakCallers(const SoakCallers&) = delete;
 		SoakCallers& operator=(const SoakCallers&) = delete;
 
+		/// Lets the additional callers of plain requests end: without faults they only take time from the others.
+		void endPlain();
+
 		/// Lets the callers end after their present requests. Does not wait for them.
 		void beginStop();
 
@@ -38,6 +41,7 @@
 		SoakDeployment& deployment;
 		const std::uint64_t seed;
 		std::atomic<bool> isStopping{false};
+		std::atomic<bool> isPlainStopping{false};
 		absl::Mutex mutex;
 		std::vector<SoakCall> calls; ///< Guarded by the mutex.
 		std::vector<std::thread> threads;
