Search an unfinished event once, not again with each chunk

One upstream that sends bytes without the end of an event occupied its gateway: others got no answers meanwhile.

Cause: each chunk of a stream searched the unfinished event from its start and copied it, so the work grew with the square of its size, up to the limit of 256 KiB.

The splitter remembers how much of it was searched, and only complete events are removed from the buffer.

--- a/include/archdyke/event_stream.h
+++ b/include/archdyke/event_stream.h
@@ -26,6 +26,7 @@
 	struct EventSplitter
 	{
 		std::string rest;
+		std::size_t searchedBytes = 0; ///< Bytes of it that are known not to contain its end.
 
 		bool operator==(const EventSplitter&) const = default;
 	};
--- a/src/decide/event_stream.cpp
+++ b/src/decide/event_stream.cpp
@@ -24,14 +24,22 @@
 		}
 
 		/// @returns Size of the first event including its blank line; 0 if it is incomplete.
-		std::size_t eventSize(std::string_view _text)
+		/// @param[in] _from Bytes that are known not to contain its end.
+		std::size_t eventSize(std::string_view _text, std::size_t _from)
 		{
-			const std::size_t lf = _text.find("\n\n");
-			const std::size_t crlf = _text.find("\r\n\r\n");
-			const std::size_t lfEnd = std::string_view::npos == lf ? std::string_view::npos : lf + 2;
-			const std::size_t crlfEnd = std::string_view::npos == crlf ? std::string_view::npos : crlf + 4;
-			const std::size_t end = std::min(lfEnd, crlfEnd);
-			return std::string_view::npos == end ? 0 : end;
+			constexpr std::string_view kBlankLine = "\n\n";
+			constexpr std::string_view kCrLfBlankLine = "\r\n\r\n";
+			// A blank line may begin within the bytes that were searched.
+			const std::size_t from = _from - std::min(_from, kCrLfBlankLine.size() - 1);
+			for (std::size_t at = _text.find('\n', from); std::string_view::npos != at; at = _text.find('\n', at + 1))
+			{
+				const std::string_view text = _text.substr(0, at + 1);
+				if (text.ends_with(kBlankLine) || text.ends_with(kCrLfBlankLine))
+				{
+					return text.size();
+				}
+			}
+			return 0;
 		}
 	} // namespace
 
@@ -40,12 +48,13 @@
 		_splitter.rest += _chunk;
 		std::vector<StreamEvent> events;
 		std::string_view remaining = _splitter.rest;
-		for (std::size_t size = eventSize(remaining); 0 < size; size = eventSize(remaining))
+		for (std::size_t size = eventSize(remaining, _splitter.searchedBytes); 0 < size; size = eventSize(remaining, 0))
 		{
 			events.push_back({idOf(remaining.substr(0, size)), std::string(remaining.substr(0, size))});
 			remaining.remove_prefix(size);
 		}
-		_splitter.rest = std::string(remaining);
+		_splitter.searchedBytes = remaining.size();
+		_splitter.rest.erase(0, _splitter.rest.size() - remaining.size());
 		return events;
 	}
 
