Keep serving others while bytes come without end on a connection

While an upstream sent bytes without end (or a caller a body in chunks of one byte) as fast as they were read, the gateway answered nobody in time, nor its readiness question, and no deadline was kept.

Cause: the event loop looks at sockets and timers only when it has no event left, and a connection whose reads complete at once always leaves one. And each chunk was a part of its own, read in several turns of the loop.

Data that wasn't read yet is collected in one part.

Shown with answers and requests without end of all kinds, byte by byte and as fast as they are taken.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -4,6 +4,7 @@
 #include <kj/async-io.h>
 #include <nlohmann/json.hpp>
 
+#include "aio/loop.h"
 #include "aio/task.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -204,6 +205,7 @@
 			setLogName(settings.place.name);
 			captureSignals();
 			kj::AsyncIoContext io = kj::setupAsyncIo();
+			io.waitScope.setBusyPollInterval(aio::kMaxEventsBetweenPolls);
 			GatewayProcess process(_deployment, std::move(settings), *path, io);
 			process.run().take().wait(io.waitScope);
 		});
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "group/sidecar.h"
 
+#include "aio/loop.h"
 #include "archdyke/errors.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -338,6 +339,7 @@
 			setLogName(settings.place.name);
 			gateway::captureSignals();
 			kj::AsyncIoContext io = kj::setupAsyncIo();
+			io.waitScope.setBusyPollInterval(aio::kMaxEventsBetweenPolls);
 			SidecarProcess process(_deployment, std::move(settings), *path, io);
 			process.run().take().wait(io.waitScope);
 		});
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -109,8 +109,16 @@
 
 	void HttpConnection::take(Part _part)
 	{
-		this->bufferedBytes += sizeof(Part) + _part.body.size();
-		this->parts.push_back(std::move(_part));
+		if (PartKind::Body == _part.kind && !this->parts.empty() && PartKind::Body == this->parts.back().kind)
+		{
+			this->bufferedBytes += _part.body.size();
+			this->parts.back().body += _part.body; // a Part takes many times the memory of a small chunk
+		}
+		else
+		{
+			this->bufferedBytes += sizeof(Part) + _part.body.size();
+			this->parts.push_back(std::move(_part));
+		}
 		KJ_IF_MAYBE (waiter, this->partWaiter)
 		{
 			(*waiter)->fulfill();
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -7,6 +7,7 @@
 ///              chunks and without a reset, as unframed streams end), crash (the
 ///              process ends when the request starts to run, a stream after two events), skip (a
 ///              stream without its 3rd event), jump (likewise, all events in one chunk)
+///   do=endless-KIND  an answer without end, of a kind that stub_endless.h names; pace=byte sends it byte by byte
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
 ///   behind=N   behind the whole answer, its first N bytes come again on the connection (plain answers and rejections)
@@ -23,10 +24,12 @@
 #include <map>
 #include <utility>
 
+#include "aio/loop.h"
 #include "base/address.h"
 #include "base/log.h"
 #include "base/process.h"
 #include "http/http_listener.h"
+#include "stub_endless.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
@@ -251,6 +254,10 @@
 					co_await this->loop.timer.afterDelay(kCrashDelayMs * kj::MILLISECONDS);
 					std::_Exit(kCrashExitCode);
 				}
+				if (behaviour.starts_with("endless-"))
+				{
+					co_return co_await this->respondEndless(_connection, _call, behaviour);
+				}
 				const bool streams = _call.head.target.starts_with("/stream/") || _call.head.target.starts_with("/flow/");
 				if ("stream" == behaviour || "tear" == behaviour || (streams && "unframed" == behaviour) || "break" == behaviour || "skip" == behaviour || "jump" == behaviour || shouldCrash)
 				{
@@ -312,6 +319,15 @@
 				co_return keepOpen;
 			}
 
+			aio::Task<bool> respondEndless(http::HttpConnection& _connection, const Call& _call, std::string _behaviour)
+			{
+				const std::string lines = fmt::format("X-Archdyke-Request-Id: {}\r\nX-Archdyke-Server-Stamp: stamp-{}\r\n", this->headerOf(_call, "X-Archdyke-Request-Id"), this->id);
+				const std::optional<EndlessAnswer> answer = endlessAnswer(_behaviour.substr(std::string_view("endless-").size()), lines);
+				KJ_REQUIRE(answer.has_value(), "unknown kind of answer without end");
+				co_await writeEndless(_connection, this->loop.timer, *answer, "byte" == queryField(_call.head.target, "pace"));
+				co_return false;
+			}
+
 			/// Writes an answer, before it the bytes that are left from an earlier one, and behind it what the call asks for.
 			aio::Task<void> writeAnswer(http::HttpConnection& _connection, const Call& _call, std::string _answer)
 			{
@@ -391,6 +407,7 @@
 	void runStub(const nlohmann::json& _options)
 	{
 		kj::AsyncIoContext io = kj::setupAsyncIo();
+		io.waitScope.setBusyPollInterval(aio::kMaxEventsBetweenPolls);
 		Worker worker(io, _options.value("id", "worker"), _options.value("crashParts", std::vector<std::string>()));
 		const std::string address = _options.value("address", "127.0.0.1:0");
 		http::Listener listener(worker.loop, address, [&worker](std::unique_ptr<http::HttpConnection> _connection) {
