--- a/include/archdyke/chunk_reader.h
+++ b/include/archdyke/chunk_reader.h
@@ -16,6 +16,9 @@
 	/// Bytes of chunks that are held back. Larger ones are returned in pieces.
 	constexpr std::size_t kMaxHeldChunkBytes = 65'536;
 
+	/// Chunks that are held back because a response's head may begin within them. The line behind them then isn't a chunk's size.
+	constexpr std::size_t kMaxHeldChunks = 2;
+
 	enum class ChunkState
 	{
 		Size, ///< Within the line with a chunk's size and extensions.
@@ -36,6 +39,7 @@
 		std::string held;             ///< Data that wasn't returned.
 		std::size_t checkedBytes = 0; ///< Bytes of the held data that were searched for a status line.
 		bool inStatusLine = false;    ///< These end within a status line.
+		std::size_t heldChunks = 0;   ///< Complete chunks among it.
 		bool holdsHead = false;       ///< They contain a status line that ends as in a head.
 
 		bool operator==(const ChunkReader&) const = default;
@@ -54,7 +58,7 @@
 	/// @param[in,out] _bytes The bytes; those that were read are removed.
 	/// @param[in] _maxLineBytes Maximum size of the lines between two chunks, and of the trailers.
 	/// @param[out] _data Data of complete chunks is appended to it.
-	/// @remarks Data with a status line whose line has no bare LF at its end is held until the body is complete: a chunk may end
+	/// @remarks Data with a status line whose line has no bare LF at its end is held until another chunk was read: a chunk may end
 	/// by chance where a line of another response's head does.
 	ChunkFault readChunks(ChunkReader& _reader, std::string_view& _bytes, std::size_t _maxLineBytes, std::string& _data);
 } // namespace archdyke
--- a/include/archdyke/response_head.h
+++ b/include/archdyke/response_head.h
@@ -26,6 +26,10 @@
 	/// @returns Whether a text contains the beginning of a response.
 	bool containsStatusLine(std::string_view _text);
 
+	/// @returns Whether a text contains the first bytes of a response.
+	/// @param[in] _size Their number; beyond the status, what they are isn't checked.
+	bool containsStartOfStatusLine(std::string_view _text, std::size_t _size);
+
 	/// @returns Whether a text contains a control character other than a tab.
 	bool containsControl(std::string_view _text);
 
--- a/src/decide/chunk_reader.cpp
+++ b/src/decide/chunk_reader.cpp
@@ -124,6 +124,7 @@
 			_reader.checkedBytes = 0;
 			_reader.inStatusLine = false;
 			_reader.holdsHead = false;
+			_reader.heldChunks = 0;
 		}
 
 		/// @returns Whether the held data may end within the head of another response. Its status line ends with CRLF.
@@ -179,7 +180,8 @@
 			if (kLineEnd.size() == _reader.dataEndBytes)
 			{
 				_reader.state = ChunkState::Size;
-				if (!mayEndInHead(_reader) || _reader.held.size() > kMaxHeldChunkBytes)
+				_reader.heldChunks += 1;
+				if (!mayEndInHead(_reader) || _reader.heldChunks >= kMaxHeldChunks || _reader.held.size() > kMaxHeldChunkBytes)
 				{
 					release(_reader, _data);
 				}
--- a/src/decide/response_head.cpp
+++ b/src/decide/response_head.cpp
@@ -38,7 +38,8 @@
 				return kVersion[_at] == _c;
 			}
 			const bool space = 8 == _at || kStatusEnd == _at;
-			return space ? ' ' == _c : isDigit(_c);
+			const bool firstDigit = 9 == _at;
+			return space ? ' ' == _c : isDigit(_c) && !(firstDigit && '0' == _c);
 		}
 
 		bool isStatusLine(std::string_view _line)
@@ -77,6 +78,19 @@
 		return std::string_view::npos != findStatusLine(_text, 0);
 	}
 
+	bool containsStartOfStatusLine(std::string_view _text, std::size_t _size)
+	{
+		const std::size_t size = std::min(_size, kStatusEnd);
+		for (std::size_t at = _text.find(kVersion.front()); std::string_view::npos != at && at + size <= _text.size(); at = _text.find(kVersion.front(), at + 1))
+		{
+			if (mayStartResponse(_text.substr(at, size)))
+			{
+				return true;
+			}
+		}
+		return false;
+	}
+
 	bool containsControl(std::string_view _text)
 	{
 		return std::any_of(_text.begin(), _text.end(), isControl);
--- a/src/gateway/crash_check.cpp
+++ b/src/gateway/crash_check.cpp
@@ -28,7 +28,9 @@
 			{
 				http::Lease lease = co_await _state.pool.connect(std::move(_address), options);
 				co_await lease.connection->whenDisconnected().exclusiveJoin(_state.loop.timer.afterDelay(kCloseDelayMs * kj::MILLISECONDS));
-				const bool gone = lease.connection->isDisconnected();
+				// A process that sends anything, even if it closes then, hasn't ended.
+				const std::optional<http::PartKind> unread = lease.connection->unreadKind();
+				const bool gone = lease.connection->isLost() && (http::PartKind::Closed == unread || http::PartKind::Reset == unread);
 				_state.pool.returnToPool(std::move(lease), kProbeIdleTimeoutMs);
 				co_return gone;
 			}
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -58,9 +58,9 @@
 		/// Reads an unsuccessful response, which may prove that the request didn't run.
 		aio::Task<AttemptResult> classifyFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, ResponseInfo _info)
 		{
-			const std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
+			const BodyResult body = co_await readBody(_context, _upstream, _head);
 			const std::string reason = fmt::format("upstream_status_{}", _head.status);
-			if (!body && !_upstream.isLost())
+			if (BodyEnd::InDoubt == body.end)
 			{
 				co_return failed(ExecutionProof::Unknown, reason + "_in_doubt");
 			}
@@ -71,9 +71,9 @@
 				co_return refused;
 			}
 			AttemptResult result = failed(ExecutionProof::Ran, reason);
-			if (body && !promisesNotRun(_head.status) && !_context.headSent)
+			if (BodyEnd::Whole == body.end && !promisesNotRun(_head.status) && !_context.headSent)
 			{
-				result.failure = http::FullResponse{_head, *body};
+				result.failure = http::FullResponse{_head, body.text};
 			}
 			co_return result;
 		}
@@ -93,12 +93,16 @@
 			{
 				co_return co_await relayStream(_context, _upstream, _head);
 			}
-			std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
-			if (!body)
+			BodyResult body = co_await readBody(_context, _upstream, _head);
+			if (BodyEnd::InDoubt == body.end)
+			{
+				co_return failed(ExecutionProof::Unknown, "answer_in_doubt");
+			}
+			if (BodyEnd::Lost == body.end)
 			{
 				co_return failed(ExecutionProof::Ran, "answer_broke_off");
 			}
-			const http::FullResponse whole{_head, std::move(*body)};
+			const http::FullResponse whole{_head, std::move(body.text)};
 			_context.writingToCaller = true;
 			co_await forwardResponse(_context, whole);
 			_context.writingToCaller = false;
@@ -117,7 +121,7 @@
 			}
 			const ResponseInfo info = _context.state.codec.decodeResponse(*head);
 			AttemptResult result = co_await relayBody(_context, upstream, *head, info);
-			result.endedByConnection = result.answered && !hasFraming(*head);
+			result.endedByConnection = result.answered && http::BodyFraming::UntilClose == head->framing;
 			// Without an id only the connection ties a response to its request, so it carries no other one.
 			if (head->keepAlive && !_context.caller.id.empty())
 			{
@@ -254,6 +258,13 @@
 			recordSend(_context);
 			co_return failed(ExecutionProof::NotRun, "connect_failed: " + connectError);
 		}
+		if (!lease.connection->isQuiet())
+		{
+			// Nothing was sent, so that nothing which came can be the response.
+			logWarning("unattributed_bytes", {{"address", lease.address}, {"connection", lease.connection->number()}, {"when", "before_request"}, {"bytes", lease.connection->hasStrayBytes()}});
+			recordSend(_context);
+			co_return failed(ExecutionProof::NotRun, "connection_not_quiet");
+		}
 		if (crashRefusalMs(_context) || !acceptsRequestsNow(*_upstream, nowMs()) || !claimLimitedSend(_context, *_upstream))
 		{
 			// While this request waited for its connection, for up to 400 ms, upstreams crashed under others like it, or the
--- a/src/gateway/relay_p.h
+++ b/src/gateway/relay_p.h
@@ -8,9 +8,6 @@
 	/// Maximum size of a response that is buffered before it is forwarded, bytes.
 	constexpr std::size_t kMaxResponseBytes = std::size_t(8) << 20;
 
-	/// @returns Whether a response states where its body ends.
-	bool hasFraming(const http::ResponseHead& _head);
-
 	/// @returns The result of an attempt that gave the caller no complete response.
 	AttemptResult failed(ExecutionProof _proof, std::string _reason, RefusalReason _refusal = RefusalReason::None);
 
@@ -20,8 +17,24 @@
 	/// Reads the next part of a response and records when the upstream was last heard.
 	aio::Task<http::Part> readPart(RequestContext& _context, http::HttpConnection& _upstream);
 
-	/// @returns The body of a response; none when it is incomplete, too large or in doubt.
-	aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head);
+	/// How the body of a response ended.
+	enum class BodyEnd
+	{
+		Whole,
+		Lost,   ///< The connection was closed or broke.
+		InDoubt ///< It may hold bytes of another response, isn't valid, or is too large.
+	};
+
+	struct BodyResult
+	{
+		BodyEnd end = BodyEnd::Lost;
+		std::string text; ///< As far as it was read.
+
+		bool operator==(const BodyResult&) const = default;
+	};
+
+	/// Reads the body of a response.
+	aio::Task<BodyResult> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head);
 
 	/// Reads the head of the response to a request and records what it states about the upstream itself. Responses to other requests
 	/// are skipped.
--- a/src/gateway/relay_response.cpp
+++ b/src/gateway/relay_response.cpp
@@ -1,4 +1,7 @@
 // Reads responses of upstreams: finds the one that belongs to a request, and its body.
+#include <algorithm>
+
+#include "aio/task.h"
 #include "archdyke/response_head.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -14,14 +17,36 @@
 		/// Responses to other requests that are skipped before an attempt is given up.
 		constexpr int kMaxSkippedResponses = 4;
 
-		/// @returns Whether a body may hold bytes of another response. Bytes that came within it leave as many of its own behind its end,
-		/// where a sound upstream sends nothing or begins another response; without a length nothing shows where it ended.
+		/// Time to wait for bytes behind a body that holds a status line, ms. Such a body is rare, and the bytes are those of its end.
+		constexpr Millis kBytesBehindWaitMs = 20;
+		/// Bounds of a response to another request that is skipped, bytes and ms. An upstream without end would hold the request
+		/// until its deadline.
+		constexpr std::size_t kMaxSkippedBytes = 1'048'576;
+		constexpr Millis kMaxSkipMs = 250;
+		/// Bytes of a body that are searched again with its next piece: a status line may lie across the two.
+		constexpr std::size_t kStatusLineBytes = 16;
+
+		/// @returns Whether a body may hold bytes of another response. Bytes that came within one with a length leave as many of its own
+		/// behind its end, where a sound upstream sends nothing or begins another response. Without length and chunks nothing shows
+		/// where it ended.
 		bool isInDoubt(const http::HttpConnection& _upstream, const http::ResponseHead& _head, const std::string& _body)
 		{
-			const bool framed = hasFraming(_head);
-			const bool responseBehind = http::PartKind::Head == _upstream.unreadKind() || _upstream.isMidMessage();
-			const bool shifted = framed && _upstream.hasStrayBytes() && !responseBehind;
-			return (!framed && endsWithinStatusLine(_body)) || ((!framed || shifted) && containsStatusLine(_body));
+			if (http::BodyFraming::Length != _head.framing)
+			{
+				return http::BodyFraming::UntilClose == _head.framing && (containsStatusLine(_body) || endsWithinStatusLine(_body));
+			}
+			const bool responseBehind = PartKind::Head == _upstream.unreadKind() || (!_upstream.hasUnread() && _upstream.isMidMessage());
+			const std::size_t behind = _upstream.countBytesBehind();
+			return 0 < behind && !responseBehind && containsStartOfStatusLine(_body, behind);
+		}
+
+		/// Waits for bytes behind a complete body that holds a status line, if there are none yet.
+		aio::Task<void> awaitBytesBehind(RequestContext& _context, http::HttpConnection& _upstream, const http::ResponseHead& _head, const std::string& _body)
+		{
+			if (http::BodyFraming::Length == _head.framing && 0 == _upstream.countBytesBehind() && containsStatusLine(_body))
+			{
+				co_await _context.state.loop.timer.afterDelay(kBytesBehindWaitMs * kj::MILLISECONDS);
+			}
 		}
 
 		/// Applies what the head of the response to a request states about the upstream itself.
@@ -57,24 +82,45 @@
 			}
 		}
 
-		/// Skips the rest of a response to another request.
-		/// @returns false when the response to this request can't be found behind it: it broke off, has no end, or holds another head.
-		aio::Task<bool> skipResponse(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
+		/// Reads the rest of a response to another request.
+		/// @returns false when it breaks off, is too large, or holds the beginning of another response.
+		aio::Task<bool> readToEnd(http::HttpConnection& _upstream)
 		{
-			if (!hasFraming(_head))
+			std::string searched;
+			std::size_t size = 0;
+			while (size <= kMaxSkippedBytes)
+			{
+				const Part part = co_await _upstream.next();
+				if (PartKind::Body != part.kind)
+				{
+					co_return PartKind::End == part.kind;
+				}
+				size += part.body.size();
+				searched = searched.substr(searched.size() - std::min(searched.size(), kStatusLineBytes)) + part.body;
+				if (containsStatusLine(searched))
+				{
+					co_return false;
+				}
+			}
+			co_return false;
+		}
+
+		/// Skips the rest of a response to another request. What it sends isn't counted as activity for this one.
+		/// @returns false when the response to this request can't be found behind it.
+		aio::Task<bool> skipResponse(RequestContext& _context, http::HttpConnection& _upstream, http::BodyFraming _framing)
+		{
+			if (http::BodyFraming::UntilClose == _framing)
 			{
 				co_return false;
 			}
-			const std::optional<std::string> body = co_await readBody(_context, _upstream, _head);
-			co_return body && !containsStatusLine(*body);
+			kj::Promise<bool> reading = readToEnd(_upstream).take();
+			kj::Promise<bool> timeout = _context.state.loop.timer.afterDelay(kMaxSkipMs * kj::MILLISECONDS).then([] {
+				return false;
+			});
+			co_return co_await reading.exclusiveJoin(kj::mv(timeout));
 		}
 	} // namespace
 
-	bool hasFraming(const http::ResponseHead& _head)
-	{
-		return _head.headers.find("Content-Length") || _head.headers.find("Transfer-Encoding");
-	}
-
 	aio::Task<http::Part> readPart(RequestContext& _context, http::HttpConnection& _upstream)
 	{
 		http::Part part = co_await _upstream.next();
@@ -86,26 +132,31 @@
 		co_return part;
 	}
 
-	aio::Task<std::optional<std::string>> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
+	aio::Task<BodyResult> readBody(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head)
 	{
-		std::string body;
+		BodyResult result;
 		while (true)
 		{
 			Part part = co_await readPart(_context, _upstream);
-			if (PartKind::End == part.kind && isInDoubt(_upstream, _head, body))
+			if (PartKind::Body == part.kind && result.text.size() + part.body.size() <= kMaxResponseBytes)
 			{
-				logWarning("body_in_doubt", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", _upstream.number()}, {"bytes", body.size()}});
-				co_return std::nullopt;
+				result.text += part.body;
+				continue;
 			}
 			if (PartKind::End == part.kind)
 			{
-				co_return body;
+				co_await awaitBytesBehind(_context, _upstream, _head, result.text);
+				result.end = isInDoubt(_upstream, _head, result.text) ? BodyEnd::InDoubt : BodyEnd::Whole;
 			}
-			if (PartKind::Body != part.kind || body.size() + part.body.size() > kMaxResponseBytes)
+			else
 			{
-				co_return std::nullopt;
+				result.end = PartKind::Closed == part.kind || PartKind::Reset == part.kind ? BodyEnd::Lost : BodyEnd::InDoubt;
+			}
+			if (BodyEnd::InDoubt == result.end)
+			{
+				logWarning("body_in_doubt", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", _upstream.number()}, {"bytes", result.text.size()}, {"ended_by", toString(part.kind)}});
 			}
-			body += part.body;
+			co_return result;
 		}
 	}
 
@@ -132,7 +183,7 @@
 				co_return part.response;
 			}
 			logWarning("foreign_answer", {{"request", _context.caller.id}, {"answer_to", info.requestId}, {"upstream", _context.upstream}, {"status", part.response.status}, {"connection", _upstream.number()}, {"sent_ago_ms", nowMs() - _context.sentAt}});
-			const bool whole = co_await skipResponse(_context, _upstream, part.response);
+			const bool whole = co_await skipResponse(_context, _upstream, part.response.framing);
 			if (!whole)
 			{
 				_ending = "foreign_answer_without_end";
--- a/src/gateway/relay_stream.cpp
+++ b/src/gateway/relay_stream.cpp
@@ -49,7 +49,7 @@
 		};
 
 		/// Splits a chunk of a stream into events and selects those to deliver.
-		/// @param[in] _framed Whether the stream has chunks or a length, so that bytes of another response shift its framing.
+		/// @param[in] _framed Whether the stream has chunks: bytes of another response end it before they are read.
 		AcceptedEvents acceptEvents(RequestContext& _context, std::string_view _chunk, bool _framed)
 		{
 			AcceptedEvents accepted;
@@ -81,7 +81,7 @@
 	aio::Task<AttemptResult> relayStream(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _response)
 	{
 		_context.splitter = {};
-		const bool framed = hasFraming(_response);
+		const bool framed = http::BodyFraming::Chunks == _response.framing;
 		while (true)
 		{
 			Part part = co_await readPart(_context, _upstream);
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -107,11 +107,12 @@
 			}
 			IdleConnection candidate = std::move(*position);
 			idleConnections.erase(position);
-			this->unattributedCount += logUnattributed(*candidate.connection, _address, "idle") ? 1 : 0;
-			if (candidate.connection->isQuiet() && now < candidate.until && now - candidate.since <= _options.maxIdleMs)
+			const bool quiet = candidate.connection->isQuiet();
+			if (quiet && now < candidate.until && now - candidate.since <= _options.maxIdleMs)
 			{
 				return std::move(candidate.connection);
 			}
+			this->unattributedCount += !quiet && logUnattributed(*candidate.connection, _address, "idle") ? 1 : 0;
 		}
 		return nullptr;
 	}
@@ -133,8 +134,12 @@
 	void ConnectionPool::returnToPool(Lease _lease, Millis _idleLimitMs)
 	{
 		std::deque<IdleConnection>& idleConnections = this->idle[_lease.address];
-		this->unattributedCount += logUnattributed(*_lease.connection, _lease.address, "behind_answer") ? 1 : 0;
-		if (!_lease.connection->isQuiet() || _idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress)
+		if (!_lease.connection->isQuiet())
+		{
+			this->unattributedCount += logUnattributed(*_lease.connection, _lease.address, "behind_answer") ? 1 : 0;
+			return;
+		}
+		if (_idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress)
 		{
 			return;
 		}
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <functional>
 #include <memory>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -220,6 +221,17 @@
 		return !this->gone && this->parts.empty() && !this->parser.isWithinMessage() && Waiting::Nothing == peek(*this->stream);
 	}
 
+	std::size_t HttpConnection::countBytesBehind() const
+	{
+		int waiting = 0;
+		KJ_IF_MAYBE (descriptor, this->stream->getFd())
+		{
+			const bool known = 0 == ioctl(*descriptor, FIONREAD, &waiting); // fails once the connection has ended
+			waiting = known ? waiting : 0;
+		}
+		return this->parser.countBytesBehind() + std::size_t(waiting);
+	}
+
 	bool HttpConnection::hasStrayBytes() const
 	{
 		const bool closed = !this->parts.empty() && (PartKind::Closed == this->parts.front().kind || PartKind::Reset == this->parts.front().kind);
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -65,6 +65,9 @@
 		/// that wasn't read, not even bytes that the system has received but the event loop hasn't seen.
 		bool isQuiet() const;
 
+		/// @returns Number of bytes that came behind the last complete response, as far as they were received.
+		std::size_t countBytesBehind() const;
+
 		/// @returns Whether bytes came that weren't read, other than the end of the connection.
 		bool hasStrayBytes() const;
 
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -49,12 +49,21 @@
 		bool operator==(const RequestHead&) const = default;
 	};
 
+	/// How the end of a response's body is found.
+	enum class BodyFraming
+	{
+		Length, ///< Also responses without a body.
+		Chunks,
+		UntilClose
+	};
+
 	/// Head of a response.
 	struct ResponseHead
 	{
 		int status = 0;
 		Headers headers;
 		bool keepAlive = true;
+		BodyFraming framing = BodyFraming::Length; ///< Of a response that was received.
 
 		bool operator==(const ResponseHead&) const = default;
 	};
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -161,9 +161,12 @@
 		{
 			valid = this->execute(_bytes);
 		}
+		bool counted = false;
 		while (Side::Client == this->side && valid && !_bytes.empty())
 		{
-			valid = Framing::None == this->framing ? this->feedResponseHead(_bytes) : this->feedResponseBody(_bytes);
+			this->bytesBehind += this->ended && !counted ? _bytes.size() : 0;
+			counted = counted || this->ended;
+			valid = this->framing ? this->feedResponseBody(_bytes) : this->feedResponseHead(_bytes);
 		}
 		return valid ? std::nullopt : std::optional(this->failure);
 	}
@@ -220,21 +223,19 @@
 		{
 			return;
 		}
-		this->interimBytes = 0;
-		Part part = partOf(PartKind::Head);
-		part.response = {status, std::move(this->headers), 0 != http_should_keep_alive(&this->raw)};
-		this->take(std::move(part));
 		const bool bodiless = kNoContent == status || kNotModified == status;
-		if (0 != (this->raw.flags & F_CHUNKED) && !bodiless)
-		{
-			this->framing = Framing::Chunks;
-			this->chunks = {};
-			return;
-		}
 		const bool hasLength = bodiless || (0 != (this->raw.flags & F_CONTENTLENGTH) && 0 == this->raw.uses_transfer_encoding);
-		this->framing = hasLength ? Framing::Length : Framing::UntilClose;
+		const bool chunked = 0 != (this->raw.flags & F_CHUNKED) && !bodiless;
+		const BodyFraming unchunked = hasLength ? BodyFraming::Length : BodyFraming::UntilClose;
+		this->framing = chunked ? BodyFraming::Chunks : unchunked;
+		this->interimBytes = 0;
+		this->ended = false;
+		this->chunks = {};
 		this->lengthLeft = bodiless || !hasLength ? 0 : this->raw.content_length;
-		if (hasLength && 0 == this->lengthLeft)
+		Part part = partOf(PartKind::Head);
+		part.response = {status, std::move(this->headers), 0 != http_should_keep_alive(&this->raw), *this->framing};
+		this->take(std::move(part));
+		if (BodyFraming::Length == this->framing && 0 == this->lengthLeft)
 		{
 			this->takeEnd();
 		}
@@ -242,11 +243,11 @@
 
 	bool MessageParser::feedResponseBody(std::string_view& _bytes)
 	{
-		if (Framing::Chunks == this->framing)
+		if (BodyFraming::Chunks == this->framing)
 		{
 			return this->feedChunks(_bytes);
 		}
-		const bool untilClose = Framing::UntilClose == this->framing;
+		const bool untilClose = BodyFraming::UntilClose == this->framing;
 		const std::size_t size = untilClose ? _bytes.size() : std::size_t(std::min<std::uint64_t>(this->lengthLeft, _bytes.size()));
 		const bool taken = this->takeBody(std::string(_bytes.substr(0, size)));
 		_bytes.remove_prefix(size);
@@ -299,7 +300,9 @@
 
 	void MessageParser::takeEnd()
 	{
-		this->framing = Framing::None;
+		this->framing.reset();
+		this->ended = true;
+		this->bytesBehind = 0;
 		this->take(partOf(PartKind::End));
 	}
 
@@ -315,7 +318,7 @@
 		{
 			return this->execute({}) && !this->inRequest;
 		}
-		if (Framing::UntilClose == this->framing)
+		if (BodyFraming::UntilClose == this->framing)
 		{
 			this->takeEnd();
 		}
@@ -324,7 +327,12 @@
 
 	bool MessageParser::isWithinMessage() const
 	{
-		return this->inRequest || Framing::None != this->framing || !this->headText.empty();
+		return this->inRequest || this->framing || 0 < this->interimBytes || !this->headText.empty();
+	}
+
+	std::size_t MessageParser::countBytesBehind() const
+	{
+		return this->ended ? this->bytesBehind : 0;
 	}
 
 	void MessageParser::setLimits(MessageLimits _limits)
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -73,6 +73,9 @@
 		/// @returns Whether the end of the connection completes a message, or lies between messages.
 		bool feedEnd();
 
+		/// @returns Number of bytes that came behind the last complete response, up to the next head.
+		std::size_t countBytesBehind() const;
+
 		/// @returns Whether a message has been received in part.
 		bool isWithinMessage() const;
 
@@ -80,15 +83,6 @@
 		void setLimits(MessageLimits _limits);
 
 	private:
-		/// How the end of a response's body is found.
-		enum class Framing
-		{
-			None, ///< No response is being read.
-			Length,
-			Chunks,
-			UntilClose
-		};
-
 		static MessageParser& of(http_parser* _raw);
 
 		// Called by the parser library.
@@ -132,10 +126,12 @@
 		bool valueSeen = true;
 		bool inRequest = false;
 
-		Framing framing = Framing::None;
-		std::string headText;         ///< Bytes of a response's head that isn't complete.
-		std::size_t interimBytes = 0; ///< Size of the interim responses before the next head.
-		std::uint64_t lengthLeft = 0; ///< Bytes of a body with a length that must come.
+		std::optional<BodyFraming> framing; ///< Of the response that is being read; none between responses.
+		std::string headText;               ///< Bytes of a response's head that isn't complete.
+		std::size_t interimBytes = 0;       ///< Size of the interim responses before the next head.
+		std::uint64_t lengthLeft = 0;       ///< Bytes of a body with a length that must come.
 		ChunkReader chunks;
+		bool ended = false;          ///< A response was complete, and no head followed.
+		std::size_t bytesBehind = 0; ///< Bytes that came behind the last response.
 	};
 } // namespace archdyke::http
