Crashes with times that no store has refuse no request

What callers could see: a request or a part of prompts that is refused for as long as odd rows exist.

Cause: any time of a row of a crash was accepted. Three rows of one suspect with times in the far future counted as three crashes that never expire, and times close to 2^63 overflowed.

--- a/src/gateway/crash_teller.cpp
+++ b/src/gateway/crash_teller.cpp
@@ -23,6 +23,8 @@
 		/// Minimum interval between checks for expired crashes, ms. Random jitter is added, so that one gateway removes a
 		/// row for all.
 		constexpr Millis kExpiryIntervalMs = 30'000;
+		/// Maximum magnitude of the times in a row, ms. Sums of larger ones could overflow.
+		constexpr Millis kMaxTimeMs = Millis(1) << 53;
 
 		store::RowKey rowKey(const Crash& _crash)
 		{
@@ -57,7 +59,10 @@
 		CrashRow row;
 		const std::vector<std::string_view> times = splitText(_row.value, kSeparator);
 		const bool timed = 2 == times.size() && absl::SimpleAtoi(asAbsl(times[0]), &row.storeTime) && absl::SimpleAtoi(asAbsl(times[1]), &row.runMs) && 0 <= row.runMs;
-		const bool readable = 0 != at && std::string::npos != at && key.size() != at + 1 && (_row.gone || timed || absl::SimpleAtoi(asAbsl(_row.value), &row.storeTime));
+		const auto inRange = [&] {
+			return -kMaxTimeMs <= row.storeTime && row.storeTime <= kMaxTimeMs && row.runMs <= kMaxTimeMs;
+		};
+		const bool readable = 0 != at && std::string::npos != at && key.size() != at + 1 && (_row.gone || ((timed || absl::SimpleAtoi(asAbsl(_row.value), &row.storeTime)) && inRange()));
 		if (!readable)
 		{
 			return std::nullopt;
--- a/tests/test_odd_rows.cpp
+++ b/tests/test_odd_rows.cpp
@@ -238,6 +238,28 @@
 	cr_assert(200 == rig.call("/once/x", GatewayRig::headersFor("crashed")).status);
 }
 
+/// Such crashes would refuse a request for as long as the rows exist.
+Test(oddrows, crashes_with_times_that_no_store_has_refuse_no_request)
+{
+	GatewayRig rig({"a"});
+	rig.waitReady();
+	const std::vector<std::string> values{"9000000000000000/1", "9000000000100000/1", "9000000000200000/1", "9223372036854775807/1", "-9223372036854775808/9223372036854775807", "0/9223372036854775807"};
+	for (std::size_t index = 0; index < values.size(); ++index)
+	{
+		rig.store.putIn("archdyke_crashes", "", fmt::format("odd/x-{}", index), values[index]);
+	}
+	rig.store.putIn("archdyke_crashes", "", "last/x", "odd");
+	cr_assert(lab::waitUntil(kMaxPropagationMs, [&] {
+		return 1 == countLines(rig.gateway.process->output(), "crash_unreadable", "last/x");
+	}));
+	const std::string log = rig.gateway.process->output();
+	cr_assert(0 == countLines(log, "request_refused_for_crashes", ""), "%s", log.substr(log.find("request_refused")).c_str());
+	for (std::size_t index = 0; index < values.size(); ++index)
+	{
+		cr_expect(1 == countLines(log, "crash_unreadable", fmt::format("key=odd/x-{}", index)), "%zu", index);
+	}
+}
+
 Test(oddrows, sidecars_start_and_coordinate_with_odd_rows_in_the_list_of_upstreams)
 {
 	GroupRig rig;
