Tests of a group whose own row is odd, listed as failing

What callers could see: a group that keeps an outdated map until the row is removed and its coordinator restarted.

Cause: a coordinator writes its row on the condition that the row has the version that it knows. It doesn't take up the version of a row that it can't read, nor that the row is gone, so that no write succeeds any more. A sidecar that would take over needs the term and the open switch of the row, and tries again every 2 s.

Not fixed here: a coordinator that writes over such a row may write over the open switch of a newer coordinator, and ranks with different maps would follow. It may do so once all ranks, seen after the read, still follow its term; a new coordinator needs a higher term than any that the row may have had and has to end a lost switch, as after a restoration of the store.

--- a/tests/test_odd_rows.cpp
+++ b/tests/test_odd_rows.cpp
@@ -401,3 +401,39 @@
 		return std::string::npos != rig.dump()["upstreams"].dump().find(rig.workers[0].address);
 	}));
 }
+
+/// The living coordinator can't write its row any more, neither over the odd one nor after its removal.
+Test(oddrows, a_group_switches_during_and_after_an_odd_row_of_its_own)
+{
+	GroupRig rig;
+	cr_assert(rig.groups.front().switchesAgain(1, kSwitchMs));
+	const std::size_t coordinator = rig.coordinator();
+	cr_assert(kRanks != coordinator);
+	rig.store.putIn("archdyke_groups", "g", "svc", "odd");
+	cr_assert(lab::waitUntil(kMaxPropagationMs, [&] {
+		return 0 < countLines(rig.groups.front().sidecars[coordinator]->output(), "group_row_unreadable", "");
+	}));
+	cr_expect(rig.groups.front().switchesAgain(1, kSwitchMs), "while the row is odd");
+	rig.store.removeIn("archdyke_groups", "g", "svc");
+	cr_expect(rig.groups.front().switchesAgain(1, kSwitchMs), "after its removal");
+	rig.groups.front().expectNoSplit();
+}
+
+/// A new coordinator doesn't know the term, nor whether a switch was open.
+Test(oddrows, a_group_gets_a_coordinator_beside_an_odd_row_of_its_own)
+{
+	GroupRig rig;
+	cr_assert(rig.groups.front().switchesAgain(1, kSwitchMs));
+	const std::size_t coordinator = rig.coordinator();
+	cr_assert(kRanks != coordinator);
+	rig.store.putIn("archdyke_groups", "g", "svc", "odd");
+	rig.groups.front().sidecars[coordinator]->kill();
+	rig.start(rig.groups.front(), coordinator);
+	cr_expect(lab::waitUntil(kSwitchMs, [&] {
+		          return kRanks != rig.coordinator();
+	          }),
+	          "while the row is odd");
+	rig.store.removeIn("archdyke_groups", "g", "svc");
+	cr_expect(rig.groups.front().switchesAgain(1, kSwitchMs), "after its removal");
+	rig.groups.front().expectNoSplit();
+}
