Property test: odd rows with changed bytes are rejected or usable

Rows that are nested deeply, have numbers that are too large or other extreme values are changed at up to five places, then decoded.

--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -307,3 +307,29 @@
 	}
 	cr_expect_throw(codec.decodeCounts("{\"counts\":" + nested + "}"), InvalidInputError);
 }
+
+/// However the bytes of an odd row are changed, it is either rejected or yields an upstream with a usable address.
+Test(platform, a_changed_odd_row_is_rejected_or_yields_an_upstream)
+{
+	std::vector<tests::OddRow> rows = tests::unusableRows();
+	const std::vector<tests::OddRow> extreme = tests::extremeRows();
+	rows.insert(rows.end(), extreme.begin(), extreme.end());
+	tests::checkProperty("changed odd rows", [&] {
+		std::string text = (*rc::gen::elementOf(rows)).value;
+		const int changes = *rc::gen::inRange(0, 6);
+		for (int change = 0; change < changes && !text.empty(); ++change)
+		{
+			const std::size_t at = *rc::gen::inRange<std::size_t>(0, text.size());
+			const std::string inserted = *rc::gen::element<std::string>(std::string(), "[", "]", "{", "}", "\"", "\\", ",", "9", "-", "e9", std::string(1, '\0'), "\xff");
+			text.replace(at, *rc::gen::inRange<std::size_t>(0, 3), inserted);
+		}
+		try
+		{
+			RC_ASSERT(0 != http::parseSocketAddress(platform::decodeUpstream("i-1", text).address).sin_port);
+		}
+		catch (const InvalidInputError&)
+		{
+			return;
+		}
+	});
+}
