--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -38,7 +38,8 @@
 	}
 
 	/// @param[in] _options Seed, faults and series of faults.
-	void runSeed(ChaosOptions _options)
+	/// @returns The result, which has no violations.
+	SoakResult runSeed(ChaosOptions _options)
 	{
 		_options.target = ChaosTarget::Platform;
 		const SoakResult result = runSoak(_options);
@@ -49,6 +50,7 @@
 		}
 		cr_assert(lines.empty(), "seed %llu:\n%s", static_cast<unsigned long long>(_options.seed), lines.c_str());
 		cr_assert(0 < result.statuses.at(200));
+		return result;
 	}
 } // namespace
 
@@ -312,7 +314,8 @@
 /// Upstreams send bytes that belong to no exchange, within, behind and in the place of answers, failures and rejections.
 Test(soak, stuttering_upstreams_have_no_violations)
 {
-	runSeed({.seed = 62, .faults = 6, .stutters = 8});
+	const SoakResult result = runSeed({.seed = 62, .faults = 6, .stutters = 8});
+	cr_assert(result.statuses.contains(500), "failures that upstreams gave are passed on");
 }
 
 /// Another writer puts entries that are none among the rows of the upstreams.
--- a/tools/stub_stutter.cpp
+++ b/tools/stub_stutter.cpp
@@ -219,6 +219,30 @@
 		co_return true;
 	}
 
+	aio::Task<bool> disturbStream(OrderedWriter& _writer, Stutter _stutter, std::string _chunk, std::string _copy)
+	{
+		std::string bytes;
+		switch (_stutter.kind)
+		{
+		case StutterKind::Between:
+			co_await _writer.write(std::move(_copy));
+			co_return true;
+		case StutterKind::Cut:
+			bytes = cutAt(_chunk, _stutter.cutAt / 2.0);
+			co_await _writer.write(std::move(bytes));
+			co_return false;
+		case StutterKind::NoAnswer:
+			bytes = kNoAnswer;
+			co_await _writer.write(std::move(bytes));
+			co_return false;
+		case StutterKind::EndlessBody:
+			co_await writeEndlessChunks(_writer);
+			co_return false;
+		default:
+			co_return true;
+		}
+	}
+
 	void followUp(OrderedWriter& _writer, const Stutter& _stutter, std::string _copy)
 	{
 		if (StutterKind::CopyLate == _stutter.kind)
--- a/tools/stub_stutter.h
+++ b/tools/stub_stutter.h
@@ -109,6 +109,11 @@
 	/// @returns Whether the connection is kept open.
 	aio::Task<bool> writeDisturbed(OrderedWriter& _writer, Stutter _stutter, http::ResponseHead _head, std::string _body, std::string _other);
 
+	/// Writes the disturbance of a stream that comes before one of its chunks.
+	/// @param[in] _copy Bytes that come in addition.
+	/// @returns Whether the stream goes on.
+	aio::Task<bool> disturbStream(OrderedWriter& _writer, Stutter _stutter, std::string _chunk, std::string _copy);
+
 	/// Writes the bytes that come after an answer, at the time that the disturbance says.
 	void followUp(OrderedWriter& _writer, const Stutter& _stutter, std::string _copy);
 
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -412,34 +412,6 @@
 				return text;
 			}
 
-			/// Writes the disturbance of a stream that comes before one of its chunks.
-			/// @param[in] _sent What was sent of the stream.
-			/// @returns Whether the stream goes on.
-			aio::Task<bool> disturbStream(const Call& _call, std::string _sent, std::string _chunk)
-			{
-				OrderedWriter& writer = *_call.writer;
-				std::string bytes = copyOf(_call.stutter, _sent, this->otherAnswer(_call));
-				switch (_call.stutter.kind)
-				{
-				case StutterKind::Between:
-					co_await writer.write(std::move(bytes));
-					co_return true;
-				case StutterKind::Cut:
-					bytes = cutAt(_chunk, _call.stutter.cutAt / 2.0);
-					co_await writer.write(std::move(bytes));
-					co_return false;
-				case StutterKind::NoAnswer:
-					bytes = kNoAnswer;
-					co_await writer.write(std::move(bytes));
-					co_return false;
-				case StutterKind::EndlessBody:
-					co_await writeEndlessChunks(writer);
-					co_return false;
-				default:
-					co_return true;
-				}
-			}
-
 			aio::Task<bool> respondStream(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, bool _crashes, Record& _record)
 			{
 				http::ResponseHead head = this->headFor(_call, 200, streamText());
@@ -492,7 +464,8 @@
 					text.resize(breaks ? text.size() / 2 : text.size());
 					std::string chunk = unframed ? text : http::serializeChunk(text);
 					const bool disturbed = event == _call.stutter.atEvent % (kStreamEvents + 1) && nowMs() < this->stutterUntil;
-					const bool goesOn = !disturbed || co_await this->disturbStream(_call, sent, chunk);
+					std::string copy = copyOf(_call.stutter, sent, this->otherAnswer(_call));
+					const bool goesOn = !disturbed || co_await disturbStream(*_call.writer, _call.stutter, chunk, std::move(copy));
 					if (!goesOn)
 					{
 						co_return false;
