A run's answer is read on a connection of its own, and in full

Callers got the answer to another run, or an answer that was joined of two: the agent kept one connection for each of its threads and took whatever came next on it for the answer to its next run. A second copy of an answer, whole or cut at any byte and late, was read as the next one. A status of one answer with the body of another, lengths that are no number, and chunks that other bytes shift were taken too. An answer that drips without end never ended its run, nor did it end the health probe that the agent's sweeper waits for. A long status line ended the agent: the library matches it with a pattern that recurses for each byte.

Cause: cpp-httplib (0.11.4) keeps connections, skips what it can't read in a head, limits the time of each read only, and limits neither heads nor bodies.

Now each run has a connection of its own, which is closed after its answer (HttpCall), so nothing behind an answer is ever read. A call has a limit for the whole of it: the run's budget and a second.

--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -2,65 +2,69 @@
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
-#include <httplib.h>
 
 #include "archdyke/back_off.h"
 #include "base/config.h"
-#include "base/http_server.h"
+#include "base/http_call.h"
+#include "base/log.h"
 #include "base/process.h"
 
 namespace archdyke
 {
 	namespace
 	{
-		constexpr int kConnectTimeoutSeconds = 1;
+		constexpr Millis kConnectTimeoutMs = 1'000;
+		/// How long a response may take after the run's budget, ms. The caller no longer waits for it; it tells how the run ended.
+		constexpr Millis kLateResponseMs = 1'000;
+		/// Time limit for a health request, ms.
+		constexpr Millis kProbeTimeoutMs = 1'000;
+		/// Maximum size of a response's head and of a health response's body, bytes.
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxProbeBodyBytes = 65'536;
 		constexpr const char* kRequestIdHeader = "X-Request-Id";
 		constexpr const char* kHealthPath = "/health";
 		/// Time limit for finding out whether a process has ended, ms, and the pause between two probes. A process that ends may
 		/// close its port after its connections; until then probes get no response, as they don't from a hung process.
 		constexpr Millis kEndProbeLimitMs = 1'000;
 		constexpr Millis kEndProbePauseMs = 50;
-		/// Time limit for the response to a probe, microseconds.
-		constexpr int kEndProbeTimeoutUs = 100'000;
+		/// Time limit for the response to a probe, ms.
+		constexpr Millis kEndProbeTimeoutMs = 100;
 
 		std::string requestIdOf(const RunKey& _key)
 		{
 			return _key.requestId + "/" + std::to_string(_key.attempt);
 		}
 
-		httplib::Request makeRequest(const RunSpec& _run)
+		HttpRequest makeRequest(const RunSpec& _run)
 		{
-			httplib::Request request;
-			request.method = _run.method;
-			request.path = _run.path;
-			request.body = _run.body;
-			request.set_header(kRequestIdHeader, requestIdOf(_run.key));
+			HttpRequest request{_run.method, _run.path, {{kRequestIdHeader, requestIdOf(_run.key)}}, _run.body};
 			if (!_run.contentType.empty())
 			{
-				request.set_header("Content-Type", _run.contentType);
+				request.headers.push_back({"Content-Type", _run.contentType});
 			}
 			return request;
 		}
 
 		/// @returns How long the upstream asks to be sent no requests, ms; 0 if the response doesn't ask.
-		Millis requestedBackOffMs(const httplib::Response& _response)
+		Millis requestedBackOffMs(const HttpResponseHead& _head)
 		{
 			constexpr int kUnavailable = 503;
-			return kUnavailable == _response.status ? parseRetryAfter(_response.get_header_value("Retry-After")).value_or(0) : 0;
+			return kUnavailable == _head.status ? parseRetryAfter(std::string(_head.find("Retry-After"))).value_or(0) : 0;
 		}
 
-		void setResponseHandlers(httplib::Request& _request, ResponseBuffer& _buffer, const std::function<void(const RunKey&)>& _onBytes)
+		ResponseReceiver makeReceiver(ResponseBuffer& _buffer, const std::function<void(const RunKey&)>& _onBytes)
 		{
 			// Only event streams are forwarded as they arrive; other responses are forwarded when they are complete.
 			const auto isEventStream = std::make_shared<bool>(false);
-			_request.response_handler = [&_buffer, isEventStream](const httplib::Response& _response) {
-				*isEventStream = _response.get_header_value("Content-Type").starts_with("text/event-stream");
-				_buffer.backOffMs = requestedBackOffMs(_response);
-				_buffer.begin(_response.status, _response.get_header_value("Content-Type"));
+			return {[&_buffer, isEventStream](const HttpResponseHead& _head) {
+				const std::string contentType(_head.find("Content-Type"));
+				*isEventStream = contentType.starts_with("text/event-stream");
+				_buffer.backOffMs = requestedBackOffMs(_head);
+				_buffer.begin(_head.status, contentType);
 				return !_buffer.cancelled;
-			};
-			_request.content_receiver = [&_buffer, &_onBytes, isEventStream](const char* _data, std::size_t _size, std::uint64_t, std::uint64_t) {
-				if (_buffer.cancelled || !_buffer.append({_data, _size}))
+			        },
+			        [&_buffer, &_onBytes, isEventStream](std::string_view _bytes) {
+				if (_buffer.cancelled || !_buffer.append(_bytes))
 				{
 					return false;
 				}
@@ -69,64 +73,64 @@
 					_onBytes(_buffer.key());
 				}
 				return true;
-			};
+			}};
 		}
 
-		std::unique_ptr<httplib::Client> makeClient(const UpstreamSettings& _settings)
+		/// @returns How the health request ended. Any complete response counts, whatever its status.
+		HttpCallResult probe(const UpstreamSettings& _settings, Millis _timeoutMs)
 		{
-			const Address address = parseAddress(_settings.address);
-			auto client = std::make_unique<httplib::Client>(address.host, address.port);
-			client->set_connection_timeout(kConnectTimeoutSeconds);
-			client->set_keep_alive(true);
-			client->set_tcp_nodelay(true);
-			client->set_decompress(false);
-			return client;
+			HttpCallResult result;
+			fetchHttp(parseAddress(_settings.address), {"GET", kHealthPath, {}, ""}, {kConnectTimeoutMs, _timeoutMs, {kMaxHeadBytes, kMaxProbeBodyBytes}}, &result);
+			return result;
 		}
+
 		/// @returns Whether the upstream's port refuses connections after the connection of a run broke.
 		bool hasEnded(const UpstreamSettings& _settings)
 		{
 			const Millis until = nowMs() + kEndProbeLimitMs;
 			while (nowMs() < until)
 			{
-				const std::unique_ptr<httplib::Client> client = makeClient(_settings);
-				client->set_read_timeout(0, kEndProbeTimeoutUs);
-				const httplib::Result result = client->Get(kHealthPath);
-				if (result || httplib::Error::Connection == result.error())
+				const HttpCallResult result = probe(_settings, kEndProbeTimeoutMs);
+				if (HttpCallEnd::Complete == result.end || HttpCallEnd::NotConnected == result.end)
 				{
-					return !result;
+					return HttpCallEnd::NotConnected == result.end;
 				}
 				absl::Notification never;
 				never.WaitForNotificationWithTimeout(absl::Milliseconds(kEndProbePauseMs));
 			}
 			return false;
 		}
+
+		/// @returns Whether the agent itself broke the call off.
+		bool isBrokenOff(const HttpCallResult& _result)
+		{
+			return ResponseState::Cancelled == _result.response || ResponseState::BodyTooLarge == _result.response;
+		}
 	} // namespace
 
 	UpstreamCall makeUpstreamCall(const UpstreamSettings& _settings, std::function<void(const RunKey&)> _onBytes)
 	{
-		std::shared_ptr<httplib::Client> client = makeClient(_settings);
-		return [client, settings = _settings, onBytes = std::move(_onBytes)](const RunSpec& _run, ResponseBuffer& _buffer) {
-			httplib::Request request = makeRequest(_run);
-			setResponseHandlers(request, _buffer, onBytes);
-			client->set_read_timeout(_run.budgetMs / 1000 + 1);
-			httplib::Response response;
-			httplib::Error error = httplib::Error::Success;
-			if (client->send(request, response, error))
+		return [settings = _settings, address = parseAddress(_settings.address), onBytes = std::move(_onBytes)](const RunSpec& _run, ResponseBuffer& _buffer) {
+			const HttpCallLimits limits{kConnectTimeoutMs, _run.budgetMs + kLateResponseMs, {kMaxHeadBytes, kMaxBufferedResponseBytes}};
+			const HttpCallResult result = callHttp(address, makeRequest(_run), limits, makeReceiver(_buffer, onBytes));
+			if (HttpCallEnd::Complete == result.end)
 			{
 				return CallResult::Completed;
 			}
-			if (httplib::Error::Connection == error || httplib::Error::ConnectionTimeout == error)
+			if (HttpCallEnd::NotConnected == result.end)
 			{
 				return CallResult::NotReached;
 			}
-			return httplib::Error::Canceled != error && hasEnded(settings) ? CallResult::UpstreamEnded : CallResult::Broken;
+			if (ResponseState::Cancelled != result.response)
+			{
+				logWarning("upstream_response_incomplete", {{"request", _run.key.requestId}, {"attempt", _run.key.attempt}, {"reason", toString(result)}});
+			}
+			return !isBrokenOff(result) && hasEnded(settings) ? CallResult::UpstreamEnded : CallResult::Broken;
 		};
 	}
 
 	bool probeUpstream(const UpstreamSettings& _settings)
 	{
-		const std::unique_ptr<httplib::Client> client = makeClient(_settings);
-		client->set_read_timeout(kConnectTimeoutSeconds);
-		return bool(client->Get(kHealthPath));
+		return HttpCallEnd::Complete == probe(_settings, kProbeTimeoutMs).end;
 	}
 } // namespace archdyke
--- a/src/agent/upstream_call.h
+++ b/src/agent/upstream_call.h
@@ -5,7 +5,7 @@
 
 namespace archdyke
 {
-	/// @returns A call for use by one thread, with its own connection.
+	/// @returns A call for use by one thread. Each run has a connection of its own.
 	/// @param[in] _onBytes Called when more bytes of a streamed response are available.
 	UpstreamCall makeUpstreamCall(const UpstreamSettings& _settings, std::function<void(const RunKey&)> _onBytes);
 
