A rank's state is read on a connection of its own

An agent voted by a state that was joined of two: late bytes of an earlier answer of its engine began the next one, on the kept connection. The state is the only source of the rank's vote. An answer that drips without end held the thread that makes all calls to the engine, and with it the votes of the group.

Each call is now an HttpCall, as runs are: one connection, 2 s for the whole of it, 8 MB at most.

--- a/src/agent/rank_engine.cpp
+++ b/src/agent/rank_engine.cpp
@@ -1,9 +1,8 @@
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "agent/rank_control.h"
 #include "archdyke/errors.h"
-#include "base/http_server.h"
+#include "base/http_call.h"
 
 namespace archdyke
 {
@@ -11,7 +10,10 @@
 	{
 		using Json = nlohmann::json;
 
-		constexpr int kTimeoutSeconds = 2;
+		constexpr Millis kTimeoutMs = 2'000;
+		/// Maximum sizes of a response's head and body, bytes.
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxBodyBytes = std::size_t(8) << 20;
 
 		const char* orderName(RankOrder _order)
 		{
@@ -35,30 +37,35 @@
 
 	struct RankEngine::State
 	{
-		explicit State(const Address& _address)
-		    : client(_address.host, _address.port)
+		/// Sends a request to the rank.
+		/// @throws ArchdykeError Unless a JSON object comes back.
+		Json call(const HttpRequest& _request) const
 		{
-			this->client.set_connection_timeout(kTimeoutSeconds);
-			this->client.set_read_timeout(kTimeoutSeconds);
-			this->client.set_keep_alive(true);
-			this->client.set_tcp_nodelay(true);
-		}
-
-		Json parseResponse(const httplib::Result& _result)
-		{
-			const Json json = _result ? Json::parse(_result->body, nullptr, false) : Json();
+			HttpCallResult result;
+			const std::optional<HttpResponse> response = fetchHttp(this->address, _request, {kTimeoutMs, kTimeoutMs, {kMaxHeadBytes, kMaxBodyBytes}}, &result);
+			const Json json = response ? Json::parse(response->body, nullptr, false) : Json();
 			if (!json.is_object())
 			{
-				throw ArchdykeError("the engine rank sent no valid response to a request for its expert map; check that the engine is running");
+				throw ArchdykeError("the engine rank sent no valid response to a request for its expert map (" + toString(result) + "); check that the engine is running");
 			}
 			return json;
 		}
 
-		httplib::Client client;
+		Json get(const std::string& _target) const
+		{
+			return this->call({"GET", _target, {}, ""});
+		}
+
+		Json post(const Json& _order) const
+		{
+			return this->call({"POST", "/map", {{"Content-Type", "application/json"}}, _order.dump()});
+		}
+
+		const Address address;
 	};
 
 	RankEngine::RankEngine(const std::string& _address)
-	    : state(std::make_unique<State>(parseAddress(_address)))
+	    : state(new State{parseAddress(_address)})
 	{
 	}
 
@@ -66,7 +73,7 @@
 
 	RankState RankEngine::read(std::string* _load, std::string* _armedContext, std::uint64_t* _staged)
 	{
-		const Json json = this->state->parseResponse(this->state->client.Get(nullptr == _load ? "/map" : "/map?counts=1"));
+		const Json json = this->state->get(nullptr == _load ? "/map" : "/map?counts=1");
 		if (nullptr != _load)
 		{
 			*_load = Json{{"counts", json.at("counts")}, {"hosts", json.at("hosts")}}.dump();
@@ -85,7 +92,7 @@
 	bool RankEngine::stage(std::uint64_t _fence, const std::string& _map)
 	{
 		const Json order{{"order", "stage"}, {"fence", _fence}, {"map", Json::parse(_map)}};
-		return this->state->parseResponse(this->state->client.Post("/map", order.dump(), "application/json")).at("done");
+		return this->state->post(order).at("done");
 	}
 
 	bool RankEngine::order(RankOrder _order, const GroupProposal& _proposal)
@@ -94,6 +101,6 @@
 		order["context"] = order.dump();
 		order["order"] = orderName(_order);
 		order["commit"] = RankOrder::Commit == _order;
-		return this->state->parseResponse(this->state->client.Post("/map", order.dump(), "application/json")).at("done");
+		return this->state->post(order).at("done");
 	}
 } // namespace archdyke
