Calls to the platform have a connection and a limit of their own

A transaction that the platform didn't commit was read as committed, and the other way round: late bytes of an earlier answer began the next one, on the kept connection. Claims of idempotency keys, leases and configurations rest on that status. A long status line ended the daemon. An answer without end was collected without a limit, and one that drips was waited for without end.

Each call is now an HttpCall, as runs are. Calls are rare: polls, and 200 claim transactions a second over all entries. The timeout now bounds the whole call, as its description says, and a response 64 MB.

Held before as well: a table's answer and an object that stop at any byte are errors.

--- a/src/base/platform_client.cpp
+++ b/src/base/platform_client.cpp
@@ -1,10 +1,10 @@
 #include "base/platform_client.h"
 
 #include <algorithm>
-#include <httplib.h>
+#include <httplib.h> // encode_query_param
 #include <nlohmann/json.hpp>
 
-#include "base/http_server.h"
+#include "base/http_call.h"
 
 namespace archdyke
 {
@@ -15,6 +15,9 @@
 		constexpr int kOk = 200;
 		constexpr int kNotFound = 404;
 		constexpr int kConflict = 409;
+		/// Maximum sizes of a response's head and body, bytes.
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxBodyBytes = std::size_t(64) << 20;
 
 		Json toJson(const TableTransaction& _transaction)
 		{
@@ -89,45 +92,37 @@
 
 	struct PlatformClient::State
 	{
-		State(const Address& _address, const std::string& _zone)
-		    : address(_address)
-		    , zone(_zone)
-		    , client(_address.host, _address.port)
+		/// Sends a request.
+		/// @returns The response, whose status is one of the expected ones.
+		/// @throws PlatformError If there is no such response.
+		HttpResponse call(const char* _operation, const HttpRequest& _request, const std::vector<int>& _expected) const
 		{
-		}
-
-		std::string checkResponse(const char* _operation, const httplib::Result& _result, const std::vector<int>& _expected, int* _status = nullptr)
-		{
-			if (!_result)
-			{
-				throw PlatformError(std::string(_operation) + ": no response from the platform at " + toString(this->address) + " (" + httplib::to_string(_result.error()) + "); check that it is up and reachable, then try again");
-			}
-			if (_expected.end() == std::find(_expected.begin(), _expected.end(), _result->status))
+			HttpCallResult result;
+			std::optional<HttpResponse> response = fetchHttp(this->address, _request, {this->timeoutMs, this->timeoutMs, {kMaxHeadBytes, kMaxBodyBytes}}, &result);
+			if (!response)
 			{
-				throw PlatformError(std::string(_operation) + ": the platform at " + toString(this->address) + " responded with status " + std::to_string(_result->status) + "; try again once it works again");
+				throw PlatformError(std::string(_operation) + ": no response from the platform at " + toString(this->address) + " (" + toString(result) + "); check that it is up and reachable, then try again");
 			}
-			if (nullptr != _status)
+			if (_expected.end() == std::find(_expected.begin(), _expected.end(), response->head.status))
 			{
-				*_status = _result->status;
+				throw PlatformError(std::string(_operation) + ": the platform at " + toString(this->address) + " responded with status " + std::to_string(response->head.status) + "; try again once it works again");
 			}
-			return _result->body;
+			return *std::move(response);
+		}
+
+		HttpResponse get(const char* _operation, const std::string& _target, const std::vector<int>& _expected) const
+		{
+			return this->call(_operation, {"GET", _target, {}, ""}, _expected);
 		}
 
-		Address address;
-		std::string zone;
-		httplib::Client client;
+		const Address address;
+		const std::string zone;
+		const Millis timeoutMs;
 	};
 
 	PlatformClient::PlatformClient(const std::string& _address, const std::string& _zone, Millis _timeoutMs)
-	    : state(std::make_unique<State>(parseAddress(_address), _zone))
+	    : state(new State{parseAddress(_address), _zone, _timeoutMs})
 	{
-		const time_t seconds = _timeoutMs / 1000;
-		const time_t micros = (_timeoutMs % 1000) * 1000;
-		this->state->client.set_connection_timeout(seconds, micros);
-		this->state->client.set_read_timeout(seconds, micros);
-		this->state->client.set_write_timeout(seconds, micros);
-		this->state->client.set_keep_alive(true);
-		this->state->client.set_tcp_nodelay(true);
 	}
 
 	PlatformClient::~PlatformClient() = default;
@@ -135,34 +130,32 @@
 
 	TableResult PlatformClient::transact(const TableTransaction& _transaction)
 	{
-		int status = 0;
-		const std::string body = this->state->checkResponse("table transaction", this->state->client.Post("/table/transact", toJson(_transaction).dump(), "application/json"), {kOk, kConflict}, &status);
-		return decodeResponse(body, [&](const Json& _json) {
-			return TableResult{kOk == status, readRows(_json)};
+		const HttpResponse response = this->state->call("table transaction", {"POST", "/table/transact", {{"Content-Type", "application/json"}}, toJson(_transaction).dump()}, {kOk, kConflict});
+		return decodeResponse(response.body, [&](const Json& _json) {
+			return TableResult{kOk == response.head.status, readRows(_json)};
 		});
 	}
 
 	std::vector<TableRow> PlatformClient::scan(const std::string& _prefix)
 	{
-		return decodeResponse(this->state->checkResponse("table scan", this->state->client.Get("/table/scan?prefix=" + httplib::detail::encode_query_param(_prefix)), {kOk}), readRows);
+		return decodeResponse(this->state->get("table scan", "/table/scan?prefix=" + httplib::detail::encode_query_param(_prefix), {kOk}).body, readRows);
 	}
 
 	void PlatformClient::putObject(const std::string& _name, const std::string& _bytes)
 	{
-		this->state->checkResponse("object write", this->state->client.Put("/objects/" + _name, _bytes, "application/octet-stream"), {kOk});
+		this->state->call("object write", {"PUT", "/objects/" + _name, {{"Content-Type", "application/octet-stream"}}, _bytes}, {kOk});
 	}
 
 	std::optional<std::string> PlatformClient::getObject(const std::string& _name)
 	{
-		int status = 0;
-		std::string bytes = this->state->checkResponse("object read", this->state->client.Get("/objects/" + _name), {kOk, kNotFound}, &status);
-		return kOk == status ? std::optional<std::string>(std::move(bytes)) : std::nullopt;
+		HttpResponse response = this->state->get("object read", "/objects/" + _name, {kOk, kNotFound});
+		return kOk == response.head.status ? std::optional<std::string>(std::move(response.body)) : std::nullopt;
 	}
 
 	VmChanges PlatformClient::vmsSince(std::uint64_t _revision)
 	{
 		const std::string path = "/vms?zone=" + this->state->zone + "&since=" + std::to_string(_revision);
-		return decodeResponse(this->state->checkResponse("VM list", this->state->client.Get(path), {kOk}), [](const Json& _json) {
+		return decodeResponse(this->state->get("VM list", path, {kOk}).body, [](const Json& _json) {
 			VmChanges changes;
 			changes.revision = _json.at("revision");
 			for (const Json& vm : _json.at("vms"))
--- a/src/base/platform_client.h
+++ b/src/base/platform_client.h
@@ -92,7 +92,7 @@
 		bool operator==(const VmChanges&) const = default;
 	};
 
-	/// Client of the platform. Not thread-safe: each thread needs its own. Each call ends within the timeout and throws
+	/// Client of the platform. Each call has a connection of its own, ends within the timeout and throws
 	/// PlatformError if the platform is unreachable or reports a failure. After such an error a write may or may not
 	/// have taken effect.
 	class PlatformClient
