The operators' command bounds its calls to daemons

The command read answers of daemons with a limit of each read only and none of size, so that one daemon in trouble could hold an apply or a status without end. It uses HttpCall, with a limit of the whole call. Not shown by a test of its own; the reader and the call are those of the tests before.

--- a/src/operator/apply.cpp
+++ b/src/operator/apply.cpp
@@ -3,12 +3,11 @@
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 #include <algorithm>
-#include <httplib.h>
 #include <map>
 #include <nlohmann/json.hpp>
 
 #include "base/config_rows.h"
-#include "base/http_server.h"
+#include "base/http_call.h"
 #include "base/process.h"
 
 namespace archdyke
@@ -22,6 +21,10 @@
 		/// How long the update of the head is retried while the platform doesn't respond, ms.
 		constexpr Millis kHeadUpdateTimeoutMs = 30'000;
 		constexpr Millis kInForceTimeoutMs = 4'000;
+		/// Time limit for a call to a daemon, ms, and maximum sizes of its response, bytes.
+		constexpr Millis kDaemonTimeoutMs = 300;
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxDumpBytes = std::size_t(16) << 20;
 
 		void sleepMs(Millis _ms)
 		{
@@ -195,19 +198,16 @@
 			throw InDoubtError("it is unknown whether version " + std::to_string(_stage.mark.version) + " was accepted, because the platform doesn't respond; run \"archdyke status\" once it does");
 		}
 
-		std::unique_ptr<httplib::Client> makeClient(const Vm& _vm)
+		/// Sends a request to a daemon's admin address.
+		std::optional<HttpResponse> callDaemon(const Vm& _vm, const HttpRequest& _request)
 		{
-			const Address address = parseAddress(_vm.admin);
-			auto client = std::make_unique<httplib::Client>(address.host, address.port);
-			client->set_connection_timeout(0, 300'000);
-			client->set_read_timeout(0, 300'000);
-			return client;
+			return fetchHttp(parseAddress(_vm.admin), _request, {kDaemonTimeoutMs, kDaemonTimeoutMs, {kMaxHeadBytes, kMaxDumpBytes}});
 		}
 
 		bool isVersionInForce(const Vm& _vm, std::uint64_t _version)
 		{
-			const httplib::Result result = makeClient(_vm)->Get("/dump");
-			const nlohmann::json dump = result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json();
+			const std::optional<HttpResponse> response = callDaemon(_vm, {"GET", "/dump", {}, ""});
+			const nlohmann::json dump = response ? nlohmann::json::parse(response->body, nullptr, false) : nlohmann::json();
 			return dump.is_object() && dump["config"].value("version", std::uint64_t(0)) >= _version;
 		}
 
@@ -222,7 +222,7 @@
 				if (VmRole::Entry == vm.role && ListState::Live == vm.state && !vm.admin.empty())
 				{
 					pending.push_back(vm);
-					makeClient(vm)->Post("/accepted", nlohmann::json{{"version", _mark.version}, {"digest", _mark.digest}}.dump(), "application/json");
+					callDaemon(vm, {"POST", "/accepted", {{"Content-Type", "application/json"}}, nlohmann::json{{"version", _mark.version}, {"digest", _mark.digest}}.dump()});
 				}
 			}
 			while (!pending.empty() && nowMs() < startedAt + kInForceTimeoutMs)
--- a/src/operator/operator_main.cpp
+++ b/src/operator/operator_main.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "archdyke/document.h"
-#include "base/http_server.h"
+#include "base/http_call.h"
 #include "base/process.h"
 #include "base/version.h"
 #include "operator/apply.h"
@@ -17,6 +17,9 @@
 		using Json = nlohmann::json;
 
 		constexpr Millis kCallTimeoutMs = 2'000;
+		/// Maximum sizes of a daemon's response, bytes.
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxDumpBytes = std::size_t(16) << 20;
 
 		enum ExitCode
 		{
@@ -114,19 +117,15 @@
 			return kExitOk;
 		}
 
-		httplib::Client makeClient(const std::string& _address)
+		std::optional<HttpResponse> callDaemon(const std::string& _address, const HttpRequest& _request)
 		{
-			const Address address = parseAddress(_address);
-			httplib::Client client(address.host, address.port);
-			client.set_connection_timeout(kCallTimeoutMs / 1000);
-			client.set_read_timeout(kCallTimeoutMs / 1000);
-			return client;
+			return fetchHttp(parseAddress(_address), _request, {kCallTimeoutMs, kCallTimeoutMs, {kMaxHeadBytes, kMaxDumpBytes}});
 		}
 
 		Json readDump(const std::string& _address)
 		{
-			const httplib::Result result = makeClient(_address).Get("/dump");
-			const Json dump = result ? Json::parse(result->body, nullptr, false) : Json();
+			const std::optional<HttpResponse> response = callDaemon(_address, {"GET", "/dump", {}, ""});
+			const Json dump = response ? Json::parse(response->body, nullptr, false) : Json();
 			return dump.is_object() ? dump : Json{{"reachable", false}};
 		}
 
@@ -178,8 +177,8 @@
 
 		int runDrain(const Command& _command)
 		{
-			const httplib::Result result = makeClient(_command.argument).Post("/drain", "", "application/json");
-			if (!result || 200 != result->status)
+			const std::optional<HttpResponse> response = callDaemon(_command.argument, {"POST", "/drain", {{"Content-Type", "application/json"}}, ""});
+			if (!response || 200 != response->head.status)
 			{
 				throw ArchdykeError("no response from " + _command.argument + ": check that it is the admin address of a running process");
 			}
