An agent outlives an odd answer of its rank

An answer of an engine's rank that is JSON of another kind, such as the object of an error, ended the agent: its fields were read with exceptions that its thread doesn't catch. So did an odd proposal that a rank is armed for, when an agent starts. Numbers below zero or too large were taken for steps and epochs.

RankEngine reports all of them as errors, which its callers handle already: no vote is sent, and the engine is asked again. An agent that can't read the proposal it has to recover logs so.

Failed before: an_odd_state_of_a_rank_is_an_error: {} an_agent_outlives_an_odd_proposal_of_its_rank: CRASH! terminate called ... parse error at line 1, column 1

--- a/src/agent/rank_control.cpp
+++ b/src/agent/rank_control.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "archdyke/errors.h"
+#include "base/foreign_json.h"
 #include "base/log.h"
 #include "base/process.h"
 
@@ -17,14 +18,27 @@
 		constexpr Millis kFallbackGossipDelayMs = 150;
 		constexpr std::uint32_t kFirstRank = 0;
 
+		/// Reads the proposal that a rank is armed for.
+		/// @throws ArchdykeError If it isn't one.
 		GroupProposal readContext(const std::string& _context)
 		{
-			const nlohmann::json json = nlohmann::json::parse(_context);
-			GroupProposal group;
-			group.peers = json.at("peers").get<std::vector<std::string>>();
-			group.rank = json.at("rank");
-			group.proposal = {json.at("group"), json.at("number"), json.at("fence"), json.at("formation"), json.at("fromEpoch"), json.at("boundary"), json.at("digest"), std::uint32_t(group.peers.size())};
-			return group;
+			try
+			{
+				const nlohmann::json json = nlohmann::json::parse(_context);
+				GroupProposal group;
+				group.peers = json.at("peers").get<std::vector<std::string>>();
+				group.rank = std::uint32_t(readCount(json, "rank"));
+				group.proposal = {json.at("group"), readCount(json, "number"), readCount(json, "fence"), readCount(json, "formation"), readCount(json, "fromEpoch"), readCount(json, "boundary"), readCount(json, "digest"), std::uint32_t(group.peers.size())};
+				if (group.peers.size() <= group.rank)
+				{
+					throw ArchdykeError("its rank isn't one of its peers");
+				}
+				return group;
+			}
+			catch (const nlohmann::json::exception& error)
+			{
+				throw ArchdykeError(error.what());
+			}
 		}
 	} // namespace
 
@@ -323,9 +337,10 @@
 					recovered = true;
 				}
 			}
-			catch (const ArchdykeError&)
+			catch (const ArchdykeError& error)
 			{
 				// No vote is sent before the engine has reported which proposal it is armed for.
+				logWarning("map_not_recovered", {{"error", error.what()}});
 				absl::MutexLock lock(&this->mutex);
 				this->jobs.insert(this->jobs.begin(), std::make_move_iterator(pendingJobs.begin()), std::make_move_iterator(pendingJobs.end()));
 				continue;
--- a/src/agent/rank_engine.cpp
+++ b/src/agent/rank_engine.cpp
@@ -2,6 +2,8 @@
 
 #include "agent/rank_control.h"
 #include "archdyke/errors.h"
+#include "archdyke/placement.h"
+#include "base/foreign_json.h"
 #include "base/http_call.h"
 
 namespace archdyke
@@ -37,28 +39,34 @@
 
 	struct RankEngine::State
 	{
-		/// Sends a request to the rank.
-		/// @throws ArchdykeError Unless a JSON object comes back.
-		Json call(const HttpRequest& _request) const
+		/// Sends a request to the rank and reads its response.
+		/// @throws ArchdykeError If no valid response comes back.
+		template <typename Read>
+		auto call(const HttpRequest& _request, Read _read) const
 		{
 			HttpCallResult result;
 			const std::optional<HttpResponse> response = fetchHttp(this->address, _request, {kTimeoutMs, kTimeoutMs, {kMaxHeadBytes, kMaxBodyBytes}}, &result);
-			const Json json = response ? Json::parse(response->body, nullptr, false) : Json();
-			if (!json.is_object())
+			std::string reason = toString(result);
+			try
 			{
-				throw ArchdykeError("the engine rank sent no valid response to a request for its expert map (" + toString(result) + "); check that the engine is running");
+				const std::optional<Json> json = response ? parseForeignJson(response->body) : std::nullopt;
+				if (json && json->is_object())
+				{
+					return _read(*json);
+				}
 			}
-			return json;
-		}
-
-		Json get(const std::string& _target) const
-		{
-			return this->call({"GET", _target, {}, ""});
+			catch (const Json::exception& error)
+			{
+				reason = error.what();
+			}
+			throw ArchdykeError("the engine rank sent no valid response to a request for its expert map (" + reason + "); check that the engine is running");
 		}
 
-		Json post(const Json& _order) const
+		bool send(const Json& _order) const
 		{
-			return this->call({"POST", "/map", {{"Content-Type", "application/json"}}, _order.dump()});
+			return this->call({"POST", "/map", {{"Content-Type", "application/json"}}, _order.dump()}, [](const Json& _json) {
+				return _json.at("done").get<bool>();
+			});
 		}
 
 		const Address address;
@@ -73,26 +81,27 @@
 
 	RankState RankEngine::read(std::string* _load, std::string* _armedContext, std::uint64_t* _staged)
 	{
-		const Json json = this->state->get(nullptr == _load ? "/map" : "/map?counts=1");
-		if (nullptr != _load)
-		{
-			*_load = Json{{"counts", json.at("counts")}, {"hosts", json.at("hosts")}}.dump();
-		}
-		if (nullptr != _armedContext)
-		{
-			*_armedContext = json.value("context", "");
-		}
-		if (nullptr != _staged)
-		{
-			*_staged = json.at("staged");
-		}
-		return {json.at("formation"), json.at("epoch"), json.at("step"), json.at("armed"), json.at("floor"), json.at("decided"), json.at("decidedCommit")};
+		return this->state->call({"GET", nullptr == _load ? "/map" : "/map?counts=1", {}, ""}, [&](const Json& _json) {
+			if (nullptr != _load)
+			{
+				*_load = Json{{"counts", _json.at("counts").get<ExpertLoad>()}, {"hosts", _json.at("hosts").get<ExpertHosts>()}}.dump();
+			}
+			if (nullptr != _armedContext)
+			{
+				*_armedContext = _json.value("context", "");
+			}
+			if (nullptr != _staged)
+			{
+				*_staged = readCount(_json, "staged");
+			}
+			return RankState{readCount(_json, "formation"), readCount(_json, "epoch"), readCount(_json, "step"), readCount(_json, "armed"), readCount(_json, "floor"), readCount(_json, "decided"), _json.at("decidedCommit").get<bool>()};
+		});
 	}
 
 	bool RankEngine::stage(std::uint64_t _fence, const std::string& _map)
 	{
 		const Json order{{"order", "stage"}, {"fence", _fence}, {"map", Json::parse(_map)}};
-		return this->state->post(order).at("done");
+		return this->state->send(order);
 	}
 
 	bool RankEngine::order(RankOrder _order, const GroupProposal& _proposal)
@@ -101,6 +110,6 @@
 		order["context"] = order.dump();
 		order["order"] = orderName(_order);
 		order["commit"] = RankOrder::Commit == _order;
-		return this->state->post(order).at("done");
+		return this->state->send(order);
 	}
 } // namespace archdyke
--- a/tests/test_odd_rows.cpp
+++ b/tests/test_odd_rows.cpp
@@ -1,4 +1,5 @@
 /// Entries of lists and rows of the table that are odd: nested deeply, with numbers out of range, or of other types.
+#include "agent/rank_control.h"
 #include "base/config_rows.h"
 #include "base/foreign_json.h"
 #include "base/platform_client.h"
@@ -168,6 +169,52 @@
 	}
 }
 
+// The state of a rank is read by a thread that must not end.
+Test(oddrows, an_odd_state_of_a_rank_is_an_error)
+{
+	std::vector<std::string> odd{"{}", "[]", R"({"error":"x"})", nested(100'000)};
+	for (const std::string& number : oddNumbers())
+	{
+		odd.push_back(R"({"formation":1,"epoch":)" + number + R"(,"step":1,"staged":0,"armed":0,"floor":0,"decided":0,"decidedCommit":false,"counts":[[1]],"hosts":[[[0]]]})");
+		odd.push_back(R"({"formation":1,"epoch":1,"step":1,"staged":0,"armed":0,"floor":0,"decided":0,"decidedCommit":1,"counts":)" + number + R"(,"hosts":[[[0]]]})");
+	}
+	for (const std::string& body : odd)
+	{
+		const RawServer server([&](const RawExchange& _exchange) {
+			return _exchange.send(rawAnswer("200 OK", body));
+		});
+		RankEngine engine(server.address());
+		std::string load;
+		cr_assert_throw(engine.read(&load, nullptr, nullptr), ArchdykeError, "%s", body.substr(0, 100).c_str());
+		cr_assert_throw(engine.order(RankOrder::Refuse, {}), ArchdykeError, "%s", body.substr(0, 100).c_str());
+	}
+}
+
+Test(oddrows, an_agent_outlives_an_odd_proposal_of_its_rank)
+{
+	for (const std::string odd : {"x", "{}", R"({\"peers\":1})", R"({\"peers\":[],\"rank\":0,\"group\":\"g\",\"number\":1,\"fence\":1,\"formation\":1,\"fromEpoch\":1,\"boundary\":1,\"digest\":1})"})
+	{
+		std::atomic<int> reads{0};
+		const RawServer server([&](const RawExchange& _exchange) {
+			reads += 1;
+			return _exchange.send(rawAnswer("200 OK", R"({"formation":1,"epoch":1,"step":1,"staged":0,"armed":5,"floor":0,"decided":0,"decidedCommit":false,"context":")" + std::string(odd) + "\"}"));
+		});
+		RpcLoop loop;
+		Metrics metrics;
+		UpstreamSettings settings;
+		settings.address = server.address();
+		{
+			RankControl control(settings, loop, metrics);
+			cr_assert(waitFor([&] {
+				          return 2 < reads;
+			          }),
+			          "it asked %d times", reads.load());
+		}
+		loop.run([] {});
+		loop.stop();
+	}
+}
+
 Test(oddrows, an_entry_follows_the_vm_list_beside_odd_rows_of_the_table)
 {
 	for (const std::string& odd : {std::string("x"), R"({"version":-1,"digest":"d","nonce":"n"})" + std::string(), nested(100'000)})
