--- a/src/agent/rank_engine.cpp
+++ b/src/agent/rank_engine.cpp
@@ -1,9 +1,10 @@
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "agent/rank_control.h"
 #include "archdyke/errors.h"
-#include "base/http_server.h"
+#include "archdyke/placement.h"
+#include "base/foreign_json.h"
+#include "base/http_call.h"
 
 namespace archdyke
 {
@@ -11,7 +12,10 @@
 	{
 		using Json = nlohmann::json;
 
-		constexpr int kTimeoutSeconds = 2;
+		constexpr Millis kTimeoutMs = 2'000;
+		/// Maximum sizes of a response's head and body, bytes.
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxBodyBytes = std::size_t(8) << 20;
 
 		const char* orderName(RankOrder _order)
 		{
@@ -35,30 +39,41 @@
 
 	struct RankEngine::State
 	{
-		explicit State(const Address& _address)
-		    : client(_address.host, _address.port)
+		/// Sends a request to the rank and reads its response.
+		/// @throws ArchdykeError If no valid response comes back.
+		template <typename Read>
+		auto call(const HttpRequest& _request, Read _read) const
 		{
-			this->client.set_connection_timeout(kTimeoutSeconds);
-			this->client.set_read_timeout(kTimeoutSeconds);
-			this->client.set_keep_alive(true);
-			this->client.set_tcp_nodelay(true);
+			HttpCallResult result;
+			const std::optional<HttpResponse> response = fetchHttp(this->address, _request, {kTimeoutMs, kTimeoutMs, {kMaxHeadBytes, kMaxBodyBytes}}, &result);
+			std::string reason = toString(result);
+			try
+			{
+				const std::optional<Json> json = response ? parseForeignJson(response->body) : std::nullopt;
+				if (json && json->is_object())
+				{
+					return _read(*json);
+				}
+			}
+			catch (const Json::exception& error)
+			{
+				reason = error.what();
+			}
+			throw ArchdykeError("the engine rank sent no valid response to a request for its expert map (" + reason + "); check that the engine is running");
 		}
 
-		Json parseResponse(const httplib::Result& _result)
+		bool send(const Json& _order) const
 		{
-			const Json json = _result ? Json::parse(_result->body, nullptr, false) : Json();
-			if (!json.is_object())
-			{
-				throw ArchdykeError("the engine rank sent no valid response to a request for its expert map; check that the engine is running");
-			}
-			return json;
+			return this->call({"POST", "/map", {{"Content-Type", "application/json"}}, _order.dump()}, [](const Json& _json) {
+				return _json.at("done").get<bool>();
+			});
 		}
 
-		httplib::Client client;
+		const Address address;
 	};
 
 	RankEngine::RankEngine(const std::string& _address)
-	    : state(std::make_unique<State>(parseAddress(_address)))
+	    : state(new State{parseAddress(_address)})
 	{
 	}
 
@@ -66,26 +81,27 @@
 
 	RankState RankEngine::read(std::string* _load, std::string* _armedContext, std::uint64_t* _staged)
 	{
-		const Json json = this->state->parseResponse(this->state->client.Get(nullptr == _load ? "/map" : "/map?counts=1"));
-		if (nullptr != _load)
-		{
-			*_load = Json{{"counts", json.at("counts")}, {"hosts", json.at("hosts")}}.dump();
-		}
-		if (nullptr != _armedContext)
-		{
-			*_armedContext = json.value("context", "");
-		}
-		if (nullptr != _staged)
-		{
-			*_staged = json.at("staged");
-		}
-		return {json.at("formation"), json.at("epoch"), json.at("step"), json.at("armed"), json.at("floor"), json.at("decided"), json.at("decidedCommit")};
+		return this->state->call({"GET", nullptr == _load ? "/map" : "/map?counts=1", {}, ""}, [&](const Json& _json) {
+			if (nullptr != _load)
+			{
+				*_load = Json{{"counts", _json.at("counts").get<ExpertLoad>()}, {"hosts", _json.at("hosts").get<ExpertHosts>()}}.dump();
+			}
+			if (nullptr != _armedContext)
+			{
+				*_armedContext = _json.value("context", "");
+			}
+			if (nullptr != _staged)
+			{
+				*_staged = readCount(_json, "staged");
+			}
+			return RankState{readCount(_json, "formation"), readCount(_json, "epoch"), readCount(_json, "step"), readCount(_json, "armed"), readCount(_json, "floor"), readCount(_json, "decided"), _json.at("decidedCommit").get<bool>()};
+		});
 	}
 
 	bool RankEngine::stage(std::uint64_t _fence, const std::string& _map)
 	{
 		const Json order{{"order", "stage"}, {"fence", _fence}, {"map", Json::parse(_map)}};
-		return this->state->parseResponse(this->state->client.Post("/map", order.dump(), "application/json")).at("done");
+		return this->state->send(order);
 	}
 
 	bool RankEngine::order(RankOrder _order, const GroupProposal& _proposal)
@@ -94,6 +110,6 @@
 		order["context"] = order.dump();
 		order["order"] = orderName(_order);
 		order["commit"] = RankOrder::Commit == _order;
-		return this->state->parseResponse(this->state->client.Post("/map", order.dump(), "application/json")).at("done");
+		return this->state->send(order);
 	}
 } // namespace archdyke
--- a/src/base/platform_client.cpp
+++ b/src/base/platform_client.cpp
@@ -1,10 +1,12 @@
 #include "base/platform_client.h"
 
 #include <algorithm>
-#include <httplib.h>
+#include <httplib.h> // encode_query_param
 #include <nlohmann/json.hpp>
 
-#include "base/http_server.h"
+#include "base/foreign_json.h"
+#include "base/http_call.h"
+#include "base/log.h"
 
 namespace archdyke
 {
@@ -15,6 +17,11 @@
 		constexpr int kOk = 200;
 		constexpr int kNotFound = 404;
 		constexpr int kConflict = 409;
+		/// Maximum sizes of a response's head and body, bytes.
+		constexpr std::size_t kMaxHeadBytes = 16'384;
+		constexpr std::size_t kMaxBodyBytes = std::size_t(64) << 20;
+		/// Bytes that are logged of an item that can't be read.
+		constexpr std::size_t kLoggedItemBytes = 100;
 
 		Json toJson(const TableTransaction& _transaction)
 		{
@@ -35,14 +42,9 @@
 			return json;
 		}
 
-		std::vector<TableRow> readRows(const Json& _json)
+		TableRow readRow(const Json& _json)
 		{
-			std::vector<TableRow> rows;
-			for (const Json& row : _json.at("rows"))
-			{
-				rows.push_back({row.at("key"), row.at("version"), row.at("value")});
-			}
-			return rows;
+			return {_json.at("key"), readCount(_json, "version"), _json.at("value")};
 		}
 
 		ListState readListState(const std::string& _text)
@@ -51,31 +53,77 @@
 			                                                              : ListState::Gone;
 		}
 
+		/// @throws ArchdykeError If it isn't an address; none is one too.
+		std::string readAddress(const Json& _json, const char* _field)
+		{
+			const std::string text = _json.value(_field, "");
+			return text.empty() ? text : toString(parseAddress(text));
+		}
+
 		Vm readVm(const Json& _json)
 		{
 			Vm vm;
 			vm.name = _json.at("name");
-			vm.role = "entry" == _json.at("role") ? VmRole::Entry : VmRole::Agent;
+			vm.role = "entry" == _json.at("role").get<std::string>() ? VmRole::Entry : VmRole::Agent;
 			vm.zone = _json.at("zone");
 			vm.state = readListState(_json.at("state"));
-			vm.rpc = _json.value("rpc", "");
-			vm.admin = _json.value("admin", "");
+			if (ListState::Gone != vm.state)
+			{
+				vm.rpc = readAddress(_json, "rpc");
+				vm.admin = readAddress(_json, "admin");
+			}
 			return vm;
 		}
 
-		/// Parses a response of the platform and decodes it.
-		/// @throws PlatformError If the response is invalid.
-		template <typename Read>
-		auto decodeResponse(const std::string& _body, Read _read)
+		[[noreturn]] void throwInvalidResponse(const std::string& _reason)
+		{
+			throw PlatformError("invalid response from the platform: " + _reason + "; check that the address is that of the platform");
+		}
+
+		/// The object of a response and the items of its array.
+		template <typename Item>
+		struct ItemList
+		{
+			Json object;
+			std::vector<Item> items;
+			std::size_t skipped = 0;
+		};
+
+		/// Reads the items of a response. Those that can't be read are logged and left out.
+		/// @throws PlatformError If the response has no such items.
+		template <typename Item>
+		ItemList<Item> readItems(std::string_view _body, const char* _field, Item (*_read)(const Json&))
 		{
-			try
+			const std::optional<JsonItems> texts = splitJsonItems(_body, _field);
+			std::optional<Json> object = texts ? parseForeignJson(texts->rest) : std::nullopt;
+			if (!object)
 			{
-				return _read(Json::parse(_body));
+				throwInvalidResponse(std::string("it isn't an object with the array \"") + _field + "\"");
 			}
-			catch (const Json::exception& error)
+			ItemList<Item> list{*std::move(object), {}, 0};
+			for (const std::string_view text : texts->items)
 			{
-				throw PlatformError(std::string("invalid response from the platform: ") + error.what() + "; check that the address is that of the platform");
+				std::string reason = "it isn't JSON, has a number out of range, or is nested too deeply";
+				try
+				{
+					if (const std::optional<Json> json = parseForeignJson(text))
+					{
+						list.items.push_back(_read(*json));
+						continue;
+					}
+				}
+				catch (const Json::exception& error)
+				{
+					reason = error.what();
+				}
+				catch (const ArchdykeError& error)
+				{
+					reason = error.what();
+				}
+				list.skipped += 1;
+				logWarning("platform_item_unreadable", {{"list", _field}, {"item", text.substr(0, kLoggedItemBytes)}, {"reason", reason}});
 			}
+			return list;
 		}
 	} // namespace
 
@@ -89,45 +137,37 @@
 
 	struct PlatformClient::State
 	{
-		State(const Address& _address, const std::string& _zone)
-		    : address(_address)
-		    , zone(_zone)
-		    , client(_address.host, _address.port)
+		/// Sends a request.
+		/// @returns The response, whose status is one of the expected ones.
+		/// @throws PlatformError If there is no such response.
+		HttpResponse call(const char* _operation, const HttpRequest& _request, const std::vector<int>& _expected) const
 		{
-		}
-
-		std::string checkResponse(const char* _operation, const httplib::Result& _result, const std::vector<int>& _expected, int* _status = nullptr)
-		{
-			if (!_result)
+			HttpCallResult result;
+			std::optional<HttpResponse> response = fetchHttp(this->address, _request, {this->timeoutMs, this->timeoutMs, {kMaxHeadBytes, kMaxBodyBytes}}, &result);
+			if (!response)
 			{
-				throw PlatformError(std::string(_operation) + ": no response from the platform at " + toString(this->address) + " (" + httplib::to_string(_result.error()) + "); check that it is up and reachable, then try again");
+				throw PlatformError(std::string(_operation) + ": no response from the platform at " + toString(this->address) + " (" + toString(result) + "); check that it is up and reachable, then try again");
 			}
-			if (_expected.end() == std::find(_expected.begin(), _expected.end(), _result->status))
+			if (_expected.end() == std::find(_expected.begin(), _expected.end(), response->head.status))
 			{
-				throw PlatformError(std::string(_operation) + ": the platform at " + toString(this->address) + " responded with status " + std::to_string(_result->status) + "; try again once it works again");
+				throw PlatformError(std::string(_operation) + ": the platform at " + toString(this->address) + " responded with status " + std::to_string(response->head.status) + "; try again once it works again");
 			}
-			if (nullptr != _status)
-			{
-				*_status = _result->status;
-			}
-			return _result->body;
+			return *std::move(response);
 		}
 
-		Address address;
-		std::string zone;
-		httplib::Client client;
+		HttpResponse get(const char* _operation, const std::string& _target, const std::vector<int>& _expected) const
+		{
+			return this->call(_operation, {"GET", _target, {}, ""}, _expected);
+		}
+
+		const Address address;
+		const std::string zone;
+		const Millis timeoutMs;
 	};
 
 	PlatformClient::PlatformClient(const std::string& _address, const std::string& _zone, Millis _timeoutMs)
-	    : state(std::make_unique<State>(parseAddress(_address), _zone))
+	    : state(new State{parseAddress(_address), _zone, _timeoutMs})
 	{
-		const time_t seconds = _timeoutMs / 1000;
-		const time_t micros = (_timeoutMs % 1000) * 1000;
-		this->state->client.set_connection_timeout(seconds, micros);
-		this->state->client.set_read_timeout(seconds, micros);
-		this->state->client.set_write_timeout(seconds, micros);
-		this->state->client.set_keep_alive(true);
-		this->state->client.set_tcp_nodelay(true);
 	}
 
 	PlatformClient::~PlatformClient() = default;
@@ -135,41 +175,43 @@
 
 	TableResult PlatformClient::transact(const TableTransaction& _transaction)
 	{
-		int status = 0;
-		const std::string body = this->state->checkResponse("table transaction", this->state->client.Post("/table/transact", toJson(_transaction).dump(), "application/json"), {kOk, kConflict}, &status);
-		return decodeResponse(body, [&](const Json& _json) {
-			return TableResult{kOk == status, readRows(_json)};
-		});
+		const HttpResponse response = this->state->call("table transaction", {"POST", "/table/transact", {{"Content-Type", "application/json"}}, toJson(_transaction).dump()}, {kOk, kConflict});
+		ItemList<TableRow> rows = readItems(response.body, "rows", readRow);
+		if (0 < rows.skipped)
+		{
+			// A row that is left out would be taken for one that doesn't exist.
+			throwInvalidResponse("a row can't be read");
+		}
+		return {kOk == response.head.status, std::move(rows.items)};
 	}
 
 	std::vector<TableRow> PlatformClient::scan(const std::string& _prefix)
 	{
-		return decodeResponse(this->state->checkResponse("table scan", this->state->client.Get("/table/scan?prefix=" + httplib::detail::encode_query_param(_prefix)), {kOk}), readRows);
+		return readItems(this->state->get("table scan", "/table/scan?prefix=" + httplib::detail::encode_query_param(_prefix), {kOk}).body, "rows", readRow).items;
 	}
 
 	void PlatformClient::putObject(const std::string& _name, const std::string& _bytes)
 	{
-		this->state->checkResponse("object write", this->state->client.Put("/objects/" + _name, _bytes, "application/octet-stream"), {kOk});
+		this->state->call("object write", {"PUT", "/objects/" + _name, {{"Content-Type", "application/octet-stream"}}, _bytes}, {kOk});
 	}
 
 	std::optional<std::string> PlatformClient::getObject(const std::string& _name)
 	{
-		int status = 0;
-		std::string bytes = this->state->checkResponse("object read", this->state->client.Get("/objects/" + _name), {kOk, kNotFound}, &status);
-		return kOk == status ? std::optional<std::string>(std::move(bytes)) : std::nullopt;
+		HttpResponse response = this->state->get("object read", "/objects/" + _name, {kOk, kNotFound});
+		return kOk == response.head.status ? std::optional<std::string>(std::move(response.body)) : std::nullopt;
 	}
 
 	VmChanges PlatformClient::vmsSince(std::uint64_t _revision)
 	{
 		const std::string path = "/vms?zone=" + this->state->zone + "&since=" + std::to_string(_revision);
-		return decodeResponse(this->state->checkResponse("VM list", this->state->client.Get(path), {kOk}), [](const Json& _json) {
-			VmChanges changes;
-			changes.revision = _json.at("revision");
-			for (const Json& vm : _json.at("vms"))
-			{
-				changes.vms.push_back(readVm(vm));
-			}
-			return changes;
-		});
+		ItemList<Vm> list = readItems(this->state->get("VM list", path, {kOk}).body, "vms", readVm);
+		try
+		{
+			return {readCount(list.object, "revision"), std::move(list.items)};
+		}
+		catch (const ArchdykeError& error)
+		{
+			throwInvalidResponse(error.what());
+		}
 	}
 } // namespace archdyke
