--- a/tests/test_answer_joints.cpp
+++ b/tests/test_answer_joints.cpp
@@ -318,7 +318,18 @@
 	}
 }
 
-/// The same with answers, joints and splits at random.
+/// Guards against chunks of one byte that take the memory of a part each while nobody reads them.
+Test(joints, unread_chunks_are_collected)
+{
+	constexpr std::size_t kChunks = 700; // below what is buffered even as parts of their own
+	Reader reader;
+	const Answer answer = withChunks(makeAnswer("chunks of a byte", "", 200, " OK", {{"Transfer-Encoding", "chunked"}}), std::vector<std::string>(kChunks, "a"), "", "");
+	const Reading reading = reader.read(byteByByte(answer.wire));
+	cr_assert(isWhole(reading, {answer}));
+	cr_assert(3 == reading.parts.size(), "%zu parts", reading.parts.size()); // head, body, end
+}
+
+/// Joints of answers, positions and splits at random.
 Test(joints, answers_at_random_are_not_joined)
 {
 	checkProperty("no part is of two answers", [] {
