Stubs of engines that answer twice, stop or have no end; counts of calls

What was missing: no test could show what a daemon takes for the answer to a report, to counts or to an order, nor what its calls cost.

stub-ranks sends the first bytes of its answers again, or all, with the answer or once the next request has arrived there; answers that stop at a byte or have no end; ids given back or not. It counts calls, orders and connections with calls; stub-store counts calls and connections.

--- a/tools/stub_ranks.cpp
+++ b/tools/stub_ranks.cpp
@@ -6,13 +6,20 @@
 /// "reportDelayMs"?: response delay of each rank}.
 /// POST /control at any rank {"lateShare": share of the orders that get no response and are executed
 /// 0.2 to 1.5 s later, "formAnew": true, "broken": whether the group stalls and runs no request,
-/// "active": load that each rank reports, "hot": [expert of each set]}.
+/// "active": load that each rank reports, "hot": [expert of each set]}. Of the answers to calls for reports and counts and to
+/// orders, in {"stutter": {...}}, which replaces the one before: "behind": N: behind a whole answer its first N bytes come
+/// again (-1: all), "behindWhen": "now" | "next": with the answer, or when the next request has arrived on that connection;
+/// "stopAt": N: the connection ends after N bytes of an answer; "endless": "head" | "body" | "interim": bytes without end;
+/// "givesId": whether answers give the id of their request back (true at first); "rank": N: only this rank does so;
+/// "at": "/report" | "/picked" | "/order": only these answers.
 /// GET /record at any rank returns the number of passes, requests, switches and splits (passes in which
-/// ranks used different maps), and the longest time that a pass was held, ms.
+/// ranks used different maps), the longest time that a pass was held, ms, the numbers of connections with calls of
+/// daemons, of such calls, and of the orders among them.
 /// Any other GET is a caller's request and gets a complete response at once.
 #include <fmt/format.h>
 #include <map>
 #include <random>
+#include <utility>
 
 #include "base/address.h"
 #include "base/log.h"
@@ -44,6 +51,21 @@
 			std::vector<std::uint32_t> counts;
 		};
 
+		/// How answers to calls of daemons are damaged.
+		struct Stutter
+		{
+			std::int64_t behind = 0; ///< Bytes of an answer that come again; negative: all.
+			bool late = false;       ///< They come when the next request has arrived.
+			std::int64_t stopAt = -1;
+			std::string endless;
+			std::int64_t rank = -1;
+			std::string at;
+			bool givesId = true;
+		};
+
+		/// Bytes sent at once by an answer without end.
+		constexpr std::size_t kEndlessBytes = 4'096;
+
 		class Group
 		{
 		public:
@@ -63,8 +85,10 @@
 
 			aio::Task<void> serve(std::size_t _rank, std::unique_ptr<http::HttpConnection> _connection)
 			{
+				bool counted = false;
 				http::RequestHead head;
 				std::string body;
+				std::string behind; // bytes to write before the next answer
 				while (true)
 				{
 					Part part = co_await _connection->next();
@@ -89,6 +113,27 @@
 							co_await _connection->whenDisconnected(); // the order gets no response
 							co_return;
 						}
+						this->connections += isCall(head.target) && !std::exchange(counted, counted || isCall(head.target)) ? 1 : 0;
+						if (!this->damages(_rank, head.target))
+						{
+							*response = std::exchange(behind, "") + *response;
+							co_await _connection->write(std::move(*response));
+							continue;
+						}
+						if (!this->stutter.endless.empty())
+						{
+							co_await this->writeEndless(*_connection, std::move(*response));
+							co_return;
+						}
+						if (0 <= this->stutter.stopAt)
+						{
+							std::string cut = response->substr(0, std::size_t(this->stutter.stopAt));
+							co_await _connection->write(std::move(cut));
+							co_return;
+						}
+						const std::string again = 0 > this->stutter.behind ? *response : response->substr(0, std::size_t(this->stutter.behind));
+						*response = std::exchange(behind, "") + *response;
+						(this->stutter.late ? behind : *response) += again;
 						co_await _connection->write(std::move(*response));
 					}
 					else
@@ -101,6 +146,42 @@
 			http::LoopContext loop;
 
 		private:
+			static bool isCall(std::string_view _target)
+			{
+				return "/report" == _target || "/picked" == _target || "/order" == _target;
+			}
+
+			bool damages(std::size_t _rank, const std::string& _target) const
+			{
+				const bool here = 0 > this->stutter.rank || std::size_t(this->stutter.rank) == _rank;
+				return here && isCall(_target) && (this->stutter.at.empty() || this->stutter.at == _target);
+			}
+
+			/// Sends bytes until the other side closes.
+			aio::Task<void> writeEndless(http::HttpConnection& _connection, std::string _response)
+			{
+				constexpr std::string_view kStart = "HTTP/1.1 200 OK\r\n";
+				const bool body = "body" == this->stutter.endless;
+				std::string piece(kEndlessBytes, 'x');
+				if ("interim" == this->stutter.endless)
+				{
+					piece.clear();
+					while (piece.size() < kEndlessBytes)
+					{
+						piece += "HTTP/1.1 102 Processing\r\n\r\n";
+					}
+				}
+				std::string first = body ? std::string(kStart) + "\r\n" : "interim" == this->stutter.endless ? ""
+				                                                                                             : _response.substr(0, kStart.size()) + "X-Filler: ";
+				co_await _connection.write(std::move(first));
+				while (!_connection.isDisconnected())
+				{
+					std::string bytes = piece;
+					co_await _connection.write(std::move(bytes));
+					this->endlessBytes += piece.size();
+				}
+			}
+
 			void form()
 			{
 				const std::vector<std::uint32_t> none(std::size_t(this->sets) * this->experts, 0);
@@ -261,9 +342,17 @@
 			/// @returns The serialized response; nullopt for an order that gets none.
 			std::optional<std::string> respond(std::size_t _rank, const http::RequestHead& _head, const std::string& _body)
 			{
-				const auto json = [](int _status, const Json& _json) {
-					return http::serialize(http::ResponseHead{_status, {}, true}, _json.dump());
+				const std::optional<std::string_view> id = _head.headers.find("X-Archdyke-Request-Id");
+				const auto json = [&](int _status, const Json& _json) {
+					http::ResponseHead head{_status, {}, true};
+					if (id && this->stutter.givesId)
+					{
+						head.headers.add("X-Archdyke-Request-Id", *id);
+					}
+					return http::serialize(head, _json.dump());
 				};
+				this->calls += isCall(_head.target) ? 1 : 0;
+				this->orders += "/order" == _head.target ? 1 : 0;
 				if ("/report" == _head.target)
 				{
 					return json(200, this->report(_rank));
@@ -274,7 +363,7 @@
 				}
 				if ("/record" == _head.target)
 				{
-					return json(200, {{"passes", this->step}, {"requests", this->requests}, {"switches", this->switches}, {"splits", this->splits}, {"epoch", this->epoch}, {"map", this->lastMap}, {"longestHoldMs", this->longestHoldMs}});
+					return json(200, {{"passes", this->step}, {"requests", this->requests}, {"switches", this->switches}, {"splits", this->splits}, {"epoch", this->epoch}, {"map", this->lastMap}, {"longestHoldMs", this->longestHoldMs}, {"connections", this->connections}, {"calls", this->calls}, {"orders", this->orders}, {"endlessBytes", this->endlessBytes}});
 				}
 				if ("GET" == _head.method)
 				{
@@ -287,6 +376,7 @@
 					this->hotExperts = order.value("hot", this->hotExperts);
 					this->broken = order.value("broken", this->broken);
 					this->active = order.value("active", this->active);
+					this->setStutter(order.value("stutter", Json()));
 					if (order.value("formAnew", false))
 					{
 						this->form();
@@ -303,6 +393,14 @@
 				return json(this->execute(_rank, order), Json::object());
 			}
 
+			void setStutter(const Json& _json)
+			{
+				if (_json.is_object())
+				{
+					this->stutter = {_json.value("behind", std::int64_t(0)), "next" == _json.value("behindWhen", "now"), _json.value("stopAt", std::int64_t(-1)), _json.value("endless", ""), _json.value("rank", std::int64_t(-1)), _json.value("at", ""), _json.value("givesId", true)};
+				}
+			}
+
 			class Errors final : public kj::TaskSet::ErrorHandler
 			{
 			public:
@@ -329,6 +427,11 @@
 			std::uint64_t splits = 0;
 			Millis longestHoldMs = 0;
 			double lateShare = 0.0;
+			Stutter stutter;
+			std::uint64_t connections = 0; ///< With calls, of all ranks together.
+			std::uint64_t calls = 0;       ///< For reports and counts, and orders.
+			std::uint64_t orders = 0;
+			std::uint64_t endlessBytes = 0;
 			std::mt19937_64 random{2026};
 			Errors errors;
 			kj::TaskSet tasks{this->errors};
--- a/tools/stub_store.cpp
+++ b/tools/stub_store.cpp
@@ -5,11 +5,12 @@
 /// "forget"?}: "busy" returns 503, "silent" sends no response, "lose" applies writes without sending a
 /// response, "forget" drops the change history once; "restoreMs": N: the store is back from the copy of N ms ago: what was
 /// written since is gone, versions are given out again, and its era, which all responses name, rises by one. Writes with the header X-Stub-Operator are served
-/// at once in all modes.
+/// at once in all modes. GET /record returns the numbers of connections and of calls, those of operators aside.
 #include <absl/strings/escaping.h>
 #include <absl/synchronization/mutex.h>
 #include <deque>
 #include <map>
+#include <set>
 
 #include "base/http_server.h"
 #include "base/log.h"
@@ -63,22 +64,29 @@
 		public:
 			void addRoutes(httplib::Server& _routes)
 			{
+				_routes.Get("/record", [this](const httplib::Request&, httplib::Response& _response) {
+					absl::MutexLock lock(&this->mutex);
+					_response.set_content(Json{{"connections", this->callers.size()}, {"calls", this->calls}}.dump(), "application/json");
+				});
 				_routes.Post("/rows-tx", [this](const httplib::Request& _request, httplib::Response& _response) {
 					if (_request.has_header("X-Stub-Operator"))
 					{
 						this->transact(Json::parse(_request.body), _response);
 						return;
 					}
+					this->count(_request);
 					this->serveWithFaults(_response, true, [&] {
 						this->transact(Json::parse(_request.body), _response);
 					});
 				});
 				_routes.Get("/rows-get", [this](const httplib::Request& _request, httplib::Response& _response) {
+					this->count(_request);
 					this->serveWithFaults(_response, false, [&] {
 						this->serveRead(_request, _response);
 					});
 				});
 				_routes.Get("/rows-feed", [this](const httplib::Request& _request, httplib::Response& _response) {
+					this->count(_request);
 					this->serveWithFaults(_response, false, [&] {
 						this->serveFeed(_request, _response);
 					});
@@ -97,6 +105,13 @@
 				never.AwaitWithTimeout(absl::Condition(&done), absl::Milliseconds(_ms));
 			}
 
+			void count(const httplib::Request& _request)
+			{
+				absl::MutexLock lock(&this->mutex);
+				this->calls += 1;
+				this->callers.insert(_request.remote_addr + ":" + std::to_string(_request.remote_port));
+			}
+
 			Faults currentFaults()
 			{
 				absl::MutexLock lock(&this->mutex);
@@ -287,6 +302,8 @@
 			std::uint64_t era ABSL_GUARDED_BY(mutex) = 1;
 			std::deque<Copy> copies ABSL_GUARDED_BY(mutex); ///< Oldest first.
 			Faults faults ABSL_GUARDED_BY(mutex);
+			std::set<std::string> callers ABSL_GUARDED_BY(mutex); ///< Addresses and ports of connections.
+			std::uint64_t calls ABSL_GUARDED_BY(mutex) = 0;
 		};
 	} // namespace
 
