--- a/tests/test_engine_answers.cpp
+++ b/tests/test_engine_answers.cpp
@@ -184,6 +184,21 @@
 	cr_assert(10 == fake.calls && 1 == fake.server.connections(), "%d calls, %d connections", fake.calls.load(), fake.server.connections());
 }
 
+/// Guards against an answer of another kind of call that is taken for a report of an engine in no group, or for no counts.
+Test(engineanswers, a_response_of_another_shape_fails)
+{
+	const group::EngineCodec codec = platform::makeEngineCodec();
+	const std::string deep(200'000, '[');
+	for (const std::string& body : std::vector<std::string>{"", "{}", "[]", R"({"step":3,"epoch":1,"counts":[1,2]})", R"({"queued":1})", R"({"queued":"1","active":1})", R"({"queued":1,"active":1,"group":3})", R"({"queued":1,"active":1,"size":4,"group":{"name":"g","epoch":1,"rank":0,"state":"open"}})", R"({"ver":3,"now_ms":3})", deep})
+	{
+		cr_assert_throw(codec.decodeReport(body), InvalidInputError);
+	}
+	for (const std::string& body : std::vector<std::string>{"", "{}", "[]", R"({"epoch":1})", R"({"counts":[1]})", R"({"epoch":1,"counts":{}})", R"({"epoch":1,"counts":["1"]})", R"({"queued":0,"active":1})", deep})
+	{
+		cr_assert_throw(codec.decodeCounts(body), InvalidInputError);
+	}
+}
+
 /// Guards against a call that takes an answer which stops for a whole one.
 Test(engineanswers, an_answer_that_stops_at_any_byte_fails_the_call_only)
 {
