--- a/src/agent/upstream_call.cpp
+++ b/src/agent/upstream_call.cpp
@@ -91,9 +91,9 @@
 			while (nowMs() < until)
 			{
 				const HttpCallResult result = probe(_settings, kEndProbeTimeoutMs);
-				if (HttpCallEnd::Complete == result.end || HttpCallEnd::NotConnected == result.end)
+				if (HttpCallEnd::Complete == result.end || result.refused)
 				{
-					return HttpCallEnd::NotConnected == result.end;
+					return result.refused;
 				}
 				absl::Notification never;
 				never.WaitForNotificationWithTimeout(absl::Milliseconds(kEndProbePauseMs));
--- a/src/base/http_call.cpp
+++ b/src/base/http_call.cpp
@@ -42,7 +42,7 @@
 			std::string encoded;
 			for (const char c : _target)
 			{
-				if (' ' == c || c < 0 || isControl(c))
+				if (' ' == c || 0x7f < static_cast<unsigned char>(c) || isControl(c))
 				{
 					const auto byte = static_cast<unsigned char>(c);
 					encoded += {'%', kDigits[byte >> 4], kDigits[byte & 0xf]};
@@ -157,6 +157,7 @@
 			}
 
 			std::string error;
+			bool refused = false;
 			bool writable = true;
 
 		private:
@@ -207,6 +208,7 @@
 					}
 				}
 				this->error = 0 == failure ? "" : std::strerror(failure);
+				this->refused = ECONNREFUSED == failure;
 				return 0 == failure;
 			}
 
@@ -282,7 +284,7 @@
 		Connection connection(nowMs() + _limits.timeoutMs);
 		if (!connection.connect(_address, _limits.connectTimeoutMs))
 		{
-			return {HttpCallEnd::NotConnected, ResponseState::Incomplete, connection.error};
+			return {HttpCallEnd::NotConnected, ResponseState::Incomplete, connection.error, connection.refused};
 		}
 		if (connection.hasBytes())
 		{
--- a/src/base/http_call.h
+++ b/src/base/http_call.h
@@ -45,7 +45,8 @@
 	{
 		HttpCallEnd end = HttpCallEnd::NotConnected;
 		ResponseState response = ResponseState::Incomplete;
-		std::string error; ///< For Broken and NotConnected: what the system reported, if it did.
+		std::string error;    ///< For Broken and NotConnected: what the system reported, if it did.
+		bool refused = false; ///< For NotConnected: the port refuses connections. A port that doesn't respond may be that of a live process.
 
 		bool operator==(const HttpCallResult&) const = default;
 	};
