--- a/tests/test_gateway_endless.cpp
+++ b/tests/test_gateway_endless.cpp
@@ -105,7 +105,7 @@
 		}
 		for (const EndlessOutcome& outcome : outcomes)
 		{
-			const bool failed = 502 == outcome.status || 504 == outcome.status || 503 == outcome.status;
+			const bool failed = 502 == outcome.status || 504 == outcome.status;
 			if ((!failed && outcome.whole) || outcome.tookMs > kDeadlineMs + kLateMs)
 			{
 				wrong += fmt::format(" {} after {} ms, whole {};", outcome.status, outcome.tookMs, outcome.whole);
@@ -131,7 +131,7 @@
 				wrong += checkEndless(rig, _route, kind, pace);
 			}
 		}
-		// The connections with answers without end are closed, so the upstream isn't writing any more.
+		// The upstream serves others as well.
 		const httplib::Result record = lab::clientOf(rig.workers[0].address).Get("/record");
 		cr_assert(record && 200 == record->status);
 		return wrong;
