A report that repeats the one before is taken if nothing follows it

Sidecars poll their engine every 8 to 25 ms, and a report often equals the one before it. Now such a response waits 2 ms: a copy is followed by the response to the call, which then counts; if nothing follows, the engine has repeated what it said. A copy that comes over 2 ms ahead of its response is taken for a moment, says nothing that wasn't known, and its connection ends when the response comes.

--- a/src/group/engine.cpp
+++ b/src/group/engine.cpp
@@ -17,6 +17,9 @@
 		constexpr std::size_t kMaxReportBytes = 65'536;
 		constexpr std::size_t kMaxCountsBytes = 4'194'304;
 		constexpr std::size_t kMaxOrderResponseBytes = 65'536;
+		/// How long a report that equals an earlier one waits for another one, ms: an engine on the same VM responds within 1 ms, and
+		/// an engine whose state hasn't changed since the last report sends the same again.
+		constexpr Millis kRepeatWaitMs = 2;
 		constexpr int kOk = 200;
 	} // namespace
 
@@ -54,6 +57,7 @@
 		http::Call call = this->callOf("GET", std::move(_target));
 		call.timeoutMs = kReportTimeoutMs;
 		call.limits.bodyBytes = _maxBytes;
+		call.repeatWaitMs = kRepeatWaitMs;
 		std::optional<T> decoded;
 		call.fits = [&decoded, _decode](const http::FullResponse& _response) {
 			decoded.reset();
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -84,6 +84,9 @@
 			return std::hash<std::string>()(fmt::format("{} {}", _response.head.status, _response.body));
 		}
 
+		/// Why a response is in doubt that may be a copy of an earlier one.
+		constexpr std::string_view kRepeated = "equals_an_earlier_response";
+
 		/// @returns Why a response without an id can't be attributed; empty if it can.
 		std::string_view doubtAbout(const FullResponse& _response, const Lease& _lease, const Call& _call)
 		{
@@ -93,11 +96,19 @@
 				return "";
 			}
 			const bool repeated = _lease.responses.end() != std::find(_lease.responses.begin(), _lease.responses.end(), hashOf(_response));
-			return repeated ? "equals_an_earlier_response" : fits ? ""
-			                                                      : "unfit_response";
+			return repeated ? kRepeated : fits ? ""
+			                                   : "unfit_response";
 		}
 
-		aio::Task<Reading> readOwn(Lease& _lease, const Call& _call, const std::string& _id)
+		/// Waits for bytes behind a response that equals an earlier one.
+		/// @returns Whether there are none: the response then is no copy that came before the one to this call.
+		aio::Task<bool> staysQuiet(kj::Timer& _timer, const HttpConnection& _connection, Millis _waitMs)
+		{
+			co_await _timer.afterDelay(_waitMs * kj::MILLISECONDS);
+			co_return _connection.isQuiet();
+		}
+
+		aio::Task<Reading> readOwn(kj::Timer& _timer, Lease& _lease, const Call& _call, const std::string& _id)
 		{
 			Reading reading;
 			for (int skipped = 0; skipped <= kMaxForeignResponses; ++skipped)
@@ -111,9 +122,17 @@
 				const Owner owner = ownerById(reading.response.head, _call.idHeader, _id);
 				if (Owner::OtherCall != owner)
 				{
-					const std::string_view doubt = doubtAbout(reading.response, _lease, _call);
-					reading.doubt = Owner::ThisCall == owner ? "" : doubt;
-					co_return reading;
+					reading.doubt = Owner::ThisCall == owner ? "" : doubtAbout(reading.response, _lease, _call);
+					if (kRepeated != reading.doubt || 0 == _call.repeatWaitMs)
+					{
+						co_return reading;
+					}
+					const bool quiet = co_await staysQuiet(_timer, *_lease.connection, _call.repeatWaitMs);
+					if (quiet)
+					{
+						reading.doubt = "";
+						co_return reading;
+					}
 				}
 				logWarning("foreign_response", {{"address", _lease.address}, {"connection", _lease.connection->number()}, {"target", _call.head.target}, {"status", reading.response.head.status}});
 			}
@@ -122,7 +141,7 @@
 		}
 
 		/// Makes the call on a connection.
-		aio::Task<Reading> callOn(Lease& _lease, const Call& _call, const std::string& _id)
+		aio::Task<Reading> callOn(kj::Timer& _timer, Lease& _lease, const Call& _call, const std::string& _id)
 		{
 			Reading reading;
 			if (!_lease.connection->isQuiet())
@@ -145,7 +164,7 @@
 			}
 			if (reading.doubt.empty())
 			{
-				reading = co_await readOwn(_lease, _call, _id);
+				reading = co_await readOwn(_timer, _lease, _call, _id);
 			}
 			if (!reading.doubt.empty())
 			{
@@ -154,7 +173,7 @@
 			co_return reading;
 		}
 
-		aio::Task<FullResponse> exchangeUntimed(ConnectionPool& _pool, Call _call)
+		aio::Task<FullResponse> exchangeUntimed(ConnectionPool& _pool, kj::Timer& _timer, Call _call)
 		{
 			ConnectOptions options;
 			options.connectTimeoutMs = std::min(options.connectTimeoutMs, _call.timeoutMs);
@@ -167,12 +186,12 @@
 			}
 			std::string address = _call.address;
 			Lease lease = co_await _pool.take(std::move(address), options);
-			Reading reading = co_await callOn(lease, _call, options.tag);
+			Reading reading = co_await callOn(_timer, lease, _call, options.tag);
 			if (!reading.doubt.empty() && lease.reused && "GET" == _call.head.method)
 			{
 				std::string sameAddress = _call.address;
 				lease = co_await _pool.connect(std::move(sameAddress), options);
-				reading = co_await callOn(lease, _call, options.tag);
+				reading = co_await callOn(_timer, lease, _call, options.tag);
 			}
 			if (!reading.doubt.empty())
 			{
@@ -182,6 +201,7 @@
 			// A failure ends its connection, so that the next one there is no copy of it.
 			if (_call.reuse && reading.response.head.keepAlive && isSuccess(reading.response))
 			{
+				std::erase(lease.responses, hashOf(reading.response));
 				lease.responses.push_back(hashOf(reading.response));
 				if (kMaxRecentResponses < lease.responses.size())
 				{
@@ -196,6 +216,6 @@
 	kj::Promise<FullResponse> exchange(ConnectionPool& _pool, kj::Timer& _timer, Call _call)
 	{
 		const Millis timeoutMs = _call.timeoutMs;
-		return _timer.timeoutAfter(timeoutMs * kj::MILLISECONDS, exchangeUntimed(_pool, std::move(_call)).take());
+		return _timer.timeoutAfter(timeoutMs * kj::MILLISECONDS, exchangeUntimed(_pool, _timer, std::move(_call)).take());
 	}
 } // namespace archdyke::http
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -25,6 +25,9 @@
 		/// Whether the connection may carry other calls, before this one or after it. Not for calls with the same responses whatever
 		/// they did.
 		bool reuse = true;
+		/// How long to wait for another response after one that equals an earlier one on its connection, ms; 0: such a response is in
+		/// doubt at once. If none comes, it is the response to this call: one that repeats what was said before.
+		Millis repeatWaitMs = 0;
 		/// @returns Whether a successful response has the form of an answer to this call. One that has not is in doubt on a
 		/// connection that carried other calls. May be empty.
 		std::function<bool(const FullResponse& _response)> fits;
