--- a/tests/raw_sockets.h
+++ b/tests/raw_sockets.h
@@ -73,6 +73,7 @@
 		{
 			std::string bytes;
 			SocketEnd end = SocketEnd::Close;
+			std::string late = ""; ///< Sent some ms later.
 		};
 
 		/// @param[in] _reply Makes the reply to a request's head.
@@ -127,6 +128,12 @@
 			const Reply made = head.empty() ? Reply() : this->reply(head);
 			this->replies += head.empty() ? 0 : 1;
 			send(_connection, made.bytes.data(), made.bytes.size(), MSG_NOSIGNAL);
+			if (!made.late.empty())
+			{
+				constexpr useconds_t kLateUs = 5'000;
+				usleep(kLateUs);
+				send(_connection, made.late.data(), made.late.size(), MSG_NOSIGNAL);
+			}
 			endSocket(_connection, made.end);
 		}
 
