--- a/include/archdyke/response_head.h
+++ b/include/archdyke/response_head.h
@@ -36,8 +36,9 @@
 	/// @returns Whether a text is the beginning of a response, or may become it with more bytes.
 	bool mayStartResponse(std::string_view _text);
 
-	/// @returns Whether a text ends with the beginning of a response that stops within its status line, "HTTP/" or more.
-	bool endsWithinStatusLine(std::string_view _text);
+	/// @returns Whether a text ends with the beginning of a response that stops within its status line.
+	/// @param[in] _min Minimum number of bytes of the response: few may be the end of any text.
+	bool endsWithinStatusLine(std::string_view _text, std::size_t _min);
 
 	/// @returns Size of the first head in a text, with its empty line; 0 if it is incomplete.
 	/// @param[in] _from Bytes that are known not to contain its end.
--- a/src/decide/response_head.cpp
+++ b/src/decide/response_head.cpp
@@ -110,10 +110,9 @@
 		return true;
 	}
 
-	bool endsWithinStatusLine(std::string_view _text)
+	bool endsWithinStatusLine(std::string_view _text, std::size_t _min)
 	{
-		constexpr std::size_t kFewest = 5; // fewer bytes may be the end of any text
-		for (std::size_t size = kFewest; size <= std::min(kStatusEnd, _text.size()); ++size)
+		for (std::size_t size = _min; size <= std::min(kStatusEnd, _text.size()); ++size)
 		{
 			if (mayStartResponse(_text.substr(_text.size() - size)))
 			{
--- a/src/gateway/relay_response.cpp
+++ b/src/gateway/relay_response.cpp
@@ -26,6 +26,10 @@
 		/// Bytes of a body that are searched again with its next piece: a status line may lie across the two.
 		constexpr std::size_t kStatusLineBytes = 16;
 
+		/// Bytes of a status line at the end of a body without length and chunks that put it in doubt: "HTTP/". Fewer may be the end of
+		/// any text.
+		constexpr std::size_t kMinStatusLineBytes = 5;
+
 		/// @returns Whether a body may hold bytes of another response. Bytes that came within one with a length leave as many of its own
 		/// behind its end, where a sound upstream sends nothing or begins another response. Without length and chunks nothing shows
 		/// where it ended.
@@ -33,11 +37,12 @@
 		{
 			if (http::BodyFraming::Length != _head.framing)
 			{
-				return http::BodyFraming::UntilClose == _head.framing && (containsStatusLine(_body) || endsWithinStatusLine(_body));
+				return http::BodyFraming::UntilClose == _head.framing && (containsStatusLine(_body) || endsWithinStatusLine(_body, kMinStatusLineBytes));
 			}
 			const bool responseBehind = PartKind::Head == _upstream.unreadKind() || (!_upstream.hasUnread() && _upstream.isMidMessage());
 			const std::size_t behind = _upstream.countBytesBehind();
-			return 0 < behind && !responseBehind && containsStartOfStatusLine(_body, behind);
+			const bool holdsStart = containsStartOfStatusLine(_body, behind) || endsWithinStatusLine(_body, 1);
+			return 0 < behind && !responseBehind && holdsStart;
 		}
 
 		/// Waits for bytes behind a complete body that holds a status line, if there are none yet.
--- a/tests/test_gateway_spoilt_bodies.cpp
+++ b/tests/test_gateway_spoilt_bodies.cpp
@@ -37,6 +37,11 @@
 		{
 			return {whole + spoilt};
 		}
+		if ("end" == name)
+		{
+			const std::size_t at = kBody.size() - std::min<std::size_t>(number, kBody.size());
+			return {whole + kBody.substr(0, at) + kOther + kBody.substr(at)};
+		}
 		if ("slow" == name)
 		{
 			return {whole + spoilt.substr(0, kBody.size()), SocketEnd::CloseSending, spoilt.substr(kBody.size())};
@@ -85,6 +90,17 @@
 	}
 }
 
+/// The same if the body ends within these bytes.
+Test(spoilt, a_body_with_a_length_does_not_end_within_another_response)
+{
+	const SpoiltUpstream upstream;
+	for (std::size_t left = 1; left <= kBody.size(); ++left)
+	{
+		const RigResponse answer = upstream.call("end", left);
+		cr_assert(502 == answer.status, "%zu bytes left: %d %s", left, answer.status, answer.body.c_str());
+	}
+}
+
 /// The same if the end of the own body comes later.
 Test(spoilt, a_body_with_a_status_line_waits_for_bytes_behind_its_end)
 {
