A crash row with a time of this century is readable

Rows were never rejected for that, and the store's clock as known here may be wrong. Now only times beyond the year 2099, and run times beyond that, are unreadable, as with the start of an upstream.

The texts of three mutants follow the sources that have moved, and one takes out the check for joined heads.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -75,7 +75,7 @@
 	'if (!isProofYoungerThan(_context.state, _context.state.settings.bounds.revocationMs - kProofMarginMs))' 'if (false)'
 mutant gateway-calls-silence-not-run "gateway_what_may_have_run_is_never_reported_as_not_run_nor_run_twice" src/gateway/relay.cpp \
 	'failed(ExecutionProof::Unknown, "no_answer_head")' 'failed(ExecutionProof::NotRun, "no_answer_head")'
-mutant gateway-takes-any-answer "gateway_a_response_to_another_request_is_skipped" src/gateway/relay.cpp \
+mutant gateway-takes-any-answer "gateway_a_response_to_another_request_is_skipped" src/gateway/relay_response.cpp \
 	'if (info.requestId == _context.caller.id)' 'if (true)'
 mutant gateway-takes-older-configurations "gateway_an_older_configuration_is_never_taken" src/gateway/watch_rows.cpp \
 	'if (catalog.version <= held)' 'if (false)'
@@ -134,7 +134,7 @@
 	'std::max<double>(1.0, _terms.gateways)' '1.0'
 mutant turns-start-anew "upstreamlimit_.*" src/decide/upstream_limit.cpp \
 	'_limit.phase = phase - std::floor(phase);' '_limit.phase = 0.0;'
-mutant gateway-ignores-own-leave "gateway_an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_new" src/gateway/relay.cpp \
+mutant gateway-ignores-own-leave "gateway_an_upstream_that_says_in_an_answer_that_it_leaves_gets_nothing_new" src/gateway/relay_response.cpp \
 	'if (_info.leaving && !_info.wrongIncarnation)' 'if (false)'
 mutant gateway-tells-nobody-of-crashes "gateway_all_of_many_gateways_refuse_a_request_soon_after_its_third_crash" src/gateway/crash_teller.cpp \
 	'if (!isWriteDue(record, now) ||' 'if (true ||'
@@ -153,8 +153,9 @@
 mutant entries-read-no-crashes "crashrecord_.*|crashagent_restarted_entries_.*" src/entry/crash_record.cpp \
 	'for (const Crash& crash : _rows)' 'for (const Crash& crash : std::vector<Crash>())'
 mutant agent-takes-silence-for-life "upstreamcall_.*" src/agent/upstream_call.cpp \
-	'if (result || httplib::Error::Connection == result.error())' 'if (true)' \
-	'return !result;' 'return httplib::Error::Connection == result.error();'
+	'if (HttpCallEnd::Complete == result.end || result.refused)' 'if (true)'
+mutant gateway-takes-joined-heads "answers_.*_late_.*" src/decide/response_head.cpp \
+	'if (containsStatusLine(_line.substr(std::min(_line.size(), kStatusEnd))))' 'if (false)'
 mutant late-responses-keep-links "groups_late_responses_to_a_search_leave_no_links" src/group/fan_out.cpp \
 	'if (isElsewhere(observation.report.engine, group))' 'if (false)'
 mutant gateway-waits-for-a-coordinator-that-has-gone "watch_a_change_is_in_force_in_time_after_the_coordinator_has_gone" src/gateway/watch_news.cpp \
--- a/src/gateway/crash_teller.cpp
+++ b/src/gateway/crash_teller.cpp
@@ -23,8 +23,9 @@
 		/// Minimum interval between checks for expired crashes, ms. Random jitter is added, so that one gateway removes a
 		/// row for all.
 		constexpr Millis kExpiryIntervalMs = 30'000;
-		/// Maximum magnitude of the times in a row, ms. Sums of larger ones could overflow.
-		constexpr Millis kMaxTimeMs = Millis(1) << 53;
+		/// Maximum magnitude of the times in a row, ms: that from 1970 to the end of the year 2099. Later ones are another writer's,
+		/// would never expire, and their sums could overflow.
+		constexpr Millis kMaxTimeMs = 4'102'444'800'000;
 
 		store::RowKey rowKey(const Crash& _crash)
 		{
--- a/src/gateway/watch.h
+++ b/src/gateway/watch.h
@@ -129,8 +129,6 @@
 		void removeUpstream(const std::string& _incarnation);
 		/// Records which crashes a copy lacks, and when to publish them again.
 		void recordLost(const store::Rows& _rows);
-		/// @returns The crashed run of a row; none if it is too far in the future.
-		std::optional<CrashedRun> crashedRunOf(const CrashRow& _row) const;
 		void applyCrashes(const store::Rows& _rows, std::uint64_t _known, bool _whole);
 		/// Handles everything that depends on time alone: pending removals, cold upstreams, broken attempts and crashes.
 		aio::Task<void> runPeriodicChecks();
--- a/src/gateway/watch_crashes.cpp
+++ b/src/gateway/watch_crashes.cpp
@@ -5,20 +5,6 @@
 
 namespace archdyke::gateway
 {
-	namespace
-	{
-		/// Maximum time by which a crash may seem to be in the future, ms: several times the error of the store's clock as known
-		/// here. A later one is another writer's, and would never expire.
-		constexpr Millis kMaxAheadMs = 60'000;
-	} // namespace
-
-	std::optional<CrashedRun> StoreWatch::crashedRunOf(const CrashRow& _row) const
-	{
-		const Millis now = nowMs();
-		const Millis at = toLocalTime(this->state.freshness, _row.storeTime).value_or(now);
-		return now + kMaxAheadMs < at ? std::nullopt : std::optional(CrashedRun{at - _row.runMs, at});
-	}
-
 	void StoreWatch::recordLost(const store::Rows& _rows)
 	{
 		std::set<Crash> read;
@@ -49,8 +35,7 @@
 		for (const store::Row& row : _rows.rows)
 		{
 			const std::optional<CrashRow> read = readCrashRow(row);
-			const std::optional<CrashedRun> run = read && !row.gone ? this->crashedRunOf(*read) : std::nullopt;
-			if (!read || (!row.gone && !run))
+			if (!read)
 			{
 				if (store::recordUnusable(this->tables.crashes, row))
 				{
@@ -63,7 +48,8 @@
 			}
 			else
 			{
-				recordRemoteCrash(record, read->crash, *run);
+				const Millis at = toLocalTime(this->state.freshness, read->storeTime).value_or(nowMs());
+				recordRemoteCrash(record, read->crash, {at - read->runMs, at});
 			}
 		}
 	}
