--- a/src/base/daemon_main.h
+++ b/src/base/daemon_main.h
@@ -19,6 +19,7 @@
 	int runDaemon(const std::string& _name, const std::string& _purpose, Load _load, int _argc, char** _argv)
 	{
 		constexpr int kExitStartFailed = 2;
+		returnFreedMemory();
 		blockStopSignals();
 		try
 		{
--- a/src/base/process.cpp
+++ b/src/base/process.cpp
@@ -6,7 +6,10 @@
 #include <ctime>
 #include <fmt/format.h>
 #include <fstream>
+#include <initializer_list>
 #include <iterator>
+#include <malloc.h>
+#include <memory>
 #include <openssl/evp.h>
 #include <random>
 #include <sys/resource.h>
@@ -38,23 +41,48 @@
 		return fmt::format("{:016x}", _value);
 	}
 
-	std::string sha256Hex(std::string_view _bytes)
+	namespace
 	{
-		unsigned char digest[EVP_MAX_MD_SIZE];
-		unsigned int size = 0;
-		EVP_Digest(_bytes.data(), _bytes.size(), digest, &size, EVP_sha256(), nullptr);
-		std::string hex;
-		for (unsigned int index = 0; index < size; ++index)
+		/// @returns Digest of several texts in a row, without a copy of them.
+		std::string sha256Hex(std::initializer_list<std::string_view> _parts)
 		{
-			hex += fmt::format("{:02x}", digest[index]);
+			unsigned char digest[EVP_MAX_MD_SIZE];
+			unsigned int size = 0;
+			const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), EVP_MD_CTX_free);
+			EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+			for (const std::string_view part : _parts)
+			{
+				EVP_DigestUpdate(context.get(), part.data(), part.size());
+			}
+			EVP_DigestFinal_ex(context.get(), digest, &size);
+			std::string hex;
+			for (unsigned int index = 0; index < size; ++index)
+			{
+				hex += fmt::format("{:02x}", digest[index]);
+			}
+			return hex;
 		}
-		return hex;
+	} // namespace
+
+	std::string sha256Hex(std::string_view _bytes)
+	{
+		return sha256Hex({_bytes});
 	}
 
 	std::string requestFingerprint(std::string_view _target, std::string_view _organisation, std::string_view _body)
 	{
 		constexpr std::size_t kDigits = 32; // 128 bits
-		return sha256Hex(fmt::format("{}\n{}\n{}", _target, _organisation, _body)).substr(0, kDigits);
+		return sha256Hex({_target, "\n", _organisation, "\n", _body}).substr(0, kDigits);
+	}
+
+	void returnFreedMemory()
+	{
+		constexpr int kLargeBlockBytes = 131'072;
+		constexpr int kMaxArenas = 2;
+		// The default threshold rises with the blocks that are freed; later ones then stay in the heap, which shrinks only at its end.
+		mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+		mallopt(M_TRIM_THRESHOLD, kLargeBlockBytes);
+		mallopt(M_ARENA_MAX, kMaxArenas);
 	}
 
 	namespace
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -25,6 +25,9 @@
 	/// @returns Fingerprint of a request, 32 hex digits: the same for all repeats of it, in every process.
 	std::string requestFingerprint(std::string_view _target, std::string_view _organisation, std::string_view _body);
 
+	/// Makes the allocator give large blocks back to the system as soon as they are freed. Must be called before any thread starts.
+	void returnFreedMemory();
+
 	/// Blocks SIGTERM and SIGINT for the whole process and ignores SIGPIPE. Must be called before any thread starts.
 	void blockStopSignals();
 
--- /dev/null
+++ b/src/decide/memory_share.cpp
@@ -0,0 +1,82 @@
+#include "archdyke/memory_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace archdyke
+{
+	namespace
+	{
+		/// Shares of the machine's memory: one half for what connections make the process hold, one quarter for the system's
+		/// buffers, and the rest for the process itself.
+		constexpr std::size_t kTotalDivisor = 2;
+		constexpr std::size_t kSystemDivisor = 4;
+		/// Part of the total that only small holders may take.
+		constexpr std::size_t kReservedDivisor = 4;
+		constexpr std::size_t kSmallBytes = 65'536;
+
+		/// A holder that moves nothing counts as if it moved this much, bytes per second.
+		constexpr double kMinMovedPerS = 1'024.0;
+		/// Ending a run loses work, so a run counts as if it held less.
+		constexpr double kRunWeight = 0.25;
+		constexpr double kRateHalfLifeMs = 500.0;
+
+		constexpr std::size_t kMinBufferBytes = 4'096;
+		constexpr std::size_t kMaxBufferBytes = 65'536;
+		/// A connection gets at most this part of the memory for buffers that is left.
+		constexpr std::size_t kGrantDivisor = 32;
+		/// Two directions, and the system takes up to twice the size that is set.
+		constexpr std::size_t kGrantPerBufferByte = 4;
+	} // namespace
+
+	MemoryLimits memoryLimits(std::size_t _machineBytes)
+	{
+		const std::size_t total = _machineBytes / kTotalDivisor;
+		return {total, total / kReservedDivisor, kSmallBytes, _machineBytes / kSystemDivisor};
+	}
+
+	const char* toString(HeldFor _what)
+	{
+		switch (_what)
+		{
+		case HeldFor::Idle:
+			return "idle";
+		case HeldFor::Request:
+			return "request";
+		case HeldFor::Run:
+			return "run";
+		default:
+			return "response";
+		}
+	}
+
+	double secondsToMove(const HolderView& _holder)
+	{
+		const double seconds = double(_holder.bytes) / std::max(kMinMovedPerS, _holder.movedPerS);
+		return HeldFor::Run == _holder.what ? kRunWeight * seconds : seconds;
+	}
+
+	bool mayLoseMemory(const HolderView& _holder, const MemoryLimits& _limits, bool _forSmall)
+	{
+		return _forSmall || (HeldFor::Run != _holder.what && _limits.smallBytes < _holder.bytes);
+	}
+
+	MoveRate withMoved(const MoveRate& _rate, std::size_t _bytes, Millis _now)
+	{
+		const double kept = std::exp2(-double(std::max<Millis>(0, _now - _rate.at)) / kRateHalfLifeMs);
+		// A constant rate of r per second adds up to r, since what decays of it is added.
+		constexpr double kPerS = 1'000.0 * 0.693147 / kRateHalfLifeMs;
+		return {_rate.perS * kept + double(_bytes) * kPerS, _now};
+	}
+
+	std::size_t bufferBytes(const MemoryLimits& _limits, std::size_t _grantedBytes)
+	{
+		const std::size_t left = _limits.systemBytes - std::min(_limits.systemBytes, _grantedBytes);
+		return std::clamp(left / kGrantDivisor / kGrantPerBufferByte, kMinBufferBytes, kMaxBufferBytes);
+	}
+
+	std::size_t grantOf(std::size_t _bufferBytes)
+	{
+		return kGrantPerBufferByte * _bufferBytes;
+	}
+} // namespace archdyke
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -14,19 +14,25 @@
 		/// Interval between timeout checks while a message is read, ms.
 		constexpr Millis kPollIntervalMs = 250;
 
-		/// File descriptors of this process for each connection of a caller: its own, and one to an upstream.
-		constexpr std::size_t kDescriptorsPerCaller = 2;
-
-		/// Result of reading a request.
-		struct ReadResult
-		{
-			std::optional<ReceivedRequest> request;
-			int status = 0; ///< Status of the response that ends the connection; 0 for none.
-			std::string reason;
-		};
+		/// After a refusal what its caller still sends is read for this long, ms, so that the caller sees the refusal.
+		constexpr Millis kCloseMs = 1'000;
+		/// Retry time for callers whose requests can't be held, ms: a random time in this range, so that a crowd doesn't return at once.
+		constexpr Millis kMinMemoryRetryMs = 1'000;
+		constexpr Millis kMaxMemoryRetryMs = 3'000;
 
 		constexpr int kRequestTimeout = 408;
 
+		/// @returns The refusal of a request that isn't read because memory is short.
+		ReadResult memoryShort(GatewayState& _state)
+		{
+			ReadResult result;
+			result.status = kUnavailable;
+			result.reason = "memory_short";
+			result.comeBackMs = kMinMemoryRetryMs + Millis(randomBelow(_state.random, std::uint64_t(kMaxMemoryRetryMs - kMinMemoryRetryMs)));
+			_state.counters.memoryRefusals.Increment();
+			return result;
+		}
+
 		/// @returns Status of the response to an unreadable request; 0 for none.
 		int statusOf(PartKind _kind)
 		{
@@ -74,7 +80,7 @@
 				{
 					if (PartKind::Head == part->kind)
 					{
-						result.request = ReceivedRequest{part->request, "", now};
+						result.request = ReceivedRequest{part->request, "", now, part->headBytes};
 					}
 					result.status = statusOf(part->kind);
 					result.reason = "unreadable_request";
@@ -103,10 +109,16 @@
 		}
 
 		/// Reads the body of a request whose head was read.
-		aio::Task<ReadResult> readBody(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _request)
+		aio::Task<ReadResult> readBody(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _request, http::MemoryCharge& _charge)
 		{
 			const Millis idle = limitsOf(_state).idleTimeoutMs;
+			const std::size_t announced = std::size_t(std::max<std::int64_t>(0, http::parseInteger(_request.head.headers.find("Content-Length").value_or("0")).value_or(0)));
 			ReadResult result;
+			if (!_state.resources.canHold(announced))
+			{
+				co_return memoryShort(_state);
+			}
+			_request.body.reserve(announced);
 			if (wantsContinue(_request.head))
 			{
 				std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -132,22 +144,25 @@
 					result.reason = "unreadable_body";
 					co_return result;
 				}
-				_request.body += part->body;
+				_charge.set(memoryOf(_request) + part->body.size());
+				appendToBody(_request.body, part->body);
 			}
 		}
 
+		/// Tells a caller that its request wasn't read, and closes the connection.
 		aio::Task<void> rejectUnreadable(GatewayState& _state, http::HttpConnection& _connection, ReadResult _result)
 		{
 			if (0 == _result.status)
 			{
 				co_return;
 			}
-			_state.counters.requests[std::size_t(Ending::Rejected)]->Increment();
+			_state.counters.requests[std::size_t(endingOf(_result.status))]->Increment();
 			logInfo("request_unread", {{"status", _result.status}, {"reason", _result.reason}});
-			http::ResponseHead head = _state.codec.encodeRefusal({}, {_result.status, std::nullopt, _result.reason});
+			http::ResponseHead head = _state.codec.encodeRefusal({}, {_result.status, _result.comeBackMs, _result.reason});
 			head.keepAlive = false;
 			std::string bytes = http::serialize(head, _result.reason + "\n");
-			co_await _connection.write(std::move(bytes));
+			co_await _connection.write(std::move(bytes)).take().exclusiveJoin(_state.loop.timer.afterDelay(kCloseMs * kj::MILLISECONDS));
+			co_await _connection.closeGracefully(_state.loop.timer, limitsOf(_state).bodyBytes, kCloseMs);
 		}
 	} // namespace
 
@@ -158,7 +173,7 @@
 	          _state.loop, _address, [this](std::unique_ptr<http::HttpConnection> _connection) {
 		          return this->serve(std::move(_connection));
 	          },
-	          descriptorLimit() / kDescriptorsPerCaller)
+	          &_state.resources, http::callerLimits(descriptorLimit(), _state.resources))
 	{
 		auto paf = kj::newPromiseAndFulfiller<void>();
 		this->idleCloser = kj::mv(paf.fulfiller);
@@ -179,29 +194,50 @@
 	{
 		while (true)
 		{
-			const RequestLimits limits = limitsOf(this->state);
-			_connection->setLimits({limits.headerBytes, limits.bodyBytes});
-			kj::Promise<ReadResult> reading = readHead(this->state, *_connection).take();
-			kj::Promise<ReadResult> closing = this->idleClosed.addBranch().then([] {
-				return ReadResult();
-			});
-			ReadResult result = co_await reading.exclusiveJoin(kj::mv(closing));
-			if (result.request)
-			{
-				ReceivedRequest request = std::move(*result.request);
-				result = co_await readBody(this->state, *_connection, std::move(request));
-			}
+			http::MemoryCharge charge(_connection->chargedTo());
+			ReadResult result = co_await this->readRequest(*_connection, charge);
 			if (!result.request)
 			{
-				co_await rejectUnreadable(this->state, *_connection, result);
+				charge.set(0);
+				co_await rejectUnreadable(this->state, *_connection, std::move(result));
 				co_return;
 			}
 			ReceivedRequest request = std::move(*result.request);
+			charge.set(memoryOf(request));
+			_connection->setHeldFor(HeldFor::Run);
 			const AfterRequest after = co_await runRequest(this->state, *_connection, std::move(request));
 			if (AfterRequest::Close == after)
 			{
 				co_return;
 			}
+			_connection->setHeldFor(HeldFor::Idle);
+		}
+	}
+
+	aio::Task<ReadResult> CallerServer::readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge)
+	{
+		const RequestLimits limits = limitsOf(this->state);
+		_connection.setLimits({limits.headerBytes, limits.bodyBytes});
+		kj::Promise<ReadResult> reading = readHead(this->state, _connection).take();
+		kj::Promise<ReadResult> closing = this->idleClosed.addBranch().then([] {
+			return ReadResult();
+		});
+		ReadResult result = co_await reading.exclusiveJoin(kj::mv(closing)).exclusiveJoin(this->whenMemoryShort(_connection));
+		if (result.request)
+		{
+			_charge.set(memoryOf(*result.request));
+			_connection.setHeldFor(HeldFor::Request);
+			ReceivedRequest request = std::move(*result.request);
+			kj::Promise<ReadResult> body = readBody(this->state, _connection, std::move(request), _charge).take();
+			result = co_await body.exclusiveJoin(this->whenMemoryShort(_connection));
 		}
+		co_return result;
+	}
+
+	kj::Promise<ReadResult> CallerServer::whenMemoryShort(http::HttpConnection& _connection)
+	{
+		return _connection.whenLosingMemory().then([this, &_connection] {
+			return _connection.isMidMessage() || _connection.hasUnread() ? memoryShort(this->state) : ReadResult();
+		});
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -1,5 +1,5 @@
 /// Serves callers' connections: reads requests within the configured limits, runs the requests of a
-/// connection one after the other, and closes connections between requests when the gateway stops.
+/// connection one after the other, and closes connections between requests when the gateway stops, or when memory is short.
 #pragma once
 
 #include "gateway/request.h"
@@ -7,6 +7,15 @@
 
 namespace archdyke::gateway
 {
+	/// Result of reading a request.
+	struct ReadResult
+	{
+		std::optional<ReceivedRequest> request;
+		int status = 0; ///< Status of the response that ends the connection; 0 for none.
+		std::string reason;
+		std::optional<Millis> comeBackMs; ///< When the caller should retry; none: no advice.
+	};
+
 	/// Accepts and serves connections until it is destroyed.
 	class CallerServer
 	{
@@ -23,6 +32,11 @@
 
 	private:
 		aio::Task<void> serve(std::unique_ptr<http::HttpConnection> _connection);
+		/// Reads the next request of a connection.
+		/// @param[in] _charge For the request's memory.
+		aio::Task<ReadResult> readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge);
+		/// @returns A promise of the refusal that is due once the connection has lost its memory.
+		kj::Promise<ReadResult> whenMemoryShort(http::HttpConnection& _connection);
 
 		GatewayState& state;
 		kj::Own<kj::PromiseFulfiller<void>> idleCloser;
--- a/src/gateway/counters.cpp
+++ b/src/gateway/counters.cpp
@@ -22,7 +22,8 @@
 	}
 
 	GatewayCounters::GatewayCounters(Metrics& _metrics)
-	    : totalSeconds(_metrics.seconds("archdyke_gateway_request_seconds", "Time from the request's head to the end of its response"))
+	    : resources(_metrics)
+	    , totalSeconds(_metrics.seconds("archdyke_gateway_request_seconds", "Time from the request's head to the end of its response"))
 	    , firstEventSeconds(_metrics.seconds("archdyke_gateway_first_event_seconds", "Time from the request's head to the first event of a stream"))
 	    , sends(_metrics.counter("archdyke_gateway_sends_total", "Requests sent to an upstream for the first time"))
 	    , resends(_metrics.counter("archdyke_gateway_resends_total", "Requests sent again, to another upstream"))
@@ -34,6 +35,7 @@
 	    , namedLimits(_metrics.counter("archdyke_gateway_named_limits_total", "Responses in which an upstream named the requests per second that it takes from all gateways together"))
 	    , limitedSends(_metrics.counter("archdyke_gateway_limited_sends_total", "Requests sent to an upstream that names a limit, first sends and resends"))
 	    , limitRefusals(_metrics.counter("archdyke_gateway_limit_refusals_total", "Requests refused because all remaining upstreams name a limit and this gateway had used its share"))
+	    , memoryRefusals(_metrics.counter("archdyke_gateway_memory_refusals_total", "Requests refused or ended because memory was short"))
 	    , withheldSends(_metrics.counter("archdyke_gateway_withheld_sends_total", "Requests not sent because the chosen upstream became unavailable while they waited for a connection"))
 	    , upstreamCrashes(_metrics.counter("archdyke_gateway_upstream_crashes_total", "Upstream crashes attributed to a request, once for each request and upstream"))
 	    , crashRefusals(_metrics.counter("archdyke_gateway_crash_refusals_total", "Requests refused because several upstreams had crashed under them"))
--- a/src/gateway/counters.h
+++ b/src/gateway/counters.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/metrics.h"
+#include "http/resource_budget.h"
 
 namespace archdyke::gateway
 {
@@ -30,6 +31,7 @@
 		explicit GatewayCounters(Metrics& _metrics);
 
 		std::array<prometheus::Counter*, std::size_t(Ending::Count)> requests{};
+		http::ResourceCounters resources;
 		prometheus::Histogram& totalSeconds;
 		prometheus::Histogram& firstEventSeconds;
 		prometheus::Counter& sends;
@@ -42,6 +44,7 @@
 		prometheus::Counter& namedLimits;
 		prometheus::Counter& limitedSends;
 		prometheus::Counter& limitRefusals;
+		prometheus::Counter& memoryRefusals;
 		prometheus::Counter& withheldSends;
 		prometheus::Counter& upstreamCrashes;
 		prometheus::Counter& crashRefusals;
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -1,4 +1,5 @@
 #include "gateway/daemon.h"
+#include "base/process.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -56,6 +57,7 @@
 	int runGuarded(const std::string& _name, const std::function<void()>& _run)
 	{
 		constexpr int kStartFailed = 2;
+		returnFreedMemory();
 		try
 		{
 			_run();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -50,10 +50,12 @@
 			    , callers(this->state, this->state.settings.callers)
 			    , readiness(this->loop, this->state.settings.readiness, http::serveRequests([this](const http::RequestHead&) {
 				                return this->readinessResponse();
-			                }))
+			                }),
+			                &this->state.resources, http::adminLimits(descriptorLimit()))
 			    , admin(this->loop, this->state.settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
 				            return this->adminResponse(_head);
-			            }))
+			            }),
+			            &this->state.resources, http::adminLimits(descriptorLimit()))
 			{
 				const Place& place = this->state.settings.place;
 				logInfo("start", {{"version", kVersion}, {"zone", place.zone}, {"callers", this->state.settings.callers}, {"store", place.store}, {"metrics", place.metrics}, {"settings", this->path}});
@@ -154,7 +156,7 @@
 				{
 					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"evacuated", upstream->evacuated}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}, {"quietMs", 0 == upstream->inFlight ? 0 : now - upstream->silentSince}, {"backOffMs", remainingBackOffMs(upstream->selfReport.backOff, now)}, {"limitPerS", upstream->selfReport.limit ? upstream->selfReport.limit->perSecond : -1.0}, {"warmInMs", remainingColdMs(upstream->cold, now)}, {"coldSends", upstream->coldSends ? int(*upstream->coldSends) : -1}});
 				}
-				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"evacuatedZones", evacuatedZones(this->state.operators)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"crashes", this->dumpCrashes()}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"evacuatedZones", evacuatedZones(this->state.operators)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"memory", this->state.resources.dump()}, {"crashes", this->dumpCrashes()}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
 			}
 
 			/// Reloads the bounds from the settings file on SIGHUP. Addresses don't change.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -45,6 +45,7 @@
 			return result;
 		}
 
+		/// @returns Bytes of the request, up to its body.
 		std::string serializeRequest(const RequestContext& _context, const Upstream& _upstream)
 		{
 			DispatchInfo info;
@@ -52,13 +53,13 @@
 			info.organisation = nullptr == _context.organisation ? "" : _context.organisation->name;
 			info.budgetMs = _context.deadlineAt - nowMs();
 			info.resumeAfter = _context.lastDeliveredId ? _context.lastDeliveredId : _context.caller.resumeAfter;
-			return http::serialize(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body);
+			return http::serializeStart(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body.size());
 		}
 
 		/// Reads an unsuccessful response, which may prove that the request didn't run.
 		aio::Task<AttemptResult> classifyFailure(RequestContext& _context, http::HttpConnection& _upstream, http::ResponseHead _head, ResponseInfo _info)
 		{
-			const BodyResult body = co_await readBody(_context, _upstream, _head);
+			BodyResult body = co_await readBody(_context, _upstream, _head);
 			const std::string reason = fmt::format("upstream_status_{}", _head.status);
 			if (BodyEnd::InDoubt == body.end)
 			{
@@ -73,7 +74,7 @@
 			AttemptResult result = failed(ExecutionProof::Ran, reason);
 			if (BodyEnd::Whole == body.end && !promisesNotRun(_head.status) && !_context.headSent)
 			{
-				result.failure = http::FullResponse{_head, body.text};
+				result.failure = http::FullResponse{_head, std::move(body.text)};
 			}
 			co_return result;
 		}
@@ -242,7 +243,8 @@
 	aio::Task<void> forwardResponse(RequestContext& _context, const http::FullResponse& _response)
 	{
 		const http::ResponseHead head = beginResponse(_context, _response.head);
-		return _context.connection.write(http::serialize(head, _response.body));
+		_context.connection.setHeldFor(HeldFor::Response);
+		return _context.connection.write(http::serializeStart(head, _response.body.size()), _response.body);
 	}
 
 	aio::Task<AttemptResult> attemptUpstream(RequestContext& _context, UpstreamRef _upstream)
@@ -272,15 +274,16 @@
 			// still be sent there.
 			co_return withheld();
 		}
+		lease.connection->chargeTo(_context.connection.chargedTo());
 		_context.sentAt = nowMs();
 		recordSend(_context);
 		beginTrial(_context);
 		const bool mayHaveRunBefore = _context.maybeRunning;
 		_context.maybeRunning = true;
 		bool written = false;
-		const kj::Promise<void> writing = lease.connection->write(serializeRequest(_context, *_upstream)).take().then([&written] {
-			                                                                                                        written = true;
-		                                                                                                        })
+		const kj::Promise<void> writing = lease.connection->write(serializeRequest(_context, *_upstream), _context.received.body).take().then([&written] {
+			                                                                                                                                written = true;
+		                                                                                                                                })
 		                                      .eagerlyEvaluate([](kj::Exception&&) {
 			                                      // The reader of the response sees the broken connection too and handles it.
 		                                      });
--- a/src/gateway/relay_response.cpp
+++ b/src/gateway/relay_response.cpp
@@ -145,7 +145,8 @@
 			Part part = co_await readPart(_context, _upstream);
 			if (PartKind::Body == part.kind && result.text.size() + part.body.size() <= kMaxResponseBytes)
 			{
-				result.text += part.body;
+				_context.response.set(result.text.size() + part.body.size());
+				appendToBody(result.text, part.body);
 				continue;
 			}
 			if (PartKind::End == part.kind)
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -23,7 +23,8 @@
 		{
 			Dispatched,
 			DeadlineOver,
-			CallerLeft
+			CallerLeft,
+			MemoryShort
 		};
 
 		std::optional<Refusal> resolve(RequestContext& _context)
@@ -99,15 +100,6 @@
 			co_return co_await dispatch(_context);
 		}
 
-		Ending endingOf(int _status)
-		{
-			if (kUnavailable == _status)
-			{
-				return Ending::RefusedNotRun;
-			}
-			return kBadGateway == _status || kGatewayTimeout == _status ? Ending::Failed : Ending::Rejected;
-		}
-
 		aio::Task<void> sendRefusal(RequestContext& _context, Refusal _refusal)
 		{
 			appendReason(_context, _refusal.reason);
@@ -118,7 +110,22 @@
 			_context.keepAlive = _context.keepAlive && !_context.state.leaving;
 			head.keepAlive = _context.keepAlive;
 			std::string bytes = http::serialize(head, _refusal.reason + "\n");
-			co_await _context.connection.write(std::move(bytes));
+			// A caller who never reads its answers would hold the request for as long as it likes.
+			const Millis limitMs = nullptr == _context.catalog ? RequestLimits().idleTimeoutMs : _context.catalog->catalog.limits.idleTimeoutMs;
+			co_await _context.state.loop.timer.timeoutAfter(limitMs * kj::MILLISECONDS, _context.connection.write(std::move(bytes)).take());
+		}
+
+		Refusal memoryRefusal(RequestContext& _context)
+		{
+			_context.keepAlive = false;
+			_context.state.counters.memoryRefusals.Increment();
+			if (_context.maybeRunning)
+			{
+				return {kBadGateway, std::nullopt, "memory_short"};
+			}
+			Refusal refusal = refuseNotRun(_context, RefusalCause::Overloaded);
+			refusal.reason = "memory_short";
+			return refusal;
 		}
 
 		Refusal deadlineRefusal(RequestContext& _context)
@@ -150,15 +157,21 @@
 			_context.keepAlive = false;
 		}
 
-		/// Waits until a time of the local clock. Waits in short intervals because timers don't count the time
+		/// Waits until a time of the local clock, or until the caller has left, which isn't seen by reading if there are bytes behind its
+		/// request. Waits in short intervals because timers don't count the time
 		/// during which the machine is suspended; one long wait would hold a caller beyond its deadline.
-		aio::Task<void> waitUntil(kj::Timer& _timer, Millis _moment)
+		aio::Task<RaceEnd> waitUntil(kj::Timer& _timer, const http::HttpConnection& _connection, Millis _moment)
 		{
 			constexpr Millis kPollIntervalMs = 250;
 			do
 			{
 				co_await _timer.afterDelay(std::clamp<Millis>(_moment - nowMs(), 1, kPollIntervalMs) * kj::MILLISECONDS);
+				if (_connection.hasBehind() && _connection.isHungUp())
+				{
+					co_return RaceEnd::CallerLeft;
+				}
 			} while (nowMs() < _moment);
+			co_return RaceEnd::DeadlineOver;
 		}
 
 		aio::Task<void> runUntilDeadline(RequestContext& _context)
@@ -171,10 +184,11 @@
 			kj::Promise<RaceEnd> left = _context.connection.whenDisconnected().then([] {
 				return RaceEnd::CallerLeft;
 			});
-			kj::Promise<RaceEnd> deadlinePassed = waitUntil(_context.state.loop.timer, _context.deadlineAt).take().then([] {
-				return RaceEnd::DeadlineOver;
+			kj::Promise<RaceEnd> deadlinePassed = waitUntil(_context.state.loop.timer, _context.connection, _context.deadlineAt).take();
+			kj::Promise<RaceEnd> closing = _context.connection.whenLosingMemory().then([] {
+				return RaceEnd::MemoryShort;
 			});
-			const RaceEnd end = co_await work.exclusiveJoin(kj::mv(left)).exclusiveJoin(kj::mv(deadlinePassed));
+			const RaceEnd end = co_await work.exclusiveJoin(kj::mv(left)).exclusiveJoin(kj::mv(deadlinePassed)).exclusiveJoin(kj::mv(closing));
 			if (RaceEnd::CallerLeft == end)
 			{
 				_context.ending = Ending::CallerLeft;
@@ -185,6 +199,11 @@
 			{
 				refusal = deadlineRefusal(_context);
 			}
+			if (RaceEnd::MemoryShort == end)
+			{
+				refusal = memoryRefusal(_context);
+				_context.received.body = {};
+			}
 			co_await finish(_context, refusal);
 		}
 
@@ -198,6 +217,34 @@
 		}
 	} // namespace
 
+	std::size_t memoryOf(const ReceivedRequest& _request)
+	{
+		/// The head as received, its decoded fields, the head for an upstream, and its bytes.
+		constexpr std::size_t kHeadCopies = 4;
+		/// The state of its stages, and the connection to the upstream.
+		constexpr std::size_t kStateBytes = 49'152;
+		return kStateBytes + kHeadCopies * _request.headBytes + _request.body.size();
+	}
+
+	Ending endingOf(int _status)
+	{
+		if (kUnavailable == _status)
+		{
+			return Ending::RefusedNotRun;
+		}
+		return kBadGateway == _status || kGatewayTimeout == _status ? Ending::Failed : Ending::Rejected;
+	}
+
+	void appendToBody(std::string& _body, std::string_view _bytes)
+	{
+		const std::size_t size = _body.size() + _bytes.size();
+		if (_body.capacity() < size)
+		{
+			_body.reserve(size + size / 4);
+		}
+		_body += _bytes;
+	}
+
 	Refusal refuseNotRun(RequestContext& _context, RefusalCause _cause)
 	{
 		const Millis now = nowMs();
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -21,9 +21,13 @@
 	{
 		http::RequestHead head;
 		std::string body;
-		Millis arrivedAt = 0; ///< When its head was complete.
+		Millis arrivedAt = 0;      ///< When its head was complete.
+		std::size_t headBytes = 0; ///< Memory that its head takes.
 	};
 
+	/// @returns Memory that a request takes while it is run, with the copies of its head.
+	std::size_t memoryOf(const ReceivedRequest& _request);
+
 	/// What happens to the caller's connection after a request.
 	enum class AfterRequest
 	{
@@ -37,6 +41,7 @@
 		GatewayState& state;
 		http::HttpConnection& connection;
 		ReceivedRequest received;
+		http::MemoryCharge response; ///< relay: of the response's body that was received.
 
 		CallerRequest caller; ///< decode
 		std::shared_ptr<const CatalogIndex> catalog;
@@ -74,6 +79,7 @@
 		    : state(_state)
 		    , connection(_connection)
 		    , received(std::move(_received))
+		    , response(_connection.chargedTo())
 		{
 		}
 	};
@@ -81,6 +87,12 @@
 	/// @returns The refusal of a request that has not run, with the time after which to retry.
 	Refusal refuseNotRun(RequestContext& _context, RefusalCause _cause);
 
+	/// Appends to a body without taking twice its memory.
+	void appendToBody(std::string& _body, std::string_view _bytes);
+
+	/// @returns How a request that the gateway itself answered with this status has ended.
+	Ending endingOf(int _status);
+
 	/// Appends to the reasons that are logged when the request ends.
 	void appendReason(RequestContext& _context, const std::string& _reason);
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -12,6 +12,8 @@
 		constexpr std::int64_t kMaxBoundMs = 3'600'000;
 		constexpr double kMaxRetries = 1e6;
 		constexpr double kMaxLinkMbps = 1e6;
+		constexpr double kMinMemoryMb = 16.0;
+		constexpr double kMaxMemoryMb = 1e6;
 
 		Place readPlace(ObjectReader& _reader)
 		{
@@ -23,6 +25,7 @@
 			place.metrics = readAddress(_reader, "metrics");
 			place.store = readAddress(_reader, "store");
 			place.linkMbps = _reader.numberOr("linkMbps", 0.1, kMaxLinkMbps, place.linkMbps);
+			place.memoryMb = _reader.numberOr("memoryMb", kMinMemoryMb, kMaxMemoryMb, place.memoryMb);
 			return place;
 		}
 
@@ -49,6 +52,12 @@
 		}
 	} // namespace
 
+	std::size_t memoryBytes(const Place& _place)
+	{
+		constexpr double kMiB = 1'048'576.0;
+		return std::size_t(_place.memoryMb * kMiB);
+	}
+
 	GatewaySettings loadGatewaySettings(const std::string& _path)
 	{
 		return loadSettings<GatewaySettings>(_path, UnknownFields::Ignore, [](ObjectReader& _reader) {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,10 +36,11 @@
 		std::string name;
 		std::string zone;
 		std::string ip;
-		int peerPort = 0;       ///< Port for connections between the daemons of the deployment; the same on all machines.
-		std::string metrics;    ///< IP:port where metrics and the state dump are served.
-		std::string store;      ///< IP:port of the metadata store.
-		double linkMbps = 20.0; ///< Bandwidth of the VM's network link, in each direction.
+		int peerPort = 0;        ///< Port for connections between the daemons of the deployment; the same on all machines.
+		std::string metrics;     ///< IP:port where metrics and the state dump are served.
+		std::string store;       ///< IP:port of the metadata store.
+		double linkMbps = 20.0;  ///< Bandwidth of the VM's network link, in each direction.
+		double memoryMb = 256.0; ///< Memory of the VM that this process may use, MiB.
 
 		bool operator==(const Place&) const = default;
 	};
@@ -67,6 +68,9 @@
 		bool operator==(const SidecarSettings&) const = default;
 	};
 
+	/// @returns Memory that a process may use, bytes.
+	std::size_t memoryBytes(const Place& _place);
+
 	/// Loads settings from a file.
 	/// @throws InvalidInputError Lists all errors of the file.
 	GatewaySettings loadGatewaySettings(const std::string& _path);
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -34,6 +34,7 @@
 		Codec codec;
 		http::LoopContext loop;
 		GatewayCounters& counters;
+		http::ResourceBudget resources;
 		UpstreamRegistry registry;
 		http::ConnectionPool pool;
 		Random random;
@@ -52,8 +53,9 @@
 		    , codec(_codec)
 		    , loop(_loop)
 		    , counters(_counters)
+		    , resources(memoryBytes(this->settings.place), _counters.resources)
 		    , registry(this->settings.place.zone, this->settings.place.name, nowMs())
-		    , pool(_loop)
+		    , pool(_loop, &this->resources)
 		    , random(_seed)
 		{
 		}
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -36,8 +36,9 @@
 		}
 	} // namespace
 
-	ConnectionPool::ConnectionPool(LoopContext _loop)
+	ConnectionPool::ConnectionPool(LoopContext _loop, ResourceBudget* _resources)
 	    : loop(_loop)
+	    , resources(_resources)
 	{
 	}
 
@@ -86,6 +87,10 @@
 		this->openedCount += 1;
 		Lease lease;
 		lease.connection = std::make_unique<HttpConnection>(kj::mv(stream), Side::Client, _options.limits);
+		if (nullptr != this->resources)
+		{
+			lease.connection->limitBuffers(this->resources->grantBuffers());
+		}
 		lease.connection->beginExchange(_options.tag);
 		lease.address = _address;
 		co_return lease;
@@ -103,6 +108,7 @@
 		{
 			return;
 		}
+		_lease.connection->chargeTo(nullptr);
 		_lease.connection->endExchange();
 		const Millis now = nowMs();
 		idleConnections.push_back({std::move(_lease.connection), std::move(_lease.responses), now, now + _idleLimitMs});
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -46,7 +46,8 @@
 	class ConnectionPool
 	{
 	public:
-		explicit ConnectionPool(LoopContext _loop);
+		/// @param[in] _resources Limits the system's buffers of the connections; null: no limit.
+		explicit ConnectionPool(LoopContext _loop, ResourceBudget* _resources = nullptr);
 
 		/// @param[in] _address "IP:port".
 		/// @returns An idle connection if there is a usable one, otherwise a new one.
@@ -86,6 +87,7 @@
 		void closeExpired();
 
 		LoopContext loop;
+		ResourceBudget* resources;
 		absl::flat_hash_map<std::string, std::deque<IdleConnection>> idle;
 		std::uint64_t openedCount = 0;
 		std::uint64_t unattributedCount = 0;
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,21 +1,28 @@
 #include "http/http_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <cerrno>
 #include <functional>
 #include <memory>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
+#include <vector>
 
 namespace archdyke::http
 {
 	namespace
 	{
-		/// Size of the read buffer, bytes.
+		/// Size of the read buffer, bytes: of a connection on which little comes, and of others.
+		constexpr std::size_t kMinReadBufferBytes = 2'048;
 		constexpr std::size_t kReadBufferBytes = 16'384;
+		/// Bytes of one message that are read at once. Further ones are read in turn with those of other connections, behind all
+		/// other work of the event loop.
+		constexpr std::size_t kUnqueuedBytes = 65'536;
+		/// Bytes of a body that are written at once; what was written is counted after each.
+		constexpr std::size_t kWriteBytes = 65'536;
 		/// Parsed bytes that may wait for the reader before reading from the connection pauses. Large enough for
 		/// several events of a stream; bounds the memory that one slow reader can use.
 		constexpr std::size_t kMaxBufferedBytes = 262'144;
@@ -52,6 +59,7 @@
 
 	HttpConnection::HttpConnection(kj::Own<kj::AsyncIoStream> _stream, Side _side, MessageLimits _limits)
 	    : stream(kj::mv(_stream))
+	    , side(_side)
 	    , parser(_side, _limits, [this](Part _part) {
 		    this->take(std::move(_part));
 	    })
@@ -66,16 +74,47 @@
 
 	HttpConnection::~HttpConnection() = default;
 
+	bool HttpConnection::mustWait() const
+	{
+		return this->bufferedBytes > kMaxBufferedBytes || (this->parser.isPaused() && !this->behind.empty());
+	}
+
+	aio::Task<void> HttpConnection::awaitRoom()
+	{
+		while (this->mustWait())
+		{
+			auto paf = kj::newPromiseAndFulfiller<void>();
+			this->roomWaiter = kj::mv(paf.fulfiller);
+			co_await kj::mv(paf.promise);
+		}
+		if (this->messageBytes > kUnqueuedBytes && nullptr != this->charge.chargedTo())
+		{
+			co_await this->charge.chargedTo()->resources().turns().next();
+		}
+	}
+
 	aio::Task<void> HttpConnection::readLoop()
 	{
-		std::array<char, kReadBufferBytes> buffer;
+		std::vector<char> buffer;
+		this->readCapacity = kMinReadBufferBytes;
 		while (!this->gone)
 		{
-			if (this->bufferedBytes > kMaxBufferedBytes)
+			if (this->mustWait() || this->messageBytes > kUnqueuedBytes)
+			{
+				co_await this->awaitRoom();
+			}
+			if (!this->behind.empty())
+			{
+				const std::string bytes = std::exchange(this->behind, {});
+				if (const std::optional<PartKind> ending = this->parse(bytes))
+				{
+					this->endWith(*ending);
+				}
+				continue;
+			}
+			if (this->readCapacity != buffer.size())
 			{
-				auto paf = kj::newPromiseAndFulfiller<void>();
-				this->spaceWaiter = kj::mv(paf.fulfiller);
-				co_await kj::mv(paf.promise);
+				buffer = std::vector<char>(this->readCapacity);
 			}
 			std::size_t size = 0;
 			bool broken = false;
@@ -100,12 +139,34 @@
 			{
 				this->endWith(*ending);
 			}
+			const bool full = size == buffer.size();
+			this->readCapacity = !this->parser.isWithinMessage() ? kMinReadBufferBytes : full ? kReadBufferBytes
+			                                                                                  : this->readCapacity;
 		}
 	}
 
 	std::optional<PartKind> HttpConnection::parse(std::string_view _bytes)
 	{
-		return this->inExchange ? this->parser.feed(_bytes) : std::optional(PartKind::Unrequested);
+		if (!this->inExchange)
+		{
+			return PartKind::Unrequested;
+		}
+		this->messageBytes += Side::Server == this->side ? _bytes.size() : 0;
+		this->recordMoved(_bytes.size());
+		std::string_view rest = _bytes;
+		const std::optional<PartKind> ending = this->parser.feed(rest);
+		if (!ending && this->parser.isPaused())
+		{
+			this->behind = std::string(rest);
+		}
+		this->updateCharge();
+		return ending;
+	}
+
+	void HttpConnection::updateCharge()
+	{
+		const std::size_t buffer = this->readCapacity > kMinReadBufferBytes ? this->readCapacity : 0;
+		this->charge.set(this->bufferedBytes + this->behind.capacity() + this->parser.memoryBytes() + buffer);
 	}
 
 	void HttpConnection::take(Part _part)
@@ -117,7 +178,7 @@
 		}
 		else
 		{
-			this->bufferedBytes += sizeof(Part) + _part.body.size();
+			this->bufferedBytes += sizeof(Part) + _part.headBytes + _part.body.size();
 			this->parts.push_back(std::move(_part));
 		}
 		KJ_IF_MAYBE (waiter, this->partWaiter)
@@ -138,6 +199,12 @@
 
 	aio::Task<Part> HttpConnection::next()
 	{
+		if (this->parts.empty() && this->parser.isPaused())
+		{
+			this->parser.resume();
+			this->messageBytes = 0;
+			this->wakeReader();
+		}
 		while (this->parts.empty())
 		{
 			auto paf = kj::newPromiseAndFulfiller<void>();
@@ -151,16 +218,22 @@
 		}
 		Part part = std::move(this->parts.front());
 		this->parts.pop_front();
-		this->bufferedBytes -= sizeof(Part) + part.body.size();
-		KJ_IF_MAYBE (waiter, this->spaceWaiter)
+		this->bufferedBytes -= sizeof(Part) + part.headBytes + part.body.size();
+		this->updateCharge();
+		this->wakeReader();
+		co_return part;
+	}
+
+	void HttpConnection::wakeReader()
+	{
+		KJ_IF_MAYBE (waiter, this->roomWaiter)
 		{
-			if (this->bufferedBytes <= kMaxBufferedBytes)
+			if (!this->mustWait())
 			{
 				(*waiter)->fulfill();
-				this->spaceWaiter = nullptr;
+				this->roomWaiter = nullptr;
 			}
 		}
-		co_return part;
 	}
 
 	kj::Promise<void> HttpConnection::whenDisconnected()
@@ -171,6 +244,109 @@
 	aio::Task<void> HttpConnection::write(std::string _bytes)
 	{
 		co_await this->stream->write(_bytes.data(), _bytes.size());
+		this->recordMoved(_bytes.size());
+	}
+
+	aio::Task<void> HttpConnection::write(std::string _head, std::string_view _body)
+	{
+		std::string start = std::move(_head);
+		const std::size_t first = std::min(_body.size(), kWriteBytes);
+		start += _body.substr(0, first);
+		co_await this->write(std::move(start));
+		for (std::size_t at = first; at < _body.size(); at += kWriteBytes)
+		{
+			const std::string_view piece = _body.substr(at, kWriteBytes);
+			co_await this->stream->write(piece.data(), piece.size());
+			this->recordMoved(piece.size());
+		}
+	}
+
+	void HttpConnection::chargeTo(std::shared_ptr<ResourceHolder> _holder)
+	{
+		this->charge.moveTo(std::move(_holder));
+	}
+
+	const std::shared_ptr<ResourceHolder>& HttpConnection::chargedTo() const
+	{
+		return this->charge.chargedTo();
+	}
+
+	void HttpConnection::recordMoved(std::size_t _bytes)
+	{
+		if (nullptr != this->charge.chargedTo())
+		{
+			this->charge.chargedTo()->recordMoved(_bytes);
+		}
+	}
+
+	void HttpConnection::setHeldFor(HeldFor _what)
+	{
+		if (nullptr != this->charge.chargedTo())
+		{
+			this->charge.chargedTo()->setHeldFor(_what);
+		}
+	}
+
+	kj::Promise<void> HttpConnection::whenLosingMemory() const
+	{
+		return nullptr == this->charge.chargedTo() ? kj::Promise<void>(kj::NEVER_DONE) : this->charge.chargedTo()->whenClosing();
+	}
+
+	void HttpConnection::limitBuffers(std::unique_ptr<BufferGrant> _grant)
+	{
+		this->buffers = std::move(_grant);
+		const int size = int(this->buffers->bufferBytes);
+		this->stream->setsockopt(SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+		this->stream->setsockopt(SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	}
+
+	aio::Task<void> HttpConnection::discard(std::size_t _maxBytes)
+	{
+		std::vector<char> buffer(kReadBufferBytes);
+		std::size_t discarded = 0;
+		std::size_t size = 1;
+		while (0 < size && discarded < _maxBytes)
+		{
+			if (nullptr != this->charge.chargedTo())
+			{
+				co_await this->charge.chargedTo()->resources().turns().next();
+			}
+			size = co_await this->stream->tryRead(buffer.data(), 1, buffer.size());
+			discarded += size;
+		}
+	}
+
+	aio::Task<void> HttpConnection::closeGracefully(kj::Timer& _timer, std::size_t _maxBytes, Millis _maxMs)
+	{
+		this->reading = nullptr;
+		this->parts.clear();
+		this->behind.clear();
+		this->bufferedBytes = 0;
+		this->updateCharge();
+		try
+		{
+			this->stream->shutdownWrite();
+			co_await this->discard(_maxBytes).take().exclusiveJoin(_timer.afterDelay(_maxMs * kj::MILLISECONDS));
+		}
+		catch (const kj::Exception&)
+		{
+			// The other side has closed already.
+		}
+	}
+
+	bool HttpConnection::hasBehind() const
+	{
+		return !this->behind.empty();
+	}
+
+	bool HttpConnection::isHungUp() const
+	{
+		KJ_IF_MAYBE (descriptor, this->stream->getFd())
+		{
+			pollfd state{*descriptor, POLLRDHUP, 0};
+			return 0 < poll(&state, 1, 0) && 0 != (state.revents & (POLLRDHUP | POLLHUP | POLLERR));
+		}
+		return false;
 	}
 
 	bool HttpConnection::hasUnread() const
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -14,6 +14,7 @@
 
 #include "aio/task.h"
 #include "http/message_parser.h"
+#include "http/resource_budget.h"
 
 namespace archdyke::http
 {
@@ -38,6 +39,37 @@
 		/// @throws kj::Exception When the connection is broken.
 		aio::Task<void> write(std::string _bytes);
 
+		/// Writes a head and a body, without a copy of the body.
+		/// @param[in] _body Must stay until the write has ended.
+		/// @throws kj::Exception When the connection is broken.
+		aio::Task<void> write(std::string _head, std::string_view _body);
+
+		/// Charges what this connection holds to a holder, whose connection it serves; null: to none.
+		void chargeTo(std::shared_ptr<ResourceHolder> _holder);
+
+		/// @returns The holder; null when there is none.
+		const std::shared_ptr<ResourceHolder>& chargedTo() const;
+
+		/// Tells the holder, if there is one, what its memory is held for.
+		void setHeldFor(HeldFor _what);
+
+		/// @returns A promise that is fulfilled once the holder has to give its memory back.
+		kj::Promise<void> whenLosingMemory() const;
+
+		/// Sets the size of the system's buffers.
+		void limitBuffers(std::unique_ptr<BufferGrant> _grant);
+
+		/// Ends the side of this process and reads on without keeping anything, so that the other side, which may still be sending,
+		/// sees what was written. Nothing else may be awaited here from now on.
+		/// @param[in] _maxBytes Bytes that are read at most, within _maxMs.
+		aio::Task<void> closeGracefully(kj::Timer& _timer, std::size_t _maxBytes, Millis _maxMs);
+
+		/// @returns Whether bytes came behind a request in progress.
+		bool hasBehind() const;
+
+		/// @returns Whether the other side has closed, even if bytes before that weren't read.
+		bool isHungUp() const;
+
 		/// @returns Whether there are unread parts, including the end of the connection.
 		bool hasUnread() const;
 
@@ -82,21 +114,38 @@
 
 	private:
 		aio::Task<void> readLoop();
+		/// Waits until bytes may be read: the reader has room, no request is in progress behind which they came, and it is this
+		/// connection's turn.
+		aio::Task<void> awaitRoom();
+		/// Reads what is left to send, and drops it.
+		aio::Task<void> discard(std::size_t _maxBytes);
+		/// Parses bytes. What is behind a request in progress is kept for later.
 		/// @returns How the connection ends because of these bytes; none if it goes on.
 		std::optional<PartKind> parse(std::string_view _bytes);
 		void take(Part _part);
 		void endWith(PartKind _how);
+		void updateCharge();
+		void recordMoved(std::size_t _bytes);
+		bool mustWait() const;
+		/// Lets the reading go on if it waits and there is room again.
+		void wakeReader();
 
+		std::unique_ptr<BufferGrant> buffers;
 		kj::Own<kj::AsyncIoStream> stream;
+		const Side side;
 		MessageParser parser;
 		std::deque<Part> parts;
 		std::uint64_t ownNumber;
 		bool inExchange = true;
 		std::deque<std::size_t> carried; ///< Hashes of the tags of recent exchanges.
 		std::size_t bufferedBytes = 0;
+		std::string behind;           ///< Bytes that came behind a request in progress.
+		std::size_t readCapacity = 0; ///< Size of the read buffer, bytes.
+		std::size_t messageBytes = 0; ///< Bytes of the request that is being received.
+		MemoryCharge charge;
 		bool gone = false;
 		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> partWaiter;
-		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> spaceWaiter;
+		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> roomWaiter;
 		kj::Own<kj::PromiseFulfiller<void>> goneFulfiller;
 		kj::ForkedPromise<void> goneFork;
 		kj::Promise<void> reading = nullptr;
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -26,7 +26,7 @@
 			}
 		}
 
-		std::string serializeStart(const ResponseHead& _head)
+		std::string serializeLines(const ResponseHead& _head)
 		{
 			std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", _head.status, reasonPhrase(_head.status));
 			appendHeaders(bytes, _head.headers);
@@ -69,31 +69,37 @@
 		});
 	}
 
-	std::string serialize(const RequestHead& _head, std::string_view _body)
+	std::string serializeStart(const RequestHead& _head, std::size_t _bodyBytes)
 	{
 		std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", _head.method, _head.target);
 		appendHeaders(bytes, _head.headers);
 		const bool bodyExpected = "GET" != _head.method && "HEAD" != _head.method;
-		if (!_body.empty() || bodyExpected)
+		if (0 < _bodyBytes || bodyExpected)
 		{
-			bytes += fmt::format("Content-Length: {}\r\n", _body.size());
+			bytes += fmt::format("Content-Length: {}\r\n", _bodyBytes);
 		}
 		bytes += "\r\n";
-		bytes += _body;
 		return bytes;
 	}
 
+	std::string serializeStart(const ResponseHead& _head, std::size_t _bodyBytes)
+	{
+		return serializeLines(_head) + fmt::format("Content-Length: {}\r\n\r\n", _bodyBytes);
+	}
+
+	std::string serialize(const RequestHead& _head, std::string_view _body)
+	{
+		return serializeStart(_head, _body.size()) += _body;
+	}
+
 	std::string serialize(const ResponseHead& _head, std::string_view _body)
 	{
-		std::string bytes = serializeStart(_head);
-		bytes += fmt::format("Content-Length: {}\r\n\r\n", _body.size());
-		bytes += _body;
-		return bytes;
+		return serializeStart(_head, _body.size()) += _body;
 	}
 
 	std::string serializeChunkedHead(const ResponseHead& _head)
 	{
-		return serializeStart(_head) + "Transfer-Encoding: chunked\r\n\r\n";
+		return serializeLines(_head) + "Transfer-Encoding: chunked\r\n\r\n";
 	}
 
 	std::string serializeChunk(std::string_view _piece)
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -74,6 +74,12 @@
 	/// @returns Bytes of a request with its complete body.
 	std::string serialize(const RequestHead& _head, std::string_view _body);
 
+	/// @returns Bytes of a request, up to its body of this size.
+	std::string serializeStart(const RequestHead& _head, std::size_t _bodyBytes);
+
+	/// @returns Bytes of a response, up to its body of this size.
+	std::string serializeStart(const ResponseHead& _head, std::size_t _bodyBytes);
+
 	/// @returns Bytes of a response with its complete body.
 	std::string serialize(const ResponseHead& _head, std::string_view _body);
 
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -12,6 +12,10 @@
 		constexpr int kFirstFinalStatus = 200;
 		constexpr int kNoContent = 204;
 		constexpr int kNotModified = 304;
+		/// Bytes of a header line besides its name and value: a colon and the end of the line.
+		constexpr std::size_t kMinLineBytes = 2;
+		/// A string takes up to twice the bytes that it holds.
+		constexpr std::size_t kMaxGrowth = 2;
 
 		Part partOf(PartKind _kind)
 		{
@@ -107,6 +111,7 @@
 		if (this->valueSeen)
 		{
 			this->headers.lines.emplace_back();
+			this->headBytes += kMinLineBytes;
 			this->valueSeen = false;
 		}
 		return this->headData(this->headers.lines.back().name, _at, _size);
@@ -120,21 +125,49 @@
 
 	int MessageParser::headersComplete()
 	{
-		constexpr int kNoBody = 1; // for the library
+		constexpr int kNoBody = 1; // for the library, as the next
+		constexpr int kFailed = -1;
 		if (Side::Client == this->side)
 		{
 			this->beginBody();
 			return kNoBody;
 		}
+		const bool hasLength = 0 != (this->raw.flags & F_CONTENTLENGTH);
+		if (hasLength && this->limits.bodyBytes < this->raw.content_length)
+		{
+			this->fail(PartKind::BodyTooLarge);
+			return kFailed;
+		}
 		Part part = partOf(PartKind::Head);
-		part.request = {http_method_str(http_method(this->raw.method)), this->target, this->headers, 0 != http_should_keep_alive(&this->raw)};
+		part.headBytes = this->memoryBytes();
+		part.request = {http_method_str(http_method(this->raw.method)), std::move(this->target), std::move(this->headers), 0 != http_should_keep_alive(&this->raw)};
+		this->target.clear();
+		this->headers = {};
+		this->headBytes = 0;
 		this->take(std::move(part));
 		return 0;
 	}
 
 	int MessageParser::requestBody(const char* _at, std::size_t _size)
 	{
-		return this->takeBody({_at, _size}) ? 0 : 1;
+		this->bodyBytes += _size;
+		if (this->limits.bodyBytes < this->bodyBytes)
+		{
+			this->fail(PartKind::BodyTooLarge);
+			return 1;
+		}
+		this->requestData.append(_at, _size);
+		return 0;
+	}
+
+	void MessageParser::flushRequestBody()
+	{
+		if (!this->requestData.empty())
+		{
+			Part part = partOf(PartKind::Body);
+			part.body = std::exchange(this->requestData, {});
+			this->take(std::move(part));
+		}
 	}
 
 	int MessageParser::requestComplete()
@@ -142,24 +175,49 @@
 		if (Side::Server == this->side)
 		{
 			this->inRequest = false;
+			this->flushRequestBody();
 			this->takeEnd();
+			this->paused = true;
+			http_parser_pause(&this->raw, 1);
 		}
 		return 0;
 	}
 
-	bool MessageParser::execute(std::string_view _bytes)
+	bool MessageParser::execute(std::string_view& _bytes)
 	{
 		const std::size_t parsed = http_parser_execute(&this->raw, &this->callbacks, _bytes.data(), _bytes.size());
-		return _bytes.size() == parsed && HPE_OK == HTTP_PARSER_ERRNO(&this->raw) && 0 == this->raw.upgrade;
+		const bool valid = this->paused || (_bytes.size() == parsed && HPE_OK == HTTP_PARSER_ERRNO(&this->raw));
+		_bytes.remove_prefix(std::min(parsed, _bytes.size()));
+		return valid && 0 == this->raw.upgrade;
 	}
 
-	std::optional<PartKind> MessageParser::feed(std::string_view _bytes)
+	bool MessageParser::isPaused() const
+	{
+		return this->paused;
+	}
+
+	void MessageParser::resume()
+	{
+		this->paused = false;
+		http_parser_pause(&this->raw, 0);
+	}
+
+	std::size_t MessageParser::memoryBytes() const
+	{
+		return kMaxGrowth * (this->headBytes + this->headText.size()) + this->headers.lines.capacity() * sizeof(Header) + this->requestData.capacity();
+	}
+
+	std::optional<PartKind> MessageParser::feed(std::string_view& _bytes)
 	{
 		this->failure = PartKind::Malformed;
 		bool valid = true;
-		if (Side::Server == this->side)
+		if (Side::Server == this->side && !this->paused)
 		{
 			valid = this->execute(_bytes);
+			if (valid)
+			{
+				this->flushRequestBody();
+			}
 		}
 		bool counted = false;
 		while (Side::Client == this->side && valid && !_bytes.empty())
@@ -213,7 +271,8 @@
 		}
 		http_parser_init(&this->raw, HTTP_RESPONSE);
 		this->interimBytes += _head.size();
-		return this->execute(_head);
+		std::string_view head = _head;
+		return this->execute(head) && head.empty();
 	}
 
 	void MessageParser::beginBody()
@@ -316,7 +375,8 @@
 	{
 		if (Side::Server == this->side)
 		{
-			return this->execute({}) && !this->inRequest;
+			std::string_view none;
+			return this->paused || (this->execute(none) && !this->inRequest);
 		}
 		if (BodyFraming::UntilClose == this->framing)
 		{
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -47,9 +47,10 @@
 	struct Part
 	{
 		PartKind kind = PartKind::Closed;
-		RequestHead request;   ///< For a Head read by a server.
-		ResponseHead response; ///< For a Head read by a client.
-		std::string body;      ///< For a Body.
+		RequestHead request;       ///< For a Head read by a server.
+		ResponseHead response;     ///< For a Head read by a client.
+		std::string body;          ///< For a Body.
+		std::size_t headBytes = 0; ///< Memory that the head takes, for a Head.
 	};
 
 	enum class Side
@@ -66,9 +67,18 @@
 		MessageParser(const MessageParser&) = delete;
 		MessageParser& operator=(const MessageParser&) = delete;
 
-		/// Parses bytes.
+		/// Parses bytes and removes those that it has parsed. A request's end pauses the parser: what is behind it isn't parsed.
 		/// @returns How the connection ends because of them; none if it goes on.
-		std::optional<PartKind> feed(std::string_view _bytes);
+		std::optional<PartKind> feed(std::string_view& _bytes);
+
+		/// @returns Whether a request is complete and resume wasn't called since.
+		bool isPaused() const;
+
+		/// Lets the parser go on with the next request.
+		void resume();
+
+		/// @returns Memory that a head which isn't complete takes.
+		std::size_t memoryBytes() const;
 
 		/// @returns Whether the end of the connection completes a message, or lies between messages.
 		bool feedEnd();
@@ -94,8 +104,11 @@
 		int requestBody(const char* _at, std::size_t _size);
 		int requestComplete();
 
-		/// @returns Whether the library takes all of these bytes.
-		bool execute(std::string_view _bytes);
+		/// Lets the library parse bytes and removes those that it takes.
+		/// @returns Whether they are valid.
+		bool execute(std::string_view& _bytes);
+		/// Passes on the bytes of a request's body that were parsed.
+		void flushRequestBody();
 
 		// They remove the bytes that they read, and return false when these end the connection.
 		bool feedResponseHead(std::string_view& _bytes);
@@ -125,6 +138,8 @@
 		std::size_t bodyBytes = 0;
 		bool valueSeen = true;
 		bool inRequest = false;
+		bool paused = false;
+		std::string requestData; ///< Bytes of a request's body that weren't passed on; many chunks become one part.
 
 		std::optional<BodyFraming> framing; ///< Of the response that is being read; none between responses.
 		std::string headText;               ///< Bytes of a response's head that isn't complete.
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -153,7 +153,9 @@
 		RigGateway startGatewayNamed(const std::string& _name) const
 		{
 			const std::string path = this->directory.path + "/" + _name + ".json";
-			std::ofstream(path) << Json{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", this->store.address}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}}.dump();
+			Json settings{{"name", _name}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", 9}, {"metrics", "127.0.0.1:0"}, {"store", this->store.address}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->revocationMs}, {"graceS", 8}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", this->retryAllowance}};
+			settings.update(this->moreSettings);
+			std::ofstream(path) << settings.dump();
 			RigGateway started;
 			started.process = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-gateway", std::vector<std::string>{"--settings", path}, this->directory.path + "/" + _name + ".log");
 			started.callers = started.process->listening("http");
@@ -192,6 +194,7 @@
 		RigStore store;
 		std::vector<RigWorker> workers;
 		RigGateway gateway;
+		Json moreSettings = Json::object(); ///< Of the gateways that are started from now on.
 		Millis revocationMs = 2'000;
 		double retryAllowance = 655'360.0; ///< A gateway that doesn't know the number of gateways gets a quarter of 1/2,048 of it: 80 resends per window.
 	};
