A sidecar's connections of other daemons are charged to its budget

What callers saw: clients at the port for daemons that announce messages of up to 64 MB and stop short, or that open connections and send nothing, made a sidecar take more memory than its machine has, or all of its descriptors, so that neither daemons nor operators were answered.

Cause: the RPC library's server accepts any number of connections, and holds each message that comes, and each response that isn't read, without a limit for all of them together.

PeerServer charges a message while it comes and until it is dropped, and the responses that wait to be read, to the connection's holder in the process's budget; it reads no calls from a peer that doesn't read its responses, and closes a connection that has been silent for 10 s when the port is full.

--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -7,6 +7,7 @@
 #include "base/version.h"
 #include "gateway/daemon.h"
 #include "group/coordinator.h"
+#include "group/peer_server.h"
 #include "group/rank_server.h"
 #include "http/http_listener.h"
 #include "http/socket_address.h"
@@ -64,14 +65,17 @@
 			    , path(std::move(_path))
 			    , io(_io)
 			    , loop{_io.provider->getNetwork(), _io.provider->getTimer()}
+			    , resourceCounters(this->metrics)
+			    , resources(gateway::memoryBytes(this->settings.place), this->resourceCounters)
 			    , tableStore(std::make_unique<store::EraStore>(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->settings.place.store), this->metrics), this->metrics))
 			    , engine(this->loop, _deployment.codec, this->settings.upstream)
 			    , fanOut(this->loop, this->settings.place.peerPort, this->settings.place.linkMbps, this->state.groupState)
-			    , server(kj::heap<RankServer>(this->state, this->engine, this->fanOut, this->settings.service))
+			    , server(this->resources, kj::heap<RankServer>(this->state, this->engine, this->fanOut, this->settings.service), http::peerConnections(descriptorLimit()))
 			    , address(this->settings.place.ip + ":" + std::to_string(this->settings.place.peerPort))
 			    , admin(this->loop, this->settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
 				            return this->adminAnswer(_head);
-			            }))
+			            }),
+			            &this->resources, http::adminLimits(descriptorLimit()))
 			{
 				this->state.heardAt = nowMs();
 				logInfo("start", {{"version", kVersion}, {"zone", this->settings.place.zone}, {"engine", this->settings.upstream}, {"service", this->settings.service}, {"peers", this->address}, {"store", this->settings.place.store}, {"metrics", this->settings.place.metrics}});
@@ -314,11 +318,13 @@
 			kj::AsyncIoContext& io;
 			http::LoopContext loop;
 			Metrics metrics;
+			http::ResourceCounters resourceCounters;
+			http::ResourceBudget resources;
 			SidecarState state;
 			std::unique_ptr<store::TableStore> tableStore;
 			Engine engine;
 			FanOut fanOut;
-			capnp::TwoPartyServer server;
+			PeerServer server;
 			const std::string address;
 			http::Listener admin;
 			kj::Own<kj::ConnectionReceiver> receiver;
