Connections to entries and agents are bounded by their VM's memory

What callers saw: clients that send bodies of 1 MiB short of their end, or bodies in chunks without end, made an entry or an agent take more memory than its VM has; connections that send nothing took all of its descriptors, so that nobody was answered. The same held for the ports for daemons.

Cause: an entry takes 8,192 connections with a thread and a body each; the HTTP library doesn't count a body in chunks, and the RPC library holds any message of any number of peers.

A full server closes a silent connection for a new one. When memory is short, silence counts, too, so that a new connection doesn't go before idle ones that hold as much.

A failed accept no longer ends the listener of a port for daemons.

--- a/include/archdyke/memory_share.h
+++ b/include/archdyke/memory_share.h
@@ -40,13 +40,14 @@
 		std::size_t bytes = 0;
 		double movedPerS = 0.0; ///< Recent rate of bytes received and sent.
 		HeldFor what = HeldFor::Idle;
+		Millis silentMs = 0; ///< Time since it last moved anything.
 
 		bool operator==(const HolderView&) const = default;
 	};
 
-	/// @returns How long the holder would take to move what it holds, s: when memory is short, the holder with the highest value
-	/// loses its connection first.
-	double secondsToMove(const HolderView& _holder);
+	/// @returns How much a holder burdens the process: how long it would take to move what it holds, s, times how long it has been
+	/// silent. When memory is short, the holder with the highest value loses its connection first.
+	double burdenOf(const HolderView& _holder);
 
 	/// @returns Whether a holder may lose its connection so that another one gets memory.
 	/// @param[in] _forSmall Whether the other one is small. A large one ends no run of an upstream.
--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -46,9 +46,11 @@
 					this->rank = std::make_unique<RankControl>(this->settings.upstream, this->loop, this->metrics);
 				}
 				this->server->attach(this->runs.get(), this->rank.get());
-				this->listener = std::make_unique<RpcListener>(this->loop, parseAddress(this->settings.rpc), [this] {
-					return rpc::Agent::Client(kj::addRef(*this->server));
-				});
+				this->listener = std::make_unique<RpcListener>(
+				    this->loop, parseAddress(this->settings.rpc), [this] {
+					    return rpc::Agent::Client(kj::addRef(*this->server));
+				    },
+				    this->settings.memoryMb, this->metrics);
 				addAdminRoutes(this->admin, this->metrics, {[this] {
 					return this->dump();
 				                                            },
@@ -155,7 +157,7 @@
 			std::unique_ptr<AgentRuns> runs;
 			std::unique_ptr<RankControl> rank; ///< Model ranks only.
 			std::unique_ptr<RpcListener> listener;
-			HttpServer admin;
+			HttpServer admin{makeConnectionRegistry(this->settings.memoryMb, this->metrics)};
 			absl::Mutex mutex;
 			bool stopped ABSL_GUARDED_BY(mutex) = false;
 			std::thread sweeper;
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -1,11 +1,18 @@
 #include "base/http_server.h"
 
 #include <absl/synchronization/mutex.h>
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <optional>
+#include <poll.h>
 #include <pthread.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "archdyke/errors.h"
 #include "base/config.h"
+#include "base/process.h"
 
 namespace archdyke
 {
@@ -91,6 +98,143 @@
 			httplib::ThreadPool refusals{kRefusalThreads};
 		};
 
+		/// Times for the next bytes of a connection, s.
+		struct StreamTimeouts
+		{
+			time_t readS = 0;
+			time_t writeS = 0;
+		};
+
+		/// @returns Whether the socket is ready for these events, or has ended, within the time.
+		bool awaitSocket(socket_t _socket, short _events, Millis _ms)
+		{
+			pollfd state{_socket, _events, 0};
+			return 0 < poll(&state, 1, int(_ms));
+		}
+
+		/// A connection's bytes, which are counted in the registry. A request that is longer than its limit is cut.
+		class SocketStream final : public httplib::Stream
+		{
+		public:
+			/// @param[in] _connection Null: bytes aren't counted.
+			SocketStream(socket_t _socket, ConnectionRegistry::Connection* _connection, std::size_t _maxBodyBytes, StreamTimeouts _timeouts)
+			    : descriptor(_socket)
+			    , connection(_connection)
+			    , maxBytes(kMaxHeadBytes + kMaxFramingFactor * _maxBodyBytes)
+			    , timeouts(_timeouts)
+			{
+			}
+
+			void beginRequest()
+			{
+				this->received = 0;
+				this->unsent = 0;
+				if (nullptr != this->connection)
+				{
+					this->connection->beginRequest();
+				}
+			}
+
+			bool hasBytes(Millis _waitMs) const
+			{
+				return this->begin < this->end || awaitSocket(this->descriptor, POLLIN, _waitMs);
+			}
+
+			bool is_readable() const override
+			{
+				return this->hasBytes(1'000 * Millis(this->timeouts.readS));
+			}
+
+			bool is_writable() const override
+			{
+				return awaitSocket(this->descriptor, POLLOUT, 1'000 * Millis(this->timeouts.writeS));
+			}
+
+			ssize_t read(char* _bytes, std::size_t _size) override
+			{
+				if (this->begin == this->end && !this->fill())
+				{
+					return this->ended ? 0 : -1;
+				}
+				const std::size_t size = std::min(_size, this->end - this->begin);
+				std::memcpy(_bytes, this->buffer.data() + this->begin, size);
+				this->begin += size;
+				return ssize_t(size);
+			}
+
+			ssize_t write(const char* _bytes, std::size_t _size) override
+			{
+				// The library calls again for what wasn't sent.
+				const std::size_t more = _size - std::min(_size, this->unsent);
+				this->unsent += more;
+				if (nullptr != this->connection)
+				{
+					this->connection->hold(more, false);
+				}
+				if (!this->is_writable())
+				{
+					return -1;
+				}
+				const ssize_t sent = send(this->descriptor, _bytes, _size, MSG_NOSIGNAL | MSG_DONTWAIT);
+				const std::size_t done = std::size_t(std::max<ssize_t>(0, sent));
+				this->unsent -= std::min(this->unsent, done);
+				if (0 < done && nullptr != this->connection)
+				{
+					this->connection->recordSent(done);
+				}
+				return sent;
+			}
+
+			void get_remote_ip_and_port(std::string&, int&) const override
+			{
+			}
+
+			void get_local_ip_and_port(std::string&, int&) const override
+			{
+			}
+
+			socket_t socket() const override
+			{
+				return this->descriptor;
+			}
+
+		private:
+			static constexpr std::size_t kBufferBytes = 4'096;
+			static constexpr std::size_t kMaxHeadBytes = 65'536;
+			/// Bytes of a body in chunks of one byte, for each of its bytes.
+			static constexpr std::size_t kMaxFramingFactor = 6;
+
+			/// @returns Whether bytes were read.
+			bool fill()
+			{
+				if (this->maxBytes < this->received || !this->is_readable())
+				{
+					return false;
+				}
+				const ssize_t size = recv(this->descriptor, this->buffer.data(), this->buffer.size(), 0);
+				this->ended = 0 == size;
+				this->begin = 0;
+				this->end = 0 < size ? std::size_t(size) : 0;
+				this->received += this->end;
+				if (0 < size && nullptr != this->connection)
+				{
+					this->connection->hold(this->end, true);
+				}
+				return 0 < size;
+			}
+
+			const socket_t descriptor;
+			ConnectionRegistry::Connection* const connection;
+			const std::size_t maxBytes;
+			const StreamTimeouts timeouts;
+			std::array<char, kBufferBytes> buffer{};
+			std::size_t begin = 0;
+			std::size_t end = 0;
+			std::size_t received = 0; ///< Bytes of the request that is being read.
+			std::size_t unsent = 0;   ///< Bytes of the response that were given to write() and not sent.
+			bool ended = false;
+		};
+
 		httplib::Server::HandlerResponse refuseWhenFull(const httplib::Request&, httplib::Response& _response)
 		{
 			if (!isRefusalThread)
@@ -105,7 +249,48 @@
 		}
 	} // namespace
 
-	HttpServer::HttpServer()
+	RegisteredServer::RegisteredServer(std::shared_ptr<ConnectionRegistry> _registry)
+	    : registry(std::move(_registry))
+	{
+	}
+
+	bool RegisteredServer::process_and_close_socket(socket_t _socket)
+	{
+		std::optional<ConnectionRegistry::Connection> connection;
+		if (nullptr != this->registry)
+		{
+			connection.emplace(*this->registry, _socket);
+		}
+		bool open = !connection || connection->isAdmitted();
+		SocketStream stream(_socket, connection ? &*connection : nullptr, this->payload_max_length_, {this->read_timeout_sec_, this->write_timeout_sec_});
+		for (std::size_t left = this->keep_alive_max_count_; open && 0 < left && this->awaitRequest(stream); --left)
+		{
+			stream.beginRequest();
+			bool closed = false;
+			open = this->process_request(stream, 1 == left, closed, nullptr) && !closed;
+		}
+		::shutdown(_socket, SHUT_RDWR);
+		connection.reset(); // before the descriptor is used for another connection
+		::close(_socket);
+		return true;
+	}
+
+	bool RegisteredServer::awaitRequest(httplib::Stream& _stream) const
+	{
+		constexpr Millis kPollIntervalMs = 50;
+		const Millis until = nowMs() + 1'000 * Millis(this->keep_alive_timeout_sec_);
+		while (INVALID_SOCKET != this->svr_sock_ && nowMs() < until)
+		{
+			if (static_cast<SocketStream&>(_stream).hasBytes(kPollIntervalMs))
+			{
+				return true;
+			}
+		}
+		return false;
+	}
+
+	HttpServer::HttpServer(std::shared_ptr<ConnectionRegistry> _registry)
+	    : server(std::move(_registry))
 	{
 		this->server.new_task_queue = [] {
 			return new ConnectionThreads();
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -4,17 +4,34 @@
 
 #include <atomic>
 #include <httplib.h>
+#include <memory>
 #include <string>
 #include <thread>
 
 #include "base/address.h"
+#include "base/connection_registry.h"
 
 namespace archdyke
 {
+	/// Server of the library whose connections are bounded by a registry, if there is one.
+	class RegisteredServer final : public httplib::Server
+	{
+	public:
+		explicit RegisteredServer(std::shared_ptr<ConnectionRegistry> _registry);
+
+	private:
+		bool process_and_close_socket(socket_t _socket) override;
+		/// @returns Whether bytes of a request came before the idle timeout and the end of the server.
+		bool awaitRequest(httplib::Stream& _stream) const;
+
+		std::shared_ptr<ConnectionRegistry> registry;
+	};
+
 	class HttpServer
 	{
 	public:
-		HttpServer();
+		/// @param[in] _registry Bounds the connections of all servers that share it; null: each one is served.
+		explicit HttpServer(std::shared_ptr<ConnectionRegistry> _registry = nullptr);
 		~HttpServer();
 		HttpServer(const HttpServer&) = delete;
 		HttpServer& operator=(const HttpServer&) = delete;
@@ -31,7 +48,7 @@
 		void stop();
 
 	private:
-		httplib::Server server;
+		RegisteredServer server;
 		std::thread thread;
 		std::atomic<int> listenSocket{-1};
 	};
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -7,6 +7,8 @@
 	namespace
 	{
 		constexpr std::int64_t kMaxSlots = 1024;
+		constexpr double kMinMemoryMb = 16.0;
+		constexpr double kMaxMemoryMb = 1e6;
 
 		UpstreamSettings readUpstream(ObjectReader& _reader)
 		{
@@ -28,6 +30,7 @@
 			settings.http = readAddress(_reader, "http");
 			settings.rpc = readAddress(_reader, "rpc");
 			settings.admin = readAddress(_reader, "admin");
+			settings.memoryMb = _reader.numberOr("memoryMb", kMinMemoryMb, kMaxMemoryMb, settings.memoryMb);
 			settings.platform = readAddress(_reader, "platform");
 			for (const std::string& peer : _reader.texts("peers"))
 			{
@@ -45,6 +48,7 @@
 			settings.zone = _reader.text("zone");
 			settings.rpc = readAddress(_reader, "rpc");
 			settings.admin = readAddress(_reader, "admin");
+			settings.memoryMb = _reader.numberOr("memoryMb", kMinMemoryMb, kMaxMemoryMb, settings.memoryMb);
 			bool isFound = false;
 			_reader.object("upstream", [&](ObjectReader& _upstream) {
 				isFound = true;
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -19,6 +19,7 @@
 		std::string admin;              ///< Address for operators: metrics, dumps, drain.
 		std::string platform;           ///< Address of the table service, object store and VM list.
 		std::vector<std::string> peers; ///< Entries to contact while the VM list is unavailable.
+		double memoryMb = 4'096.0;      ///< Memory of the VM that this process may use, MiB.
 
 		bool operator==(const EntrySettings&) const = default;
 	};
@@ -42,6 +43,7 @@
 		std::string rpc;
 		std::string admin;
 		UpstreamSettings upstream;
+		double memoryMb = 4'096.0; ///< Memory of the VM that this process may use, MiB.
 
 		bool operator==(const AgentSettings&) const = default;
 	};
--- a/src/decide/memory_share.cpp
+++ b/src/decide/memory_share.cpp
@@ -50,10 +50,11 @@
 		}
 	}
 
-	double secondsToMove(const HolderView& _holder)
+	double burdenOf(const HolderView& _holder)
 	{
 		const double seconds = double(_holder.bytes) / std::max(kMinMovedPerS, _holder.movedPerS);
-		return HeldFor::Run == _holder.what ? kRunWeight * seconds : seconds;
+		const double silence = 1.0 + double(_holder.silentMs) / 1'000.0;
+		return (HeldFor::Run == _holder.what ? kRunWeight : 1.0) * seconds * silence;
 	}
 
 	bool mayLoseMemory(const HolderView& _holder, const MemoryLimits& _limits, bool _forSmall)
--- a/src/entry/entry_main.cpp
+++ b/src/entry/entry_main.cpp
@@ -35,14 +35,16 @@
 			    , http({this->keeper, this->directory, this->guard, this->claims, this->crashes, this->counters}, this->incarnation)
 			    , watcher(std::make_unique<Watcher>(this->settings, this->incarnation, this->loops[0], this->keeper, this->directory, this->crashes, this->guard, this->metrics))
 			{
-				this->listener = std::make_unique<RpcListener>(this->loops[0], parseAddress(this->settings.rpc), [this] {
-					return makePeerServer({[this](const PeerState& _peer) {
+				this->listener = std::make_unique<RpcListener>(
+				    this->loops[0], parseAddress(this->settings.rpc), [this] {
+					    return makePeerServer({[this](const PeerState& _peer) {
 						return this->exchangePeerState(_peer);
-					                       },
-					                       [this](const std::string& _digest) {
+					                           },
+					                           [this](const std::string& _digest) {
 						return this->keeper.bytes(_digest);
-					}});
-				});
+					    }});
+				    },
+				    this->settings.memoryMb, this->metrics);
 				this->planner = std::make_unique<Planner>(this->settings, this->incarnation, this->loops[1], this->keeper, this->directory, this->metrics);
 				this->http.addRoutes(this->server);
 				addAdminRoutes(this->admin, this->metrics, {[this] {
@@ -157,8 +159,9 @@
 			std::unique_ptr<Watcher> watcher;
 			std::unique_ptr<Planner> planner;
 			std::unique_ptr<RpcListener> listener;
-			HttpServer server;
-			HttpServer admin;
+			std::shared_ptr<ConnectionRegistry> connections = makeConnectionRegistry(this->settings.memoryMb, this->metrics);
+			HttpServer server{this->connections};
+			HttpServer admin{this->connections};
 		};
 	} // namespace
 } // namespace archdyke
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -7,10 +7,10 @@
 #include "base/version.h"
 #include "gateway/daemon.h"
 #include "group/coordinator.h"
-#include "group/peer_server.h"
 #include "group/rank_server.h"
 #include "http/http_listener.h"
 #include "http/socket_address.h"
+#include "rpc/peer_server.h"
 #include "store/counted_store.h"
 #include "store/era_store.h"
 
@@ -70,7 +70,7 @@
 			    , tableStore(std::make_unique<store::EraStore>(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->settings.place.store), this->metrics), this->metrics))
 			    , engine(this->loop, _deployment.codec, this->settings.upstream)
 			    , fanOut(this->loop, this->settings.place.peerPort, this->settings.place.linkMbps, this->state.groupState)
-			    , server(this->resources, kj::heap<RankServer>(this->state, this->engine, this->fanOut, this->settings.service), http::peerConnections(descriptorLimit()))
+			    , server(this->loop.timer, this->resources, kj::heap<RankServer>(this->state, this->engine, this->fanOut, this->settings.service), http::peerConnections(descriptorLimit()))
 			    , address(this->settings.place.ip + ":" + std::to_string(this->settings.place.peerPort))
 			    , admin(this->loop, this->settings.place.metrics, http::serveRequests([this](const http::RequestHead& _head) {
 				            return this->adminAnswer(_head);
--- a/src/http/resource_budget.cpp
+++ b/src/http/resource_budget.cpp
@@ -105,15 +105,15 @@
 		const Millis now = nowMs();
 		const bool forSmall = _for.bytes <= this->limits.smallBytes;
 		ResourceHolder* victim = nullptr;
-		double longest = -1.0;
+		double heaviest = -1.0;
 		for (ResourceHolder* holder : this->holders)
 		{
 			const HolderView view = holder->view(now);
-			const double seconds = secondsToMove(view);
-			if (!holder->closing && longest < seconds && (holder == &_for || mayLoseMemory(view, this->limits, forSmall)))
+			const double burden = burdenOf(view);
+			if (!holder->closing && heaviest < burden && (holder == &_for || mayLoseMemory(view, this->limits, forSmall)))
 			{
 				victim = holder;
-				longest = seconds;
+				heaviest = burden;
 			}
 		}
 		return victim;
@@ -231,7 +231,7 @@
 
 	HolderView ResourceHolder::view(Millis _now) const
 	{
-		return {this->bytes, withMoved(this->rate, 0, _now).perS, this->what};
+		return {this->bytes, withMoved(this->rate, 0, _now).perS, this->what, _now - this->rate.at};
 	}
 
 	MemoryCharge::MemoryCharge(std::shared_ptr<ResourceHolder> _holder)
--- a/src/group/peer_server.cpp
+++ b/src/rpc/peer_server.cpp
@@ -1,8 +1,10 @@
-#include "group/peer_server.h"
+#include "rpc/peer_server.h"
 
 #include <algorithm>
 #include <capnp/rpc-twoparty.h>
 #include <capnp/serialize-async.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -10,7 +12,7 @@
 #include "base/log.h"
 #include "base/process.h"
 
-namespace archdyke::group
+namespace archdyke
 {
 	namespace
 	{
@@ -20,6 +22,10 @@
 		constexpr std::size_t kMaxUnreadBytes = 262'144;
 		/// A connection that moved nothing for this long may be closed for a new one, ms: links between daemons are used more often.
 		constexpr Millis kSilentMs = 10'000;
+		/// Time without acknowledgements after which a connection is closed, ms.
+		constexpr unsigned int kPeerTimeoutMs = 10'000;
+		/// Delay after a failed accept, ms: without free file descriptors each further one fails, too.
+		constexpr Millis kAcceptRetryMs = 50;
 		constexpr Millis kRefusalLogIntervalMs = 1'000;
 
 		/// A stream whose incoming message is charged while it comes.
@@ -219,8 +225,9 @@
 		};
 	} // namespace
 
-	PeerServer::PeerServer(http::ResourceBudget& _resources, capnp::Capability::Client _bootstrap, std::size_t _maxConnections)
-	    : resources(_resources)
+	PeerServer::PeerServer(kj::Timer& _timer, http::ResourceBudget& _resources, capnp::Capability::Client _bootstrap, std::size_t _maxConnections)
+	    : timer(_timer)
+	    , resources(_resources)
 	    , bootstrap(kj::mv(_bootstrap))
 	    , maxConnections(_maxConnections)
 	    , connections(*this)
@@ -229,19 +236,31 @@
 
 	kj::Promise<void> PeerServer::listen(kj::ConnectionReceiver& _receiver)
 	{
-		return _receiver.accept().then([this, &_receiver](kj::Own<kj::AsyncIoStream>&& _stream) {
-			const Millis now = nowMs();
-			if (this->holders.size() < this->maxConnections || this->resources.closeSilent(this->holders, kSilentMs))
-			{
-				this->serve(kj::mv(_stream));
-			}
-			else if (this->refusalLoggedAt + kRefusalLogIntervalMs <= now)
-			{
-				this->refusalLoggedAt = now;
-				logWarning("peers_not_served", {{"open", this->holders.size()}, {"remedy", "raise the limit of file descriptors, and check who connects to the port for daemons"}});
-			}
-			return this->listen(_receiver);
-		});
+		return _receiver.accept().then([this](kj::Own<kj::AsyncIoStream>&& _stream) -> kj::Promise<void> {
+			                         this->acceptOne(kj::mv(_stream));
+			                         return kj::READY_NOW;
+		                         },
+		                               [this](kj::Exception&& _error) -> kj::Promise<void> {
+			                               logWarning("accept_failed", {{"reason", _error.getDescription().cStr()}, {"remedy", "raise the limit of file descriptors"}});
+			                               return this->timer.afterDelay(kAcceptRetryMs * kj::MILLISECONDS);
+		                               })
+		    .then([this, &_receiver] {
+			    return this->listen(_receiver);
+		    });
+	}
+
+	void PeerServer::acceptOne(kj::Own<kj::AsyncIoStream> _stream)
+	{
+		const Millis now = nowMs();
+		if (this->holders.size() < this->maxConnections || this->resources.closeSilent(this->holders, kSilentMs))
+		{
+			this->serve(kj::mv(_stream));
+		}
+		else if (this->refusalLoggedAt + kRefusalLogIntervalMs <= now)
+		{
+			this->refusalLoggedAt = now;
+			logWarning("peers_not_served", {{"open", this->holders.size()}, {"remedy", "raise the limit of file descriptors, and check who connects to the port for daemons"}});
+		}
 	}
 
 	void PeerServer::serve(kj::Own<kj::AsyncIoStream> _stream)
@@ -252,6 +271,9 @@
 		const int bufferSize = int(buffers->bufferBytes);
 		_stream->setsockopt(SOL_SOCKET, SO_RCVBUF, &bufferSize, sizeof(bufferSize));
 		_stream->setsockopt(SOL_SOCKET, SO_SNDBUF, &bufferSize, sizeof(bufferSize));
+		const int yes = 1;
+		_stream->setsockopt(SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof(yes));
+		_stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kPeerTimeoutMs, sizeof(kPeerTimeoutMs));
 		auto connection = kj::heap<PeerConnection>(kj::mv(_stream), holder, std::move(buffers), this->bootstrap);
 		kj::Promise<void> ended = connection->network.onDisconnect();
 		this->connections.add(ended.exclusiveJoin(holder->whenClosing()).attach(kj::mv(connection)).attach(kj::defer([this, holder] {
@@ -263,4 +285,4 @@
 	{
 		logWarning("peer_connection_failed", {{"reason", _error.getDescription().cStr()}});
 	}
-} // namespace archdyke::group
+} // namespace archdyke
--- a/src/group/peer_server.h
+++ b/src/rpc/peer_server.h
@@ -5,25 +5,29 @@
 #include <capnp/capability.h>
 #include <kj/async-io.h>
 #include <kj/async.h>
+#include <kj/timer.h>
 
 #include "archdyke/types.h"
 #include "http/resource_budget.h"
 
-namespace archdyke::group
+namespace archdyke
 {
 	class PeerServer final : private kj::TaskSet::ErrorHandler
 	{
 	public:
+		/// @param[in] _timer Of the event loop, for a pause after a failed accept.
 		/// @param[in] _maxConnections Connections that are served at once; a further one takes the place of a silent one, or is closed.
-		PeerServer(http::ResourceBudget& _resources, capnp::Capability::Client _bootstrap, std::size_t _maxConnections);
+		PeerServer(kj::Timer& _timer, http::ResourceBudget& _resources, capnp::Capability::Client _bootstrap, std::size_t _maxConnections);
 
 		/// Accepts connections until the promise is dropped.
 		kj::Promise<void> listen(kj::ConnectionReceiver& _receiver);
 
 	private:
+		void acceptOne(kj::Own<kj::AsyncIoStream> _stream);
 		void serve(kj::Own<kj::AsyncIoStream> _stream);
 		void taskFailed(kj::Exception&& _error) override;
 
+		kj::Timer& timer;
 		http::ResourceBudget& resources;
 		capnp::Capability::Client bootstrap;
 		const std::size_t maxConnections;
@@ -31,4 +35,4 @@
 		kj::TaskSet connections;
 		Millis refusalLoggedAt = 0;
 	};
-} // namespace archdyke::group
+} // namespace archdyke
--- a/src/rpc/rpc_listener.cpp
+++ b/src/rpc/rpc_listener.cpp
@@ -1,55 +1,45 @@
 #include "rpc/rpc_listener.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include "archdyke/errors.h"
+#include "base/log.h"
+#include "base/process.h"
+#include "rpc/peer_server.h"
 
 namespace archdyke
 {
 	namespace
 	{
-		/// Time without acknowledgements after which a connection is closed, ms.
-		constexpr unsigned int kPeerTimeoutMs = 10'000;
-
-		void setPeerTimeout(kj::AsyncIoStream& _stream)
-		{
-			const int yes = 1;
-			_stream.setsockopt(SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof(yes));
-			_stream.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kPeerTimeoutMs, sizeof(kPeerTimeoutMs));
-		}
+		constexpr double kMiB = 1'048'576.0;
+		/// The budget is one half of the memory that it is given; the other half is for callers and operators.
+		constexpr double kMemoryDivisor = 2.0;
+		/// Part of the descriptors for connections of peers; the rest is for callers, operators, other daemons and upstreams.
+		constexpr std::size_t kDescriptorsPerPeer = 4;
 	} // namespace
 
-	struct RpcListener::State : public kj::TaskSet::ErrorHandler
+	struct RpcListener::State
 	{
-		explicit State(capnp::Capability::Client _bootstrap)
-		    : server(kj::mv(_bootstrap))
-		    , tasks(*this)
-		{
-		}
-
-		void taskFailed(kj::Exception&&) override
-		{
-			// The connection failed; the peer reconnects.
-		}
-
-		void accept()
+		State(kj::Timer& _timer, std::size_t _memoryBytes, http::ResourceCounters& _counters, capnp::Capability::Client _bootstrap, kj::Own<kj::ConnectionReceiver> _receiver)
+		    : resources(_memoryBytes, _counters)
+		    , server(_timer, this->resources, kj::mv(_bootstrap), descriptorLimit() / kDescriptorsPerPeer)
+		    , receiver(kj::mv(_receiver))
+		    , accepting(this->server.listen(*this->receiver).eagerlyEvaluate([](kj::Exception&& _error) {
+			    logError("accept_stopped", {{"reason", _error.getDescription().cStr()}, {"remedy", "restart the process and report this"}});
+		    }))
 		{
-			this->tasks.add(this->receiver->accept().then([this](kj::Own<kj::AsyncIoStream>&& _stream) {
-				setPeerTimeout(*_stream);
-				this->server.accept(kj::mv(_stream));
-				this->accept();
-			}));
 		}
 
-		capnp::TwoPartyServer server;
+		http::ResourceBudget resources;
+		PeerServer server;
 		kj::Own<kj::ConnectionReceiver> receiver;
-		kj::TaskSet tasks;
+		kj::Promise<void> accepting;
 	};
 
-	RpcListener::RpcListener(RpcLoop& _loop, const Address& _address, std::function<capnp::Capability::Client()> _bootstrap)
+	RpcListener::RpcListener(RpcLoop& _loop, const Address& _address, std::function<capnp::Capability::Client()> _bootstrap, double _memoryMb, Metrics& _metrics)
 	    : loop(_loop)
+	    , counters(_metrics)
 	    , bound(_address)
 	{
 		std::string error;
@@ -64,10 +54,9 @@
 					error = "not an IPv4 address";
 					return;
 				}
-				this->state = kj::heap<State>(_bootstrap());
-				this->state->receiver = this->loop.network().getSockaddr(&target, sizeof(target))->listen();
-				this->bound.port = int(this->state->receiver->getPort());
-				this->state->accept();
+				kj::Own<kj::ConnectionReceiver> receiver = this->loop.network().getSockaddr(&target, sizeof(target))->listen();
+				this->bound.port = int(receiver->getPort());
+				this->state = kj::heap<State>(this->loop.timer(), std::size_t(_memoryMb * kMiB / kMemoryDivisor), this->counters, _bootstrap(), kj::mv(receiver));
 			}
 			catch (const kj::Exception& exception)
 			{
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -323,3 +323,9 @@
 {
 	runSeed({.seed = 63, .faults = 6, .stutters = 2, .oddRows = 8});
 }
+
+/// Clients that don't behave join: gateways stay, and the answers to all others are as they should be.
+Test(soak, clients_that_do_not_behave_cause_no_violations)
+{
+	runSeed({.seed = 65, .faults = 8, .series = 2, .crowd = 60});
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -94,6 +94,7 @@
 		std::uint32_t stutters = 0; ///< Number of times that upstreams stutter, in addition to the faults.
 		bool withinLength = false;  ///< Upstreams that stutter also send bytes within bodies that have a length.
 		std::uint32_t oddRows = 0;  ///< Number of odd entries among the rows of the upstreams, in addition to the faults.
+		std::uint32_t crowd = 0;    ///< Number of clients that don't behave.
 		bool large = false;         ///< About a hundred processes: as many as fit on a machine beside other runs.
 		double perSecond = 80.0;
 		Millis meanIntervalMs = 700; ///< Mean time between the starts of faults.
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <filesystem>
 #include <fmt/format.h>
+#include <memory>
 #include <sstream>
 
 #include "soak_callers.h"
+#include "soak_crowd.h"
 #include "soak_deployment.h"
 #include "soak_faults.h"
 
@@ -61,12 +63,14 @@
 			}
 			SoakCallers callers(this->deployment, this->options.seed, 0 < this->options.series, 0 < this->options.stutters);
 			SoakFaults faults(this->options, this->deployment);
+			auto crowd = std::make_unique<SoakCrowd>(this->deployment, this->options.seed, this->options.crowd);
 			while (!faults.isFinished())
 			{
 				faults.step();
 				this->pollGateways();
 				pauseMs(kTickMs);
 			}
+			crowd.reset();
 			callers.endPlain();
 			this->result.faults = faults.startedCounts();
 			this->deployment.recover();
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -13,6 +13,8 @@
 {
 	namespace
 	{
+		/// Little, so that clients that don't behave make it short.
+		constexpr double kGatewayMemoryMb = 24.0;
 		constexpr Millis kMaxCrashDetectionMs = 500;  ///< Upper bound of the time between a crash and its detection, with a margin.
 		constexpr Millis kCrashedRowExpiryMs = 1'500; ///< Until the row of a crashed upstream expires.
 		const SoakSize kDefaultSize{3, 4, {4, 3}};
@@ -148,7 +150,7 @@
 
 	void SoakDeployment::startGateway(SoakPart& _gateway)
 	{
-		auto process = this->startDaemon(_gateway, "archdyke-gateway", {{"ip", "127.0.0.1"}, {"metrics", "127.0.0.1:0"}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->bounds.revocationMs}, {"graceS", this->bounds.graceMs / kMsPerS}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", 6'400.0}});
+		auto process = this->startDaemon(_gateway, "archdyke-gateway", {{"ip", "127.0.0.1"}, {"metrics", "127.0.0.1:0"}, {"callers", "127.0.0.1:0"}, {"readiness", "127.0.0.1:0"}, {"revocationMs", this->bounds.revocationMs}, {"graceS", this->bounds.graceMs / kMsPerS}, {"retryRatio", 0.2}, {"retryWindowS", 10}, {"retryAllowance", 6'400.0}, {"memoryMb", kGatewayMemoryMb}});
 		const std::string callers = process->listening("http");
 		absl::MutexLock lock(&this->mutex);
 		_gateway.metrics = process->listening("metrics");
