An ordinary request that is run counts as small

What callers saw: beside a crowd of clients that each hold a little less than 64 KiB, no ordinary request got an answer within 20 s (crowds_heads_without_end, once in a run of all tests, and by itself after that).

Cause: a connection was small up to 64 KiB, and an ordinary request takes 66 KiB while an upstream runs it, so that it counted as large. A large holder takes no memory of small ones, which the whole crowd was: with more than three quarters of the budget held, the only holder that could lose its memory was the request.

Evidence: the gateway's log names the same victim some 93 times a second: last_held_bytes=67706, with 380 connections of 56,328 bytes each.

Small is up to 128 KiB now. heads_without_end passed 4 of 4 times after that, as did heads_that_stop_short, a new crowd (which passed before, too).

--- a/src/decide/memory_share.cpp
+++ b/src/decide/memory_share.cpp
@@ -13,7 +13,8 @@
 		constexpr std::size_t kSystemDivisor = 4;
 		/// Part of the total that only small holders may take.
 		constexpr std::size_t kReservedDivisor = 4;
-		constexpr std::size_t kSmallBytes = 65'536;
+		/// Twice what an ordinary request takes while an upstream runs it.
+		constexpr std::size_t kSmallBytes = 131'072;
 
 		/// A holder that moves nothing counts as if it moved this much, bytes per second.
 		constexpr double kMinMovedPerS = 1'024.0;
--- a/tests/test_gateway_crowds.cpp
+++ b/tests/test_gateway_crowds.cpp
@@ -223,6 +223,13 @@
 	checkCrowd(rig, 450, {"GET /safe/x?do=ok HTTP/1.1\r\nHost: office.example\r\n", "Name: " + std::string(100, 'x') + "\r\n", 130});
 }
 
+/// Heads of a size at which each client holds a little less than an ordinary request that is run.
+Test(crowds, heads_that_stop_short)
+{
+	CrowdRig rig;
+	checkCrowd(rig, 450, {"GET /safe/x?do=ok HTTP/1.1\r\nHost: office.example\r\n", "Name: " + std::string(100, 'x') + "\r\n", 95});
+}
+
 /// Requests that are refused at once, by callers who never read: their answers fill what the system keeps for a connection.
 Test(crowds, refusals_that_nobody_reads)
 {
