Crowd tests share their bounds and wait without sleeping

The crowd tests of gateway, sidecar, entry and agent each had their own copy of the machine's memory, the descriptors and the check of both; a change of one would not have changed the others. Pauses of a fixed length became poll() and notifications, and the sidecar's test takes free ports, so that two runs on one machine don't meet.

The crowds and their bounds are the same.

--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -2,18 +2,21 @@
 /// meanwhile.
 #pragma once
 
+#include <absl/synchronization/notification.h>
+#include <absl/time/time.h>
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <criterion/criterion.h>
+#include <cstring>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <mutex>
+#include <poll.h>
 #include <set>
 #include <sstream>
 #include <string>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -21,33 +24,20 @@
 
 #include "base/address.h"
 #include "base/process.h"
+#include "descriptor_limit.h"
 #include "lab_process.h"
 #include "raw_sockets.h"
 
 namespace archdyke::tests
 {
-	/// Lowers this process's limit of file descriptors, which programs that are started meanwhile inherit.
-	class LoweredDescriptorLimit
-	{
-	public:
-		explicit LoweredDescriptorLimit(rlim_t _limit)
-		{
-			getrlimit(RLIMIT_NOFILE, &this->before);
-			const rlimit lowered{_limit, this->before.rlim_max};
-			setrlimit(RLIMIT_NOFILE, &lowered);
-		}
-
-		~LoweredDescriptorLimit()
-		{
-			setrlimit(RLIMIT_NOFILE, &this->before);
-		}
-
-		LoweredDescriptorLimit(const LoweredDescriptorLimit&) = delete;
-		LoweredDescriptorLimit& operator=(const LoweredDescriptorLimit&) = delete;
-
-	private:
-		rlimit before{};
-	};
+	constexpr std::size_t kMiB = std::size_t(1) << 20;
+	/// Memory of the machine of a process at which a crowd is; the process must stay within it.
+	constexpr std::size_t kMemoryMb = 48;
+	/// Limit of its file descriptors, and how many must stay free: for the store, logs and operators.
+	constexpr rlim_t kDescriptors = 1'024;
+	constexpr rlim_t kFreeDescriptors = 16;
+	/// Time within which an ordinary client, who tries again, gets an answer.
+	constexpr Millis kAnswerWaitMs = 20'000;
 
 	/// What each client of a crowd does. It keeps its connection open until the crowd ends.
 	struct CrowdPlan
@@ -143,15 +133,37 @@
 					}
 				}
 				this->progressAt = moved ? nowMs() : this->progressAt.load();
-				usleep(moved ? 200 : 5'000);
+				if (!moved)
+				{
+					this->awaitRoom();
+				}
 			}
 		}
 
+		/// Waits until a client can send more, or some ms.
+		void awaitRoom() const
+		{
+			constexpr int kMaxWaitMs = 5;
+			std::vector<pollfd> waiting;
+			for (const Client& client : this->clients)
+			{
+				if (!client.closed && client.sent < this->totalOf(client))
+				{
+					waiting.push_back({client.descriptor, POLLOUT, 0});
+				}
+			}
+			poll(waiting.data(), nfds_t(waiting.size()), kMaxWaitMs);
+		}
+
+		std::size_t totalOf(const Client& _client) const
+		{
+			return _client.start.size() + this->plan.block.size() * this->plan.blocks;
+		}
+
 		/// @returns Whether any bytes were sent.
 		bool sendSome(Client& _client) const
 		{
-			const std::size_t total = _client.start.size() + this->plan.block.size() * this->plan.blocks;
-			if (_client.closed || total <= _client.sent)
+			if (_client.closed || this->totalOf(_client) <= _client.sent)
 			{
 				return false;
 			}
@@ -203,17 +215,17 @@
 		    , otherPorts(std::move(_otherPorts))
 		{
 			this->thread = std::thread([this] {
-				while (!this->ended)
+				constexpr absl::Duration kInterval = absl::Milliseconds(20);
+				do
 				{
 					this->sample();
-					usleep(20'000);
-				}
+				} while (!this->ended.WaitForNotificationWithTimeout(kInterval));
 			});
 		}
 
 		~ProcessWatch()
 		{
-			this->ended = true;
+			this->ended.Notify();
 			this->thread.join();
 		}
 
@@ -300,13 +312,30 @@
 		const pid_t process;
 		const std::set<unsigned> ownPorts;
 		const std::set<unsigned> otherPorts;
-		std::atomic<bool> ended = false;
+		absl::Notification ended;
 		std::atomic<std::size_t> mostBytes = 0;
 		std::atomic<std::size_t> mostSystemBytes = 0;
 		std::atomic<std::size_t> mostDescriptors = 0;
 		std::thread thread;
 	};
 
+	/// Checks that a process lives and stayed within the memory of its machine and its descriptors.
+	inline void checkBounds(lab::ChildProcess& _process, const ProcessWatch& _watch)
+	{
+		cr_expect(_process.running(), "the process has ended");
+		cr_expect(_watch.peakBytes() <= kMemoryMb * kMiB, "%zu KiB were held, of %zu; up to %zu by the system for connections", _watch.peakBytes() / 1'024, kMemoryMb * 1'024, _watch.peakSystemBytes() / 1'024);
+		cr_expect(_watch.peakDescriptors() + kFreeDescriptors <= kDescriptors, "%zu descriptors were open", _watch.peakDescriptors());
+		fmt::print("held {} KiB of {}, by the system up to {} KiB, {} descriptors\n", _watch.peakBytes() / 1'024, kMemoryMb * 1'024, _watch.peakSystemBytes() / 1'024, _watch.peakDescriptors());
+	}
+
+	/// @returns Start of a Cap'n Proto message of one segment: the table of its segments.
+	inline std::string segmentTable(std::uint32_t _words)
+	{
+		std::string bytes(8, '\0');
+		std::memcpy(bytes.data() + 4, &_words, sizeof(_words));
+		return bytes;
+	}
+
 	/// @returns A chunk of a chunked body.
 	inline std::string chunkOf(std::size_t _bytes)
 	{
--- a/tests/test_gateway_connections.cpp
+++ b/tests/test_gateway_connections.cpp
@@ -1,10 +1,10 @@
 /// Many new connections at one gateway, as when the platform hands it most of those of a zone.
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "descriptor_limit.h"
 #include "gateway_rig.h"
 
 using namespace archdyke;
@@ -15,29 +15,6 @@
 	constexpr rlim_t kDescriptors = 128;      ///< Limit of the gateway's file descriptors.
 	constexpr std::size_t kConnections = 300; ///< Connections that callers open at once.
 
-	/// Lowers this process's limit of file descriptors, which programs that are started meanwhile inherit.
-	class DescriptorLimit
-	{
-	public:
-		explicit DescriptorLimit(rlim_t _limit)
-		{
-			getrlimit(RLIMIT_NOFILE, &this->before);
-			const rlimit lowered{_limit, this->before.rlim_max};
-			setrlimit(RLIMIT_NOFILE, &lowered);
-		}
-
-		~DescriptorLimit()
-		{
-			setrlimit(RLIMIT_NOFILE, &this->before);
-		}
-
-		DescriptorLimit(const DescriptorLimit&) = delete;
-		DescriptorLimit& operator=(const DescriptorLimit&) = delete;
-
-	private:
-		rlimit before{};
-	};
-
 	/// Connections that send nothing.
 	class Connections
 	{
@@ -80,7 +57,7 @@
 
 		FloodRig()
 		{
-			const DescriptorLimit limit(kDescriptors);
+			const LoweredDescriptorLimit limit(kDescriptors);
 			this->gateway = this->rig.startGatewayNamed("gateway-of-few");
 			this->gateway.waitReady(1);
 		}
--- a/tests/test_gateway_crowds.cpp
+++ b/tests/test_gateway_crowds.cpp
@@ -9,19 +9,10 @@
 
 namespace
 {
-	constexpr std::size_t kMiB = std::size_t(1) << 20;
-	/// Memory of the gateway's machine; the gateway must stay within it.
-	constexpr std::size_t kMemoryMb = 48;
-	/// Limit of the gateway's file descriptors.
-	constexpr rlim_t kDescriptors = 1'024;
-	/// Descriptors that must stay free, for the store, logs and operators.
-	constexpr rlim_t kFreeDescriptors = 16;
 	/// Size of a body, and of a head, that a caller may send.
 	constexpr std::size_t kMaxBodyBytes = 4 * kMiB;
 	constexpr std::size_t kMaxHeadBytes = 16'384;
 	constexpr Millis kLongTimeoutMs = 20'000;
-	/// Time within which an ordinary caller, who tries again, gets an answer.
-	constexpr Millis kAnswerWaitMs = 20'000;
 
 	/// A gateway with little memory and few descriptors, two upstreams, and one that sends what a test tells it to.
 	struct CrowdRig
@@ -101,14 +92,6 @@
 		return headOf("POST", _target, fmt::format("Content-Length: {}\r\n", _bytes));
 	}
 
-	void checkBounds(CrowdRig& _rig, const ProcessWatch& _watch)
-	{
-		cr_expect(_rig.gateway.process->running(), "the gateway has ended");
-		cr_expect(_watch.peakBytes() <= kMemoryMb * kMiB, "%zu KiB were held, of %zu; up to %zu by the system for connections", _watch.peakBytes() / 1'024, kMemoryMb * 1'024, _watch.peakSystemBytes() / 1'024);
-		fmt::print("held {} KiB of {}, by the system up to {} KiB, {} descriptors\n", _watch.peakBytes() / 1'024, kMemoryMb * 1'024, _watch.peakSystemBytes() / 1'024, _watch.peakDescriptors());
-		cr_expect(_watch.peakDescriptors() + kFreeDescriptors <= kDescriptors, "%zu descriptors were open", _watch.peakDescriptors());
-	}
-
 	/// Plays a crowd at the callers' port.
 	void checkCrowd(CrowdRig& _rig, std::size_t _clients, const CrowdPlan& _plan)
 	{
@@ -120,7 +103,7 @@
 			cr_expect(_rig.gateway.isReady(), "not ready beside the crowd");
 		}
 		cr_expect(_rig.answersOrdinaryCaller("after"), "no answer after the crowd");
-		checkBounds(_rig, *watch);
+		checkBounds(*_rig.gateway.process, *watch);
 	}
 
 	/// @returns A reply of 6 MB to the request with this head, framed by _frame.
@@ -253,7 +236,7 @@
 		}));
 	}
 	cr_expect(rig.answersOrdinaryCaller("after"), "no answer after the crowd");
-	checkBounds(rig, *watch);
+	checkBounds(*rig.gateway.process, *watch);
 }
 
 /// Readers of the gateway's metrics who don't read them.
@@ -270,7 +253,7 @@
 		}));
 	}
 	cr_expect(rig.answersOrdinaryCaller("after"), "no answer after the crowd");
-	checkBounds(rig, *watch);
+	checkBounds(*rig.gateway.process, *watch);
 }
 
 /// A single request with the largest body, by a slow sender, is served in calm.
--- a/tests/test_office_crowds.cpp
+++ b/tests/test_office_crowds.cpp
@@ -1,7 +1,5 @@
 /// Crowds of clients that don't behave, at the ports of an entry and of an agent: they live, stay within the memory of their
 /// machine and their descriptors, and answer an ordinary request beside the crowd and after it.
-#include <cstring>
-
 #include "crowd.h"
 #include "gateway_rig.h"
 
@@ -10,12 +8,6 @@
 
 namespace
 {
-	constexpr std::size_t kMiB = std::size_t(1) << 20;
-	constexpr std::size_t kMemoryMb = 48;
-	constexpr rlim_t kDescriptors = 1'024;
-	constexpr rlim_t kFreeDescriptors = 16;
-	constexpr Millis kAnswerWaitMs = 20'000;
-
 	/// An entry or an agent with little memory and few descriptors. The platform and the service can't be reached.
 	struct DaemonRig
 	{
@@ -54,10 +46,7 @@
 				cr_expect(answers(answersAt, _target), "no answer beside the crowd");
 			}
 			cr_expect(answers(answersAt, _target), "no answer after the crowd");
-			cr_expect(this->process->running(), "the process has ended");
-			cr_expect(watch.peakBytes() <= kMemoryMb * kMiB, "%zu KiB were held, of %zu", watch.peakBytes() / 1'024, kMemoryMb * 1'024);
-			cr_expect(watch.peakDescriptors() + kFreeDescriptors <= kDescriptors, "%zu descriptors were open", watch.peakDescriptors());
-			fmt::print("held {} KiB of {}, by the system up to {} KiB, {} descriptors\n", watch.peakBytes() / 1'024, kMemoryMb * 1'024, watch.peakSystemBytes() / 1'024, watch.peakDescriptors());
+			checkBounds(*this->process, watch);
 		}
 	};
 
@@ -75,9 +64,7 @@
 	CrowdPlan shortMessage()
 	{
 		constexpr std::uint32_t kWords = 524'288;
-		std::string table(8, '\0'); // of one segment
-		std::memcpy(table.data() + 4, &kWords, sizeof(kWords));
-		return {table, std::string(65'536, '\0'), 63};
+		return {segmentTable(kWords), std::string(65'536, '\0'), 63};
 	}
 
 	CrowdPlan shortBody()
--- a/tests/test_sidecar_crowds.cpp
+++ b/tests/test_sidecar_crowds.cpp
@@ -1,6 +1,5 @@
 /// Crowds of clients that don't behave, at the ports of a sidecar: it lives, stays within the memory of its machine and its
 /// descriptors, and answers an ordinary call beside the crowd and after it.
-#include <cstring>
 #include <kj/async-io.h>
 
 // Before Criterion, whose macros break Abseil's headers.
@@ -14,12 +13,17 @@
 
 namespace
 {
-	constexpr std::size_t kMiB = std::size_t(1) << 20;
-	constexpr std::size_t kMemoryMb = 48;
-	constexpr rlim_t kDescriptors = 1'024;
-	constexpr rlim_t kFreeDescriptors = 16;
-	constexpr Millis kAnswerWaitMs = 20'000;
-	constexpr unsigned kPeerPort = 25'907;
+	/// @returns A port that nobody listens on.
+	unsigned freePort()
+	{
+		const int listener = socket(AF_INET, SOCK_STREAM, 0);
+		sockaddr_in address = loopbackAddress(0);
+		socklen_t size = sizeof(address);
+		cr_assert(0 == bind(listener, reinterpret_cast<sockaddr*>(&address), size));
+		cr_assert(0 == getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size));
+		close(listener);
+		return ntohs(address.sin_port);
+	}
 
 	/// A sidecar with little memory and few descriptors, whose engine doesn't answer.
 	struct SidecarRig
@@ -27,13 +31,14 @@
 		ScratchDirectory directory;
 		RigStore store{this->directory.path + "/store.log"};
 		std::unique_ptr<lab::ChildProcess> process;
-		const std::string peers = fmt::format("127.0.0.1:{}", kPeerPort);
-		std::string metrics = "127.0.0.1:25908";
+		const unsigned peerPort = freePort();
+		const std::string peers = fmt::format("127.0.0.1:{}", this->peerPort);
+		const std::string metrics = fmt::format("127.0.0.1:{}", freePort());
 
 		SidecarRig()
 		{
 			const std::string path = this->directory.path + "/sidecar.json";
-			std::ofstream(path) << Json{{"name", "side"}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", kPeerPort}, {"metrics", this->metrics}, {"store", this->store.address}, {"upstream", "127.0.0.1:9"}, {"service", "svc"}, {"memoryMb", kMemoryMb}, {"graceS", 8}}.dump();
+			std::ofstream(path) << Json{{"name", "side"}, {"zone", "here"}, {"ip", "127.0.0.1"}, {"peerPort", this->peerPort}, {"metrics", this->metrics}, {"store", this->store.address}, {"upstream", "127.0.0.1:9"}, {"service", "svc"}, {"memoryMb", kMemoryMb}, {"graceS", 8}}.dump();
 			const LoweredDescriptorLimit limit(kDescriptors);
 			this->process = std::make_unique<lab::ChildProcess>(std::string(ARCHDYKE_BIN_DIR) + "/archdyke-sidecar", std::vector<std::string>{"--settings", path}, this->directory.path + "/sidecar.log");
 			cr_assert(this->answersMetrics());
@@ -67,7 +72,7 @@
 
 		void checkCrowd(const std::string& _address, std::size_t _clients, const CrowdPlan& _plan)
 		{
-			const ProcessWatch watch(this->process->id(), {kPeerPort, unsigned(parseAddress(this->metrics).port)}, {});
+			const ProcessWatch watch(this->process->id(), {this->peerPort, unsigned(parseAddress(this->metrics).port)}, {});
 			{
 				const Crowd crowd(_address, _clients, _plan);
 				crowd.waitUntilStuck();
@@ -75,20 +80,9 @@
 				cr_expect(this->answersMetrics(), "metrics aren't answered beside the crowd");
 			}
 			cr_expect(this->answersPeer(), "a peer isn't answered after the crowd");
-			cr_expect(this->process->running(), "the sidecar has ended");
-			cr_expect(watch.peakBytes() <= kMemoryMb * kMiB, "%zu KiB were held, of %zu", watch.peakBytes() / 1'024, kMemoryMb * 1'024);
-			cr_expect(watch.peakDescriptors() + kFreeDescriptors <= kDescriptors, "%zu descriptors were open", watch.peakDescriptors());
-			fmt::print("held {} KiB of {}, by the system up to {} KiB, {} descriptors\n", watch.peakBytes() / 1'024, kMemoryMb * 1'024, watch.peakSystemBytes() / 1'024, watch.peakDescriptors());
+			checkBounds(*this->process, watch);
 		}
 	};
-
-	/// @returns Start of a Cap'n Proto message of one segment: the table of its segments.
-	std::string segmentTable(std::uint32_t _words)
-	{
-		std::string bytes(8, '\0');
-		std::memcpy(bytes.data() + 4, &_words, sizeof(_words));
-		return bytes;
-	}
 } // namespace
 
 Test(sidecarcrowds, messages_that_stop_short)
