What connections hold stays within the budget at every moment

With all connections at their smallest size the system's buffers could pass their quarter by some 30 MB on a machine with 4,200 descriptors, and connections to upstreams that idle were bounded by descriptors only.

Cause: memory was charged after it was parsed, and a connection that loses its memory frees it some events later. Each of N connections could take one read in between, which parsed takes many times its bytes. Buffers were granted without regard to how many connections might follow. Freed memory stayed with the allocator, and what a closing connection was being sent with its parser.

Nothing is read or parsed while the budget is exceeded, nor for a connection that is closing; a closing one drops its parser's memory; freed memory is given back every 100 ms while over half of the budget is held. One half of the memory for the system's buffers is for the smallest ones and so bounds the connections, also those that idle in the pool; the rest is granted beyond it.

--- a/include/archdyke/memory_share.h
+++ b/include/archdyke/memory_share.h
@@ -13,13 +13,15 @@
 		std::size_t totalBytes = 0;    ///< For what connections make the process hold.
 		std::size_t reservedBytes = 0; ///< Part of it that only small holders may take.
 		std::size_t smallBytes = 0;    ///< A holder of at most this much is small.
-		std::size_t systemBytes = 0;   ///< For the buffers that the system keeps for connections.
+		std::size_t maxSockets = 0;    ///< Connections for which the system's smallest buffers fit into their part.
+		std::size_t extraBytes = 0;    ///< Part of the system's buffers that is left when each of them has the smallest ones.
 
 		bool operator==(const MemoryLimits&) const = default;
 	};
 
 	/// @param[in] _machineBytes Memory of the machine that the process may use.
-	MemoryLimits memoryLimits(std::size_t _machineBytes);
+	/// @param[in] _sockets Connections that the process may have open at once, to it and from it.
+	MemoryLimits memoryLimits(std::size_t _machineBytes, std::size_t _sockets);
 
 	/// What a connection's memory is held for.
 	enum class HeldFor
@@ -66,9 +68,9 @@
 	MoveRate withMoved(const MoveRate& _rate, std::size_t _bytes, Millis _now);
 
 	/// @returns Size of one buffer of the system for a new connection, which has one for each direction.
-	/// @param[in] _grantedBytes Memory that the buffers of the other connections may take.
+	/// @param[in] _grantedBytes What the buffers of the other connections may take beyond the smallest size, see extraOf().
 	std::size_t bufferBytes(const MemoryLimits& _limits, std::size_t _grantedBytes);
 
-	/// @returns Memory that the buffers of a connection may take: the system takes up to twice the size that is set.
-	std::size_t grantOf(std::size_t _bufferBytes);
+	/// @returns Memory that the buffers of a connection may take beyond those of the smallest size.
+	std::size_t extraOf(std::size_t _bufferBytes);
 } // namespace archdyke
--- a/src/base/connection_registry.cpp
+++ b/src/base/connection_registry.cpp
@@ -31,7 +31,7 @@
 	} // namespace
 
 	ConnectionRegistry::ConnectionRegistry(std::size_t _memoryBytes, std::size_t _maxConnections, Metrics& _metrics)
-	    : limits{_memoryBytes, _memoryBytes / kReservedDivisor, kSmallBytes, 0}
+	    : limits{_memoryBytes, _memoryBytes / kReservedDivisor, kSmallBytes, 0, 0}
 	    , maxConnections(std::max<std::size_t>(1, std::min(_maxConnections, _memoryBytes / kIdleDivisor / kConnectionBytes)))
 	    , closed(_metrics.counter("archdyke_http_connections_closed_for_resources_total", "Connections closed because memory or connections were short"))
 	    , heldBytes(_metrics.gauge("archdyke_http_connection_memory_bytes", "Memory held because of connections to the HTTP ports"))
--- a/src/base/process.cpp
+++ b/src/base/process.cpp
@@ -85,6 +85,11 @@
 		mallopt(M_ARENA_MAX, kMaxArenas);
 	}
 
+	void trimMemory()
+	{
+		malloc_trim(0);
+	}
+
 	namespace
 	{
 		sigset_t stopSignals()
--- a/src/base/process.h
+++ b/src/base/process.h
@@ -28,6 +28,9 @@
 	/// Makes the allocator give large blocks back to the system as soon as they are freed. Must be called before any thread starts.
 	void returnFreedMemory();
 
+	/// Gives pages of the allocator that hold no block back to the system, also between others.
+	void trimMemory();
+
 	/// Blocks SIGTERM and SIGINT for the whole process and ignores SIGPIPE. Must be called before any thread starts.
 	void blockStopSignals();
 
--- a/src/decide/memory_share.cpp
+++ b/src/decide/memory_share.cpp
@@ -13,7 +13,7 @@
 		constexpr std::size_t kSystemDivisor = 4;
 		/// Part of the total that only small holders may take.
 		constexpr std::size_t kReservedDivisor = 4;
-		/// Twice what an ordinary request takes while an upstream runs it.
+		/// An ordinary request must stay below it while an upstream runs it: a large holder waits for others and may lose its memory.
 		constexpr std::size_t kSmallBytes = 131'072;
 
 		/// A holder that moves nothing counts as if it moved this much, bytes per second.
@@ -22,18 +22,22 @@
 		constexpr double kRunWeight = 0.25;
 		constexpr double kRateHalfLifeMs = 500.0;
 
-		constexpr std::size_t kMinBufferBytes = 4'096;
+		constexpr std::size_t kMinBufferBytes = 2'048;
 		constexpr std::size_t kMaxBufferBytes = 65'536;
-		/// A connection gets at most this part of the memory for buffers that is left.
+		/// A connection gets at most this part of what is left beyond the smallest buffers.
 		constexpr std::size_t kGrantDivisor = 32;
+		/// Part of the system's buffers for those of the smallest size; the rest is granted beyond it.
+		constexpr std::size_t kSmallestDivisor = 2;
 		/// Two directions, and the system takes up to twice the size that is set.
 		constexpr std::size_t kGrantPerBufferByte = 4;
 	} // namespace
 
-	MemoryLimits memoryLimits(std::size_t _machineBytes)
+	MemoryLimits memoryLimits(std::size_t _machineBytes, std::size_t _sockets)
 	{
 		const std::size_t total = _machineBytes / kTotalDivisor;
-		return {total, total / kReservedDivisor, kSmallBytes, _machineBytes / kSystemDivisor};
+		const std::size_t system = _machineBytes / kSystemDivisor;
+		const std::size_t sockets = std::min(_sockets, system / kSmallestDivisor / kGrantPerBufferByte / kMinBufferBytes);
+		return {total, total / kReservedDivisor, kSmallBytes, sockets, system - sockets * kGrantPerBufferByte * kMinBufferBytes};
 	}
 
 	const char* toString(HeldFor _what)
@@ -73,12 +77,12 @@
 
 	std::size_t bufferBytes(const MemoryLimits& _limits, std::size_t _grantedBytes)
 	{
-		const std::size_t left = _limits.systemBytes - std::min(_limits.systemBytes, _grantedBytes);
-		return std::clamp(left / kGrantDivisor / kGrantPerBufferByte, kMinBufferBytes, kMaxBufferBytes);
+		const std::size_t left = _limits.extraBytes - std::min(_limits.extraBytes, _grantedBytes);
+		return kMinBufferBytes + std::min(left / kGrantDivisor / kGrantPerBufferByte, kMaxBufferBytes - kMinBufferBytes);
 	}
 
-	std::size_t grantOf(std::size_t _bufferBytes)
+	std::size_t extraOf(std::size_t _bufferBytes)
 	{
-		return kGrantPerBufferByte * _bufferBytes;
+		return kGrantPerBufferByte * (_bufferBytes - kMinBufferBytes);
 	}
 } // namespace archdyke
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -203,6 +203,7 @@
 			{
 				refusal = memoryRefusal(_context);
 				_context.received.body = {};
+				_context.response.set(0);
 			}
 			co_await finish(_context, refusal);
 		}
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -18,6 +18,7 @@
 #include "gateway/crashes.h"
 #include "gateway/settings.h"
 #include "http/connection_pool.h"
+#include "http/http_listener.h"
 
 namespace archdyke::gateway
 {
@@ -53,7 +54,7 @@
 		    , codec(_codec)
 		    , loop(_loop)
 		    , counters(_counters)
-		    , resources(memoryBytes(this->settings.place), _counters.resources)
+		    , resources(memoryBytes(this->settings.place), http::maxSockets(descriptorLimit()), _counters.resources)
 		    , registry(this->settings.place.zone, this->settings.place.name, nowMs())
 		    , pool(_loop, &this->resources)
 		    , random(_seed)
--- a/src/group/sidecar.cpp
+++ b/src/group/sidecar.cpp
@@ -66,7 +66,7 @@
 			    , io(_io)
 			    , loop{_io.provider->getNetwork(), _io.provider->getTimer()}
 			    , resourceCounters(this->metrics)
-			    , resources(gateway::memoryBytes(this->settings.place), this->resourceCounters)
+			    , resources(gateway::memoryBytes(this->settings.place), http::maxSockets(descriptorLimit()), this->resourceCounters)
 			    , tableStore(std::make_unique<store::EraStore>(std::make_unique<store::CountedStore>(_deployment.makeStore(this->loop, this->settings.place.store), this->metrics), this->metrics))
 			    , engine(this->loop, _deployment.codec, this->settings.upstream)
 			    , fanOut(this->loop, this->settings.place.peerPort, this->settings.place.linkMbps, this->state.groupState)
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -104,7 +104,8 @@
 			this->unattributedCount += logUnattributed(*_lease.connection, _lease.address, "behind_answer") ? 1 : 0;
 			return;
 		}
-		if (_idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress)
+		const bool spare = nullptr == this->resources || this->resources->hasSpareSockets();
+		if (_idleLimitMs <= 0 || idleConnections.size() >= kMaxIdlePerAddress || !spare)
 		{
 			return;
 		}
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,16 +1,15 @@
 #include "http/http_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
-#include <cerrno>
-#include <functional>
 #include <memory>
-#include <poll.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
+#include "base/socket_buffers.h"
+#include "http/socket_state.h"
+
 namespace archdyke::http
 {
 	namespace
@@ -26,29 +25,6 @@
 		/// Parsed bytes that may wait for the reader before reading from the connection pauses. Large enough for
 		/// several events of a stream; bounds the memory that one slow reader can use.
 		constexpr std::size_t kMaxBufferedBytes = 262'144;
-		/// Number of recent exchanges whose tags a connection remembers.
-		constexpr std::size_t kMaxCarriedTags = 16;
-
-		/// What the system has received on a connection that wasn't read yet.
-		enum class Waiting
-		{
-			Nothing,
-			Bytes,
-			End, ///< The connection was closed, or is broken.
-		};
-
-		Waiting peek(const kj::AsyncIoStream& _stream)
-		{
-			KJ_IF_MAYBE (descriptor, _stream.getFd())
-			{
-				char byte = 0;
-				const ssize_t size = recv(*descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-				const bool nothing = 0 > size && (EAGAIN == errno || EWOULDBLOCK == errno);
-				return nothing ? Waiting::Nothing : 0 < size ? Waiting::Bytes
-				                                             : Waiting::End;
-			}
-			return Waiting::Nothing;
-		}
 
 		std::uint64_t nextNumber()
 		{
@@ -93,6 +69,19 @@
 		}
 	}
 
+	bool HttpConnection::isShortOfMemory() const
+	{
+		return nullptr != this->charge.chargedTo() && this->charge.chargedTo()->mustWait();
+	}
+
+	aio::Task<void> HttpConnection::awaitMemory()
+	{
+		while (this->isShortOfMemory())
+		{
+			co_await this->charge.chargedTo()->whenRoom();
+		}
+	}
+
 	aio::Task<void> HttpConnection::readLoop()
 	{
 		std::vector<char> buffer;
@@ -105,6 +94,10 @@
 			}
 			if (!this->behind.empty())
 			{
+				if (this->isShortOfMemory())
+				{
+					co_await this->awaitMemory();
+				}
 				const std::string bytes = std::exchange(this->behind, {});
 				if (const std::optional<PartKind> ending = this->parse(bytes))
 				{
@@ -126,6 +119,10 @@
 			{
 				broken = true; // reported to the reader as a reset
 			}
+			if (this->isShortOfMemory())
+			{
+				co_await this->awaitMemory(); // what is parsed may take many times the bytes that were read
+			}
 			if (broken)
 			{
 				this->endWith(PartKind::Reset);
@@ -295,14 +292,15 @@
 	void HttpConnection::limitBuffers(std::unique_ptr<BufferGrant> _grant)
 	{
 		this->buffers = std::move(_grant);
-		const int size = int(this->buffers->bufferBytes);
-		this->stream->setsockopt(SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-		this->stream->setsockopt(SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+		KJ_IF_MAYBE (descriptor, this->stream->getFd())
+		{
+			limitSocketBuffers(*descriptor, this->buffers->bufferBytes);
+		}
 	}
 
 	aio::Task<void> HttpConnection::discard(std::size_t _maxBytes)
 	{
-		std::vector<char> buffer(kReadBufferBytes);
+		static std::array<char, kReadBufferBytes> buffer; // for all connections, since nobody looks at these bytes
 		std::size_t discarded = 0;
 		std::size_t size = 1;
 		while (0 < size && discarded < _maxBytes)
@@ -319,9 +317,11 @@
 	aio::Task<void> HttpConnection::closeGracefully(kj::Timer& _timer, std::size_t _maxBytes, Millis _maxMs)
 	{
 		this->reading = nullptr;
-		this->parts.clear();
-		this->behind.clear();
+		this->parts = {};
+		this->behind = {};
 		this->bufferedBytes = 0;
+		this->readCapacity = 0;
+		this->parser.release();
 		this->updateCharge();
 		try
 		{
@@ -341,12 +341,7 @@
 
 	bool HttpConnection::isHungUp() const
 	{
-		KJ_IF_MAYBE (descriptor, this->stream->getFd())
-		{
-			pollfd state{*descriptor, POLLRDHUP, 0};
-			return 0 < poll(&state, 1, 0) && 0 != (state.revents & (POLLRDHUP | POLLHUP | POLLERR));
-		}
-		return false;
+		return http::isHungUp(*this->stream);
 	}
 
 	bool HttpConnection::hasUnread() const
@@ -369,56 +364,6 @@
 		return this->parser.isWithinMessage();
 	}
 
-	void HttpConnection::beginExchange(std::string_view _tag)
-	{
-		this->inExchange = true;
-		if (!_tag.empty())
-		{
-			this->carried.push_back(std::hash<std::string_view>()(_tag));
-		}
-		if (this->carried.size() > kMaxCarriedTags)
-		{
-			this->carried.pop_front();
-		}
-	}
-
-	void HttpConnection::endExchange()
-	{
-		this->inExchange = false;
-	}
-
-	bool HttpConnection::hasCarried(std::string_view _tag) const
-	{
-		return !_tag.empty() && this->carried.end() != std::find(this->carried.begin(), this->carried.end(), std::hash<std::string_view>()(_tag));
-	}
-
-	bool HttpConnection::isQuiet() const
-	{
-		return !this->gone && this->parts.empty() && !this->parser.isWithinMessage() && Waiting::Nothing == peek(*this->stream);
-	}
-
-	std::size_t HttpConnection::countBytesBehind() const
-	{
-		int waiting = 0;
-		KJ_IF_MAYBE (descriptor, this->stream->getFd())
-		{
-			const bool known = 0 == ioctl(*descriptor, FIONREAD, &waiting); // fails once the connection has ended
-			waiting = known ? waiting : 0;
-		}
-		return this->parser.countBytesBehind() + std::size_t(waiting);
-	}
-
-	bool HttpConnection::hasStrayBytes() const
-	{
-		const bool closed = !this->parts.empty() && (PartKind::Closed == this->parts.front().kind || PartKind::Reset == this->parts.front().kind);
-		return this->parser.isWithinMessage() || (!this->parts.empty() && !closed) || (!this->gone && Waiting::Bytes == peek(*this->stream));
-	}
-
-	std::optional<PartKind> HttpConnection::unreadKind() const
-	{
-		return this->parts.empty() ? std::nullopt : std::optional(this->parts.front().kind);
-	}
-
 	std::uint64_t HttpConnection::number() const
 	{
 		return this->ownNumber;
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -117,6 +117,9 @@
 		/// Waits until bytes may be read: the reader has room, no request is in progress behind which they came, and it is this
 		/// connection's turn.
 		aio::Task<void> awaitRoom();
+		bool isShortOfMemory() const;
+		/// Waits until the budget has room for what is read.
+		aio::Task<void> awaitMemory();
 		/// Reads what is left to send, and drops it.
 		aio::Task<void> discard(std::size_t _maxBytes);
 		/// Parses bytes. What is behind a request in progress is kept for later.
--- a/src/http/http_listener.cpp
+++ b/src/http/http_listener.cpp
@@ -177,9 +177,14 @@
 		return this->receiver->getPort();
 	}
 
+	std::size_t maxSockets(std::size_t _descriptors)
+	{
+		return _descriptors - reservedDescriptors(_descriptors);
+	}
+
 	ListenerLimits callerLimits(std::size_t _descriptors, const ResourceBudget& _resources)
 	{
-		const std::size_t byDescriptors = (_descriptors - reservedDescriptors(_descriptors)) / kDescriptorsPerCaller;
+		const std::size_t byDescriptors = maxSockets(_descriptors) / kDescriptorsPerCaller;
 		return {std::min(byDescriptors, _resources.maxConnections()), kSilentCallerMs, kCloseCallerMs};
 	}
 
@@ -190,7 +195,7 @@
 
 	std::size_t peerConnections(std::size_t _descriptors)
 	{
-		return (_descriptors - reservedDescriptors(_descriptors)) / 2; // the daemon connects to others, too
+		return maxSockets(_descriptors) / 2; // the daemon connects to others, too
 	}
 
 	ConnectionHandler serveRequests(RequestHandler _handler)
--- a/src/http/http_listener.h
+++ b/src/http/http_listener.h
@@ -30,6 +30,10 @@
 		bool operator==(const ListenerLimits&) const = default;
 	};
 
+	/// @param[in] _descriptors Limit of the process's file descriptors.
+	/// @returns Connections to callers, upstreams and other daemons that the process may have open at once.
+	std::size_t maxSockets(std::size_t _descriptors);
+
 	/// @param[in] _descriptors Limit of the process's file descriptors.
 	/// @returns Limits of the port for callers; each of its connections may need one to an upstream.
 	ListenerLimits callerLimits(std::size_t _descriptors, const ResourceBudget& _resources);
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -207,6 +207,15 @@
 		return kMaxGrowth * (this->headBytes + this->headText.size()) + this->headers.lines.capacity() * sizeof(Header) + this->requestData.capacity();
 	}
 
+	void MessageParser::release()
+	{
+		this->target = {};
+		this->headers = {};
+		this->headText = {};
+		this->requestData = {};
+		this->headBytes = 0;
+	}
+
 	std::optional<PartKind> MessageParser::feed(std::string_view& _bytes)
 	{
 		this->failure = PartKind::Malformed;
@@ -318,53 +327,6 @@
 		return taken;
 	}
 
-	bool MessageParser::feedChunks(std::string_view& _bytes)
-	{
-		std::string data;
-		const ChunkFault fault = readChunks(this->chunks, _bytes, this->limits.headerBytes, data);
-		if (!data.empty() && !this->takeBody(std::move(data)))
-		{
-			return false;
-		}
-		switch (fault)
-		{
-		case ChunkFault::None:
-			break;
-		case ChunkFault::Joined:
-			return this->fail(PartKind::JoinedHead);
-		case ChunkFault::TooLarge:
-			return this->fail(PartKind::HeadTooLarge);
-		default:
-			return false;
-		}
-		if (ChunkState::Done == this->chunks.state)
-		{
-			this->takeEnd();
-		}
-		return true;
-	}
-
-	bool MessageParser::takeBody(std::string _data)
-	{
-		this->bodyBytes += _data.size();
-		if (this->bodyBytes > this->limits.bodyBytes)
-		{
-			return this->fail(PartKind::BodyTooLarge);
-		}
-		Part part = partOf(PartKind::Body);
-		part.body = std::move(_data);
-		this->take(std::move(part));
-		return true;
-	}
-
-	void MessageParser::takeEnd()
-	{
-		this->framing.reset();
-		this->ended = true;
-		this->bytesBehind = 0;
-		this->take(partOf(PartKind::End));
-	}
-
 	bool MessageParser::fail(PartKind _how)
 	{
 		this->failure = _how;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -80,6 +80,9 @@
 		/// @returns Memory that a head which isn't complete takes.
 		std::size_t memoryBytes() const;
 
+		/// Frees that memory. Nothing may be parsed from now on.
+		void release();
+
 		/// @returns Whether the end of the connection completes a message, or lies between messages.
 		bool feedEnd();
 
--- a/src/http/resource_budget.cpp
+++ b/src/http/resource_budget.cpp
@@ -17,19 +17,24 @@
 		/// Part of the total that connections on which nothing happens may take.
 		constexpr std::size_t kIdleDivisor = 2;
 		constexpr Millis kLogIntervalMs = 1'000;
+		/// While more than this part of the total is held, freed memory is given back at this interval, ms.
+		constexpr std::size_t kTrimDivisor = 2;
+		constexpr Millis kTrimIntervalMs = 100;
 		constexpr std::size_t kDumpedHolders = 10;
 	} // namespace
 
-	BufferGrant::BufferGrant(std::size_t& _granted, std::size_t _bufferBytes)
+	BufferGrant::BufferGrant(GrantedBuffers& _granted, std::size_t _bufferBytes)
 	    : bufferBytes(_bufferBytes)
 	    , granted(_granted)
 	{
-		this->granted += grantOf(this->bufferBytes);
+		this->granted.sockets += 1;
+		this->granted.extraBytes += extraOf(this->bufferBytes);
 	}
 
 	BufferGrant::~BufferGrant()
 	{
-		this->granted -= grantOf(this->bufferBytes);
+		this->granted.sockets -= 1;
+		this->granted.extraBytes -= extraOf(this->bufferBytes);
 	}
 
 	ResourceCounters::ResourceCounters(Metrics& _metrics)
@@ -42,8 +47,8 @@
 		}
 	}
 
-	ResourceBudget::ResourceBudget(std::size_t _machineBytes, ResourceCounters& _counters)
-	    : limits(memoryLimits(_machineBytes))
+	ResourceBudget::ResourceBudget(std::size_t _machineBytes, std::size_t _sockets, ResourceCounters& _counters)
+	    : limits(memoryLimits(_machineBytes, _sockets))
 	    , counters(_counters)
 	{
 		this->counters.limitBytes.Set(double(this->limits.totalBytes));
@@ -56,7 +61,19 @@
 
 	std::unique_ptr<BufferGrant> ResourceBudget::grantBuffers()
 	{
-		return std::make_unique<BufferGrant>(this->granted, bufferBytes(this->limits, this->granted));
+		return std::make_unique<BufferGrant>(this->granted, bufferBytes(this->limits, this->granted.extraBytes));
+	}
+
+	bool ResourceBudget::isOver() const
+	{
+		return this->limits.totalBytes < this->held;
+	}
+
+	kj::Promise<void> ResourceBudget::whenFreed()
+	{
+		auto paf = kj::newPromiseAndFulfiller<void>();
+		this->waiting.push_back(kj::mv(paf.fulfiller));
+		return kj::mv(paf.promise);
 	}
 
 	bool ResourceBudget::canHold(std::size_t _bytes) const
@@ -92,7 +109,13 @@
 
 	std::size_t ResourceBudget::maxConnections() const
 	{
-		return std::max<std::size_t>(1, this->limits.totalBytes / kIdleDivisor / kConnectionBytes);
+		constexpr std::size_t kSocketsPerConnection = 2;
+		return std::max<std::size_t>(1, std::min(this->limits.totalBytes / kIdleDivisor / kConnectionBytes, this->limits.maxSockets / kSocketsPerConnection));
+	}
+
+	bool ResourceBudget::hasSpareSockets() const
+	{
+		return this->granted.sockets < this->limits.maxSockets;
 	}
 
 	aio::TurnQueue& ResourceBudget::turns()
@@ -119,8 +142,19 @@
 		return victim;
 	}
 
+	void ResourceBudget::trimIfShort()
+	{
+		const Millis now = this->held <= this->limits.totalBytes / kTrimDivisor ? 0 : nowMs();
+		if (this->trimmedAt + kTrimIntervalMs <= now)
+		{
+			trimMemory();
+			this->trimmedAt = now;
+		}
+	}
+
 	void ResourceBudget::makeRoomFor(ResourceHolder& _holder)
 	{
+		this->trimIfShort();
 		while (true)
 		{
 			const bool small = _holder.bytes <= this->limits.smallBytes;
@@ -134,6 +168,16 @@
 		}
 	}
 
+	void ResourceBudget::wakeWaiting()
+	{
+		std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiters;
+		std::swap(waiters, this->waiting);
+		for (kj::Own<kj::PromiseFulfiller<void>>& waiter : waiters)
+		{
+			waiter->fulfill();
+		}
+	}
+
 	void ResourceBudget::close(ResourceHolder& _victim, const char* _reason)
 	{
 		this->logClosed(_victim, _reason);
@@ -168,7 +212,7 @@
 			const HolderView view = largest[index]->view(nowMs());
 			holdersJson.push_back({{"bytes", view.bytes}, {"movedPerS", view.movedPerS}, {"heldFor", toString(view.what)}});
 		}
-		return {{"heldBytes", this->held}, {"limitBytes", this->limits.totalBytes}, {"systemGrantedBytes", this->granted}, {"systemLimitBytes", this->limits.systemBytes}, {"connections", this->holders.size()}, {"largest", holdersJson}};
+		return {{"heldBytes", this->held}, {"limitBytes", this->limits.totalBytes}, {"sockets", this->granted.sockets}, {"maxSockets", this->limits.maxSockets}, {"extraBufferBytes", this->granted.extraBytes}, {"extraBufferLimitBytes", this->limits.extraBytes}, {"connections", this->holders.size()}, {"largest", holdersJson}};
 	}
 
 	ResourceHolder::ResourceHolder(ResourceBudget& _budget)
@@ -202,6 +246,10 @@
 		{
 			this->budget.makeRoomFor(*this);
 		}
+		else if (!this->budget.isOver())
+		{
+			this->budget.wakeWaiting();
+		}
 	}
 
 	void ResourceHolder::setHeldFor(HeldFor _what)
@@ -214,6 +262,16 @@
 		this->rate = withMoved(this->rate, _bytes, nowMs());
 	}
 
+	kj::Promise<void> ResourceHolder::whenRoom()
+	{
+		return this->closing ? kj::Promise<void>(kj::NEVER_DONE) : this->budget.whenFreed();
+	}
+
+	bool ResourceHolder::mustWait() const
+	{
+		return this->closing || this->budget.isOver();
+	}
+
 	bool ResourceHolder::isClosing() const
 	{
 		return this->closing;
--- a/src/http/resource_budget.h
+++ b/src/http/resource_budget.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "aio/turn_queue.h"
 #include "archdyke/memory_share.h"
@@ -32,12 +33,19 @@
 		std::array<prometheus::Counter*, std::size_t(HeldFor::Count)> closed{}; ///< By what the connection's memory was held for.
 	};
 
+	/// What the buffers of the system for open connections may take.
+	struct GrantedBuffers
+	{
+		std::size_t sockets = 0;
+		std::size_t extraBytes = 0; ///< Beyond the smallest size.
+	};
+
 	/// Memory that a connection's buffers of the system may take; given back by the destructor.
 	class BufferGrant
 	{
 	public:
 		/// @param[in] _granted Sum of all grants, which outlives this one.
-		BufferGrant(std::size_t& _granted, std::size_t _bufferBytes);
+		BufferGrant(GrantedBuffers& _granted, std::size_t _bufferBytes);
 		~BufferGrant();
 		BufferGrant(const BufferGrant&) = delete;
 		BufferGrant& operator=(const BufferGrant&) = delete;
@@ -45,20 +53,28 @@
 		const std::size_t bufferBytes; ///< Size of each of the two buffers.
 
 	private:
-		std::size_t& granted;
+		GrantedBuffers& granted;
 	};
 
 	class ResourceBudget
 	{
 	public:
 		/// @param[in] _machineBytes Memory of the machine that this process may use.
-		ResourceBudget(std::size_t _machineBytes, ResourceCounters& _counters);
+		/// @param[in] _sockets Connections that it may have open at once.
+		ResourceBudget(std::size_t _machineBytes, std::size_t _sockets, ResourceCounters& _counters);
 		ResourceBudget(const ResourceBudget&) = delete;
 		ResourceBudget& operator=(const ResourceBudget&) = delete;
 
 		/// @returns A holder for a new connection.
 		std::shared_ptr<ResourceHolder> open();
 
+		/// @returns Whether more is held than the total: nothing may be read or parsed then. Holders that lose their connections free
+		/// their memory some events later.
+		bool isOver() const;
+
+		/// @returns A promise that is fulfilled once that may have changed.
+		kj::Promise<void> whenFreed();
+
 		/// @returns A grant for a new connection.
 		std::unique_ptr<BufferGrant> grantBuffers();
 
@@ -70,9 +86,12 @@
 		/// @returns Whether one was silent for _silentMs.
 		bool closeSilent(const absl::flat_hash_set<ResourceHolder*>& _holders, Millis _silentMs);
 
-		/// @returns Number of connections that may be served at once.
+		/// @returns Number of connections that may be served at once, if each may need another one.
 		std::size_t maxConnections() const;
 
+		/// @returns Whether a connection that isn't in use may stay open.
+		bool hasSpareSockets() const;
+
 		/// Turns for connections that send much in one message.
 		aio::TurnQueue& turns();
 
@@ -82,11 +101,14 @@
 	private:
 		friend class ResourceHolder;
 
+		void wakeWaiting();
 		/// Closes holders until the total is within its limit again.
 		void makeRoomFor(ResourceHolder& _holder);
 		/// @returns The holder that loses its connection next; null if there is none.
 		ResourceHolder* findVictim(const ResourceHolder& _for) const;
 		void close(ResourceHolder& _victim, const char* _reason);
+		/// Gives freed memory back to the system now and then while much is held: blocks that grow leave pages behind.
+		void trimIfShort();
 		void logClosed(const ResourceHolder& _victim, const char* _reason);
 
 		const MemoryLimits limits;
@@ -94,9 +116,11 @@
 		absl::flat_hash_set<ResourceHolder*> holders;
 		std::size_t held = 0;
 		std::size_t closing = 0; ///< Part of it that is held by holders which lose their connections.
-		std::size_t granted = 0; ///< To buffers of the system.
+		GrantedBuffers granted;
+		std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiting; ///< For memory to be freed.
 		std::size_t closedSinceLog = 0;
 		Millis loggedAt = 0;
+		Millis trimmedAt = 0;
 		ResourceCounters& counters;
 	};
 
@@ -114,6 +138,12 @@
 		/// Records bytes that were received or sent.
 		void recordMoved(std::size_t _bytes);
 
+		/// @returns Whether nothing more may be read or parsed for this holder at present.
+		bool mustWait() const;
+
+		/// @returns A promise that is fulfilled once that may have changed.
+		kj::Promise<void> whenRoom();
+
 		/// @returns Whether it loses its connection, because memory or connections are short.
 		bool isClosing() const;
 
--- a/src/rpc/peer_server.cpp
+++ b/src/rpc/peer_server.cpp
@@ -11,13 +11,14 @@
 #include "aio/task.h"
 #include "base/log.h"
 #include "base/process.h"
+#include "base/socket_buffers.h"
 
 namespace archdyke
 {
 	namespace
 	{
 		/// Bytes of a message that are read at once; they are charged before the next ones.
-		constexpr std::size_t kReadBytes = 65'536;
+		constexpr std::size_t kReadBytes = 16'384;
 		/// Responses that may wait for a peer to read them, bytes; until it does its calls aren't read.
 		constexpr std::size_t kMaxUnreadBytes = 262'144;
 		/// A connection that moved nothing for this long may be closed for a new one, ms: links between daemons are used more often.
@@ -92,6 +93,10 @@
 				while (0 < size && done < std::max<std::size_t>(1, _minBytes))
 				{
 					this->incoming.set(done);
+					while (this->holder->mustWait())
+					{
+						co_await this->holder->whenRoom();
+					}
 					size = co_await this->stream->tryRead(_buffer + done, 1, std::min(_maxBytes - done, kReadBytes));
 					this->holder->recordMoved(size);
 					done += size;
@@ -268,9 +273,10 @@
 		const std::shared_ptr<http::ResourceHolder> holder = this->resources.open();
 		this->holders.insert(holder.get());
 		std::unique_ptr<http::BufferGrant> buffers = this->resources.grantBuffers();
-		const int bufferSize = int(buffers->bufferBytes);
-		_stream->setsockopt(SOL_SOCKET, SO_RCVBUF, &bufferSize, sizeof(bufferSize));
-		_stream->setsockopt(SOL_SOCKET, SO_SNDBUF, &bufferSize, sizeof(bufferSize));
+		KJ_IF_MAYBE (descriptor, _stream->getFd())
+		{
+			limitSocketBuffers(*descriptor, buffers->bufferBytes);
+		}
 		const int yes = 1;
 		_stream->setsockopt(SOL_SOCKET, SO_KEEPALIVE, &yes, sizeof(yes));
 		_stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kPeerTimeoutMs, sizeof(kPeerTimeoutMs));
--- a/src/rpc/rpc_listener.cpp
+++ b/src/rpc/rpc_listener.cpp
@@ -22,7 +22,7 @@
 	struct RpcListener::State
 	{
 		State(kj::Timer& _timer, std::size_t _memoryBytes, http::ResourceCounters& _counters, capnp::Capability::Client _bootstrap, kj::Own<kj::ConnectionReceiver> _receiver)
-		    : resources(_memoryBytes, _counters)
+		    : resources(_memoryBytes, descriptorLimit() / kDescriptorsPerPeer, _counters)
 		    , server(_timer, this->resources, kj::mv(_bootstrap), descriptorLimit() / kDescriptorsPerPeer)
 		    , receiver(kj::mv(_receiver))
 		    , accepting(this->server.listen(*this->receiver).eagerlyEvaluate([](kj::Exception&& _error) {
--- a/tests/test_memory_share.cpp
+++ b/tests/test_memory_share.cpp
@@ -8,9 +8,16 @@
 
 Test(memoryshare, parts_stay_within_the_machine)
 {
-	checkProperty("the parts leave memory for the process itself", [](std::uint32_t _bytes) {
-		const MemoryLimits limits = memoryLimits(_bytes);
-		RC_ASSERT(limits.totalBytes + limits.systemBytes <= std::size_t(_bytes) * 3 / 4);
+	checkProperty("the parts leave memory for the process itself", [](std::uint32_t _bytes, std::uint16_t _sockets) {
+		const MemoryLimits limits = memoryLimits(_bytes, _sockets);
+		std::size_t extra = 0;
+		for (std::size_t socket = 0; socket < limits.maxSockets; ++socket)
+		{
+			extra += extraOf(bufferBytes(limits, extra));
+		}
+		const std::size_t smallest = 4 * bufferBytes({}, 0);
+		RC_ASSERT(limits.maxSockets <= _sockets);
+		RC_ASSERT(limits.totalBytes + limits.maxSockets * smallest + extra <= std::size_t(_bytes) * 3 / 4);
 		RC_ASSERT(limits.reservedBytes <= limits.totalBytes);
 	});
 }
@@ -32,7 +39,7 @@
 
 Test(memoryshare, a_large_holder_ends_no_run)
 {
-	const MemoryLimits limits = memoryLimits(std::size_t(260) << 20);
+	const MemoryLimits limits = memoryLimits(std::size_t(260) << 20, 4'200);
 	cr_assert(!mayLoseMemory({4'194'304, 0.0, HeldFor::Run, 500}, limits, false));
 	cr_assert(mayLoseMemory({4'194'304, 0.0, HeldFor::Run, 500}, limits, true));
 	cr_assert(mayLoseMemory({4'194'304, 0.0, HeldFor::Request, 500}, limits, false));
@@ -50,13 +57,19 @@
 	cr_assert(withMoved(rate, 0, 20'000).perS < 1.0);
 }
 
-Test(memoryshare, grants_of_buffers_add_up_to_little_more_than_their_part)
+/// On a machine of the first deployments.
+Test(memoryshare, all_sockets_of_a_small_machine_have_buffers)
 {
-	const MemoryLimits limits = memoryLimits(std::size_t(260) << 20);
-	std::size_t granted = 0;
-	for (int connection = 0; connection < 2'000; ++connection)
-	{
-		granted += grantOf(bufferBytes(limits, granted));
-	}
-	cr_assert(granted < limits.systemBytes + limits.systemBytes / 2);
+	const MemoryLimits limits = memoryLimits(std::size_t(260) << 20, 3'944);
+	cr_assert(3'944 == limits.maxSockets);
+	cr_assert(65'536 == bufferBytes(limits, 0), "few connections have large buffers");
+	cr_assert(2'048 == bufferBytes(limits, limits.extraBytes));
+}
+
+/// A process that may open more descriptors than the machine has buffers for.
+Test(memoryshare, many_descriptors_leave_large_buffers_for_few_connections)
+{
+	const MemoryLimits limits = memoryLimits(std::size_t(256) << 20, 20'000);
+	cr_assert(limits.maxSockets < 20'000);
+	cr_assert(65'536 == bufferBytes(limits, 0));
 }
