A daemon reads on after a response that didn't fit into the system's buffers

What callers saw: an answer of 4 MB through an entry ended with 504, and the entry lost its link to the agent ("no response"), again at each retry.

Cause: a server doesn't read further calls of a peer while over 256 KiB of responses wait for it, and asked whether it may when a write had ended. The network counts a message as sent only after that, so that a last message over 256 KiB seemed to wait for ever.

The server asks again when the network has counted.

--- a/src/rpc/peer_server.cpp
+++ b/src/rpc/peer_server.cpp
@@ -147,7 +147,7 @@
 			{
 				this->unread.set(this->unreadBytes());
 				return this->messages.writeMessage(_descriptors, _segments).then([this] {
-					this->wakeReader();
+					this->wakeReaderLater();
 				});
 			}
 
@@ -155,7 +155,7 @@
 			{
 				this->unread.set(this->unreadBytes());
 				return this->messages.writeMessages(_messages).then([this] {
-					this->wakeReader();
+					this->wakeReaderLater();
 				});
 			}
 
@@ -175,6 +175,15 @@
 				return nullptr == this->network ? 0 : this->network->getCurrentQueueSize();
 			}
 
+			/// The network counts a message as sent only after its write has ended.
+			void wakeReaderLater()
+			{
+				this->waking = kj::evalLater([this] {
+					               this->wakeReader();
+				               })
+				                   .eagerlyEvaluate(nullptr);
+			}
+
 			void wakeReader()
 			{
 				this->unread.set(this->unreadBytes());
@@ -207,6 +216,7 @@
 			http::MemoryCharge unread;
 			capnp::TwoPartyVatNetwork* network = nullptr;
 			kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> readWaiter;
+			kj::Promise<void> waking = kj::READY_NOW;
 		};
 
 		/// One connection of a peer.
