Requests behind a running one don't keep a place at a full port

Cause: a full port closes a silent connection for a new one, but none with a request at an upstream, and all 384 places had one.

If no other is silent, a connection that has sent more behind its running request is closed: it holds a place for what can't be served yet. A caller who waits for his answer keeps his place.

--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -162,6 +162,10 @@
 
 	void HttpConnection::updateCharge()
 	{
+		if (nullptr != this->charge.chargedTo() && Side::Server == this->side)
+		{
+			this->charge.chargedTo()->setBehind(!this->behind.empty());
+		}
 		const std::size_t buffer = this->readCapacity > kMinReadBufferBytes ? this->readCapacity : 0;
 		this->charge.set(this->bufferedBytes + this->behind.capacity() + this->parser.memoryBytes() + buffer);
 	}
--- a/src/http/resource_budget.cpp
+++ b/src/http/resource_budget.cpp
@@ -97,8 +97,10 @@
 		ResourceHolder* victim = nullptr;
 		for (ResourceHolder* holder : _holders)
 		{
-			const bool mayClose = !holder->closing && HeldFor::Run != holder->what && _silentMs <= now - holder->rate.at;
-			victim = mayClose && (nullptr == victim || holder->rate.at < victim->rate.at) ? holder : victim;
+			const bool runs = HeldFor::Run == holder->what;
+			const bool mayClose = !holder->closing && (!runs || holder->behind) && _silentMs <= now - holder->rate.at;
+			const bool better = nullptr == victim || std::pair(runs, holder->rate.at) < std::pair(HeldFor::Run == victim->what, victim->rate.at);
+			victim = mayClose && better ? holder : victim;
 		}
 		if (nullptr != victim)
 		{
@@ -257,6 +259,11 @@
 		this->what = _what;
 	}
 
+	void ResourceHolder::setBehind(bool _behind)
+	{
+		this->behind = _behind;
+	}
+
 	void ResourceHolder::recordMoved(std::size_t _bytes)
 	{
 		this->rate = withMoved(this->rate, _bytes, nowMs());
--- a/src/http/resource_budget.h
+++ b/src/http/resource_budget.h
@@ -82,7 +82,7 @@
 		bool canHold(std::size_t _bytes) const;
 
 		/// Closes one of these connections so that a new one is served: the one that moved nothing for the longest time and has no request
-		/// at an upstream.
+		/// at an upstream; else one with further bytes behind such a request.
 		/// @returns Whether one was silent for _silentMs.
 		bool closeSilent(const absl::flat_hash_set<ResourceHolder*>& _holders, Millis _silentMs);
 
@@ -135,6 +135,9 @@
 
 		void setHeldFor(HeldFor _what);
 
+		/// Records whether bytes wait behind a request that is run.
+		void setBehind(bool _behind);
+
 		/// Records bytes that were received or sent.
 		void recordMoved(std::size_t _bytes);
 
@@ -163,6 +166,7 @@
 		std::size_t bytes = 0;
 		MoveRate rate;
 		HeldFor what = HeldFor::Idle;
+		bool behind = false;
 		bool closing = false;
 		kj::Own<kj::PromiseFulfiller<void>> closer;
 		kj::ForkedPromise<void> closed;
