Responses that wait at an entry or agent are charged to its memory

What callers saw: answers that are read slowly, or kept for a resume, weren't in any budget: 4 MiB for each run at an agent for 8 s after its end, as much in an entry for each caller, and bodies of up to 256 queued runs. The system's buffers of connections to HTTP ports had no limit.

Cause: an entry charged a response only when it was written to the caller, and took what was sent as freed although a whole response is held until its end. An agent charged nothing.

Entry: the bytes of a response are charged to the caller's connection when they come from the agent, on whatever thread, and held until what was written with them is sent; those for a connection that is closed are dropped. Copies on the way were removed. Agent: bodies and responses have one quarter of the memory. When it is short, responses that were delivered, or that nobody waits for, are dropped first; then runs are refused as not run; a response that doesn't fit is broken off. A quarter of it is for runs that hold little. Frames are at most 256 KiB, so that their copies are bounded. The buffers of connections to HTTP ports are granted as at the gateway.

--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -15,6 +15,8 @@
 	namespace
 	{
 		constexpr Millis kSweepIntervalMs = 250;
+		/// Part of the share of HTTP ports that the operators' port gets; runs get the rest.
+		constexpr double kAdminMemoryDivisor = 2.0;
 		/// How long a stopping agent keeps running so that entries learn from heartbeats that it is leaving, ms.
 		constexpr Millis kLeavingNoticeMs = 2 * kMinHeartbeatIntervalMs;
 
@@ -37,7 +39,7 @@
 					target->onResponseData(_key);
 				}};
 				this->runs = std::make_unique<AgentRuns>(
-				    this->incarnation, this->settings.upstream, this->metrics, [this, observer] {
+				    this->incarnation, this->settings.upstream, this->settings.memoryMb, this->metrics, [this, observer] {
 					    return makeUpstreamCall(this->settings.upstream, observer.onResponseData);
 				    },
 				    observer);
@@ -157,7 +159,7 @@
 			std::unique_ptr<AgentRuns> runs;
 			std::unique_ptr<RankControl> rank; ///< Model ranks only.
 			std::unique_ptr<RpcListener> listener;
-			HttpServer admin{makeConnectionRegistry(this->settings.memoryMb, this->metrics)};
+			HttpServer admin{makeConnectionRegistry(this->settings.memoryMb / kAdminMemoryDivisor, this->metrics)};
 			absl::Mutex mutex;
 			bool stopped ABSL_GUARDED_BY(mutex) = false;
 			std::thread sweeper;
--- a/src/agent/agent_runs.cpp
+++ b/src/agent/agent_runs.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent_runs.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/config.h"
 #include "base/log.h"
@@ -12,18 +13,23 @@
 	{
 		/// How long the response of an ended run is kept for a resume, ms.
 		constexpr Millis kResponseRetentionMs = 2 * kResumeTimeoutMs;
-		/// Retry delay that entries get while the upstream is unreachable, ms.
-		constexpr Millis kUpstreamDownRetryMs = 1000;
+		/// Retry delay that entries get while there is no room for a run, ms.
+		constexpr Millis kMemoryRetryMs = 1000;
+		/// Copies of a body that a run holds beyond that of the queue: the request to the upstream, and its bytes on the wire.
+		constexpr std::size_t kMoreBodyCopies = 2;
 	} // namespace
 
-	AgentRuns::AgentRuns(std::uint64_t _incarnation, const UpstreamSettings& _settings, Metrics& _metrics, std::function<UpstreamCall()> _makeCall, RunObserver _observer)
+	AgentRuns::AgentRuns(std::uint64_t _incarnation, const UpstreamSettings& _settings, double _memoryMb, Metrics& _metrics, std::function<UpstreamCall()> _makeCall, RunObserver _observer)
 	    : observer(std::move(_observer))
 	    , makeCall(std::move(_makeCall))
 	    , started(_metrics.counter("archdyke_agent_runs_started_total", "Runs sent to the upstream."))
 	    , refused(_metrics.counter("archdyke_agent_runs_refused_total", "Runs refused as not run."))
 	    , failed(_metrics.counter("archdyke_agent_runs_failed_total", "Runs whose response is incomplete."))
 	    , crashes(_metrics.counter("archdyke_agent_upstream_crashes_total", "Runs during which the upstream's process ended and to which the end is attributed."))
+	    , memoryShort(_metrics.counter("archdyke_agent_memory_short_total", "Runs refused, or broken off, because bodies and responses took the memory for them."))
+	    , droppedResponses(_metrics.counter("archdyke_agent_responses_dropped_total", "Responses of ended runs that were dropped early because memory was short."))
 	    , runSeconds(_metrics.seconds("archdyke_agent_run_seconds", "Time of a run at the upstream."))
+	    , memory(std::make_shared<RunMemory>(_memoryMb, _metrics))
 	{
 		{
 			absl::MutexLock lock(&this->mutex);
@@ -82,13 +88,19 @@
 		{
 			return {false, reason, 0};
 		}
+		const auto charge = std::make_shared<RunCharge>(this->memory);
+		if (!this->takeRoom(*charge, _run.body.size()))
+		{
+			dropRun(this->ledger, _run.key, now);
+			return {false, RefusalReason::Overloaded, kMemoryRetryMs};
+		}
 		const AdmissionResult result = admitRun(this->admission, {_run.key, _run.organisation, _run.weight, now + _run.budgetMs, now}, now);
 		if (RefusalReason::None != result.refusal)
 		{
 			dropRun(this->ledger, _run.key, now);
 			return {false, result.refusal, result.retryAfterMs};
 		}
-		this->runs[_run.key] = {_run, std::make_shared<ResponseBuffer>(_run.key), 0};
+		this->runs[_run.key] = {_run, this->makeResponse(_run.key, charge), charge};
 		if (result.evicted)
 		{
 			dropRun(this->ledger, *result.evicted, now);
@@ -143,9 +155,10 @@
 			return;
 		}
 		const auto it = this->runs.find(_key);
-		if (this->runs.end() != it && it->second.spec.repeatable)
+		if (this->runs.end() != it)
 		{
-			it->second.response->cancelled = true;
+			it->second.wanted = false;
+			it->second.response->cancelled = it->second.spec.repeatable;
 		}
 	}
 
@@ -289,7 +302,11 @@
 		}
 		ActiveRun& run = this->runs[result.next->key];
 		run.process = this->ends.process;
-		return run;
+		run.charge->add(kMoreBodyCopies * run.spec.body.size());
+		std::string body = std::exchange(run.spec.body, {});
+		ActiveRun started = run;
+		started.spec.body = std::move(body);
+		return started;
 	}
 
 	void AgentRuns::runWorker()
@@ -326,75 +343,4 @@
 		this->observer.onResponseData(_run.spec.key);
 	}
 
-	std::string AgentRuns::recordEnd(const ActiveRun& _run, CallResult _result, Millis _now)
-	{
-		if (CallResult::Completed == _result)
-		{
-			recordCompletedRun(this->ends, suspectsOf(_run.spec), _now);
-		}
-		if (CallResult::UpstreamEnded != _result)
-		{
-			return "";
-		}
-		const std::vector<Crash> crashes = recordUpstreamEnd(this->ends, suspectsOf(_run.spec), _run.process, _now);
-		logWarning("upstream_crashed", {{"fingerprint", _run.spec.fingerprint}, {"request", _run.spec.key.requestId}, {"attempt", _run.spec.key.attempt}, {"process", _run.process}, {"attributed", crashes.size()}});
-		if (crashes.empty())
-		{
-			return "";
-		}
-		this->crashes.Increment();
-		return crashes.front().incarnation;
-	}
-
-	void AgentRuns::finish(const ActiveRun& _run, CallResult _result, Millis _startedAt)
-	{
-		const Millis now = nowMs();
-		this->runSeconds.Observe(double(now - _startedAt) / 1000.0);
-		if (CallResult::Completed != _result)
-		{
-			this->failed.Increment();
-		}
-		std::vector<RefusedRun> dropped;
-		this->recordResult(_run, _result, _startedAt, dropped);
-		this->notifyRefused(dropped);
-	}
-
-	void AgentRuns::recordResult(const ActiveRun& _run, CallResult _result, Millis _startedAt, std::vector<RefusedRun>& _dropped)
-	{
-		const Millis now = nowMs();
-		const Millis requestedMs = _run.response->backOffMs;
-		absl::MutexLock lock(&this->mutex);
-		const std::string crashed = this->recordEnd(_run, _result, now);
-		if (!crashed.empty())
-		{
-			// They would crash the upstream again as soon as it is back.
-			this->dropQueued(_run.spec.fingerprint, {false, RefusalReason::Overloaded, kUpstreamDownRetryMs}, _dropped);
-		}
-		if (CallResult::Completed == _result)
-		{
-			_run.response->complete();
-		}
-		else
-		{
-			_run.response->fail(CallResult::NotReached == _result, crashed);
-		}
-		if (0 < requestedMs && recordBackOff(this->backOff, requestedMs, now))
-		{
-			logInfo("upstream_asks_back_off", {{"asked_ms", requestedMs}, {"queued", this->admission.queued}});
-		}
-		archdyke::endRun(this->admission, now - _startedAt);
-		if (CallResult::NotReached != _result)
-		{
-			finishRun(this->ledger, _run.spec.key, now);
-		}
-		else
-		{
-			withdrawRun(this->ledger, _run.spec.key, now);
-		}
-		const auto it = this->runs.find(_run.spec.key);
-		if (this->runs.end() != it)
-		{
-			it->second.endedAt = now;
-		}
-	}
 } // namespace archdyke
--- a/src/agent/agent_runs.h
+++ b/src/agent/agent_runs.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "agent/answer_buffer.h"
+#include "agent/run_memory.h"
 #include "archdyke/admission.h"
 #include "archdyke/back_off.h"
 #include "archdyke/ledger.h"
@@ -43,7 +44,8 @@
 	{
 	public:
 		/// @param[in] _makeCall Creates the upstream call of one thread.
-		AgentRuns(std::uint64_t _incarnation, const UpstreamSettings& _settings, Metrics& _metrics, std::function<UpstreamCall()> _makeCall, RunObserver _observer);
+		/// @param[in] _memoryMb Memory of the VM that the process may use, MiB.
+		AgentRuns(std::uint64_t _incarnation, const UpstreamSettings& _settings, double _memoryMb, Metrics& _metrics, std::function<UpstreamCall()> _makeCall, RunObserver _observer);
 		~AgentRuns();
 
 		/// Opens a session of an entry and closes the older ones of that entry.
@@ -68,6 +70,9 @@
 		/// Sets whether the upstream is reachable; new runs are refused while it isn't.
 		void setUpstreamReachable(bool _up);
 
+		/// Records that an entry has taken the whole response of a run.
+		void recordDelivered(const RunKey& _key);
+
 		/// Removes expired ledger records and responses.
 		void sweep();
 
@@ -86,11 +91,16 @@
 		void stop();
 
 	private:
+		/// Retry delay that entries get while the upstream is unreachable, ms.
+		static constexpr Millis kUpstreamDownRetryMs = 1'000;
+
 		struct ActiveRun
 		{
 			RunSpec spec;
 			std::shared_ptr<ResponseBuffer> response;
+			std::shared_ptr<RunCharge> charge;
 			Millis endedAt = 0;
+			bool wanted = true;        ///< The entry may still ask for its response.
 			std::uint64_t process = 0; ///< Number of the upstream's process to which it was sent.
 		};
 
@@ -101,6 +111,13 @@
 		};
 
 		void runWorker();
+		/// @returns Whether there is room for further bytes of a run, if need be after kept responses are dropped.
+		bool takeRoom(RunCharge& _charge, std::size_t _bytes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+		/// Drops the oldest response of an ended run that was delivered, or that nobody waits for.
+		/// @returns Whether there was one.
+		bool dropKeptResponse() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+		/// @returns The response of a new run, whose bytes are charged.
+		std::shared_ptr<ResponseBuffer> makeResponse(const RunKey& _key, const std::shared_ptr<RunCharge>& _charge);
 		/// @returns Retry delay while the upstream accepts no runs, ms; none while it accepts them.
 		std::optional<Millis> unavailableForMs(Millis _now) const ABSL_SHARED_LOCKS_REQUIRED(mutex);
 		bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
@@ -122,7 +139,10 @@
 		prometheus::Counter& refused;
 		prometheus::Counter& failed;
 		prometheus::Counter& crashes;
+		prometheus::Counter& memoryShort;
+		prometheus::Counter& droppedResponses;
 		prometheus::Histogram& runSeconds;
+		const std::shared_ptr<RunMemory> memory;
 
 		absl::Mutex mutex;
 		Ledger ledger ABSL_GUARDED_BY(mutex);
--- a/src/agent/agent_server.cpp
+++ b/src/agent/agent_server.cpp
@@ -266,6 +266,7 @@
 		if (_end)
 		{
 			this->deliveries.erase(it);
+			this->runs->recordDelivered(_key);
 			return;
 		}
 		it->second.sending = false;
--- a/src/agent/answer_buffer.cpp
+++ b/src/agent/answer_buffer.cpp
@@ -4,8 +4,15 @@
 
 namespace archdyke
 {
-	ResponseBuffer::ResponseBuffer(RunKey _key)
+	namespace
+	{
+		/// Maximum size of a frame, bytes. The entry gets the next one after it has taken this one.
+		constexpr std::size_t kMaxFrameBytes = 262'144;
+	} // namespace
+
+	ResponseBuffer::ResponseBuffer(RunKey _key, std::function<bool(std::size_t)> _takeRoom)
 	    : run(std::move(_key))
+	    , takeRoom(std::move(_takeRoom))
 	{
 	}
 
@@ -23,6 +30,10 @@
 
 	bool ResponseBuffer::append(std::string_view _bytes)
 	{
+		if (nullptr != this->takeRoom && !this->takeRoom(_bytes.size()))
+		{
+			return false;
+		}
 		absl::MutexLock lock(&this->mutex);
 		if (kMaxBufferedResponseBytes < this->bytes.size() + _bytes.size())
 		{
@@ -62,12 +73,12 @@
 	{
 		absl::MutexLock lock(&this->mutex);
 		ResponseFrame frame;
-		frame.bytes = _offset < this->bytes.size() ? this->bytes.substr(_offset) : "";
+		frame.bytes = _offset < this->bytes.size() ? this->bytes.substr(_offset, kMaxFrameBytes) : "";
 		frame.status = this->status;
 		frame.contentType = this->contentType;
 		frame.notRun = this->notRun;
 		frame.crashed = this->crashed;
-		const bool end = this->completed || this->failed;
+		const bool end = this->failed || (this->completed && this->bytes.size() <= _offset + frame.bytes.size());
 		frame.head = {this->run, _offset, frame.bytes.size(), end, this->bytes.size(), this->failed};
 		return frame;
 	}
--- a/src/agent/answer_buffer.h
+++ b/src/agent/answer_buffer.h
@@ -5,6 +5,7 @@
 #include <absl/synchronization/mutex.h>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "rpc/run.h"
@@ -14,14 +15,16 @@
 	class ResponseBuffer
 	{
 	public:
-		explicit ResponseBuffer(RunKey _key);
+		/// @param[in] _takeRoom Asks for room for further bytes; null: there is room. Called by append, without a lock held.
+		explicit ResponseBuffer(RunKey _key, std::function<bool(std::size_t)> _takeRoom = nullptr);
 
 		const RunKey& key() const;
 
 		/// Records status and content type of the upstream's response.
 		void begin(int _status, const std::string& _contentType);
 
-		/// @returns false if the response would exceed kMaxBufferedResponseBytes; the bytes are not appended then.
+		/// @returns false if the response would exceed kMaxBufferedResponseBytes or there is no room for it; the bytes are not
+		/// appended then.
 		bool append(std::string_view _bytes);
 
 		/// Marks the response as complete; no more bytes follow.
@@ -35,7 +38,7 @@
 		bool ended() const;
 		std::size_t size() const;
 
-		/// @returns The frame that starts at _offset, with all bytes received so far.
+		/// @returns The frame that starts at _offset, with the bytes received so far; at most kMaxFrameBytes.
 		ResponseFrame frameAt(std::uint64_t _offset) const;
 
 		/// How long the upstream asked to be sent no requests, ms; 0 if it didn't ask.
@@ -46,6 +49,7 @@
 
 	private:
 		const RunKey run;
+		const std::function<bool(std::size_t)> takeRoom;
 		mutable absl::Mutex mutex;
 		std::string bytes ABSL_GUARDED_BY(mutex);
 		std::string contentType ABSL_GUARDED_BY(mutex);
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -9,6 +9,7 @@
 #include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 #include "archdyke/errors.h"
 #include "base/config.h"
@@ -129,6 +130,7 @@
 			{
 				this->received = 0;
 				this->unsent = 0;
+				this->sentBytes = 0;
 				if (nullptr != this->connection)
 				{
 					this->connection->beginRequest();
@@ -169,7 +171,7 @@
 				this->unsent += more;
 				if (nullptr != this->connection)
 				{
-					this->connection->hold(more, false);
+					this->connection->holdResponse(more);
 				}
 				if (!this->is_writable())
 				{
@@ -178,10 +180,15 @@
 				const ssize_t sent = send(this->descriptor, _bytes, _size, MSG_NOSIGNAL | MSG_DONTWAIT);
 				const std::size_t done = std::size_t(std::max<ssize_t>(0, sent));
 				this->unsent -= std::min(this->unsent, done);
+				this->sentBytes += done;
 				if (0 < done && nullptr != this->connection)
 				{
 					this->connection->recordSent(done);
 				}
+				if (0 == this->unsent && nullptr != this->connection)
+				{
+					this->connection->releaseSent(std::exchange(this->sentBytes, 0));
+				}
 				return sent;
 			}
 
@@ -218,7 +225,7 @@
 				this->received += this->end;
 				if (0 < size && nullptr != this->connection)
 				{
-					this->connection->hold(this->end, true);
+					this->connection->holdRequest(this->end);
 				}
 				return 0 < size;
 			}
@@ -230,8 +237,9 @@
 			std::array<char, kBufferBytes> buffer{};
 			std::size_t begin = 0;
 			std::size_t end = 0;
-			std::size_t received = 0; ///< Bytes of the request that is being read.
-			std::size_t unsent = 0;   ///< Bytes of the response that were given to write() and not sent.
+			std::size_t received = 0;  ///< Bytes of the request that is being read.
+			std::size_t unsent = 0;    ///< Bytes of the response that were given to write() and not sent.
+			std::size_t sentBytes = 0; ///< Bytes that were given with these and sent.
 			bool ended = false;
 		};
 
@@ -259,7 +267,7 @@
 		std::optional<ConnectionRegistry::Connection> connection;
 		if (nullptr != this->registry)
 		{
-			connection.emplace(*this->registry, _socket);
+			connection.emplace(this->registry, _socket);
 		}
 		bool open = !connection || connection->isAdmitted();
 		SocketStream stream(_socket, connection ? &*connection : nullptr, this->payload_max_length_, {this->read_timeout_sec_, this->write_timeout_sec_});
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -17,8 +17,18 @@
 		}
 	} // namespace
 
+	Call::Call(ConnectionRegistry::Arrivals _arrivals)
+	    : arrivals(std::move(_arrivals))
+	{
+	}
+
 	void Call::push(CallEvent _event)
 	{
+		ResponseFrame* frame = std::get_if<ResponseFrame>(&_event);
+		if (nullptr != frame && !this->arrivals.hold(frame->bytes.size()))
+		{
+			frame->bytes = {};
+		}
 		absl::MutexLock lock(&this->mutex);
 		this->urgent += isUrgent(_event) ? 1 : 0;
 		this->events.push_back(std::move(_event));
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 
+#include "base/connection_registry.h"
 #include "rpc/run.h"
 
 namespace archdyke
@@ -12,6 +13,10 @@
 	class Call
 	{
 	public:
+		/// @param[in] _arrivals Charges the bytes of responses to the caller's connection.
+		explicit Call(ConnectionRegistry::Arrivals _arrivals);
+
+		/// Queues an event. Bytes of a response whose caller's connection is closed are dropped: nobody gets them.
 		void push(CallEvent _event);
 
 		/// Waits for an urgent event, then returns the oldest event in the queue. An accepted
@@ -24,6 +29,7 @@
 	private:
 		bool hasUrgent() const ABSL_SHARED_LOCKS_REQUIRED(mutex);
 
+		const ConnectionRegistry::Arrivals arrivals;
 		absl::Mutex mutex;
 		std::deque<CallEvent> events ABSL_GUARDED_BY(mutex);
 		std::size_t urgent ABSL_GUARDED_BY(mutex) = 0; ///< Events that wake the waiting thread.
--- a/src/entry/entry_http.cpp
+++ b/src/entry/entry_http.cpp
@@ -292,8 +292,13 @@
 		{
 			try
 			{
-				while (const std::optional<std::string> bytes = _exchange->run->next())
+				while (std::optional<std::string> bytes = _exchange->run->next())
 				{
+					if (body.empty())
+					{
+						body = std::move(*bytes);
+						continue;
+					}
 					body += *bytes;
 				}
 				break;
@@ -305,7 +310,8 @@
 				body.clear();
 			}
 		}
-		_response.set_content(body, _exchange->run->contentType());
+		_response.set_header("Content-Type", _exchange->run->contentType());
+		_response.body = std::move(body);
 		this->recordOutcome(*_exchange, Outcome::Ran);
 	}
 
--- a/src/entry/request_reconnect.cpp
+++ b/src/entry/request_reconnect.cpp
@@ -91,7 +91,7 @@
 			}
 			this->current.started = true;
 		}
-		const std::optional<std::vector<ResponseFrame>> frames = this->resumeUntilAnswered(_until);
+		std::optional<std::vector<ResponseFrame>> frames = this->resumeUntilAnswered(_until);
 		if (frames)
 		{
 			this->context.resumed.Increment();
@@ -100,9 +100,9 @@
 		return AttemptFailure{ExecutionProof::Ran, RefusalReason::None, 0, "answer_lost", "the request ran, but the link to its upstream was lost and the response can't be completed; check before you send it again"};
 	}
 
-	std::optional<RequestRun::AttemptFailure> RequestRun::handleFrames(const std::vector<ResponseFrame>& _frames)
+	std::optional<RequestRun::AttemptFailure> RequestRun::handleFrames(std::vector<ResponseFrame>& _frames)
 	{
-		for (const ResponseFrame& frame : _frames)
+		for (ResponseFrame& frame : _frames)
 		{
 			std::optional<AttemptFailure> failure = this->handleFrame(frame);
 			if (failure)
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -130,7 +130,7 @@
 		this->undelivered.clear();
 		this->current.link = _link;
 		this->current.incarnation = _link->incarnation();
-		this->current.call = std::make_shared<Call>();
+		this->current.call = std::make_shared<Call>(ConnectionRegistry::arrivalsOfThisThread());
 		this->current.relay.key = {this->request.id, this->attempts};
 		this->current.open = true;
 		this->triedAgents.push_back(_link->identity().name);
@@ -169,7 +169,7 @@
 		return AttemptFailure{proof, _event.reason, std::max<Millis>(1, _event.retryAfterMs), std::string(toString(_event.reason)), "the upstream " + this->current.link->identity().name + " refused the request (" + std::string(toString(_event.reason)) + "); retry after the time in Retry-After"};
 	}
 
-	std::optional<RequestRun::AttemptFailure> RequestRun::handleFrame(const ResponseFrame& _frame)
+	std::optional<RequestRun::AttemptFailure> RequestRun::handleFrame(ResponseFrame& _frame)
 	{
 		const FrameDecision decision = acceptFrame(this->current.relay, _frame.head);
 		switch (decision.action)
@@ -177,7 +177,14 @@
 		case FrameAction::Deliver:
 			this->current.started = true;
 			this->start = ResponseStart{_frame.status, _frame.contentType, this->current.link->identity().name};
-			this->undelivered.append(_frame.bytes, decision.skip);
+			if (this->undelivered.empty() && 0 == decision.skip)
+			{
+				this->undelivered = std::move(_frame.bytes);
+			}
+			else
+			{
+				this->undelivered.append(_frame.bytes, std::min<std::size_t>(decision.skip, _frame.bytes.size()));
+			}
 			return std::nullopt;
 		case FrameAction::Gap:
 			return this->reconnect(nowMs() + kResumeTimeoutMs);
@@ -213,13 +220,13 @@
 		return AttemptFailure{proof, RefusalReason::Deadline, kDefaultRetryDelayMs, "deadline", "the deadline of the service has passed"};
 	}
 
-	std::optional<RequestRun::AttemptFailure> RequestRun::handleEvent(const CallEvent& _event)
+	std::optional<RequestRun::AttemptFailure> RequestRun::handleEvent(CallEvent& _event)
 	{
 		if (const VerdictEvent* verdict = std::get_if<VerdictEvent>(&_event))
 		{
 			return this->handleVerdict(*verdict);
 		}
-		if (const ResponseFrame* frame = std::get_if<ResponseFrame>(&_event))
+		if (ResponseFrame* frame = std::get_if<ResponseFrame>(&_event))
 		{
 			return this->handleFrame(*frame);
 		}
@@ -235,7 +242,7 @@
 	{
 		while (this->undelivered.empty() && !this->current.relay.complete)
 		{
-			const std::optional<CallEvent> event = this->current.call->wait(this->request.deadline);
+			std::optional<CallEvent> event = this->current.call->wait(this->request.deadline);
 			std::optional<AttemptFailure> failure = event ? this->handleEvent(*event) : this->handleDeadline();
 			if (failure)
 			{
--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -109,15 +109,15 @@
 		std::shared_ptr<AgentLink> chooseLink();
 		void send(const std::shared_ptr<AgentLink>& _link);
 		std::optional<AttemptFailure> waitForResponse();
-		std::optional<AttemptFailure> handleEvent(const CallEvent& _event);
+		std::optional<AttemptFailure> handleEvent(CallEvent& _event);
 		std::optional<AttemptFailure> handleVerdict(const VerdictEvent& _event);
-		std::optional<AttemptFailure> handleFrame(const ResponseFrame& _frame);
+		std::optional<AttemptFailure> handleFrame(ResponseFrame& _frame);
 		std::optional<AttemptFailure> handleLinkLost(const LinkLostEvent& _event);
 		std::optional<AttemptFailure> handleDeadline();
 		std::optional<AttemptFailure> reconnect(Millis _until);
 		std::optional<RevokeState> revokeUntilAnswered(Millis _until);
 		std::optional<std::vector<ResponseFrame>> resumeUntilAnswered(Millis _until);
-		std::optional<AttemptFailure> handleFrames(const std::vector<ResponseFrame>& _frames);
+		std::optional<AttemptFailure> handleFrames(std::vector<ResponseFrame>& _frames);
 		void closeAttempt();
 		ResponseStart runAttempts();
 		AttemptFailure noUpstreamFailure() const;
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -24,6 +24,7 @@
 		nlohmann::json engine = nlohmann::json::object();
 		std::uint32_t engineSlots = 16;
 		std::uint32_t serviceSlots = 32;
+		double memoryMb = 0.0; ///< Memory of each daemon's VM, MiB; 0: the default.
 	};
 
 	/// A running daemon and what is needed to restart it.
@@ -136,6 +137,7 @@
 		void startStubs();
 		void startGroup(const std::string& _group, const std::vector<const Upstream*>& _members);
 		void startAgents();
+		void limitMemory(Daemon& _daemon) const;
 		void startEntries();
 		void startDaemon(Daemon& _daemon);
 		std::string link(const std::string& _name, const std::string& _target);
--- a/tools/stub_service.cpp
+++ b/tools/stub_service.cpp
@@ -3,7 +3,8 @@
 ///
 /// Options: {"address"?, "delayMs"?}. Routes: any call; GET /record; POST /control {"delayMs", "restS"}:
 /// for restS seconds calls get 503 with the remaining time in Retry-After, and count as rejected, not as
-/// runs. A call whose token begins with "crash" ends the process when it starts to run.
+/// runs. A call whose token begins with "crash" ends the process when it starts to run. The query field size=N asks for an
+/// answer of N bytes.
 #include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 #include <atomic>
@@ -74,6 +75,11 @@
 				absl::Notification never;
 				never.WaitForNotificationWithTimeout(absl::Milliseconds(delayMs.load()));
 			}
+			if (_request.has_param("size"))
+			{
+				_response.set_content(std::string(std::stoul(_request.get_param_value("size")), 'x'), "text/plain");
+				return;
+			}
 			_response.set_content(Json{{"path", _request.target}, {"method", _request.method}, {"body", _request.body}}.dump(), "application/json");
 		};
 		server.routes().Get("/.*", echo);
