--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -166,6 +166,22 @@
 	'std::clamp<Millis>(_moment - nowMs(), 1, kPollIntervalMs)' 'std::max<Millis>(_moment - nowMs(), 1)'
 mutant clock-that-sleeps "suspend_keys_expire_on_time_after_a_suspension" src/base/process.cpp \
 	'CLOCK_BOOTTIME' 'CLOCK_MONOTONIC'
+mutant short-memory-closes-nobody "crowds_whole_bodies_to_a_slow_upstream|crowds_bodies_in_large_chunks_that_stop_short" src/http/resource_budget.cpp \
+	'this->held - this->closing <= limit ? nullptr : this->findVictim(_holder)' 'true || this->held - this->closing <= limit ? nullptr : this->findVictim(_holder)' \
+	'return this->closing || this->budget.isOver();' 'return false;'
+mutant requests-behind-keep-places "crowds_chunks_of_one_byte_behind_a_running_request" src/http/resource_budget.cpp \
+	'(!runs || holder->behind)' '!runs'
+mutant peers-are-not-charged "sidecarcrowds_messages_that_stop_short" src/rpc/peer_server.cpp \
+	'this->incoming.set(done);' ''
+mutant slow-peers-are-not-read-again "officecrowds_readers_of_long_answers_who_read_slowly" src/rpc/peer_server.cpp \
+	'this->waking = kj::evalLater([this] {' 'this->waking = kj::Promise<void>(kj::NEVER_DONE).then([this] {'
+mutant http-ports-close-nobody "officecrowds_bodies_at_an_entry_that_stop_short" src/base/connection_registry.cpp \
+	'while (limit < this->held - this->closing)' 'while (false && limit < this->held - this->closing)'
+mutant answers-are-not-charged-when-they-come "officecrowds_readers_of_long_answers_who_read_slowly" src/base/connection_registry.cpp \
+	'holder.arrived += _bytes;
+		this->setBytes(holder, holder.bytes + kResponseCopies * _bytes);' 'holder.arrived += _bytes;'
+mutant answers-of-runs-are-not-charged "officecrowds_readers_of_long_answers_who_read_slowly" src/agent/run_memory.cpp \
+	'if (most < before + _bytes)' 'if (false && most < before + _bytes)'
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
