A request that crashes upstreams is known by its key on public routes

Callers of other requests: a request on a public route that had crashed three upstreams crashed three more.

Cause: crashes are attributed to target, organisation and body, and whose organisation a key is depends on the configuration that a gateway holds. A gateway that is cut off goes by an older one, where a withdrawn or moved key still belongs to its former organisation, so that the same request has two names in the fleet, and another one at the same gateway once it is in touch again.

Why it works: on a public route the caller is the key itself, which all gateways see alike. Routes that need a key go by the organisation as before: a gateway that can't prove the key sends nothing.

--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -27,8 +27,14 @@
 		constexpr Millis kRemovalDelayMs = 4'000;
 		constexpr Millis kRemovalSpreadMsPerGateway = 50;
 
+		/// @returns Whom crashes of a request are attributed to. On a public route that is the key itself: whose it is depends on the
+		/// configuration, of which gateways hold different versions and proofs.
 		std::string callerOf(const RequestContext& _context)
 		{
+			if (_context.route->isPublic)
+			{
+				return _context.caller.key;
+			}
 			return nullptr == _context.organisation ? "" : _context.organisation->name;
 		}
 
@@ -54,7 +60,7 @@
 			return hashes;
 		}
 
-		/// @returns What may crash upstreams: the hash of target, organisation and body, which is the same for all repeats of the
+		/// @returns What may crash upstreams: the hash of target, caller and body, which is the same for all repeats of the
 		/// request, and the shared parts of the prompt. The same through any gateway, in the order of hashesOf.
 		const std::vector<std::string>& suspectsOf(RequestContext& _context)
 		{
