A public route names an organisation only on a proof that holds

Cause: the organisation was looked up where a request comes in, before the age of the configuration's proof was asked, and the age was asked only where the route needs a key. In the same gateway, at the same time, requests on routes with keys ended with stale_proof, on the same version and a proof of over 4.7 s, so that neither the clock nor a newer configuration was at fault.

Why it works: refuseSend judges the key by the newest configuration and its proof, on arrival and right before bytes leave; judgeKey names an organisation on a public route only on a young proof. Such requests are served as before. Logs name whom the request ran for.

--- a/src/gateway/crashes.cpp
+++ b/src/gateway/crashes.cpp
@@ -29,13 +29,9 @@
 
 		/// @returns Whom crashes of a request are attributed to. On a public route that is the key itself: whose it is depends on the
 		/// configuration, of which gateways hold different versions and proofs.
-		std::string callerOf(const RequestContext& _context)
+		const std::string& callerOf(const RequestContext& _context)
 		{
-			if (_context.route->isPublic)
-			{
-				return _context.caller.key;
-			}
-			return nullptr == _context.organisation ? "" : _context.organisation->name;
+			return _context.route->isPublic ? _context.caller.key : _context.organisation;
 		}
 
 		/// @returns The parts of a prompt that other requests may share. The last one belongs to the request or its session.
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -250,6 +250,10 @@
 			if (result.withheld)
 			{
 				recordWithheld(_context, *upstream);
+				if (result.refused)
+				{
+					co_return std::move(result.refused);
+				}
 				continue; // a retry's share of the budget was already taken
 			}
 			recordHealth(*upstream, result);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -6,6 +6,7 @@
 #include "archdyke/slow_rank.h"
 #include "base/log.h"
 #include "base/process.h"
+#include "gateway/send_permission.h"
 
 namespace archdyke::gateway
 {
@@ -50,7 +51,7 @@
 		{
 			DispatchInfo info;
 			info.incarnation = _upstream.record.incarnation;
-			info.organisation = nullptr == _context.organisation ? "" : _context.organisation->name;
+			info.organisation = _context.organisation;
 			info.budgetMs = _context.deadlineAt - nowMs();
 			info.resumeAfter = _context.lastDeliveredId ? _context.lastDeliveredId : _context.caller.resumeAfter;
 			return http::serializeStart(_context.state.codec.encodeDispatch(_context.received.head, _context.caller, info), _context.received.body.size());
@@ -267,6 +268,12 @@
 			recordSend(_context);
 			co_return failed(ExecutionProof::NotRun, "connection_not_quiet");
 		}
+		if (std::optional<Refusal> refused = refuseSend(_context))
+		{
+			AttemptResult result = withheld();
+			result.refused = std::move(refused);
+			co_return result;
+		}
 		if (crashRefusalMs(_context) || !acceptsRequestsNow(*_upstream, nowMs()) || !claimLimitedSend(_context, *_upstream))
 		{
 			// While this request waited for its connection, for up to 400 ms, upstreams crashed under others like it, or the
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -11,6 +11,7 @@
 	{
 		bool answered = false;                          ///< The caller has received the complete response.
 		bool withheld = false;                          ///< Nothing was sent because the upstream accepts no more requests at present.
+		std::optional<Refusal> refused;                 ///< Nothing was sent because the request may not be sent to any upstream any more.
 		ExecutionProof proof = ExecutionProof::Unknown; ///< Whether the request ran, if not answered.
 		RefusalReason refusal = RefusalReason::None;
 		std::optional<http::FullResponse> failure; ///< Error response of the upstream that may be forwarded.
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -4,16 +4,13 @@
 #include "base/log.h"
 #include "base/process.h"
 #include "gateway/admit.h"
+#include "gateway/send_permission.h"
 
 namespace archdyke::gateway
 {
 	namespace
 	{
-		constexpr int kUnauthorized = 401;
 		constexpr int kNotFound = 404;
-		/// The configuration's proof must be younger than the bound on key revocation by this margin, ms:
-		/// it covers clock rounding and the request's network latency.
-		constexpr Millis kProofMarginMs = 300;
 
 		/// Upper limit of a caller's timeout, ms: one hour, longer than the timeout of any route.
 		constexpr Millis kMaxCallerTimeoutMs = 3'600'000;
@@ -58,32 +55,9 @@
 			return std::nullopt;
 		}
 
-		std::optional<Refusal> authenticate(RequestContext& _context)
-		{
-			if (_context.catalog->catalog.organisations.empty())
-			{
-				return std::nullopt;
-			}
-			_context.organisation = findOrganisation(*_context.catalog, _context.caller.key);
-			if (_context.route->isPublic)
-			{
-				return std::nullopt;
-			}
-			// Keys are valid only while the configuration is proved to be the newest.
-			if (!isProofYoungerThan(_context.state, _context.state.settings.bounds.revocationMs - kProofMarginMs))
-			{
-				return refuseNotRun(_context, RefusalCause::StaleProof);
-			}
-			if (nullptr == _context.organisation)
-			{
-				return Refusal{kUnauthorized, std::nullopt, "unknown_key"};
-			}
-			return std::nullopt;
-		}
-
 		aio::Task<std::optional<Refusal>> runStages(RequestContext& _context)
 		{
-			std::optional<Refusal> refusal = authenticate(_context);
+			std::optional<Refusal> refusal = refuseSend(_context);
 			if (refusal)
 			{
 				co_return refusal;
@@ -214,7 +188,7 @@
 			GatewayCounters& counters = _context.state.counters;
 			counters.requests[std::size_t(_context.ending)]->Increment();
 			counters.totalSeconds.Observe(double(now - _context.received.arrivedAt) / 1'000.0);
-			logInfo("request_ended", {{"request", _context.caller.id}, {"ending", toString(_context.ending)}, {"status", _context.status}, {"reason", _context.reason.empty() ? "-" : _context.reason}, {"route", nullptr == _context.route ? "-" : _context.route->name}, {"service", _context.service}, {"organisation", nullptr == _context.organisation ? "-" : _context.organisation->name}, {"sends", _context.sends}, {"group", nullptr == _context.group || _context.group->name.empty() ? "-" : _context.group->name}, {"upstream", _context.upstream}, {"first_ms", _context.firstEventAt ? *_context.firstEventAt - _context.received.arrivedAt : -1}, {"gap_ms", _context.longestGapMs}, {"total_ms", now - _context.received.arrivedAt}, {"left_ms", _context.deadlineAt - now}, {"come_back_ms", _context.comeBackMs.value_or(-1)}, {"catalog", versionOf(_context.catalog)}, {"proof_age_ms", proofAge(_context.state.freshness, now).value_or(-1)}});
+			logInfo("request_ended", {{"request", _context.caller.id}, {"ending", toString(_context.ending)}, {"status", _context.status}, {"reason", _context.reason.empty() ? "-" : _context.reason}, {"route", nullptr == _context.route ? "-" : _context.route->name}, {"service", _context.service}, {"organisation", _context.organisation.empty() ? "-" : _context.organisation}, {"sends", _context.sends}, {"group", nullptr == _context.group || _context.group->name.empty() ? "-" : _context.group->name}, {"upstream", _context.upstream}, {"first_ms", _context.firstEventAt ? *_context.firstEventAt - _context.received.arrivedAt : -1}, {"gap_ms", _context.longestGapMs}, {"total_ms", now - _context.received.arrivedAt}, {"left_ms", _context.deadlineAt - now}, {"come_back_ms", _context.comeBackMs.value_or(-1)}, {"catalog", versionOf(_context.catalog)}, {"proof_age_ms", proofAge(_context.state.freshness, now).value_or(-1)}});
 		}
 	} // namespace
 
--- a/src/gateway/request.h
+++ b/src/gateway/request.h
@@ -45,10 +45,10 @@
 
 		CallerRequest caller; ///< decode
 		std::shared_ptr<const CatalogIndex> catalog;
-		const CatalogRoute* route = nullptr;               ///< resolve; points into catalog
-		const CatalogOrganisation* organisation = nullptr; ///< authenticate; points into catalog
-		std::string service;                               ///< resolve
-		Millis deadlineAt = 0;                             ///< resolve
+		const CatalogRoute* route = nullptr; ///< resolve; points into catalog
+		std::string organisation;            ///< send permission: in whose name the request runs; empty: in nobody's.
+		std::string service;                 ///< resolve
+		Millis deadlineAt = 0;               ///< resolve
 
 		GroupRef group;                       ///< admit, and dispatch for later attempts; null when there is none.
 		std::set<std::string> tried;          ///< dispatch: incarnations that were tried.
@@ -100,7 +100,7 @@
 	/// newest is younger than the limit, or the deployment doesn't require a proof.
 	bool isProofYoungerThan(const GatewayState& _state, Millis _limitMs);
 
-	/// Runs a request through all stages: resolve, authenticate, admit, dispatch, relay, accounting.
+	/// Runs a request through all stages: resolve, send permission, admit, dispatch, relay, accounting.
 	/// Doesn't throw on failures of callers, upstreams or the network.
 	aio::Task<AfterRequest> runRequest(GatewayState& _state, http::HttpConnection& _connection, ReceivedRequest _received);
 
--- a/tests/test_gateway_decisions.cpp
+++ b/tests/test_gateway_decisions.cpp
@@ -7,6 +7,7 @@
 #include "archdyke/come_back.h"
 #include "archdyke/event_stream.h"
 #include "archdyke/freshness.h"
+#include "archdyke/key_permission.h"
 #include "archdyke/outage.h"
 #include "archdyke/retry_window.h"
 #include "archdyke/silence.h"
@@ -360,3 +361,26 @@
 	cr_assert(std::abs(remainingResends(window, bounds, 100) - 5.0) < 1e-9);
 	cr_assert(takeResend(window, bounds, 100));
 }
+
+/// Guards against keys that permit or name anything on an older proof than routes with keys need.
+Test(decisions, a_key_is_as_good_as_the_proof_of_its_configuration)
+{
+	constexpr Millis kMaxAgeMs = 4'700;
+	for (const bool isPublic : {false, true})
+	{
+		for (const bool isKnown : {false, true})
+		{
+			for (const bool proofRequired : {false, true})
+			{
+				for (const std::optional<Millis> age : {std::optional<Millis>(), std::optional<Millis>(kMaxAgeMs - 1), std::optional<Millis>(kMaxAgeMs)})
+				{
+					const bool isProved = age && *age < kMaxAgeMs;
+					const KeyPermission permission = judgeKey({isPublic, isKnown, proofRequired, age, kMaxAgeMs});
+					cr_assert((isKnown && (isProved || (!isPublic && !proofRequired))) == (KeyPermission::Named == permission));
+					cr_assert(!isPublic || KeyPermission::Named == permission || KeyPermission::Anonymous == permission, "a public route is served");
+					cr_assert(isPublic || !proofRequired || isProved || KeyPermission::StaleProof == permission);
+				}
+			}
+		}
+	}
+}
--- a/tests/test_gateway_keys.cpp
+++ b/tests/test_gateway_keys.cpp
@@ -8,6 +8,19 @@
 
 namespace
 {
+	/// How the store treats the gateway meanwhile.
+	struct Outage
+	{
+		std::string mode; ///< Of the stand-in of the store.
+		bool strict = true;
+		bool keyMoves = false; ///< The key goes to another organisation; else it is withdrawn.
+	};
+
+	std::string nameOf(const Outage& _outage)
+	{
+		return fmt::format("store {}, strict {}, key {}", _outage.mode, _outage.strict, _outage.keyMoves ? "moves" : "is withdrawn");
+	}
+
 	/// @returns A configuration in which "key-one" isn't the first organisation's any more.
 	Json configurationWithoutKey(std::uint64_t _version, bool _keyMoves)
 	{
@@ -16,8 +29,73 @@
 		configuration["tenants"].push_back({{"name", "bakery"}, {"apiKeys", keys}, {"priority", 1}});
 		return configuration;
 	}
+
+	/// @returns The organisation that an upstream was told; none when no upstream ran the request.
+	std::optional<std::string> organisationOf(const GatewayRig& _rig, const std::string& _request)
+	{
+		for (const RigWorker& worker : _rig.workers)
+		{
+			const Json record = worker.recordOf(_request);
+			if (record.is_object() && 0 < record["runs"].get<int>())
+			{
+				return record["organisation"].get<std::string>();
+			}
+		}
+		return std::nullopt;
+	}
+
+	std::string organisationOfCall(const GatewayRig& _rig, const std::string& _target, const std::string& _request, const std::string& _key)
+	{
+		const int status = _rig.call(_target, GatewayRig::headersFor(_request, 1'500, _key)).status;
+		cr_assert(200 == status, "%s: %d", _request.c_str(), status);
+		return organisationOf(_rig, _request).value_or("not run");
+	}
+
+	/// @returns What was wrong while the store was away; empty if nothing was.
+	std::string checkOutage(const Outage& _outage)
+	{
+		constexpr Millis kCallIntervalMs = 100;
+		constexpr Millis kObservedMs = 3'000;
+		GatewayRig rig({"a", "b"});
+		rig.moreSettings = {{"strictRevocation", _outage.strict}};
+		rig.startGateway();
+		rig.waitReady();
+		cr_assert("kitchen" == organisationOfCall(rig, "/open/x", "before", "key-one"));
+		rig.store.control({{"mode", _outage.mode}});
+		rig.store.put("op", "config", configurationWithoutKey(2, _outage.keyMoves));
+		const Millis withdrawnAt = nowMs();
+		std::string wrong;
+		for (int call = 0; nowMs() < withdrawnAt + kObservedMs; ++call)
+		{
+			const Millis afterMs = nowMs() - withdrawnAt;
+			const std::string named = organisationOfCall(rig, "/open/x", fmt::format("call-{}", call), "key-one");
+			if (rig.revocationMs < afterMs && !named.empty())
+			{
+				wrong += fmt::format(" {} after {} ms;", named, afterMs);
+			}
+			lab::pauseMs(kCallIntervalMs);
+		}
+		rig.store.control({{"mode", "up"}});
+		cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+			return 2 == rig.dump()["catalog"].get<int>();
+		}));
+		cr_assert((_outage.keyMoves ? "bakery" : "") == organisationOfCall(rig, "/open/x", "after", "key-one"));
+		cr_assert("kitchen" == organisationOfCall(rig, "/open/x", "other", "key-two"), "a key that is proved names its organisation");
+		return wrong.empty() ? "" : fmt::format("\n{}:{}", nameOf(_outage), wrong);
+	}
 } // namespace
 
+/// Guards against upstreams that are told the organisation of a withdrawn key because the route doesn't need one.
+Test(keys, a_public_route_names_no_organisation_on_a_proof_that_is_too_old)
+{
+	std::string wrong;
+	for (const Outage& outage : {Outage{"busy", true, false}, Outage{"silent", true, true}, Outage{"busy", false, false}})
+	{
+		wrong += checkOutage(outage);
+	}
+	cr_assert(wrong.empty(), "%s", wrong.c_str());
+}
+
 /// Guards against a crashing request that passes for another one at a gateway whose configuration, or its proof, is older.
 Test(keys, a_request_that_crashes_upstreams_is_the_same_whatever_its_key_is_taken_for)
 {
