Resends and resumes need the permissions of a first send

A request that was admitted with a key went on being sent in its organisation's name after the proof had become too old, and after a configuration that this gateway held already had withdrawn the key.

A resend that isn't permitted isn't wanted, so that the upstream's own failure is passed on, and a stream stays where it is instead of breaking.

--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -6,6 +6,7 @@
 #include "archdyke/group_choice.h"
 #include "base/log.h"
 #include "base/process.h"
+#include "gateway/send_permission.h"
 
 namespace archdyke::gateway
 {
@@ -176,6 +177,10 @@
 		const Millis admitBy = arrivedAt + maxCapacityWaitMs(_context.route->objectiveMs);
 		while (true)
 		{
+			if (std::optional<Refusal> refused = refuseSend(_context))
+			{
+				co_return refused;
+			}
 			if (state.registry.isEvacuated(_context.service))
 			{
 				co_return refuseNotRun(_context, RefusalCause::Evacuated); // an evacuation outlasts the callers' timeouts
--- a/src/gateway/dispatch.cpp
+++ b/src/gateway/dispatch.cpp
@@ -6,6 +6,7 @@
 #include "base/process.h"
 #include "gateway/admit.h"
 #include "gateway/relay.h"
+#include "gateway/send_permission.h"
 
 namespace archdyke::gateway
 {
@@ -73,13 +74,13 @@
 		}
 
 		/// @returns Whether a failed attempt should be followed by another one if the retry budget allows it.
-		bool wantsRetry(const RequestContext& _context, const AttemptResult& _result)
+		bool wantsRetry(RequestContext& _context, const AttemptResult& _result)
 		{
 			const bool resumable = _context.route->stream && _context.route->resumable;
 			const FailedAttempt failedTry{_result.proof, _result.refusal, _context.sends - 1, mayRepeat(*_context.route), _context.headSent && !resumable, _context.deadlineAt - nowMs()};
 			const NextStep next = decideNext(failedTry);
 			const bool wanted = NextStep::Retry == next || NextStep::RetryOnBudget == next;
-			return wanted && _context.sends < _context.route->maxAttempts;
+			return wanted && _context.sends < _context.route->maxAttempts && !refuseSend(_context);
 		}
 
 		/// @returns How long to wait for a resend, ms: until this gateway knows how many others share the budget, if its share
@@ -229,6 +230,10 @@
 		bool mayHaveRun = false;
 		while (true)
 		{
+			if (std::optional<Refusal> refused = refuseSend(_context))
+			{
+				co_return refused;
+			}
 			// Each further attempt would crash one more upstream with everything that runs there. Crashes count whether
 			// they were observed here or reported by other gateways.
 			if (crashRefusalMs(_context))
@@ -286,6 +291,10 @@
 				co_await forwardResponse(_context, *result.failure);
 				co_return std::nullopt;
 			}
+			if (std::optional<Refusal> refused = refuseSend(_context))
+			{
+				co_return refused;
+			}
 			co_return makeRefusal(_context, mayHaveRun, whyRetriesEnded(_context), result.reason);
 		}
 	}
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -181,13 +181,11 @@
 				const Millis now = nowMs();
 				// Without resend budget a stream that leaves its upstream would be cut, although the upstream may recover.
 				const bool wanted = movable && !_context.writingToCaller && _context.sends < _context.route->maxAttempts && hasResendBudget(_context);
-				if (wanted && shouldAbandonSilent(activityOf(*_context.currentUpstream, now), now - _context.lastHeardAt, now))
+				const bool silent = wanted && shouldAbandonSilent(activityOf(*_context.currentUpstream, now), now - _context.lastHeardAt, now);
+				const bool slow = wanted && resumable && shouldLeaveSlowUpstream(_context, now);
+				if ((silent || slow) && !refuseSend(_context))
 				{
-					co_return failed(ExecutionProof::Unknown, "upstream_silent");
-				}
-				if (wanted && resumable && shouldLeaveSlowUpstream(_context, now))
-				{
-					co_return failed(ExecutionProof::Unknown, "upstream_slow");
+					co_return failed(ExecutionProof::Unknown, silent ? "upstream_silent" : "upstream_slow");
 				}
 			}
 		}
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -102,17 +102,6 @@
 			return refusal;
 		}
 
-		Refusal deadlineRefusal(RequestContext& _context)
-		{
-			if (_context.maybeRunning)
-			{
-				return {kGatewayTimeout, std::nullopt, "deadline_over"};
-			}
-			Refusal refusal = refuseNotRun(_context, RefusalCause::Overloaded);
-			refusal.reason = "deadline_over_before_a_send";
-			return refusal;
-		}
-
 		/// Completes a request after its stages ended: sends the refusal, if there is one.
 		aio::Task<void> finish(RequestContext& _context, std::optional<Refusal> _refusal)
 		{
--- a/src/gateway/send_permission.cpp
+++ b/src/gateway/send_permission.cpp
@@ -49,8 +49,23 @@
 		}
 	} // namespace
 
+	Refusal deadlineRefusal(RequestContext& _context)
+	{
+		if (_context.maybeRunning)
+		{
+			return {kGatewayTimeout, std::nullopt, "deadline_over"};
+		}
+		Refusal refusal = refuseNotRun(_context, RefusalCause::Overloaded);
+		refusal.reason = "deadline_over_before_a_send";
+		return refusal;
+	}
+
 	std::optional<Refusal> refuseSend(RequestContext& _context)
 	{
+		if (_context.deadlineAt <= nowMs())
+		{
+			return deadlineRefusal(_context);
+		}
 		return refuseKey(_context);
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/send_permission.h
+++ b/src/gateway/send_permission.h
@@ -10,4 +10,7 @@
 	/// request may be sent.
 	/// @returns Why the request must not be sent; none if it may.
 	std::optional<Refusal> refuseSend(RequestContext& _context);
+
+	/// @returns The refusal of a request whose deadline has passed.
+	Refusal deadlineRefusal(RequestContext& _context);
 } // namespace archdyke::gateway
--- a/tests/test_gateway_keys.cpp
+++ b/tests/test_gateway_keys.cpp
@@ -130,3 +130,71 @@
 	}
 	cr_expect(kCrashes == rig.crashed, "%zu upstreams ended", rig.crashed);
 }
+
+namespace
+{
+	/// Routes whose requests may take as long as the test needs.
+	Json slowRoutes()
+	{
+		constexpr int kSlowTimeoutMs = 6'000;
+		Json keyed = GatewayRig::route("/slow/", "idempotent");
+		keyed["timeoutMs"] = kSlowTimeoutMs;
+		Json open = GatewayRig::route("/slowopen/", "idempotent");
+		open["timeoutMs"] = kSlowTimeoutMs;
+		open["public"] = true;
+		return Json::array({keyed, open});
+	}
+
+	constexpr Millis kSlowPatienceMs = 6'000;
+
+	/// A request whose first attempt fails after some time; a second one would run at once.
+	RigResponse callFailingLate(const GatewayRig& _rig, const std::string& _route, const std::string& _request)
+	{
+		return _rig.call(fmt::format("/{}/x?do=fail&afterMs=2200", _route), GatewayRig::headersFor(_request, kSlowPatienceMs));
+	}
+} // namespace
+
+/// Guards against resends in an organisation's name when the proof has become too old since the first attempt.
+Test(keys, a_resend_needs_a_proof_that_holds)
+{
+	GatewayRig rig({"a", "b"});
+	rig.configure(2, "key-one", slowRoutes());
+	rig.waitReady();
+	cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+		return 2 == rig.dump()["catalog"].get<int>();
+	}));
+	rig.store.control({{"mode", "busy"}});
+	std::future<RigResponse> open = std::async(std::launch::async, [&] {
+		return callFailingLate(rig, "slowopen", "open");
+	});
+	const RigResponse keyed = callFailingLate(rig, "slow", "keyed");
+	cr_expect(500 == keyed.status && 1 == runsOf(rig, "keyed"), "%d, %d runs", keyed.status, runsOf(rig, "keyed"));
+	cr_expect(500 == open.get().status);
+	std::multiset<std::string> named;
+	for (const RigWorker& worker : rig.workers)
+	{
+		const Json record = worker.recordOf("open");
+		named.insert(record.is_object() ? record["organisation"].get<std::string>() : "not run");
+	}
+	cr_expect((std::multiset<std::string>{"", "kitchen"}) == named, "the resend on the public route runs in nobody's name: %s, %s", named.begin()->c_str(), named.rbegin()->c_str());
+}
+
+/// Guards against resends with a key that a configuration which came meanwhile has withdrawn.
+Test(keys, a_resend_goes_by_the_newest_configuration)
+{
+	GatewayRig rig({"a", "b"});
+	rig.configure(2, "key-one", slowRoutes());
+	rig.waitReady();
+	cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+		return 2 == rig.dump()["catalog"].get<int>();
+	}));
+	std::future<RigResponse> call = std::async(std::launch::async, [&] {
+		return callFailingLate(rig, "slow", "keyed");
+	});
+	cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+		return 1 == runsOf(rig, "keyed");
+	}));
+	rig.configure(3, "key-two", slowRoutes());
+	cr_expect(500 == call.get().status);
+	cr_expect(1 == runsOf(rig, "keyed"), "%d runs", runsOf(rig, "keyed"));
+}
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -11,6 +11,7 @@
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
 ///   foreignLeaving=1  the answer to another request (do=foreign) says that the upstream is about to stop
+///   afterMs=N  plain answers come N ms after the start of the run
 ///   behind=N   behind the whole answer, its first N bytes come again on the connection (plain answers and rejections)
 ///   behindWhen=now|next  these bytes come with the answer, or when the next request has arrived on that connection
 ///   only=ID    only the upstream with this id does the above, the others respond normally
@@ -326,6 +327,16 @@
 				const http::ResponseHead head = this->headFor(_call, fails ? 500 : 200, body);
 				std::string bytes = http::serialize(head, body);
 				bool keepOpen = true;
+				const std::optional<std::int64_t> afterMs = http::parseInteger(queryField(_call.head.target, "afterMs"));
+				if (afterMs && this->isAddressee(_call))
+				{
+					co_await this->loop.timer.afterDelay(*afterMs * kj::MILLISECONDS).exclusiveJoin(_connection.whenDisconnected());
+					if (_connection.isDisconnected())
+					{
+						_record.disconnects += 1;
+						co_return false;
+					}
+				}
 				if ("hang" == _behaviour)
 				{
 					co_await this->loop.timer.afterDelay(kMaxHangMs * kj::MILLISECONDS).exclusiveJoin(_connection.whenDisconnected());
