A stopping gateway sends nothing that may not end in time

Cause: the stop ended the reading of heads, and nothing else: bodies, waits and resends went on by their own time. A caller who was still sending wasn't counted, so the process might exit under it.

Why it works: planStop divides the grace by the clock. Once taking is over, refuseSend permits only what ends by its deadline before the last answers, right before bytes leave, so that late timers and suspensions don't matter; bodies are read no further, and their callers get 503 at once.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -33,6 +33,16 @@
 			return result;
 		}
 
+		/// @returns The refusal of a request that isn't read because the gateway is stopping.
+		ReadResult refuseLeaving(GatewayState& _state)
+		{
+			ReadResult result;
+			result.status = kUnavailable;
+			result.reason = std::string(toString(RefusalCause::Leaving));
+			result.comeBackMs = chooseRetryDelayMs(RefusalCause::Leaving, std::nullopt, kMaxMemoryRetryMs, _state.random);
+			return result;
+		}
+
 		/// @returns Status of the response to an unreadable request; 0 for none.
 		int statusOf(PartKind _kind)
 		{
@@ -168,7 +178,7 @@
 
 	CallerServer::CallerServer(GatewayState& _state, const std::string& _address)
 	    : state(_state)
-	    , idleClosed(nullptr)
+	    , stopped(nullptr)
 	    , listener(
 	          _state.loop, _address, [this](std::unique_ptr<http::HttpConnection> _connection) {
 		          return this->serve(std::move(_connection));
@@ -176,13 +186,18 @@
 	          &_state.resources, http::callerLimits(descriptorLimit(), _state.resources))
 	{
 		auto paf = kj::newPromiseAndFulfiller<void>();
-		this->idleCloser = kj::mv(paf.fulfiller);
-		this->idleClosed = paf.promise.fork();
+		this->stopFulfiller = kj::mv(paf.fulfiller);
+		this->stopped = paf.promise.fork();
+	}
+
+	void CallerServer::stopReading()
+	{
+		this->stopFulfiller->fulfill();
 	}
 
-	void CallerServer::closeIdleConnections()
+	std::size_t CallerServer::rejecting() const
 	{
-		this->idleCloser->fulfill();
+		return this->rejectingCount;
 	}
 
 	unsigned CallerServer::port()
@@ -199,6 +214,10 @@
 			if (!result.request)
 			{
 				charge.set(0);
+				this->rejectingCount += 1;
+				const auto rejected = kj::defer([this] {
+					this->rejectingCount -= 1;
+				});
 				co_await rejectUnreadable(this->state, *_connection, std::move(result));
 				co_return;
 			}
@@ -219,21 +238,32 @@
 		const RequestLimits limits = limitsOf(this->state);
 		_connection.setLimits({limits.headerBytes, limits.bodyBytes});
 		kj::Promise<ReadResult> reading = readHead(this->state, _connection).take();
-		kj::Promise<ReadResult> closing = this->idleClosed.addBranch().then([] {
-			return ReadResult();
-		});
-		ReadResult result = co_await reading.exclusiveJoin(kj::mv(closing)).exclusiveJoin(this->whenMemoryShort(_connection));
+		ReadResult result = co_await reading.exclusiveJoin(this->whenStopped(_connection)).exclusiveJoin(this->whenMemoryShort(_connection));
+		if (result.request && !mayRead(this->state.stop, nowMs()))
+		{
+			result = refuseLeaving(this->state);
+		}
 		if (result.request)
 		{
 			_charge.set(memoryOf(*result.request));
 			_connection.setHeldFor(HeldFor::Request);
 			ReceivedRequest request = std::move(*result.request);
 			kj::Promise<ReadResult> body = readBody(this->state, _connection, std::move(request), _charge).take();
-			result = co_await body.exclusiveJoin(this->whenMemoryShort(_connection));
+			kj::Promise<ReadResult> stopping = this->stopped.addBranch().then([this] {
+				return refuseLeaving(this->state);
+			});
+			result = co_await body.exclusiveJoin(kj::mv(stopping)).exclusiveJoin(this->whenMemoryShort(_connection));
 		}
 		co_return result;
 	}
 
+	kj::Promise<ReadResult> CallerServer::whenStopped(http::HttpConnection& _connection)
+	{
+		return this->stopped.addBranch().then([this, &_connection] {
+			return _connection.isDisconnected() || _connection.isQuiet() ? ReadResult() : refuseLeaving(this->state);
+		});
+	}
+
 	kj::Promise<ReadResult> CallerServer::whenMemoryShort(http::HttpConnection& _connection)
 	{
 		return _connection.whenLosingMemory().then([this, &_connection] {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -24,8 +24,11 @@
 		/// @throws kj::Exception When it can't be bound.
 		CallerServer(GatewayState& _state, const std::string& _address);
 
-		/// Closes the connections on which no request is in progress.
-		void closeIdleConnections();
+		/// Reads no further requests: closes idle connections, and refuses what was received in part or comes from now on.
+		void stopReading();
+
+		/// @returns Number of connections on which a request that wasn't read whole is being refused.
+		std::size_t rejecting() const;
 
 		/// @returns The port that was bound.
 		unsigned port();
@@ -35,12 +38,15 @@
 		/// Reads the next request of a connection.
 		/// @param[in] _charge For the request's memory.
 		aio::Task<ReadResult> readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge);
+		/// @returns A promise of the result that is due once nothing more is read, while the head of a request is awaited.
+		kj::Promise<ReadResult> whenStopped(http::HttpConnection& _connection);
 		/// @returns A promise of the refusal that is due once the connection has lost its memory.
 		kj::Promise<ReadResult> whenMemoryShort(http::HttpConnection& _connection);
 
 		GatewayState& state;
-		kj::Own<kj::PromiseFulfiller<void>> idleCloser;
-		kj::ForkedPromise<void> idleClosed;
+		kj::Own<kj::PromiseFulfiller<void>> stopFulfiller;
+		kj::ForkedPromise<void> stopped;
+		std::size_t rejectingCount = 0;
 		http::Listener listener;
 	};
 } // namespace archdyke::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <kj/async-io.h>
 #include <nlohmann/json.hpp>
@@ -20,11 +21,9 @@
 {
 	namespace
 	{
-		/// New requests are accepted this long after the stop signal, ms: the balancer in front of the
-		/// gateways probes readiness every second and removes a gateway after two failed probes.
-		constexpr Millis kAcceptAfterStopMs = 2'600;
-		/// The process exits this long before the end of its grace period, when it would be killed, ms.
-		constexpr Millis kStopMarginMs = 300;
+		/// Time for the answers at the end of a stop, ms: above the interval in which requests check whether it has come. After a
+		/// suspension it may begin late.
+		constexpr Millis kMinAnswerMs = 300;
 		/// Interval between checks for requests in progress, ms.
 		constexpr Millis kStopPollIntervalMs = 20;
 
@@ -68,28 +67,36 @@
 			{
 				co_await stopSignal(this->io.unixEventPort);
 				const Millis stoppedAt = nowMs();
-				this->state.leaving = true;
+				const StopPlan plan = planStop(stoppedAt, this->state.settings.bounds.graceMs);
+				this->state.stop = plan;
 				logInfo("leaving", {{"in_flight", this->state.inFlight}, {"grace_ms", this->state.settings.bounds.graceMs}});
-				const Millis serveUntil = stoppedAt + std::min(kAcceptAfterStopMs, this->state.settings.bounds.graceMs / 3);
-				const Millis endBy = stoppedAt + this->state.settings.bounds.graceMs - kStopMarginMs;
-				bool idleClosed = false;
-				while (nowMs() < endBy && (nowMs() < serveUntil || 0 < this->state.inFlight))
+				co_await this->pollUntil(plan.takeUntil);
+				this->callers.stopReading();
+				co_await this->pollUntil(plan.answerBy);
+				co_await this->pollUntil(std::max(plan.endBy, nowMs() + kMinAnswerMs));
+				logInfo("stop", {{"unfinished", this->unanswered()}, {"after_ms", nowMs() - stoppedAt}});
+			}
+
+		private:
+			/// @returns Number of callers who are owed an answer.
+			std::size_t unanswered() const
+			{
+				return this->state.inFlight + this->callers.rejecting();
+			}
+
+			/// Waits until a time of the local clock; once nothing more is read, at most until all callers are answered.
+			aio::Task<void> pollUntil(Millis _moment)
+			{
+				do
 				{
 					co_await this->loop.timer.afterDelay(kStopPollIntervalMs * kj::MILLISECONDS);
-					if (!idleClosed && serveUntil <= nowMs())
-					{
-						this->callers.closeIdleConnections();
-						idleClosed = true;
-					}
-				}
-				logInfo("stop", {{"unfinished", this->state.inFlight}, {"after_ms", nowMs() - stoppedAt}});
+				} while (nowMs() < _moment && (mayRead(this->state.stop, nowMs()) || 0 < this->unanswered()));
 			}
 
-		private:
 			bool isReady() const
 			{
 				const bool hasConfiguration = nullptr != this->state.catalog && 0 != this->watch.versions().upstreams;
-				return !this->state.leaving && hasConfiguration && this->isProofFresh();
+				return !this->state.stop && hasConfiguration && this->isProofFresh();
 			}
 
 			/// @returns Whether the configuration's proof is recent enough for readiness. A gateway whose proof is nearly
@@ -156,7 +163,7 @@
 				{
 					upstreams.push_back({{"incarnation", upstream->record.incarnation}, {"service", upstream->record.service}, {"group", upstream->group->name}, {"address", upstream->record.address}, {"zone", upstream->record.zone}, {"leaving", upstream->leavingSince.has_value()}, {"evacuated", upstream->evacuated}, {"inFlight", upstream->inFlight}, {"load", loadOf(*upstream, now)}, {"failureRate", upstream->health.failureRate}, {"suspended", isSuspended(upstream->health, now)}, {"quietMs", 0 == upstream->inFlight ? 0 : now - upstream->silentSince}, {"backOffMs", remainingBackOffMs(upstream->selfReport.backOff, now)}, {"limitPerS", upstream->selfReport.limit ? upstream->selfReport.limit->perSecond : -1.0}, {"warmInMs", remainingColdMs(upstream->cold, now)}, {"coldSends", upstream->coldSends ? int(*upstream->coldSends) : -1}});
 				}
-				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.leaving}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"evacuatedZones", evacuatedZones(this->state.operators)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"memory", this->state.resources.dump()}, {"crashes", this->dumpCrashes()}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
+				return {{"name", this->state.settings.place.name}, {"role", "gateway"}, {"version", kVersion}, {"ready", this->isReady()}, {"leaving", this->state.stop.has_value()}, {"inFlight", this->state.inFlight}, {"catalog", versionOf(this->state.catalog)}, {"evacuatedZones", evacuatedZones(this->state.operators)}, {"proofAgeMs", proofAge(this->state.freshness, now).value_or(-1)}, {"memory", this->state.resources.dump()}, {"crashes", this->dumpCrashes()}, {"groups", this->dumpGroups()}, {"upstreams", upstreams}};
 			}
 
 			/// Reloads the bounds from the settings file on SIGHUP. Addresses don't change.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -232,7 +232,7 @@
 	http::ResponseHead beginResponse(RequestContext& _context, const http::ResponseHead& _response)
 	{
 		http::ResponseHead head = _context.state.codec.encodeResponse(_response);
-		head.keepAlive = _context.keepAlive && !_context.state.leaving;
+		head.keepAlive = _context.keepAlive && !_context.state.stop;
 		_context.keepAlive = head.keepAlive;
 		_context.headSent = true;
 		_context.status = head.status;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -81,7 +81,7 @@
 			_context.comeBackMs = _refusal.comeBackMs;
 			_context.ending = endingOf(_refusal.status);
 			http::ResponseHead head = _context.state.codec.encodeRefusal(_context.caller, _refusal);
-			_context.keepAlive = _context.keepAlive && !_context.state.leaving;
+			_context.keepAlive = _context.keepAlive && !_context.state.stop;
 			head.keepAlive = _context.keepAlive;
 			std::string bytes = http::serialize(head, _refusal.reason + "\n");
 			// A caller who never reads its answers would hold the request for as long as it likes.
--- a/src/gateway/send_permission.cpp
+++ b/src/gateway/send_permission.cpp
@@ -49,6 +49,11 @@
 		}
 	} // namespace
 
+	Refusal refuseStopped(RequestContext& _context)
+	{
+		return makeRefusal(_context, RefusalCause::Leaving);
+	}
+
 	Refusal deadlineRefusal(RequestContext& _context)
 	{
 		if (_context.maybeRunning)
@@ -62,10 +67,15 @@
 
 	std::optional<Refusal> refuseSend(RequestContext& _context)
 	{
-		if (_context.deadlineAt <= nowMs())
+		const Millis now = nowMs();
+		if (_context.deadlineAt <= now)
 		{
 			return deadlineRefusal(_context);
 		}
+		if (!mayBegin(_context.state.stop, _context.deadlineAt, now))
+		{
+			return refuseStopped(_context);
+		}
 		return refuseKey(_context);
 	}
 } // namespace archdyke::gateway
--- a/src/gateway/send_permission.h
+++ b/src/gateway/send_permission.h
@@ -11,6 +11,9 @@
 	/// @returns Why the request must not be sent; none if it may.
 	std::optional<Refusal> refuseSend(RequestContext& _context);
 
+	/// @returns The refusal of a request that this gateway can't finish because it is stopping.
+	Refusal refuseStopped(RequestContext& _context);
+
 	/// @returns The refusal of a request whose deadline has passed.
 	Refusal deadlineRefusal(RequestContext& _context);
 } // namespace archdyke::gateway
--- a/src/gateway/state.h
+++ b/src/gateway/state.h
@@ -3,6 +3,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "archdyke/catalog.h"
@@ -11,6 +12,7 @@
 #include "archdyke/outage.h"
 #include "archdyke/resend_share.h"
 #include "archdyke/retry_window.h"
+#include "archdyke/stop_plan.h"
 #include "base/process.h"
 #include "gateway/board.h"
 #include "gateway/codec.h"
@@ -46,8 +48,8 @@
 		absl::flat_hash_map<std::string, Outage> outages;      ///< By service.
 		ResendShare resendShare;                               ///< This gateway's share of the resend allowance of each service, and the number of gateways.
 		CrashRecord crashes;
-		bool leaving = false;       ///< The stop signal has arrived.
-		std::uint32_t inFlight = 0; ///< Callers' requests in progress.
+		std::optional<StopPlan> stop; ///< Once the stop signal has arrived.
+		std::uint32_t inFlight = 0;   ///< Callers' requests in progress.
 
 		GatewayState(GatewaySettings _settings, Codec _codec, http::LoopContext _loop, GatewayCounters& _counters, std::uint64_t _seed)
 		    : settings(std::move(_settings))
