A stopping gateway answers what is still at work

Requests at work when a stopping gateway had to exit got no answer: their connections ended, and a caller couldn't tell whether to send again.

Cause: at the end of the grace the process exited, although it knew of each request whether it may have run.

The time is compared by the clock in the checks that end requests at their deadline. Streams and half-written answers go on until the exit: only a cut shows that they aren't whole.

--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request.h"
 
+#include <algorithm>
+
 #include "aio/task.h"
 #include "base/log.h"
 #include "base/process.h"
@@ -20,6 +22,7 @@
 		{
 			Dispatched,
 			DeadlineOver,
+			Stopped, ///< The process ends.
 			CallerLeft,
 			MemoryShort
 		};
@@ -120,21 +123,29 @@
 			_context.keepAlive = false;
 		}
 
-		/// Waits until a time of the local clock, or until the caller has left, which isn't seen by reading if there are bytes behind its
+		/// @returns When a request has to be answered. A response whose head was sent can only be completed or cut, so it has until
+		/// the process exits.
+		Millis answerAt(const RequestContext& _context)
+		{
+			const std::optional<StopPlan>& stop = _context.state.stop;
+			return stop && !_context.headSent ? std::min(_context.deadlineAt, stop->answerBy) : _context.deadlineAt;
+		}
+
+		/// Waits until a request has to be answered, or until the caller has left, which isn't seen by reading if there are bytes behind its
 		/// request. Waits in short intervals because timers don't count the time
 		/// during which the machine is suspended; one long wait would hold a caller beyond its deadline.
-		aio::Task<RaceEnd> waitUntil(kj::Timer& _timer, const http::HttpConnection& _connection, Millis _moment)
+		aio::Task<RaceEnd> waitForEnd(const RequestContext& _context)
 		{
 			constexpr Millis kPollIntervalMs = 250;
 			do
 			{
-				co_await _timer.afterDelay(std::clamp<Millis>(_moment - nowMs(), 1, kPollIntervalMs) * kj::MILLISECONDS);
-				if (_connection.hasBehind() && _connection.isHungUp())
+				co_await _context.state.loop.timer.afterDelay(std::clamp<Millis>(answerAt(_context) - nowMs(), 1, kPollIntervalMs) * kj::MILLISECONDS);
+				if (_context.connection.hasBehind() && _context.connection.isHungUp())
 				{
 					co_return RaceEnd::CallerLeft;
 				}
-			} while (nowMs() < _moment);
-			co_return RaceEnd::DeadlineOver;
+			} while (nowMs() < answerAt(_context));
+			co_return nowMs() < _context.deadlineAt ? RaceEnd::Stopped : RaceEnd::DeadlineOver;
 		}
 
 		aio::Task<void> runUntilDeadline(RequestContext& _context)
@@ -147,7 +158,7 @@
 			kj::Promise<RaceEnd> left = _context.connection.whenDisconnected().then([] {
 				return RaceEnd::CallerLeft;
 			});
-			kj::Promise<RaceEnd> deadlinePassed = waitUntil(_context.state.loop.timer, _context.connection, _context.deadlineAt).take();
+			kj::Promise<RaceEnd> deadlinePassed = waitForEnd(_context).take();
 			kj::Promise<RaceEnd> closing = _context.connection.whenLosingMemory().then([] {
 				return RaceEnd::MemoryShort;
 			});
@@ -162,6 +173,10 @@
 			{
 				refusal = deadlineRefusal(_context);
 			}
+			if (RaceEnd::Stopped == end)
+			{
+				refusal = refuseStopped(_context);
+			}
 			if (RaceEnd::MemoryShort == end)
 			{
 				refusal = memoryRefusal(_context);
--- a/tests/test_gateway_stop.cpp
+++ b/tests/test_gateway_stop.cpp
@@ -5,6 +5,7 @@
 
 #include "gateway_rig.h"
 #include "raw_caller.h"
+#include "suspend.h"
 
 using namespace archdyke;
 using namespace archdyke::tests;
@@ -137,6 +138,27 @@
 	cr_expect(rig.endedInTime());
 }
 
+/// Guards against connections that just end under requests which are at work when the process has to end.
+Test(plannedstop, requests_at_work_at_the_end_are_answered)
+{
+	StopRig rig;
+	std::vector<std::future<RigResponse>> calls;
+	for (const char* route : {"slowsafe", "slowonce"})
+	{
+		calls.push_back(rig.callLater(fmt::format("/{}/x?do=ok&afterMs=10000", route), route));
+		rig.waitForRun(route);
+	}
+	rig.stop();
+	calls.push_back(rig.callLater("/slowonce/x?do=ok&afterMs=10000", "after-the-signal"));
+	for (std::future<RigResponse>& call : calls)
+	{
+		const RigResponse answer = call.get();
+		cr_expect(502 == answer.status && "leaving\n" == answer.body, "%d %s", answer.status, answer.body.c_str());
+	}
+	cr_expect(nowMs() - rig.stoppedAt >= kGraceMs * 3 / 4, "ended after %d ms", int(nowMs() - rig.stoppedAt));
+	cr_expect(rig.endedInTime());
+}
+
 /// Guards against resends that may last beyond the end of the process.
 Test(plannedstop, a_resend_that_may_not_end_in_time_is_not_made)
 {
@@ -154,3 +176,36 @@
 	cr_expect(200 == ending.get().status, "a resend that ends in time is made");
 	cr_expect(rig.endedInTime());
 }
+
+/// Guards against a stop that goes by the time which the process has seen, and against other signals that change its course.
+Test(plannedstop, holds_after_a_suspension_and_with_further_signals)
+{
+	ScratchDirectory directory;
+	SuspendableClock clock(directory.path);
+	StopRig rig;
+	clock.start([&] {
+		rig.rig.startGateway();
+	});
+	rig.rig.waitReady();
+	const std::unique_ptr<LateBody> body = startBody(rig, "slowonce", "body", kTakenUntilMs + 300);
+	std::future<RigResponse> longest = rig.callLater("/slowonce/x?do=ok&afterMs=10000", "longest");
+	rig.waitForRun("longest");
+	rig.stop();
+	const std::string settings = rig.rig.directory.path + "/gateway-1.json";
+	Json changed = Json::parse(std::ifstream(settings));
+	changed["graceS"] = 60;
+	std::ofstream(settings) << changed.dump();
+	rig.rig.gateway.process->signal(SIGHUP);
+	rig.rig.gateway.process->signal(SIGTERM);
+	lab::pauseMs(200);
+	clock.suspend(*rig.rig.gateway.process, kTakenUntilMs + 500, [&] {
+		rig.waitUntil(body->endsAfterMs);
+		body->caller.send(kBody.substr(kBody.size() / 2));
+	});
+	body->answer = body->caller.receive(kGraceMs);
+	cr_expect(isRefusedForStop(body->answer), "%s", body->answer.c_str());
+	cr_expect(0 == runsOf(rig.rig, "body"));
+	const RigResponse answer = longest.get();
+	cr_expect(502 == answer.status, "%d", answer.status);
+	cr_expect(rig.endedInTime());
+}
