Who connects to a stopping gateway is told to go elsewhere

Callers who connected while a stopping gateway was finishing its last requests had their connection closed unread.

Cause: once idle connections are closed, new ones were, too, before anything was read.

Why it works: on a new connection the head of a request is awaited and refused with 503 and Retry-After; connections that rest are closed as before.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -207,10 +207,10 @@
 
 	aio::Task<void> CallerServer::serve(std::unique_ptr<http::HttpConnection> _connection)
 	{
-		while (true)
+		for (bool isNew = true; true; isNew = false)
 		{
 			http::MemoryCharge charge(_connection->chargedTo());
-			ReadResult result = co_await this->readRequest(*_connection, charge);
+			ReadResult result = co_await this->readRequest(*_connection, charge, isNew);
 			if (!result.request)
 			{
 				charge.set(0);
@@ -233,12 +233,15 @@
 		}
 	}
 
-	aio::Task<ReadResult> CallerServer::readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge)
+	aio::Task<ReadResult> CallerServer::readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge, bool _isNew)
 	{
 		const RequestLimits limits = limitsOf(this->state);
 		_connection.setLimits({limits.headerBytes, limits.bodyBytes});
 		kj::Promise<ReadResult> reading = readHead(this->state, _connection).take();
-		ReadResult result = co_await reading.exclusiveJoin(this->whenStopped(_connection)).exclusiveJoin(this->whenMemoryShort(_connection));
+		// Whoever connects during the stop is told so once the head of a request has come.
+		const bool waitsForHead = _isNew && !mayRead(this->state.stop, nowMs());
+		kj::Promise<ReadResult> closing = waitsForHead ? kj::Promise<ReadResult>(kj::NEVER_DONE) : this->whenStopped(_connection);
+		ReadResult result = co_await reading.exclusiveJoin(kj::mv(closing)).exclusiveJoin(this->whenMemoryShort(_connection));
 		if (result.request && !mayRead(this->state.stop, nowMs()))
 		{
 			result = refuseLeaving(this->state);
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -37,7 +37,8 @@
 		aio::Task<void> serve(std::unique_ptr<http::HttpConnection> _connection);
 		/// Reads the next request of a connection.
 		/// @param[in] _charge For the request's memory.
-		aio::Task<ReadResult> readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge);
+		/// @param[in] _isNew Whether it is the connection's first one.
+		aio::Task<ReadResult> readRequest(http::HttpConnection& _connection, http::MemoryCharge& _charge, bool _isNew);
 		/// @returns A promise of the result that is due once nothing more is read, while the head of a request is awaited.
 		kj::Promise<ReadResult> whenStopped(http::HttpConnection& _connection);
 		/// @returns A promise of the refusal that is due once the connection has lost its memory.
--- a/tests/test_gateway_stop.cpp
+++ b/tests/test_gateway_stop.cpp
@@ -177,6 +177,29 @@
 	cr_expect(rig.endedInTime());
 }
 
+/// Guards against new connections that are closed unread while the process still lives.
+Test(plannedstop, who_connects_late_is_told_to_go_elsewhere)
+{
+	StopRig rig;
+	std::future<RigResponse> longest = rig.callLater("/slowsafe/x?do=ok&afterMs=10000", "longest");
+	rig.waitForRun("longest");
+	rig.stop();
+	int refused = 0;
+	constexpr int kCallers = 10;
+	for (int call = 0; call < kCallers; ++call)
+	{
+		rig.waitUntil(kTakenUntilMs + 200 + 100 * call);
+		const std::string request = fmt::format("late-{}", call);
+		lab::RawCaller caller(rig.rig.gateway.callers);
+		caller.send(startOfPost("/slowonce/x?do=ok", request, 0));
+		refused += isRefusedForStop(caller.receive(1'000)) ? 1 : 0;
+		cr_expect(0 == runsOf(rig.rig, request));
+	}
+	cr_expect(kCallers == refused, "%d of %d", refused, kCallers);
+	longest.get();
+	cr_expect(rig.endedInTime());
+}
+
 /// Guards against a stop that goes by the time which the process has seen, and against other signals that change its course.
 Test(plannedstop, holds_after_a_suspension_and_with_further_signals)
 {
