Stopping entries and agents don't wait for clients that send slowly

A stopping entry waited for the body of a request that it was going to refuse, as long as bytes came; so did an agent for a client of its admin port. The caller learnt that it should go elsewhere only at the end of its body, and the process didn't end.

Cause: the server waits for its connections' threads, and a thread for the next bytes of its request, for 5 s after each.

Why it works: once a server stops reading, a request has 0.5 s to come whole; then its client gets 503 leaving, and what it still sends is dropped for 0.5 s, so that it sees the answer.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -22,6 +22,12 @@
 		constexpr std::size_t kRefusalThreads = 4;
 		constexpr int kMaxKeepAliveRequests = 1'000'000;
 		constexpr int kKeepAliveTimeoutSeconds = 30;
+		/// Time for a request to come whole once its server stops reading, ms.
+		constexpr Millis kStopReadMs = 500;
+		/// Interval between checks whether a server stops, ms.
+		constexpr Millis kStopPollMs = 50;
+		/// After a request that was cut short what its client still sends is read for this long, ms, so that the client sees the response.
+		constexpr Millis kDiscardMs = 500;
 
 		/// Set on threads that refuse all requests.
 		thread_local bool isRefusalThread = false;
@@ -118,9 +124,10 @@
 		{
 		public:
 			/// @param[in] _connection Null: bytes aren't counted.
-			SocketStream(socket_t _socket, ConnectionRegistry::Connection* _connection, std::size_t _maxBodyBytes, StreamTimeouts _timeouts)
+			SocketStream(socket_t _socket, ConnectionRegistry::Connection* _connection, const StopTimes& _stop, std::size_t _maxBodyBytes, StreamTimeouts _timeouts)
 			    : descriptor(_socket)
 			    , connection(_connection)
+			    , stop(_stop)
 			    , maxBytes(kMaxHeadBytes + kMaxFramingFactor * _maxBodyBytes)
 			    , timeouts(_timeouts)
 			{
@@ -128,6 +135,7 @@
 
 			void beginRequest()
 			{
+				this->begunAt = nowMs();
 				this->received = 0;
 				this->unsent = 0;
 				this->sentBytes = 0;
@@ -144,12 +152,47 @@
 
 			bool is_readable() const override
 			{
-				return this->hasBytes(1'000 * Millis(this->timeouts.readS));
+				const Millis until = nowMs() + 1'000 * Millis(this->timeouts.readS);
+				while (nowMs() < until && !this->isReadingOver())
+				{
+					if (this->hasBytes(kStopPollMs))
+					{
+						return true;
+					}
+				}
+				return false;
 			}
 
 			bool is_writable() const override
 			{
-				return awaitSocket(this->descriptor, POLLOUT, 1'000 * Millis(this->timeouts.writeS));
+				const Millis until = nowMs() + 1'000 * Millis(this->timeouts.writeS);
+				while (nowMs() < std::min<Millis>(until, this->stop.writeUntil))
+				{
+					if (awaitSocket(this->descriptor, POLLOUT, kStopPollMs))
+					{
+						return true;
+					}
+				}
+				return false;
+			}
+
+			/// Reads on, if the server stopped reading within a request, and drops what comes.
+			void discardRest()
+			{
+				if (!this->isReadingOver())
+				{
+					return;
+				}
+				::shutdown(this->descriptor, SHUT_WR);
+				const Millis until = nowMs() + kDiscardMs;
+				bool open = true;
+				while (open && nowMs() < until)
+				{
+					if (awaitSocket(this->descriptor, POLLIN, kStopPollMs))
+					{
+						open = 0 < recv(this->descriptor, this->buffer.data(), this->buffer.size(), MSG_DONTWAIT);
+					}
+				}
 			}
 
 			ssize_t read(char* _bytes, std::size_t _size) override
@@ -211,6 +254,14 @@
 			/// Bytes of a body in chunks of one byte, for each of its bytes.
 			static constexpr std::size_t kMaxFramingFactor = 6;
 
+			/// @returns Whether the request has had its time since the server stopped reading.
+			bool isReadingOver() const
+			{
+				const Millis from = this->stop.readFrom;
+				const Millis now = nowMs();
+				return from <= now && kStopReadMs < now - std::max(from, this->begunAt);
+			}
+
 			/// @returns Whether bytes were read.
 			bool fill()
 			{
@@ -232,9 +283,11 @@
 
 			const socket_t descriptor;
 			ConnectionRegistry::Connection* const connection;
+			const StopTimes& stop;
 			const std::size_t maxBytes;
 			const StreamTimeouts timeouts;
 			std::array<char, kBufferBytes> buffer{};
+			Millis begunAt = 0;
 			std::size_t begin = 0;
 			std::size_t end = 0;
 			std::size_t received = 0;  ///< Bytes of the request that is being read.
@@ -270,13 +323,14 @@
 			connection.emplace(this->registry, _socket);
 		}
 		bool open = !connection || connection->isAdmitted();
-		SocketStream stream(_socket, connection ? &*connection : nullptr, this->payload_max_length_, {this->read_timeout_sec_, this->write_timeout_sec_});
+		SocketStream stream(_socket, connection ? &*connection : nullptr, this->stopTimes, this->payload_max_length_, {this->read_timeout_sec_, this->write_timeout_sec_});
 		for (std::size_t left = this->keep_alive_max_count_; open && 0 < left && this->awaitRequest(stream); --left)
 		{
 			stream.beginRequest();
 			bool closed = false;
-			open = this->process_request(stream, 1 == left, closed, nullptr) && !closed;
+			open = this->process_request(stream, 1 == left || this->stopTimes.readFrom <= nowMs(), closed, nullptr) && !closed;
 		}
+		stream.discardRest();
 		::shutdown(_socket, SHUT_RDWR);
 		connection.reset(); // before the descriptor is used for another connection
 		::close(_socket);
@@ -348,10 +402,17 @@
 		return {_address.host, port};
 	}
 
+	void HttpServer::stopReading()
+	{
+		this->server.stopTimes.readFrom = nowMs();
+	}
+
 	void HttpServer::stop()
 	{
 		if (this->thread.joinable())
 		{
+			this->stopReading();
+			this->server.stopTimes.writeUntil = nowMs() + 1'000 * Millis(kCallerWriteTimeoutSeconds);
 			this->server.stop();
 			this->thread.join();
 		}
--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <httplib.h>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -13,12 +14,21 @@
 
 namespace archdyke
 {
+	/// Until when the connections of a server may read and write, local clock. Set from another thread when the server stops.
+	struct StopTimes
+	{
+		std::atomic<Millis> readFrom{std::numeric_limits<Millis>::max()}; ///< From then on a request has little time to come whole.
+		std::atomic<Millis> writeUntil{std::numeric_limits<Millis>::max()};
+	};
+
 	/// Server of the library whose connections are bounded by a registry, if there is one.
 	class RegisteredServer final : public httplib::Server
 	{
 	public:
 		explicit RegisteredServer(std::shared_ptr<ConnectionRegistry> _registry);
 
+		StopTimes stopTimes;
+
 	private:
 		bool process_and_close_socket(socket_t _socket) override;
 		/// @returns Whether bytes of a request came before the idle timeout and the end of the server.
@@ -44,7 +54,10 @@
 		/// @throws ArchdykeError If the address can't be bound.
 		Address start(const Address& _address);
 
-		/// Stops accepting connections and waits for the handlers in progress.
+		/// Ends requests that don't come whole soon. Their clients get the response to an unreadable request.
+		void stopReading();
+
+		/// Stops accepting connections and waits for the handlers in progress. Clients that send or read slowly aren't waited for.
 		void stop();
 
 	private:
--- a/src/entry/entry_http.cpp
+++ b/src/entry/entry_http.cpp
@@ -65,13 +65,24 @@
 			return caller;
 		}
 
+		FinalResponse leavingResponse()
+		{
+			return {kUnavailable, Outcome::NotRun, kLeavingRetryMs, "leaving", "this entry is stopping; send the request again, it goes to another"};
+		}
+
 		/// Adds an explanatory body to the requests that the HTTP library rejects by itself.
-		httplib::Server::HandlerResponse explainRefusal(const httplib::Request&, httplib::Response& _response)
+		/// @param[in] _leaving Whether requests that don't come whole were cut short because the entry is stopping.
+		httplib::Server::HandlerResponse explainRefusal(httplib::Response& _response, bool _leaving)
 		{
 			if (!_response.body.empty() || _response.has_header(kOutcomeHeader))
 			{
 				return httplib::Server::HandlerResponse::Unhandled;
 			}
+			if (_leaving && kBadRequest == _response.status)
+			{
+				writeFinalResponse(leavingResponse(), "", _response);
+				return httplib::Server::HandlerResponse::Handled;
+			}
 			const std::string message = kTooLarge == _response.status ? "the body is larger than " + std::to_string(kMaxBodyBytes) + " bytes; send a smaller one" : "the request is malformed, its headers are too long, or it was sent too slowly; send it whole, with no pause of " + std::to_string(kCallerReadTimeoutSeconds) + " s";
 			writeFinalResponse({_response.status, Outcome::NotRun, 0, "bad_request", message}, "", _response);
 			return httplib::Server::HandlerResponse::Handled;
@@ -136,7 +147,9 @@
 			this->handle(_request, _response);
 		};
 		httplib::Server& routes = _server.routes();
-		routes.set_error_handler(httplib::Server::HandlerWithResponse(explainRefusal));
+		routes.set_error_handler(httplib::Server::HandlerWithResponse([this](const httplib::Request&, httplib::Response& _response) {
+			return explainRefusal(_response, this->leaving);
+		}));
 		routes.Get("/ready", [this](const httplib::Request&, httplib::Response& _response) {
 			_response.status = this->isReady() ? 200 : kUnavailable;
 		});
@@ -173,7 +186,7 @@
 		_exchange.request.id = this->newRequestId();
 		if (this->leaving)
 		{
-			throw notRun(kUnavailable, "leaving", "this entry is stopping; send the request again, it goes to another", kLeavingRetryMs);
+			throw RejectedError(leavingResponse());
 		}
 		const std::shared_ptr<const ActiveConfig> config = this->parts.keeper.active();
 		if (nullptr == config || !this->parts.guard.isFresh())
--- a/src/entry/entry_main.cpp
+++ b/src/entry/entry_main.cpp
@@ -68,6 +68,7 @@
 			void stop()
 			{
 				this->leave("signal");
+				this->server.stopReading();
 				this->planner->stop();
 				const Millis until = nowMs() + kMaxDeadlineMs;
 				Millis idleSince = nowMs();
--- a/tests/test_leaving.cpp
+++ b/tests/test_leaving.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "office.h"
+#include "raw_caller.h"
 
 using namespace archdyke;
 using namespace archdyke::tests;
@@ -157,3 +158,91 @@
 	expectNoViolation(lab::judge(result, office.runs()));
 	cr_assert(0 == figures.broken && 0 == figures.unknown, "%u broken, %u unknown", figures.broken, figures.unknown);
 }
+
+namespace
+{
+	/// Time for a stop while nothing runs, ms: the notices to others and the last writes to the platform.
+	constexpr Millis kIdleStopMs = 5'000;
+
+	/// A caller that goes on sending a part of a body now and then, until it gets an answer or the connection ends.
+	std::string sendSlowly(const std::string& _address, const std::string& _start)
+	{
+		constexpr Millis kPieceIntervalMs = 300;
+		constexpr Millis kMaxMs = 20'000;
+		lab::RawCaller caller(_address);
+		std::string answer;
+		const Millis until = nowMs() + kMaxMs;
+		for (bool open = caller.send(_start); open && 0 == lab::RawCaller::statusOf(answer) && nowMs() < until; open = caller.send("x"))
+		{
+			answer += caller.receive(kPieceIntervalMs);
+		}
+		return answer + caller.receive(kPieceIntervalMs);
+	}
+} // namespace
+
+/// Guards against a stop that lasts as long as a caller of the stopping entry goes on sending its body.
+Test(stopping, an_entry_refuses_bodies_that_end_late)
+{
+	lab::OfficeOptions options = smallOffice();
+	options.viaProxy = false;
+	lab::Office office(options);
+	makeReady(office);
+	lab::Daemon& entry = *office.entries()[0];
+	std::future<std::string> slow = std::async(std::launch::async, [&] {
+		return sendSlowly(entry.http, "POST /shop/x HTTP/1.1\r\nHost: office.example\r\nAuthorization: Bearer key-alpha\r\nContent-Length: 1000\r\n\r\nx");
+	});
+	lab::pauseMs(500);
+	entry.process->signal(SIGTERM);
+	cr_expect(0 == entry.process->waitForExit(kIdleStopMs), "the entry still waits for the body");
+	const std::string answer = slow.get();
+	cr_expect(503 == lab::RawCaller::statusOf(answer) && std::string::npos != answer.find("Retry-After: ") && std::string::npos != answer.find("X-Archdyke-Outcome: not-run"), "%s", answer.c_str());
+}
+
+/// Guards against a stop that lasts as long as a client of an agent's admin port goes on sending.
+Test(stopping, an_agent_does_not_wait_for_clients_of_its_admin_port)
+{
+	lab::OfficeOptions options = smallOffice();
+	options.viaProxy = false;
+	lab::Office office(options);
+	makeReady(office);
+	lab::Daemon& agent = office.agent("shop-1");
+	std::future<std::string> slow = std::async(std::launch::async, [&] {
+		return sendSlowly(agent.admin, "POST /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nx");
+	});
+	lab::pauseMs(500);
+	agent.process->signal(SIGTERM);
+	cr_expect(0 == agent.process->waitForExit(kIdleStopMs), "the agent still waits for the body");
+	slow.get();
+}
+
+/// Guards against runs that wait at a stopping agent and are cut, or are told as not run and run all the same.
+Test(stopping, runs_that_wait_at_an_agent_are_finished)
+{
+	constexpr int kCalls = 6;
+	constexpr Millis kRunMs = 400;
+	lab::OfficeOptions options = smallOffice();
+	options.viaProxy = false;
+	options.serviceSlots = 1;
+	lab::Office office(options);
+	makeReady(office);
+	setShopDelay(office, kRunMs);
+	std::vector<std::future<lab::CallRecord>> calls;
+	const lab::LoadOptions load = loadOptionsOf(office);
+	for (int call = 0; call < kCalls; ++call)
+	{
+		calls.push_back(sendCallAsync(load, lab::CallKind::NotRepeatable, "waiting-" + std::to_string(call), office.entries().front()->http));
+	}
+	lab::pauseMs(kRunMs / 2);
+	office.agent("shop-1").process->signal(SIGTERM);
+	office.agent("shop-2").process->signal(SIGTERM);
+	lab::LoadResult result;
+	for (std::future<lab::CallRecord>& call : calls)
+	{
+		result.calls.push_back(call.get());
+	}
+	expectCleanExit(office.agent("shop-1"));
+	expectCleanExit(office.agent("shop-2"));
+	expectNoViolation(lab::judge(result, office.runs()));
+	const lab::LoadSummary figures = lab::summarizeLoad(result);
+	cr_assert(0 == figures.broken && 0 == figures.unknown && kCalls == figures.whole, "%u whole, %u broken, %u unknown", figures.whole, figures.broken, figures.unknown);
+}
