A message of another daemon takes little memory of its caller

A daemon that announces a message of any size, and sends bytes without end, made each caller of it hold up to 64 MiB: half of the memory of a sidecar's machine.

Cause: servers charge messages to their budget, but the client side of RPC connections used the library's own limit.

Why it works: all clients use RpcClient, whose connections end with a message over 16 MiB, several times the tables of the largest deployment; the caller connects again, as after any broken connection.

--- a/src/entry/agent_link_p.h
+++ b/src/entry/agent_link_p.h
@@ -1,12 +1,11 @@
 /// The connection of a link; internal to the implementation of AgentLink.
 #pragma once
 
-#include <capnp/rpc-twoparty.h>
-
 #include "base/config.h"
 #include "base/process.h"
 #include "entry/agent_link.h"
 #include "generated/rpc.capnp.h"
+#include "rpc/rpc_client.h"
 
 namespace archdyke
 {
@@ -27,7 +26,7 @@
 		void establish(kj::Own<kj::AsyncIoStream> _stream)
 		{
 			this->stream = kj::mv(_stream);
-			this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
+			this->client = kj::heap<RpcClient>(*this->stream);
 			this->agent = kj::heap<rpc::Agent::Client>(this->client->bootstrap().castAs<rpc::Agent>());
 			this->tasks.add(this->client->onDisconnect().then([this] {
 				this->link.scheduleDrop(this->session, "disconnected");
@@ -49,7 +48,7 @@
 		Millis lastRequestAt = nowMs(); ///< Time of the last connect, hello or heartbeat.
 		bool heartbeatPending = false;
 		kj::Own<kj::AsyncIoStream> stream;
-		kj::Own<capnp::TwoPartyClient> client;
+		kj::Own<RpcClient> client;
 		kj::Own<rpc::Agent::Client> agent;
 		kj::TaskSet tasks; ///< Last member, so that it is destroyed first.
 	};
--- a/src/group/rank_link.cpp
+++ b/src/group/rank_link.cpp
@@ -44,7 +44,7 @@
 		kj::Own<kj::NetworkAddress> destination = this->loop.network.getSockaddr(&target, sizeof(target));
 		kj::Own<kj::AsyncIoStream> stream = co_await this->loop.timer.timeoutAfter(_timeoutMs * kj::MILLISECONDS, destination->connect());
 		stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &kTcpUserTimeoutMs, sizeof(kTcpUserTimeoutMs));
-		kj::Own<capnp::TwoPartyClient> client = kj::heap<capnp::TwoPartyClient>(*stream);
+		kj::Own<RpcClient> client = kj::heap<RpcClient>(*stream);
 		rpc::RankDaemon::Client daemon = client->bootstrap().castAs<rpc::RankDaemon>();
 		this->connection = std::shared_ptr<Connection>(new Connection{kj::mv(stream), kj::mv(client), kj::mv(daemon)});
 		co_return this->connection;
--- a/src/group/rank_link.h
+++ b/src/group/rank_link.h
@@ -2,9 +2,8 @@
 /// failure.
 #pragma once
 
-#include <capnp/rpc-twoparty.h>
-
 #include "group/branch.h"
+#include "rpc/rpc_client.h"
 
 namespace archdyke::group
 {
@@ -74,7 +73,7 @@
 		struct Connection
 		{
 			kj::Own<kj::AsyncIoStream> stream;
-			kj::Own<capnp::TwoPartyClient> client;
+			kj::Own<RpcClient> client;
 			rpc::RankDaemon::Client daemon;
 		};
 
--- a/src/rpc/rpc_pool.h
+++ b/src/rpc/rpc_pool.h
@@ -5,7 +5,6 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
-#include <capnp/rpc-twoparty.h>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "archdyke/types.h"
+#include "rpc/rpc_client.h"
 #include "rpc/rpc_loop.h"
 
 namespace archdyke
@@ -117,7 +117,7 @@
 			}
 
 			kj::Own<kj::AsyncIoStream> stream;
-			capnp::TwoPartyClient network;
+			RpcClient network;
 			Client client;
 		};
 
