What an entry reads of its platform stays within its memory

Cause: each call of the platform took up to 64 MiB whatever the machine has, held twice while it grows, by several threads at once.

Why it works: a body of the platform takes at most 1/32 of the machine's memory, and 64 MiB.

--- a/src/base/platform_client.cpp
+++ b/src/base/platform_client.cpp
@@ -17,9 +17,10 @@
 		constexpr int kOk = 200;
 		constexpr int kNotFound = 404;
 		constexpr int kConflict = 409;
-		/// Maximum sizes of a response's head and body, bytes.
+		/// Maximum size of a response's head, bytes.
 		constexpr std::size_t kMaxHeadBytes = 16'384;
-		constexpr std::size_t kMaxBodyBytes = std::size_t(64) << 20;
+		/// Part of a VM's memory that one body may have: several threads call the platform, and a body that grows is held twice.
+		constexpr double kBodyMemoryDivisor = 32.0;
 		/// Bytes that are logged of an item that can't be read.
 		constexpr std::size_t kLoggedItemBytes = 100;
 
@@ -143,7 +144,7 @@
 		HttpResponse call(const char* _operation, const HttpRequest& _request, const std::vector<int>& _expected) const
 		{
 			HttpCallResult result;
-			std::optional<HttpResponse> response = fetchHttp(this->address, _request, {this->timeoutMs, this->timeoutMs, {kMaxHeadBytes, kMaxBodyBytes}}, &result);
+			std::optional<HttpResponse> response = fetchHttp(this->address, _request, {this->timeoutMs, this->timeoutMs, {kMaxHeadBytes, this->maxBodyBytes}}, &result);
 			if (!response)
 			{
 				throw PlatformError(std::string(_operation) + ": no response from the platform at " + toString(this->address) + " (" + toString(result) + "); check that it is up and reachable, then try again");
@@ -163,10 +164,17 @@
 		const Address address;
 		const std::string zone;
 		const Millis timeoutMs;
+		const std::size_t maxBodyBytes;
 	};
 
-	PlatformClient::PlatformClient(const std::string& _address, const std::string& _zone, Millis _timeoutMs)
-	    : state(new State{parseAddress(_address), _zone, _timeoutMs})
+	std::size_t platformBodyLimit(double _memoryMb)
+	{
+		constexpr double kMiB = 1'048'576.0;
+		return std::min(kMaxPlatformBodyBytes, std::size_t(_memoryMb * kMiB / kBodyMemoryDivisor));
+	}
+
+	PlatformClient::PlatformClient(const std::string& _address, const std::string& _zone, Millis _timeoutMs, std::size_t _maxBodyBytes)
+	    : state(new State{parseAddress(_address), _zone, _timeoutMs, _maxBodyBytes})
 	{
 	}
 
--- a/src/base/platform_client.h
+++ b/src/base/platform_client.h
@@ -1,6 +1,7 @@
 /// Client of the platform's services: transactional table, object store, VM list.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -92,6 +93,13 @@
 		bool operator==(const VmChanges&) const = default;
 	};
 
+	/// Maximum size of a response's body in general, bytes.
+	constexpr std::size_t kMaxPlatformBodyBytes = std::size_t(64) << 20;
+
+	/// @param[in] _memoryMb Memory of the VM that the process may use, MiB.
+	/// @returns Maximum size of a response's body for a process whose threads call the platform at the same time.
+	std::size_t platformBodyLimit(double _memoryMb);
+
 	/// Client of the platform. Each call has a connection of its own, ends within the timeout and throws
 	/// PlatformError if the platform is unreachable or reports a failure. After such an error a write may or may not
 	/// have taken effect.
@@ -99,7 +107,8 @@
 	{
 	public:
 		/// @param[in] _zone Zone of the caller; the VM list contains addresses as reachable from there.
-		PlatformClient(const std::string& _address, const std::string& _zone, Millis _timeoutMs);
+		/// @param[in] _maxBodyBytes Maximum size of a response's body.
+		PlatformClient(const std::string& _address, const std::string& _zone, Millis _timeoutMs, std::size_t _maxBodyBytes = kMaxPlatformBodyBytes);
 		~PlatformClient();
 		PlatformClient(PlatformClient&&) noexcept;
 
--- a/src/entry/claims.cpp
+++ b/src/entry/claims.cpp
@@ -28,9 +28,8 @@
 		}
 	} // namespace
 
-	Claims::Claims(const std::string& _platform, const std::string& _zone, Metrics& _metrics)
-	    : platform(_platform)
-	    , zone(_zone)
+	Claims::Claims(const EntrySettings& _settings, Metrics& _metrics)
+	    : settings(_settings)
 	    , transactions(_metrics.counter("archdyke_entry_claim_transactions_total", "Transactions for claims of idempotency keys."))
 	    , thread([this] {
 		    this->threadMain();
@@ -234,7 +233,7 @@
 
 	void Claims::threadMain()
 	{
-		PlatformClient client(this->platform, this->zone, kPlatformTimeoutMs);
+		PlatformClient client(this->settings.platform, this->settings.zone, kPlatformTimeoutMs, platformBodyLimit(this->settings.memoryMb));
 		while (true)
 		{
 			std::vector<OperationPointer> batch;
--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -12,6 +12,7 @@
 #include "archdyke/claim.h"
 #include "base/metrics.h"
 #include "base/platform_client.h"
+#include "base/settings.h"
 
 namespace archdyke
 {
@@ -28,7 +29,7 @@
 	class Claims
 	{
 	public:
-		Claims(const std::string& _platform, const std::string& _zone, Metrics& _metrics);
+		Claims(const EntrySettings& _settings, Metrics& _metrics);
 		~Claims();
 
 		/// Claims a key for the request with _nonce. Waits for kClaimTimeoutMs or two batch intervals, whichever is longer.
@@ -88,8 +89,7 @@
 		bool prepareOperation(const OperationPointer& _operation, TableTransaction& _transaction);
 		Millis batchIntervalMs() const;
 
-		const std::string platform;
-		const std::string zone;
+		const EntrySettings settings;
 		prometheus::Counter& transactions;
 		std::atomic<std::uint32_t> entries{1};
 
--- a/src/entry/crash_publisher.cpp
+++ b/src/entry/crash_publisher.cpp
@@ -33,9 +33,8 @@
 		return crashes;
 	}
 
-	CrashPublisher::CrashPublisher(const std::string& _platform, const std::string& _zone, CrashRecord& _record)
-	    : platform(_platform)
-	    , zone(_zone)
+	CrashPublisher::CrashPublisher(const EntrySettings& _settings, CrashRecord& _record)
+	    : settings(_settings)
 	    , record(_record)
 	    , thread([this] {
 		    this->threadMain();
@@ -87,7 +86,7 @@
 
 	void CrashPublisher::threadMain()
 	{
-		PlatformClient client(this->platform, this->zone, kPlatformTimeoutMs);
+		PlatformClient client(this->settings.platform, this->settings.zone, kPlatformTimeoutMs, platformBodyLimit(this->settings.memoryMb));
 		Millis pauseMs = 0;
 		while (true)
 		{
--- a/src/entry/crash_publisher.h
+++ b/src/entry/crash_publisher.h
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "base/platform_client.h"
+#include "base/settings.h"
 #include "entry/crash_record.h"
 
 namespace archdyke
@@ -16,7 +17,7 @@
 	class CrashPublisher
 	{
 	public:
-		CrashPublisher(const std::string& _platform, const std::string& _zone, CrashRecord& _record);
+		CrashPublisher(const EntrySettings& _settings, CrashRecord& _record);
 		~CrashPublisher();
 		CrashPublisher(const CrashPublisher&) = delete;
 		CrashPublisher& operator=(const CrashPublisher&) = delete;
@@ -26,8 +27,7 @@
 		/// @returns Whether the changes were written.
 		bool write(PlatformClient& _client, const CrashChanges& _changes);
 
-		const std::string platform;
-		const std::string zone;
+		const EntrySettings settings;
 		CrashRecord& record;
 
 		absl::Mutex mutex;
--- a/src/entry/entry_main.cpp
+++ b/src/entry/entry_main.cpp
@@ -30,8 +30,8 @@
 			    , counters(this->metrics)
 			    , crashes(this->metrics)
 			    , directory({&this->loops[0], &this->loops[1]}, this->settings.name, this->settings.zone, this->incarnation, this->crashes)
-			    , claims(this->settings.platform, this->settings.zone, this->metrics)
-			    , crashPublisher(this->settings.platform, this->settings.zone, this->crashes)
+			    , claims(this->settings, this->metrics)
+			    , crashPublisher(this->settings, this->crashes)
 			    , http({this->keeper, this->directory, this->guard, this->claims, this->crashes, this->counters}, this->incarnation)
 			    , watcher(std::make_unique<Watcher>(this->settings, this->incarnation, this->loops[0], this->keeper, this->directory, this->crashes, this->guard, this->metrics))
 			{
--- a/src/entry/planner.cpp
+++ b/src/entry/planner.cpp
@@ -80,7 +80,7 @@
 	    , agents(_loop)
 	    , proposals(_metrics.counter("archdyke_entry_map_proposals_total", "Map switches proposed by this entry."))
 	    , stagedExperts(_metrics.counter("archdyke_entry_map_experts_staged_total", "Experts staged on ranks for proposed maps."))
-	    , platform(_settings.platform, _settings.zone, kPlatformTimeoutMs)
+	    , platform(_settings.platform, _settings.zone, kPlatformTimeoutMs, platformBodyLimit(_settings.memoryMb))
 	    , thread([this] {
 		    this->threadMain();
 	    })
--- a/src/entry/watcher.cpp
+++ b/src/entry/watcher.cpp
@@ -50,7 +50,7 @@
 	    , guard(_guard)
 	    , platformErrors(_metrics.counter("archdyke_entry_platform_errors_total", "Failed polls of the platform."))
 	    , peers(_loop)
-	    , platform(_settings.platform, _settings.zone, kPlatformTimeoutMs)
+	    , platform(_settings.platform, _settings.zone, kPlatformTimeoutMs, platformBodyLimit(_settings.memoryMb))
 	    , thread([this] {
 		    this->threadMain();
 	    })
