--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -329,3 +329,9 @@
 {
 	runSeed({.seed = 65, .faults = 8, .series = 2, .crowd = 60});
 }
+
+/// Bodies end late while gateways are stopped, restarted and reloaded in series: nothing is cut off by a planned stop.
+Test(soak, bodies_that_end_late_cause_no_violations)
+{
+	runSeed({.seed = 68, .faults = 6, .series = 6, .lateBodies = 24});
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -88,14 +88,15 @@
 		std::string file;
 		std::uint64_t seed = 1;
 		std::uint32_t faults = 12;
-		std::uint32_t series = 0;   ///< Number of series in addition to the faults; each repeats one kind of fault.
-		std::uint32_t limits = 0;   ///< Number of limits that upstreams name, in addition to the faults.
-		std::uint32_t restores = 0; ///< Number of times that the store comes back from a copy, in addition to the faults.
-		std::uint32_t stutters = 0; ///< Number of times that upstreams stutter, in addition to the faults.
-		bool withinLength = false;  ///< Upstreams that stutter also send bytes within bodies that have a length.
-		std::uint32_t oddRows = 0;  ///< Number of odd entries among the rows of the upstreams, in addition to the faults.
-		std::uint32_t crowd = 0;    ///< Number of clients that don't behave.
-		bool large = false;         ///< About a hundred processes: as many as fit on a machine beside other runs.
+		std::uint32_t series = 0;     ///< Number of series in addition to the faults; each repeats one kind of fault.
+		std::uint32_t limits = 0;     ///< Number of limits that upstreams name, in addition to the faults.
+		std::uint32_t restores = 0;   ///< Number of times that the store comes back from a copy, in addition to the faults.
+		std::uint32_t stutters = 0;   ///< Number of times that upstreams stutter, in addition to the faults.
+		bool withinLength = false;    ///< Upstreams that stutter also send bytes within bodies that have a length.
+		std::uint32_t oddRows = 0;    ///< Number of odd entries among the rows of the upstreams, in addition to the faults.
+		std::uint32_t crowd = 0;      ///< Number of clients that don't behave.
+		std::uint32_t lateBodies = 0; ///< Number of callers whose bodies end late, on routes with long deadlines.
+		bool large = false;           ///< About a hundred processes: as many as fit on a machine beside other runs.
 		double perSecond = 80.0;
 		Millis meanIntervalMs = 700; ///< Mean time between the starts of faults.
 	};
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -61,7 +61,7 @@
 			{
 				throw std::runtime_error("the deployment did not get ready; logs in " + this->deployment.directory);
 			}
-			SoakCallers callers(this->deployment, this->options.seed, 0 < this->options.series, 0 < this->options.stutters);
+			SoakCallers callers(this->deployment, this->options.seed, {0 < this->options.series, 0 < this->options.stutters, this->options.lateBodies});
 			SoakFaults faults(this->options, this->deployment);
 			auto crowd = std::make_unique<SoakCrowd>(this->deployment, this->options.seed, this->options.crowd);
 			while (!faults.isFinished())
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "archdyke/route.h"
+#include "raw_caller.h"
 
 namespace archdyke::lab
 {
@@ -27,8 +28,9 @@
 		/// Requests after which a caller connects to another gateway. Callers with odd indexes keep their connection
 		/// until it breaks.
 		constexpr int kCallsPerConnection = 25;
-		constexpr Millis kDeadlineMs = 1'500;   ///< Deadline of a request.
-		constexpr Millis kTimeoutSlackMs = 500; ///< Extra time that a caller waits after the deadline.
+		constexpr Millis kDeadlineMs = 1'500;      ///< Deadline of a request.
+		constexpr Millis kLateDeadlineMs = 12'000; ///< Deadline of a request whose body ends late.
+		constexpr Millis kTimeoutSlackMs = 500;    ///< Extra time that a caller waits after the deadline.
 		constexpr int kConnectWaitS = 1;
 		constexpr Millis kBrokenPauseMs = 25; ///< Pause after a request without a complete response.
 		constexpr Millis kMaxPauseMs = 30;    ///< Upper bound of the random pause between two requests.
@@ -90,22 +92,28 @@
 		}
 	} // namespace
 
-	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes, bool _plain)
+	SoakCallers::SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, const MoreCallers& _more)
 	    : deployment(_deployment)
 	    , seed(_seed)
 	{
-		if (_crashes)
+		if (_more.crashing)
 		{
 			this->threads.emplace_back([this] {
 				this->runCrashCaller();
 			});
 		}
-		for (std::size_t index = 0; _plain && index < kPlainCallerThreads; ++index)
+		for (std::size_t index = 0; _more.plain && index < kPlainCallerThreads; ++index)
 		{
 			this->threads.emplace_back([this, index] {
 				this->runPlainCaller(index);
 			});
 		}
+		for (std::size_t index = 0; index < _more.lateBodies; ++index)
+		{
+			this->threads.emplace_back([this, index] {
+				this->runLateBodyCaller(index);
+			});
+		}
 		for (std::size_t index = 0; index < kCallerThreads; ++index)
 		{
 			this->threads.emplace_back([this, index] {
@@ -232,6 +240,45 @@
 		}
 	}
 
+	void SoakCallers::runLateBodyCaller(std::size_t _index)
+	{
+		constexpr std::uint64_t kSeedOffset = 6'000'011;
+		constexpr Millis kMaxBodyMs = 5'000;
+		constexpr Millis kMaxRunMs = 1'500;
+		constexpr Millis kMaxPieceMs = 100;
+		Random random(this->seed + kSeedOffset + _index);
+		for (std::uint64_t made = 0; !this->isStopping; ++made)
+		{
+			const SoakGatewayAddress gateway = this->deployment.pickGateway(random);
+			SoakCall call;
+			call.id = fmt::format("l{}-{}", _index, made);
+			call.kind = 0 == randomBelow(random, 2) ? SoakKind::Safe : SoakKind::Once;
+			call.key = SoakDeployment::permanentKey();
+			call.gateway = gateway.name;
+			call.target = fmt::format("/{}/x?do=ok&afterMs={}", SoakKind::Safe == call.kind ? "latesafe" : "lateonce", randomBelow(random, kMaxRunMs));
+			const std::string body = "a body that ends late";
+			RawCaller caller(gateway.address);
+			call.sentAt = nowMs();
+			bool open = caller.send(fmt::format("POST {} HTTP/1.1\r\nHost: office.example\r\nX-Archdyke-Request-Id: {}\r\nX-Archdyke-Deadline-Ms: {}\r\nX-Api-Key: {}\r\nContent-Length: {}\r\n\r\n", call.target, call.id, kLateDeadlineMs, call.key, body.size()));
+			const Millis endsAt = call.sentAt + Millis(randomBelow(random, kMaxBodyMs));
+			std::string answer;
+			for (std::size_t sent = 0; open && sent < body.size(); sent += open ? 1 : 0)
+			{
+				const Millis leftMs = std::max<Millis>(0, endsAt - nowMs()) / Millis(body.size() - sent);
+				answer += caller.receive(std::min(kMaxPieceMs, leftMs));
+				open = answer.empty() && caller.send(body.substr(sent, 1));
+			}
+			answer += caller.receive(kLateDeadlineMs + kTimeoutSlackMs);
+			call.endedAt = nowMs();
+			call.status = RawCaller::statusOf(answer);
+			call.body = RawCaller::bodyOf(answer);
+			call.whole = call.body == fmt::format("POST {} {}", call.target, body);
+			call.stamp = RawCaller::headerOf(answer, "X-Archdyke-Server-Stamp");
+			call.body = call.stamp.empty() ? "" : call.body;
+			this->add(std::move(call));
+		}
+	}
+
 	void SoakCallers::add(SoakCall _call)
 	{
 		absl::MutexLock lock(&this->mutex);
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -7,14 +7,20 @@
 
 namespace archdyke::lab
 {
+	/// Callers in addition to the usual ones.
+	struct MoreCallers
+	{
+		bool crashing = false;        ///< One of requests that crash upstreams, each repeated through random gateways.
+		bool plain = false;           ///< Some of plain requests with hardly a pause, so that the gateways reuse connections at once.
+		std::uint32_t lateBodies = 0; ///< Callers whose bodies end some time after their heads; their deadlines are long.
+	};
+
 	class SoakCallers
 	{
 	public:
 		/// Starts the callers.
 		/// @param[in] _deployment Must outlive the callers.
-		/// @param[in] _crashes Adds a caller of requests that crash upstreams, each repeated through random gateways.
-		/// @param[in] _plain Adds callers of plain requests with hardly a pause, so that the gateways reuse connections at once.
-		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, bool _crashes, bool _plain);
+		SoakCallers(SoakDeployment& _deployment, std::uint64_t _seed, const MoreCallers& _more);
 		~SoakCallers();
 		SoakCallers(const SoakCallers&) = delete;
 		SoakCallers& operator=(const SoakCallers&) = delete;
@@ -33,6 +39,7 @@
 		void runCaller(std::size_t _index);
 		void runPlainCaller(std::size_t _index);
 		void runCrashCaller();
+		void runLateBodyCaller(std::size_t _index);
 		/// @returns A random gateway; at times the same one for all callers.
 		SoakGatewayAddress pickGateway(Random& _random);
 		void add(SoakCall _call);
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -23,6 +23,8 @@
 		/// Timeout of a state dump, ms. Short because a frozen gateway does not respond.
 		constexpr Millis kDumpTimeoutMs = 200;
 		constexpr Millis kMsPerS = 1'000;
+		/// Timeout of the routes for requests whose bodies end late, ms: longer than a grace period.
+		constexpr Millis kLateTimeoutMs = 12'000;
 		constexpr const char* kPermanentKey = "key-steady";
 		constexpr const char* kUnknownKey = "key-of-nobody";
 
@@ -174,7 +176,11 @@
 	void SoakDeployment::configure()
 	{
 		this->version += 1;
-		Json configuration = configurationJson(this->version, {kPermanentKey, this->rotatingKey()}, Json::array({routeJson(fmt::format("/extra-{}/", this->version), "idempotent")}));
+		Json lateSafe = routeJson("/latesafe/", "idempotent");
+		Json lateOnce = routeJson("/lateonce/", "non_idempotent");
+		lateSafe["timeoutMs"] = kLateTimeoutMs;
+		lateOnce["timeoutMs"] = kLateTimeoutMs;
+		Json configuration = configurationJson(this->version, {kPermanentKey, this->rotatingKey()}, Json::array({routeJson(fmt::format("/extra-{}/", this->version), "idempotent"), lateSafe, lateOnce}));
 		configuration["services"].push_back({{"name", "maps"}, {"engine", rankEngineJson()}});
 		this->record.knownKeys.insert(this->rotatingKey());
 		this->store.put("op", "config", configuration);
