--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -182,6 +182,21 @@
 		this->setBytes(holder, holder.bytes + kResponseCopies * _bytes);' 'holder.arrived += _bytes;'
 mutant answers-of-runs-are-not-charged "officecrowds_readers_of_long_answers_who_read_slowly" src/agent/run_memory.cpp \
 	'if (most < before + _bytes)' 'if (false && most < before + _bytes)'
+mutant names-without-a-proof "keys_a_public_route_names_no_organisation_on_a_proof_that_is_too_old" src/decide/key_permission.cpp \
+	'return _check.isKnown && isProved ? KeyPermission::Named : KeyPermission::Anonymous;' 'return _check.isKnown ? KeyPermission::Named : KeyPermission::Anonymous;'
+mutant crashes-go-by-organisations "keys_a_request_that_crashes_upstreams_is_the_same_whatever_its_key_is_taken_for" src/gateway/crashes.cpp \
+	'return _context.route->isPublic ? _context.caller.key : _context.organisation;' 'return _context.organisation;'
+mutant resends-without-permission "keys_a_resend_.*|plannedstop_a_resend_that_may_not_end_in_time_is_not_made" src/gateway/dispatch.cpp \
+	' && !refuseSend(_context);' ';'
+mutant late-bodies-are-passed-on "plannedstop_bodies_that_end_late_are_refused_as_not_run" src/gateway/caller_server.cpp \
+	'body.exclusiveJoin(kj::mv(stopping))' 'body' \
+	'&& !mayRead(this->state.stop, nowMs())' '&& false'
+mutant stops-cut-what-is-at-work "plannedstop_requests_at_work_at_the_end_are_answered" src/gateway/request.cpp \
+	'return stop && !_context.headSent ?' 'return false && stop && !_context.headSent ?'
+mutant entries-wait-for-bodies "stopping_an_entry_refuses_bodies_that_end_late|stopping_an_agent_does_not_wait_for_clients_of_its_admin_port" src/base/http_server.cpp \
+	'return from <= now && kStopReadMs < now - std::max(from, this->begunAt);' 'return false && from <= now;'
+mutant peers-announce-any-message "endlesscallers_a_message_of_a_peer_takes_little_memory" src/rpc/rpc_client.cpp \
+	'options.traversalLimitInWords = kMaxMessageBytes / sizeof(capnp::word);' ''
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
