An entry frees a response when its caller's connection is closed for memory

Cause: a connection that is closed because memory is short freed what had come for it only at the end of its run, and frames went on coming.

Why it works: when the registry refuses a frame, the run ends at once as ran; it is never sent again, since nobody waits for it. The two mutants name the tests that notice them.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -175,9 +175,9 @@
 	'this->incoming.set(done);' ''
 mutant slow-peers-are-not-read-again "officecrowds_readers_of_long_answers_who_read_slowly" src/rpc/peer_server.cpp \
 	'this->waking = kj::evalLater([this] {' 'this->waking = kj::Promise<void>(kj::NEVER_DONE).then([this] {'
-mutant http-ports-close-nobody "officecrowds_bodies_at_an_entry_that_stop_short" src/base/connection_registry.cpp \
+mutant http-ports-close-nobody "officecrowds_chunks_at_an_entry_far_over_the_limit|officecrowds_bodies_at_the_admin_port_of_an_agent" src/base/connection_registry.cpp \
 	'while (limit < this->held - this->closing)' 'while (false && limit < this->held - this->closing)'
-mutant answers-are-not-charged-when-they-come "officecrowds_readers_of_long_answers_who_read_slowly" src/base/connection_registry.cpp \
+mutant answers-are-not-charged-when-they-come "officecrowds_readers_of_long_answers_at_an_entry_of_little_memory" src/base/connection_registry.cpp \
 	'holder.arrived += _bytes;
 		this->setBytes(holder, holder.bytes + kResponseCopies * _bytes);' 'holder.arrived += _bytes;'
 mutant answers-of-runs-are-not-charged "officecrowds_readers_of_long_answers_who_read_slowly" src/agent/run_memory.cpp \
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -27,7 +27,7 @@
 		ResponseFrame* frame = std::get_if<ResponseFrame>(&_event);
 		if (nullptr != frame && !this->arrivals.hold(frame->bytes.size()))
 		{
-			frame->bytes = {};
+			_event = CallerClosedEvent();
 		}
 		absl::MutexLock lock(&this->mutex);
 		this->urgent += isUrgent(_event) ? 1 : 0;
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -16,7 +16,7 @@
 		/// @param[in] _arrivals Charges the bytes of responses to the caller's connection.
 		explicit Call(ConnectionRegistry::Arrivals _arrivals);
 
-		/// Queues an event. Bytes of a response whose caller's connection is closed are dropped: nobody gets them.
+		/// Queues an event. When the caller's connection is closed for memory, a CallerClosedEvent takes the place of a frame.
 		void push(CallEvent _event);
 
 		/// Waits for an urgent event, then returns the oldest event in the queue. An accepted
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -234,6 +234,11 @@
 		{
 			return this->handleLinkLost(*lost);
 		}
+		if (std::holds_alternative<CallerClosedEvent>(_event))
+		{
+			this->callerClosed = true;
+			return AttemptFailure{ExecutionProof::Ran, RefusalReason::None, 0, "memory_short", "the connection was closed because memory was short"};
+		}
 		return std::nullopt; // A late response to an earlier revoke or resume.
 	}
 
@@ -269,6 +274,10 @@
 
 	NextStep RequestRun::decideNextStep(const AttemptFailure& _failure)
 	{
+		if (this->callerClosed)
+		{
+			return NextStep::AnswerBroken;
+		}
 		const FailedAttempt failed{_failure.proof, _failure.refusal, this->attempts, this->request.repeatable, this->delivered, this->request.deadline - nowMs()};
 		const NextStep step = decideNext(failed);
 		if (NextStep::RetryOnBudget == step)
--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -137,6 +137,7 @@
 		std::optional<ResponseStart> start;
 		std::string undelivered; ///< Bytes of the response not yet forwarded.
 		bool delivered = false;
-		bool crashed = false; ///< An upstream crashed during an attempt.
+		bool callerClosed = false; ///< The caller's connection was closed for memory: nobody waits for the response.
+		bool crashed = false;      ///< An upstream crashed during an attempt.
 	};
 } // namespace archdyke
--- a/src/rpc/run.h
+++ b/src/rpc/run.h
@@ -81,5 +81,11 @@
 		bool operator==(const ResumeEvent&) const = default;
 	};
 
-	using CallEvent = std::variant<VerdictEvent, ResponseFrame, LinkLostEvent, RevokeEvent, ResumeEvent>;
+	/// The caller's connection was closed because memory was short.
+	struct CallerClosedEvent
+	{
+		bool operator==(const CallerClosedEvent&) const = default;
+	};
+
+	using CallEvent = std::variant<VerdictEvent, ResponseFrame, LinkLostEvent, RevokeEvent, ResumeEvent, CallerClosedEvent>;
 } // namespace archdyke
--- a/tests/test_office_crowds.cpp
+++ b/tests/test_office_crowds.cpp
@@ -114,43 +114,59 @@
 	startAgent().checkCrowd("admin", 60, endlessChunks(), "admin", "/metrics");
 }
 
-/// Long answers that callers read slowly, at an entry; the agents keep them for a while after their end.
-Test(officecrowds, readers_of_long_answers_who_read_slowly)
+namespace
 {
-	constexpr std::size_t kClients = 60;
-	lab::OfficeOptions options = smallOffice();
-	options.viaProxy = false;
-	options.memoryMb = double(kMemoryMb);
-	lab::Office office(options);
-	makeReady(office);
-	lab::Daemon& entry = *office.entries().front();
-	std::vector<std::unique_ptr<ProcessWatch>> agents;
-	for (const std::unique_ptr<lab::Daemon>& agent : office.agents())
-	{
-		agents.push_back(std::make_unique<ProcessWatch>(agent->process->id(), std::set<unsigned>{unsigned(parseAddress(agent->rpc).port)}, std::set<unsigned>{}));
-	}
-	const ProcessWatch watch(entry.process->id(), {unsigned(parseAddress(entry.http).port)}, {});
-	const httplib::Headers headers{{"Authorization", "Bearer key-alpha"}};
-	const auto answersOrdinaryCaller = [&] {
-		return lab::waitUntil(kAnswerWaitMs, [&] {
-			httplib::Client client = clientOf(entry.http);
-			const httplib::Result result = client.Get("/shop/x", headers);
-			return result && 200 == result->status;
-		});
-	};
-	{
-		const httplib::Result whole = clientOf(entry.http).Get("/shop/x?size=4000000", headers);
-		cr_assert(whole && 4'000'000 == whole->body.size(), "status %d, %zu bytes", whole ? whole->status : 0, whole ? whole->body.size() : 0);
-	}
+	/// Long answers that callers of an entry read slowly.
+	/// @param[in] _agentMemoryMb Memory of the agents' VMs, MiB; 0: the default, which isn't checked.
+	void checkSlowReaders(double _agentMemoryMb)
 	{
-		const Crowd crowd(entry.http, kClients, {"GET /shop/x?size=4000000 HTTP/1.1\r\nHost: office.example\r\nAuthorization: Bearer key-alpha\r\n\r\n", "", 0, 1});
-		crowd.waitUntilStuck();
-		cr_expect(answersOrdinaryCaller(), "no answer beside the crowd");
-	}
-	cr_expect(answersOrdinaryCaller(), "no answer after the crowd");
-	checkBounds(*entry.process, watch);
-	for (std::size_t agent = 0; agent < agents.size(); ++agent)
-	{
-		checkBounds(*office.agents()[agent]->process, *agents[agent]);
+		constexpr std::size_t kClients = 60;
+		lab::OfficeOptions options = smallOffice();
+		options.viaProxy = false;
+		options.entryMemoryMb = double(kMemoryMb);
+		options.agentMemoryMb = _agentMemoryMb;
+		lab::Office office(options);
+		makeReady(office);
+		lab::Daemon& entry = *office.entries().front();
+		std::vector<std::unique_ptr<ProcessWatch>> agents;
+		for (const std::unique_ptr<lab::Daemon>& agent : office.agents())
+		{
+			agents.push_back(std::make_unique<ProcessWatch>(agent->process->id(), std::set<unsigned>{unsigned(parseAddress(agent->rpc).port)}, std::set<unsigned>{}));
+		}
+		const ProcessWatch watch(entry.process->id(), {unsigned(parseAddress(entry.http).port)}, {});
+		const httplib::Headers headers{{"Authorization", "Bearer key-alpha"}};
+		const auto answersOrdinaryCaller = [&] {
+			return lab::waitUntil(kAnswerWaitMs, [&] {
+				httplib::Client client = clientOf(entry.http);
+				const httplib::Result result = client.Get("/shop/x", headers);
+				return result && 200 == result->status;
+			});
+		};
+		{
+			const httplib::Result whole = clientOf(entry.http).Get("/shop/x?size=4000000", headers);
+			cr_assert(whole && 4'000'000 == whole->body.size(), "status %d, %zu bytes", whole ? whole->status : 0, whole ? whole->body.size() : 0);
+		}
+		{
+			const Crowd crowd(entry.http, kClients, {"GET /shop/x?size=4000000 HTTP/1.1\r\nHost: office.example\r\nAuthorization: Bearer key-alpha\r\n\r\n", "", 0, 1});
+			crowd.waitUntilStuck();
+			cr_expect(answersOrdinaryCaller(), "no answer beside the crowd");
+		}
+		cr_expect(answersOrdinaryCaller(), "no answer after the crowd");
+		checkBounds(*entry.process, watch);
+		for (std::size_t agent = 0; 0.0 < _agentMemoryMb && agent < agents.size(); ++agent)
+		{
+			checkBounds(*office.agents()[agent]->process, *agents[agent]);
+		}
 	}
+} // namespace
+
+Test(officecrowds, readers_of_long_answers_who_read_slowly)
+{
+	checkSlowReaders(double(kMemoryMb));
+}
+
+/// Agents that send as much as the entry takes.
+Test(officecrowds, readers_of_long_answers_at_an_entry_of_little_memory)
+{
+	checkSlowReaders(0.0);
 }
--- a/tools/lab.cpp
+++ b/tools/lab.cpp
@@ -277,18 +277,18 @@
 			daemon->zone = upstream->zone;
 			daemon->program = "archdyke-agent";
 			daemon->settings = {{"name", stub.name}, {"zone", upstream->zone}, {"rpc", kLoopback}, {"admin", kLoopback}, {"upstream", {{"kind", model ? "model" : "plain"}, {"address", stub.address}, {"slots", model ? this->options.engineSlots : this->options.serviceSlots}, {"checksFence", this->options.engine.value("checksFence", true)}}}};
-			this->limitMemory(*daemon);
+			limitMemory(*daemon, this->options.agentMemoryMb);
 			this->startDaemon(*daemon);
 			this->announce(*daemon);
 			this->agentDaemons.push_back(std::move(daemon));
 		}
 	}
 
-	void Office::limitMemory(Daemon& _daemon) const
+	void Office::limitMemory(Daemon& _daemon, double _memoryMb)
 	{
-		if (0.0 < this->options.memoryMb)
+		if (0.0 < _memoryMb)
 		{
-			_daemon.settings["memoryMb"] = this->options.memoryMb;
+			_daemon.settings["memoryMb"] = _memoryMb;
 		}
 	}
 
@@ -304,7 +304,7 @@
 				daemon->program = "archdyke-entry";
 				const std::string platform = this->options.viaProxy ? this->link("platform<" + daemon->name, this->platformAddress) : this->platformAddress;
 				daemon->settings = {{"name", daemon->name}, {"zone", zone.name}, {"http", kLoopback}, {"rpc", kLoopback}, {"admin", kLoopback}, {"platform", platform}};
-				this->limitMemory(*daemon);
+				limitMemory(*daemon, this->options.entryMemoryMb);
 				this->startDaemon(*daemon);
 				this->announce(*daemon);
 				this->entryDaemons.push_back(std::move(daemon));
--- a/tools/lab.h
+++ b/tools/lab.h
@@ -24,7 +24,8 @@
 		nlohmann::json engine = nlohmann::json::object();
 		std::uint32_t engineSlots = 16;
 		std::uint32_t serviceSlots = 32;
-		double memoryMb = 0.0; ///< Memory of each daemon's VM, MiB; 0: the default.
+		double entryMemoryMb = 0.0; ///< Memory of each entry's VM, MiB; 0: the default.
+		double agentMemoryMb = 0.0; ///< Likewise of each agent's.
 	};
 
 	/// A running daemon and what is needed to restart it.
@@ -137,7 +138,7 @@
 		void startStubs();
 		void startGroup(const std::string& _group, const std::vector<const Upstream*>& _members);
 		void startAgents();
-		void limitMemory(Daemon& _daemon) const;
+		static void limitMemory(Daemon& _daemon, double _memoryMb);
 		void startEntries();
 		void startDaemon(Daemon& _daemon);
 		std::string link(const std::string& _name, const std::string& _target);
