A send is judged by the request's own configuration if there is none other

A gateway has one whenever it has a request to send; these tests build a request alone.

The delay that callers get whose requests aren't read in a stop uses a constant of its own.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -19,6 +19,8 @@
 		/// Retry time for callers whose requests can't be held, ms: a random time in this range, so that a crowd doesn't return at once.
 		constexpr Millis kMinMemoryRetryMs = 1'000;
 		constexpr Millis kMaxMemoryRetryMs = 3'000;
+		/// Assumed time until a caller whose request wasn't read gives up, ms.
+		constexpr Millis kUnknownPatienceMs = 5'000;
 
 		constexpr int kRequestTimeout = 408;
 
@@ -39,7 +41,7 @@
 			ReadResult result;
 			result.status = kUnavailable;
 			result.reason = std::string(toString(RefusalCause::Leaving));
-			result.comeBackMs = chooseRetryDelayMs(RefusalCause::Leaving, std::nullopt, kMaxMemoryRetryMs, _state.random);
+			result.comeBackMs = chooseRetryDelayMs(RefusalCause::Leaving, std::nullopt, kUnknownPatienceMs, _state.random);
 			return result;
 		}
 
--- a/src/gateway/send_permission.cpp
+++ b/src/gateway/send_permission.cpp
@@ -26,7 +26,7 @@
 		std::optional<Refusal> refuseKey(RequestContext& _context)
 		{
 			const GatewayState& state = _context.state;
-			const CatalogIndex& newest = *state.catalog;
+			const CatalogIndex& newest = nullptr == state.catalog ? *_context.catalog : *state.catalog;
 			if (newest.catalog.organisations.empty())
 			{
 				return std::nullopt;
