--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -71,8 +71,8 @@
 ' '				std::_Exit(0);
 				this->runs->stop();
 '
-mutant gateway-trusts-old-keys "gateway_keys_hold_only_while_the_newest_configuration_is_proved|gateway_an_unreadable_configuration_leaves_keys_unproved" src/gateway/request.cpp \
-	'if (!isProofYoungerThan(_context.state, _context.state.settings.bounds.revocationMs - kProofMarginMs))' 'if (false)'
+mutant gateway-trusts-old-keys "gateway_keys_hold_only_while_the_newest_configuration_is_proved|gateway_an_unreadable_configuration_leaves_keys_unproved" src/decide/key_permission.cpp \
+	'if (_check.proofRequired && !isProved)' 'if (false)'
 mutant gateway-calls-silence-not-run "gateway_what_may_have_run_is_never_reported_as_not_run_nor_run_twice" src/gateway/relay.cpp \
 	'failed(ExecutionProof::Unknown, "no_answer_head")' 'failed(ExecutionProof::NotRun, "no_answer_head")'
 mutant gateway-takes-any-answer "gateway_a_response_to_another_request_is_skipped" src/gateway/relay_response.cpp \
@@ -163,7 +163,7 @@
 mutant gateway-waits-for-no-share "groups_a_gateway_that_just_started_.*" src/gateway/dispatch.cpp \
 	'co_await awaitBudget(_context, result);' ''
 mutant deadline-by-one-timer "suspend_a_request_whose_deadline_passes_in_a_suspension_ends_when_the_machine_resumes" src/gateway/request.cpp \
-	'std::clamp<Millis>(_moment - nowMs(), 1, kPollIntervalMs)' 'std::max<Millis>(_moment - nowMs(), 1)'
+	'std::clamp<Millis>(answerAt(_context) - nowMs(), 1, kPollIntervalMs)' 'std::max<Millis>(answerAt(_context) - nowMs(), 1)'
 mutant clock-that-sleeps "suspend_keys_expire_on_time_after_a_suspension" src/base/process.cpp \
 	'CLOCK_BOOTTIME' 'CLOCK_MONOTONIC'
 mutant short-memory-closes-nobody "crowds_whole_bodies_to_a_slow_upstream|crowds_bodies_in_large_chunks_that_stop_short" src/http/resource_budget.cpp \
