A server's connection is a file of its own; nobody is kept for idle connections

Behaviour: what a client still sends is read and dropped only where a request was cut short. Before, each idle connection of a stopping entry or agent was, too, so that its stop took up to 0.5 s longer (by reading).

--- a/src/base/http_server.h
+++ b/src/base/http_server.h
@@ -4,23 +4,16 @@
 
 #include <atomic>
 #include <httplib.h>
-#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
 
 #include "base/address.h"
 #include "base/connection_registry.h"
+#include "base/socket_stream.h"
 
 namespace archdyke
 {
-	/// Until when the connections of a server may read and write, local clock. Set from another thread when the server stops.
-	struct StopTimes
-	{
-		std::atomic<Millis> readFrom{std::numeric_limits<Millis>::max()}; ///< From then on a request has little time to come whole.
-		std::atomic<Millis> writeUntil{std::numeric_limits<Millis>::max()};
-	};
-
 	/// Server of the library whose connections are bounded by a registry, if there is one.
 	class RegisteredServer final : public httplib::Server
 	{
