Tests: streams in planned stops, and resumes on an old proof

plannedstop_a_stream_is_resumed_only_if_it_ends_in_time and keys_a_resume_needs_a_proof_that_holds: resumes go through the same permission as resends, which only tests of plain requests showed. A sound stream goes on in both.

--- a/tests/test_gateway_keys.cpp
+++ b/tests/test_gateway_keys.cpp
@@ -142,7 +142,10 @@
 		Json open = GatewayRig::route("/slowopen/", "idempotent");
 		open["timeoutMs"] = kSlowTimeoutMs;
 		open["public"] = true;
-		return Json::array({keyed, open});
+		Json stream = GatewayRig::route("/stream/slow/", "streaming");
+		stream["timeoutMs"] = kSlowTimeoutMs;
+		stream["resumable"] = true;
+		return Json::array({keyed, open, stream});
 	}
 
 	constexpr Millis kSlowPatienceMs = 6'000;
@@ -198,3 +201,22 @@
 	cr_expect(500 == call.get().status);
 	cr_expect(1 == runsOf(rig, "keyed"), "%d runs", runsOf(rig, "keyed"));
 }
+
+/// Guards against streams that are resumed in an organisation's name on a proof that has become too old.
+Test(keys, a_resume_needs_a_proof_that_holds)
+{
+	GatewayRig rig({"a", "b"});
+	rig.configure(2, "key-one", slowRoutes());
+	rig.waitReady();
+	cr_assert(lab::waitUntil(kRigWaitMs, [&] {
+		return 2 == rig.dump()["catalog"].get<int>();
+	}));
+	rig.store.control({{"mode", "busy"}});
+	std::future<RigResponse> sound = std::async(std::launch::async, [&] {
+		return rig.call("/stream/slow/x?do=stream&afterMs=2200", GatewayRig::headersFor("sound", kSlowPatienceMs));
+	});
+	const RigResponse broken = rig.call("/stream/slow/x?do=break&afterMs=2200", GatewayRig::headersFor("broken", kSlowPatienceMs));
+	cr_expect(0 == broken.status && 1 == runsOf(rig, "broken"), "%d, %d runs", broken.status, runsOf(rig, "broken"));
+	const RigResponse whole = sound.get();
+	cr_expect(200 == whole.status && allEvents() == whole.body, "a stream under way goes on: %d", whole.status);
+}
--- a/tests/test_gateway_stop.cpp
+++ b/tests/test_gateway_stop.cpp
@@ -28,9 +28,13 @@
 			this->rig.moreSettings = {{"graceS", double(kGraceMs) / 1'000.0}};
 			Json safe = GatewayRig::route("/slowsafe/", "idempotent");
 			Json once = GatewayRig::route("/slowonce/", "non_idempotent");
-			safe["timeoutMs"] = kPatienceMs;
-			once["timeoutMs"] = kPatienceMs;
-			this->rig.configure(2, "key-one", Json::array({safe, once}));
+			Json stream = GatewayRig::route("/stream/slow/", "streaming");
+			for (Json* route : {&safe, &once, &stream})
+			{
+				(*route)["timeoutMs"] = kPatienceMs;
+			}
+			stream["resumable"] = true;
+			this->rig.configure(2, "key-one", Json::array({safe, once, stream}));
 			this->rig.startGateway();
 			this->rig.waitReady();
 		}
@@ -177,6 +181,30 @@
 	cr_expect(rig.endedInTime());
 }
 
+/// Guards against a stream that is resumed although it may last beyond the end of the process, and looks whole when it isn't.
+Test(plannedstop, a_stream_is_resumed_only_if_it_ends_in_time)
+{
+	constexpr Millis kFirstEventMs = kTakenUntilMs + 500;
+	constexpr Millis kEndsInTimeMs = kGraceMs - 1'000;
+	StopRig rig;
+	const std::string target = fmt::format("/stream/slow/x?do=break&afterMs={}", kFirstEventMs);
+	std::future<RigResponse> lasting = rig.callLater(target, "lasting");
+	std::future<RigResponse> ending = rig.callLater(target, "ending", kEndsInTimeMs);
+	std::future<RigResponse> sound = rig.callLater(fmt::format("/stream/slow/x?do=stream&afterMs={}", kFirstEventMs), "sound");
+	for (const char* request : {"lasting", "ending", "sound"})
+	{
+		rig.waitForRun(request);
+	}
+	rig.stop();
+	const RigResponse cut = lasting.get();
+	cr_expect(0 == cut.status && 1 == runsOf(rig.rig, "lasting"), "%d after %d runs: %s", cut.status, runsOf(rig.rig, "lasting"), cut.body.c_str());
+	const RigResponse resumed = ending.get();
+	cr_expect(200 == resumed.status && allEvents() == resumed.body && 2 == runsOf(rig.rig, "ending"), "%d after %d runs", resumed.status, runsOf(rig.rig, "ending"));
+	const RigResponse whole = sound.get();
+	cr_expect(200 == whole.status && allEvents() == whole.body, "%d", whole.status);
+	cr_expect(rig.endedInTime());
+}
+
 /// Guards against new connections that are closed unread while the process still lives.
 Test(plannedstop, who_connects_late_is_told_to_go_elsewhere)
 {
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -11,7 +11,7 @@
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
 ///   foreignLeaving=1  the answer to another request (do=foreign) says that the upstream is about to stop
-///   afterMs=N  plain answers come N ms after the start of the run
+///   afterMs=N  plain answers, and the first event of a stream that isn't resumed, come N ms after the start of the run
 ///   behind=N   behind the whole answer, its first N bytes come again on the connection (plain answers and rejections)
 ///   behindWhen=now|next  these bytes come with the answer, or when the next request has arrived on that connection
 ///   only=ID    only the upstream with this id does the above, the others respond normally
@@ -470,6 +470,11 @@
 					co_return false;
 				}
 				const std::optional<std::int64_t> after = http::parseInteger(_record.resumedAfter);
+				const std::optional<std::int64_t> afterMs = http::parseInteger(queryField(_call.head.target, "afterMs"));
+				if (afterMs && !after)
+				{
+					co_await this->loop.timer.afterDelay(*afterMs * kj::MILLISECONDS);
+				}
 				for (std::uint64_t event = after ? std::uint64_t(*after) + 1 : 1; event <= kStreamEvents; ++event)
 				{
 					co_await this->loop.timer.afterDelay(kEventIntervalMs * kj::MILLISECONDS);
