A body without length is complete only behind a FIN

What callers saw: a part of a response as a complete one. An upstream answered a long upload at once with a 200 without length, sent part of its body and reset the connection while the upload was being written. Streams without length ended in order, failures went out with the upstream's stamp.

Cause: the system reports a socket's error once, to the first call that asks. If a write of the request got it, the read behind it returned an end without an error, and that completed a body which nothing else delimits.

Why it works: the proof is now the FIN, of which the system tells whoever was told of an error and however reads and writes follow each other. isOrderly() is the one rule, for the gateway's and sidecar's connections and for the blocking calls. A whole response that a FIN ends during the upload is passed on as before; blocking calls lost it unless the upload was written, and get it now.

upstream_connection_ended tells a reset from an orderly end, with the bytes of the request that were written.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -197,6 +197,12 @@
 	'return from <= now && kStopReadMs < now - std::max(from, this->begunAt);' 'return false && from <= now;'
 mutant peers-announce-any-message "endlesscallers_a_message_of_a_peer_takes_little_memory" src/rpc/rpc_client.cpp \
 	'options.traversalLimitInWords = kMaxMessageBytes / sizeof(capnp::word);' ''
+mutant any-end-completes-a-body-without-length "connectionend_.*|early_a_.*" src/decide/connection_end.cpp \
+	'return FinState::Received == _end.fin ||' 'return true || FinState::Received == _end.fin ||'
+mutant a-reset-is-taken-for-a-fin "connectionend_.*|early_a_.*" src/base/socket_end.cpp \
+	'if (_readBytes + 1 == info.tcpi_bytes_received)' 'if (_readBytes <= info.tcpi_bytes_received)'
+mutant only-written-requests-have-responses-without-length "connectionend_.*|early_a_response_without_length_that_a_fin_ends_during_the_upload_is_passed_on" src/decide/connection_end.cpp \
+	'return FinState::Received == _end.fin || (FinState::Unknown == _end.fin && _end.requestWritten);' 'return FinState::Missing != _end.fin && _end.requestWritten;'
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
--- a/src/base/http_call.cpp
+++ b/src/base/http_call.cpp
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "base/process.h"
+#include "base/socket_end.h"
 
 namespace archdyke
 {
@@ -153,7 +154,16 @@
 				{
 					this->error = std::strerror(errno);
 				}
-				return std::size_t(std::max<ssize_t>(0, size));
+				const std::size_t received = std::size_t(std::max<ssize_t>(0, size));
+				this->receivedBytes += received;
+				return received;
+			}
+
+			/// @param[in] _requestWritten Whether the request was sent to its last byte.
+			/// @returns How the connection has ended, once nothing was received.
+			ConnectionEnd end(bool _requestWritten) const
+			{
+				return {finStateOf(this->descriptor, this->receivedBytes), _requestWritten};
 			}
 
 			std::string error;
@@ -223,8 +233,16 @@
 
 			const Millis deadline;
 			int descriptor = -1;
+			std::uint64_t receivedBytes = 0;
 		};
 
+		/// @returns Text for logs and errors.
+		std::string describe(const ConnectionEnd& _end)
+		{
+			const std::string how = isOrderly(_end) ? "ended by the other side" : "reset";
+			return how + (_end.requestWritten ? "" : " before the request was sent");
+		}
+
 		HttpCallResult transfer(Connection& _connection, std::string_view _unsent, ResponseReader& _reader)
 		{
 			std::array<char, kReadBufferBytes> buffer;
@@ -249,14 +267,12 @@
 				{
 					return {HttpCallEnd::Broken, ResponseState::Closed, _connection.error};
 				}
-				if (0 == *size && !_unsent.empty())
-				{
-					return {HttpCallEnd::Broken, ResponseState::Closed, "closed before the request was sent"};
-				}
-				const ResponseState state = 0 == *size ? _reader.readEnd() : _reader.read({buffer.data(), *size});
+				const ConnectionEnd end = 0 == *size ? _connection.end(_unsent.empty()) : ConnectionEnd();
+				const ResponseState state = 0 == *size ? _reader.readEnd(end) : _reader.read({buffer.data(), *size});
 				if (ResponseState::Incomplete != state)
 				{
-					return {ResponseState::Complete == state ? HttpCallEnd::Complete : HttpCallEnd::Broken, state, ""};
+					const std::string error = ResponseState::Closed == state ? describe(end) : "";
+					return {ResponseState::Complete == state ? HttpCallEnd::Complete : HttpCallEnd::Broken, state, error};
 				}
 			}
 		}
--- a/src/base/response_reader.cpp
+++ b/src/base/response_reader.cpp
@@ -330,11 +330,11 @@
 		return this->parser->state;
 	}
 
-	ResponseState ResponseReader::readEnd()
+	ResponseState ResponseReader::readEnd(const ConnectionEnd& _end)
 	{
 		if (ResponseState::Incomplete == this->parser->state)
 		{
-			if (this->parser->inMessage)
+			if (this->parser->inMessage && isOrderly(_end))
 			{
 				this->parser->execute({});
 			}
--- a/src/base/response_reader.h
+++ b/src/base/response_reader.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "archdyke/connection_end.h"
+
 namespace archdyke
 {
 	struct HttpHeader
@@ -80,7 +82,7 @@
 		ResponseState read(std::string_view _bytes);
 
 		/// Ends the bytes: completes a response that is delimited by the end of its connection.
-		ResponseState readEnd();
+		ResponseState readEnd(const ConnectionEnd& _end);
 
 	private:
 		struct Parser;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -190,6 +190,17 @@
 			}
 		}
 
+		/// Logs how a connection ended before or with its response, if it did.
+		/// @param[in] _requestBytes Size of the request.
+		/// @param[in] _writtenBytes How much of it was written.
+		void logLostConnection(const RequestContext& _context, const http::HttpConnection& _upstream, std::size_t _requestBytes, std::uint64_t _writtenBytes)
+		{
+			if (_upstream.isLost())
+			{
+				logInfo("upstream_connection_ended", {{"request", _context.caller.id}, {"upstream", _context.upstream}, {"connection", _upstream.number()}, {"how", toString(*_upstream.ending())}, {"request_bytes", _requestBytes}, {"written_bytes", _writtenBytes}});
+			}
+		}
+
 		/// @returns A lease of a connection to the upstream; an empty one when the upstream can't be reached.
 		/// @param[out] _error Why the upstream can't be reached.
 		aio::Task<http::Lease> connectTo(RequestContext& _context, const Upstream& _upstream, std::string& _error)
@@ -286,11 +297,14 @@
 		const bool mayHaveRunBefore = _context.maybeRunning;
 		_context.maybeRunning = true;
 		bool written = false;
-		const kj::Promise<void> writing = lease.connection->write(serializeRequest(_context, *_upstream), _context.received.body).take().then([&written] {
-			                                                                                                                                written = true;
-		                                                                                                                                })
+		std::string start = serializeRequest(_context, *_upstream);
+		const std::size_t requestBytes = start.size() + _context.received.body.size();
+		const std::uint64_t writtenBefore = lease.connection->countWritten();
+		const kj::Promise<void> writing = lease.connection->write(std::move(start), _context.received.body).take().then([&written] {
+			                                                                                                          written = true;
+		                                                                                                          })
 		                                      .eagerlyEvaluate([](kj::Exception&&) {
-			                                      // The reader of the response sees the broken connection too and handles it.
+			                                      // The reader of the response sees the end of the connection too, handles it and logs it.
 		                                      });
 		kj::Promise<AttemptResult> relayed = relayResponse(_context, lease).take();
 		kj::Promise<AttemptResult> leaving = waitToLeaveUpstream(_context).take();
@@ -302,6 +316,7 @@
 			_context.maybeRunning = mayHaveRunBefore;
 		}
 		result.connectionLost = !completeExchange && !notRun && lease.connection->isLost();
+		logLostConnection(_context, *lease.connection, requestBytes, lease.connection->countWritten() - writtenBefore);
 		if (completeExchange && written && result.keepIdleMs)
 		{
 			_context.state.pool.returnToPool(std::move(lease), *result.keepIdleMs);
--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/socket_buffers.h"
+#include "base/socket_end.h"
 #include "http/socket_state.h"
 
 namespace archdyke::http
@@ -114,6 +115,7 @@
 			try
 			{
 				size = co_await this->stream->tryRead(buffer.data(), 1, buffer.size());
+				this->readBytes += size;
 			}
 			catch (const kj::Exception&)
 			{
@@ -130,7 +132,7 @@
 			else if (0 == size)
 			{
 				// Completes a response that is delimited by the end of its connection.
-				this->endWith(this->parser.feedEnd() ? PartKind::Closed : PartKind::Reset);
+				this->endWith(this->parser.feedEnd(this->connectionEnd()) ? PartKind::Closed : PartKind::Reset);
 			}
 			else if (const std::optional<PartKind> ending = this->parse({buffer.data(), size}))
 			{
@@ -142,6 +144,16 @@
 		}
 	}
 
+	ConnectionEnd HttpConnection::connectionEnd() const
+	{
+		FinState fin = FinState::Unknown;
+		KJ_IF_MAYBE (descriptor, this->stream->getFd())
+		{
+			fin = finStateOf(*descriptor, this->readBytes);
+		}
+		return {fin, 0 == this->unfinishedWrites};
+	}
+
 	std::optional<PartKind> HttpConnection::parse(std::string_view _bytes)
 	{
 		if (!this->inExchange)
@@ -244,8 +256,10 @@
 
 	aio::Task<void> HttpConnection::write(std::string _bytes)
 	{
+		this->unfinishedWrites += 1;
 		co_await this->stream->write(_bytes.data(), _bytes.size());
-		this->recordMoved(_bytes.size());
+		this->recordWritten(_bytes.size());
+		this->unfinishedWrites -= 1;
 	}
 
 	aio::Task<void> HttpConnection::write(std::string _head, std::string_view _body)
@@ -253,13 +267,15 @@
 		std::string start = std::move(_head);
 		const std::size_t first = std::min(_body.size(), kWriteBytes);
 		start += _body.substr(0, first);
+		this->unfinishedWrites += 1;
 		co_await this->write(std::move(start));
 		for (std::size_t at = first; at < _body.size(); at += kWriteBytes)
 		{
 			const std::string_view piece = _body.substr(at, kWriteBytes);
 			co_await this->stream->write(piece.data(), piece.size());
-			this->recordMoved(piece.size());
+			this->recordWritten(piece.size());
 		}
+		this->unfinishedWrites -= 1;
 	}
 
 	void HttpConnection::chargeTo(std::shared_ptr<ResourceHolder> _holder)
@@ -280,6 +296,12 @@
 		}
 	}
 
+	void HttpConnection::recordWritten(std::size_t _bytes)
+	{
+		this->writtenBytes += _bytes;
+		this->recordMoved(_bytes);
+	}
+
 	void HttpConnection::setHeldFor(HeldFor _what)
 	{
 		if (nullptr != this->charge.chargedTo())
@@ -363,6 +385,16 @@
 		return this->gone && (PartKind::Closed == this->parts.back().kind || PartKind::Reset == this->parts.back().kind);
 	}
 
+	std::uint64_t HttpConnection::countWritten() const
+	{
+		return this->writtenBytes;
+	}
+
+	std::optional<PartKind> HttpConnection::ending() const
+	{
+		return this->gone ? std::optional(this->parts.back().kind) : std::nullopt;
+	}
+
 	bool HttpConnection::isMidMessage() const
 	{
 		return this->parser.isWithinMessage();
--- a/src/http/http_connection.h
+++ b/src/http/http_connection.h
@@ -79,6 +79,12 @@
 		/// @returns Whether the other side has closed, or the connection broke, not because of what it sent.
 		bool isLost() const;
 
+		/// @returns How the connection has ended; none if it hasn't.
+		std::optional<PartKind> ending() const;
+
+		/// @returns Number of bytes that were written and of which no error was reported, as far as a piece was written whole.
+		std::uint64_t countWritten() const;
+
 		/// @returns Whether a message has been received in part.
 		bool isMidMessage() const;
 
@@ -127,8 +133,11 @@
 		std::optional<PartKind> parse(std::string_view _bytes);
 		void take(Part _part);
 		void endWith(PartKind _how);
+		/// @returns What is known once a read has returned the end of the connection.
+		ConnectionEnd connectionEnd() const;
 		void updateCharge();
 		void recordMoved(std::size_t _bytes);
+		void recordWritten(std::size_t _bytes);
 		bool mustWait() const;
 		/// Lets the reading go on if it waits and there is room again.
 		void wakeReader();
@@ -146,6 +155,9 @@
 		std::size_t readCapacity = 0; ///< Size of the read buffer, bytes.
 		std::size_t messageBytes = 0; ///< Bytes of the request that is being received.
 		MemoryCharge charge;
+		std::uint64_t readBytes = 0;
+		std::uint64_t writtenBytes = 0;
+		int unfinishedWrites = 0; ///< Also those that failed.
 		bool gone = false;
 		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> partWaiter;
 		kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> roomWaiter;
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -333,14 +333,14 @@
 		return false;
 	}
 
-	bool MessageParser::feedEnd()
+	bool MessageParser::feedEnd(const ConnectionEnd& _end)
 	{
 		if (Side::Server == this->side)
 		{
 			std::string_view none;
 			return this->paused || (this->execute(none) && !this->inRequest);
 		}
-		if (BodyFraming::UntilClose == this->framing)
+		if (BodyFraming::UntilClose == this->framing && isOrderly(_end))
 		{
 			this->takeEnd();
 		}
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "archdyke/chunk_reader.h"
+#include "archdyke/connection_end.h"
 #include "http/http_message.h"
 
 namespace archdyke::http
@@ -84,7 +85,7 @@
 		void release();
 
 		/// @returns Whether the end of the connection completes a message, or lies between messages.
-		bool feedEnd();
+		bool feedEnd(const ConnectionEnd& _end);
 
 		/// @returns Number of bytes that came behind the last complete response, up to the next head.
 		std::size_t countBytesBehind() const;
--- a/tests/test_response_reader.cpp
+++ b/tests/test_response_reader.cpp
@@ -33,7 +33,7 @@
 			reader.read(piece);
 			_bytes.remove_prefix(piece.size());
 		}
-		reading.state = reader.readEnd();
+		reading.state = reader.readEnd({FinState::Received, true});
 		return reading;
 	}
 
