Tests: heads that aren't valid are no responses

Gateway, store and engine calls and blocking calls hold these, also on; the tests stay, nothing else changes.

--- /dev/null
+++ b/tests/invalid_heads.h
@@ -0,0 +1,55 @@
+/// Heads of responses that no sound server sends.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace archdyke::tests
+{
+	/// @returns Statuses that aren't three digits from 100 on.
+	inline std::vector<std::string> invalidStatuses()
+	{
+		return {"000", "001", "099", "20", "2000", "abc"};
+	}
+
+	/// @returns Header lines, without their ends, whose names hold a blank, a control character or another byte that names don't have.
+	inline std::vector<std::string> invalidHeaderLines()
+	{
+		using namespace std::string_literals;
+		return {"X Y: a", "X\tY: a", "X\rY: a", "X\x01Y: a", "X\x7fY: a", "X\0Y: a"s, "X\x80Y: a", "X : a", "X\t: a", ": a", " X: a", "Content-Length : 1", "Transfer-Encoding : chunked"};
+	}
+
+	/// Bytes of a response, with a name for messages.
+	struct InvalidResponse
+	{
+		std::string name;
+		std::string bytes;
+	};
+
+	/// @param[in] _lines Further header lines, with their ends.
+	inline std::vector<InvalidResponse> invalidHeads(const std::string& _lines = "")
+	{
+		const std::string rest = _lines + "Content-Length: 4\r\n\r\nbody";
+		std::vector<InvalidResponse> responses{{"an interim response with status 000", "HTTP/1.1 000 Status\r\n\r\nHTTP/1.1 200 OK\r\n" + rest}};
+		for (const std::string& status : invalidStatuses())
+		{
+			responses.push_back({"status " + status, "HTTP/1.1 " + status + " Status\r\n" + rest});
+		}
+		for (const std::string& line : invalidHeaderLines())
+		{
+			responses.push_back({"line " + line, "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest});
+		}
+		return responses;
+	}
+
+	/// @param[in] _lines Header lines, with their ends.
+	inline std::vector<InvalidResponse> invalidTrailers(const std::string& _lines = "")
+	{
+		std::vector<InvalidResponse> responses;
+		for (const std::string& line : invalidHeaderLines())
+		{
+			responses.push_back({"trailer " + line, "HTTP/1.1 200 OK\r\n" + _lines + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n"});
+		}
+		return responses;
+	}
+} // namespace archdyke::tests
--- a/tests/test_early_calls.cpp
+++ b/tests/test_early_calls.cpp
@@ -1,9 +1,11 @@
-/// The blocking calls of agent, entry and operators' command, to servers that answer before they have read the request.
+/// The blocking calls of agent, entry and operators' command, to servers that answer before they have read the request, or whose heads
+/// aren't valid.
 #include <atomic>
 #include <future>
 
 #include "base/http_call.h"
 #include "early_server.h"
+#include "invalid_heads.h"
 
 using namespace archdyke;
 using namespace archdyke::tests;
@@ -55,6 +57,22 @@
 		}
 		return failing;
 	}
+
+	/// @returns The names of the responses that are taken for complete.
+	std::string takenResponses(const std::vector<InvalidResponse>& _responses)
+	{
+		std::string taken;
+		for (const InvalidResponse& response : _responses)
+		{
+			const EarlyServer server([&](const std::string&) {
+				return EarlyAnswer{response.bytes, EarlyEnd::FinAndRead, kWholeUpload};
+			});
+			HttpCallResult result;
+			const bool complete = fetchHttp(parseAddress(server.address), {"GET", "/x", {}, ""}, kLimits, &result).has_value();
+			taken += complete || HttpCallEnd::Broken != result.end ? "\n" + response.name : "";
+		}
+		return taken;
+	}
 } // namespace
 
 /// Guards against a part of a body being taken for a complete response because a write of the request was told of the reset.
@@ -77,3 +95,10 @@
 		cr_assert(failing.empty(), "end %d:%s", int(end), failing.c_str());
 	}
 }
+
+/// Guards against a status or a header name that isn't one being passed on.
+Test(earlycalls, a_head_that_is_not_valid_is_no_response)
+{
+	const std::string taken = takenResponses(invalidHeads());
+	cr_assert(taken.empty(), "%s", taken.c_str());
+}
--- a/tests/test_early_exchange.cpp
+++ b/tests/test_early_exchange.cpp
@@ -1,10 +1,12 @@
-/// The calls of gateway and sidecar to store and engine, to servers that answer before they have read the request.
+/// The calls of gateway and sidecar to store and engine, to servers that answer before they have read the request, or whose heads aren't
+/// valid.
 #include "http/exchange.h"
 
 #include <kj/async-io.h>
 #include <kj/vector.h>
 
 #include "early_server.h"
+#include "invalid_heads.h"
 
 using namespace archdyke;
 using namespace archdyke::tests;
@@ -90,3 +92,21 @@
 	});
 	cr_assert(failing.empty(), "%s", failing.c_str());
 }
+
+/// Guards against a status or a header name that isn't one being passed on.
+Test(earlyexchange, a_head_that_is_not_valid_is_no_response)
+{
+	std::vector<InvalidResponse> responses = invalidHeads();
+	const std::vector<InvalidResponse> trailers = invalidTrailers();
+	responses.insert(responses.end(), trailers.begin(), trailers.end());
+	for (const InvalidResponse& invalid : responses)
+	{
+		const EarlyServer server([&](const std::string&) {
+			return EarlyAnswer{invalid.bytes, EarlyEnd::FinAndRead, kWholeUpload};
+		});
+		for (const std::optional<http::FullResponse>& response : Caller().callAll(server.address, "GET", ""))
+		{
+			cr_assert(!response, "%s", invalid.name.c_str());
+		}
+	}
+}
--- a/tests/test_gateway_early_answers.cpp
+++ b/tests/test_gateway_early_answers.cpp
@@ -5,6 +5,7 @@
 
 #include "early_server.h"
 #include "gateway_rig.h"
+#include "invalid_heads.h"
 
 using namespace archdyke;
 using namespace archdyke::tests;
@@ -67,7 +68,7 @@
 		explicit EarlyRig(const std::vector<std::string>& _sound = {})
 		    : rig(_sound)
 		    , server([this](const std::string& _head) {
-			    return answerTo(_head, this->script);
+			    return this->raw.empty() ? answerTo(_head, this->script) : EarlyAnswer{this->raw, EarlyEnd::FinAndRead, kWholeUpload};
 		    })
 		{
 			Json configuration = lab::configurationJson(2, {"key-one"}, Json::array({GatewayRig::route("/flow/", "streaming")}));
@@ -90,7 +91,9 @@
 			return result ? RigResponse{result->status, result->body, result->headers} : RigResponse();
 		}
 
-		Script script; ///< Changed only while no request is under way.
+		/// Changed only while no request is under way.
+		Script script;
+		std::string raw; ///< Sent in the place of what the script says, if not empty.
 		GatewayRig rig;
 		EarlyServer server;
 		std::atomic<int> calls = 0;
@@ -303,3 +306,19 @@
 		cr_assert(failing.empty(), "end %d:%s", int(end), failing.c_str());
 	}
 }
+
+/// Guards against a status or a header name that isn't one reaching a caller.
+Test(early, a_head_that_is_not_valid_is_no_response)
+{
+	EarlyRig rig;
+	const std::string lines = "X-Archdyke-Request-Id: invalid\r\nX-Archdyke-Server-Stamp: stamp-early\r\n";
+	std::vector<InvalidResponse> responses = invalidHeads(lines);
+	const std::vector<InvalidResponse> trailers = invalidTrailers(lines);
+	responses.insert(responses.end(), trailers.begin(), trailers.end());
+	for (const InvalidResponse& invalid : responses)
+	{
+		rig.raw = invalid.bytes;
+		const RigResponse answer = rig.rig.call("/once/x", GatewayRig::headersFor("invalid"));
+		cr_assert(isBadGateway(answer), "%s: %d %s", invalid.name.c_str(), answer.status, answer.body.c_str());
+	}
+}
