Blocking calls check the names in trailers

What callers saw: a response behind whose last chunk a name held a blank was taken for complete by the calls of agent, entry and operators' command; the gateway's and sidecar's connections reject it.

Cause: heads are checked line by line before they are parsed; trailers of blocking calls were checked by the parser library alone, which takes blanks in names.

Why it works: trailers go through checkHeaderLine() as the lines of a head do.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -203,6 +203,8 @@
 	'if (_readBytes + 1 == info.tcpi_bytes_received)' 'if (_readBytes <= info.tcpi_bytes_received)'
 mutant only-written-requests-have-responses-without-length "connectionend_.*|early_a_response_without_length_that_a_fin_ends_during_the_upload_is_passed_on" src/decide/connection_end.cpp \
 	'return FinState::Received == _end.fin || (FinState::Unknown == _end.fin && _end.requestWritten);' 'return FinState::Missing != _end.fin && _end.requestWritten;'
+mutant trailers-have-any-names "earlycalls_a_trailer_that_is_not_valid_is_no_response" src/base/response_reader.cpp \
+	'if (!this->interim && this->hasInvalidTrailer())' 'if (false)'
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
--- a/src/base/response_reader.cpp
+++ b/src/base/response_reader.cpp
@@ -131,6 +131,7 @@
 				return kNoBody;
 			}
 			this->head.status = int(this->raw.status_code);
+			this->headLines = this->head.headers.size();
 			if (this->receiver.onHead(this->head))
 			{
 				return ResponseBody::Absent == this->body ? kNoBody : 0;
@@ -206,9 +207,21 @@
 			return _data.empty() || this->receiver.onBody(_data) ? 0 : this->end(ResponseState::Cancelled);
 		}
 
+		/// Trailers come behind the lines of the head. The parser library takes names with blanks for valid.
+		bool hasInvalidTrailer() const
+		{
+			return std::any_of(this->head.headers.begin() + std::ptrdiff_t(this->headLines), this->head.headers.end(), [](const HttpHeader& _line) {
+				return HeadFault::None != checkHeaderLine(_line.name + ":" + _line.value);
+			});
+		}
+
 		int takeEnd()
 		{
 			this->inMessage = false;
+			if (!this->interim && this->hasInvalidTrailer())
+			{
+				return this->end(ResponseState::Malformed);
+			}
 			if (!this->interim)
 			{
 				this->state = ResponseState::Complete;
@@ -300,7 +313,8 @@
 		const ResponseBody body;
 		const ResponseReceiver receiver;
 		ResponseState state = ResponseState::Incomplete;
-		HttpResponseHead head;
+		HttpResponseHead head;     ///< With the trailers, once they were read.
+		std::size_t headLines = 0; ///< Header lines of the head itself.
 		bool valueSeen = true;
 		bool inMessage = false;
 		bool interim = false;
--- a/tests/test_early_calls.cpp
+++ b/tests/test_early_calls.cpp
@@ -102,3 +102,10 @@
 	const std::string taken = takenResponses(invalidHeads());
 	cr_assert(taken.empty(), "%s", taken.c_str());
 }
+
+/// The same for names in trailers.
+Test(earlycalls, a_trailer_that_is_not_valid_is_no_response)
+{
+	const std::string taken = takenResponses(invalidTrailers());
+	cr_assert(taken.empty(), "%s", taken.c_str());
+}
