Statuses above 599 are no responses

What callers saw: a status of 600 to 999 of an upstream, passed on as it was.

Cause: the check of a status line takes any three digits that don't begin with 0. A caller gets 502 now, or another upstream's response if the request may be repeated.

Why it works: all readers check a head's status line by checkResponseHead() before they parse it. The search for the beginnings of other responses in bodies still takes any three digits, so it finds as much as before.

Before: all three tests failed at "status 600", a gateway with "600 body".

--- a/include/archdyke/response_head.h
+++ b/include/archdyke/response_head.h
@@ -13,7 +13,7 @@
 	enum class HeadFault
 	{
 		None,
-		NotAHead, ///< The bytes aren't a head: an invalid status line, a line without a name, a control character, a folded line.
+		NotAHead, ///< The bytes aren't a head: an invalid status line, a status above 599, a line without a name, a control character, a folded line.
 		Joined,   ///< It contains the status line of another response.
 		Count
 	};
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -205,6 +205,8 @@
 	'return FinState::Received == _end.fin || (FinState::Unknown == _end.fin && _end.requestWritten);' 'return FinState::Missing != _end.fin && _end.requestWritten;'
 mutant trailers-have-any-names "earlycalls_a_trailer_that_is_not_valid_is_no_response" src/base/response_reader.cpp \
 	'if (!this->interim && this->hasInvalidTrailer())' 'if (false)'
+mutant any-three-digits-are-a-status "early_a_head_that_is_not_valid_is_no_response|earlycalls_a_head_that_is_not_valid_is_no_response|earlyexchange_a_head_that_is_not_valid_is_no_response" src/decide/response_head.cpp \
+	'kLastStatusClass >= _line[kStatusBegin] && ' ''
 mutant soak-sends-to-leaving-upstreams "soak_.*" src/gateway/board.cpp \
 	'return !_upstream.leavingSince && !_upstream.superseded;' 'return !_upstream.superseded;'
 [ -n "${ARCHDYKE_MUTANTS:-}" ] || rm -rf "$copy"
--- a/src/decide/response_head.cpp
+++ b/src/decide/response_head.cpp
@@ -9,8 +9,11 @@
 	namespace
 	{
 		constexpr std::string_view kVersion = "HTTP/1.";
-		/// Length of "HTTP/1.1 200".
+		/// Position of the status in "HTTP/1.1 200", and the length of this.
+		constexpr std::size_t kStatusBegin = 9;
 		constexpr std::size_t kStatusEnd = 12;
+		/// First digit of the highest statuses (RFC 9110, 15).
+		constexpr char kLastStatusClass = '5';
 		constexpr std::string_view kTokenSigns = "!#$%&'*+-.^_`|~";
 
 		bool isDigit(char _c)
@@ -38,14 +41,14 @@
 				return kVersion[_at] == _c;
 			}
 			const bool space = 8 == _at || kStatusEnd == _at;
-			const bool firstDigit = 9 == _at;
+			const bool firstDigit = kStatusBegin == _at;
 			return space ? ' ' == _c : isDigit(_c) && !(firstDigit && '0' == _c);
 		}
 
 		bool isStatusLine(std::string_view _line)
 		{
 			const bool complete = kStatusEnd <= _line.size();
-			return complete && mayStartResponse(_line.substr(0, kStatusEnd + 1));
+			return complete && kLastStatusClass >= _line[kStatusBegin] && mayStartResponse(_line.substr(0, kStatusEnd + 1));
 		}
 
 		HeadFault checkStatusLine(std::string_view _line)
--- a/tests/invalid_heads.h
+++ b/tests/invalid_heads.h
@@ -6,10 +6,10 @@
 
 namespace archdyke::tests
 {
-	/// @returns Statuses that aren't three digits from 100 on.
+	/// @returns Statuses that aren't numbers from 100 to 599 (RFC 9110, 15).
 	inline std::vector<std::string> invalidStatuses()
 	{
-		return {"000", "001", "099", "20", "2000", "abc"};
+		return {"000", "001", "099", "20", "2000", "abc", "600", "999"};
 	}
 
 	/// @returns Header lines, without their ends, whose names hold a blank, a control character or another byte that names don't have.
