Soak: long requests that upstreams answer early

Callers upload 1.2 MB to upstreams that answer without length before they have read it, half of them with a part of the response and a reset, while gateways are stopped, restarted and reloaded and links are reset. The proxy now passes resets on as resets, and FINs as FINs: it told the gateway of an orderly end for both.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -197,7 +197,7 @@
 	'return from <= now && kStopReadMs < now - std::max(from, this->begunAt);' 'return false && from <= now;'
 mutant peers-announce-any-message "endlesscallers_a_message_of_a_peer_takes_little_memory" src/rpc/rpc_client.cpp \
 	'options.traversalLimitInWords = kMaxMessageBytes / sizeof(capnp::word);' ''
-mutant any-end-completes-a-body-without-length "connectionend_.*|early_a_.*" src/decide/connection_end.cpp \
+mutant any-end-completes-a-body-without-length "connectionend_.*|early_a_.*|soak_long_requests_that_are_answered_early_cause_no_violations" src/decide/connection_end.cpp \
 	'return FinState::Received == _end.fin ||' 'return true || FinState::Received == _end.fin ||'
 mutant a-reset-is-taken-for-a-fin "connectionend_.*|early_a_.*" src/base/socket_end.cpp \
 	'if (_readBytes + 1 == info.tcpi_bytes_received)' 'if (_readBytes <= info.tcpi_bytes_received)'
--- a/tests/early_server.h
+++ b/tests/early_server.h
@@ -7,7 +7,6 @@
 #include <limits>
 #include <string>
 #include <sys/socket.h>
-#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -47,49 +46,16 @@
 		/// @param[in] _answer Makes the answer to a request's head.
 		explicit EarlyServer(std::function<EarlyAnswer(const std::string&)> _answer)
 		    : answer(std::move(_answer))
-		    , listener(socket(AF_INET, SOCK_STREAM, 0))
+		    , server([this](int _connection) {
+			    this->serve(_connection);
+		    })
+		    , address(this->server.address)
 		{
-			sockaddr_in local = loopbackAddress(0);
-			socklen_t size = sizeof(local);
-			cr_assert(0 == bind(this->listener, reinterpret_cast<sockaddr*>(&local), size) && 0 == listen(this->listener, SOMAXCONN));
-			cr_assert(0 == getsockname(this->listener, reinterpret_cast<sockaddr*>(&local), &size));
-			this->address = fmt::format("127.0.0.1:{}", ntohs(local.sin_port));
-			this->thread = std::thread([this] {
-				this->serve();
-			});
 		}
 
-		~EarlyServer()
-		{
-			shutdown(this->listener, SHUT_RDWR);
-			this->thread.join();
-			close(this->listener);
-		}
-
-		EarlyServer(const EarlyServer&) = delete;
-		EarlyServer& operator=(const EarlyServer&) = delete;
-
-		std::string address; ///< "IP:port".
 		std::atomic<int> requests = 0;
 
 	private:
-		void serve()
-		{
-			constexpr timeval kMaxWait{2, 0}; // for connections that stay silent
-			std::vector<std::thread> connections;
-			for (int connection = accept(this->listener, nullptr, nullptr); 0 <= connection; connection = accept(this->listener, nullptr, nullptr))
-			{
-				setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &kMaxWait, sizeof(kMaxWait));
-				connections.emplace_back([this, connection] {
-					this->serveOne(connection);
-				});
-			}
-			for (std::thread& connection : connections)
-			{
-				connection.join();
-			}
-		}
-
 		/// @returns Size of the body that a head announces.
 		static std::size_t bodySize(const std::string& _head)
 		{
@@ -108,7 +74,7 @@
 			}
 		}
 
-		void serveOne(int _connection)
+		void serve(int _connection)
 		{
 			const std::string head = readHeadBytes(_connection);
 			const EarlyAnswer made = head.empty() ? EarlyAnswer() : this->answer(head);
@@ -128,7 +94,9 @@
 		}
 
 		const std::function<EarlyAnswer(const std::string&)> answer;
-		const int listener;
-		std::thread thread;
+		const ConnectionServer server;
+
+	public:
+		const std::string address; ///< "IP:port".
 	};
 } // namespace archdyke::tests
--- a/tests/raw_sockets.h
+++ b/tests/raw_sockets.h
@@ -65,47 +65,39 @@
 		close(_socket);
 	}
 
-	/// A server that answers the first request of each connection with the bytes that it is told to, then ends the connection.
-	class RawServer
+	/// A listener on loopback that serves each connection on a thread of its own.
+	class ConnectionServer
 	{
 	public:
-		struct Reply
-		{
-			std::string bytes;
-			SocketEnd end = SocketEnd::Close;
-			std::string late = ""; ///< Sent some ms later.
-		};
-
-		/// @param[in] _reply Makes the reply to a request's head.
-		explicit RawServer(std::function<Reply(const std::string&)> _reply)
-		    : reply(std::move(_reply))
+		/// @param[in] _serve Called with each connection's socket, which it closes.
+		explicit ConnectionServer(std::function<void(int)> _serve)
+		    : serve(std::move(_serve))
 		    , listener(socket(AF_INET, SOCK_STREAM, 0))
 		{
-			sockaddr_in address = loopbackAddress(0);
-			socklen_t size = sizeof(address);
-			cr_assert(0 == bind(this->listener, reinterpret_cast<sockaddr*>(&address), size) && 0 == listen(this->listener, SOMAXCONN));
-			cr_assert(0 == getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size));
-			this->address = fmt::format("127.0.0.1:{}", ntohs(address.sin_port));
+			sockaddr_in local = loopbackAddress(0);
+			socklen_t size = sizeof(local);
+			cr_assert(0 == bind(this->listener, reinterpret_cast<sockaddr*>(&local), size) && 0 == listen(this->listener, SOMAXCONN));
+			cr_assert(0 == getsockname(this->listener, reinterpret_cast<sockaddr*>(&local), &size));
+			this->address = fmt::format("127.0.0.1:{}", ntohs(local.sin_port));
 			this->thread = std::thread([this] {
-				this->serve();
+				this->acceptAll();
 			});
 		}
 
-		~RawServer()
+		~ConnectionServer()
 		{
 			shutdown(this->listener, SHUT_RDWR);
 			this->thread.join();
 			close(this->listener);
 		}
 
-		RawServer(const RawServer&) = delete;
-		RawServer& operator=(const RawServer&) = delete;
+		ConnectionServer(const ConnectionServer&) = delete;
+		ConnectionServer& operator=(const ConnectionServer&) = delete;
 
 		std::string address; ///< "IP:port".
-		std::atomic<int> replies = 0;
 
 	private:
-		void serve()
+		void acceptAll()
 		{
 			constexpr timeval kMaxWait{2, 0}; // for connections that stay silent
 			std::vector<std::thread> connections;
@@ -113,7 +105,7 @@
 			{
 				setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &kMaxWait, sizeof(kMaxWait));
 				connections.emplace_back([this, connection] {
-					this->answer(connection);
+					this->serve(connection);
 				});
 			}
 			for (std::thread& connection : connections)
@@ -122,6 +114,35 @@
 			}
 		}
 
+		const std::function<void(int)> serve;
+		const int listener;
+		std::thread thread;
+	};
+
+	/// A server that answers the first request of each connection with the bytes that it is told to, then ends the connection.
+	class RawServer
+	{
+	public:
+		struct Reply
+		{
+			std::string bytes;
+			SocketEnd end = SocketEnd::Close;
+			std::string late = ""; ///< Sent some ms later.
+		};
+
+		/// @param[in] _reply Makes the reply to a request's head.
+		explicit RawServer(std::function<Reply(const std::string&)> _reply)
+		    : reply(std::move(_reply))
+		    , server([this](int _connection) {
+			    this->answer(_connection);
+		    })
+		    , address(this->server.address)
+		{
+		}
+
+		std::atomic<int> replies = 0;
+
+	private:
 		void answer(int _connection)
 		{
 			const std::string head = readHeadBytes(_connection);
@@ -137,9 +158,11 @@
 			endSocket(_connection, made.end);
 		}
 
-		std::function<Reply(const std::string&)> reply;
-		int listener;
-		std::thread thread;
+		const std::function<Reply(const std::string&)> reply;
+		const ConnectionServer server;
+
+	public:
+		const std::string address; ///< "IP:port".
 	};
 
 	constexpr int kNoAnswer = 0;   ///< The server closed without an answer.
--- a/tests/test_soak.cpp
+++ b/tests/test_soak.cpp
@@ -335,3 +335,10 @@
 {
 	runSeed({.seed = 68, .faults = 6, .series = 6, .lateBodies = 24});
 }
+
+/// Upstreams answer long requests before they have read them, some with a part of a response and a reset, while gateways are stopped,
+/// restarted and reloaded and links are reset: no part is passed on as a whole response.
+Test(soak, long_requests_that_are_answered_early_cause_no_violations)
+{
+	runSeed({.seed = 71, .faults = 8, .series = 3, .uploads = 6});
+}
--- a/tools/chaos.h
+++ b/tools/chaos.h
@@ -96,6 +96,7 @@
 		std::uint32_t oddRows = 0;    ///< Number of odd entries among the rows of the upstreams, in addition to the faults.
 		std::uint32_t crowd = 0;      ///< Number of clients that don't behave.
 		std::uint32_t lateBodies = 0; ///< Number of callers whose bodies end late, on routes with long deadlines.
+		std::uint32_t uploads = 0;    ///< Number of callers whose long requests upstreams answer early, some with a part of a response and a reset.
 		bool large = false;           ///< About a hundred processes: as many as fit on a machine beside other runs.
 		double perSecond = 80.0;
 		Millis meanIntervalMs = 700; ///< Mean time between the starts of faults.
--- a/tools/server_stamp.h
+++ b/tools/server_stamp.h
@@ -23,4 +23,16 @@
 		const std::size_t end = _stamp.find('.');
 		return std::string::npos == end || !_stamp.starts_with(kPrefix) ? "" : _stamp.substr(kPrefix.size(), end - kPrefix.size());
 	}
+
+	/// @returns The body of a response that a stand-in gives before it has read the request.
+	inline std::string earlyBody(const std::string& _request)
+	{
+		constexpr int kLines = 20;
+		std::string body;
+		for (int line = 0; line < kLines; ++line)
+		{
+			body += fmt::format("line {} for {}\n", line, _request);
+		}
+		return body;
+	}
 } // namespace archdyke::stub
--- a/tools/soak.cpp
+++ b/tools/soak.cpp
@@ -56,12 +56,13 @@
 
 		SoakResult Soak::run()
 		{
+			this->deployment.maxBodyBytes = 0 < this->options.uploads ? kMaxUploadBytes : this->deployment.maxBodyBytes;
 			this->deployment.start();
 			if (!this->waitUntilSettled())
 			{
 				throw std::runtime_error("the deployment did not get ready; logs in " + this->deployment.directory);
 			}
-			SoakCallers callers(this->deployment, this->options.seed, {0 < this->options.series, 0 < this->options.stutters, this->options.lateBodies});
+			SoakCallers callers(this->deployment, this->options.seed, {0 < this->options.series, 0 < this->options.stutters, this->options.lateBodies, this->options.uploads});
 			SoakFaults faults(this->options, this->deployment);
 			auto crowd = std::make_unique<SoakCrowd>(this->deployment, this->options.seed, this->options.crowd);
 			while (!faults.isFinished())
--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -4,6 +4,7 @@
 
 #include "archdyke/route.h"
 #include "raw_caller.h"
+#include "server_stamp.h"
 
 namespace archdyke::lab
 {
@@ -72,12 +73,17 @@
 			return client;
 		}
 
+		httplib::Headers headersOf(const SoakCall& _call)
+		{
+			return {{"Host", "office.example"}, {"X-Archdyke-Request-Id", _call.id}, {"X-Archdyke-Deadline-Ms", std::to_string(kDeadlineMs)}, {"X-Api-Key", _call.key}};
+		}
+
 		/// Sends a request.
 		/// @param[in] _call Has the id, kind, key and gateway of the request.
 		/// @returns The call with its result.
 		SoakCall send(httplib::Client& _client, SoakCall _call)
 		{
-			httplib::Headers headers{{"Host", "office.example"}, {"X-Archdyke-Request-Id", _call.id}, {"X-Archdyke-Deadline-Ms", std::to_string(kDeadlineMs)}, {"X-Api-Key", _call.key}};
+			httplib::Headers headers = headersOf(_call);
 			const std::string parts = _call.badPart.empty() ? kSoundParts : _call.badPart + ":40," + kSoundParts;
 			headers.emplace("X-Archdyke-Prompt-Prefix", fmt::format("{}{:x}:20", parts, stableHash(_call.id)));
 			_call.target = SoakKind::Crash == _call.kind ? _call.target : pathOf(_call.kind);
@@ -114,6 +120,12 @@
 				this->runLateBodyCaller(index);
 			});
 		}
+		for (std::size_t index = 0; index < _more.uploads; ++index)
+		{
+			this->threads.emplace_back([this, index] {
+				this->runUploadCaller(index);
+			});
+		}
 		for (std::size_t index = 0; index < kCallerThreads; ++index)
 		{
 			this->threads.emplace_back([this, index] {
@@ -279,6 +291,41 @@
 		}
 	}
 
+	void SoakCallers::runUploadCaller(std::size_t _index)
+	{
+		constexpr std::uint64_t kSeedOffset = 5'000'011;
+		constexpr std::uint64_t kMaxEndMs = 4;
+		constexpr Millis kUploadPauseMs = 50;
+		Random random(this->seed + kSeedOffset + _index);
+		const std::string upload(kMaxUploadBytes, 'u');
+		std::uint64_t made = 0;
+		while (!this->isStopping)
+		{
+			const SoakGatewayAddress gateway = this->deployment.pickGateway(random);
+			httplib::Client client = connectionTo(gateway.address);
+			bool broken = false;
+			while (!broken && !this->isStopping)
+			{
+				SoakCall call;
+				call.id = fmt::format("u{}-{}", _index, made++);
+				call.kind = 0 == randomBelow(random, 2) ? SoakKind::Safe : SoakKind::Once;
+				call.key = SoakDeployment::permanentKey();
+				call.gateway = gateway.name;
+				call.target = fmt::format("{}?do=early&cut={}&endMs={}&readBytes={}", pathOf(call.kind), randomBelow(random, 2), randomBelow(random, kMaxEndMs), randomBelow(random, kMaxUploadBytes / 2));
+				call.sentAt = nowMs();
+				const httplib::Result got = client.Post(call.target, headersOf(call), upload, "text/plain");
+				call.endedAt = nowMs();
+				call.status = got ? got->status : 0;
+				call.whole = got && stub::earlyBody(call.id) == got->body;
+				call.stamp = got ? got->get_header_value("X-Archdyke-Server-Stamp") : "";
+				call.body = call.stamp.empty() ? "" : got->body;
+				broken = 0 == call.status;
+				this->add(std::move(call));
+				pauseMs(kUploadPauseMs);
+			}
+		}
+	}
+
 	void SoakCallers::add(SoakCall _call)
 	{
 		absl::MutexLock lock(&this->mutex);
--- a/tools/soak_callers.h
+++ b/tools/soak_callers.h
@@ -13,6 +13,7 @@
 		bool crashing = false;        ///< One of requests that crash upstreams, each repeated through random gateways.
 		bool plain = false;           ///< Some of plain requests with hardly a pause, so that the gateways reuse connections at once.
 		std::uint32_t lateBodies = 0; ///< Callers whose bodies end some time after their heads; their deadlines are long.
+		std::uint32_t uploads = 0;    ///< Callers whose long requests upstreams answer before they have read them.
 	};
 
 	class SoakCallers
@@ -40,6 +41,7 @@
 		void runPlainCaller(std::size_t _index);
 		void runCrashCaller();
 		void runLateBodyCaller(std::size_t _index);
+		void runUploadCaller(std::size_t _index);
 		/// @returns A random gateway; at times the same one for all callers.
 		SoakGatewayAddress pickGateway(Random& _random);
 		void add(SoakCall _call);
--- a/tools/soak_deployment.cpp
+++ b/tools/soak_deployment.cpp
@@ -181,6 +181,7 @@
 		lateSafe["timeoutMs"] = kLateTimeoutMs;
 		lateOnce["timeoutMs"] = kLateTimeoutMs;
 		Json configuration = configurationJson(this->version, {kPermanentKey, this->rotatingKey()}, Json::array({routeJson(fmt::format("/extra-{}/", this->version), "idempotent"), lateSafe, lateOnce}));
+		configuration["limits"]["maxBodyBytes"] = this->maxBodyBytes;
 		configuration["services"].push_back({{"name", "maps"}, {"engine", rankEngineJson()}});
 		this->record.knownKeys.insert(this->rotatingKey());
 		this->store.put("op", "config", configuration);
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -11,6 +11,9 @@
 
 namespace archdyke::lab
 {
+	/// Size of a request that takes longer to write than an upstream takes to answer, bytes.
+	constexpr std::size_t kMaxUploadBytes = 1'200'000;
+
 	/// A gateway or a sidecar. It is restarted after it has exited.
 	struct SoakPart
 	{
@@ -121,13 +124,14 @@
 		const SoakSize size;
 		StoreStub store;
 		ProxyStub proxy;
-		std::vector<SoakGroup> groups;   ///< Groups of different sizes.
-		std::vector<SoakPart> sidecars;  ///< One for each rank, in the order of the groups and their ranks.
-		std::vector<SoakWorker> workers; ///< Includes those that have exited.
-		std::vector<SoakPart> gateways;  ///< The addresses for callers are guarded by the mutex.
-		std::uint64_t version = 0;       ///< Version of the newest configuration.
-		bool withinLength = false;       ///< Upstreams that stutter also send bytes within bodies that have a length.
-		Millis configuredAt = 0;         ///< When the store confirmed the newest configuration.
+		std::vector<SoakGroup> groups;     ///< Groups of different sizes.
+		std::vector<SoakPart> sidecars;    ///< One for each rank, in the order of the groups and their ranks.
+		std::vector<SoakWorker> workers;   ///< Includes those that have exited.
+		std::vector<SoakPart> gateways;    ///< The addresses for callers are guarded by the mutex.
+		std::uint64_t version = 0;         ///< Version of the newest configuration.
+		std::size_t maxBodyBytes = 65'536; ///< Of the requests that gateways take.
+		bool withinLength = false;         ///< Upstreams that stutter also send bytes within bodies that have a length.
+		Millis configuredAt = 0;           ///< When the store confirmed the newest configuration.
 		SoakRecord record;
 
 	private:
--- a/tools/stub_proxy.cpp
+++ b/tools/stub_proxy.cpp
@@ -6,14 +6,17 @@
 ///   POST /faults     {"name", "delayMs"?, "cutToTarget"?, "cutToClient"?, "holdExisting"?, "reset"?}
 /// cutToTarget and cutToClient hold bytes back in one direction without closing the connection; they
 /// are delivered once the fault is cleared. holdExisting does the same, in both directions, for the
-/// connections that are open now; new ones are not affected. reset closes all connections of the link.
+/// connections that are open now; new ones are not affected. reset resets all connections of the link.
+/// A side that ends in order is ended in order towards the other one; one that is reset resets the other one.
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 #include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
 #include <list>
 #include <map>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
@@ -23,6 +26,7 @@
 #include "base/http_server.h"
 #include "base/log.h"
 #include "base/process.h"
+#include "base/socket_end.h"
 #include "stub_main.h"
 
 namespace archdyke::stub
@@ -47,6 +51,34 @@
 			return result;
 		}
 
+		/// The two sockets of one connection through a link.
+		struct Connection
+		{
+			const int client;
+			const int target;
+			bool isHeld = false;
+			std::atomic<bool> isBroken{false}; ///< It is reset once all bytes were forwarded.
+		};
+
+		/// Ends a connection as broken. Its threads stop waiting for bytes.
+		void breakConnection(Connection& _connection)
+		{
+			_connection.isBroken = true;
+			::shutdown(_connection.client, SHUT_RD);
+			::shutdown(_connection.target, SHUT_RD);
+		}
+
+		/// Closes a socket. The other side is told of a reset if the connection is broken.
+		void closeSocket(int _socket, bool _isBroken)
+		{
+			const linger reset{1, 0};
+			if (_isBroken)
+			{
+				::setsockopt(_socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+			}
+			::close(_socket);
+		}
+
 		class Link
 		{
 		public:
@@ -88,16 +120,16 @@
 				this->faults.cutToClient = _json.value("cutToClient", this->faults.cutToClient);
 				if (_json.contains("holdExisting"))
 				{
-					for (const std::shared_ptr<bool>& held : this->holds)
+					for (const std::shared_ptr<Connection>& connection : this->connections)
 					{
-						*held = _json["holdExisting"];
+						connection->isHeld = _json["holdExisting"];
 					}
 				}
 				if (_json.value("reset", false))
 				{
-					for (const int socket : this->sockets)
+					for (const std::shared_ptr<Connection>& connection : this->connections)
 					{
-						::shutdown(socket, SHUT_RDWR);
+						breakConnection(*connection);
 					}
 				}
 			}
@@ -132,27 +164,23 @@
 					::close(_client);
 					return;
 				}
-				const auto held = std::make_shared<bool>(false);
+				const std::shared_ptr<Connection> connection(new Connection{_client, upstream});
 				{
 					absl::MutexLock lock(&this->mutex);
-					this->holds.push_back(held);
-					this->sockets.push_back(_client);
-					this->sockets.push_back(upstream);
+					this->connections.push_back(connection);
 				}
-				std::thread toClient([this, upstream, _client, held] {
-					this->pump(upstream, _client, &LinkFaults::cutToClient, *held);
+				std::thread toClient([this, upstream, _client, connection] {
+					this->pump(*connection, upstream, _client, &LinkFaults::cutToClient);
 				});
-				this->pump(_client, upstream, &LinkFaults::cutToTarget, *held);
+				this->pump(*connection, _client, upstream, &LinkFaults::cutToTarget);
 				toClient.join();
 				absl::MutexLock lock(&this->mutex);
-				this->holds.remove(held);
-				this->sockets.remove(_client);
-				this->sockets.remove(upstream);
-				::close(upstream);
-				::close(_client);
+				this->connections.remove(connection);
+				closeSocket(upstream, connection->isBroken);
+				closeSocket(_client, connection->isBroken);
 			}
 
-			void awaitDelivery(bool LinkFaults::*_cut, const bool& _held)
+			void awaitDelivery(const Connection& _connection, bool LinkFaults::*_cut)
 			{
 				absl::MutexLock lock(&this->mutex);
 				if (0 < this->faults.delayMs)
@@ -160,34 +188,59 @@
 					const bool never = false;
 					this->mutex.AwaitWithTimeout(absl::Condition(&never), absl::Milliseconds(this->faults.delayMs));
 				}
-				const auto isOpen = [this, _cut, &_held]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) {
-					return !(this->faults.*_cut) && !_held;
+				const auto isOpen = [this, _cut, &_connection]() ABSL_SHARED_LOCKS_REQUIRED(this->mutex) {
+					return !(this->faults.*_cut) && !_connection.isHeld;
 				};
 				this->mutex.Await(absl::Condition(&isOpen));
 			}
 
-			void pump(int _from, int _to, bool LinkFaults::*_cut, const bool& _held)
+			/// Sends bytes, until the connection is broken.
+			/// @returns Whether all were sent.
+			static bool sendAll(const Connection& _connection, int _to, std::string_view _bytes)
+			{
+				constexpr int kPollMs = 50; // the connection may break while the other side takes nothing
+				while (!_bytes.empty() && !_connection.isBroken)
+				{
+					const ssize_t sent = ::send(_to, _bytes.data(), _bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+					if (0 > sent && EAGAIN != errno && EWOULDBLOCK != errno)
+					{
+						return false;
+					}
+					if (0 <= sent)
+					{
+						_bytes.remove_prefix(std::size_t(sent));
+						continue;
+					}
+					pollfd state{_to, POLLOUT, 0};
+					::poll(&state, 1, kPollMs);
+				}
+				return _bytes.empty();
+			}
+
+			void pump(Connection& _connection, int _from, int _to, bool LinkFaults::*_cut)
 			{
 				char buffer[16384];
+				std::uint64_t received = 0;
 				while (true)
 				{
 					const ssize_t size = ::recv(_from, buffer, sizeof(buffer), 0);
-					this->awaitDelivery(_cut, _held);
+					this->awaitDelivery(_connection, _cut);
+					received += std::uint64_t(std::max<ssize_t>(0, size));
 					this->forwardedBytes += std::uint64_t(std::max<ssize_t>(0, size));
-					if (size <= 0)
+					if (0 == size && FinState::Missing != finStateOf(_from, received))
 					{
 						::shutdown(_to, SHUT_WR);
 						return;
 					}
-					for (ssize_t sent = 0; sent < size;)
+					if (0 >= size)
+					{
+						breakConnection(_connection);
+						return;
+					}
+					if (!sendAll(_connection, _to, {buffer, std::size_t(size)}))
 					{
-						const ssize_t count = ::send(_to, buffer + sent, std::size_t(size - sent), MSG_NOSIGNAL);
-						if (count <= 0)
-						{
-							::shutdown(_from, SHUT_RDWR);
-							return;
-						}
-						sent += count;
+						::shutdown(_from, SHUT_RD);
+						return;
 					}
 				}
 			}
@@ -198,8 +251,7 @@
 			std::atomic<std::uint64_t> forwardedBytes{0};
 			absl::Mutex mutex;
 			LinkFaults faults ABSL_GUARDED_BY(mutex);
-			std::list<int> sockets ABSL_GUARDED_BY(mutex);
-			std::list<std::shared_ptr<bool>> holds ABSL_GUARDED_BY(mutex); ///< One per connection.
+			std::list<std::shared_ptr<Connection>> connections ABSL_GUARDED_BY(mutex);
 		};
 	} // namespace
 
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -7,6 +7,8 @@
 ///              chunks and without a reset, as unframed streams end), crash (the
 ///              process ends when the request starts to run, a stream after two events), skip (a
 ///              stream without its 3rd event), jump (likewise, all events in one chunk)
+///   do=early   an answer without length before the request was read, while its body waits to be read; behind readBytes=N bytes of it;
+///              cut=1: half of it, and endMs=N later a reset; else all, and a FIN
 ///   do=endless-KIND  an answer without end, of a kind that stub_endless.h names; pace=byte sends it byte by byte
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
@@ -109,6 +111,11 @@
 						if (PartKind::Head == part.kind)
 						{
 							call.head = std::move(part.request);
+							if (this->answersEarly(call))
+							{
+								co_await this->respondEarly(*_connection, call);
+								co_return;
+							}
 						}
 						else if (PartKind::Body == part.kind)
 						{
@@ -320,6 +327,56 @@
 				co_return co_await this->respondPlain(_connection, _call, behaviour, record);
 			}
 
+			/// @returns Whether a call is answered before its body was read. Calls that are rejected are read first.
+			bool answersEarly(const Call& _call) const
+			{
+				const std::string expected = this->headerOf(_call, "X-Archdyke-Expect-Instance");
+				return "early" == queryField(_call.head.target, "do") && !this->rejectsAll && this->backOffUntil <= nowMs() && (expected.empty() || expected == this->id);
+			}
+
+			/// Reads bytes of a body until some wait behind them that this process doesn't read: a connection that is closed then is reset.
+			aio::Task<void> readUntilStalled(http::HttpConnection& _connection, std::size_t _bytes)
+			{
+				constexpr int kStalledPolls = 2;
+				for (std::size_t got = 0; got < _bytes && !_connection.isDisconnected();)
+				{
+					const Part part = co_await _connection.next();
+					got += part.body.size();
+				}
+				for (int stalled = 0; stalled < kStalledPolls && !_connection.isDisconnected();)
+				{
+					co_await this->loop.timer.afterDelay(1 * kj::MILLISECONDS);
+					stalled = 0 < _connection.countBytesBehind() ? stalled + 1 : 0;
+				}
+			}
+
+			aio::Task<void> respondEarly(http::HttpConnection& _connection, const Call& _call)
+			{
+				constexpr std::size_t kMaxRestBytes = std::size_t(4) << 20;
+				constexpr Millis kMaxRestMs = 1'000;
+				const std::string request = this->headerOf(_call, "X-Archdyke-Request-Id");
+				Record& record = this->records[request];
+				record.lastArrivalAt = nowMs();
+				record.runs += 1;
+				this->printRun(_call);
+				co_await this->readUntilStalled(_connection, std::size_t(http::parseInteger(queryField(_call.head.target, "readBytes")).value_or(0)));
+				const bool cut = "1" == queryField(_call.head.target, "cut");
+				const std::string body = earlyBody(request);
+				std::string bytes = "HTTP/1.1 200 OK\r\n";
+				for (const http::Header& line : this->headFor(_call, 200, body).headers.lines)
+				{
+					bytes += fmt::format("{}: {}\r\n", line.name, line.value);
+				}
+				bytes += "\r\n" + body.substr(0, cut ? body.size() / 2 : body.size());
+				co_await _call.writer->write(std::move(bytes));
+				if (!cut)
+				{
+					co_await _connection.closeGracefully(this->loop.timer, kMaxRestBytes, kMaxRestMs);
+					co_return;
+				}
+				co_await this->loop.timer.afterDelay(http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0) * kj::MILLISECONDS);
+			}
+
 			aio::Task<bool> respondPlain(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, Record& _record)
 			{
 				const bool fails = "fail" == _behaviour || StutterAnswer::Failed == _call.answer;
