Soak: an early answer and its reset come while the request is being written

The proxy's buffers towards upstreams are limited now, the stand-in reads no more than its connection buffers, and the reset comes at once or 1 ms later.

--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -294,7 +294,7 @@
 	void SoakCallers::runUploadCaller(std::size_t _index)
 	{
 		constexpr std::uint64_t kSeedOffset = 5'000'011;
-		constexpr std::uint64_t kMaxEndMs = 4;
+		constexpr std::uint64_t kMaxEndMs = 2;
 		constexpr Millis kUploadPauseMs = 50;
 		Random random(this->seed + kSeedOffset + _index);
 		const std::string upload(kMaxUploadBytes, 'u');
@@ -311,7 +311,7 @@
 				call.kind = 0 == randomBelow(random, 2) ? SoakKind::Safe : SoakKind::Once;
 				call.key = SoakDeployment::permanentKey();
 				call.gateway = gateway.name;
-				call.target = fmt::format("{}?do=early&cut={}&endMs={}&readBytes={}", pathOf(call.kind), randomBelow(random, 2), randomBelow(random, kMaxEndMs), randomBelow(random, kMaxUploadBytes / 2));
+				call.target = fmt::format("{}?do=early&cut={}&endMs={}", pathOf(call.kind), randomBelow(random, 2), randomBelow(random, kMaxEndMs));
 				call.sentAt = nowMs();
 				const httplib::Result got = client.Post(call.target, headersOf(call), upload, "text/plain");
 				call.endedAt = nowMs();
--- a/tools/soak_deployment.h
+++ b/tools/soak_deployment.h
@@ -12,7 +12,7 @@
 namespace archdyke::lab
 {
 	/// Size of a request that takes longer to write than an upstream takes to answer, bytes.
-	constexpr std::size_t kMaxUploadBytes = 1'200'000;
+	constexpr std::size_t kMaxUploadBytes = 2'000'000;
 
 	/// A gateway or a sidecar. It is restarted after it has exited.
 	struct SoakPart
--- a/tools/stub_proxy.cpp
+++ b/tools/stub_proxy.cpp
@@ -35,6 +35,9 @@
 	{
 		using Json = nlohmann::json;
 
+		/// Size of the system's buffers for bytes towards the target, each.
+		constexpr int kBufferBytes = 65'536;
+
 		struct LinkFaults
 		{
 			Millis delayMs = 0;
@@ -158,6 +161,9 @@
 				const int enable = 1;
 				::setsockopt(upstream, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
 				::setsockopt(_client, IPPROTO_TCP, TCP_NODELAY, &enable, sizeof(enable));
+				// A side that doesn't read stalls the other one soon, as it does without a proxy.
+				::setsockopt(upstream, SOL_SOCKET, SO_SNDBUF, &kBufferBytes, sizeof(kBufferBytes));
+				::setsockopt(_client, SOL_SOCKET, SO_RCVBUF, &kBufferBytes, sizeof(kBufferBytes));
 				if (0 != ::connect(upstream, reinterpret_cast<const sockaddr*>(&this->target), sizeof(this->target)))
 				{
 					::close(upstream);
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -7,8 +7,8 @@
 ///              chunks and without a reset, as unframed streams end), crash (the
 ///              process ends when the request starts to run, a stream after two events), skip (a
 ///              stream without its 3rd event), jump (likewise, all events in one chunk)
-///   do=early   an answer without length before the request was read, while its body waits to be read; behind readBytes=N bytes of it;
-///              cut=1: half of it, and endMs=N later a reset; else all, and a FIN
+///   do=early   an answer without length while the request's body, which is long, isn't read to its end; cut=1: half of it, and a reset
+///              endMs=N later; else all, and a FIN
 ///   do=endless-KIND  an answer without end, of a kind that stub_endless.h names; pace=byte sends it byte by byte
 ///   restS=N    the response to a shed request asks for a back-off of N s
 ///   leaving=1  the response says that the upstream is about to stop
@@ -113,7 +113,7 @@
 							call.head = std::move(part.request);
 							if (this->answersEarly(call))
 							{
-								co_await this->respondEarly(*_connection, call);
+								co_await this->respondEarly(std::move(_connection), std::move(call));
 								co_return;
 							}
 						}
@@ -334,15 +334,10 @@
 				return "early" == queryField(_call.head.target, "do") && !this->rejectsAll && this->backOffUntil <= nowMs() && (expected.empty() || expected == this->id);
 			}
 
-			/// Reads bytes of a body until some wait behind them that this process doesn't read: a connection that is closed then is reset.
-			aio::Task<void> readUntilStalled(http::HttpConnection& _connection, std::size_t _bytes)
+			/// Waits until bytes of a long body wait in the system because this process reads no more of it.
+			aio::Task<void> waitUntilStalled(const http::HttpConnection& _connection)
 			{
 				constexpr int kStalledPolls = 2;
-				for (std::size_t got = 0; got < _bytes && !_connection.isDisconnected();)
-				{
-					const Part part = co_await _connection.next();
-					got += part.body.size();
-				}
 				for (int stalled = 0; stalled < kStalledPolls && !_connection.isDisconnected();)
 				{
 					co_await this->loop.timer.afterDelay(1 * kj::MILLISECONDS);
@@ -350,7 +345,8 @@
 				}
 			}
 
-			aio::Task<void> respondEarly(http::HttpConnection& _connection, const Call& _call)
+			/// @param[in] _connection Is closed. One that is closed while bytes wait that this process hasn't read is reset.
+			aio::Task<void> respondEarly(std::unique_ptr<http::HttpConnection> _connection, Call _call)
 			{
 				constexpr std::size_t kMaxRestBytes = std::size_t(4) << 20;
 				constexpr Millis kMaxRestMs = 1'000;
@@ -359,7 +355,7 @@
 				record.lastArrivalAt = nowMs();
 				record.runs += 1;
 				this->printRun(_call);
-				co_await this->readUntilStalled(_connection, std::size_t(http::parseInteger(queryField(_call.head.target, "readBytes")).value_or(0)));
+				co_await this->waitUntilStalled(*_connection);
 				const bool cut = "1" == queryField(_call.head.target, "cut");
 				const std::string body = earlyBody(request);
 				std::string bytes = "HTTP/1.1 200 OK\r\n";
@@ -368,13 +364,18 @@
 					bytes += fmt::format("{}: {}\r\n", line.name, line.value);
 				}
 				bytes += "\r\n" + body.substr(0, cut ? body.size() / 2 : body.size());
-				co_await _call.writer->write(std::move(bytes));
+				co_await _connection->write(std::move(bytes));
 				if (!cut)
 				{
-					co_await _connection.closeGracefully(this->loop.timer, kMaxRestBytes, kMaxRestMs);
+					co_await _connection->closeGracefully(this->loop.timer, kMaxRestBytes, kMaxRestMs);
 					co_return;
 				}
-				co_await this->loop.timer.afterDelay(http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0) * kj::MILLISECONDS);
+				const Millis endMs = http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0);
+				if (0 < endMs)
+				{
+					co_await this->loop.timer.afterDelay(endMs * kj::MILLISECONDS);
+				}
+				_connection.reset();
 			}
 
 			aio::Task<bool> respondPlain(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, Record& _record)
