Soak: a reset early answer isn't ended by a FIN on a busy machine

The stand-in closed a connection of which its event loop had read everything that had come, which is a FIN and no reset. It waits for unread bytes now, and closes in the same turn.

--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -370,12 +370,12 @@
 					co_await _connection->closeGracefully(this->loop.timer, kMaxRestBytes, kMaxRestMs);
 					co_return;
 				}
-				const Millis endMs = http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0);
-				if (0 < endMs)
+				const Millis resetAt = nowMs() + http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0);
+				while (!_connection->isDisconnected() && (nowMs() < resetAt || 0 == _connection->countBytesBehind()))
 				{
-					co_await this->loop.timer.afterDelay(endMs * kj::MILLISECONDS);
+					co_await this->loop.timer.afterDelay(1 * kj::MILLISECONDS);
 				}
-				_connection.reset();
+				_connection.reset(); // before the event loop reads what waits
 			}
 
 			aio::Task<bool> respondPlain(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, Record& _record)
