--- a/tools/soak_callers.cpp
+++ b/tools/soak_callers.cpp
@@ -311,7 +311,8 @@
 				call.kind = 0 == randomBelow(random, 2) ? SoakKind::Safe : SoakKind::Once;
 				call.key = SoakDeployment::permanentKey();
 				call.gateway = gateway.name;
-				call.target = fmt::format("{}?do=early&cut={}&endMs={}", pathOf(call.kind), randomBelow(random, 2), randomBelow(random, kMaxEndMs));
+				// No two are alike: the same request at several upstreams that crash under another one would be refused.
+				call.target = fmt::format("/{}/{}?do=early&cut={}&endMs={}", SoakKind::Safe == call.kind ? "safe" : "once", call.id, randomBelow(random, 2), randomBelow(random, kMaxEndMs));
 				call.sentAt = nowMs();
 				const httplib::Result got = client.Post(call.target, headersOf(call), upload, "text/plain");
 				call.endedAt = nowMs();
