--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -193,7 +193,7 @@
 	'&& !mayRead(this->state.stop, nowMs())' '&& false'
 mutant stops-cut-what-is-at-work "plannedstop_requests_at_work_at_the_end_are_answered" src/gateway/request.cpp \
 	'return stop && !_context.headSent ?' 'return false && stop && !_context.headSent ?'
-mutant entries-wait-for-bodies "stopping_an_entry_refuses_bodies_that_end_late|stopping_an_agent_does_not_wait_for_clients_of_its_admin_port" src/base/http_server.cpp \
+mutant entries-wait-for-bodies "stopping_an_entry_refuses_bodies_that_end_late|stopping_an_agent_does_not_wait_for_clients_of_its_admin_port" src/base/socket_stream.cpp \
 	'return from <= now && kStopReadMs < now - std::max(from, this->begunAt);' 'return false && from <= now;'
 mutant peers-announce-any-message "endlesscallers_a_message_of_a_peer_takes_little_memory" src/rpc/rpc_client.cpp \
 	'options.traversalLimitInWords = kMaxMessageBytes / sizeof(capnp::word);' ''
