--- a/src/http/http_connection.cpp
+++ b/src/http/http_connection.cpp
@@ -1,15 +1,12 @@
 #include "http/http_connection.h"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <memory>
 #include <utility>
 #include <vector>
 
 #include "base/socket_buffers.h"
-#include "base/socket_end.h"
-#include "http/socket_state.h"
 
 namespace archdyke::http
 {
@@ -144,16 +141,6 @@
 		}
 	}
 
-	ConnectionEnd HttpConnection::connectionEnd() const
-	{
-		FinState fin = FinState::Unknown;
-		KJ_IF_MAYBE (descriptor, this->stream->getFd())
-		{
-			fin = finStateOf(*descriptor, this->readBytes);
-		}
-		return {fin, 0 == this->unfinishedWrites};
-	}
-
 	std::optional<PartKind> HttpConnection::parse(std::string_view _bytes)
 	{
 		if (!this->inExchange)
@@ -201,15 +188,6 @@
 		}
 	}
 
-	void HttpConnection::endWith(PartKind _how)
-	{
-		this->gone = true;
-		Part part;
-		part.kind = _how;
-		this->take(std::move(part));
-		this->goneFulfiller->fulfill();
-	}
-
 	aio::Task<Part> HttpConnection::next()
 	{
 		if (this->parts.empty() && this->parser.isPaused())
@@ -249,11 +227,6 @@
 		}
 	}
 
-	kj::Promise<void> HttpConnection::whenDisconnected()
-	{
-		return this->goneFork.addBranch();
-	}
-
 	aio::Task<void> HttpConnection::write(std::string _bytes)
 	{
 		this->unfinishedWrites += 1;
@@ -324,77 +297,21 @@
 		}
 	}
 
-	aio::Task<void> HttpConnection::discard(std::size_t _maxBytes)
-	{
-		static std::array<char, kReadBufferBytes> buffer; // for all connections, since nobody looks at these bytes
-		std::size_t discarded = 0;
-		std::size_t size = 1;
-		while (0 < size && discarded < _maxBytes)
-		{
-			if (nullptr != this->charge.chargedTo())
-			{
-				co_await this->charge.chargedTo()->resources().turns().next();
-			}
-			size = co_await this->stream->tryRead(buffer.data(), 1, buffer.size());
-			discarded += size;
-		}
-	}
-
-	aio::Task<void> HttpConnection::closeGracefully(kj::Timer& _timer, std::size_t _maxBytes, Millis _maxMs)
-	{
-		this->reading = nullptr;
-		this->parts = {};
-		this->behind = {};
-		this->bufferedBytes = 0;
-		this->readCapacity = 0;
-		this->parser.release();
-		this->updateCharge();
-		try
-		{
-			this->stream->shutdownWrite();
-			co_await this->discard(_maxBytes).take().exclusiveJoin(_timer.afterDelay(_maxMs * kj::MILLISECONDS));
-		}
-		catch (const kj::Exception&)
-		{
-			// The other side has closed already.
-		}
-	}
-
 	bool HttpConnection::hasBehind() const
 	{
 		return !this->behind.empty();
 	}
 
-	bool HttpConnection::isHungUp() const
-	{
-		return http::isHungUp(*this->stream);
-	}
-
 	bool HttpConnection::hasUnread() const
 	{
 		return !this->parts.empty();
 	}
 
-	bool HttpConnection::isDisconnected() const
-	{
-		return this->gone;
-	}
-
-	bool HttpConnection::isLost() const
-	{
-		return this->gone && (PartKind::Closed == this->parts.back().kind || PartKind::Reset == this->parts.back().kind);
-	}
-
 	std::uint64_t HttpConnection::countWritten() const
 	{
 		return this->writtenBytes;
 	}
 
-	std::optional<PartKind> HttpConnection::ending() const
-	{
-		return this->gone ? std::optional(this->parts.back().kind) : std::nullopt;
-	}
-
 	bool HttpConnection::isMidMessage() const
 	{
 		return this->parser.isWithinMessage();
--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -38,6 +38,7 @@
 #include "base/process.h"
 #include "http/http_listener.h"
 #include "server_stamp.h"
+#include "stub_early.h"
 #include "stub_endless.h"
 #include "stub_main.h"
 #include "stub_stutter.h"
@@ -334,48 +335,20 @@
 				return "early" == queryField(_call.head.target, "do") && !this->rejectsAll && this->backOffUntil <= nowMs() && (expected.empty() || expected == this->id);
 			}
 
-			/// Waits until bytes of a long body wait in the system because this process reads no more of it.
-			aio::Task<void> waitUntilStalled(const http::HttpConnection& _connection)
-			{
-				constexpr int kStalledPolls = 2;
-				for (int stalled = 0; stalled < kStalledPolls && !_connection.isDisconnected();)
-				{
-					co_await this->loop.timer.afterDelay(1 * kj::MILLISECONDS);
-					stalled = 0 < _connection.countBytesBehind() ? stalled + 1 : 0;
-				}
-			}
-
-			/// @param[in] _connection Is closed. One that is closed while bytes wait that this process hasn't read is reset.
+			/// @param[in] _connection Is closed.
 			aio::Task<void> respondEarly(std::unique_ptr<http::HttpConnection> _connection, Call _call)
 			{
-				constexpr std::size_t kMaxRestBytes = std::size_t(4) << 20;
-				constexpr Millis kMaxRestMs = 1'000;
 				const std::string request = this->headerOf(_call, "X-Archdyke-Request-Id");
 				Record& record = this->records[request];
 				record.lastArrivalAt = nowMs();
 				record.runs += 1;
 				this->printRun(_call);
-				co_await this->waitUntilStalled(*_connection);
-				const bool cut = "1" == queryField(_call.head.target, "cut");
-				const std::string body = earlyBody(request);
-				std::string bytes = "HTTP/1.1 200 OK\r\n";
-				for (const http::Header& line : this->headFor(_call, 200, body).headers.lines)
-				{
-					bytes += fmt::format("{}: {}\r\n", line.name, line.value);
-				}
-				bytes += "\r\n" + body.substr(0, cut ? body.size() / 2 : body.size());
-				co_await _connection->write(std::move(bytes));
-				if (!cut)
-				{
-					co_await _connection->closeGracefully(this->loop.timer, kMaxRestBytes, kMaxRestMs);
-					co_return;
-				}
-				const Millis resetAt = nowMs() + http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0);
-				while (!_connection->isDisconnected() && (nowMs() < resetAt || 0 == _connection->countBytesBehind()))
-				{
-					co_await this->loop.timer.afterDelay(1 * kj::MILLISECONDS);
-				}
-				_connection.reset(); // before the event loop reads what waits
+				EarlyResponse response;
+				response.body = earlyBody(request);
+				response.head = this->headFor(_call, 200, response.body);
+				response.isCut = "1" == queryField(_call.head.target, "cut");
+				response.endMs = http::parseInteger(queryField(_call.head.target, "endMs")).value_or(0);
+				return writeEarly(this->loop.timer, std::move(_connection), std::move(response));
 			}
 
 			aio::Task<bool> respondPlain(http::HttpConnection& _connection, const Call& _call, std::string _behaviour, Record& _record)
