--- a/tools/stub_worker.cpp
+++ b/tools/stub_worker.cpp
@@ -114,7 +114,7 @@
 							call.head = std::move(part.request);
 							if (this->answersEarly(call))
 							{
-								co_await this->respondEarly(std::move(_connection), std::move(call));
+								co_await this->respondEarly(std::move(_connection), call);
 								co_return;
 							}
 						}
@@ -336,7 +336,7 @@
 			}
 
 			/// @param[in] _connection Is closed.
-			aio::Task<void> respondEarly(std::unique_ptr<http::HttpConnection> _connection, Call _call)
+			aio::Task<void> respondEarly(std::unique_ptr<http::HttpConnection> _connection, const Call& _call)
 			{
 				const std::string request = this->headerOf(_call, "X-Archdyke-Request-Id");
 				Record& record = this->records[request];
